--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,134 @@
+//! What the decisions are handed and what they call: plain types, and the `Host` that carries them out.
+//! Times are whole microseconds of the host's clock; servers, queries, zones and products are small indices.
+
+/// What a balancer may do to the world. One answer or one execution is one call.
+pub trait Host {
+    /// Sends the query's next execution to a server; `time_out` counts from now.
+    fn execute(&mut self, qry: usize, server: usize, time_out: u64);
+    /// Stops waiting for one execution; its outcome still comes.
+    fn cancel(&mut self, qry: usize, exec: usize);
+    /// Final answer: nothing has happened, trying again does no harm, best after `retry_after` (0: no advice).
+    fn reject(&mut self, qry: usize, retry_after: u64);
+    /// Final answer: failed, and it may or may not have taken effect.
+    fn abort(&mut self, qry: usize);
+    /// Calls `Balancer::timer` with this label after `wait`.
+    fn wake(&mut self, wait: u64, label: u32);
+    /// Subscribes to the changes of the server list.
+    fn follow_list(&mut self);
+    /// Asks a server for a sign of life.
+    fn probe(&mut self, server: usize);
+}
+
+/// How far a product's effect may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated(Group),
+    NonIdempotent,
+}
+
+/// The servers that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// A row of the table of products.
+#[derive(Clone, Debug)]
+pub struct Product {
+    pub effect: Effect,
+    pub slo_time: u64,
+    pub statement_timeout: u64,
+    pub memory_span: u64,
+    pub importance: f64,
+    /// Part of the importance that an answer after the SLO time still earns.
+    pub tardy_importance: f64,
+}
+
+/// What a deployment allows and demands, as handed over at the start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub balancers: usize,
+    pub tier: usize,
+    pub zones: usize,
+    pub products: Vec<Product>,
+    /// Queries a second within each tenant's share, over all balancers.
+    pub tenant_quotas: Vec<f64>,
+    pub beyond_share_importance: f64,
+    /// The caller's deadline comes with the calls of the tiers below.
+    pub passes_deadline: bool,
+    pub most_executions: usize,
+    pub second_copies: bool,
+    pub cancel: bool,
+    pub probes: bool,
+    /// Longest wait that clients follow; 0 where no advice is passed on.
+    pub most_retry_after: u64,
+    pub answer_slack: u64,
+    pub tick: u64,
+    /// The list comes only to those that ask; unheard for this long it counts as known all the same.
+    pub must_ask_in: Option<u64>,
+    pub stop_sending_within: u64,
+    pub cold_from: f64,
+    pub cold_time: u64,
+    pub fall_multiple: f64,
+    pub tip_after: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub server: usize,
+    pub zone: usize,
+    pub cell: usize,
+    pub standing: Standing,
+    pub size: f64,
+    /// Clock time of its last start; 0: long ago.
+    pub born: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub product: usize,
+    pub tenant: usize,
+    /// Clock time at which the client abandons this try.
+    pub deadline: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    Error,
+    /// Sent back unseen: the waiting room is full or the server drains.
+    TurnedAway,
+    TimedOut,
+    NotConnected,
+    Broken,
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NotConnected | Outcome::Moot)
+    }
+}
+
+/// What a server says of its load; what it does not tell is `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    pub outstanding: Option<f64>,
+    pub backlog: Option<f64>,
+    pub utilization: Option<f64>,
+    pub recent_latency: Option<f64>,
+    pub throughput: Option<f64>,
+}
--- /dev/null
+++ b/src/pcg.rs
@@ -0,0 +1,30 @@
+//! A permuted congruential generator (PCG-XSH-RR 64/32), the module's only source of chance.
+
+pub struct Pcg(u64);
+
+impl Pcg {
+    const STEP: u64 = 6_364_136_223_846_793_005;
+    const ODD: u64 = 1_442_695_040_888_963_407;
+
+    pub fn new(seed: u64) -> Self {
+        let mut pcg = Pcg(seed.wrapping_add(Self::ODD));
+        pcg.bits();
+        pcg
+    }
+
+    fn bits(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(Self::STEP).wrapping_add(Self::ODD);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// A number from 0 up to but without 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.bits()) / 4_294_967_296.0
+    }
+
+    /// A whole number below `n`; 0 if `n` is 0.
+    pub fn below(&mut self, n: usize) -> usize {
+        ((u64::from(self.bits()) * n as u64) >> 32) as usize
+    }
+}
