--- a/src/decide.rs
+++ b/src/decide.rs
@@ -498,9 +498,10 @@
         let own = |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.own as f64 / s.size);
         let mean = fit.iter().map(|&s| own(self, s)).sum::<f64>() / fit.len() as f64;
         let start = fit.clone();
+        let usual = self.usual_stay();
         while !fit.is_empty() {
             let pick = self.chance.below(fit.len());
-            if own(self, fit[pick]) <= PASS_OVER * mean {
+            if own(self, fit[pick]) <= PASS_OVER * mean && !self.crowded(fit[pick], usual) {
                 return Some(fit[pick]);
             }
             fit.swap_remove(pick);
@@ -508,6 +509,23 @@
         start.into_iter().min_by(|&a, &b| own(self, a).total_cmp(&own(self, b)))
     }
 
+    /// How long a query stays at a server by its own report: what it holds over what it serves.
+    fn stay(&self, server: usize) -> Option<f64> {
+        let s = self.servers[server].as_ref()?;
+        let held = s.report.outstanding.or(s.report.backlog)?;
+        Some(held / s.report.throughput?.max(0.5))
+    }
+
+    fn usual_stay(&self) -> f64 {
+        let stays = self.listed.iter().filter(|&&i| self.ready(i)).filter_map(|&i| self.stay(i));
+        let (sum, count) = stays.fold((0.0, 0.0), |(sum, count), stay| (sum + stay, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    fn crowded(&self, server: usize, usual: f64) -> bool {
+        self.stay(server).is_some_and(|stay| stay > 1.5 * usual)
+    }
+
     fn ready(&self, server: usize) -> bool {
         self.servers[server].as_ref().is_some_and(|s| s.standing == Standing::Ready && !self.is_aside(s))
     }
