--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 const CANDIDATES: usize = 10;
 const PASS_OVER: f64 = 2.0;
 // Left open by the design.
+const FULL: f64 = 0.35;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -101,6 +102,9 @@
     /// The last served latencies, a row a product.
     latencies: Vec<VecDeque<u64>>,
     arrivals: VecDeque<u64>,
+    /// When the last queries were served.
+    served: VecDeque<u64>,
+    own_total: usize,
     solved_rate: f64,
     asked: u64,
 }
@@ -112,6 +116,13 @@
     ring.push_back(item);
 }
 
+/// Events a second over the last check period.
+fn rate(times: &VecDeque<u64>, now: u64) -> f64 {
+    let since = now.saturating_sub(CHECK);
+    let recent = times.iter().rev().take_while(|&&at| at >= since).count();
+    recent as f64 * 1e6 / CHECK as f64
+}
+
 impl<H: Host> Balancer<H> {
     pub fn new(host: H, terms: Terms, seed: u64, now: u64) -> Self {
         let zones = (0..terms.zones).map(|_| Zone { each: 1.0, ..Zone::default() }).collect();
@@ -127,6 +138,8 @@
             queries: Vec::new(),
             latencies,
             arrivals: VecDeque::new(),
+            served: VecDeque::new(),
+            own_total: 0,
             solved_rate: 0.0,
             asked: now,
         };
@@ -240,7 +253,7 @@
         q.execs.clear();
         q.live = true;
         (q.product, q.arrived, q.deadline, q.give_up) = (product, now, arrival.deadline, give_up);
-        if !known || !self.place(qry) {
+        if !known || self.overfull(product) || !self.place(qry) {
             self.finish(qry);
             return;
         }
@@ -282,12 +295,14 @@
         let was_live = q.live;
         q.live &= !over;
         self.note_report(server, report);
+        self.own_total = self.own_total.saturating_sub(1);
         if let Some(s) = self.servers[server].as_mut() {
             s.own = s.own.saturating_sub(1);
         }
         match outcome {
             Outcome::Completed => {
                 self.note_result(server, true);
+                push(&mut self.served, 1024, now);
                 push(&mut self.latencies[product], PRODUCT_SAMPLES, spent);
                 if let Some(zone) = self.servers[server].as_ref().map(|s| s.zone) {
                     let load = self.load_per_ready(zone);
@@ -404,6 +419,7 @@
             return false;
         };
         s.own += 1;
+        self.own_total += 1;
         push(&mut s.sent, 64, self.now);
         let exec =
             Exec { server, zone: s.zone, cell: s.cell, sent: self.now, fate: Fate::Out, struck: false };
@@ -461,6 +477,15 @@
         }
     }
 
+    /// Guards against overload: by Little's law what is in flight, over what is served, tells the time that one
+    /// more query would take.
+    fn overfull(&self, product: usize) -> bool {
+        let served = rate(&self.served, self.now);
+        let enough = if self.terms.tier == 0 { 2.0 * self.listed.len() as f64 } else { f64::MAX };
+        let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
+        self.own_total as f64 > enough && time > FULL * self.terms.products[product].slo_time as f64 / 1e6
+    }
+
     // ---- choice of a server
 
     /// The design's ordinary path: a zone by its weight, inside it a random server, passing over the crowded.
@@ -503,7 +528,7 @@
             let pick = self.chance.below(fit.len());
             let server = fit.swap_remove(pick);
             let load = own(self, server);
-            if load <= PASS_OVER * mean {
+            if load + 1.0 / self.servers[server].as_ref().map_or(1.0, |s| s.size) <= PASS_OVER * mean {
                 return Some(server);
             }
             if best.is_none_or(|(least, _)| load < least) {
@@ -600,9 +625,7 @@
     }
 
     fn own_rate(&self) -> f64 {
-        let since = self.now.saturating_sub(CHECK);
-        let recent = self.arrivals.iter().rev().take_while(|&&at| at >= since).count();
-        recent as f64 * 1e6 / CHECK as f64
+        rate(&self.arrivals, self.now)
     }
 
     fn ready_count(&self, zone: usize) -> f64 {
