--- a/src/decide.rs
+++ b/src/decide.rs
@@ -520,7 +520,7 @@
         }
         let drawn = drawn?;
         fit.retain(|&server| zone_of(self, server) == drawn);
-        let own = |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.own as f64 / s.size);
+        let own = |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.own as f64);
         let mean = fit.iter().map(|&s| own(self, s)).sum::<f64>() / fit.len() as f64;
         // Drawn in random order, so that ties among the fewest fall to chance.
         let mut best = None;
@@ -528,7 +528,7 @@
             let pick = self.chance.below(fit.len());
             let server = fit.swap_remove(pick);
             let load = own(self, server);
-            if load + 1.0 / self.servers[server].as_ref().map_or(1.0, |s| s.size) <= PASS_OVER * mean {
+            if load + 1.0 <= PASS_OVER * mean {
                 return Some(server);
             }
             if best.is_none_or(|(least, _)| load < least) {
