Calls in flight count for more at a server whose last answers took long

Cause: within a zone every server was given the same share, so a slow or crowded machine held queries past their SLO time.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,6 +40,8 @@
     sent: VecDeque<u64>,
     /// The last outcomes: whether the server did its work.
     results: VecDeque<bool>,
+    /// How long its last completed executions took.
+    took: VecDeque<u64>,
     last_answer: u64,
     aside_until: u64,
     strikes: u32,
@@ -116,6 +118,10 @@
     ring.push_back(item);
 }
 
+fn mean_took(s: &Server) -> f64 {
+    s.took.iter().sum::<u64>() as f64 / s.took.len().max(1) as f64
+}
+
 /// Events a second over the last check period.
 fn rate(times: &VecDeque<u64>, now: u64) -> f64 {
     let since = now.saturating_sub(CHECK);
@@ -189,6 +195,7 @@
                         own,
                         sent: VecDeque::new(),
                         results: VecDeque::new(),
+                        took: VecDeque::new(),
                         last_answer: 0,
                         aside_until: 0,
                         strikes: 0,
@@ -302,6 +309,9 @@
         match outcome {
             Outcome::Completed => {
                 self.note_result(server, true);
+                if let Some(s) = self.servers[server].as_mut() {
+                    push(&mut s.took, SERVER_RESULTS, spent);
+                }
                 push(&mut self.served, 1024, now);
                 push(&mut self.latencies[product], PRODUCT_SAMPLES, spent);
                 if let Some(zone) = self.servers[server].as_ref().map(|s| s.zone) {
@@ -520,7 +530,10 @@
         }
         let drawn = drawn?;
         fit.retain(|&server| zone_of(self, server) == drawn);
-        let own = |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.own as f64);
+        let usual = self.usual();
+        let own = |b: &Self, server: usize| {
+            b.servers[server].as_ref().map_or(0.0, |s| s.own as f64 / s.size / b.pace(s, usual))
+        };
         let mean = fit.iter().map(|&s| own(self, s)).sum::<f64>() / fit.len() as f64;
         // Drawn in random order, so that ties among the fewest fall to chance.
         let mut best = None;
@@ -528,7 +541,8 @@
             let pick = self.chance.below(fit.len());
             let server = fit.swap_remove(pick);
             let load = own(self, server);
-            if load + 1.0 <= PASS_OVER * mean {
+            let one = self.servers[server].as_ref().map_or(1.0, |s| 1.0 / s.size / self.pace(s, usual));
+            if load + one <= PASS_OVER * mean {
                 return Some(server);
             }
             if best.is_none_or(|(least, _)| load < least) {
@@ -538,6 +552,19 @@
         best.map(|(_, server)| server)
     }
 
+    /// The mean time of the ready servers' last completed executions.
+    fn usual(&self) -> f64 {
+        let known = self.listed.iter().filter(|&&i| self.ready(i)).filter_map(|&i| self.servers[i].as_ref());
+        let means = known.filter(|s| s.took.len() >= 3).map(mean_took);
+        let (sum, count) = means.fold((0.0, 0.0), |(sum, count), mean| (sum + mean, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// Under 1 for a server that takes longer than usual: what it holds counts for more.
+    fn pace(&self, s: &Server, usual: f64) -> f64 {
+        if s.took.len() < 3 || usual <= 0.0 { 1.0 } else { (usual / mean_took(s)).clamp(0.25, 1.0) }
+    }
+
     fn ready(&self, server: usize) -> bool {
         self.servers[server].as_ref().is_some_and(|s| s.standing == Standing::Ready && !self.is_aside(s))
     }
