--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,8 @@
 const CANDIDATES: usize = 10;
 const PASS_OVER: f64 = 2.0;
 // Left open by the design.
-const FULL: f64 = 0.35;
+const HOLD: f64 = 0.25;
+const FULL: f64 = 0.5;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -107,6 +108,8 @@
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
+    /// Queries with nothing out, waiting for room, the oldest first.
+    held: VecDeque<usize>,
     solved_rate: f64,
     asked: u64,
 }
@@ -146,6 +149,7 @@
             arrivals: VecDeque::new(),
             served: VecDeque::new(),
             own_total: 0,
+            held: VecDeque::new(),
             solved_rate: 0.0,
             asked: now,
         };
@@ -260,11 +264,16 @@
         q.execs.clear();
         q.live = true;
         (q.product, q.arrived, q.deadline, q.give_up) = (product, now, arrival.deadline, give_up);
-        if !known || self.overfull(product) || !self.place(qry) {
+        if known && self.overfull(product) && self.wait_for_room() < self.most_wait(product) {
+            self.held.push_back(qry);
+            let wait = self.most_wait(product);
+            self.queries[qry].next_look = now + wait;
+            self.host.wake(wait, LABEL_QUERIES + qry as u32);
+        } else if !known || self.overfull(product) || !self.place(qry) {
             self.finish(qry);
-            return;
+        } else {
+            self.look_again(qry);
         }
-        self.look_again(qry);
     }
 
     pub fn started(&mut self, now: u64, qry: usize, exec: usize) {
@@ -334,6 +343,7 @@
                 self.look_again(qry);
             }
         }
+        self.release_held();
     }
 
     /// The client has left; nothing is owed any more.
@@ -341,6 +351,7 @@
         self.now = now;
         if self.queries.get(qry).is_some_and(|q| q.live) {
             self.queries[qry].live = false;
+            self.held.retain(|&held| held != qry);
             self.cancel_rest(qry);
         }
     }
@@ -368,7 +379,9 @@
         if !q.live || self.now < q.next_look {
             return;
         }
-        if self.now >= q.give_up {
+        // What is still held by now has waited as long as makes sense.
+        if self.now >= q.give_up || q.execs.is_empty() {
+            self.held.retain(|&held| held != qry);
             self.finish(qry);
             return;
         }
@@ -496,6 +509,32 @@
         self.own_total as f64 > enough && time > FULL * self.terms.products[product].slo_time as f64 / 1e6
     }
 
+    /// How long the last of the held queries will wait.
+    fn wait_for_room(&self) -> u64 {
+        (self.held.len() as f64 * 1e6 / rate(&self.served, self.now).max(1.0)) as u64
+    }
+
+    fn most_wait(&self, product: usize) -> u64 {
+        (HOLD * self.terms.products[product].slo_time as f64) as u64
+    }
+
+    fn release_held(&mut self) {
+        while let Some(&qry) = self.held.front() {
+            let q = &self.queries[qry];
+            if q.live && q.execs.is_empty() && self.overfull(q.product) {
+                return;
+            }
+            self.held.pop_front();
+            if q.live && q.execs.is_empty() {
+                if self.place(qry) {
+                    self.look_again(qry);
+                } else {
+                    self.finish(qry);
+                }
+            }
+        }
+    }
+
     // ---- choice of a server
 
     /// The design's ordinary path: a zone by its weight, inside it a random server, passing over the crowded.
