--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,8 +17,9 @@
 const CANDIDATES: usize = 10;
 const PASS_OVER: f64 = 2.0;
 // Left open by the design.
-const HOLD: f64 = 0.25;
-const FULL: f64 = 0.5;
+const BEYOND: f64 = 0.5;
+const SLACK: f64 = 1.0;
+const FULL: f64 = 0.35;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -98,6 +99,7 @@
     terms: Terms,
     chance: Pcg,
     now: u64,
+    start: u64,
     servers: Vec<Option<Server>>,
     listed: Vec<usize>,
     zones: Vec<Zone>,
@@ -105,11 +107,11 @@
     /// The last served latencies, a row a product.
     latencies: Vec<VecDeque<u64>>,
     arrivals: VecDeque<u64>,
+    /// The last arrivals, a row a tenant.
+    by_tenant: Vec<VecDeque<u64>>,
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
-    /// Queries with nothing out, waiting for room, the oldest first.
-    held: VecDeque<usize>,
     solved_rate: f64,
     asked: u64,
 }
@@ -126,30 +128,32 @@
 }
 
 /// Events a second over the last check period.
-fn rate(times: &VecDeque<u64>, now: u64) -> f64 {
-    let since = now.saturating_sub(CHECK);
+fn rate(times: &VecDeque<u64>, now: u64, start: u64) -> f64 {
+    let since = now.saturating_sub(CHECK).max(start);
     let recent = times.iter().rev().take_while(|&&at| at >= since).count();
-    recent as f64 * 1e6 / CHECK as f64
+    recent as f64 * 1e6 / (now - since).max(CHECK / 10) as f64
 }
 
 impl<H: Host> Balancer<H> {
     pub fn new(host: H, terms: Terms, seed: u64, now: u64) -> Self {
         let zones = (0..terms.zones).map(|_| Zone { each: 1.0, ..Zone::default() }).collect();
+        let by_tenant = terms.tenant_quotas.iter().map(|_| VecDeque::new()).collect();
         let latencies = terms.products.iter().map(|_| VecDeque::new()).collect();
         let mut balancer = Balancer {
             host,
             terms,
             chance: Pcg::new(seed),
             now,
+            start: now,
             servers: Vec::new(),
             listed: Vec::new(),
             zones,
             queries: Vec::new(),
             latencies,
             arrivals: VecDeque::new(),
+            by_tenant,
             served: VecDeque::new(),
             own_total: 0,
-            held: VecDeque::new(),
             solved_rate: 0.0,
             asked: now,
         };
@@ -264,16 +268,14 @@
         q.execs.clear();
         q.live = true;
         (q.product, q.arrived, q.deadline, q.give_up) = (product, now, arrival.deadline, give_up);
-        if known && self.overfull(product) && self.wait_for_room() < self.most_wait(product) {
-            self.held.push_back(qry);
-            let wait = self.most_wait(product);
-            self.queries[qry].next_look = now + wait;
-            self.host.wake(wait, LABEL_QUERIES + qry as u32);
-        } else if !known || self.overfull(product) || !self.place(qry) {
+        if !known || self.overfull(product, arrival.tenant) || !self.place(qry) {
             self.finish(qry);
-        } else {
-            self.look_again(qry);
+            return;
         }
+        if let Some(times) = self.by_tenant.get_mut(arrival.tenant) {
+            push(times, 512, now);
+        }
+        self.look_again(qry);
     }
 
     pub fn started(&mut self, now: u64, qry: usize, exec: usize) {
@@ -343,7 +345,6 @@
                 self.look_again(qry);
             }
         }
-        self.release_held();
     }
 
     /// The client has left; nothing is owed any more.
@@ -351,7 +352,6 @@
         self.now = now;
         if self.queries.get(qry).is_some_and(|q| q.live) {
             self.queries[qry].live = false;
-            self.held.retain(|&held| held != qry);
             self.cancel_rest(qry);
         }
     }
@@ -379,9 +379,7 @@
         if !q.live || self.now < q.next_look {
             return;
         }
-        // What is still held by now has waited as long as makes sense.
-        if self.now >= q.give_up || q.execs.is_empty() {
-            self.held.retain(|&held| held != qry);
+        if self.now >= q.give_up {
             self.finish(qry);
             return;
         }
@@ -502,37 +500,22 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, tells the time that one
     /// more query would take.
-    fn overfull(&self, product: usize) -> bool {
-        let served = rate(&self.served, self.now);
+    fn overfull(&self, product: usize, tenant: usize) -> bool {
+        let served = rate(&self.served, self.now, self.start);
         let enough = if self.terms.tier == 0 { 2.0 * self.listed.len() as f64 } else { f64::MAX };
         let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
-        self.own_total as f64 > enough && time > FULL * self.terms.products[product].slo_time as f64 / 1e6
-    }
-
-    /// How long the last of the held queries will wait.
-    fn wait_for_room(&self) -> u64 {
-        (self.held.len() as f64 * 1e6 / rate(&self.served, self.now).max(1.0)) as u64
-    }
-
-    fn most_wait(&self, product: usize) -> u64 {
-        (HOLD * self.terms.products[product].slo_time as f64) as u64
+        let beyond = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
+        let most = FULL * self.terms.products[product].slo_time as f64 / 1e6;
+        self.own_total as f64 > beyond * enough && time > beyond * most
     }
 
-    fn release_held(&mut self) {
-        while let Some(&qry) = self.held.front() {
-            let q = &self.queries[qry];
-            if q.live && q.execs.is_empty() && self.overfull(q.product) {
-                return;
-            }
-            self.held.pop_front();
-            if q.live && q.execs.is_empty() {
-                if self.place(qry) {
-                    self.look_again(qry);
-                } else {
-                    self.finish(qry);
-                }
-            }
-        }
+    /// Whether the tenant sends this copy more than its part of the tenant's share.
+    fn beyond_share(&self, tenant: usize) -> bool {
+        let (Some(times), Some(quota)) = (self.by_tenant.get(tenant), self.terms.tenant_quotas.get(tenant))
+        else {
+            return false;
+        };
+        *quota > 0.0 && rate(times, self.now, self.start) > SLACK * quota / self.terms.balancers as f64
     }
 
     // ---- choice of a server
@@ -691,7 +674,7 @@
     }
 
     fn own_rate(&self) -> f64 {
-        rate(&self.arrivals, self.now)
+        rate(&self.arrivals, self.now, self.start)
     }
 
     fn ready_count(&self, zone: usize) -> f64 {
