--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,7 @@
 // Left open by the design.
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
-const FULL: f64 = 0.35;
+const FULL: f64 = 0.25;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
