--- a/src/decide.rs
+++ b/src/decide.rs
@@ -502,7 +502,11 @@
     /// more query would take.
     fn overfull(&self, product: usize, tenant: usize) -> bool {
         let served = rate(&self.served, self.now, self.start);
-        let enough = if self.terms.tier == 0 { 2.0 * self.listed.len() as f64 } else { f64::MAX };
+        let enough = if self.terms.tier == 0 {
+            8.0 / self.terms.balancers as f64 * self.listed.len() as f64
+        } else {
+            f64::MAX
+        };
         let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
         let beyond = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
         let most = FULL * self.terms.products[product].slo_time as f64 / 1e6;
