--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,8 @@
 // Left open by the design.
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
-const FULL: f64 = 0.25;
+const LEAST_OUT: f64 = 1.0;
+const FULL: f64 = 0.6;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -501,16 +502,15 @@
     /// Guards against overload: by Little's law what is in flight, over what is served, tells the time that one
     /// more query would take.
     fn overfull(&self, product: usize, tenant: usize) -> bool {
-        let served = rate(&self.served, self.now, self.start);
-        let enough = if self.terms.tier == 0 {
-            8.0 / self.terms.balancers as f64 * self.listed.len() as f64
-        } else {
-            f64::MAX
-        };
-        let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
-        let beyond = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        let most = FULL * self.terms.products[product].slo_time as f64 / 1e6;
-        self.own_total as f64 > beyond * enough && time > beyond * most
+        // What the tiers below turn away is lost work of those above: only the first tier rejects.
+        if self.terms.tier > 0 {
+            return false;
+        }
+        let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
+        let most = part * FULL * self.terms.products[product].slo_time as f64 / 1e6;
+        let out = self.own_total as f64;
+        out > part * LEAST_OUT * self.listed.len() as f64
+            && out > most * rate(&self.served, self.now, self.start)
     }
 
     /// Whether the tenant sends this copy more than its part of the tenant's share.
