--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,7 @@
 // Left open by the design.
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
-const LATE: f64 = 1.0;
+const FULL: f64 = 0.25;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -112,8 +112,6 @@
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
-    /// How many calls in flight this copy takes on: up while answers come in good time, down when they are late.
-    most_out: f64,
     solved_rate: f64,
     asked: u64,
 }
@@ -156,7 +154,6 @@
             by_tenant,
             served: VecDeque::new(),
             own_total: 0,
-            most_out: 30.0,
             solved_rate: 0.0,
             asked: now,
         };
@@ -271,7 +268,7 @@
         q.execs.clear();
         q.live = true;
         (q.product, q.arrived, q.deadline, q.give_up) = (product, now, arrival.deadline, give_up);
-        if !known || self.overfull(arrival.tenant) || !self.place(qry) {
+        if !known || self.overfull(product, arrival.tenant) || !self.place(qry) {
             self.finish(qry);
             return;
         }
@@ -323,13 +320,6 @@
         match outcome {
             Outcome::Completed => {
                 self.note_result(server, true);
-                let least = self.listed.len() as f64;
-                self.most_out = self.most_out.max(least);
-                if spent as f64 > LATE * self.terms.products[product].slo_time as f64 {
-                    self.most_out = (self.most_out * 0.95).max(least);
-                } else if self.own_total as f64 > 0.5 * self.most_out {
-                    self.most_out += 1.0 / self.most_out;
-                }
                 if let Some(s) = self.servers[server].as_mut() {
                     push(&mut s.took, SERVER_RESULTS, spent);
                 }
@@ -510,13 +500,13 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, tells the time that one
     /// more query would take.
-    fn overfull(&self, tenant: usize) -> bool {
-        // What the tiers below turn away is lost work of those above: only the first tier rejects.
-        if self.terms.tier > 0 {
-            return false;
-        }
-        let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.own_total as f64 > part * self.most_out.max(self.listed.len() as f64)
+    fn overfull(&self, product: usize, tenant: usize) -> bool {
+        let served = rate(&self.served, self.now, self.start);
+        let enough = if self.terms.tier == 0 { 2.0 * self.listed.len() as f64 } else { f64::MAX };
+        let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
+        let beyond = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
+        let most = FULL * self.terms.products[product].slo_time as f64 / 1e6;
+        self.own_total as f64 > beyond * enough && time > beyond * most
     }
 
     /// Whether the tenant sends this copy more than its part of the tenant's share.
