--- a/src/decide.rs
+++ b/src/decide.rs
@@ -553,6 +553,14 @@
         let drawn = drawn?;
         fit.retain(|&server| zone_of(self, server) == drawn);
         let usual = self.usual();
+        let strength =
+            |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.size * b.pace(s, usual));
+        let strong = fit.iter().map(|&s| strength(self, s)).sum::<f64>() / fit.len() as f64;
+        let mut kept = fit.clone();
+        kept.retain(|&server| self.chance.unit() * strong < strength(self, server));
+        if !kept.is_empty() {
+            fit = kept;
+        }
         let own = |b: &Self, server: usize| {
             b.servers[server].as_ref().map_or(0.0, |s| s.own as f64 / s.size / b.pace(s, usual))
         };
