--- a/src/decide.rs
+++ b/src/decide.rs
@@ -321,7 +321,7 @@
             Outcome::Completed => {
                 self.note_result(server, true);
                 if let Some(s) = self.servers[server].as_mut() {
-                    push(&mut s.took, SERVER_RESULTS, spent);
+                    push(&mut s.took, 16, spent);
                 }
                 push(&mut self.served, 1024, now);
                 push(&mut self.latencies[product], PRODUCT_SAMPLES, spent);
