--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,7 @@
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
 const SERVER_RESULTS: usize = 8;
+const REPORTS: usize = 32;
 const PRODUCT_SAMPLES: usize = 32;
 
 const LABEL_CHECK: u32 = 0;
@@ -48,7 +49,8 @@
     aside_until: u64,
     strikes: u32,
     report: LoadReport,
-    reported: u64,
+    /// The last reports that tell both: queries a second, and how busy the cores were with them.
+    busy: VecDeque<(f64, f64)>,
 }
 
 struct Sample {
@@ -123,6 +125,12 @@
     ring.push_back(item);
 }
 
+/// What a server could do by its own reports: the rate it serves over the part of its cores that this takes.
+fn told_strength(s: &Server) -> Option<f64> {
+    let (rate, busy) = s.busy.iter().fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
+    (rate > 0.0 && busy > 0.0).then(|| rate / busy)
+}
+
 fn mean_took(s: &Server) -> f64 {
     s.took.iter().sum::<u64>() as f64 / s.took.len().max(1) as f64
 }
@@ -208,7 +216,7 @@
                         aside_until: 0,
                         strikes: 0,
                         report: LoadReport::default(),
-                        reported: 0,
+                        busy: VecDeque::new(),
                     });
                 }
             }
@@ -321,7 +329,7 @@
             Outcome::Completed => {
                 self.note_result(server, true);
                 if let Some(s) = self.servers[server].as_mut() {
-                    push(&mut s.took, 16, spent);
+                    push(&mut s.took, SERVER_RESULTS, spent);
                 }
                 push(&mut self.served, 1024, now);
                 push(&mut self.latencies[product], PRODUCT_SAMPLES, spent);
@@ -552,29 +560,26 @@
         }
         let drawn = drawn?;
         fit.retain(|&server| zone_of(self, server) == drawn);
-        let usual = self.usual();
-        let strength =
-            |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.size * b.pace(s, usual));
-        let strong = fit.iter().map(|&s| strength(self, s)).sum::<f64>() / fit.len() as f64;
-        let mut kept = fit.clone();
-        kept.retain(|&server| self.chance.unit() * strong < strength(self, server));
-        if !kept.is_empty() {
-            fit = kept;
-        }
-        let own = |b: &Self, server: usize| {
-            b.servers[server].as_ref().map_or(0.0, |s| s.own as f64 / s.size / b.pace(s, usual))
-        };
-        let mean = fit.iter().map(|&s| own(self, s)).sum::<f64>() / fit.len() as f64;
+        let strengths = self.strengths(&fit);
+        let mean = strengths.iter().sum::<f64>() / fit.len() as f64;
+        let mut drawn: Vec<(usize, f64)> = fit.into_iter().zip(strengths).collect();
+        // Guards against an even share for a server that is far weaker than the others of its zone.
+        let all = drawn.clone();
+        drawn.retain(|&(_, strength)| self.chance.unit() * mean < strength);
+        if drawn.is_empty() {
+            drawn = all;
+        }
+        let own = |b: &Self, server: usize| b.servers[server].as_ref().map_or(0.0, |s| s.own as f64);
+        let mean =
+            drawn.iter().map(|&(s, strength)| own(self, s) / strength).sum::<f64>() / drawn.len() as f64;
         // Drawn in random order, so that ties among the fewest fall to chance.
         let mut best = None;
-        while !fit.is_empty() {
-            let pick = self.chance.below(fit.len());
-            let server = fit.swap_remove(pick);
-            let load = own(self, server);
-            let one = self.servers[server].as_ref().map_or(1.0, |s| 1.0 / s.size / self.pace(s, usual));
-            if load + one <= PASS_OVER * mean {
+        while !drawn.is_empty() {
+            let (server, strength) = drawn.swap_remove(self.chance.below(drawn.len()));
+            if (own(self, server) + 1.0) / strength <= PASS_OVER * mean {
                 return Some(server);
             }
+            let load = own(self, server) / strength;
             if best.is_none_or(|(least, _)| load < least) {
                 best = Some((load, server));
             }
@@ -582,6 +587,22 @@
         best.map(|(_, server)| server)
     }
 
+    /// What each server can do against the others: by its reports, else by its listed size; less where its last
+    /// answers took longer than usual.
+    fn strengths(&self, servers: &[usize]) -> Vec<f64> {
+        let usual = self.usual();
+        let known: Vec<&Server> = servers.iter().filter_map(|&s| self.servers[s].as_ref()).collect();
+        let told: Vec<Option<f64>> = known.iter().map(|s| told_strength(s)).collect();
+        let (mut rates, mut sizes) = (0.0, 0.0);
+        for (s, told) in known.iter().zip(&told).filter_map(|(s, told)| told.map(|told| (s, told))) {
+            (rates, sizes) = (rates + told, sizes + s.size);
+        }
+        let of = |(s, told): (&&Server, &Option<f64>)| {
+            told.map_or(s.size, |t| t * sizes / rates) * self.pace(s, usual)
+        };
+        known.iter().zip(&told).map(of).collect()
+    }
+
     /// The mean time of the ready servers' last completed executions.
     fn usual(&self) -> f64 {
         let known = self.listed.iter().filter(|&&i| self.ready(i)).filter_map(|&i| self.servers[i].as_ref());
@@ -634,7 +655,11 @@
         let Some(s) = self.servers.get_mut(server).and_then(Option::as_mut) else { return };
         if report.throughput.is_some() || report.utilization.is_some() || report.outstanding.is_some() {
             s.report = report;
-            s.reported = self.now;
+            if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
+                && s.busy.back() != Some(&(rate, busy))
+            {
+                push(&mut s.busy, REPORTS, (rate, busy));
+            }
         }
     }
 
