--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,7 @@
 // Left open by the design.
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
-const FULL: f64 = 0.25;
+const GAIN: f64 = 3.0;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
 const ZONE_SAMPLES: usize = 64;
@@ -114,6 +114,9 @@
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
+    /// Mean times of the last runs of served queries, in seconds.
+    block_times: VecDeque<f64>,
+    block: Vec<u64>,
     solved_rate: f64,
     asked: u64,
 }
@@ -162,6 +165,8 @@
             by_tenant,
             served: VecDeque::new(),
             own_total: 0,
+            block_times: VecDeque::new(),
+            block: Vec::new(),
             solved_rate: 0.0,
             asked: now,
         };
@@ -276,7 +281,7 @@
         q.execs.clear();
         q.live = true;
         (q.product, q.arrived, q.deadline, q.give_up) = (product, now, arrival.deadline, give_up);
-        if !known || self.overfull(product, arrival.tenant) || !self.place(qry) {
+        if !known || self.overfull(arrival.tenant) || !self.place(qry) {
             self.finish(qry);
             return;
         }
@@ -331,6 +336,12 @@
                 if let Some(s) = self.servers[server].as_mut() {
                     push(&mut s.took, SERVER_RESULTS, spent);
                 }
+                self.block.push(spent);
+                if self.block.len() >= 32 {
+                    let mean = self.block.iter().sum::<u64>() as f64 / 32e6;
+                    push(&mut self.block_times, 64, mean);
+                    self.block.clear();
+                }
                 push(&mut self.served, 1024, now);
                 push(&mut self.latencies[product], PRODUCT_SAMPLES, spent);
                 if let Some(zone) = self.servers[server].as_ref().map(|s| s.zone) {
@@ -508,13 +519,14 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, tells the time that one
     /// more query would take.
-    fn overfull(&self, product: usize, tenant: usize) -> bool {
-        let served = rate(&self.served, self.now, self.start);
-        let enough = if self.terms.tier == 0 { 2.0 * self.listed.len() as f64 } else { f64::MAX };
-        let time = self.own_total as f64 / served.max(f64::MIN_POSITIVE);
-        let beyond = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        let most = FULL * self.terms.products[product].slo_time as f64 / 1e6;
-        self.own_total as f64 > beyond * enough && time > beyond * most
+    fn overfull(&self, tenant: usize) -> bool {
+        if self.terms.tier > 0 {
+            return false;
+        }
+        let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
+        let least = self.block_times.iter().copied().fold(f64::MAX, f64::min);
+        let most = (GAIN * least * rate(&self.served, self.now, self.start)).max(self.listed.len() as f64);
+        self.own_total as f64 > part * most
     }
 
     /// Whether the tenant sends this copy more than its part of the tenant's share.
