--- a/src/decide.rs
+++ b/src/decide.rs
@@ -525,10 +525,18 @@
         }
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
         let least = self.block_times.iter().copied().fold(f64::MAX, f64::min);
-        let most = (GAIN * least * rate(&self.served, self.now, self.start)).max(self.listed.len() as f64);
+        let most = (GAIN * least * self.served_rate()).max(self.listed.len() as f64);
         self.own_total as f64 > part * most
     }
 
+    /// The better of a whole check period and its last quarter, so that growth is not held back.
+    fn served_rate(&self) -> f64 {
+        let since = self.now.saturating_sub(CHECK / 4).max(self.start);
+        let recent = self.served.iter().rev().take_while(|&&at| at >= since).count();
+        let quick = recent as f64 * 1e6 / (self.now - since).max(CHECK / 10) as f64;
+        quick.max(rate(&self.served, self.now, self.start))
+    }
+
     /// Whether the tenant sends this copy more than its part of the tenant's share.
     fn beyond_share(&self, tenant: usize) -> bool {
         let (Some(times), Some(quota)) = (self.by_tenant.get(tenant), self.terms.tenant_quotas.get(tenant))
