--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,7 @@
 // Left open by the design.
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
+const SLOW: f64 = 3.0;
 const GAIN: f64 = 3.0;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
@@ -333,8 +334,14 @@
         match outcome {
             Outcome::Completed => {
                 self.note_result(server, true);
+                let slow = SLOW * self.usual();
                 if let Some(s) = self.servers[server].as_mut() {
                     push(&mut s.took, SERVER_RESULTS, spent);
+                    // Guards against a slow or choked server that holds much of what is in flight: it rests.
+                    if slow > 0.0 && s.took.len() >= SERVER_RESULTS / 2 && mean_took(s) > slow {
+                        s.took.clear();
+                        self.set_aside(server);
+                    }
                 }
                 self.block.push(spent);
                 if self.block.len() >= 32 {
@@ -684,7 +691,6 @@
     }
 
     fn note_result(&mut self, server: usize, good: bool) {
-        let rest = self.terms.products.iter().map(|p| p.slo_time).max().unwrap_or(0);
         let now = self.now;
         let Some(s) = self.servers[server].as_mut() else { return };
         push(&mut s.results, SERVER_RESULTS, good);
@@ -697,7 +703,19 @@
         let bad = s.results.iter().filter(|&&good| !good).count();
         let trailing = s.results.iter().rev().take_while(|&&good| !good).count();
         if trailing >= 2 || (bad >= 2 && 2 * bad >= s.results.len()) {
-            s.aside_until = now + (rest << s.strikes.min(3));
+            self.set_aside(server);
+        }
+    }
+
+    /// No new calls for a longest SLO time, doubled each time that the trial after it fails too. Where half are
+    /// aside the fault is not theirs.
+    fn set_aside(&mut self, server: usize) {
+        let aside =
+            self.listed.iter().filter_map(|&i| self.servers[i].as_ref()).filter(|s| self.is_aside(s)).count();
+        let rest = self.terms.products.iter().map(|p| p.slo_time).max().unwrap_or(0);
+        let half = self.listed.len() / 2;
+        if let Some(s) = self.servers[server].as_mut().filter(|_| aside < half) {
+            s.aside_until = self.now + (rest << s.strikes.min(3));
             s.strikes += 1;
         }
     }
