--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,8 @@
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
 const SLOW: f64 = 3.0;
+const MOST_REPEATS: f64 = 0.2;
+const REPEATS: usize = 40;
 const GAIN: f64 = 3.0;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
@@ -115,6 +117,8 @@
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
+    /// Whether the last executions were repeats.
+    repeats: VecDeque<bool>,
     /// Mean times of the last runs of served queries, in seconds.
     block_times: VecDeque<f64>,
     block: Vec<u64>,
@@ -166,6 +170,7 @@
             by_tenant,
             served: VecDeque::new(),
             own_total: 0,
+            repeats: VecDeque::new(),
             block_times: VecDeque::new(),
             block: Vec::new(),
             solved_rate: 0.0,
@@ -365,7 +370,7 @@
             self.cancel_rest(qry);
         } else if was_live && !self.queries[qry].execs.iter().any(|e| e.fate == Fate::Out) {
             let q = &self.queries[qry];
-            if now + self.typical(product) >= q.give_up || !self.place(qry) {
+            if self.spent_on_repeats() || now + self.typical(product) >= q.give_up || !self.place(qry) {
                 self.finish(qry);
             } else {
                 self.look_again(qry);
@@ -423,7 +428,7 @@
             let room = q.execs.len() < self.terms.most_executions;
             let time = self.now + self.typical(q.product) < q.give_up;
             let repeats = self.terms.products[q.product].effect != Effect::NonIdempotent;
-            if room && time && repeats {
+            if room && time && repeats && !self.spent_on_repeats() {
                 if self.terms.second_copies {
                     self.place(qry);
                 } else if self.terms.cancel {
@@ -471,6 +476,7 @@
         let exec =
             Exec { server, zone: s.zone, cell: s.cell, sent: self.now, fate: Fate::Out, struck: false };
         let q = &mut self.queries[qry];
+        push(&mut self.repeats, REPEATS, !q.execs.is_empty());
         q.execs.push(exec);
         self.host.execute(qry, server, q.deadline - self.now);
         true
@@ -516,6 +522,12 @@
         self.cancel_rest(qry);
     }
 
+    /// Guards against repeats that feed on each other, tier by tier, when all servers turn work away.
+    fn spent_on_repeats(&self) -> bool {
+        let repeats = self.repeats.iter().filter(|&&repeat| repeat).count();
+        repeats as f64 >= MOST_REPEATS * REPEATS as f64
+    }
+
     fn cancel_rest(&mut self, qry: usize) {
         for exec in 0..self.queries[qry].execs.len() {
             if self.terms.cancel && self.queries[qry].execs[exec].fate == Fate::Out {
