--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,8 +20,7 @@
 const BEYOND: f64 = 0.5;
 const SLACK: f64 = 1.0;
 const SLOW: f64 = 3.0;
-const MOST_REPEATS: f64 = 0.2;
-const REPEATS: usize = 40;
+const WHOLE: f64 = 0.5;
 const GAIN: f64 = 3.0;
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
@@ -117,8 +116,6 @@
     /// When the last queries were served.
     served: VecDeque<u64>,
     own_total: usize,
-    /// Whether the last executions were repeats.
-    repeats: VecDeque<bool>,
     /// Mean times of the last runs of served queries, in seconds.
     block_times: VecDeque<f64>,
     block: Vec<u64>,
@@ -170,7 +167,6 @@
             by_tenant,
             served: VecDeque::new(),
             own_total: 0,
-            repeats: VecDeque::new(),
             block_times: VecDeque::new(),
             block: Vec::new(),
             solved_rate: 0.0,
@@ -370,7 +366,7 @@
             self.cancel_rest(qry);
         } else if was_live && !self.queries[qry].execs.iter().any(|e| e.fate == Fate::Out) {
             let q = &self.queries[qry];
-            if self.spent_on_repeats() || now + self.typical(product) >= q.give_up || !self.place(qry) {
+            if now + self.typical(product) >= q.give_up || !self.place(qry) {
                 self.finish(qry);
             } else {
                 self.look_again(qry);
@@ -428,7 +424,7 @@
             let room = q.execs.len() < self.terms.most_executions;
             let time = self.now + self.typical(q.product) < q.give_up;
             let repeats = self.terms.products[q.product].effect != Effect::NonIdempotent;
-            if room && time && repeats && !self.spent_on_repeats() {
+            if room && time && repeats {
                 if self.terms.second_copies {
                     self.place(qry);
                 } else if self.terms.cancel {
@@ -476,7 +472,6 @@
         let exec =
             Exec { server, zone: s.zone, cell: s.cell, sent: self.now, fate: Fate::Out, struck: false };
         let q = &mut self.queries[qry];
-        push(&mut self.repeats, REPEATS, !q.execs.is_empty());
         q.execs.push(exec);
         self.host.execute(qry, server, q.deadline - self.now);
         true
@@ -522,12 +517,6 @@
         self.cancel_rest(qry);
     }
 
-    /// Guards against repeats that feed on each other, tier by tier, when all servers turn work away.
-    fn spent_on_repeats(&self) -> bool {
-        let repeats = self.repeats.iter().filter(|&&repeat| repeat).count();
-        repeats as f64 >= MOST_REPEATS * REPEATS as f64
-    }
-
     fn cancel_rest(&mut self, qry: usize) {
         for exec in 0..self.queries[qry].execs.len() {
             if self.terms.cancel && self.queries[qry].execs[exec].fate == Fate::Out {
@@ -544,7 +533,10 @@
         }
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
         let least = self.block_times.iter().copied().fold(f64::MAX, f64::min);
-        let most = (GAIN * least * self.served_rate()).max(self.listed.len() as f64);
+        // What was learnt in a jam is no measure: never more than a part of the SLO time.
+        let rows = &self.terms.products;
+        let slo = rows.iter().map(|p| p.slo_time as f64 / 1e6).sum::<f64>() / rows.len().max(1) as f64;
+        let most = ((GAIN * least).min(WHOLE * slo) * self.served_rate()).max(self.listed.len() as f64);
         self.own_total as f64 > part * most
     }
 
