--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use whinspindle::decide::Balancer;
-use whinspindle::host::{Arrival, Entry, Host, LoadReport, Outcome, Standing};
+use whinspindle::host::{Arrival, Ending, Entry, Host, LoadReport, Outcome, Standing};
 
 use crate::terms;
 use crate::wire::Reader;
@@ -135,10 +135,6 @@
     fn follow_list(&mut self) {
         self.record(23, &[&[1]]);
     }
-
-    fn probe(&mut self, server: usize) {
-        self.record(24, &[&self.upstreams[server]]);
-    }
 }
 
 /// All instances that this process hosts; they share nothing but the way out.
@@ -205,9 +201,8 @@
                     .map(|l| Entry { server: instance.host.server(l.upstream), ..l.entry })
                     .collect();
                 match form {
-                    0 => instance.list_cached(now, &entries),
                     3 => instance.list_changed(now, &entries),
-                    4 => instance.list_whole(now, &entries),
+                    0 | 4 => instance.list_whole(now, &entries),
                     other => return Err(format!("endpoints: unknown form {other}")),
                 }
             }
@@ -242,7 +237,7 @@
                     let open = &mut instance.host.open[qry];
                     open.executions_out = open.executions_out.saturating_sub(1);
                     open.ended |= over;
-                    instance.completed(now, qry, shot, outcome, over, spent, report);
+                    instance.completed(now, qry, shot, Ending { outcome, over, spent, report });
                     instance.host.release(qry);
                 }
             }
@@ -259,12 +254,12 @@
                 instance.timer(now, label);
             }
             23 => {
-                let answered = fields.u8("stateCode")? == 0;
+                fields.u8("stateCode")?;
                 let upstream = fields.upstream()?;
-                let spent = fields.u64("spentNs")? / 1000;
+                fields.u64("spentNs")?;
                 let report = instance.host.report(&mut fields)?;
                 let server = instance.host.server(upstream);
-                instance.probed(now, server, answered, spent, report);
+                instance.probed(now, server, report);
             }
             24 => {
                 fields.u32("by")?;
--- a/src/host.rs
+++ b/src/host.rs
@@ -15,8 +15,6 @@
     fn wake(&mut self, wait: u64, label: u32);
     /// Subscribes to the changes of the server list.
     fn follow_list(&mut self);
-    /// Asks a server for a sign of life.
-    fn probe(&mut self, server: usize);
 }
 
 /// How far a product's effect may be repeated.
@@ -123,6 +121,17 @@
     }
 }
 
+/// How an execution ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub outcome: Outcome,
+    /// The query has its final answer, by this outcome or before it.
+    pub over: bool,
+    /// Time from the send until now.
+    pub spent: u64,
+    pub report: LoadReport,
+}
+
 /// What a server says of its load; what it does not tell is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
