--- a/crates/benchlink/src/terms.rs
+++ b/crates/benchlink/src/terms.rs
@@ -8,19 +8,14 @@
 struct Options {
     balancers: usize,
     tier: usize,
-    zones: Vec<String>,
     membership_mode: String,
     tick_ns: u64,
-    #[serde(default)]
-    beyond_share_importance: Option<f64>,
     products: Vec<ProductOptions>,
     #[serde(default)]
     projects: Vec<ProjectOptions>,
     limits: LimitOptions,
     load_info: LoadOptions,
     obligations: Obligations,
-    #[serde(default)]
-    specifics: Specifics,
 }
 
 #[derive(Deserialize)]
@@ -32,8 +27,6 @@
     #[serde(default)]
     memory_span_ns: Option<u64>,
     slo_time_ns: u64,
-    statement_timeout_ns: u64,
-    importance: f64,
     #[serde(default)]
     tardy_importance: Option<f64>,
 }
@@ -51,7 +44,6 @@
     cancel: bool,
     most_executions: usize,
     max_retry_after_ns: u64,
-    probes: bool,
     retry_after: bool,
     second_copies: bool,
 }
@@ -65,23 +57,14 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Obligations {
-    answer_slack_ns: u64,
     cold_from: f64,
     cold_ns: u64,
     fall_multiple: f64,
     #[serde(default)]
     must_ask_in_ns: Option<u64>,
-    stop_sending_within_ns: u64,
     tip_after_ns: u64,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase")]
-struct Specifics {
-    #[serde(default)]
-    passes_deadline: bool,
-}
-
 /// The terms, and the names of the load report's columns.
 pub fn parse(json: &[u8]) -> Result<(Terms, Vec<String>), String> {
     let options: Options = serde_json::from_slice(json).map_err(|e| format!("attach: options: {e}"))?;
@@ -102,30 +85,22 @@
                 other => return Err(format!("attach: options: unknown effect {other:?}")),
             },
             slo_time: p.slo_time_ns / 1000,
-            statement_timeout: p.statement_timeout_ns / 1000,
             memory_span: p.memory_span_ns.unwrap_or(0) / 1000,
-            importance: p.importance,
             tardy_importance: p.tardy_importance.unwrap_or(0.0),
         });
     }
     let terms = Terms {
         balancers: options.balancers.max(1),
         tier: options.tier,
-        zones: options.zones.len(),
         products,
         tenant_quotas: options.projects.iter().map(|p| p.quota_per_s.unwrap_or(0.0)).collect(),
-        beyond_share_importance: options.beyond_share_importance.unwrap_or(1.0),
-        passes_deadline: options.specifics.passes_deadline,
         most_executions: limits.most_executions,
         second_copies: limits.second_copies,
         cancel: limits.cancel,
-        probes: limits.probes,
         most_retry_after: if limits.retry_after { limits.max_retry_after_ns / 1000 } else { 0 },
-        answer_slack: rules.answer_slack_ns / 1000,
         tick: options.tick_ns / 1000,
         must_ask_in: (options.membership_mode == "on_request")
             .then(|| rules.must_ask_in_ns.unwrap_or(10_000_000_000) / 1000),
-        stop_sending_within: rules.stop_sending_within_ns / 1000,
         cold_from: rules.cold_from,
         cold_time: rules.cold_ns / 1000,
         fall_multiple: rules.fall_multiple,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -697,19 +697,17 @@
     /// Zone latency as a + b * load per ready server, by decayed least squares over the served latencies; after
     /// them the mean latency, and how much the samples count.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
-        let (mut w, mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        for s in &self.zones[zone].samples {
-            let k = self.age_weight(s.at);
-            (w, x, y) = (w + k, x + k * s.load, y + k * s.latency);
-            (xx, xy) = (xx + k * s.load * s.load, xy + k * s.load * s.latency);
-        }
+        let samples = || self.zones[zone].samples.iter().map(|s| (self.age_weight(s.at), s));
+        let w: f64 = samples().map(|(k, _)| k).sum();
         if w <= 0.0 {
             return (0.0, 0.0, 0.0, 0.0);
         }
-        let (load, latency) = (x / w, y / w);
+        let load = samples().map(|(k, s)| k * s.load).sum::<f64>() / w;
+        let latency = samples().map(|(k, s)| k * s.latency).sum::<f64>() / w;
+        let spread: f64 = samples().map(|(k, s)| k * (s.load - load) * (s.load - load)).sum();
+        let both: f64 = samples().map(|(k, s)| k * (s.load - load) * (s.latency - latency)).sum();
         let through_origin = latency / load.max(0.01);
-        let spread = xx / w - load * load;
-        let slope = if spread > 0.0 { (xy / w - load * latency) / spread } else { 0.0 };
+        let slope = if spread > 1e-9 * w * load * load { both / spread } else { 0.0 };
         let b = slope.clamp(LEAST_SLOPE * through_origin, through_origin);
         (latency - b * load, b, latency, w)
     }
@@ -740,10 +738,11 @@
         let mut best = weights.clone();
         let mut least = predict(&best);
         for _ in 0..CANDIDATES {
-            let from = open[self.chance.below(open.len())];
-            let to = open[self.chance.below(open.len())];
+            let first = self.chance.below(open.len());
+            let second = (first + 1 + self.chance.below(open.len() - 1)) % open.len();
+            let (from, to) = (open[first], open[second]);
             let step = (STEP * (1.0 - self.chance.unit())).min(weights[from] - FLOOR_SHARE);
-            if from == to || step <= 0.0 {
+            if step <= 0.0 {
                 continue;
             }
             let mut shares = weights.clone();
--- a/src/host.rs
+++ b/src/host.rs
@@ -38,9 +38,7 @@
 pub struct Product {
     pub effect: Effect,
     pub slo_time: u64,
-    pub statement_timeout: u64,
     pub memory_span: u64,
-    pub importance: f64,
     /// Part of the importance that an answer after the SLO time still earns.
     pub tardy_importance: f64,
 }
@@ -50,24 +48,17 @@
 pub struct Terms {
     pub balancers: usize,
     pub tier: usize,
-    pub zones: usize,
     pub products: Vec<Product>,
     /// Queries a second within each tenant's share, over all balancers.
     pub tenant_quotas: Vec<f64>,
-    pub beyond_share_importance: f64,
-    /// The caller's deadline comes with the calls of the tiers below.
-    pub passes_deadline: bool,
     pub most_executions: usize,
     pub second_copies: bool,
     pub cancel: bool,
-    pub probes: bool,
     /// Longest wait that clients follow; 0 where no advice is passed on.
     pub most_retry_after: u64,
-    pub answer_slack: u64,
     pub tick: u64,
     /// The list comes only to those that ask; unheard for this long it counts as known all the same.
     pub must_ask_in: Option<u64>,
-    pub stop_sending_within: u64,
     pub cold_from: f64,
     pub cold_time: u64,
     pub fall_multiple: f64,
@@ -135,9 +126,6 @@
 /// What a server says of its load; what it does not tell is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
-    pub outstanding: Option<f64>,
-    pub backlog: Option<f64>,
     pub utilization: Option<f64>,
-    pub recent_latency: Option<f64>,
     pub throughput: Option<f64>,
 }
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,176 @@
+//! The design's ordinary path and its exceptions.
+
+mod common;
+
+use common::*;
+use whinspindle::decide::Balancer;
+use whinspindle::host::*;
+
+use Outcome::{Completed, Error};
+
+/// Sends `count` queries one after the other from `now` on, 10 ms apart; each is served in the time that `took`
+/// gives for its server, with the report it gives. Returns how many each of the servers got.
+fn serve(
+    b: &mut Balancer<Notes>,
+    now: u64,
+    count: u64,
+    servers: usize,
+    took: impl Fn(usize) -> (u64, LoadReport),
+) -> Vec<usize> {
+    let mut got = vec![0; servers];
+    for at in (0..count).map(|i| now + i * 10 * MS) {
+        if let Some(server) = sent_to(&ask(b, at, 0)) {
+            let (spent, report) = took(server);
+            got[server] += 1;
+            end(b, at + MS, 0, 0, Ending { report, ..ending(Completed, spent) });
+        }
+    }
+    got
+}
+
+fn steady(_: usize) -> (u64, LoadReport) {
+    (100 * MS, LoadReport::default())
+}
+
+#[test]
+fn starts_by_ready_counts_and_spreads_evenly() {
+    for zones in [vec![0, 0, 0, 1], vec![0, 0, 1, 1], vec![2, 2, 2, 2]] {
+        let entries: Vec<Entry> = zones.iter().enumerate().map(|(i, &zone)| entry(i, zone)).collect();
+        let mut b = start(terms(Effect::Idempotent), &entries);
+        let got = serve(&mut b, NOON, 400, 4, steady);
+        assert!(got.iter().all(|&n| (65..135).contains(&n)), "{zones:?}: {got:?}");
+    }
+}
+
+#[test]
+fn a_server_above_twice_the_mean_is_passed_over() {
+    let entries: Vec<Entry> = (0..4).map(|server| entry(server, 0)).collect();
+    let mut b = start(Terms { tier: 1, ..terms(Effect::Idempotent) }, &entries);
+    // Queries stay out: no server may come to hold more than twice the mean, counting the new one.
+    let mut held = [0usize; 4];
+    for qry in 0..200 {
+        let server = sent_to(&ask(&mut b, NOON, qry)).expect("sent");
+        let least = held.iter().min().copied();
+        let fits = 2 * held.iter().sum::<usize>() >= 4 * (held[server] + 1);
+        assert!(fits || Some(held[server]) == least, "{held:?} then {server}");
+        held[server] += 1;
+    }
+}
+
+#[test]
+fn weights_move_from_the_slow_zone_by_a_tenth_at_most() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, server / 3)).collect();
+    for (first, second, least, most) in [(100, 100, 0.40, 0.60), (100, 400, 0.25, 0.47)] {
+        let mut b = start(terms(Effect::Idempotent), &entries);
+        let took = |server: usize| {
+            let report = LoadReport { throughput: Some(5.0), ..LoadReport::default() };
+            (if server < 3 { first * MS } else { second * MS }, report)
+        };
+        serve(&mut b, NOON, 450, 6, took);
+        b.timer(NOON + 5000 * MS, 0);
+        let got = serve(&mut b, NOON + 5000 * MS, 1000, 6, took);
+        let share = got[3..].iter().sum::<usize>() as f64 / 1000.0;
+        assert!((least..most).contains(&share), "{second}: {share}");
+    }
+}
+
+#[test]
+fn a_steady_day_is_not_solved_again() {
+    let mut b = start(terms(Effect::Idempotent), &[entry(0, 0), entry(1, 1)]);
+    let mut shares = Vec::new();
+    for period in 0..4 {
+        let now = NOON + period * 5000 * MS;
+        let got =
+            serve(&mut b, now, 499, 2, |server| (100 * MS * (server as u64 + 1), LoadReport::default()));
+        shares.push(got[1]);
+        b.timer(now + 5000 * MS, 0);
+    }
+    // One step after the first check, since nothing was known before; none after it.
+    assert!(shares[0] > 215 && shares[1] < 245 && shares[3] > 150, "{shares:?}");
+}
+
+#[test]
+fn a_floor_share_stays() {
+    let mut b = start(terms(Effect::Idempotent), &[entry(0, 0), entry(1, 1)]);
+    let took = |server: usize| (if server == 0 { 100 * MS } else { 250 * MS }, LoadReport::default());
+    for period in 0..40 {
+        // The arrivals change by more than a fifth each time, so each check solves again.
+        let count = if period % 2 == 0 { 200 } else { 499 };
+        serve(&mut b, NOON + period * 5000 * MS, count, 2, took);
+        b.timer(NOON + (period + 1) * 5000 * MS, 0);
+    }
+    let got = serve(&mut b, NOON + 200_000 * MS, 1000, 2, took);
+    assert!((5..300).contains(&got[1]), "{got:?}");
+}
+
+#[test]
+fn checks_of_a_tier_follow_those_of_its_parents() {
+    for (tier, now, wait) in [(0, 0, 5000), (0, 1000, 4000), (1, 0, 3000), (1, 4000, 4000), (2, 0, 1000)] {
+        let b = Balancer::new(Notes::default(), Terms { tier, ..terms(Effect::Idempotent) }, 1, now * MS);
+        assert_eq!(b.host.wakes, [(wait * MS, 0)], "{tier} {now}");
+    }
+}
+
+#[test]
+fn failing_servers_are_set_aside_and_tried_again() {
+    // What the first server makes of its queries; two failures in a row, or half of the last ones, are too many.
+    for (pattern, aside) in [("bb", true), ("gb", false), ("gbgb", true), ("gggggb", false)] {
+        let entries: Vec<Entry> = (0..4).map(|server| entry(server, 0)).collect();
+        let mut b = start(terms(Effect::NonIdempotent), &entries);
+        let mut signs = pattern.chars();
+        while !signs.as_str().is_empty() {
+            let server = sent_to(&ask(&mut b, NOON, 0)).expect("sent");
+            let failed = server == 0 && signs.next() == Some('b');
+            end(&mut b, NOON, 0, 0, ending(if failed { Error } else { Completed }, 100 * MS));
+        }
+        let got = serve(&mut b, NOON + MS, 90, 4, steady);
+        assert_eq!(got[0] == 0, aside, "{pattern}: {got:?}");
+        let got = serve(&mut b, NOON + 1100 * MS, 90, 4, steady);
+        assert!(got[0] > 0, "{pattern}: {got:?}");
+    }
+    // Where half of the fleet is aside already, the fault is not theirs.
+    let mut b = start(terms(Effect::NonIdempotent), &[entry(0, 0), entry(1, 0), entry(2, 0), entry(3, 0)]);
+    for _ in 0..40 {
+        assert!(sent_to(&ask(&mut b, NOON, 0)).is_some());
+        end(&mut b, NOON, 0, 0, ending(Error, 100 * MS));
+    }
+}
+
+#[test]
+fn a_slow_server_rests() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, 0)).collect();
+    for (slow, rests) in [(250, false), (900, true)] {
+        let mut b = start(Terms { tier: 1, ..terms(Effect::Idempotent) }, &entries);
+        let took = |server: usize| (if server == 0 { slow * MS } else { 100 * MS }, LoadReport::default());
+        serve(&mut b, NOON, 90, 6, took);
+        let got = serve(&mut b, NOON + 900 * MS, 60, 6, took);
+        assert_eq!(got[0] == 0, rests, "{slow}: {got:?}");
+    }
+}
+
+#[test]
+fn weak_servers_get_less() {
+    let told = |rate: f64| LoadReport { throughput: Some(rate), utilization: Some(0.5) };
+    for (size, rate, least, most) in [(1.0, 10.0, 80, 125), (0.25, 10.0, 80, 125), (1.0, 2.0, 15, 60)] {
+        let mut entries: Vec<Entry> = (0..4).map(|server| entry(server, 0)).collect();
+        entries[0].size = size;
+        let mut b = start(Terms { tier: 1, ..terms(Effect::Idempotent) }, &entries);
+        let took = |server: usize| (100 * MS, told(if server == 0 { rate } else { 10.0 }));
+        serve(&mut b, NOON, 100, 4, took);
+        let got = serve(&mut b, NOON + 1000 * MS, 400, 4, took);
+        assert!((least..most).contains(&got[0]), "{size} {rate}: {got:?}");
+    }
+}
+
+#[test]
+fn the_first_tier_is_full_when_the_time_grows() {
+    // (tier, tenant's quota, how many are let in at once: fewest, most)
+    for (tier, quota, least, most) in [(0, 0.0, 5, 70), (0, 1.0, 2, 35), (1, 0.0, 500, 501)] {
+        let entries: Vec<Entry> = (0..4).map(|server| entry(server, 0)).collect();
+        let rules = Terms { tier, tenant_quotas: vec![quota], ..terms(Effect::Idempotent) };
+        let mut b = start(rules, &entries);
+        serve(&mut b, NOON, 500, 4, steady);
+        let sent = (1..501).filter(|&qry| sent_to(&ask(&mut b, NOON + 5000 * MS, qry)).is_some()).count();
+        assert!((least..most).contains(&sent), "{tier} {quota}: {sent}");
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,191 @@
+//! The four rules and the final answers, each with its edges.
+
+mod common;
+
+use common::*;
+use whinspindle::host::*;
+
+use Effect::{Deduplicated, Idempotent, NonIdempotent};
+use Outcome::{Broken, Completed, Error, NotConnected, TimedOut, TurnedAway};
+
+#[test]
+fn last_answer_follows_what_may_have_run() {
+    for (effect, outcome, answer) in [
+        (Idempotent, Error, "reject 0"),
+        (Deduplicated(Group::All), Broken, "reject 0"),
+        (Deduplicated(Group::Cell), Error, "abort 0"),
+        (Deduplicated(Group::Zone), NotConnected, "reject 0"),
+        (NonIdempotent, Error, "abort 0"),
+        (NonIdempotent, TimedOut, "abort 0"),
+        (NonIdempotent, TurnedAway, "reject 0"),
+    ] {
+        let mut b = start(terms(effect), &[entry(0, 0)]);
+        assert_eq!(ask(&mut b, NOON, 0), ["execute 0 on 0"]);
+        let said = end(&mut b, NOON + MS, 0, 0, ending(outcome, MS));
+        assert_eq!(said, [answer], "{effect:?} {outcome:?}");
+    }
+}
+
+#[test]
+fn repeats_stay_where_they_are_known() {
+    // Servers 0 and 1 share a cell, 2 only the zone, 3 nothing; all but one other drain.
+    let fleet = |other: usize| {
+        [(0, 0, 0), (1, 0, 0), (2, 0, 1), (3, 1, 2)].map(|(server, zone, cell)| {
+            let kept = server == 0 || server == other;
+            let standing = if kept { Standing::Ready } else { Standing::Draining };
+            Entry { zone, cell, standing, ..entry(server, zone) }
+        })
+    };
+    for (effect, outcome, other, later, again) in [
+        (Idempotent, Error, 3, 1, true),
+        (NonIdempotent, Error, 1, 1, false),
+        (NonIdempotent, NotConnected, 3, 1, true),
+        (Deduplicated(Group::Cell), Error, 1, 1, true),
+        (Deduplicated(Group::Cell), Error, 2, 1, false),
+        (Deduplicated(Group::Cell), TurnedAway, 2, 1, true),
+        (Deduplicated(Group::Zone), Error, 2, 1, true),
+        (Deduplicated(Group::Zone), Error, 3, 1, false),
+        (Deduplicated(Group::All), Error, 3, 1, true),
+        (Deduplicated(Group::Cell), Error, 1, 1985, true),
+        (Deduplicated(Group::Cell), Error, 1, 1990, false),
+        (Idempotent, Error, 1, 2990, false),
+    ] {
+        let mut rules = terms(effect);
+        rules.products[0].memory_span = 2000 * MS;
+        let mut b = start(rules, &[entry(0, 0)]);
+        ask(&mut b, NOON, 0);
+        b.list_whole(NOON, &fleet(other));
+        let said = end(&mut b, NOON + later * MS, 0, 0, ending(outcome, later * MS));
+        assert_eq!(sent_to(&said), again.then_some(other), "{effect:?} {outcome:?} {other} {later}");
+    }
+}
+
+#[test]
+fn executions_are_counted() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, 0)).collect();
+    for most in 1..4 {
+        let mut b = start(Terms { most_executions: most, ..terms(Idempotent) }, &entries);
+        ask(&mut b, NOON, 0);
+        let said: Vec<_> = (0..most).flat_map(|e| end(&mut b, NOON + MS, 0, e, ending(Error, MS))).collect();
+        let sent = said.iter().filter(|line| line.starts_with("execute")).count();
+        assert_eq!((sent, said.last().map(String::as_str)), (most - 1, Some("reject 0")));
+    }
+}
+
+#[test]
+fn nothing_follows_the_end() {
+    let ends: [fn(&mut whinspindle::decide::Balancer<Notes>); 3] = [
+        |b| b.withdrawn(NOON, 0),
+        |b| b.completed(NOON, 0, 0, ending(Completed, MS)),
+        |b| b.completed(NOON, 0, 0, Ending { over: true, ..ending(Broken, MS) }),
+    ];
+    for finish in ends {
+        let mut b = start(terms(Idempotent), &[entry(0, 0), entry(1, 0)]);
+        ask(&mut b, NOON, 0);
+        finish(&mut b);
+        b.host.said.clear();
+        b.completed(NOON + MS, 0, 0, ending(Error, MS));
+        b.withdrawn(NOON + MS, 0);
+        b.timer(NOON + 5000 * MS, 2);
+        assert!(b.host.said.is_empty(), "{:?}", b.host.said);
+    }
+}
+
+#[test]
+fn what_is_not_known_is_ignored() {
+    let mut b = start(terms(Idempotent), &[]);
+    b.completed(NOON, 9, 0, ending(Error, MS));
+    b.withdrawn(NOON, 9);
+    b.started(NOON, 9, 0);
+    b.timer(NOON, 99);
+    b.probed(NOON, 9, LoadReport::default());
+    assert!(b.host.said.is_empty());
+    b.query(NOON, 0, Arrival { product: 5, tenant: 5, deadline: NOON });
+    b.query(NOON, 1, Arrival { product: 0, tenant: 5, deadline: NOON + 1000 * MS });
+    assert_eq!(b.host.said, ["reject 0", "reject 1"]);
+}
+
+#[test]
+fn gives_up_before_the_deadline_or_when_late_earns_nothing() {
+    for (tardy, given_up) in [(0.5, 2990), (0.0, 990)] {
+        let mut rules = terms(NonIdempotent);
+        rules.products[0].tardy_importance = tardy;
+        let mut b = start(rules, &[entry(0, 0)]);
+        ask(&mut b, NOON, 0);
+        let mut now = NOON;
+        while b.host.said.is_empty() {
+            let (wait, label) = b.host.wakes.pop().expect("a query out has a timer");
+            now += wait;
+            b.timer(now, label);
+        }
+        assert_eq!(now, NOON + given_up * MS);
+        assert_eq!(b.host.said, ["abort 0", "cancel 0.0"]);
+    }
+}
+
+#[test]
+fn drains_are_kept_at_once() {
+    let with = |standing| vec![Entry { standing, ..entry(0, 0) }];
+    for (whole, entries, answer) in [
+        (false, with(Standing::Draining), "reject 0"),
+        (false, with(Standing::Gone), "reject 0"),
+        (true, vec![], "reject 0"),
+        (false, vec![], "execute 0 on 0"),
+        (true, with(Standing::Ready), "execute 0 on 0"),
+    ] {
+        let mut b = start(terms(Idempotent), &[entry(0, 0)]);
+        if whole {
+            b.list_whole(NOON, &entries);
+        } else {
+            b.list_changed(NOON, &entries);
+        }
+        assert_eq!(ask(&mut b, NOON, 0), [answer], "{whole} {entries:?}");
+    }
+}
+
+#[test]
+fn list_is_followed_where_it_must_be_asked_for() {
+    for (must_ask_in, calls) in [(None, 0), (Some(8000 * MS), 2)] {
+        let mut b = start(Terms { must_ask_in, ..terms(Idempotent) }, &[]);
+        b.host.wakes.clear();
+        b.list_failed(NOON);
+        if let Some((wait, label)) = b.host.wakes.pop() {
+            assert!((1000 * MS..2000 * MS).contains(&wait), "{wait}");
+            b.timer(NOON + wait, label);
+        }
+        assert_eq!(b.host.said.iter().filter(|line| *line == "follow").count(), calls);
+    }
+}
+
+#[test]
+fn cold_servers_are_spared() {
+    // (age in ms, queries at once, at most so many sent); the fleet is the one cold server.
+    for (age, most) in [(0, 2), (5_000, 6), (10_000, 200)] {
+        let cold = Entry { born: NOON - age * MS, ..entry(0, 0) };
+        let mut b = start(Terms { tier: 1, ..terms(Idempotent) }, &[cold]);
+        let sent = (0..200).filter(|&qry| sent_to(&ask(&mut b, NOON, qry)).is_some()).count();
+        assert!(sent <= most * 60 && (sent == 200) == (age == 10_000), "{age}: {sent}");
+    }
+    // A restart is seen by its new time, and the budget holds for a burst right after it.
+    let mut b = start(Terms { tier: 1, ..terms(Idempotent) }, &[entry(0, 0), entry(1, 0)]);
+    b.list_changed(NOON, &[Entry { born: NOON, ..entry(1, 0) }]);
+    let sent: Vec<_> = (0..40).filter_map(|qry| sent_to(&ask(&mut b, NOON + MS, qry))).collect();
+    let cold = sent.iter().filter(|&&server| server == 1).count();
+    assert!(cold <= 12 && sent.len() == 40, "{cold}");
+}
+
+#[test]
+fn a_silent_server_is_answered_for() {
+    for (second_copies, cancel, said) in
+        [(false, true, vec!["cancel 0.0"]), (true, true, vec!["execute 0 on 1"]), (false, false, vec![])]
+    {
+        let mut b = start(Terms { second_copies, cancel, ..terms(Idempotent) }, &[entry(0, 0)]);
+        ask(&mut b, NOON, 0);
+        b.list_changed(NOON, &[entry(1, 0)]);
+        b.timer(NOON + 500 * MS, 2);
+        assert_eq!(std::mem::take(&mut b.host.said), said);
+        // The outcome of the cancel is no second failure, and leads to the other server.
+        let again = end(&mut b, NOON + 505 * MS, 0, 0, ending(Outcome::Cancelled, 505 * MS));
+        assert_eq!(sent_to(&again), (!second_copies).then_some(1));
+    }
+}
