--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -73,7 +73,7 @@
 fn plays_batches() {
     let [bank, news] = list();
     let second = 1_000_000_000;
-    let cases: Vec<(&str, Vec<Vec<u8>>, Vec<u8>)> = vec![
+    let cases = [
         ("empty", vec![], vec![]),
         ("attach: timer and subscription", vec![attach(OPTIONS), bank, news], vec![18, 23]),
         ("a query goes out, with its timer", vec![query(7, 5 * second)], vec![16, 18]),
