--- a/src/decide.rs
+++ b/src/decide.rs
@@ -271,7 +271,12 @@
         self.note_report(server, ending.report);
         match ending.outcome {
             Outcome::Completed => self.note_served(server, product, ending.spent),
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot => {
+                // What was called off after long took at least that long.
+                if ending.spent as f64 > self.usual_time() {
+                    self.note_time(server, ending.spent);
+                }
+            }
             _ if struck => {}
             _ => self.note_failure(server),
         }
@@ -429,7 +434,10 @@
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && self.own_total as f64 > part * most
+        // What a resting server still holds says nothing of the others.
+        let resting: usize =
+            self.listed.iter().filter(|&&i| !self.fit(i)).map(|&i| self.servers[i].own).sum();
+        self.terms.tier == 0 && self.own_total.saturating_sub(resting) as f64 > part * most
     }
 
     /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share.
@@ -569,19 +577,24 @@
             push(&mut self.runs, RUNS, mean(self.run.iter().map(|&time| time as f64)));
             self.run.clear();
         }
-        let slow = SLOW * self.usual_time();
         let s = &mut self.servers[server];
         let zone = s.zone;
         (s.last_answer, s.strikes) = (self.now, 0);
         push(&mut s.results, RESULTS, true);
+        self.note_time(server, spent);
+        let sample = Sample { at: self.now, load: self.load_per_ready(zone), latency: spent as f64 };
+        push(&mut self.zones[zone].samples, ZONE_SAMPLES, sample);
+    }
+
+    /// Guards against a slow or choked server that holds much of what is in flight: it rests.
+    fn note_time(&mut self, server: usize, spent: u64) {
+        let slow = SLOW * self.usual_time();
+        let s = &mut self.servers[server];
         push(&mut s.took, RESULTS, spent);
-        // Guards against a slow or choked server that holds much of what is in flight: it rests.
         if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean_time(&s.took) > slow {
             s.took.clear();
             self.set_aside(server);
         }
-        let sample = Sample { at: self.now, load: self.load_per_ready(zone), latency: spent as f64 };
-        push(&mut self.zones[zone].samples, ZONE_SAMPLES, sample);
     }
 
     fn note_failure(&mut self, server: usize) {
