--- a/src/decide.rs
+++ b/src/decide.rs
@@ -271,12 +271,7 @@
         self.note_report(server, ending.report);
         match ending.outcome {
             Outcome::Completed => self.note_served(server, product, ending.spent),
-            Outcome::Cancelled | Outcome::Moot => {
-                // What was called off after long took at least that long.
-                if ending.spent as f64 > self.usual_time() {
-                    self.note_time(server, ending.spent);
-                }
-            }
+            Outcome::Cancelled | Outcome::Moot => {}
             _ if struck => {}
             _ => self.note_failure(server),
         }
@@ -434,10 +429,7 @@
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        // What a resting server still holds says nothing of the others.
-        let resting: usize =
-            self.listed.iter().filter(|&&i| !self.fit(i)).map(|&i| self.servers[i].own).sum();
-        self.terms.tier == 0 && self.own_total.saturating_sub(resting) as f64 > part * most
+        self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
     /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share.
@@ -517,10 +509,12 @@
         servers.iter().zip(&told).map(strength).collect()
     }
 
-    /// The mean over the servers of what their last completed executions took.
+    /// What the last completed executions of the middle one of the servers took.
     fn usual_time(&self) -> f64 {
         let known = self.listed.iter().filter(|&&i| self.fit(i) && self.servers[i].took.len() >= 3);
-        mean(known.map(|&i| mean_time(&self.servers[i].took)))
+        let mut times: Vec<f64> = known.map(|&i| mean_time(&self.servers[i].took)).collect();
+        times.sort_unstable_by(f64::total_cmp);
+        times.get(times.len() / 2).copied().unwrap_or(0.0)
     }
 
     /// Ready by the list and not set aside.
@@ -577,24 +571,19 @@
             push(&mut self.runs, RUNS, mean(self.run.iter().map(|&time| time as f64)));
             self.run.clear();
         }
+        let slow = SLOW * self.usual_time();
         let s = &mut self.servers[server];
         let zone = s.zone;
         (s.last_answer, s.strikes) = (self.now, 0);
         push(&mut s.results, RESULTS, true);
-        self.note_time(server, spent);
-        let sample = Sample { at: self.now, load: self.load_per_ready(zone), latency: spent as f64 };
-        push(&mut self.zones[zone].samples, ZONE_SAMPLES, sample);
-    }
-
-    /// Guards against a slow or choked server that holds much of what is in flight: it rests.
-    fn note_time(&mut self, server: usize, spent: u64) {
-        let slow = SLOW * self.usual_time();
-        let s = &mut self.servers[server];
         push(&mut s.took, RESULTS, spent);
+        // Guards against a slow or choked server that holds much of what is in flight: it rests.
         if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean_time(&s.took) > slow {
             s.took.clear();
             self.set_aside(server);
         }
+        let sample = Sample { at: self.now, load: self.load_per_ready(zone), latency: spent as f64 };
+        push(&mut self.zones[zone].samples, ZONE_SAMPLES, sample);
     }
 
     fn note_failure(&mut self, server: usize) {
