--- a/src/decide.rs
+++ b/src/decide.rs
@@ -556,7 +556,8 @@
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
         s.rate = report.throughput.or(s.rate);
-        if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
+        if let (Some(rate), Some(busy)) =
+            (report.throughput, report.utilization.or(report.outstanding.map(|held| held / s.size)))
             && s.busy.back() != Some(&(rate, busy))
         {
             push(&mut s.busy, REPORTS, (rate, busy));
