--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -96,7 +96,6 @@
             let value = f64::from(fields.f32("telemetry")?);
             let value = (value.is_finite() && value >= 0.0).then_some(value);
             match self.columns.get(place).map(String::as_str) {
-                Some("outstanding") => report.outstanding = value,
                 Some("utilization") => report.utilization = value,
                 Some("throughput") => report.throughput = value,
                 _ => {}
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -150,8 +150,7 @@
 
 #[test]
 fn weak_servers_get_less() {
-    let told =
-        |rate: f64| LoadReport { throughput: Some(rate), utilization: Some(0.5), ..LoadReport::default() };
+    let told = |rate: f64| LoadReport { throughput: Some(rate), utilization: Some(0.5) };
     for (size, rate, least, most) in [(1.0, 10.0, 80, 125), (0.25, 10.0, 80, 125), (1.0, 2.0, 15, 60)] {
         let mut entries: Vec<Entry> = (0..4).map(|server| entry(server, 0)).collect();
         entries[0].size = size;
