--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,7 +28,7 @@
 const RUN: usize = 32;
 const RUNS: usize = 64;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
-const FULL: f64 = 2.0;
+const FULL: f64 = 3.0;
 /// For a tenant beyond its share it is full at this part of that.
 const BEYOND: f64 = 0.5;
 /// A server that takes this many times the usual rests.
@@ -271,7 +271,7 @@
         self.note_report(server, ending.report);
         match ending.outcome {
             Outcome::Completed => self.note_served(server, product, ending.spent),
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::TurnedAway => {}
             _ if struck => {}
             _ => self.note_failure(server),
         }
@@ -425,9 +425,7 @@
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
     /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
     fn full(&self, tenant: usize) -> bool {
-        let mut runs: Vec<f64> = self.runs.iter().copied().collect();
-        runs.sort_unstable_by(f64::total_cmp);
-        let least = runs.get(runs.len() / 4).copied().unwrap_or(f64::MAX);
+        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
@@ -558,7 +556,8 @@
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
         s.rate = report.throughput.or(s.rate);
-        if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
+        if let (Some(rate), Some(busy)) =
+            (report.throughput, report.utilization.or(report.outstanding.map(|held| held / s.size)))
             && s.busy.back() != Some(&(rate, busy))
         {
             push(&mut s.busy, REPORTS, (rate, busy));
