--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,8 @@
 const RESULTS: usize = 8;
 const REPORTS: usize = 32;
 const LATENCIES: usize = 32;
+/// Times of arrivals and answers, enough for a check period.
+const TIMES: usize = 8192;
 /// Runs of this many served queries have their mean time taken, and this many runs are remembered.
 const RUN: usize = 32;
 const RUNS: usize = 64;
@@ -229,7 +231,7 @@
         if qry >= self.queries.len() {
             self.queries.resize_with(qry + 1, Query::default);
         }
-        push(&mut self.arrivals, 512, now);
+        push(&mut self.arrivals, TIMES, now);
         let margin = 2 * self.terms.tick;
         let product = arrival.product;
         let mut give_up = arrival.deadline.saturating_sub(margin);
@@ -246,7 +248,7 @@
             return;
         }
         if let Some(times) = self.let_in.get_mut(arrival.tenant) {
-            push(times, 512, now);
+            push(times, TIMES, now);
         }
         self.look_again(qry);
     }
@@ -468,14 +470,15 @@
         let strengths = self.strengths(&fit);
         let usual = mean(strengths.iter().copied());
         let all: Vec<(usize, f64)> = fit.into_iter().zip(strengths).collect();
+        let own = |server: usize| self.servers[server].own as f64;
+        let held: f64 = all.iter().map(|&(server, _)| own(server)).sum();
+        let most = PASS_OVER * held / all.iter().map(|&(_, strength)| strength).sum::<f64>();
         // Guards against an even share for a server far weaker than the others of its zone.
         let mut drawn = all.clone();
         drawn.retain(|&(_, strength)| self.chance.unit() * usual < strength);
         if drawn.is_empty() {
             drawn = all;
         }
-        let own = |server: usize| self.servers[server].own as f64;
-        let most = PASS_OVER * mean(drawn.iter().map(|&(server, strength)| own(server) / strength));
         // Drawn in random order, so that ties among the fewest fall to chance.
         let mut fewest = None;
         while !drawn.is_empty() {
@@ -566,7 +569,7 @@
 
     fn note_served(&mut self, server: usize, product: usize, spent: u64) {
         push(&mut self.latencies[product], LATENCIES, spent);
-        push(&mut self.served, 1024, self.now);
+        push(&mut self.served, TIMES, self.now);
         self.run.push(spent);
         if self.run.len() >= RUN {
             push(&mut self.runs, RUNS, mean(self.run.iter().map(|&time| time as f64)));
