--- a/src/decide.rs
+++ b/src/decide.rs
@@ -470,15 +470,14 @@
         let strengths = self.strengths(&fit);
         let usual = mean(strengths.iter().copied());
         let all: Vec<(usize, f64)> = fit.into_iter().zip(strengths).collect();
-        let own = |server: usize| self.servers[server].own as f64;
-        let held: f64 = all.iter().map(|&(server, _)| own(server)).sum();
-        let most = PASS_OVER * held / all.iter().map(|&(_, strength)| strength).sum::<f64>();
         // Guards against an even share for a server far weaker than the others of its zone.
         let mut drawn = all.clone();
         drawn.retain(|&(_, strength)| self.chance.unit() * usual < strength);
         if drawn.is_empty() {
             drawn = all;
         }
+        let own = |server: usize| self.servers[server].own as f64;
+        let most = PASS_OVER * mean(drawn.iter().map(|&(server, strength)| own(server) / strength));
         // Drawn in random order, so that ties among the fewest fall to chance.
         let mut fewest = None;
         while !drawn.is_empty() {
