--- a/src/decide.rs
+++ b/src/decide.rs
@@ -452,7 +452,12 @@
             let tried = self.queries[qry].execs.iter().any(|e| e.server == server);
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
-            if warm && !tried && self.fit(server) && self.cold_room(server) && self.may_repeat_at(qry, server)
+            if warm
+                && !tried
+                && self.fit(server)
+                && self.has_room(server)
+                && self.cold_room(server)
+                && self.may_repeat_at(qry, server)
             {
                 fit.push(server);
                 let zone = self.servers[server].zone;
@@ -519,6 +524,16 @@
         times.get(times.len() / 2).copied().unwrap_or(0.0)
     }
 
+    /// Guards against crowding a first-tier server, and against one good server taking the load of its zone: what it
+    /// holds of this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
+    fn has_room(&self, server: usize) -> bool {
+        let s = &self.servers[server];
+        let least = self.runs.iter().copied().fold(f64::MAX, f64::min) / 1e6;
+        let held = (s.own * self.terms.balancers) as f64;
+        let most = told_strength(s).map_or(f64::MAX, |rate| least * rate);
+        self.terms.tier > 0 || s.own == 0 || held <= most
+    }
+
     /// Ready by the list and not set aside.
     fn fit(&self, server: usize) -> bool {
         self.servers[server].ready && !self.is_aside(server)
@@ -558,8 +573,7 @@
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
         s.rate = report.throughput.or(s.rate);
-        if let (Some(rate), Some(busy)) =
-            (report.throughput, report.utilization.or(report.outstanding.map(|held| held / s.size)))
+        if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
             && s.busy.back() != Some(&(rate, busy))
         {
             push(&mut s.busy, REPORTS, (rate, busy));
--- a/src/host.rs
+++ b/src/host.rs
@@ -126,7 +126,6 @@
 /// What a server says of its load; what it does not tell is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadReport {
-    pub outstanding: Option<f64>,
     pub utilization: Option<f64>,
     pub throughput: Option<f64>,
 }
