--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,8 +27,8 @@
 /// Times of arrivals and answers, enough for a check period.
 const TIMES: usize = 8192;
 /// Runs of this many served queries have their mean time taken, and this many runs are remembered.
-const RUN: usize = 32;
-const RUNS: usize = 64;
+const RUN: usize = 64;
+const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
 const FULL: f64 = 3.0;
 /// For a tenant beyond its share it is full at this part of that.
