--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,6 +23,8 @@
 const ZONE_SAMPLES: usize = 64;
 const RESULTS: usize = 8;
 const REPORTS: usize = 32;
+/// Of the reports, those that tell what a server can do right now.
+const RECENT: usize = 4;
 const LATENCIES: usize = 32;
 /// Times of arrivals and answers, enough for a check period.
 const TIMES: usize = 8192;
@@ -152,9 +154,10 @@
     mean(times.iter().map(|&time| time as f64))
 }
 
-/// What a server could do by its own reports: the rate it serves over the part of its cores that this takes.
-fn told_strength(s: &Server) -> Option<f64> {
-    let (rate, busy) = s.busy.iter().fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
+/// What a server could do by its last reports: the rate it serves over the part of its cores that this takes.
+fn told_strength(s: &Server, reports: usize) -> Option<f64> {
+    let (rate, busy) =
+        s.busy.iter().rev().take(reports).fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
     (rate > 0.0 && busy > 0.0).then(|| rate / busy)
 }
 
@@ -504,7 +507,8 @@
     /// answers took longer than usual.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
         let usual = self.usual_time();
-        let told: Vec<Option<f64>> = servers.iter().map(|&i| told_strength(&self.servers[i])).collect();
+        let told: Vec<Option<f64>> =
+            servers.iter().map(|&i| told_strength(&self.servers[i], REPORTS)).collect();
         let (mut rates, mut sizes) = (0.0, 0.0);
         for (&i, told) in servers.iter().zip(&told).filter(|(_, told)| told.is_some()) {
             (rates, sizes) = (rates + told.unwrap_or(0.0), sizes + self.servers[i].size);
@@ -533,7 +537,8 @@
         let least = self.runs.iter().copied().fold(f64::MAX, f64::min) / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
         let best = s.rates.iter().copied().reduce(f64::max).filter(|_| s.busy.is_empty());
-        let most = told_strength(s).or(best.map(|rate| PEAK * rate)).map_or(f64::MAX, |rate| least * rate);
+        let most =
+            told_strength(s, RECENT).or(best.map(|rate| PEAK * rate)).map_or(f64::MAX, |rate| least * rate);
         self.terms.tier > 0 || s.own == 0 || held <= most
     }
 
