--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,9 +23,9 @@
 const ZONE_SAMPLES: usize = 64;
 const RESULTS: usize = 8;
 const REPORTS: usize = 32;
+const LATENCIES: usize = 32;
 /// Of the reports, those that tell what a server can do right now.
 const RECENT: usize = 4;
-const LATENCIES: usize = 32;
 /// Times of arrivals and answers, enough for a check period.
 const TIMES: usize = 8192;
 /// Runs of this many served queries have their mean time taken, and this many runs are remembered.
@@ -34,9 +34,9 @@
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
 const FULL: f64 = 3.0;
 /// For a tenant beyond its share it is full at this part of that.
+const BEYOND: f64 = 0.5;
 /// Where no utilization is told, what a server can do is taken to be this many times the best rate it told of.
 const PEAK: f64 = 1.5;
-const BEYOND: f64 = 0.5;
 /// A server that takes this many times the usual rests.
 const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
@@ -56,8 +56,8 @@
     gone: bool,
     /// This copy's own calls in flight.
     own: usize,
-    /// When the last calls went out.
-    sent: VecDeque<u64>,
+    /// When the last calls went out, and how their product's work compares with the usual.
+    sent: VecDeque<(u64, f64)>,
     /// Whether the last executions came to something.
     results: VecDeque<bool>,
     /// How long the last completed ones took.
@@ -213,7 +213,8 @@
                 // A new start forgets what the process before it did, but not the calls still out.
                 *s = Server { own: s.own, ..Server::default() };
             }
-            (s.zone, s.cell, s.size, s.born) = (entry.zone, entry.cell, entry.size, entry.born);
+            let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
+            (s.zone, s.cell, s.size, s.born) = (entry.zone, entry.cell, size, entry.born);
             (s.ready, s.gone) = (entry.standing == Standing::Ready, entry.standing == Standing::Gone);
         }
         self.listed = (0..self.servers.len()).filter(|&i| !self.servers[i].gone).collect();
@@ -379,11 +380,13 @@
         }
         let exec =
             Exec { server, zone: s.zone, cell: s.cell, sent: self.now, fate: Fate::Out, struck: false };
+        let usual = mean((0..self.latencies.len()).map(|product| self.usual_latency(product) as f64));
+        let work = (self.usual_latency(q.product) as f64 / usual.max(1.0)).max(1.0);
         let q = &mut self.queries[qry];
         q.execs.push(exec);
         self.own_total += 1;
         self.servers[server].own += 1;
-        push(&mut self.servers[server].sent, 64, self.now);
+        push(&mut self.servers[server].sent, 64, (self.now, work));
         self.host.execute(qry, server, q.deadline - self.now);
         true
     }
@@ -571,9 +574,12 @@
             return true;
         }
         let since = self.now.saturating_sub(self.terms.tip_after);
-        let spent = self.servers[server].sent.iter().filter(|&&at| at >= since).count();
-        let even = self.own_rate() / self.listed.len().max(1) as f64 * self.terms.tip_after as f64 / 1e6;
-        (spent as f64) < (even * warmth * self.terms.fall_multiple / 2.0).max(1.0)
+        let s = &self.servers[server];
+        let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
+        // What warm servers of like size take of this copy's: its even share by size, and half the multiple of it.
+        let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
+        let even = self.own_rate() * s.size / sizes * self.terms.tip_after as f64 / 1e6;
+        spent < (even * warmth * self.terms.fall_multiple / 2.0).max(1.0)
     }
 
     // ---- what is seen of servers
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -105,6 +105,24 @@
     assert_eq!(b.host.said, ["reject 0", "reject 1"]);
 }
 
+#[test]
+fn odd_figures_do_no_harm() {
+    for (size, report) in [
+        (0.0, LoadReport::default()),
+        (f64::NAN, LoadReport { throughput: Some(0.0), utilization: Some(0.0) }),
+        (f64::INFINITY, LoadReport { throughput: Some(1e30), utilization: Some(1e-30) }),
+        (-1.0, LoadReport { throughput: Some(5.0), utilization: None }),
+    ] {
+        let mut b = start(terms(Idempotent), &[Entry { size, ..entry(0, 0) }, entry(1, 3), entry(2, 0)]);
+        for at in (0..300).map(|i| NOON + i * 20 * MS) {
+            assert!(sent_to(&ask(&mut b, at, 0)).is_some(), "{size} {report:?}");
+            end(&mut b, at, 0, 0, Ending { report, ..ending(Completed, 0) });
+        }
+        b.timer(NOON + 6000 * MS, 0);
+        assert!(sent_to(&ask(&mut b, NOON + 6000 * MS, 1)).is_some(), "{size} {report:?}");
+    }
+}
+
 #[test]
 fn gives_up_before_the_deadline_or_when_late_earns_nothing() {
     for (tardy, given_up) in [(0.5, 2990), (0.0, 990)] {
