A server is drawn in full proportion to its strength

Cause: a weak server was passed over only by what it lacked against its zone's mean, so that it still got more than it can do; copies that hold under one call a server have nothing else to spread by.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -481,29 +481,20 @@
         let zone = open.iter().position(passed).unwrap_or(last);
         fit.retain(|&server| self.servers[server].zone == zone);
         let strengths = self.strengths(&fit);
-        let usual = mean(strengths.iter().copied());
-        let all: Vec<(usize, f64)> = fit.into_iter().zip(strengths).collect();
-        // Guards against an even share for a server far weaker than the others of its zone.
-        let mut drawn = all.clone();
-        drawn.retain(|&(_, strength)| self.chance.unit() * usual < strength);
-        if drawn.is_empty() {
-            drawn = all;
-        }
         let own = |server: usize| self.servers[server].own as f64;
-        let most = PASS_OVER * mean(drawn.iter().map(|&(server, strength)| own(server) / strength));
-        // Drawn in random order, so that ties among the fewest fall to chance.
-        let mut fewest = None;
-        while !drawn.is_empty() {
-            let (server, strength) = drawn.swap_remove(self.chance.below(drawn.len()));
-            if (own(server) + 1.0) / strength <= most {
-                return Some(server);
-            }
-            let load = own(server) / strength;
-            if fewest.is_none_or(|(least, _)| load < least) {
-                fewest = Some((load, server));
+        let loads = fit.iter().zip(&strengths).map(|(&server, strength)| own(server) / strength);
+        let most = PASS_OVER * mean(loads);
+        // One random draw in proportion to strength: the least of exponential times, each at its server's pace.
+        let mut chosen = None;
+        for (&server, strength) in fit.iter().zip(&strengths) {
+            let time = -(1.0 - self.chance.unit()).ln() / strength;
+            let crowded = (own(server) + 1.0) / strength > most;
+            let rank = (if crowded { own(server) / strength } else { -1.0 }, time);
+            if chosen.is_none_or(|(least, _)| rank < least) {
+                chosen = Some((rank, server));
             }
         }
-        fewest.map(|(_, server)| server)
+        chosen.map(|(_, server)| server)
     }
 
     /// What each server can do against the others: by its reports, else by its listed size; less where its last
