Cold budgets are rounded by chance over copies and follow what is served

Each of 28 to 110 copies lets one call through in each window, which together is more than the budget, and in a jam the arrivals that the budget is counted from are repeats. Told from a wrong size by its happening to servers of every kind during the jam only.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,8 @@
     cell: usize,
     size: f64,
     born: u64,
+    /// Rounds this copy's part of the cold budget, up at as many copies as the budget needs.
+    luck: f64,
     ready: bool,
     gone: bool,
     /// This copy's own calls in flight.
@@ -211,7 +213,7 @@
             let s = &mut self.servers[entry.server];
             if s.born != entry.born {
                 // A new start forgets what the process before it did, but not the calls still out.
-                *s = Server { own: s.own, ..Server::default() };
+                *s = Server { own: s.own, luck: self.chance.unit(), ..Server::default() };
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
             (s.zone, s.cell, s.size, s.born) = (entry.zone, entry.cell, size, entry.born);
@@ -558,7 +560,8 @@
         from + (1.0 - from) * age as f64 / self.terms.cold_time as f64
     }
 
-    /// Rule 4: whether this copy's part of a cold server's budget has room for one more execution.
+    /// Rule 4: whether this copy's part of a cold server's budget has room for one more execution. With many copies
+    /// that part is well under one call; chance rounds it, so that all copies together keep to the sum.
     fn cold_room(&self, server: usize) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -567,10 +570,13 @@
         let since = self.now.saturating_sub(self.terms.tip_after);
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
-        // What warm servers of like size take of this copy's: its even share by size, and half the multiple of it.
+        // What warm servers of like size serve of this copy's: its even share by size, and half the multiple of it.
+        // What only came is no measure in a jam, when callers repeat; it stands in while nothing was served.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
-        let even = self.own_rate() * s.size / sizes * self.terms.tip_after as f64 / 1e6;
-        spent < (even * warmth * self.terms.fall_multiple / 2.0).max(1.0)
+        let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
+        let rate = served.unwrap_or_else(|| self.own_rate());
+        let even = rate * s.size / sizes * self.terms.tip_after as f64 / 1e6;
+        spent + 1.0 <= even * warmth * self.terms.fall_multiple / 2.0 + s.luck
     }
 
     // ---- what is seen of servers
