Copies that get little shed too: short runs, and a floor for all copies together

Change: a run ends after a check period, its standard error added, and the floor is one call a server for all copies together. A copy with three calls in flight finds itself full by chance; next: slack for that.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -134,7 +134,8 @@
     let_in: Vec<VecDeque<u64>>,
     /// When the last queries were served, how long those of the present run took, and the means of the last runs.
     served: VecDeque<u64>,
-    run: Vec<u64>,
+    run: Vec<f64>,
+    run_begun: u64,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -179,6 +180,7 @@
             let_in: vec![VecDeque::new(); terms.tenant_quotas.len()],
             served: VecDeque::new(),
             run: Vec::new(),
+            run_begun: now,
             runs: VecDeque::new(),
             own_total: 0,
             solved_rate: 0.0,
@@ -439,7 +441,9 @@
     fn full(&self, tenant: usize) -> bool {
         let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
-        let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64);
+        let most = (FULL * least * recent / 1e6)
+            .max(self.listed.len() as f64 / self.terms.balancers as f64)
+            .max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
@@ -596,10 +600,16 @@
     fn note_served(&mut self, server: usize, product: usize, spent: u64) {
         push(&mut self.latencies[product], LATENCIES, spent);
         push(&mut self.served, TIMES, self.now);
-        self.run.push(spent);
-        if self.run.len() >= RUN {
-            push(&mut self.runs, RUNS, mean(self.run.iter().map(|&time| time as f64)));
+        self.run.push(spent as f64);
+        // A copy that gets little ends its run after a check period, if an eighth of it is there.
+        let (count, begun) = (self.run.len(), self.run_begun);
+        if count >= RUN || (count >= RUN / 8 && self.now - begun >= CHECK) {
+            // With its standard error: the least of many short runs would lie far under the usual.
+            let time = mean(self.run.iter().copied());
+            let variance = mean(self.run.iter().map(|&t| (t - time) * (t - time)));
+            push(&mut self.runs, RUNS, time + (variance / count as f64).sqrt());
             self.run.clear();
+            self.run_begun = self.now;
         }
         let slow = SLOW * self.usual_time();
         let s = &mut self.servers[server];
