--- a/src/decide.rs
+++ b/src/decide.rs
@@ -441,9 +441,9 @@
     fn full(&self, tenant: usize) -> bool {
         let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
-        let most = (FULL * least * recent / 1e6)
-            .max(self.listed.len() as f64 / self.terms.balancers as f64)
-            .max(1.0);
+        let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
+        // With few in flight chance alone brings their number above the limit by about its root.
+        let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
