--- a/crates/benchlink/src/terms.rs
+++ b/crates/benchlink/src/terms.rs
@@ -8,6 +8,10 @@
 struct Options {
     balancers: usize,
     tier: usize,
+    #[serde(default)]
+    locality: usize,
+    #[serde(default)]
+    deductions: Deductions,
     membership_mode: String,
     tick_ns: u64,
     products: Vec<ProductOptions>,
@@ -18,6 +22,12 @@
     obligations: Obligations,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Deductions {
+    cross_zone: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ProductOptions {
@@ -92,6 +102,8 @@
     let terms = Terms {
         balancers: options.balancers.max(1),
         tier: options.tier,
+        home: options.locality,
+        cross_zone: options.deductions.cross_zone.max(0.0),
         products,
         tenant_quotas: options.projects.iter().map(|p| p.quota_per_s.unwrap_or(0.0)).collect(),
         most_executions: limits.most_executions,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -768,12 +768,15 @@
         let a = lines.iter().map(|line| line.3 * line.0).sum::<f64>() / known;
         let b = lines.iter().map(|line| line.3 * line.1).sum::<f64>() / known;
         let weights = self.weights();
+        // A crossing costs as if a query came late by that part of its SLO time.
+        let slo_time = mean(self.terms.products.iter().map(|row| row.slo_time as f64));
         let predict = |shares: &[f64]| -> f64 {
             let latency = |&z: &usize| {
                 let load = loads[z] + (shares[z] - weights[z]) * rate / ready[z];
                 let trust = lines[z].3.min(1.0);
                 let (a, b) = (trust * lines[z].0 + (1.0 - trust) * a, trust * lines[z].1 + (1.0 - trust) * b);
-                shares[z] * (a + b * load.max(0.0))
+                let crossing = if z == self.terms.home { 0.0 } else { self.terms.cross_zone * slo_time };
+                shares[z] * (a + b * load.max(0.0) + crossing)
             };
             open.iter().map(latency).sum()
         };
--- a/src/host.rs
+++ b/src/host.rs
@@ -48,6 +48,9 @@
 pub struct Terms {
     pub balancers: usize,
     pub tier: usize,
+    /// The zone of this balancer, and what an execution in another one costs, as a part of a query's importance.
+    pub home: usize,
+    pub cross_zone: f64,
     pub products: Vec<Product>,
     /// Queries a second within each tenant's share, over all balancers.
     pub tenant_quotas: Vec<f64>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,8 @@
     Terms {
         balancers: 2,
         tier: 0,
+        home: 0,
+        cross_zone: 0.0,
         products: vec![Product {
             effect,
             slo_time: 1000 * MS,
