Strength leans on the reports of the server's kind

Change: a server's strength is its own reports and, as two reports more, the mean of its kind, by the kind column of the list.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -296,7 +296,7 @@
             let mut entry = Reader::new("list", fields.bytes("elements", ENTRY_SIZE)?);
             let upstream = entry.upstream()?;
             let zone = usize::from(entry.u16("hall")?);
-            entry.u16("sku")?;
+            let kind = usize::from(entry.u16("sku")?);
             let cell = usize::from(entry.u16("group")?);
             let standing = match entry.u8("availability")? {
                 0 => Standing::Gone,
@@ -307,7 +307,10 @@
             let size = f64::from(entry.f32("size")?);
             let born = entry.u64("bornNs")? / 1000;
             let size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
-            listed.push(Listed { upstream, entry: Entry { server: 0, zone, cell, standing, size, born } });
+            listed.push(Listed {
+                upstream,
+                entry: Entry { server: 0, zone, cell, kind, standing, size, born },
+            });
         }
         self.banks.insert(bank, listed);
         fields.done()
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,8 @@
 const BEYOND: f64 = 0.5;
 /// Where no utilization is told, what a server can do is taken to be this many times the best rate it told of.
 const PEAK: f64 = 1.5;
+/// What the reports of its kind weigh against a server's own, as a number of reports.
+const KIN: f64 = 2.0;
 /// A server that takes this many times the usual rests.
 const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
@@ -50,6 +52,7 @@
 struct Server {
     zone: usize,
     cell: usize,
+    kind: usize,
     size: f64,
     born: u64,
     /// Rounds this copy's part of the cold budget, up at as many copies as the budget needs.
@@ -71,6 +74,8 @@
     rates: VecDeque<f64>,
     /// Queries a second and how busy the cores were with them, by the last reports that tell both.
     busy: VecDeque<(f64, f64)>,
+    /// What it could do by these.
+    told: Option<f64>,
 }
 
 struct Sample {
@@ -126,6 +131,7 @@
     /// The servers not gone, in the order of their indices.
     listed: Vec<usize>,
     zones: Vec<Zone>,
+    kinds: usize,
     queries: Vec<Query>,
     /// The last served latencies, a row a product.
     latencies: Vec<VecDeque<u64>>,
@@ -174,6 +180,7 @@
             servers: Vec::new(),
             listed: Vec::new(),
             zones: Vec::new(),
+            kinds: 0,
             queries: Vec::new(),
             latencies: vec![VecDeque::new(); terms.products.len()],
             arrivals: VecDeque::new(),
@@ -218,7 +225,9 @@
                 *s = Server { own: s.own, luck: self.chance.unit(), ..Server::default() };
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
-            (s.zone, s.cell, s.size, s.born) = (entry.zone, entry.cell, size, entry.born);
+            (s.zone, s.cell, s.kind) = (entry.zone, entry.cell, entry.kind);
+            (s.size, s.born) = (size, entry.born);
+            self.kinds = self.kinds.max(entry.kind + 1);
             (s.ready, s.gone) = (entry.standing == Standing::Ready, entry.standing == Standing::Gone);
         }
         self.listed = (0..self.servers.len()).filter(|&i| !self.servers[i].gone).collect();
@@ -503,23 +512,28 @@
         chosen.map(|(_, server)| server)
     }
 
-    /// What each server can do against the others: by its reports, else by its listed size; less where its last
-    /// answers took longer than usual.
+    /// What each server can do against the others: by its reports and those of its kind, else by its listed size;
+    /// less where its last answers took longer than usual. A copy that sees little knows the kinds long before it
+    /// knows each server, and listed sizes may leave out the speed.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
         let usual = self.usual_time();
-        let told: Vec<Option<f64>> =
-            servers.iter().map(|&i| told_strength(&self.servers[i], REPORTS)).collect();
-        let (mut rates, mut sizes) = (0.0, 0.0);
-        for (&i, told) in servers.iter().zip(&told).filter(|(_, told)| told.is_some()) {
-            (rates, sizes) = (rates + told.unwrap_or(0.0), sizes + self.servers[i].size);
-        }
-        let strength = |(&i, told): (&usize, &Option<f64>)| {
+        let mut kinds = vec![(0.0, 0.0); self.kinds];
+        let mut all = (0.0, 0.0);
+        for s in self.listed.iter().map(|&i| &self.servers[i]) {
+            let (told, size) = s.told.map_or((0.0, 0.0), |told| (told, s.size));
+            all = (all.0 + told, all.1 + size);
+            kinds[s.kind] = (kinds[s.kind].0 + told, kinds[s.kind].1 + size);
+        }
+        let strength = |&i: &usize| {
             let s = &self.servers[i];
             let known = s.took.len() >= 3 && usual > 0.0;
             let pace = if known { (usual / mean_time(&s.took)).clamp(0.25, 1.0) } else { 1.0 };
-            told.map_or(s.size, |told| told * sizes / rates) * pace
+            let (told, size) = if kinds[s.kind].1 > 0.0 { kinds[s.kind] } else { all };
+            let alike = if size > 0.0 { told / size * s.size } else { s.size };
+            let reports = s.told.map_or(0.0, |_| s.busy.len() as f64);
+            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace
         };
-        servers.iter().zip(&told).map(strength).collect()
+        servers.iter().map(strength).collect()
     }
 
     /// What the last completed executions of the middle one of the servers took.
@@ -594,6 +608,7 @@
             && s.busy.back() != Some(&(rate, busy))
         {
             push(&mut s.busy, REPORTS, (rate, busy));
+            s.told = told_strength(s, REPORTS);
         }
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -81,6 +81,8 @@
     pub server: usize,
     pub zone: usize,
     pub cell: usize,
+    /// The kind of machine; those of a kind are much alike.
+    pub kind: usize,
     pub standing: Standing,
     pub size: f64,
     /// Clock time of its last start; 0: long ago.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,7 +60,7 @@
 }
 
 pub fn entry(server: usize, zone: usize) -> Entry {
-    Entry { server, zone, cell: zone, standing: Standing::Ready, size: 1.0, born: 0 }
+    Entry { server, zone, cell: zone, kind: 0, standing: Standing::Ready, size: 1.0, born: 0 }
 }
 
 pub fn start(terms: Terms, entries: &[Entry]) -> Balancer<Notes> {
