Patience is one SLO time while no latency is known

Cause: copies that get two queries a second know no latency for seconds, called off after half of the SLO time what was merely waiting, and sent it again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -670,7 +670,7 @@
 
     /// How long an execution may be out before the silence of its server counts against it.
     fn patience(&self, product: usize) -> u64 {
-        self.latency_rank(product, 0.9).map_or(self.terms.products[product].slo_time / 2, |l| SILENT * l)
+        self.latency_rank(product, 0.9).map_or(self.terms.products[product].slo_time, |l| SILENT * l)
     }
 
     fn latency_rank(&self, product: usize, rank: f64) -> Option<u64> {
