Two drawn servers are probed and the first to answer gets the query, where probes pay

Change: where a copy holds under one call a server and two probes cost less than a query that fails late, two drawn servers are asked and the first to answer gets the query.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -129,6 +129,10 @@
         self.record(18, &[&(wait * 1000).to_le_bytes(), &label.to_le_bytes()]);
     }
 
+    fn probe(&mut self, server: usize) {
+        self.record(24, &[&self.upstreams[server]]);
+    }
+
     fn follow_list(&mut self) {
         self.record(23, &[&[1]]);
     }
@@ -251,12 +255,12 @@
                 instance.timer(now, label);
             }
             23 => {
-                fields.u8("stateCode")?;
+                let answered = fields.u8("stateCode")? == 0;
                 let upstream = fields.upstream()?;
                 fields.u64("spentNs")?;
                 let report = instance.host.report(&mut fields)?;
                 let server = instance.host.server(upstream);
-                instance.probed(now, server, report);
+                instance.probed(now, server, answered, report);
             }
             24 => {
                 fields.u32("by")?;
--- a/crates/benchlink/src/terms.rs
+++ b/crates/benchlink/src/terms.rs
@@ -26,6 +26,8 @@
 #[serde(rename_all = "camelCase", default)]
 struct Deductions {
     cross_zone: f64,
+    late_fail: f64,
+    probe: f64,
 }
 
 #[derive(Deserialize)]
@@ -53,6 +55,8 @@
 struct LimitOptions {
     cancel: bool,
     most_executions: usize,
+    #[serde(default)]
+    probes: bool,
     max_retry_after_ns: u64,
     retry_after: bool,
     second_copies: bool,
@@ -109,6 +113,7 @@
         most_executions: limits.most_executions,
         second_copies: limits.second_copies,
         cancel: limits.cancel,
+        probes_pay: limits.probes && 2.0 * options.deductions.probe < options.deductions.late_fail,
         most_retry_after: if limits.retry_after { limits.max_retry_after_ns / 1000 } else { 0 },
         tick: options.tick_ns / 1000,
         must_ask_in: (options.membership_mode == "on_request")
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,6 +70,8 @@
     last_answer: u64,
     aside_until: u64,
     strikes: u32,
+    /// The queries that wait for its answer, and when they came.
+    askers: VecDeque<(usize, u64)>,
     /// Queries a second, by the last reports.
     rates: VecDeque<f64>,
     /// Queries a second and how busy the cores were with them, by the last reports that tell both.
@@ -115,9 +117,12 @@
 struct Query {
     live: bool,
     product: usize,
+    came: u64,
     deadline: u64,
     give_up: u64,
     next_look: u64,
+    /// Servers asked which of them answers first.
+    asked: Vec<usize>,
     execs: Vec<Exec>,
 }
 
@@ -222,7 +227,8 @@
             let s = &mut self.servers[entry.server];
             if s.born != entry.born {
                 // A new start forgets what the process before it did, but not the calls still out.
-                *s = Server { own: s.own, luck: self.chance.unit(), ..Server::default() };
+                let askers = std::mem::take(&mut s.askers);
+                *s = Server { own: s.own, askers, luck: self.chance.unit(), ..Server::default() };
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
             (s.zone, s.cell, s.kind) = (entry.zone, entry.cell, entry.kind);
@@ -261,15 +267,17 @@
         let known = product < self.terms.products.len();
         let product = if known { product } else { 0 };
         let deadline = arrival.deadline;
-        self.queries[qry] = Query { live: true, product, deadline, give_up, next_look: 0, execs: Vec::new() };
-        if !known || self.full(arrival.tenant) || !self.place(qry) {
+        self.queries[qry] = Query { live: true, product, came: now, deadline, give_up, ..Query::default() };
+        if !known || self.full(arrival.tenant) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
             return;
         }
         if let Some(times) = self.let_in.get_mut(arrival.tenant) {
             push(times, TIMES, now);
         }
-        self.look_again(qry);
+        if !self.queries[qry].execs.is_empty() {
+            self.look_again(qry);
+        }
     }
 
     /// A stream has started: it belongs to the client now and has no deadline.
@@ -317,10 +325,17 @@
         }
     }
 
-    pub fn probed(&mut self, now: u64, server: usize, report: LoadReport) {
+    pub fn probed(&mut self, now: u64, server: usize, answered: bool, report: LoadReport) {
         self.now = now;
-        if server < self.servers.len() {
-            self.note_report(server, report);
+        if server >= self.servers.len() {
+            return;
+        }
+        self.note_report(server, report);
+        let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
+        // The first of the servers asked to answer gets the query.
+        let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
+        if answered && waits && self.fit(server) && self.execute(qry, server) {
+            self.look_again(qry);
         }
     }
 
@@ -342,10 +357,11 @@
         if self.now < q.next_look {
             return;
         }
-        if self.now >= q.give_up {
+        if self.now >= q.give_up || (q.execs.is_empty() && !self.place(qry)) {
             self.finish(qry);
             return;
         }
+        let q = &self.queries[qry];
         let (product, count) = (q.product, q.execs.len());
         let since = self.now.saturating_sub(self.patience(product));
         let silent = |e: &Exec| {
@@ -377,6 +393,31 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
+    /// Where copies hold too little for the pass-over to tell servers apart, two are asked and the first to answer
+    /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
+    fn ask(&mut self, qry: usize) -> bool {
+        let blind = self.own_total < self.listed.len();
+        if !self.terms.probes_pay || !blind {
+            return false;
+        }
+        for _ in 0..2 {
+            let Some(server) = self.choose(qry) else { break };
+            let q = &mut self.queries[qry];
+            q.asked.push(server);
+            let came = q.came;
+            self.servers[server].askers.push_back((qry, came));
+            self.host.probe(server);
+        }
+        let q = &mut self.queries[qry];
+        if q.asked.is_empty() {
+            return false;
+        }
+        let wait = self.terms.products[q.product].slo_time / 8;
+        q.next_look = q.give_up.min(self.now + wait).max(self.now + 1);
+        self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
+        true
+    }
+
     /// Sends the query somewhere, if any server may have it.
     fn place(&mut self, qry: usize) -> bool {
         self.choose(qry).is_some_and(|server| self.execute(qry, server))
@@ -472,7 +513,8 @@
         let mut open = vec![0.0; weights.len()];
         for i in 0..self.listed.len() {
             let server = self.listed[i];
-            let tried = self.queries[qry].execs.iter().any(|e| e.server == server);
+            let q = &self.queries[qry];
+            let tried = q.execs.iter().any(|e| e.server == server) || q.asked.contains(&server);
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
             if warm
--- a/src/host.rs
+++ b/src/host.rs
@@ -13,6 +13,8 @@
     fn abort(&mut self, qry: usize);
     /// Calls `Balancer::timer` with this label after `wait`.
     fn wake(&mut self, wait: u64, label: u32);
+    /// Asks a server for a sign of life and its load; `Balancer::probed` tells what came of it.
+    fn probe(&mut self, server: usize);
     /// Subscribes to the changes of the server list.
     fn follow_list(&mut self);
 }
@@ -57,6 +59,8 @@
     pub most_executions: usize,
     pub second_copies: bool,
     pub cancel: bool,
+    /// Probes are allowed, and two of them cost less than a query that fails late.
+    pub probes_pay: bool,
     /// Longest wait that clients follow; 0 where no advice is passed on.
     pub most_retry_after: u64,
     pub tick: u64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,6 +28,9 @@
     fn wake(&mut self, wait: u64, label: u32) {
         self.wakes.push((wait, label));
     }
+    fn probe(&mut self, server: usize) {
+        self.said.push(format!("probe {server}"));
+    }
     fn follow_list(&mut self) {
         self.said.push("follow".into());
     }
@@ -49,6 +52,7 @@
         most_executions: 3,
         second_copies: false,
         cancel: true,
+        probes_pay: false,
         most_retry_after: 500 * MS,
         tick: 5 * MS,
         must_ask_in: None,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -98,7 +98,7 @@
     b.withdrawn(NOON, 9);
     b.started(NOON, 9, 0);
     b.timer(NOON, 99);
-    b.probed(NOON, 9, LoadReport::default());
+    b.probed(NOON, 9, true, LoadReport::default());
     assert!(b.host.said.is_empty());
     b.query(NOON, 0, Arrival { product: 5, tenant: 5, deadline: NOON });
     b.query(NOON, 1, Arrival { product: 0, tenant: 5, deadline: NOON + 1000 * MS });
