--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,8 @@
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
 const KIN: f64 = 2.0;
-/// So many servers are asked for a query, all within an eighth of its SLO time.
-const ASKED: usize = 4;
+/// Servers are not asked while the last answers took less than this many times the least mean time.
+const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
 const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
@@ -149,6 +149,7 @@
     served: VecDeque<u64>,
     run: Vec<f64>,
     run_begun: u64,
+    recent: VecDeque<f64>,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -195,6 +196,7 @@
             served: VecDeque::new(),
             run: Vec::new(),
             run_begun: now,
+            recent: VecDeque::new(),
             runs: VecDeque::new(),
             own_total: 0,
             solved_rate: 0.0,
@@ -359,19 +361,10 @@
         if self.now < q.next_look {
             return;
         }
-        let waiting = q.execs.is_empty();
-        if self.now >= q.give_up {
+        if self.now >= q.give_up || (q.execs.is_empty() && !self.place(qry)) {
             self.finish(qry);
             return;
         }
-        if waiting {
-            match self.ask(qry) {
-                true => return,
-                false if self.place(qry) => self.look_again(qry),
-                false => self.finish(qry),
-            }
-            return;
-        }
         let q = &self.queries[qry];
         let (product, count) = (q.product, q.execs.len());
         let since = self.now.saturating_sub(self.patience(product));
@@ -404,19 +397,17 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// Where copies hold too little for the pass-over to tell servers apart, the drawn server is asked first, and one
-    /// more each time that none has answered for a while; the first to answer gets the query. Guards against servers
-    /// slower than listed, choked, hung or crowded by other copies' calls.
+    /// Where copies hold too little for the pass-over to tell servers apart, two are asked and the first to answer
+    /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
     fn ask(&mut self, qry: usize) -> bool {
         let blind = self.own_total < self.listed.len();
-        let q = &self.queries[qry];
-        let wait = self.terms.products[q.product].slo_time / (8 * ASKED as u64);
-        if !self.terms.probes_pay || !blind || self.now >= q.came + wait * ASKED as u64 {
+        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
+        let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * least;
+        if !self.terms.probes_pay || !blind || quick {
             return false;
         }
-        if q.asked.len() < ASKED
-            && let Some(server) = self.choose(qry)
-        {
+        for _ in 0..2 {
+            let Some(server) = self.choose(qry) else { break };
             let q = &mut self.queries[qry];
             q.asked.push(server);
             let came = q.came;
@@ -427,6 +418,7 @@
         if q.asked.is_empty() {
             return false;
         }
+        let wait = self.terms.products[q.product].slo_time / 8;
         q.next_look = q.give_up.min(self.now + wait).max(self.now + 1);
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
         true
@@ -672,6 +664,7 @@
         push(&mut self.latencies[product], LATENCIES, spent);
         push(&mut self.served, TIMES, self.now);
         self.run.push(spent as f64);
+        push(&mut self.recent, RESULTS, spent as f64);
         // A copy that gets little ends its run after a check period, if an eighth of it is there.
         let (count, begun) = (self.run.len(), self.run_begun);
         if count >= RUN || (count >= RUN / 8 && self.now - begun >= CHECK) {
