--- a/src/decide.rs
+++ b/src/decide.rs
@@ -310,6 +310,7 @@
         }
         let q = &self.queries[qry];
         if was_live && ending.over {
+            push(&mut self.recent, RESULTS, (now - q.came) as f64);
             self.cancel_all_but(qry, None);
         } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
             if now + self.usual_latency(product) < q.give_up && self.place(qry) {
@@ -474,6 +475,9 @@
     fn finish(&mut self, qry: usize) {
         let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) else { return };
         q.live = false;
+        if q.execs.iter().any(|e| e.fate == Fate::Out) {
+            push(&mut self.recent, RESULTS, (self.now - q.came) as f64);
+        }
         let row = &self.terms.products[q.product];
         let repeatable = matches!(row.effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
         if repeatable || q.execs.iter().all(|e| e.fate == Fate::NeverRan) {
@@ -494,8 +498,12 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
     /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
-    fn full(&self, tenant: usize) -> bool {
+    fn full(&mut self, tenant: usize) -> bool {
         let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
+        let times = FULL * least / mean(self.recent.iter().copied()).max(1.0);
+        if self.terms.tier == 0 && self.chance.unit() > times.powi(3) {
+            return true;
+        }
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
@@ -664,7 +672,6 @@
         push(&mut self.latencies[product], LATENCIES, spent);
         push(&mut self.served, TIMES, self.now);
         self.run.push(spent as f64);
-        push(&mut self.recent, RESULTS, spent as f64);
         // A copy that gets little ends its run after a check period, if an eighth of it is there.
         let (count, begun) = (self.run.len(), self.run_begun);
         if count >= RUN || (count >= RUN / 8 && self.now - begun >= CHECK) {
