--- a/src/decide.rs
+++ b/src/decide.rs
@@ -500,7 +500,7 @@
     /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
     fn full(&mut self, tenant: usize) -> bool {
         let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
-        let times = FULL * least / mean(self.recent.iter().copied()).max(1.0);
+        let times = 1.7 * least / mean(self.recent.iter().copied()).max(1.0);
         if self.terms.tier == 0 && self.chance.unit() > times.powi(3) {
             return true;
         }
@@ -529,9 +529,13 @@
             let server = self.listed[i];
             let q = &self.queries[qry];
             let tried = q.execs.iter().any(|e| e.server == server) || q.asked.contains(&server);
+            // Servers asked together share a zone, so that the ways to them are alike.
+            let near =
+                q.asked.first().is_none_or(|&first| self.servers[first].zone == self.servers[server].zone);
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
             if warm
+                && near
                 && !tried
                 && self.fit(server)
                 && self.has_room(server)
