--- a/src/decide.rs
+++ b/src/decide.rs
@@ -407,7 +407,7 @@
         if !self.terms.probes_pay || !blind || quick {
             return false;
         }
-        for _ in 0..2 {
+        for _ in 0..3 {
             let Some(server) = self.choose(qry) else { break };
             let q = &mut self.queries[qry];
             q.asked.push(server);
