--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,8 @@
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
 const KIN: f64 = 2.0;
+const GATE: f64 = 2.0;
+const STEEP: i32 = 8;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -149,7 +151,7 @@
     served: VecDeque<u64>,
     run: Vec<f64>,
     run_begun: u64,
-    recent: VecDeque<f64>,
+    recent: VecDeque<(u64, f64)>,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -310,7 +312,7 @@
         }
         let q = &self.queries[qry];
         if was_live && ending.over {
-            push(&mut self.recent, RESULTS, (now - q.came) as f64);
+            push(&mut self.recent, RESULTS, (now, (now - q.came) as f64));
             self.cancel_all_but(qry, None);
         } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
             if now + self.usual_latency(product) < q.give_up && self.place(qry) {
@@ -402,8 +404,7 @@
     /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
     fn ask(&mut self, qry: usize) -> bool {
         let blind = self.own_total < self.listed.len();
-        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
-        let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * least;
+        let quick = !self.runs.is_empty() && self.against_least() < QUICK;
         if !self.terms.probes_pay || !blind || quick {
             return false;
         }
@@ -476,7 +477,7 @@
         let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) else { return };
         q.live = false;
         if q.execs.iter().any(|e| e.fate == Fate::Out) {
-            push(&mut self.recent, RESULTS, (self.now - q.came) as f64);
+            push(&mut self.recent, RESULTS, (self.now, (self.now - q.came) as f64));
         }
         let row = &self.terms.products[q.product];
         let repeatable = matches!(row.effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
@@ -499,11 +500,12 @@
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
     /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
     fn full(&mut self, tenant: usize) -> bool {
-        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
-        let times = 1.7 * least / mean(self.recent.iter().copied()).max(1.0);
-        if self.terms.tier == 0 && self.chance.unit() > times.powi(3) {
+        // A copy with few calls in flight goes by what its last queries took. Once these are a check period old it
+        // lets some in again: by then the servers have been idle, as those choked by their load need to be.
+        if self.terms.tier == 0 && self.chance.unit() > (GATE / self.against_least()).powi(STEEP) {
             return true;
         }
+        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
@@ -512,6 +514,13 @@
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
+    /// What the last queries took until their final answer, over the least mean time.
+    fn against_least(&self) -> f64 {
+        let since = self.now.saturating_sub(CHECK);
+        let times = self.recent.iter().filter(|&&(at, _)| at >= since).map(|&(_, time)| time);
+        mean(times) / self.runs.iter().copied().fold(f64::MAX, f64::min)
+    }
+
     /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share.
     fn beyond_share(&self, tenant: usize) -> bool {
         let quota = self.terms.tenant_quotas.get(tenant).copied().unwrap_or(0.0);
