--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,6 @@
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
 const KIN: f64 = 2.0;
-const GATE: f64 = 2.0;
-const STEEP: i32 = 8;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -151,7 +149,7 @@
     served: VecDeque<u64>,
     run: Vec<f64>,
     run_begun: u64,
-    recent: VecDeque<(u64, f64)>,
+    recent: VecDeque<f64>,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -312,7 +310,6 @@
         }
         let q = &self.queries[qry];
         if was_live && ending.over {
-            push(&mut self.recent, RESULTS, (now, (now - q.came) as f64));
             self.cancel_all_but(qry, None);
         } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
             if now + self.usual_latency(product) < q.give_up && self.place(qry) {
@@ -404,7 +401,7 @@
     /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
     fn ask(&mut self, qry: usize) -> bool {
         let blind = self.own_total < self.listed.len();
-        let quick = !self.runs.is_empty() && self.against_least() < QUICK;
+        let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
         if !self.terms.probes_pay || !blind || quick {
             return false;
         }
@@ -476,9 +473,6 @@
     fn finish(&mut self, qry: usize) {
         let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) else { return };
         q.live = false;
-        if q.execs.iter().any(|e| e.fate == Fate::Out) {
-            push(&mut self.recent, RESULTS, (self.now, (self.now - q.came) as f64));
-        }
         let row = &self.terms.products[q.product];
         let repeatable = matches!(row.effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
         if repeatable || q.execs.iter().all(|e| e.fate == Fate::NeverRan) {
@@ -499,13 +493,8 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
     /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
-    fn full(&mut self, tenant: usize) -> bool {
-        // A copy with few calls in flight goes by what its last queries took. Once these are a check period old it
-        // lets some in again: by then the servers have been idle, as those choked by their load need to be.
-        if self.terms.tier == 0 && self.chance.unit() > (GATE / self.against_least()).powi(STEEP) {
-            return true;
-        }
-        let least = self.runs.iter().copied().fold(f64::MAX, f64::min);
+    fn full(&self, tenant: usize) -> bool {
+        let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
@@ -514,11 +503,8 @@
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
-    /// What the last queries took until their final answer, over the least mean time.
-    fn against_least(&self) -> f64 {
-        let since = self.now.saturating_sub(CHECK);
-        let times = self.recent.iter().filter(|&&(at, _)| at >= since).map(|&(_, time)| time);
-        mean(times) / self.runs.iter().copied().fold(f64::MAX, f64::min)
+    fn least_time(&self) -> f64 {
+        self.runs.iter().copied().fold(f64::MAX, f64::min)
     }
 
     /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share.
@@ -617,7 +603,7 @@
     /// holds of this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
     fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
-        let least = self.runs.iter().copied().fold(f64::MAX, f64::min) / 1e6;
+        let least = self.least_time() / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
         let best = s.rates.iter().copied().reduce(f64::max).filter(|_| s.busy.is_empty());
         let most =
@@ -685,6 +671,7 @@
         push(&mut self.latencies[product], LATENCIES, spent);
         push(&mut self.served, TIMES, self.now);
         self.run.push(spent as f64);
+        push(&mut self.recent, RESULTS, spent as f64);
         // A copy that gets little ends its run after a check period, if an eighth of it is there.
         let (count, begun) = (self.run.len(), self.run_begun);
         if count >= RUN || (count >= RUN / 8 && self.now - begun >= CHECK) {
