--- a/src/decide.rs
+++ b/src/decide.rs
@@ -397,10 +397,11 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// Where copies hold too little for the pass-over to tell servers apart, two are asked and the first to answer
-    /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
+    /// Where a copy hears of a server less than once an SLO time, three are asked and the first to answer gets the
+    /// query, since the pass-over cannot tell servers apart. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
     fn ask(&mut self, qry: usize) -> bool {
-        let blind = self.own_total < self.listed.len();
+        let slo_time = self.terms.products[self.queries[qry].product].slo_time;
+        let blind = self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
         let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
         if !self.terms.probes_pay || !blind || quick {
             return false;
@@ -417,8 +418,7 @@
         if q.asked.is_empty() {
             return false;
         }
-        let wait = self.terms.products[q.product].slo_time / 8;
-        q.next_look = q.give_up.min(self.now + wait).max(self.now + 1);
+        q.next_look = q.give_up.min(self.now + slo_time / 8).max(self.now + 1);
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
         true
     }
