--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,8 @@
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
 const KIN: f64 = 2.0;
+/// A copy that hears of a server less than once in so many SLO times cannot tell servers apart by its own calls.
+const SELDOM: f64 = 4.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -397,11 +399,11 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// Where a copy hears of a server less than once an SLO time, three are asked and the first to answer gets the
+    /// Where a copy hears of a server less than once in four SLO times, three are asked and the first to answer gets the
     /// query, since the pass-over cannot tell servers apart. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
     fn ask(&mut self, qry: usize) -> bool {
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
-        let blind = self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
+        let blind = SELDOM * self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
         let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
         if !self.terms.probes_pay || !blind || quick {
             return false;
