--- a/src/decide.rs
+++ b/src/decide.rs
@@ -152,6 +152,8 @@
     run: Vec<f64>,
     run_begun: u64,
     recent: VecDeque<f64>,
+    /// What servers held and served a second, by the last reports.
+    told_held: VecDeque<(u64, f64, f64)>,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -199,6 +201,7 @@
             run: Vec::new(),
             run_begun: now,
             recent: VecDeque::new(),
+            told_held: VecDeque::new(),
             runs: VecDeque::new(),
             own_total: 0,
             solved_rate: 0.0,
@@ -502,6 +505,13 @@
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
+        // With few in flight the servers' own word for it says more: what they hold over what they serve.
+        let since = self.now.saturating_sub(CHECK / 2);
+        let told = self.told_held.iter().filter(|told| told.0 >= since);
+        let (held, rate) = told.fold((0.0, 0.0), |sum, told| (sum.0 + told.1, sum.1 + told.2));
+        if most < RESULTS as f64 && rate > 0.0 {
+            return self.terms.tier == 0 && held / rate > part * FULL * least / 1e6;
+        }
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
@@ -657,6 +667,9 @@
     // ---- what is seen of servers
 
     fn note_report(&mut self, server: usize, report: LoadReport) {
+        if let (Some(held), Some(rate)) = (report.outstanding, report.throughput) {
+            push(&mut self.told_held, 2 * RESULTS, (self.now, held, rate));
+        }
         let s = &mut self.servers[server];
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
