--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,6 +80,8 @@
     rates: VecDeque<f64>,
     /// Queries a second and how busy the cores were with them, by the last reports that tell both.
     busy: VecDeque<(f64, f64)>,
+    /// How many queries wait there, by the last report.
+    backlog: (u64, f64),
     /// What it could do by these.
     told: Option<f64>,
 }
@@ -152,8 +154,6 @@
     run: Vec<f64>,
     run_begun: u64,
     recent: VecDeque<f64>,
-    /// What servers held and served a second, by the last reports.
-    told_held: VecDeque<(u64, f64, f64)>,
     runs: VecDeque<f64>,
     own_total: usize,
     solved_rate: f64,
@@ -201,7 +201,6 @@
             run: Vec::new(),
             run_begun: now,
             recent: VecDeque::new(),
-            told_held: VecDeque::new(),
             runs: VecDeque::new(),
             own_total: 0,
             solved_rate: 0.0,
@@ -505,13 +504,6 @@
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        // With few in flight the servers' own word for it says more: what they hold over what they serve.
-        let since = self.now.saturating_sub(CHECK / 2);
-        let told = self.told_held.iter().filter(|told| told.0 >= since);
-        let (held, rate) = told.fold((0.0, 0.0), |sum, told| (sum.0 + told.1, sum.1 + told.2));
-        if most < RESULTS as f64 && rate > 0.0 {
-            return self.terms.tier == 0 && held / rate > part * FULL * least / 1e6;
-        }
         self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
@@ -591,6 +583,12 @@
             all = (all.0 + told, all.1 + size);
             kinds[s.kind] = (kinds[s.kind].0 + told, kinds[s.kind].1 + size);
         }
+        let since = self.now.saturating_sub(CHECK / 5);
+        let waiting = |&i: &usize| self.servers[i].backlog.0 >= since;
+        let queue = mean(servers.iter().filter(|i| waiting(i)).map(|&i| self.servers[i].backlog.1));
+        let queued = |i: usize| {
+            if waiting(&i) { ((1.0 + queue) / (1.0 + self.servers[i].backlog.1)).min(1.0) } else { 1.0 }
+        };
         let strength = |&i: &usize| {
             let s = &self.servers[i];
             let known = s.took.len() >= 3 && usual > 0.0;
@@ -598,7 +596,7 @@
             let (told, size) = if kinds[s.kind].1 > 0.0 { kinds[s.kind] } else { all };
             let alike = if size > 0.0 { told / size * s.size } else { s.size };
             let reports = s.told.map_or(0.0, |_| s.busy.len() as f64);
-            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace
+            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace * queued(i)
         };
         servers.iter().map(strength).collect()
     }
@@ -667,10 +665,10 @@
     // ---- what is seen of servers
 
     fn note_report(&mut self, server: usize, report: LoadReport) {
-        if let (Some(held), Some(rate)) = (report.outstanding, report.throughput) {
-            push(&mut self.told_held, 2 * RESULTS, (self.now, held, rate));
-        }
         let s = &mut self.servers[server];
+        if let Some(backlog) = report.backlog {
+            s.backlog = (self.now, backlog);
+        }
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
         }
