--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -97,7 +97,6 @@
             let value = (value.is_finite() && value >= 0.0).then_some(value);
             match self.columns.get(place).map(String::as_str) {
                 Some("utilization") => report.utilization = value,
-                Some("backlog") => report.backlog = value,
                 Some("throughput") => report.throughput = value,
                 _ => {}
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,8 +80,6 @@
     rates: VecDeque<f64>,
     /// Queries a second and how busy the cores were with them, by the last reports that tell both.
     busy: VecDeque<(f64, f64)>,
-    /// How many queries wait there, by the last report.
-    backlog: (u64, f64),
     /// What it could do by these.
     told: Option<f64>,
 }
@@ -583,12 +581,6 @@
             all = (all.0 + told, all.1 + size);
             kinds[s.kind] = (kinds[s.kind].0 + told, kinds[s.kind].1 + size);
         }
-        let since = self.now.saturating_sub(CHECK / 5);
-        let waiting = |&i: &usize| self.servers[i].backlog.0 >= since;
-        let queue = mean(servers.iter().filter(|i| waiting(i)).map(|&i| self.servers[i].backlog.1));
-        let queued = |i: usize| {
-            if waiting(&i) { ((1.0 + queue) / (1.0 + self.servers[i].backlog.1)).min(1.0) } else { 1.0 }
-        };
         let strength = |&i: &usize| {
             let s = &self.servers[i];
             let known = s.took.len() >= 3 && usual > 0.0;
@@ -596,7 +588,7 @@
             let (told, size) = if kinds[s.kind].1 > 0.0 { kinds[s.kind] } else { all };
             let alike = if size > 0.0 { told / size * s.size } else { s.size };
             let reports = s.told.map_or(0.0, |_| s.busy.len() as f64);
-            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace * queued(i)
+            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace
         };
         servers.iter().map(strength).collect()
     }
@@ -666,9 +658,6 @@
 
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
-        if let Some(backlog) = report.backlog {
-            s.backlog = (self.now, backlog);
-        }
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -137,6 +137,4 @@
 pub struct LoadReport {
     pub utilization: Option<f64>,
     pub throughput: Option<f64>,
-    /// Queries waiting.
-    pub backlog: Option<f64>,
 }
