Times of a server are taken against the usual of their product

Cause: where one product takes four times another, the mean of a server's last eight times tells mostly which products it got.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,8 +69,8 @@
     sent: VecDeque<(u64, f64)>,
     /// Whether the last executions came to something.
     results: VecDeque<bool>,
-    /// How long the last completed ones took.
-    took: VecDeque<u64>,
+    /// How long the last completed ones took, against the usual of their product.
+    took: VecDeque<f64>,
     last_answer: u64,
     aside_until: u64,
     strikes: u32,
@@ -169,8 +169,8 @@
     if count > 0.0 { sum / count } else { 0.0 }
 }
 
-fn mean_time(times: &VecDeque<u64>) -> f64 {
-    mean(times.iter().map(|&time| time as f64))
+fn mean_time(times: &VecDeque<f64>) -> f64 {
+    mean(times.iter().copied())
 }
 
 /// What a server could do by its last reports: the rate it serves over the part of its cores that this takes.
@@ -685,11 +685,12 @@
             self.run_begun = self.now;
         }
         let slow = SLOW * self.usual_time();
+        let took = spent as f64 / self.usual_latency(product).max(1) as f64;
         let s = &mut self.servers[server];
         let zone = s.zone;
         (s.last_answer, s.strikes) = (self.now, 0);
         push(&mut s.results, RESULTS, true);
-        push(&mut s.took, RESULTS, spent);
+        push(&mut s.took, RESULTS, took);
         // Guards against a slow or choked server that holds much of what is in flight: it rests.
         if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean_time(&s.took) > slow {
             s.took.clear();
