--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const RUN: usize = 64;
 const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
-const FULL: f64 = 3.0;
+const FULL: f64 = 2.5;
 /// For a tenant beyond its share it is full at this part of that.
 const BEYOND: f64 = 0.5;
 /// Where no utilization is told, what a server can do is taken to be this many times the best rate it told of.
