--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 /// A copy that hears of a server less than once in so many SLO times cannot tell servers apart by its own calls.
 const SELDOM: f64 = 4.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
-const QUICK: f64 = 1.25;
+const QUICK: f64 = 1.75;
 /// A server that takes this many times the usual rests.
 const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
