--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 /// A copy that hears of a server less than once in so many SLO times cannot tell servers apart by its own calls.
 const SELDOM: f64 = 4.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
-const QUICK: f64 = 1.75;
+const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
 const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
@@ -499,10 +499,13 @@
         let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
-        // With few in flight chance alone brings their number above the limit by about its root.
-        let most = most + most.sqrt().max(1.0);
+        // Few in flight vary by chance, by about their root; what the last queries took, at this rate, says more then.
+        let few = RESULTS as f64 / (RESULTS as f64 + self.own_total as f64);
+        let usual = mean(self.recent.iter().copied()) * recent / 1e6;
+        let held = few * usual + (1.0 - few) * self.own_total as f64;
+        let most = most + most.sqrt() / 2.0;
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && self.own_total as f64 > part * most
+        self.terms.tier == 0 && held > part * most
     }
 
     fn least_time(&self) -> f64 {
