--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,15 +1,15 @@
 //! All decisions of one balancer. The host builds a `Balancer` with the deployment's terms and its seed, and
 //! calls one method for each thing that happens: `list_whole`, `list_changed`, `list_failed`, `query`,
-//! `started`, `completed`, `withdrawn`, `probed`, `timer`. The balancer acts only by calling the `Host` trait,
-//! which `host.rs` defines together with the plain types handed over. `docs/design.md` tells what follows the
-//! design page, and under which conditions each exception acts.
+//! `started`, `completed`, `withdrawn`, `probed`, `timer`. The balancer acts only by calling the `Host`
+//! trait, which `host.rs` defines together with the plain types handed over. `docs/design.md` tells what
+//! follows the design page, and under which conditions each exception acts.
 
 use std::collections::VecDeque;
 
 use crate::host::{Arrival, Effect, Ending, Entry, Group, Host, LoadReport, Outcome, Standing, Terms};
 use crate::pcg::Pcg;
 
-// The design's own figures: check period, settling time of a tier, change that counts, step, tries, pass-over.
+// The design's own figures: check period, settling time, change that counts, step, tries, pass-over.
 const CHECK: u64 = 5_000_000;
 const SETTLE: u64 = 3_000_000;
 const CHANGE: f64 = 0.2;
@@ -35,12 +35,14 @@
 const FULL: f64 = 2.5;
 /// For a tenant beyond its share it is full at this part of that.
 const BEYOND: f64 = 0.5;
-/// Where no utilization is told, what a server can do is taken to be this many times the best rate it told of.
+/// Where no utilization is told, a server is taken to do this many times the best rate it told of.
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
 const KIN: f64 = 2.0;
-/// A copy that hears of a server less than once in so many SLO times cannot tell servers apart by its own calls.
+/// A copy that hears of a server less than once in so many SLO times asks before it sends.
 const SELDOM: f64 = 4.0;
+/// So many are asked which answers first.
+const ASKED: usize = 3;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -125,8 +127,6 @@
     deadline: u64,
     give_up: u64,
     next_look: u64,
-    /// Servers asked which of them answers first.
-    asked: Vec<usize>,
     execs: Vec<Exec>,
 }
 
@@ -147,7 +147,7 @@
     /// When the last queries came, and when those let in did, a row a tenant.
     arrivals: VecDeque<u64>,
     let_in: Vec<VecDeque<u64>>,
-    /// When the last queries were served, how long those of the present run took, and the means of the last runs.
+    /// When the last queries were served, what those of the present run took, and the means of the last runs.
     served: VecDeque<u64>,
     run: Vec<f64>,
     run_begun: u64,
@@ -169,10 +169,6 @@
     if count > 0.0 { sum / count } else { 0.0 }
 }
 
-fn mean_time(times: &VecDeque<f64>) -> f64 {
-    mean(times.iter().copied())
-}
-
 /// What a server could do by its last reports: the rate it serves over the part of its cores that this takes.
 fn told_strength(s: &Server, reports: usize) -> Option<f64> {
     let (rate, busy) =
@@ -281,9 +277,6 @@
         if let Some(times) = self.let_in.get_mut(arrival.tenant) {
             push(times, TIMES, now);
         }
-        if !self.queries[qry].execs.is_empty() {
-            self.look_again(qry);
-        }
     }
 
     /// A stream has started: it belongs to the client now and has no deadline.
@@ -314,9 +307,7 @@
         if was_live && ending.over {
             self.cancel_all_but(qry, None);
         } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
-            if now + self.usual_latency(product) < q.give_up && self.place(qry) {
-                self.look_again(qry);
-            } else {
+            if now + self.usual_latency(product) >= q.give_up || !self.place(qry) {
                 self.finish(qry);
             }
         }
@@ -340,8 +331,8 @@
         let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
         // The first of the servers asked to answer gets the query.
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
-        if answered && waits && self.fit(server) && self.execute(qry, server) {
-            self.look_again(qry);
+        if answered && waits && self.fit(server) {
+            self.execute(qry, server);
         }
     }
 
@@ -363,8 +354,11 @@
         if self.now < q.next_look {
             return;
         }
-        if self.now >= q.give_up || (q.execs.is_empty() && !self.place(qry)) {
-            self.finish(qry);
+        let asks = q.execs.is_empty();
+        if self.now >= q.give_up || (asks && !self.place(qry)) {
+            return self.finish(qry);
+        }
+        if asks {
             return;
         }
         let q = &self.queries[qry];
@@ -382,9 +376,10 @@
             let time = self.now + self.usual_latency(product) < self.queries[qry].give_up;
             let repeats = self.terms.products[product].effect != Effect::NonIdempotent;
             if time && repeats && count < self.terms.most_executions {
-                if self.terms.second_copies {
-                    self.place(qry);
-                } else if self.terms.cancel {
+                if self.terms.second_copies && self.place(qry) {
+                    return;
+                }
+                if !self.terms.second_copies && self.terms.cancel {
                     self.host.cancel(qry, exec);
                 }
             }
@@ -393,14 +388,17 @@
     }
 
     fn look_again(&mut self, qry: usize) {
-        let patience = self.patience(self.queries[qry].product);
+        self.look_in(qry, self.patience(self.queries[qry].product));
+    }
+
+    fn look_in(&mut self, qry: usize, wait: u64) {
         let q = &mut self.queries[qry];
-        q.next_look = q.give_up.min(self.now + patience).max(self.now + 1);
+        q.next_look = q.give_up.min(self.now + wait).max(self.now + 1);
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// Where a copy hears of a server less than once in four SLO times, three are asked and the first to answer gets the
-    /// query, since the pass-over cannot tell servers apart. Guards against servers slower than listed, choked, hung or crowded by other copies' calls.
+    /// Where a copy hears too seldom of each server to tell them apart, some are asked and the first to answer
+    /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies.
     fn ask(&mut self, qry: usize) -> bool {
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
         let blind = SELDOM * self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
@@ -408,26 +406,23 @@
         if !self.terms.probes_pay || !blind || quick {
             return false;
         }
-        for _ in 0..3 {
-            let Some(server) = self.choose(qry) else { break };
-            let q = &mut self.queries[qry];
-            q.asked.push(server);
-            let came = q.came;
-            self.servers[server].askers.push_back((qry, came));
+        let mut asked = Vec::with_capacity(ASKED);
+        while asked.len() < ASKED
+            && let Some(server) = self.choose(qry, &asked)
+        {
+            asked.push(server);
+            self.servers[server].askers.push_back((qry, self.now));
             self.host.probe(server);
         }
-        let q = &mut self.queries[qry];
-        if q.asked.is_empty() {
-            return false;
+        if !asked.is_empty() {
+            self.look_in(qry, slo_time / 8);
         }
-        q.next_look = q.give_up.min(self.now + slo_time / 8).max(self.now + 1);
-        self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
-        true
+        !asked.is_empty()
     }
 
     /// Sends the query somewhere, if any server may have it.
     fn place(&mut self, qry: usize) -> bool {
-        self.choose(qry).is_some_and(|server| self.execute(qry, server))
+        self.choose(qry, &[]).is_some_and(|server| self.execute(qry, server))
     }
 
     /// The one way out for executions: rules 2 to 4 and the query's state are checked here.
@@ -449,6 +444,7 @@
         self.servers[server].own += 1;
         push(&mut self.servers[server].sent, 64, (self.now, work));
         self.host.execute(qry, server, q.deadline - self.now);
+        self.look_again(qry);
         true
     }
 
@@ -493,19 +489,16 @@
         }
     }
 
-    /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
-    /// query would take. Only the first tier rejects, since what tiers below turn away is work lost above.
+    /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one
+    /// more query would take. Only the first tier rejects: what tiers below turn away is work lost above.
     fn full(&self, tenant: usize) -> bool {
         let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
-        // Few in flight vary by chance, by about their root; what the last queries took, at this rate, says more then.
-        let few = RESULTS as f64 / (RESULTS as f64 + self.own_total as f64);
-        let usual = mean(self.recent.iter().copied()) * recent / 1e6;
-        let held = few * usual + (1.0 - few) * self.own_total as f64;
-        let most = most + most.sqrt() / 2.0;
+        // With few in flight chance alone brings their number above the limit by about its root.
+        let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && held > part * most
+        self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
     fn least_time(&self) -> f64 {
@@ -520,23 +513,22 @@
 
     // ---- choice of a server
 
-    /// The design's ordinary path: a zone by its weight, inside it a random server, passing over the crowded.
-    fn choose(&mut self, qry: usize) -> Option<usize> {
+    /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`),
+    /// passing over the crowded.
+    fn choose(&mut self, qry: usize, asked: &[usize]) -> Option<usize> {
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
         for i in 0..self.listed.len() {
             let server = self.listed[i];
-            let q = &self.queries[qry];
-            let tried = q.execs.iter().any(|e| e.server == server) || q.asked.contains(&server);
+            let tried = self.queries[qry].execs.iter().any(|e| e.server == server) || asked.contains(&server);
             // Servers asked together share a zone, so that the ways to them are alike.
-            let near =
-                q.asked.first().is_none_or(|&first| self.servers[first].zone == self.servers[server].zone);
+            let near = |&first: &usize| self.servers[first].zone == self.servers[server].zone;
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
             if warm
-                && near
                 && !tried
+                && asked.first().is_none_or(near)
                 && self.fit(server)
                 && self.has_room(server)
                 && self.cold_room(server)
@@ -559,7 +551,8 @@
         let own = |server: usize| self.servers[server].own as f64;
         let loads = fit.iter().zip(&strengths).map(|(&server, strength)| own(server) / strength);
         let most = PASS_OVER * mean(loads);
-        // One random draw in proportion to strength: the least of exponential times, each at its server's pace.
+        // One random draw in proportion to strength: the least of exponential times, each at its server's
+        // pace.
         let mut chosen = None;
         for (&server, strength) in fit.iter().zip(&strengths) {
             let time = -(1.0 - self.chance.unit()).ln() / strength;
@@ -572,9 +565,8 @@
         chosen.map(|(_, server)| server)
     }
 
-    /// What each server can do against the others: by its reports and those of its kind, else by its listed size;
-    /// less where its last answers took longer than usual. A copy that sees little knows the kinds long before it
-    /// knows each server, and listed sizes may leave out the speed.
+    /// What each server can do against the others: by its reports and those of its kind, which are known long
+    /// before it is, else by its listed size; less where its last answers took longer than usual.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
         let usual = self.usual_time();
         let mut kinds = vec![(0.0, 0.0); self.kinds];
@@ -587,7 +579,7 @@
         let strength = |&i: &usize| {
             let s = &self.servers[i];
             let known = s.took.len() >= 3 && usual > 0.0;
-            let pace = if known { (usual / mean_time(&s.took)).clamp(0.25, 1.0) } else { 1.0 };
+            let pace = if known { (usual / mean(s.took.iter().copied())).clamp(0.25, 1.0) } else { 1.0 };
             let (told, size) = if kinds[s.kind].1 > 0.0 { kinds[s.kind] } else { all };
             let alike = if size > 0.0 { told / size * s.size } else { s.size };
             let reports = s.told.map_or(0.0, |_| s.busy.len() as f64);
@@ -599,13 +591,13 @@
     /// What the last completed executions of the middle one of the servers took.
     fn usual_time(&self) -> f64 {
         let known = self.listed.iter().filter(|&&i| self.fit(i) && self.servers[i].took.len() >= 3);
-        let mut times: Vec<f64> = known.map(|&i| mean_time(&self.servers[i].took)).collect();
+        let mut times: Vec<f64> = known.map(|&i| mean(self.servers[i].took.iter().copied())).collect();
         times.sort_unstable_by(f64::total_cmp);
         times.get(times.len() / 2).copied().unwrap_or(0.0)
     }
 
-    /// Guards against crowding a first-tier server, and against one good server taking the load of its zone: what it
-    /// holds of this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
+    /// Guards against one good first-tier server taking the load of its zone: what it holds of this copy's,
+    /// times the copies, must be served in the least mean time at the rate that it tells of.
     fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
         let least = self.least_time() / 1e6;
@@ -638,8 +630,8 @@
         from + (1.0 - from) * age as f64 / self.terms.cold_time as f64
     }
 
-    /// Rule 4: whether this copy's part of a cold server's budget has room for one more execution. With many copies
-    /// that part is well under one call; chance rounds it, so that all copies together keep to the sum.
+    /// Rule 4: whether this copy's part of a cold server's budget has room for one more execution. With many
+    /// copies it is well under one call; chance rounds it, so that all together keep to the sum.
     fn cold_room(&self, server: usize) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -648,8 +640,9 @@
         let since = self.now.saturating_sub(self.terms.tip_after);
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
-        // What warm servers of like size serve of this copy's: its even share by size, and half the multiple of it.
-        // What only came is no measure in a jam, when callers repeat; it stands in while nothing was served.
+        // What warm servers of like size serve of this copy's: its even share by size, and half the multiple
+        // of it. What only came is no measure in a jam, when callers repeat; it stands in while nothing was
+        // served.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
         let rate = served.unwrap_or_else(|| self.own_rate());
@@ -695,7 +688,7 @@
         push(&mut s.results, RESULTS, true);
         push(&mut s.took, RESULTS, took);
         // Guards against a slow or choked server that holds much of what is in flight: it rests.
-        if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean_time(&s.took) > slow {
+        if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean(s.took.iter().copied()) > slow {
             s.took.clear();
             self.set_aside(server);
         }
@@ -706,7 +699,8 @@
     fn note_failure(&mut self, server: usize) {
         let results = &mut self.servers[server].results;
         push(results, RESULTS, false);
-        // Guards against servers that fail quickly or answer nothing: few calls in flight make them attractive.
+        // Guards against servers that fail quickly or answer nothing: few calls in flight make them
+        // attractive.
         let bad = results.iter().filter(|&&good| !good).count();
         let in_a_row = results.iter().rev().take_while(|&&good| !good).count();
         if in_a_row >= 2 || (bad >= 2 && 2 * bad >= results.len()) {
@@ -714,8 +708,8 @@
         }
     }
 
-    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too. Once half of the
-    /// list is aside the fault is not theirs.
+    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too. Once half
+    /// of the list is aside the fault is not theirs.
     fn set_aside(&mut self, server: usize) {
         let aside = self.listed.iter().filter(|&&i| self.is_aside(i)).count();
         if aside < self.listed.len() / 2 {
@@ -799,8 +793,7 @@
         let mut due = changed(self.solved_rate, rate);
         let mut seen = Vec::with_capacity(self.zones.len());
         for (zone, z) in self.zones.iter().enumerate() {
-            let (_, _, latency, _) = self.line(zone);
-            let ready = self.ready_count(zone);
+            let (ready, latency) = (self.ready_count(zone), self.line(zone).2);
             due |= changed(z.solved_ready, ready) || changed(z.solved_latency, latency);
             seen.push((ready, latency));
         }
@@ -813,8 +806,8 @@
         }
     }
 
-    /// Zone latency as a + b * load per ready server, by decayed least squares over the served latencies; after
-    /// them the mean latency, and how much the samples count.
+    /// Zone latency as a + b * load per ready server, by decayed least squares over the served latencies;
+    /// after them the mean latency, and how much the samples count.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
         let samples = || self.zones[zone].samples.iter().map(|s| (self.age_weight(s.at), s));
         let w: f64 = samples().map(|(k, _)| k).sum();
--- a/src/host.rs
+++ b/src/host.rs
@@ -7,7 +7,8 @@
     fn execute(&mut self, qry: usize, server: usize, time_out: u64);
     /// Stops waiting for one execution; its outcome still comes.
     fn cancel(&mut self, qry: usize, exec: usize);
-    /// Final answer: nothing has happened, trying again does no harm, best after `retry_after` (0: no advice).
+    /// Final answer: nothing has happened, trying again does no harm, best after `retry_after` (0: no
+    /// advice).
     fn reject(&mut self, qry: usize, retry_after: u64);
     /// Final answer: failed, and it may or may not have taken effect.
     fn abort(&mut self, qry: usize);
@@ -50,7 +51,8 @@
 pub struct Terms {
     pub balancers: usize,
     pub tier: usize,
-    /// The zone of this balancer, and what an execution in another one costs, as a part of a query's importance.
+    /// The zone of this balancer, and what an execution in another one costs, as a part of a query's
+    /// importance.
     pub home: usize,
     pub cross_zone: f64,
     pub products: Vec<Product>,
