--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,9 +32,9 @@
 const RUN: usize = 64;
 const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
-const FULL: f64 = 2.75;
+const FULL: f64 = 2.5;
 /// So many calls in flight say as much as the last times.
-const FEW: f64 = 4.0;
+const FEW: f64 = 2.0;
 /// For a tenant beyond its share it is full at this part of that.
 const BEYOND: f64 = 0.5;
 /// Where no utilization is told, a server is taken to do this many times the best rate it told of.
