--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,8 +33,6 @@
 const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
 const FULL: f64 = 2.5;
-/// So many calls in flight say as much as the last times.
-const FEW: f64 = 4.0;
 /// For a tenant beyond its share it is full at this part of that.
 const BEYOND: f64 = 0.5;
 /// Where no utilization is told, a server is taken to do this many times the best rate it told of.
@@ -497,14 +495,10 @@
         let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
-        // Calls in flight vary by chance, by about their root. Where they are few, what the last queries took, at
-        // the rate served, says more.
-        let own = self.own_total as f64;
-        let few = FEW / (FEW + own);
-        let held = few * mean(self.recent.iter().copied()) * recent / 1e6 + (1.0 - few) * own;
-        let most = most + (1.0 - few) * most.sqrt();
+        // With few in flight chance alone brings their number above the limit by about its root.
+        let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && held > part * most
+        self.terms.tier == 0 && self.own_total as f64 > part * most
     }
 
     fn least_time(&self) -> f64 {
