--- a/src/decide.rs
+++ b/src/decide.rs
@@ -259,21 +259,20 @@
         }
         push(&mut self.arrivals, TIMES, now);
         let margin = 2 * self.terms.tick;
-        let product = arrival.product;
-        let mut give_up = arrival.deadline.saturating_sub(margin);
+        let Arrival { product, tenant, deadline } = arrival;
+        let mut give_up = deadline.saturating_sub(margin);
         // An answer that earns nothing is not worth a server's time.
         if let Some(row) = self.terms.products.get(product).filter(|row| row.tardy_importance == 0.0) {
             give_up = give_up.min((now + row.slo_time).saturating_sub(margin));
         }
         let known = product < self.terms.products.len();
         let product = if known { product } else { 0 };
-        let deadline = arrival.deadline;
         self.queries[qry] = Query { live: true, product, came: now, deadline, give_up, ..Query::default() };
-        if !known || self.full(arrival.tenant) || !(self.ask(qry) || self.place(qry)) {
+        if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
             return;
         }
-        if let Some(times) = self.let_in.get_mut(arrival.tenant) {
+        if let Some(times) = self.let_in.get_mut(tenant) {
             push(times, TIMES, now);
         }
     }
@@ -348,7 +347,7 @@
         }
     }
 
-    /// What a query out for long needs: its final answer, or another execution.
+    /// What a query held or out for long needs.
     fn look(&mut self, qry: usize) {
         let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) else { return };
         if self.now < q.next_look {
@@ -397,8 +396,9 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// Where a copy hears too seldom of each server to tell them apart, some are asked and the first to answer
-    /// gets the query. Guards against servers slower than listed, choked, hung or crowded by other copies.
+    /// Where a copy hears too seldom of each server to tell them apart, some are asked and the first to
+    /// answer gets the query. Guards against servers slower than listed, choked, hung or crowded by other
+    /// copies.
     fn ask(&mut self, qry: usize) -> bool {
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
         let blind = SELDOM * self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
@@ -414,9 +414,7 @@
             self.servers[server].askers.push_back((qry, self.now));
             self.host.probe(server);
         }
-        if !asked.is_empty() {
-            self.look_in(qry, slo_time / 8);
-        }
+        self.look_in(qry, slo_time / 8);
         !asked.is_empty()
     }
 
@@ -498,17 +496,20 @@
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && self.own_total as f64 > part * most
+        self.terms.tier == 0 && !self.runs.is_empty() && self.own_total as f64 > part * most
     }
 
     fn least_time(&self) -> f64 {
         self.runs.iter().copied().fold(f64::MAX, f64::min)
     }
 
-    /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share.
+    /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share, by more
+    /// than chance brings where that part is a few queries.
     fn beyond_share(&self, tenant: usize) -> bool {
         let quota = self.terms.tenant_quotas.get(tenant).copied().unwrap_or(0.0);
-        quota > 0.0 && self.rate(&self.let_in[tenant], CHECK) > quota / self.terms.balancers as f64
+        let part = quota / self.terms.balancers as f64;
+        let chance = (part * 1e6 / CHECK as f64).sqrt();
+        quota > 0.0 && self.rate(&self.let_in[tenant], CHECK) > part + chance
     }
 
     // ---- choice of a server
@@ -608,7 +609,6 @@
         self.terms.tier > 0 || s.own == 0 || held <= most
     }
 
-    /// Ready by the list and not set aside.
     fn fit(&self, server: usize) -> bool {
         self.servers[server].ready && !self.is_aside(server)
     }
