--- /dev/null
+++ b/crates/balancer/src/front.rs
@@ -0,0 +1,127 @@
+//! What clients meet: the tower services that take a query and give its one answer.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tower::limit::GlobalConcurrencyLimitLayer;
+use tower::{BoxError, Service, ServiceBuilder, ServiceExt};
+use tower_http::catch_panic::CatchPanicLayer;
+use tower_http::limit::RequestBodyLimitLayer;
+use whinspindle::host::Arrival;
+use whinspindle_logline::log_line;
+use whinspindle_messages::answer::{Answer, plain};
+use whinspindle_messages::query::{Head, MOST_BODY};
+use whinspindle_reducer::Ticket;
+
+use crate::node::Node;
+use crate::shares::Shares;
+
+pub type Reply = Response<UnsyncBoxBody<Bytes, BoxError>>;
+
+/// The services of the front, from the outside in: a panic ends one answer, what is more than the budget for
+/// bodies holds is turned away, and a body may be only so long.
+pub fn services(
+    node: &Rc<Node>,
+    shares: Shares,
+) -> impl Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + use<> {
+    let (query_node, node) = (Rc::clone(node), Rc::clone(node));
+    let queries = ServiceBuilder::new()
+        .layer(CatchPanicLayer::custom(panicked))
+        .load_shed()
+        .layer(GlobalConcurrencyLimitLayer::new(shares.queries))
+        .layer(RequestBodyLimitLayer::new(MOST_BODY))
+        .service_fn(move |request| take(Rc::clone(&query_node), request));
+    tower::service_fn(move |request: Request<Incoming>| {
+        let (node, queries) = (Rc::clone(&node), queries.clone());
+        async move {
+            let mut reply = if request.uri().path() == "/healthz" {
+                health(&node).map(boxed)
+            } else {
+                queries.oneshot(request).await.map_or_else(shed, |reply| reply.map(boxed))
+            };
+            if node.stopping.get() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok(reply)
+        }
+    })
+}
+
+fn boxed<B>(body: B) -> UnsyncBoxBody<Bytes, BoxError>
+where
+    B: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
+{
+    body.map_err(Into::into).boxed_unsync()
+}
+
+fn panicked(_: Box<dyn std::any::Any + Send>) -> Response<Full<Bytes>> {
+    log_line!("fault", "a panic ended a query");
+    Answer::Aborted { in_time: true }.encode()
+}
+
+/// Nothing of the query has been looked at, so trying again is harmless.
+fn shed(_: BoxError) -> Reply {
+    log_line!("brim", "the budget for bodies is full: a query is rejected unseen");
+    Answer::Rejected(SHED_RETRY_AFTER).encode().map(boxed)
+}
+
+fn health(node: &Node) -> Response<Full<Bytes>> {
+    if node.reducer.borrow().has_list() && !node.stopping.get() {
+        return plain(StatusCode::OK, "ok".to_string());
+    }
+    plain(StatusCode::SERVICE_UNAVAILABLE, "no list yet, or stopping".to_string())
+}
+
+/// Tells the reducer that the client has left, unless the answer was there first.
+struct Waiting<'a> {
+    node: &'a Node,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.node.reducer.borrow_mut().left(self.node.clock.now(), self.ticket);
+    }
+}
+
+async fn take(
+    node: Rc<Node>,
+    request: Request<impl Body<Error = BoxError>>,
+) -> Result<Response<Full<Bytes>>, BoxError> {
+    let (parts, body) = request.into_parts();
+    let head = match Head::decode(&parts, &node.deployment) {
+        Ok(head) => head,
+        Err(fault) => {
+            log_line!("query", "turned down: {fault}");
+            return Ok(fault.encode());
+        }
+    };
+    // Guards against a client that begins a query and never ends it.
+    let body = match timeout(Duration::from_micros(head.patience), body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(fault)) if fault.is::<http_body_util::LengthLimitError>() => {
+            log_line!("query", "turned down: body: over {MOST_BODY} bytes");
+            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE, format!("body: over {MOST_BODY} bytes")));
+        }
+        Ok(Err(fault)) => return Ok(plain(StatusCode::BAD_REQUEST, format!("body: {fault}"))),
+        Err(_) => return Ok(plain(StatusCode::REQUEST_TIMEOUT, "body: not whole in time".to_string())),
+    };
+    let now = node.clock.now();
+    let arrival = Arrival { product: head.product, tenant: head.tenant, deadline: now + head.patience };
+    let (caller, answer) = oneshot::channel();
+    let ticket = node.reducer.borrow_mut().query(now, arrival, head.with(body), caller);
+    let _waiting = Waiting { node: &node, ticket };
+    Ok(answer.await.unwrap_or(Answer::Aborted { in_time: true }).encode())
+}
+
+/// Microseconds; the layers know no product.
+const SHED_RETRY_AFTER: u64 = 250_000;
--- /dev/null
+++ b/crates/balancer/src/main.rs
@@ -0,0 +1,85 @@
+//! The real balancer: one program for all tiers, told its place by the file that `ROUTER_CONFIG` names.
+
+mod accept;
+mod clock;
+mod front;
+mod node;
+mod placement;
+mod shares;
+mod timers;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+use whinspindle_logline::log_line;
+
+use crate::accept::Accepted;
+use crate::node::Node;
+use crate::placement::Placement;
+use crate::shares::Shares;
+
+fn main() -> ExitCode {
+    let ran = placement::read().and_then(|placement| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, run(placement))
+    });
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("whinspindle: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(placement: Placement) -> Result<(), String> {
+    let shares = Shares::of(placement.limits);
+    let listener = TcpListener::bind(placement.listen).await;
+    let listener = listener.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let discovery = placement.discovery;
+    let generation = placement.known.as_ref().map(|known| known.generation);
+    log_line!("start", "{} at {}, {shares:?}", placement.name, placement.listen);
+    let node = Node::new(placement, shares);
+    let accepted = Rc::new(Accepted::default());
+
+    let timed = Rc::clone(&node);
+    spawn_local(async move { timed.run_timers().await });
+    let told = Rc::clone(&node);
+    spawn_local(whinspindle_serverlist::follow(discovery, generation, move |news| {
+        told.reducer.borrow_mut().list(told.clock.now(), &news);
+    }));
+    spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted)));
+    let stop = Rc::new(Notify::new());
+    let (stopper, stopping) = (Rc::clone(&stop), Rc::clone(&node));
+    spawn_local(async move {
+        terminate.recv().await;
+        log_line!("stop", "told to stop: answering what comes and what is in hand");
+        stopping.stopping.set(true);
+        stopper.notify_one();
+    });
+    accept::run(listener, node, accepted, shares, &stop).await;
+    log_line!("stop", "all is answered");
+    Ok(())
+}
+
+/// Drops connections that stood idle for long, and tells now and then what has become of the queries.
+async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>) {
+    let mut told = Default::default();
+    for second in 1_u64.. {
+        sleep(Duration::from_secs(1)).await;
+        node.upstreams.sweep();
+        let tally = node.reducer.borrow().tally();
+        if second % 10 == 0 && tally != told {
+            told = tally;
+            log_line!("state", "{tally:?}, clients {}, upstream {}", accepted.count(), node.upstreams.open());
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/node.rs
@@ -0,0 +1,181 @@
+//! One running balancer: the reducer, and what carries out the effects that it asks for.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use whinspindle::host::{LoadReport, Outcome};
+use whinspindle_logline::log_line;
+use whinspindle_messages::answer::Answer;
+use whinspindle_messages::execution::{self, Reply};
+use whinspindle_messages::query::MOST_BODY;
+use whinspindle_reducer::{Effects, Ended, Execution, Reducer};
+use whinspindle_terms::Deployment;
+use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail};
+
+use crate::clock::Clock;
+use crate::placement::Placement;
+use crate::shares::Shares;
+use crate::timers::Timers;
+
+pub struct Node {
+    pub clock: Clock,
+    pub deployment: Deployment,
+    pub reducer: RefCell<Reducer<Wires>>,
+    pub upstreams: Connections,
+    pub timers: Rc<Timers>,
+    /// Told to stop: every answer closes its connection.
+    pub stopping: Cell<bool>,
+    /// Where the order to stop waiting goes, by query and execution.
+    cancels: RefCell<BTreeMap<(usize, usize), oneshot::Sender<()>>>,
+}
+
+impl Node {
+    pub fn new(placement: Placement, shares: Shares) -> Rc<Node> {
+        let Placement { deployment, known, seed, .. } = placement;
+        let clock = Clock::start();
+        let node = Rc::new_cyclic(|node| {
+            let timers = Rc::new(Timers::default());
+            let wires = Wires { node: Weak::clone(node), timers: Rc::clone(&timers) };
+            Node {
+                clock,
+                reducer: RefCell::new(Reducer::new(wires, &deployment, seed, clock.now())),
+                upstreams: Connections::new(Terms {
+                    most_open: shares.upstream,
+                    idle_time: Duration::from_micros(deployment.idle_time),
+                    connect_time_out: Duration::from_micros(deployment.connect_time_out),
+                    most_body: MOST_BODY,
+                }),
+                deployment,
+                timers,
+                stopping: Cell::new(false),
+                cancels: RefCell::default(),
+            }
+        });
+        if let Some(mut known) = known {
+            for fault in &known.faults {
+                log_line!("list", "an entry of the known list is passed over: {fault}");
+            }
+            known.whole = true;
+            node.reducer.borrow_mut().list(node.clock.now(), &known);
+        }
+        node
+    }
+
+    /// Calls the reducer for each wake, for ever.
+    pub async fn run_timers(&self) {
+        loop {
+            let label = self.timers.next().await;
+            self.reducer.borrow_mut().timer(self.clock.now(), label);
+        }
+    }
+
+    /// Sends an execution and waits for its end, or for the order to stop waiting.
+    async fn execute(&self, order: &Execution, cancelled: oneshot::Receiver<()>) -> (Outcome, Option<Reply>) {
+        let trail = Trail::default();
+        let request = execution::encode(&order.query, order.address, order.time_out);
+        let wanted = || self.reducer.borrow().is_wanted(order.server);
+        let exchange = self.upstreams.exchange(order.address, request, wanted, &trail);
+        tokio::select! {
+            biased;
+            Ok(()) = cancelled => match trail.progress() {
+                Progress::Whole => (Outcome::Cancelled, None),
+                Progress::Begun | Progress::Nothing => (Outcome::Moot, None),
+            },
+            end = timeout(Duration::from_micros(order.time_out), exchange) => match end {
+                Ok(Ok(response)) => {
+                    let reply = Reply::decode(response, &self.deployment.columns);
+                    (reply.outcome, Some(reply))
+                }
+                Ok(Err(failure)) => {
+                    log_line!("upstream", "{}: {failure}", order.address);
+                    (outcome(&failure), None)
+                }
+                Err(_) if trail.progress() == Progress::Whole => (Outcome::TimedOut, None),
+                Err(_) => (Outcome::NotConnected, None),
+            },
+        }
+    }
+
+    async fn probe(&self, server: usize, address: SocketAddr) -> (bool, LoadReport) {
+        let request = execution::probe(address, !self.deployment.columns.is_empty());
+        let trail = Trail::default();
+        let wanted = || self.reducer.borrow().is_wanted(server);
+        let longest = self.deployment.terms.products.iter().map(|row| row.slo_time).max().unwrap_or(0);
+        let exchange = self.upstreams.exchange(address, request, wanted, &trail);
+        match timeout(Duration::from_micros(longest), exchange).await {
+            Ok(Ok(response)) => Reply::decode_probe(response, &self.deployment.columns),
+            _ => (false, LoadReport::default()),
+        }
+    }
+}
+
+/// What an exchange that came to nothing means for the decisions.
+fn outcome(failure: &Failure) -> Outcome {
+    match failure.progress {
+        _ if failure.is_own() => Outcome::Moot,
+        Progress::Whole => Outcome::Broken,
+        Progress::Begun | Progress::Nothing => Outcome::NotConnected,
+    }
+}
+
+/// Carries out what the reducer asks for. Each effect runs in a task of its own, so that none calls the
+/// reducer while it is at work.
+pub struct Wires {
+    node: Weak<Node>,
+    timers: Rc<Timers>,
+}
+
+impl Effects for Wires {
+    type Caller = oneshot::Sender<Answer>;
+
+    fn execute(&mut self, order: Execution) {
+        let (cancel, cancelled) = oneshot::channel();
+        let Some(node) = self.node.upgrade() else { return };
+        node.cancels.borrow_mut().insert((order.qry, order.exec), cancel);
+        spawn_local(async move {
+            let sent = node.clock.now();
+            // Guards against a fault in an exchange: a panic ends the execution and nothing else.
+            let end = AssertUnwindSafe(node.execute(&order, cancelled)).catch_unwind().await;
+            let (outcome, reply) = end.unwrap_or((Outcome::Broken, None));
+            node.cancels.borrow_mut().remove(&(order.qry, order.exec));
+            let now = node.clock.now();
+            let (report, served) = reply.map_or_else(Default::default, |reply| (reply.report, reply.served));
+            let Execution { qry, exec, .. } = order;
+            let ended = Ended { qry, exec, outcome, spent: now - sent, report, served };
+            node.reducer.borrow_mut().execution_ended(now, ended);
+        });
+    }
+
+    fn cancel(&mut self, qry: usize, exec: usize) {
+        let node = self.node.upgrade();
+        if let Some(cancel) = node.and_then(|node| node.cancels.borrow_mut().remove(&(qry, exec))) {
+            let _ = cancel.send(());
+        }
+    }
+
+    fn answer(&mut self, caller: Self::Caller, answer: Answer) {
+        // A caller that has just left needs none.
+        let _ = caller.send(answer);
+    }
+
+    fn wake(&mut self, wait: u64, label: u32) {
+        self.timers.add(wait, label);
+    }
+
+    fn probe(&mut self, server: usize, address: SocketAddr) {
+        let Some(node) = self.node.upgrade() else { return };
+        spawn_local(async move {
+            let probe = AssertUnwindSafe(node.probe(server, address)).catch_unwind().await;
+            let (answered, report) = probe.unwrap_or_default();
+            node.reducer.borrow_mut().probed(node.clock.now(), server, answered, report);
+        });
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/placement.rs
@@ -0,0 +1,71 @@
+//! Where this balancer stands, as its configuration tells: addresses, limits, the list as it had it last, and
+//! the deployment's settings. What is wrong there is named by its field.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use whinspindle_messages::list::ListNews;
+use whinspindle_terms::Deployment;
+
+pub struct Placement {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    pub known: Option<ListNews>,
+    pub deployment: Deployment,
+}
+
+/// What the process may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: u64,
+}
+
+/// Reads the file that `ROUTER_CONFIG` names.
+pub fn read() -> Result<Placement, String> {
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set".to_string())?;
+    let text = std::fs::read(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
+    parse(&text)
+}
+
+fn parse(text: &[u8]) -> Result<Placement, String> {
+    let json: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    let limits = &json["limits"];
+    let known = match &json["known"] {
+        Value::Null => None,
+        known => Some(ListNews::decode(known.to_string().as_bytes()).map_err(|e| format!("known: {e}"))?),
+    };
+    let settings = json["settings"].to_string();
+    Ok(Placement {
+        name: text_of(&json, "name")?.to_string(),
+        listen: address(&json, "listen")?,
+        discovery: address(&json, "discovery")?,
+        seed: u64::from_str_radix(text_of(&json, "seed")?, 16).map_err(|e| format!("seed: {e}"))?,
+        limits: Limits {
+            memory_mb: at_least(limits, "memory_mb", 32)?,
+            sockets: at_least(limits, "sockets", 64)?,
+        },
+        known,
+        deployment: whinspindle_terms::parse(settings.as_bytes()).map_err(|e| format!("settings: {e}"))?,
+    })
+}
+
+fn text_of<'a>(json: &'a Value, field: &str) -> Result<&'a str, String> {
+    json[field].as_str().ok_or_else(|| format!("{field}: missing, or not a string"))
+}
+
+fn address(json: &Value, field: &str) -> Result<SocketAddr, String> {
+    let text = text_of(json, field)?;
+    text.parse().map_err(|_| format!("{field}: not an address and port: {text:?}"))
+}
+
+fn at_least(limits: &Value, field: &str, least: u64) -> Result<u64, String> {
+    let value = limits[field].as_f64().ok_or_else(|| format!("limits.{field}: missing, or not a number"))?;
+    if value < least as f64 {
+        return Err(format!("limits.{field}: {value} is less than {least}"));
+    }
+    Ok(value as u64)
+}
--- /dev/null
+++ b/crates/balancer/src/shares.rs
@@ -0,0 +1,28 @@
+//! How memory and descriptors are shared out among what the program holds.
+
+use whinspindle_messages::query::MOST_BODY;
+
+use crate::placement::Limits;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections that clients have opened.
+    pub accepted: usize,
+    /// Connections to upstreams, for executions and probes.
+    pub upstream: usize,
+    /// Queries in hand, each of which may hold a body both ways.
+    pub queries: usize,
+}
+
+impl Shares {
+    pub fn of(limits: Limits) -> Self {
+        let sockets = limits.sockets as usize;
+        // For the list, the listener, standard streams, the runtime, and a connection over the brim.
+        let spare = (sockets / 16).max(24);
+        let upstream = (sockets - spare) * 2 / 5;
+        let accepted = sockets - spare - upstream;
+        // Half of the memory is for bodies; the rest is for buffers of connections and for the program.
+        let bodies = (limits.memory_mb as usize) << 19;
+        Shares { accepted, upstream, queries: accepted.min(bodies / (2 * MOST_BODY)) }
+    }
+}
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -7,8 +7,8 @@
 
 use whinspindle::decide::Balancer;
 use whinspindle::host::{Arrival, Ending, Entry, Host, LoadReport, Outcome, Standing};
+use whinspindle_terms as terms;
 
-use crate::terms;
 use crate::wire::Reader;
 
 const ENTRY_SIZE: usize = 25;
@@ -277,18 +277,19 @@
     fn attach(&mut self, now: u64, balancer: u16, mut fields: Reader) -> Result<(), String> {
         let seed = fields.u64("initSeed")?;
         let size = fields.u32("options")? as usize;
-        let (terms, columns) = terms::parse(fields.bytes("options", size)?)?;
+        let deployment = terms::parse(fields.bytes("options", size)?)
+            .map_err(|fault| format!("attach: options: {fault}"))?;
         let host = Link {
             reply: Rc::clone(&self.reply),
             balancer,
-            columns,
+            columns: deployment.columns,
             upstreams: Vec::new(),
             server_of: HashMap::new(),
             open: Vec::new(),
             free: Vec::new(),
             qry_of: HashMap::new(),
         };
-        self.instances.insert(balancer, Balancer::new(host, terms, seed, now));
+        self.instances.insert(balancer, Balancer::new(host, deployment.terms, seed, now));
         fields.done()
     }
 
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! `whinspindle-benchlink`: plays the decisions on the bench's wire, from standard input to standard output.
 
 mod link;
-mod terms;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter, Read, Write};
--- /dev/null
+++ b/crates/logline/src/lib.rs
@@ -0,0 +1,78 @@
+//! Log lines go to standard error through one macro, so many a second from each place in the code.
+
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+const LINES_A_SECOND: u64 = 5;
+
+static BEGUN: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// What one place in the code has written in the present second, and what it has kept back since its last
+/// line.
+#[derive(Default)]
+pub struct Gate {
+    second: AtomicU64,
+    lines: AtomicU64,
+    kept_back: AtomicU64,
+}
+
+impl Gate {
+    pub const fn new() -> Self {
+        Gate { second: AtomicU64::new(0), lines: AtomicU64::new(0), kept_back: AtomicU64::new(0) }
+    }
+
+    /// How many lines were kept back before this one, if it may be written now.
+    pub fn open(&self) -> Option<u64> {
+        self.open_in(BEGUN.elapsed().as_secs())
+    }
+
+    fn open_in(&self, second: u64) -> Option<u64> {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        if self.lines.fetch_add(1, Ordering::Relaxed) >= LINES_A_SECOND {
+            self.kept_back.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(self.kept_back.swap(0, Ordering::Relaxed))
+    }
+}
+
+/// `log_line!("list", "bad line: {fault}")` writes `whinspindle list: bad line: ...`.
+#[macro_export]
+macro_rules! log_line {
+    ($what:literal, $($text:tt)+) => {{
+        static GATE: $crate::Gate = $crate::Gate::new();
+        match GATE.open() {
+            Some(0) => eprintln!("whinspindle {}: {}", $what, format_args!($($text)+)),
+            Some(kept_back) => {
+                eprintln!("whinspindle {}: {} ({kept_back} more)", $what, format_args!($($text)+));
+            }
+            None => {}
+        }
+    }};
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_of_a_second_are_limited_and_counted() {
+        let gate = Gate::new();
+        for (second, open) in [
+            (0, Some(0)),
+            (0, Some(0)),
+            (0, Some(0)),
+            (0, Some(0)),
+            (0, Some(0)),
+            (0, None),
+            (0, None),
+            (1, Some(2)),
+            (1, Some(0)),
+        ] {
+            assert_eq!(gate.open_in(second), open);
+        }
+    }
+}
--- /dev/null
+++ b/crates/messages/src/answer.rs
@@ -0,0 +1,64 @@
+//! The one final answer to a query.
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::Full;
+
+use crate::query::Malformed;
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    Completed(Served),
+    /// Nothing has happened; best tried again after so many microseconds (0: no advice).
+    Rejected(u64),
+    /// It may have happened: the last execution failed, or ran out of time.
+    Aborted {
+        in_time: bool,
+    },
+}
+
+/// What a server made of a query.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Served {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn encode(self) -> Response<Full<Bytes>> {
+        match self {
+            Answer::Completed(served) => {
+                let mut response = Response::new(Full::new(served.body));
+                *response.headers_mut() = served.headers;
+                response
+            }
+            Answer::Rejected(retry_after) => {
+                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "rejected".to_string());
+                if retry_after > 0 {
+                    let seconds = format!("{:.3}", retry_after as f64 / 1e6);
+                    let seconds = HeaderValue::from_str(&seconds).unwrap_or(HeaderValue::from_static("1"));
+                    response.headers_mut().insert(RETRY_AFTER, seconds);
+                }
+                response
+            }
+            Answer::Aborted { in_time: true } => plain(StatusCode::BAD_GATEWAY, "aborted".to_string()),
+            Answer::Aborted { in_time: false } => {
+                plain(StatusCode::GATEWAY_TIMEOUT, "aborted: out of time".to_string())
+            }
+        }
+    }
+}
+
+impl Malformed {
+    pub fn encode(&self) -> Response<Full<Bytes>> {
+        plain(self.status, self.to_string())
+    }
+}
+
+pub fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text + "\n")));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- /dev/null
+++ b/crates/messages/src/execution.rs
@@ -0,0 +1,79 @@
+//! An execution or a probe as it goes to a server, and what comes back.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use whinspindle::host::{LoadReport, Outcome};
+
+use crate::answer::Served;
+use crate::headers;
+use crate::query::Forwarded;
+use crate::report;
+
+/// `wait` is how long this balancer waits for the reply, in microseconds.
+pub fn encode(query: &Forwarded, server: SocketAddr, wait: u64) -> Request<Full<Bytes>> {
+    let mut headers = query.headers.clone();
+    headers.insert(HOST, host(server));
+    headers.insert(headers::EXPIRES, HeaderValue::from(wait / 1000));
+    if !query.body.is_empty() || query.method != Method::GET {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(query.body.len()));
+    }
+    let target = query.target.path_and_query().map_or("/", |target| target.as_str());
+    request(query.method.clone(), target, headers, query.body.clone())
+}
+
+/// Asks a server for a sign of life, and for its load where the deployment has load reports.
+pub fn probe(server: SocketAddr, reports: bool) -> Request<Full<Bytes>> {
+    let headers = HeaderMap::from_iter([(HOST, host(server))]);
+    request(Method::GET, if reports { "/load" } else { "/healthz" }, headers, Bytes::new())
+}
+
+fn host(server: SocketAddr) -> HeaderValue {
+    HeaderValue::from_str(&server.to_string()).unwrap_or(HeaderValue::from_static("upstream"))
+}
+
+fn request(method: Method, target: &str, headers: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = target.parse().unwrap_or(Uri::from_static("/"));
+    *request.headers_mut() = headers;
+    request
+}
+
+/// What a server sent back.
+#[derive(Debug)]
+pub struct Reply {
+    pub outcome: Outcome,
+    pub report: LoadReport,
+    /// Only with `Outcome::Completed`.
+    pub served: Option<Served>,
+}
+
+impl Reply {
+    pub fn decode(response: Response<Bytes>, columns: &[String]) -> Reply {
+        let (parts, body) = response.into_parts();
+        let report = parts
+            .headers
+            .get(headers::LOAD)
+            .and_then(|value| value.to_str().ok())
+            .map_or(LoadReport::default(), |text| report::decode(text, columns));
+        let never_ran = parts.headers.get(headers::NEVER_RAN).is_some_and(|value| value == "1");
+        let outcome = match parts.status {
+            StatusCode::OK => Outcome::Completed,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Outcome::TurnedAway,
+            _ => Outcome::Error,
+        };
+        let served = (outcome == Outcome::Completed)
+            .then(|| Served { headers: headers::end_to_end(&parts.headers, headers::LOAD), body });
+        Reply { outcome, report, served }
+    }
+
+    /// What a probe tells: whether the server is well, and its load.
+    pub fn decode_probe(response: Response<Bytes>, columns: &[String]) -> (bool, LoadReport) {
+        let text = String::from_utf8_lossy(response.body());
+        (response.status() == StatusCode::OK, report::decode(&text, columns))
+    }
+}
--- /dev/null
+++ b/crates/messages/src/lib.rs
@@ -0,0 +1,9 @@
+//! The messages of the protocol: each is decoded into a small typed value once, and encoded once. The names on
+//! the wire end here.
+
+pub mod answer;
+pub mod execution;
+mod headers;
+pub mod list;
+pub mod query;
+mod report;
--- /dev/null
+++ b/crates/messages/src/list.rs
@@ -0,0 +1,102 @@
+//! The list of servers: a whole one, or what has changed in it.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use whinspindle::host::Standing;
+
+#[derive(Debug)]
+pub struct ListNews {
+    pub generation: u64,
+    /// The complete list: whatever it lacks is gone.
+    pub whole: bool,
+    pub servers: Vec<ListedServer>,
+    /// Why entries were passed over.
+    pub faults: Vec<String>,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct ListedServer {
+    pub name: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: usize,
+    pub size: f64,
+    /// Unix time of the last start in microseconds; 0: long ago.
+    pub born: u64,
+    pub standing: Standing,
+    /// Where it listens; one that is gone need not tell.
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    #[serde(default)]
+    host_port: Option<String>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: usize,
+    lifecycle: String,
+    #[serde(default)]
+    weight: Option<f64>,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+impl ListNews {
+    /// One JSON object; an entry that can't be read is passed over, the others count.
+    pub fn decode(json: &[u8]) -> Result<ListNews, String> {
+        let line: Line = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+        let mut news = ListNews {
+            generation: line.generation,
+            whole: line.reset,
+            servers: Vec::with_capacity(line.instances.len()),
+            faults: Vec::new(),
+        };
+        for instance in line.instances {
+            match entry(instance) {
+                Ok(server) => news.servers.push(server),
+                Err(fault) => news.faults.push(fault),
+            }
+        }
+        Ok(news)
+    }
+}
+
+fn entry(json: serde_json::Value) -> Result<ListedServer, String> {
+    let instance = Instance::deserialize(json).map_err(|e| e.to_string())?;
+    let name = instance.instance_id;
+    let standing = match instance.lifecycle.as_str() {
+        "ready" => Standing::Ready,
+        "draining" => Standing::Draining,
+        "gone" => Standing::Gone,
+        other => return Err(format!("{name}: lifecycle: unknown: {other:?}")),
+    };
+    let address = instance.host_port.as_deref().and_then(|address| address.parse().ok());
+    if address.is_none() && standing != Standing::Gone {
+        return Err(format!("{name}: hostPort: no address and port"));
+    }
+    Ok(ListedServer {
+        name,
+        zone: instance.zone,
+        kind: instance.machine_type,
+        cell: instance.cell,
+        size: instance.weight.filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0),
+        born: instance.started_at_ms.saturating_mul(1000),
+        standing,
+        address,
+    })
+}
--- /dev/null
+++ b/crates/messages/src/query.rs
@@ -0,0 +1,108 @@
+//! A query as it comes from a client or from the tier above.
+
+use std::fmt;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use whinspindle::host::Effect;
+use whinspindle_terms::{Deployment, index};
+
+use crate::headers;
+
+/// Longest body, of a query and of an answer.
+pub const MOST_BODY: usize = 64 * 1024;
+
+/// A query without its body.
+#[derive(Debug)]
+pub struct Head {
+    pub product: usize,
+    /// A tenant that the settings don't name has the index after the last.
+    pub tenant: usize,
+    /// How long the client waits, in microseconds from the last byte.
+    pub patience: u64,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+}
+
+/// What goes on to the servers unchanged; kept for further executions.
+#[derive(Debug)]
+pub struct Forwarded {
+    pub method: Method,
+    pub target: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Why a query can't be taken.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed {
+    pub status: StatusCode,
+    pub field: &'static str,
+    pub fault: &'static str,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{}: {}", self.field, self.fault)
+    }
+}
+
+fn malformed(field: &'static str, fault: &'static str) -> Malformed {
+    Malformed { status: StatusCode::BAD_REQUEST, field, fault }
+}
+
+fn field<'a>(parts: &'a Parts, name: &'static str) -> Result<Option<&'a str>, Malformed> {
+    headers::single(&parts.headers, name).map_err(|fault| malformed(name, fault))
+}
+
+impl Head {
+    pub fn decode(parts: &Parts, deployment: &Deployment) -> Result<Head, Malformed> {
+        if parts.method != Method::GET && parts.method != Method::POST {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(Malformed { status, field: "method", fault: "neither GET nor POST" });
+        }
+        if parts.uri.path_and_query().is_none() {
+            return Err(malformed("target", "has no path"));
+        }
+        if field(parts, headers::TRACE)?.is_none_or(str::is_empty) {
+            return Err(malformed(headers::TRACE, "is missing"));
+        }
+        let product =
+            field(parts, headers::PRODUCT)?.ok_or_else(|| malformed(headers::PRODUCT, "is missing"))?;
+        let product = index(&deployment.products, product)
+            .ok_or_else(|| malformed(headers::PRODUCT, "is not a known class"))?;
+        let effect = deployment.terms.products[product].effect;
+        if parts.method == Method::GET && effect != Effect::Idempotent {
+            return Err(malformed("method", "GET for a class that is not safe to repeat"));
+        }
+        // Without its key the servers would not know a repeat.
+        if matches!(effect, Effect::Deduplicated(_)) && field(parts, headers::KEY)?.is_none_or(str::is_empty)
+        {
+            return Err(malformed(headers::KEY, "is missing"));
+        }
+        let tenant = field(parts, headers::TENANT)?.and_then(|name| index(&deployment.tenants, name));
+        let longest = deployment.statement_timeouts[product];
+        let patience = match field(parts, headers::EXPIRES)? {
+            None => longest,
+            Some(ms) => ms
+                .parse::<u64>()
+                .map_err(|_| malformed(headers::EXPIRES, "is not a whole number"))?
+                .saturating_mul(1000)
+                .min(longest),
+        };
+        Ok(Head {
+            product,
+            tenant: tenant.unwrap_or(deployment.tenants.len()),
+            patience,
+            method: parts.method.clone(),
+            target: parts.uri.clone(),
+            headers: headers::end_to_end(&parts.headers, headers::EXPIRES),
+        })
+    }
+
+    pub fn with(self, body: Bytes) -> Forwarded {
+        Forwarded { method: self.method, target: self.target, headers: self.headers, body }
+    }
+}
--- /dev/null
+++ b/crates/reducer/src/desk.rs
@@ -0,0 +1,151 @@
+//! The host of the decisions: the open queries, and what the decisions ask for turned into effects.
+
+use std::rc::Rc;
+
+use whinspindle::host::{Host, Outcome};
+use whinspindle_logline::log_line;
+use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::query::Forwarded;
+use whinspindle_terms::Deployment;
+
+use crate::servers::Servers;
+use crate::{Effects, Execution, Tally};
+
+/// Stands for one open query; its index may stand for another one later, the serial number never does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    pub(crate) qry: usize,
+    serial: u64,
+}
+
+/// A query between its arrival and the end of its last execution.
+struct Open<C> {
+    serial: u64,
+    query: Rc<Forwarded>,
+    /// Taken with the final answer, or when the client leaves.
+    caller: Option<C>,
+    executions: usize,
+    executions_out: usize,
+    last_outcome: Option<Outcome>,
+}
+
+pub(crate) struct Desk<E: Effects> {
+    pub effects: E,
+    pub servers: Servers,
+    pub tally: Tally,
+    open: Vec<Option<Open<E::Caller>>>,
+    free: Vec<usize>,
+}
+
+impl<E: Effects> Desk<E> {
+    pub fn new(effects: E, deployment: &Deployment) -> Self {
+        Desk {
+            effects,
+            servers: Servers::new(deployment.zones.clone(), deployment.kinds.clone()),
+            tally: Tally::default(),
+            open: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+
+    pub fn take(&mut self, query: Forwarded, caller: E::Caller) -> Ticket {
+        self.tally.taken += 1;
+        let serial = self.tally.taken;
+        let open = Open {
+            serial,
+            query: Rc::new(query),
+            caller: Some(caller),
+            executions: 0,
+            executions_out: 0,
+            last_outcome: None,
+        };
+        let qry = self.free.pop().unwrap_or_else(|| {
+            self.open.push(None);
+            self.open.len() - 1
+        });
+        self.open[qry] = Some(open);
+        Ticket { qry, serial }
+    }
+
+    /// Whether the query was still open; nobody waits for it from now on.
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        let open = self.open[ticket.qry].as_mut().filter(|open| open.serial == ticket.serial);
+        let left = open.and_then(|open| open.caller.take()).is_some();
+        self.tally.left += u64::from(left);
+        left
+    }
+
+    /// Whether the query has its final answer now, by this end or before it.
+    pub fn execution_ended(&mut self, qry: usize, outcome: Outcome, served: Option<Served>) -> bool {
+        let Some(open) = &mut self.open[qry] else { return true };
+        open.executions_out -= 1;
+        open.last_outcome = Some(outcome);
+        if let Some(served) = served {
+            self.answer(qry, Answer::Completed(served));
+        }
+        self.open[qry].as_ref().is_none_or(|open| open.caller.is_none())
+    }
+
+    fn answer(&mut self, qry: usize, answer: Answer) {
+        let open = self.open[qry].as_mut();
+        let Some(caller) = open.and_then(|open| open.caller.take()) else { return };
+        match answer {
+            Answer::Completed(_) => self.tally.completed += 1,
+            Answer::Rejected(_) => self.tally.rejected += 1,
+            Answer::Aborted { .. } => self.tally.aborted += 1,
+        }
+        self.effects.answer(caller, answer);
+    }
+
+    /// Frees the index once the query is answered and nothing of it is out.
+    pub fn release(&mut self, qry: usize) {
+        let done = |open: &Open<_>| open.caller.is_none() && open.executions_out == 0;
+        if self.open[qry].as_ref().is_some_and(done) {
+            self.open[qry] = None;
+            self.free.push(qry);
+        }
+    }
+}
+
+impl<E: Effects> Host for Desk<E> {
+    fn execute(&mut self, qry: usize, server: usize, time_out: u64) {
+        let address = self.servers.address(server);
+        let (Some(open), Some(address)) = (&mut self.open[qry], address) else {
+            log_line!("fault", "an execution of no open query, or at a server without an address");
+            return;
+        };
+        let exec = open.executions;
+        open.executions += 1;
+        open.executions_out += 1;
+        self.tally.executions += 1;
+        let query = Rc::clone(&open.query);
+        self.effects.execute(Execution { qry, exec, server, address, query, time_out });
+    }
+
+    fn cancel(&mut self, qry: usize, exec: usize) {
+        self.effects.cancel(qry, exec);
+    }
+
+    fn reject(&mut self, qry: usize, retry_after: u64) {
+        self.answer(qry, Answer::Rejected(retry_after));
+    }
+
+    fn abort(&mut self, qry: usize) {
+        let last = self.open[qry].as_ref().and_then(|open| open.last_outcome);
+        let in_time = !matches!(last, None | Some(Outcome::TimedOut | Outcome::Cancelled));
+        self.answer(qry, Answer::Aborted { in_time });
+    }
+
+    fn wake(&mut self, wait: u64, label: u32) {
+        self.effects.wake(wait, label);
+    }
+
+    fn probe(&mut self, server: usize) {
+        if let Some(address) = self.servers.address(server) {
+            self.effects.probe(server, address);
+        }
+    }
+
+    /// The program watches the list from its start on, and opens the watch again by itself.
+    fn follow_list(&mut self) {}
+}
--- /dev/null
+++ b/crates/reducer/src/lib.rs
@@ -0,0 +1,128 @@
+//! The one place where the state of a real balancer changes. It owns the decisions and the open queries; it is
+//! called once for each thing that happens, and asks for everything that must be read or written through
+//! `Effects`.
+
+mod desk;
+mod servers;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use whinspindle::decide::Balancer;
+use whinspindle::host::{Arrival, Ending, LoadReport, Outcome};
+use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::list::ListNews;
+use whinspindle_messages::query::Forwarded;
+use whinspindle_terms::Deployment;
+
+use desk::Desk;
+pub use desk::Ticket;
+
+/// What the reducer asks the world for. Nothing of it may call the reducer before it returns.
+pub trait Effects {
+    /// Who waits for the answer to a query.
+    type Caller;
+    /// Sends the query to the server once; `Reducer::execution_ended` tells what came of it.
+    fn execute(&mut self, execution: Execution);
+    /// Stops waiting for an execution, whose connection is closed; its end is still told.
+    fn cancel(&mut self, qry: usize, exec: usize);
+    fn answer(&mut self, caller: Self::Caller, answer: Answer);
+    /// Calls `Reducer::timer` after so many microseconds.
+    fn wake(&mut self, wait: u64, label: u32);
+    /// `Reducer::probed` tells what came of it.
+    fn probe(&mut self, server: usize, address: SocketAddr);
+}
+
+pub struct Execution {
+    pub qry: usize,
+    pub exec: usize,
+    pub server: usize,
+    pub address: SocketAddr,
+    pub query: Rc<Forwarded>,
+    pub time_out: u64,
+}
+
+/// How an execution ended.
+pub struct Ended {
+    pub qry: usize,
+    pub exec: usize,
+    pub outcome: Outcome,
+    pub spent: u64,
+    pub report: LoadReport,
+    pub served: Option<Served>,
+}
+
+pub struct Reducer<E: Effects> {
+    balancer: Balancer<Desk<E>>,
+}
+
+impl<E: Effects> Reducer<E> {
+    pub fn new(effects: E, deployment: &Deployment, seed: u64, now: u64) -> Self {
+        let desk = Desk::new(effects, deployment);
+        Reducer { balancer: Balancer::new(desk, deployment.terms.clone(), seed, now) }
+    }
+
+    pub fn list(&mut self, now: u64, news: &ListNews) {
+        let entries = self.balancer.host.servers.learn(news);
+        if news.whole {
+            self.balancer.list_whole(now, &entries);
+        } else {
+            self.balancer.list_changed(now, &entries);
+        }
+    }
+
+    pub fn query(&mut self, now: u64, arrival: Arrival, query: Forwarded, caller: E::Caller) -> Ticket {
+        let ticket = self.balancer.host.take(query, caller);
+        self.balancer.query(now, ticket.qry, arrival);
+        // It may have its answer already.
+        self.balancer.host.release(ticket.qry);
+        ticket
+    }
+
+    /// The client has gone; nobody waits for the answer any more.
+    pub fn left(&mut self, now: u64, ticket: Ticket) {
+        if self.balancer.host.leave(ticket) {
+            self.balancer.withdrawn(now, ticket.qry);
+            self.balancer.host.release(ticket.qry);
+        }
+    }
+
+    pub fn execution_ended(&mut self, now: u64, ended: Ended) {
+        let Ended { qry, exec, outcome, spent, report, served } = ended;
+        let over = self.balancer.host.execution_ended(qry, outcome, served);
+        self.balancer.completed(now, qry, exec, Ending { outcome, over, spent, report });
+        self.balancer.host.release(qry);
+    }
+
+    pub fn probed(&mut self, now: u64, server: usize, answered: bool, report: LoadReport) {
+        self.balancer.probed(now, server, answered, report);
+    }
+
+    pub fn timer(&mut self, now: u64, label: u32) {
+        self.balancer.timer(now, label);
+    }
+
+    /// Whether the list still has the server ready: asked again right before the first byte goes out.
+    pub fn is_wanted(&self, server: usize) -> bool {
+        self.balancer.host.servers.is_ready(server)
+    }
+
+    pub fn has_list(&self) -> bool {
+        self.balancer.host.servers.has_list()
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.balancer.host.tally
+    }
+}
+
+/// What has become of the queries since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub taken: u64,
+    pub completed: u64,
+    pub rejected: u64,
+    pub aborted: u64,
+    pub left: u64,
+    pub executions: u64,
+}
--- a/crates/benchlink/src/terms.rs
+++ b/crates/terms/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings in JSON, turned into the terms that the decisions are handed.
+//! The settings in JSON, turned into the terms that the decisions are handed and the names and times that the
+//! programs round them need.
 
 use serde::Deserialize;
 use whinspindle::host::{Effect, Group, Product, Terms};
@@ -20,6 +21,10 @@
     limits: LimitOptions,
     load_info: LoadOptions,
     obligations: Obligations,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -33,6 +38,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ProductOptions {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    statement_timeout_ns: Option<u64>,
     effect: String,
     #[serde(default)]
     key_scope: Option<String>,
@@ -46,6 +55,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ProjectOptions {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: Option<f64>,
 }
@@ -60,6 +71,10 @@
     max_retry_after_ns: u64,
     retry_after: bool,
     second_copies: bool,
+    #[serde(default)]
+    conn_idle_ns: Option<u64>,
+    #[serde(default)]
+    connect_timeout_ns: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -79,9 +94,33 @@
     tip_after_ns: u64,
 }
 
-/// The terms, and the names of the load report's columns.
-pub fn parse(json: &[u8]) -> Result<(Terms, Vec<String>), String> {
-    let options: Options = serde_json::from_slice(json).map_err(|e| format!("attach: options: {e}"))?;
+/// A name in the settings and the small index that stands for it.
+pub fn index(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+/// What the settings tell of a deployment.
+pub struct Deployment {
+    pub terms: Terms,
+    pub products: Vec<String>,
+    /// How long clients of a product wait at most, a row a product.
+    pub statement_timeouts: Vec<u64>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// The columns of a load report, in their order.
+    pub columns: Vec<String>,
+    /// Servers close a connection that has stood idle for so long.
+    pub idle_time: u64,
+    pub connect_time_out: u64,
+}
+
+fn statement_timeout(p: &ProductOptions) -> u64 {
+    p.statement_timeout_ns.unwrap_or(p.slo_time_ns) / 1000
+}
+
+pub fn parse(json: &[u8]) -> Result<Deployment, String> {
+    let options: Options = serde_json::from_slice(json).map_err(|e| e.to_string())?;
     let limits = &options.limits;
     let rules = &options.obligations;
     let mut products = Vec::new();
@@ -96,7 +135,7 @@
                 "safe" => Effect::Idempotent,
                 "keyed" => Effect::Deduplicated(group),
                 "unsafe" => Effect::NonIdempotent,
-                other => return Err(format!("attach: options: unknown effect {other:?}")),
+                other => return Err(format!("unknown effect {other:?}")),
             },
             slo_time: p.slo_time_ns / 1000,
             memory_span: p.memory_span_ns.unwrap_or(0) / 1000,
@@ -104,7 +143,7 @@
         });
     }
     if products.is_empty() {
-        return Err("attach: options: products: none".into());
+        return Err("products: none".into());
     }
     let terms = Terms {
         balancers: options.balancers.max(1),
@@ -126,5 +165,15 @@
         fall_multiple: rules.fall_multiple,
         tip_after: rules.tip_after_ns / 1000,
     };
-    Ok((terms, options.load_info.columns))
+    Ok(Deployment {
+        terms,
+        statement_timeouts: options.products.iter().map(statement_timeout).collect(),
+        products: options.products.into_iter().map(|p| p.name).collect(),
+        tenants: options.projects.into_iter().map(|p| p.name).collect(),
+        zones: options.zones,
+        kinds: options.kinds,
+        columns: options.load_info.columns,
+        idle_time: limits.conn_idle_ns.map_or(15_000_000, |ns| ns / 1000),
+        connect_time_out: limits.connect_timeout_ns.map_or(250_000, |ns| ns / 1000),
+    })
 }
--- /dev/null
+++ b/crates/upstreams/src/exchange.rs
@@ -0,0 +1,136 @@
+//! One connection, and one request on it for one response.
+
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use tokio::net::TcpStream;
+
+use crate::counted::Counted;
+use crate::failure::{Cause, Failure, Progress};
+
+/// What an exchange leaves behind of how far it has come, also where its future is dropped.
+#[derive(Clone, Default)]
+pub struct Trail(Rc<RefCell<Option<Written>>>);
+
+struct Written {
+    count: Rc<Cell<u64>>,
+    begin: u64,
+    end: u64,
+}
+
+impl Trail {
+    pub fn progress(&self) -> Progress {
+        match &*self.0.borrow() {
+            Some(written) if written.count.get() >= written.end => Progress::Whole,
+            Some(written) if written.count.get() > written.begin => Progress::Begun,
+            _ => Progress::Nothing,
+        }
+    }
+
+    fn begin(&self, count: &Rc<Cell<u64>>, size: u64) {
+        let begin = count.get();
+        *self.0.borrow_mut() = Some(Written { count: Rc::clone(count), begin, end: begin + size });
+    }
+
+    pub(crate) fn failure(&self, cause: Cause) -> Failure {
+        Failure { progress: self.progress(), cause }
+    }
+}
+
+/// A connection that carries one request at a time. It has no task of its own: it moves while an exchange is
+/// polled, and closes when dropped.
+pub struct Lane {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Pin<Box<Connection<Counted, Full<Bytes>>>>,
+    ended: bool,
+    written: Rc<Cell<u64>>,
+}
+
+impl Lane {
+    pub async fn open(socket: TcpStream) -> Result<Lane, Cause> {
+        socket.set_nodelay(true).map_err(Cause::Connect)?;
+        let written = Rc::new(Cell::new(0));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(64 * 1024)
+            .handshake(Counted::new(socket, Rc::clone(&written)))
+            .await
+            .map_err(Cause::Connection)?;
+        Ok(Lane { sender, connection: Box::pin(connection), ended: false, written })
+    }
+
+    /// Polls the connection beside the future, which waits on it.
+    async fn drive<F: Future>(
+        &mut self,
+        future: impl FnOnce(&mut SendRequest<Full<Bytes>>) -> F,
+    ) -> F::Output {
+        let mut future = pin!(future(&mut self.sender));
+        poll_fn(|cx| {
+            if let Poll::Ready(output) = future.as_mut().poll(cx) {
+                return Poll::Ready(output);
+            }
+            if !self.ended && self.connection.as_mut().poll(cx).is_ready() {
+                self.ended = true;
+            }
+            future.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Whether a connection that stood idle is still there. The server may have closed it meanwhile.
+    pub async fn is_open(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.ended = self.ended || self.connection.as_mut().poll(cx).is_ready();
+            Poll::Ready(())
+        })
+        .await;
+        !self.ended && !self.sender.is_closed()
+    }
+
+    /// Afterwards the connection may carry the next request if it `is_reusable`.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most_body: usize,
+        trail: &Trail,
+    ) -> Result<Response<Bytes>, Failure> {
+        trail.begin(&self.written, size(&request));
+        let response = self.drive(|sender| sender.send_request(request)).await;
+        let response = response.map_err(|e| trail.failure(Cause::Connection(e)))?;
+        let (parts, body) = response.into_parts();
+        let body = self.drive(|_| Limited::new(body, most_body).collect()).await.map_err(|e| {
+            let cause = match e.downcast::<hyper::Error>() {
+                Ok(e) => Cause::Connection(*e),
+                Err(e) => {
+                    debug_assert!(e.is::<LengthLimitError>());
+                    Cause::TooLong
+                }
+            };
+            trail.failure(cause)
+        })?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
+    }
+
+    pub async fn is_reusable(&mut self) -> bool {
+        // One poll is enough: hyper is ready at once after a response that leaves the connection open.
+        self.is_open().await && self.sender.is_ready()
+    }
+}
+
+/// The bytes that hyper writes for a request whose headers are all set already.
+fn size(request: &Request<Full<Bytes>>) -> u64 {
+    use hyper::body::Body;
+    let line = request.method().as_str().len() + request.uri().to_string().len() + "  HTTP/1.1\r\n".len();
+    let headers: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum();
+    (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/upstreams/src/lib.rs
@@ -0,0 +1,11 @@
+//! The connections to upstreams: a small pool, and one exchange of a request for a response. Nothing here
+//! sends anything twice by itself.
+
+mod counted;
+mod exchange;
+mod failure;
+mod pool;
+
+pub use exchange::Trail;
+pub use failure::{Failure, Progress};
+pub use pool::{Connections, Terms};
--- /dev/null
+++ b/crates/upstreams/src/pool.rs
@@ -0,0 +1,133 @@
+//! Which connections are open, which stand idle, and how many may be.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::exchange::{Lane, Trail};
+use crate::failure::{Cause, Failure};
+
+pub struct Terms {
+    pub most_open: usize,
+    /// Servers close a connection that has stood idle for so long.
+    pub idle_time: Duration,
+    pub connect_time_out: Duration,
+    pub most_body: usize,
+}
+
+/// Idle connections are dropped at this part of the time after which servers close them.
+const IDLE_PART: f64 = 0.7;
+
+pub struct Connections {
+    terms: Terms,
+    open: Rc<Cell<usize>>,
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+}
+
+struct Idle {
+    since: Instant,
+    lease: Lease,
+}
+
+/// A connection that counts among the open ones until it is dropped.
+struct Lease {
+    lane: Lane,
+    _place: Place,
+}
+
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Connections {
+    pub fn new(terms: Terms) -> Self {
+        Connections { terms, open: Rc::default(), idle: RefCell::default() }
+    }
+
+    /// Sends the request once. `wanted` is asked right before the first byte, also after a slow connect.
+    pub async fn exchange(
+        &self,
+        server: SocketAddr,
+        request: Request<Full<Bytes>>,
+        wanted: impl FnOnce() -> bool,
+        trail: &Trail,
+    ) -> Result<Response<Bytes>, Failure> {
+        let mut lease = match self.take_idle(server).await {
+            Some(lease) => lease,
+            None => self.connect(server).await.map_err(|cause| trail.failure(cause))?,
+        };
+        if !wanted() {
+            self.keep(server, lease).await;
+            return Err(trail.failure(Cause::Unwanted));
+        }
+        let response = lease.lane.exchange(request, self.terms.most_body, trail).await?;
+        self.keep(server, lease).await;
+        Ok(response)
+    }
+
+    async fn keep(&self, server: SocketAddr, mut lease: Lease) {
+        if lease.lane.is_reusable().await {
+            let idle = Idle { since: Instant::now(), lease };
+            self.idle.borrow_mut().entry(server).or_default().push(idle);
+        }
+    }
+
+    /// The one used last, so that those that are not needed grow old.
+    async fn take_idle(&self, server: SocketAddr) -> Option<Lease> {
+        loop {
+            let mut idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
+            if self.is_fresh(&idle) && idle.lease.lane.is_open().await {
+                return Some(idle.lease);
+            }
+        }
+    }
+
+    fn is_fresh(&self, idle: &Idle) -> bool {
+        idle.since.elapsed() < self.terms.idle_time.mul_f64(IDLE_PART)
+    }
+
+    async fn connect(&self, server: SocketAddr) -> Result<Lease, Cause> {
+        if self.open.get() >= self.terms.most_open && !self.close_oldest_idle() {
+            return Err(Cause::NoneFree);
+        }
+        self.open.set(self.open.get() + 1);
+        let place = Place(Rc::clone(&self.open));
+        let socket = timeout(self.terms.connect_time_out, TcpStream::connect(server)).await;
+        let socket = socket.map_err(|_| Cause::ConnectTimeOut)?.map_err(Cause::Connect)?;
+        Ok(Lease { lane: Lane::open(socket).await?, _place: place })
+    }
+
+    /// At the brim an idle connection makes room.
+    fn close_oldest_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(server, lanes)| Some((lanes.first()?.since, *server))).min();
+        oldest.is_some_and(|(_, server)| {
+            let lanes = idle.get_mut(&server);
+            lanes.map(|lanes| lanes.remove(0)).is_some()
+        })
+    }
+
+    /// Drops what has stood idle for too long; to be called now and then.
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().retain(|_, lanes| {
+            lanes.retain(|idle| self.is_fresh(idle));
+            !lanes.is_empty()
+        });
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+}
