--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -1,15 +1,18 @@
 //! The connections that clients open: accepted up to a number, the longest idle closed at the brim, and all
 //! brought to their end when the program stops.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -17,6 +20,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tower::Service;
 use whinspindle_logline::log_line;
+use whinspindle_terms::Deployment;
 
 use crate::front::{self, Reply};
 use crate::node::Node;
@@ -24,6 +28,8 @@
 
 /// After the order to stop, connections may come for a while; quiet for so long, no more are expected.
 const QUIET: Duration = Duration::from_millis(500);
+/// A head must be whole, and the next one begun, within this many times the servers' idle time.
+const HEAD_TIME: u32 = 4;
 /// More than the longest head that is reasonable, and a piece of a body.
 const READ_BUFFER: usize = 32 * 1024;
 
@@ -31,12 +37,15 @@
 #[derive(Default)]
 pub struct Accepted {
     open: RefCell<BTreeMap<u64, Rc<Client>>>,
-    freed: Notify,
+    /// One has ended, or has become idle.
+    eased: Notify,
 }
 
 struct Client {
     /// Since when no query of it is in hand.
-    idle_since: RefCell<Option<Instant>>,
+    idle_since: Cell<Option<Instant>>,
+    /// Nothing of it has been a whole head yet.
+    fresh: Cell<bool>,
     close: Notify,
 }
 
@@ -48,10 +57,11 @@
     /// At the brim the connection that has been idle longest makes room.
     fn close_longest_idle(&self) {
         let open = self.open.borrow();
-        let idle =
-            open.values().filter_map(|client| Some((client.idle_since.borrow().as_ref().copied()?, client)));
+        let idle = open.values().filter_map(|client| Some((client.idle_since.get()?, client)));
         if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
             client.close.notify_one();
+            // Should it end slowly, the next one is closed after it.
+            client.idle_since.set(None);
         }
     }
 
@@ -63,7 +73,7 @@
 
     async fn all_ended(&self) {
         while self.count() > 0 {
-            self.freed.notified().await;
+            self.eased.notified().await;
         }
     }
 }
@@ -83,7 +93,7 @@
         let accept = async {
             while accepted.count() >= shares.accepted {
                 accepted.close_longest_idle();
-                accepted.freed.notified().await;
+                accepted.eased.notified().await;
             }
             listener.accept().await
         };
@@ -98,7 +108,7 @@
                 Ok((socket, _)) => {
                     next += 1;
                     quiet_at = quiet_at.map(|_| Instant::now() + QUIET);
-                    serve(next, socket, services.clone(), &accepted);
+                    serve(next, socket, services.clone(), &accepted, &node.deployment);
                 }
                 Err(e) => {
                     log_line!("accept", "{e}");
@@ -109,39 +119,51 @@
             () = quiet => break,
         }
     }
+    // What the machine has accepted already counts as taken, so nothing may be left waiting there.
+    while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
+        next += 1;
+        serve(next, socket, services.clone(), &accepted, &node.deployment);
+    }
     drop(listener);
     accepted.close_idle();
     accepted.all_ended().await;
 }
 
-fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>)
+fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>, deployment: &Deployment)
 where
-    S: Service<Request<Incoming>, Response = Reply, Error = std::convert::Infallible> + Clone + 'static,
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
-    let client = Rc::new(Client { idle_since: RefCell::new(Some(Instant::now())), close: Notify::new() });
+    let idle_since = Cell::new(Some(Instant::now()));
+    let client = Rc::new(Client { idle_since, fresh: Cell::new(true), close: Notify::new() });
     accepted.open.borrow_mut().insert(number, Rc::clone(&client));
     let accepted = Rc::clone(accepted);
+    let head_time = Duration::from_micros(deployment.idle_time) * HEAD_TIME;
     spawn_local(async move {
         let _ = socket.set_nodelay(true);
-        let watched = Rc::clone(&client);
+        let (watched, watching) = (Rc::clone(&client), Rc::clone(&accepted));
         let services = tower::service_fn(move |request| {
-            let (client, mut services) = (Rc::clone(&watched), services.clone());
+            let (client, accepted, mut services) =
+                (Rc::clone(&watched), Rc::clone(&watching), services.clone());
             async move {
-                *client.idle_since.borrow_mut() = None;
+                client.idle_since.set(None);
+                client.fresh.set(false);
                 let reply = services.call(request).await;
-                *client.idle_since.borrow_mut() = Some(Instant::now());
+                client.idle_since.set(Some(Instant::now()));
+                accepted.eased.notify_one();
                 reply
             }
         });
         let connection = http1::Builder::new()
             .max_buf_size(READ_BUFFER)
+            .timer(TokioTimer::new())
+            .header_read_timeout(head_time)
             .serve_connection(TokioIo::new(socket), TowerToHyperService::new(services));
-        let mut connection = std::pin::pin!(connection);
+        let mut connection = pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             () = client.close.notified() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                finish(connection, &client).await
             }
         };
         if let Err(fault) = ended
@@ -150,6 +172,22 @@
             log_line!("client", "connection {number}: {fault}");
         }
         accepted.open.borrow_mut().remove(&number);
-        accepted.freed.notify_one();
+        accepted.eased.notify_one();
     });
 }
+
+/// Lets a connection that is to close come to its end.
+async fn finish<F: Future<Output = hyper::Result<()>>>(
+    mut connection: Pin<&mut F>,
+    client: &Client,
+) -> F::Output {
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => return ended,
+            // Guards against a first head that never becomes whole: hyper would wait for the rest of it.
+            () = sleep(QUIET) => if client.fresh.get() {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -25,6 +25,9 @@
 use crate::node::Node;
 use crate::shares::Shares;
 
+/// In microseconds: when a query that was turned away unseen is best tried again.
+const SHED_RETRY_AFTER: u64 = 250_000;
+
 pub type Reply = Response<UnsyncBoxBody<Bytes, BoxError>>;
 
 /// The services of the front, from the outside in: a panic ends one answer, what is more than the budget for
@@ -71,7 +74,9 @@
 /// Nothing of the query has been looked at, so trying again is harmless.
 fn shed(_: BoxError) -> Reply {
     log_line!("brim", "the budget for bodies is full: a query is rejected unseen");
-    Answer::Rejected(SHED_RETRY_AFTER).encode().map(boxed)
+    let mut reply = Answer::Rejected(SHED_RETRY_AFTER).encode().map(boxed);
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
 }
 
 fn health(node: &Node) -> Response<Full<Bytes>> {
@@ -122,6 +127,3 @@
     let _waiting = Waiting { node: &node, ticket };
     Ok(answer.await.unwrap_or(Answer::Aborted { in_time: true }).encode())
 }
-
-/// Microseconds; the layers know no product.
-const SHED_RETRY_AFTER: u64 = 250_000;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -8,10 +8,13 @@
 mod shares;
 mod timers;
 
+use std::cell::Cell;
+use std::panic::AssertUnwindSafe;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
@@ -45,16 +48,22 @@
     let listener = listener.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let discovery = placement.discovery;
-    let generation = placement.known.as_ref().map(|known| known.generation);
+    // What could not be read of the known list is asked for again.
+    let generation = placement.known.as_ref().filter(|known| known.faults.is_empty());
+    let generation = generation.map(|known| known.generation);
     log_line!("start", "{} at {}, {shares:?}", placement.name, placement.listen);
     let node = Node::new(placement, shares);
     let accepted = Rc::new(Accepted::default());
 
     let timed = Rc::clone(&node);
-    spawn_local(async move { timed.run_timers().await });
+    spawn_local(unending("timers", move || Rc::clone(&timed).run_timers()));
     let told = Rc::clone(&node);
-    spawn_local(whinspindle_serverlist::follow(discovery, generation, move |news| {
-        told.reducer.borrow_mut().list(told.clock.now(), &news);
+    let known = Rc::new(Cell::new(generation));
+    spawn_local(unending("list", move || {
+        let told = Rc::clone(&told);
+        whinspindle_serverlist::follow(discovery, Rc::clone(&known), move |news| {
+            told.reducer.borrow_mut().list(told.clock.now(), &news);
+        })
     }));
     spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted)));
     let stop = Rc::new(Notify::new());
@@ -70,6 +79,15 @@
     Ok(())
 }
 
+/// Guards against a fault in what must never end: a panic there is logged, and it begins again.
+async fn unending<F: Future<Output = ()>>(what: &str, mut begin: impl FnMut() -> F) {
+    loop {
+        let ended = AssertUnwindSafe(begin()).catch_unwind().await;
+        log_line!("fault", "the task {what} ended ({ended:?}) and begins again");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Drops connections that stood idle for long, and tells now and then what has become of the queries.
 async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>) {
     let mut told = Default::default();
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -70,7 +70,7 @@
     }
 
     /// Calls the reducer for each wake, for ever.
-    pub async fn run_timers(&self) {
+    pub async fn run_timers(self: Rc<Self>) {
         loop {
             let label = self.timers.next().await;
             self.reducer.borrow_mut().timer(self.clock.now(), label);
--- a/crates/balancer/src/shares.rs
+++ b/crates/balancer/src/shares.rs
@@ -10,7 +10,8 @@
     pub accepted: usize,
     /// Connections to upstreams, for executions and probes.
     pub upstream: usize,
-    /// Queries in hand, each of which may hold a body both ways.
+    /// Queries in hand, each of which may hold a body both ways. They are fewer than the connections, so that
+    /// one more can always be read and turned away.
     pub queries: usize,
 }
 
@@ -23,6 +24,6 @@
         let accepted = sockets - spare - upstream;
         // Half of the memory is for bodies; the rest is for buffers of connections and for the program.
         let bodies = (limits.memory_mb as usize) << 19;
-        Shares { accepted, upstream, queries: accepted.min(bodies / (2 * MOST_BODY)) }
+        Shares { accepted, upstream, queries: (accepted - accepted / 8).min(bodies / (2 * MOST_BODY)) }
     }
 }
--- a/crates/messages/src/headers.rs
+++ b/crates/messages/src/headers.rs
@@ -10,9 +10,10 @@
 pub const NEVER_RAN: &str = "x-never-ran";
 pub const LOAD: &str = "endpoint-load-metrics";
 
-/// Headers that belong to one connection or to the framing of one message.
-const HOP_BY_HOP: [HeaderName; 10] = [
+/// Headers that belong to one connection or to the framing of one message, which is whole here already.
+const HOP_BY_HOP: [HeaderName; 11] = [
     header::CONNECTION,
+    header::EXPECT,
     HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
--- /dev/null
+++ b/crates/reducer/tests/reducer.rs
@@ -0,0 +1,209 @@
+//! The reducer without sockets: what it asks for when things happen.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use whinspindle::host::{Arrival, LoadReport, Outcome};
+use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::list::ListNews;
+use whinspindle_messages::query::Forwarded;
+use whinspindle_reducer::{Effects, Ended, Execution, Reducer, Ticket};
+
+use Outcome::{Broken, Cancelled, Completed, Error, Moot, NotConnected, TimedOut, TurnedAway};
+
+const NOW: u64 = 1_000_000_000;
+
+struct Notes(Rc<RefCell<Vec<String>>>);
+
+impl Effects for Notes {
+    type Caller = &'static str;
+
+    fn execute(&mut self, execution: Execution) {
+        let Execution { qry, exec, address, .. } = execution;
+        self.0.borrow_mut().push(format!("execute {qry}.{exec} at {address}"));
+    }
+
+    fn cancel(&mut self, qry: usize, exec: usize) {
+        self.0.borrow_mut().push(format!("cancel {qry}.{exec}"));
+    }
+
+    fn answer(&mut self, caller: &'static str, answer: Answer) {
+        let answer = match answer {
+            Answer::Completed(_) => "completed",
+            Answer::Rejected(_) => "rejected",
+            Answer::Aborted { in_time: true } => "aborted",
+            Answer::Aborted { in_time: false } => "aborted, out of time",
+        };
+        self.0.borrow_mut().push(format!("{caller}: {answer}"));
+    }
+
+    fn wake(&mut self, _wait: u64, _label: u32) {}
+
+    fn probe(&mut self, _server: usize, address: SocketAddr) {
+        self.0.borrow_mut().push(format!("probe {address}"));
+    }
+}
+
+struct Bench {
+    reducer: Reducer<Notes>,
+    said: Rc<RefCell<Vec<String>>>,
+}
+
+impl Bench {
+    /// Servers listed as name, lifecycle; each in a cell of its own, at the port that its name tells.
+    fn new(effect: &str, servers: &[(&str, &str)]) -> Self {
+        let settings = format!(
+            r#"{{"balancers": 1, "tier": 0, "zones": ["a"], "membershipMode": "pushed", "tickNs": 5000000,
+            "products": [{{"name": "order", "effect": "{effect}", "keyScope": "cell", "sloTimeNs": 1000000000,
+                "memorySpanNs": 5000000000, "statementTimeoutNs": 3000000000, "tardyImportance": 0.5}}],
+            "limits": {{"cancel": true, "mostExecutions": 3, "maxRetryAfterNs": 0, "retryAfter": false,
+                "secondCopies": false}}, "loadInfo": {{}},
+            "obligations": {{"coldFrom": 0.3, "coldNs": 1, "fallMultiple": 3.0, "tipAfterNs": 1}}}}"#
+        );
+        let deployment = whinspindle_terms::parse(settings.as_bytes()).expect("settings");
+        let said = Rc::new(RefCell::new(Vec::new()));
+        let mut bench = Bench { reducer: Reducer::new(Notes(Rc::clone(&said)), &deployment, 7, NOW), said };
+        bench.list(true, servers);
+        bench
+    }
+
+    fn list(&mut self, whole: bool, servers: &[(&str, &str)]) {
+        let entry = |(port, lifecycle): &(&str, &str)| {
+            format!(
+                r#"{{"instanceId": "s-{port}", "hostPort": "127.0.0.1:{port}", "zone": "a", "cell": {port},
+                "lifecycle": "{lifecycle}"}}"#
+            )
+        };
+        let entries: Vec<String> = servers.iter().map(entry).collect();
+        let line = format!(r#"{{"generation": 1, "reset": {whole}, "instances": [{}]}}"#, entries.join(","));
+        self.reducer.list(NOW, &ListNews::decode(line.as_bytes()).expect("a list"));
+    }
+
+    fn query(&mut self, caller: &'static str) -> Ticket {
+        let arrival = Arrival { product: 0, tenant: 0, deadline: NOW + 3_000_000 };
+        let query = Forwarded {
+            method: http::Method::POST,
+            target: http::Uri::from_static("/api"),
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+        };
+        self.reducer.query(NOW, arrival, query, caller)
+    }
+
+    fn ended(&mut self, qry: usize, exec: usize, outcome: Outcome) {
+        let served = (outcome == Completed)
+            .then(|| Served { headers: http::HeaderMap::new(), body: bytes::Bytes::from_static(b"x") });
+        let ended = Ended { qry, exec, outcome, spent: 1000, report: LoadReport::default(), served };
+        self.reducer.execution_ended(NOW + 1000, ended);
+    }
+
+    fn said(&self) -> Vec<String> {
+        self.said.take()
+    }
+}
+
+#[test]
+fn the_last_outcome_decides_the_answer() {
+    for (effect, outcomes, answers) in [
+        ("keyed", &[Completed][..], &["completed"][..]),
+        ("keyed", &[Error], &["aborted"]),
+        ("keyed", &[Broken], &["aborted"]),
+        ("keyed", &[TimedOut], &["aborted, out of time"]),
+        ("keyed", &[TurnedAway], &["rejected"]),
+        ("keyed", &[NotConnected], &["rejected"]),
+        ("keyed", &[Moot], &["rejected"]),
+        ("safe", &[Error], &["rejected"]),
+        ("unsafe", &[Broken], &["aborted"]),
+    ] {
+        let mut bench = Bench::new(effect, &[("1", "ready")]);
+        bench.query("client");
+        assert_eq!(bench.said(), ["execute 0.0 at 127.0.0.1:1"]);
+        for (exec, &outcome) in outcomes.iter().enumerate() {
+            bench.ended(0, exec, outcome);
+        }
+        let answers: Vec<String> = answers.iter().map(|answer| format!("client: {answer}")).collect();
+        assert_eq!(bench.said(), answers, "{effect} {outcomes:?}");
+    }
+}
+
+#[test]
+fn what_never_ran_goes_to_another_server() {
+    for (outcome, again) in [(TurnedAway, true), (NotConnected, true), (Moot, true), (Error, false)] {
+        let mut bench = Bench::new("keyed", &[("1", "ready"), ("2", "ready")]);
+        bench.query("client");
+        let first = bench.said();
+        bench.ended(0, 0, outcome);
+        let second = bench.said();
+        assert_eq!(second[0].starts_with("execute 0.1 at"), again, "{outcome:?}: {second:?}");
+        assert_ne!(first[0].rsplit(' ').next(), second[0].rsplit(' ').next());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_gets_no_answer_and_its_execution_is_called_off() {
+    for outcome in [Cancelled, Completed, TimedOut] {
+        let mut bench = Bench::new("keyed", &[("1", "ready")]);
+        let ticket = bench.query("client");
+        bench.said();
+        bench.reducer.left(NOW, ticket);
+        bench.reducer.left(NOW, ticket);
+        assert_eq!(bench.said(), ["cancel 0.0"]);
+        bench.ended(0, 0, outcome);
+        assert!(bench.said().is_empty());
+        assert_eq!((bench.reducer.tally().left, bench.reducer.tally().completed), (1, 0));
+    }
+}
+
+#[test]
+fn a_ticket_stands_for_its_own_query_only() {
+    // Guards against a client that leaves right after its answer taking the next query with it.
+    let mut bench = Bench::new("keyed", &[("1", "ready")]);
+    let first = bench.query("first");
+    bench.ended(0, 0, Completed);
+    bench.query("second");
+    bench.said();
+    bench.reducer.left(NOW, first);
+    assert!(bench.said().is_empty());
+    bench.ended(0, 0, Completed);
+    assert_eq!(bench.said(), ["second: completed"]);
+}
+
+#[test]
+fn an_index_is_free_only_when_nothing_is_out() {
+    let mut bench = Bench::new("keyed", &[("1", "ready"), ("2", "ready")]);
+    let ticket = bench.query("first");
+    bench.reducer.left(NOW, ticket);
+    bench.query("second");
+    let said = bench.said();
+    assert!(said.last().is_some_and(|line| line.starts_with("execute 1.0 at")), "{said:?}");
+    bench.ended(0, 0, Cancelled);
+    bench.query("third");
+    assert!(bench.said()[0].starts_with("execute 0.0 at"));
+}
+
+#[test]
+fn a_server_is_wanted_while_the_last_list_has_it_ready() {
+    for (whole, news, wanted) in [
+        (false, &[][..], true),
+        (true, &[], false),
+        (false, &[("1", "draining")], false),
+        (false, &[("1", "gone")], false),
+        (false, &[("2", "gone")], true),
+        (true, &[("1", "ready")], true),
+    ] {
+        let mut bench = Bench::new("keyed", &[("1", "ready"), ("2", "ready")]);
+        bench.list(whole, news);
+        assert_eq!(bench.reducer.is_wanted(0), wanted, "{whole} {news:?}");
+    }
+    assert!(Bench::new("keyed", &[]).reducer.has_list());
+}
+
+#[test]
+fn no_server_is_a_rejection_at_once() {
+    for servers in [&[][..], &[("1", "draining")]] {
+        let mut bench = Bench::new("keyed", servers);
+        bench.query("client");
+        assert_eq!(bench.said(), ["client: rejected"]);
+    }
+}
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -1,8 +1,10 @@
 //! The list of servers as discovery tells it: whole at first, then each change as it comes. The watch is opened
 //! again when it ends, and also when it has been silent for longer than discovery ever is.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,11 +26,10 @@
 /// Between two tries to open a watch.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Follows the list for ever, from the generation that is known already.
-pub async fn follow(discovery: SocketAddr, known: Option<u64>, mut told: impl FnMut(ListNews)) {
-    let mut known = known;
+/// Follows the list for ever, from the generation that is known already, and keeps that up to date.
+pub async fn follow(discovery: SocketAddr, known: Rc<Cell<Option<u64>>>, mut told: impl FnMut(ListNews)) {
     loop {
-        match watch(discovery, &mut known, &mut told).await {
+        match watch(discovery, &known, &mut told).await {
             Ok(()) => log_line!("list", "the watch ended; it is opened again"),
             Err(fault) => log_line!("list", "the watch failed: {fault}; it is opened again"),
         }
@@ -38,12 +39,12 @@
 
 async fn watch(
     discovery: SocketAddr,
-    known: &mut Option<u64>,
+    known: &Cell<Option<u64>>,
     told: &mut impl FnMut(ListNews),
 ) -> Result<(), Box<dyn std::error::Error>> {
     let socket = timeout(SILENCE, TcpStream::connect(discovery)).await??;
     let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
-    let target = match known {
+    let target = match known.get() {
         Some(generation) => format!("/v1/servers?watch=1&from={generation}"),
         None => "/v1/servers?watch=1".to_string(),
     };
@@ -74,13 +75,13 @@
     .await
 }
 
-fn hear(line: &[u8], known: &mut Option<u64>, told: &mut impl FnMut(ListNews)) {
+fn hear(line: &[u8], known: &Cell<Option<u64>>, told: &mut impl FnMut(ListNews)) {
     match ListNews::decode(line) {
         Ok(news) => {
             for fault in &news.faults {
                 log_line!("list", "an entry is passed over: {fault}");
             }
-            *known = Some(news.generation);
+            known.set(Some(news.generation));
             told(news);
         }
         Err(fault) => log_line!("list", "a line is passed over: {fault}"),
