--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Build, test, lint and run; `make ci` is what must pass before a change lands.
+
+.PHONY: build test lint ci run toy
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+ci:
+	.ci/run
+
+# Three toy servers and a toy discovery; start them first, in a terminal of their own.
+toy: build
+	target/release/whinspindle-toy
+
+# The balancer in front of the toy servers, or another one: make run ROUTER_CONFIG=its.json
+ROUTER_CONFIG ?= examples/balancer.json
+run: build
+	ROUTER_CONFIG=$(ROUTER_CONFIG) target/release/whinspindle
--- /dev/null
+++ b/crates/balancer/tests/program.rs
@@ -0,0 +1,249 @@
+//! The program from outside, between a scripted server with its discovery and a client.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({"balancers": 1, "tier": 0, "zones": ["a"], "kinds": ["m"], "membershipMode": "pushed",
+        "tickNs": 5000000,
+        "products": [{"name": "order", "effect": "keyed", "keyScope": "cell", "sloTimeNs": 60000000000u64,
+            "memorySpanNs": 60000000000u64, "statementTimeoutNs": 60000000000u64, "tardyImportance": 0.5}],
+        "limits": {"cancel": true, "mostExecutions": 3, "maxRetryAfterNs": 1500000000, "retryAfter": true,
+            "secondCopies": false, "connIdleNs": 15000000000u64, "connectTimeoutNs": 250000000},
+        "loadInfo": {"columns": ["throughput"]},
+        "obligations": {"coldFrom": 0.3, "coldNs": 1, "fallMultiple": 3.0, "tipAfterNs": 1}})
+}
+
+fn configuration(listen: SocketAddr, server: SocketAddr) -> Value {
+    let listed = json!({"instanceId": "s-1", "hostPort": server.to_string(), "zone": "a", "machineType": "m",
+        "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0});
+    json!({"name": "n0", "listen": listen.to_string(), "discovery": server.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "peers": [],
+        "known": {"generation": 1, "reset": true, "instances": [listed]}, "settings": settings()})
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+}
+
+/// Starts the program with this configuration, in a file of its own.
+fn start(configuration: &str) -> Child {
+    let name = format!("whinspindle-{}-{:?}.json", std::process::id(), thread::current().id());
+    let file = std::env::temp_dir().join(name.replace(['(', ')'], "-"));
+    std::fs::write(&file, configuration).expect("written");
+    Command::new(env!("CARGO_BIN_EXE_whinspindle"))
+        .env("ROUTER_CONFIG", &file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+/// A request's line and headers, and its body.
+fn message(from: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let before = head.len();
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+        let line = head[before..].trim().to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        if line.is_empty() {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// A balancer in front of one server, which answers by the path of a query and tells what it sees.
+struct Stand {
+    listen: SocketAddr,
+    program: Child,
+    log: BufReader<std::process::ChildStderr>,
+    seen: Receiver<String>,
+    release: Sender<()>,
+}
+
+impl Stand {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (listen, server) = (free_address(), listener.local_addr().expect("an address"));
+        let (tell, seen) = channel();
+        let (release, released) = channel();
+        let released = Arc::new(Mutex::new(released));
+        thread::spawn(move || {
+            for socket in listener.incoming() {
+                let (tell, released) = (tell.clone(), Arc::clone(&released));
+                thread::spawn(move || serve(socket.expect("a connection"), &tell, &released));
+            }
+        });
+        let mut program = start(&configuration(listen, server).to_string());
+        let log = BufReader::new(program.stderr.take().expect("piped"));
+        let mut stand = Stand { listen, program, log, seen, release };
+        stand.log_says("whinspindle start");
+        stand
+    }
+
+    fn log_says(&mut self, beginning: &str) {
+        let mut line = String::new();
+        while !line.starts_with(beginning) {
+            line.clear();
+            assert_ne!(self.log.read_line(&mut line).expect("log"), 0, "the log ended before: {beginning}");
+        }
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        BufReader::new(TcpStream::connect(self.listen).expect("a connection"))
+    }
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+    }
+}
+
+fn serve(socket: TcpStream, tell: &Sender<String>, released: &Mutex<Receiver<()>>) {
+    let mut socket = BufReader::new(socket);
+    while let Some((head, body)) = message(&mut socket) {
+        let path = head.split(' ').nth(1).unwrap_or_default().to_string();
+        let _ = tell.send(path.clone());
+        let body = String::from_utf8_lossy(&body);
+        let reply = match path.as_str() {
+            "/served" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()),
+            "/error" => "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n".to_string(),
+            "/full" => "HTTP/1.1 503 No\r\nx-never-ran: 1\r\ncontent-length: 0\r\n\r\n".to_string(),
+            "/busy" => "HTTP/1.1 429 No\r\nretry-after: 9\r\ncontent-length: 0\r\n\r\n".to_string(),
+            "/broken" => break,
+            "/waits" => {
+                let _ = released.lock().expect("no panic").recv();
+                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate".to_string()
+            }
+            // A watch that tells nothing, and a query that is never answered.
+            _ => continue,
+        };
+        let _ = socket.get_mut().write_all(reply.as_bytes());
+    }
+    let _ = tell.send("end".to_string());
+}
+
+fn post(path: &str, more: &str, body: &str) -> String {
+    let head = "host: api.internal\r\nx-trace-id: 1\r\nx-qos: order\r\nidempotency-key: k\r\n";
+    format!("POST {path} HTTP/1.1\r\n{head}{more}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The status and whether the connection ends, and the body.
+fn answer(client: &mut BufReader<TcpStream>) -> (String, bool, String) {
+    let (head, body) = message(client).expect("an answer");
+    let status = head.split(' ').nth(1).unwrap_or_default().to_string();
+    (status, head.contains("connection: close"), String::from_utf8_lossy(&body).into_owned())
+}
+
+#[test]
+fn each_query_gets_its_answer() {
+    let stand = Stand::new();
+    let mut client = stand.connect();
+    let long = "x".repeat(64 * 1024);
+    for (request, status, body) in [
+        ("GET /healthz HTTP/1.1\r\nhost: n0\r\n\r\n".to_string(), "200", "ok\n"),
+        (post("/served", "", "four"), "200", "four"),
+        (post("/served", "x-expires-in-ms: 30000\r\n", &long), "200", &long),
+        (post("/full", "", ""), "503", "rejected\n"),
+        (post("/error", "", ""), "502", "aborted\n"),
+        (post("/served", "x-expires-in-ms: soon\r\n", ""), "400", "x-expires-in-ms: is not a whole number\n"),
+        (post("/served", "x-expires-in-ms: 0\r\n", ""), "503", "rejected\n"),
+        (post("/served", "", "").replace("order", "buy"), "400", "x-qos: is not a known class\n"),
+        (post("/served", "", "again"), "200", "again"),
+    ] {
+        client.get_mut().write_all(request.as_bytes()).expect("written");
+        let (got, _, text) = answer(&mut client);
+        assert_eq!((got.as_str(), text.as_str()), (status, body), "{}", request.lines().next().unwrap_or(""));
+    }
+    for (request, status) in [
+        (post("/served", "", &(long + "x")), "413"),
+        ("nonsense\r\n\r\n".to_string(), "400"),
+        (post("/served", &format!("x-long: {}\r\n", "x".repeat(100_000)), ""), "431"),
+    ] {
+        let mut client = stand.connect();
+        // It may be answered, and its connection closed, before all of it is written.
+        let _ = client.get_mut().write_all(request.as_bytes());
+        assert_eq!(answer(&mut client).0, status);
+    }
+}
+
+#[test]
+fn an_upstreams_own_refusal_never_reaches_the_client() {
+    for (path, status) in [("/busy", "502"), ("/broken", "502")] {
+        let stand = Stand::new();
+        let mut client = stand.connect();
+        client.get_mut().write_all(post(path, "", "").as_bytes()).expect("written");
+        assert_eq!(answer(&mut client).0, status, "{path}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_execution() {
+    let stand = Stand::new();
+    let mut client = stand.connect();
+    client.get_mut().write_all(post("/hangs", "", "").as_bytes()).expect("written");
+    stand.seen.iter().find(|seen| seen == "/hangs").expect("the execution");
+    drop(client);
+    assert!(stand.seen.iter().any(|seen| seen == "end"));
+}
+
+#[test]
+fn told_to_stop_it_answers_what_is_in_hand_and_exits() {
+    let mut stand = Stand::new();
+    let mut client = stand.connect();
+    client.get_mut().write_all(post("/waits", "", "").as_bytes()).expect("written");
+    stand.seen.iter().find(|seen| seen == "/waits").expect("the execution");
+    let idle = stand.connect();
+    let kill = Command::new("kill").arg(stand.program.id().to_string()).status();
+    assert!(kill.expect("kill runs").success());
+    stand.log_says("whinspindle stop: told");
+    stand.release.send(()).expect("released");
+    assert_eq!(answer(&mut client), ("200".to_string(), true, "late".to_string()));
+    stand.log_says("whinspindle stop: all");
+    assert!(stand.program.wait().expect("it ends").success());
+    drop(idle);
+}
+
+#[test]
+fn what_is_wrong_in_the_configuration_is_named() {
+    let whole = configuration(free_address(), free_address());
+    let without = |pointer: &str, value: Value| {
+        let mut edited = whole.clone();
+        *edited.pointer_mut(pointer).expect("a field") = value;
+        edited.to_string()
+    };
+    for (text, field) in [
+        ("{".to_string(), "not JSON: "),
+        (without("/name", Value::Null), "name: "),
+        (without("/listen", json!("nowhere")), "listen: "),
+        (without("/listen", json!("192.0.2.1:1")), "listen: "),
+        (without("/discovery", json!(8500)), "discovery: "),
+        (without("/seed", json!("seed")), "seed: "),
+        (without("/limits/sockets", json!(16)), "limits.sockets: "),
+        (without("/limits/memory_mb", json!("much")), "limits.memory_mb: "),
+        (without("/known", json!({"generation": 1})), "known: "),
+        (without("/settings", Value::Null), "settings: "),
+        (without("/settings/products", json!([])), "settings: products: "),
+        (without("/settings/tier", json!(-1)), "settings: "),
+    ] {
+        let ended = start(&text).wait_with_output().expect("it ends");
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success() && said.lines().count() == 1, "{field}: {said}");
+        assert!(said.starts_with(&format!("whinspindle: {field}")), "{field}: {said}");
+    }
+}
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -83,8 +83,14 @@
         .await
     }
 
-    /// Whether a connection that stood idle is still there. The server may have closed it meanwhile.
-    pub async fn is_open(&mut self) -> bool {
+    /// Whether a connection that stood idle is still there. Guards against a server that has closed it: the
+    /// runtime is let at its sockets first, since it may not have looked at them for a while.
+    pub async fn is_still_open(&mut self) -> bool {
+        tokio::task::yield_now().await;
+        self.is_open().await
+    }
+
+    async fn is_open(&mut self) -> bool {
         poll_fn(|cx| {
             self.ended = self.ended || self.connection.as_mut().poll(cx).is_ready();
             Poll::Ready(())
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -88,7 +88,7 @@
     async fn take_idle(&self, server: SocketAddr) -> Option<Lease> {
         loop {
             let mut idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
-            if self.is_fresh(&idle) && idle.lease.lane.is_open().await {
+            if self.is_fresh(&idle) && idle.lease.lane.is_still_open().await {
                 return Some(idle.lease);
             }
         }
--- /dev/null
+++ b/crates/upstreams/tests/exchange.rs
@@ -0,0 +1,188 @@
+//! Exchanges with a scripted server: how far each came, and which connections are used again.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail};
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi";
+const CLOSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nhi";
+const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n\
+    ----------------------------------------------------------------------";
+const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhi";
+const BAD: &str = "HTTP/1.1 lots\r\n\r\n";
+
+/// Answers each request with the next of the replies, after which it goes on (`true`) or closes the
+/// connection. Tells the number of the connection that each request came on, and each end of a connection.
+fn server(replies: Vec<(&'static str, bool)>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    thread::spawn(move || {
+        let mut replies = replies.into_iter();
+        for (number, socket) in listener.incoming().enumerate() {
+            let mut socket = socket.expect("a connection");
+            while let Some(size) = request(&mut socket) {
+                let _ = tell.send(format!("{number}: {size} bytes"));
+                let Some((reply, more)) = replies.next() else { return };
+                socket.write_all(reply.as_bytes()).expect("written");
+                if !more {
+                    break;
+                }
+            }
+            drop(socket);
+            let _ = tell.send(format!("{number}: end"));
+        }
+    });
+    (address, told)
+}
+
+/// Reads one request and returns its size.
+fn request(socket: &mut TcpStream) -> Option<usize> {
+    let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
+    loop {
+        match socket.read(&mut piece) {
+            Ok(0) | Err(_) => return None,
+            Ok(n) => bytes.extend_from_slice(&piece[..n]),
+        }
+        if bytes.ends_with(b"\r\n\r\nbody") {
+            return Some(bytes.len());
+        }
+    }
+}
+
+fn connections(most_open: usize, idle_time: Duration) -> Connections {
+    let connect_time_out = Duration::from_secs(5);
+    Connections::new(Terms { most_open, idle_time, connect_time_out, most_body: 64 })
+}
+
+const LONG_IDLE: Duration = Duration::from_secs(3600);
+
+async fn exchange(
+    connections: &Connections,
+    server: SocketAddr,
+    wanted: bool,
+    trail: &Trail,
+) -> Result<Response<Bytes>, Failure> {
+    let request = Request::post("/api?x=1").header("host", "upstream").header("content-length", 4);
+    let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
+    connections.exchange(server, request, || wanted, trail).await
+}
+
+fn run<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(future)
+}
+
+#[test]
+fn a_failure_tells_how_far_it_came() {
+    // Nobody listens at a port that has just been given back.
+    let refused = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
+    for (reply, more, wanted, progress, says) in [
+        (None, false, true, Progress::Nothing, "connect: "),
+        (Some(OK), true, false, Progress::Nothing, "the server is wanted no more"),
+        (Some(""), false, true, Progress::Whole, "connection: "),
+        (Some(CUT), false, true, Progress::Whole, "connection: "),
+        (Some(BAD), true, true, Progress::Whole, "connection: "),
+        (Some(LONG), true, true, Progress::Whole, "response too long"),
+    ] {
+        run(async {
+            let address = reply.map_or(refused, |reply| server(vec![(reply, more)]).0);
+            let trail = Trail::default();
+            let failure = exchange(&connections(4, LONG_IDLE), address, wanted, &trail).await;
+            let failure = failure.expect_err("a failure");
+            assert_eq!((failure.progress, trail.progress()), (progress, progress), "{reply:?}");
+            assert!(failure.to_string().starts_with(says), "{reply:?}: {failure}");
+            assert_eq!(failure.is_own(), !wanted);
+        });
+    }
+}
+
+#[test]
+fn connections_are_used_again_while_fresh() {
+    for (first, idle_time, second) in [
+        ((OK, true), LONG_IDLE, "0"),
+        ((OK, true), Duration::ZERO, "1"),
+        ((CLOSE, false), LONG_IDLE, "1"),
+        // The server closes after its answer without a word.
+        ((OK, false), LONG_IDLE, "1"),
+    ] {
+        run(async {
+            let (address, told) = server(vec![first, (OK, true)]);
+            let connections = connections(4, idle_time);
+            let trail = Trail::default();
+            let response = exchange(&connections, address, true, &trail).await.expect("a response");
+            assert_eq!((response.body().as_ref(), trail.progress()), (&b"hi"[..], Progress::Whole));
+            if idle_time.is_zero() {
+                connections.sweep();
+                assert_eq!(connections.open(), 0);
+            }
+            if !first.1 {
+                while !told.recv().expect("news").ends_with("end") {}
+            }
+            exchange(&connections, address, true, &Trail::default()).await.expect("a response");
+            let mut requests = told.iter().filter(|news| news.ends_with("bytes"));
+            let on = if first.1 { requests.nth(1) } else { requests.next() }.expect("a request");
+            assert!(on.starts_with(second), "{first:?} {idle_time:?}: {on}");
+        });
+    }
+}
+
+#[test]
+fn the_size_of_a_request_is_known_before_it_is_written() {
+    // The trail says whole at the last byte and not before: the size must be what hyper writes.
+    run(async {
+        let (address, told) = server(vec![(OK, true)]);
+        exchange(&connections(4, LONG_IDLE), address, true, &Trail::default()).await.expect("a response");
+        let size = "POST /api?x=1 HTTP/1.1\r\nhost: upstream\r\ncontent-length: 4\r\n\r\nbody".len();
+        assert_eq!(told.recv().expect("news"), format!("0: {size} bytes"));
+    });
+}
+
+#[test]
+fn an_exchange_that_is_dropped_closes_its_connection() {
+    run(async {
+        let (address, told) = server(vec![("", true)]);
+        let connections = connections(4, LONG_IDLE);
+        let trail = Trail::default();
+        {
+            let exchange = exchange(&connections, address, true, &trail);
+            let mut exchange = std::pin::pin!(exchange);
+            while trail.progress() != Progress::Whole {
+                let step = tokio::time::timeout(Duration::from_millis(1), exchange.as_mut()).await;
+                assert!(step.is_err(), "no answer was written");
+            }
+        }
+        assert_eq!(connections.open(), 0);
+        assert_eq!(told.iter().nth(1).expect("news"), "0: end");
+        assert_eq!(trail.progress(), Progress::Whole);
+    });
+}
+
+#[test]
+fn at_the_brim_an_idle_connection_makes_room() {
+    run(async {
+        let servers: Vec<_> = (0..3).map(|_| server(vec![(OK, true), (OK, true)])).collect();
+        let connections = connections(2, LONG_IDLE);
+        for (address, _) in &servers {
+            exchange(&connections, *address, true, &Trail::default()).await.expect("a response");
+        }
+        assert_eq!(connections.open(), 2);
+        // The first, idle for longest, was closed; the others are used again.
+        assert_eq!(servers[0].1.iter().nth(1).expect("news"), "0: end");
+        exchange(&connections, servers[1].0, true, &Trail::default()).await.expect("a response");
+        let none = Connections::new(Terms {
+            most_open: 0,
+            idle_time: LONG_IDLE,
+            connect_time_out: LONG_IDLE,
+            most_body: 64,
+        });
+        let failure = exchange(&none, servers[2].0, true, &Trail::default()).await.expect_err("none free");
+        assert!(failure.is_own() && failure.progress == Progress::Nothing);
+    });
+}
