--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -110,8 +110,9 @@
             return Ok(fault.encode());
         }
     };
-    // Guards against a client that begins a query and never ends it.
-    let body = match timeout(Duration::from_micros(head.patience), body.collect()).await {
+    // Guards against a client that begins a query and never ends it; its own time counts from the last byte.
+    let longest = Duration::from_micros(node.deployment.idle_time);
+    let body = match timeout(longest, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(fault)) if fault.is::<http_body_util::LengthLimitError>() => {
             log_line!("query", "turned down: body: over {MOST_BODY} bytes");
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -1,6 +1,5 @@
-//! The one place where the state of a real balancer changes. It owns the decisions and the open queries; it is
-//! called once for each thing that happens, and asks for everything that must be read or written through
-//! `Effects`.
+//! The one place where the state of a real balancer changes. It owns the decisions and the open queries; it
+//! is called once for each thing that happens, and asks for all that must be read or written through `Effects`.
 
 mod desk;
 mod servers;
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -1,5 +1,5 @@
-//! The list of servers as discovery tells it: whole at first, then each change as it comes. The watch is opened
-//! again when it ends, and also when it has been silent for longer than discovery ever is.
+//! The list of servers as discovery tells it: whole at first, then each change as it comes. The watch is
+//! opened again when it ends, and also when it has been silent for longer than discovery ever is.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -234,7 +234,7 @@
 
 #[test]
 fn a_copy_with_few_calls_in_flight_is_full_too() {
-    // Hundreds of copies with two queries a second each: some calls are let in, far fewer than servers listed.
+    // Hundreds of copies with two queries a second each: some calls get in, far fewer than servers listed.
     for (balancers, least, most) in [(1, 100, 112), (1000, 2, 8)] {
         let entries: Vec<Entry> = (0..100).map(|server| entry(server, 0)).collect();
         let mut b = start(Terms { balancers, ..terms(Effect::Idempotent) }, &entries);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -194,7 +194,7 @@
 
 #[test]
 fn cold_budgets_hold_for_all_copies_together() {
-    // Ten servers take 20 queries a second each, so the cold one may get 20 x 3 x 2 s x a fifth at its start: 24.
+    // Ten servers take 20 queries a second each, so the cold one may get 20 x 3 x 2 s x a fifth at first: 24.
     for copies in [1, 10, 200] {
         let mut sent = 0;
         for copy in 0..copies as u64 {
