--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -11,18 +11,18 @@
 use futures_util::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{self, Connection};
+use hyper::service::HttpService;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until};
-use tower::Service;
+use tower::{BoxError, Service};
 use whinspindle_logline::log_line;
-use whinspindle_terms::Deployment;
 
-use crate::front::{self, Reply};
+use crate::front::{self, Reply, ReplyBody};
 use crate::node::Node;
 use crate::shares::Shares;
 
@@ -87,6 +87,7 @@
     stop: &Notify,
 ) {
     let services = front::services(&node, shares);
+    let head_time = Duration::from_micros(node.deployment.idle_time) * HEAD_TIME;
     let mut next = 0;
     let mut quiet_at = None;
     loop {
@@ -108,7 +109,7 @@
                 Ok((socket, _)) => {
                     next += 1;
                     quiet_at = quiet_at.map(|_| Instant::now() + QUIET);
-                    serve(next, socket, services.clone(), &accepted, &node.deployment);
+                    serve(next, socket, services.clone(), &accepted, head_time);
                 }
                 Err(e) => {
                     log_line!("accept", "{e}");
@@ -122,14 +123,14 @@
     // What the machine has accepted already counts as taken, so nothing may be left waiting there.
     while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
         next += 1;
-        serve(next, socket, services.clone(), &accepted, &node.deployment);
+        serve(next, socket, services.clone(), &accepted, head_time);
     }
     drop(listener);
     accepted.close_idle();
     accepted.all_ended().await;
 }
 
-fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>, deployment: &Deployment)
+fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>, head_time: Duration)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
@@ -137,7 +138,6 @@
     let client = Rc::new(Client { idle_since, fresh: Cell::new(true), close: Notify::new() });
     accepted.open.borrow_mut().insert(number, Rc::clone(&client));
     let accepted = Rc::clone(accepted);
-    let head_time = Duration::from_micros(deployment.idle_time) * HEAD_TIME;
     spawn_local(async move {
         let _ = socket.set_nodelay(true);
         let (watched, watching) = (Rc::clone(&client), Rc::clone(&accepted));
@@ -161,10 +161,7 @@
         let mut connection = pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            () = client.close.notified() => {
-                connection.as_mut().graceful_shutdown();
-                finish(connection, &client).await
-            }
+            () = client.close.notified() => finish(connection, &client).await,
         };
         if let Err(fault) = ended
             && !fault.is_incomplete_message()
@@ -177,10 +174,20 @@
 }
 
 /// Lets a connection that is to close come to its end.
-async fn finish<F: Future<Output = hyper::Result<()>>>(
-    mut connection: Pin<&mut F>,
+async fn finish<S>(
+    mut connection: Pin<&mut Connection<TokioIo<TcpStream>, S>>,
     client: &Client,
-) -> F::Output {
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = ReplyBody, Error: Into<BoxError>>,
+{
+    // A query that has come already is taken: the runtime is let at its sockets, and hyper at what is there.
+    tokio::select! {
+        biased;
+        ended = connection.as_mut() => return ended,
+        () = yield_now() => {}
+    }
+    connection.as_mut().graceful_shutdown();
     loop {
         tokio::select! {
             ended = connection.as_mut() => return ended,
@@ -191,3 +198,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+
+    use super::*;
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_query_that_has_come_is_answered_though_its_connection_is_to_close() {
+        for sent in ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n", ""] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let mut client = std::net::TcpStream::connect(address).expect("a connection");
+            client.write_all(sent.as_bytes()).expect("written");
+            let accepted = Rc::new(Accepted::default());
+            let services = tower::service_fn(|_| async { Ok(front::refused()) });
+            tokio::task::LocalSet::new()
+                .run_until(async {
+                    let (socket, _) = listener.accept().await.expect("a connection");
+                    serve(1, socket, services, &accepted, QUIET * 100);
+                    accepted.close_idle();
+                    accepted.all_ended().await;
+                })
+                .await;
+            let mut answer = String::new();
+            // What was not whole may be reset.
+            let _ = client.read_to_string(&mut answer);
+            assert_eq!(answer.starts_with("HTTP/1.1 503"), sent.ends_with("\r\n\r\n"), "{sent:?}: {answer}");
+        }
+    }
+}
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -28,7 +28,8 @@
 /// In microseconds: when a query that was turned away unseen is best tried again.
 const SHED_RETRY_AFTER: u64 = 250_000;
 
-pub type Reply = Response<UnsyncBoxBody<Bytes, BoxError>>;
+pub type ReplyBody = UnsyncBoxBody<Bytes, BoxError>;
+pub type Reply = Response<ReplyBody>;
 
 /// The services of the front, from the outside in: a panic ends one answer, what is more than the budget for
 /// bodies holds is turned away, and a body may be only so long.
@@ -74,6 +75,10 @@
 /// Nothing of the query has been looked at, so trying again is harmless.
 fn shed(_: BoxError) -> Reply {
     log_line!("brim", "the budget for bodies is full: a query is rejected unseen");
+    refused()
+}
+
+pub fn refused() -> Reply {
     let mut reply = Answer::Rejected(SHED_RETRY_AFTER).encode().map(boxed);
     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     reply
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -47,6 +47,7 @@
     let listener = TcpListener::bind(placement.listen).await;
     let listener = listener.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let discovery = placement.discovery;
     // What could not be read of the known list is asked for again.
     let generation = placement.known.as_ref().filter(|known| known.faults.is_empty());
@@ -69,7 +70,10 @@
     let stop = Rc::new(Notify::new());
     let (stopper, stopping) = (Rc::clone(&stop), Rc::clone(&node));
     spawn_local(async move {
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
         log_line!("stop", "told to stop: answering what comes and what is in hand");
         stopping.stopping.set(true);
         stopper.notify_one();
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -80,9 +80,13 @@
     /// Sends an execution and waits for its end, or for the order to stop waiting.
     async fn execute(&self, order: &Execution, cancelled: oneshot::Receiver<()>) -> (Outcome, Option<Reply>) {
         let trail = Trail::default();
-        let request = execution::encode(&order.query, order.address, order.time_out);
-        let wanted = || self.reducer.borrow().is_wanted(order.server);
-        let exchange = self.upstreams.exchange(order.address, request, wanted, &trail);
+        let until = self.clock.now() + order.time_out;
+        let prepare = || {
+            let left = until.saturating_sub(self.clock.now());
+            let wanted = self.reducer.borrow().is_wanted(order.server);
+            wanted.then(|| execution::encode(&order.query, order.address, left))
+        };
+        let exchange = self.upstreams.exchange(order.address, prepare, &trail);
         tokio::select! {
             biased;
             Ok(()) = cancelled => match trail.progress() {
@@ -105,11 +109,13 @@
     }
 
     async fn probe(&self, server: usize, address: SocketAddr) -> (bool, LoadReport) {
-        let request = execution::probe(address, !self.deployment.columns.is_empty());
         let trail = Trail::default();
-        let wanted = || self.reducer.borrow().is_wanted(server);
+        let prepare = || {
+            let wanted = self.reducer.borrow().is_wanted(server);
+            wanted.then(|| execution::probe(address, !self.deployment.columns.is_empty()))
+        };
         let longest = self.deployment.terms.products.iter().map(|row| row.slo_time).max().unwrap_or(0);
-        let exchange = self.upstreams.exchange(address, request, wanted, &trail);
+        let exchange = self.upstreams.exchange(address, prepare, &trail);
         match timeout(Duration::from_micros(longest), exchange).await {
             Ok(Ok(response)) => Reply::decode_probe(response, &self.deployment.columns),
             _ => (false, LoadReport::default()),
--- a/crates/balancer/src/shares.rs
+++ b/crates/balancer/src/shares.rs
@@ -27,3 +27,23 @@
         Shares { accepted, upstream, queries: (accepted - accepted / 8).min(bodies / (2 * MOST_BODY)) }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_stay_within_the_limits() {
+        for (memory_mb, sockets, shares) in [
+            (192, 1024, (576, 384, 504)),
+            (32, 1024, (576, 384, 128)),
+            (192, 64, (24, 16, 21)),
+            (2048, 4096, (2304, 1536, 2016)),
+        ] {
+            let Shares { accepted, upstream, queries } = Shares::of(Limits { memory_mb, sockets });
+            assert_eq!((accepted, upstream, queries), shares);
+            assert!(accepted + upstream + 24 <= sockets as usize && queries < accepted);
+            assert!(2 * queries * MOST_BODY <= (memory_mb as usize) << 19);
+        }
+    }
+}
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -1,5 +1,6 @@
 //! The one place where the state of a real balancer changes. It owns the decisions and the open queries; it
-//! is called once for each thing that happens, and asks for all that must be read or written through `Effects`.
+//! is called once for each thing that happens, and asks through `Effects` for all that must be read or
+//! written.
 
 mod desk;
 mod servers;
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -56,22 +56,22 @@
         Connections { terms, open: Rc::default(), idle: RefCell::default() }
     }
 
-    /// Sends the request once. `wanted` is asked right before the first byte, also after a slow connect.
+    /// Sends one request once. `prepare` is asked for it right before the first byte, also after a slow
+    /// connect, and may want nothing sent any more.
     pub async fn exchange(
         &self,
         server: SocketAddr,
-        request: Request<Full<Bytes>>,
-        wanted: impl FnOnce() -> bool,
+        prepare: impl FnOnce() -> Option<Request<Full<Bytes>>>,
         trail: &Trail,
     ) -> Result<Response<Bytes>, Failure> {
         let mut lease = match self.take_idle(server).await {
             Some(lease) => lease,
             None => self.connect(server).await.map_err(|cause| trail.failure(cause))?,
         };
-        if !wanted() {
+        let Some(request) = prepare() else {
             self.keep(server, lease).await;
             return Err(trail.failure(Cause::Unwanted));
-        }
+        };
         let response = lease.lane.exchange(request, self.terms.most_body, trail).await?;
         self.keep(server, lease).await;
         Ok(response)
--- a/crates/upstreams/tests/exchange.rs
+++ b/crates/upstreams/tests/exchange.rs
@@ -72,7 +72,7 @@
 ) -> Result<Response<Bytes>, Failure> {
     let request = Request::post("/api?x=1").header("host", "upstream").header("content-length", 4);
     let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
-    connections.exchange(server, request, || wanted, trail).await
+    connections.exchange(server, || wanted.then_some(request), trail).await
 }
 
 fn run<F: Future>(future: F) -> F::Output {
