--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -26,8 +26,10 @@
 use crate::node::Node;
 use crate::shares::Shares;
 
-/// After the order to stop, connections may come for a while; quiet for so long, no more are expected.
-const QUIET: Duration = Duration::from_millis(500);
+/// After the order to stop connections are accepted for so long, and then until none has come for a while.
+/// What comes later may not be answered before the program is killed.
+const STOPPING: Duration = Duration::from_millis(500);
+const QUIET: Duration = Duration::from_millis(200);
 /// A head must be whole, and the next one begun, within this many times the servers' idle time.
 const HEAD_TIME: u32 = 4;
 /// More than the longest head that is reasonable, and a piece of a body.
@@ -108,7 +110,7 @@
             socket = accept => match socket {
                 Ok((socket, _)) => {
                     next += 1;
-                    quiet_at = quiet_at.map(|_| Instant::now() + QUIET);
+                    quiet_at = quiet_at.map(|at: Instant| at.max(Instant::now() + QUIET));
                     serve(next, socket, services.clone(), &accepted, head_time);
                 }
                 Err(e) => {
@@ -116,7 +118,7 @@
                     sleep(Duration::from_millis(10)).await;
                 }
             },
-            () = stop.notified() => quiet_at = Some(Instant::now() + QUIET),
+            () = stop.notified() => quiet_at = Some(Instant::now() + STOPPING),
             () = quiet => break,
         }
     }
@@ -217,7 +219,7 @@
             tokio::task::LocalSet::new()
                 .run_until(async {
                     let (socket, _) = listener.accept().await.expect("a connection");
-                    serve(1, socket, services, &accepted, QUIET * 100);
+                    serve(1, socket, services, &accepted, STOPPING * 100);
                     accepted.close_idle();
                     accepted.all_ended().await;
                 })
