--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -89,10 +89,13 @@
         let exchange = self.upstreams.exchange(order.address, prepare, &trail);
         tokio::select! {
             biased;
-            Ok(()) = cancelled => match trail.progress() {
-                Progress::Whole => (Outcome::Cancelled, None),
-                Progress::Begun | Progress::Nothing => (Outcome::Moot, None),
-            },
+            Ok(()) = cancelled => {
+                log_line!("upstream", "{}: called off, request {:?}", order.address, trail.progress());
+                match trail.progress() {
+                    Progress::Whole => (Outcome::Cancelled, None),
+                    Progress::Begun | Progress::Nothing => (Outcome::Moot, None),
+                }
+            }
             end = timeout(Duration::from_micros(order.time_out), exchange) => match end {
                 Ok(Ok(response)) => {
                     let reply = Reply::decode(response, &self.deployment.columns);
