A restart tries for its address for a second before it gives up

A balancer that exits counts as crashed, and one that starts while the process before it is not quite gone would have ended at once with a line about listen (main::run). It now tries again every 50 ms for a second while the address is in use; any other fault of the address is still told at once. Tested that an address which stays taken is named in the end.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -9,6 +9,8 @@
 mod timers;
 
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -44,8 +46,8 @@
 
 async fn run(placement: Placement) -> Result<(), String> {
     let shares = Shares::of(placement.limits);
-    let listener = TcpListener::bind(placement.listen).await;
-    let listener = listener.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
+    let listener =
+        listen(placement.listen).await.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let discovery = placement.discovery;
@@ -83,6 +85,17 @@
     Ok(())
 }
 
+/// Guards against a restart that finds the process before it not quite ended: tries again for a second.
+async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..20 {
+        match TcpListener::bind(address).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => sleep(Duration::from_millis(50)).await,
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(address).await
+}
+
 /// Guards against a fault in what must never end: a panic there is logged, and it begins again.
 async fn unending<F: Future<Output = ()>>(what: &str, mut begin: impl FnMut() -> F) {
     loop {
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -219,6 +219,19 @@
     drop(idle);
 }
 
+#[test]
+fn an_address_that_stays_taken_is_named_in_the_end() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address");
+    let ended =
+        start(&configuration(address, free_address()).to_string()).wait_with_output().expect("it ends");
+    let said = String::from_utf8_lossy(&ended.stderr);
+    assert!(
+        !ended.status.success() && said.starts_with(&format!("whinspindle: listen: {address}: ")),
+        "{said}"
+    );
+}
+
 #[test]
 fn what_is_wrong_in_the_configuration_is_named() {
     let whole = configuration(free_address(), free_address());
