--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -215,7 +215,7 @@
             let mut client = std::net::TcpStream::connect(address).expect("a connection");
             client.write_all(sent.as_bytes()).expect("written");
             let accepted = Rc::new(Accepted::default());
-            let services = tower::service_fn(|_| async { Ok(front::refused()) });
+            let services = tower::service_fn(|_| async { Ok(front::rejected_unseen()) });
             tokio::task::LocalSet::new()
                 .run_until(async {
                     let (socket, _) = listener.accept().await.expect("a connection");
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -75,10 +75,10 @@
 /// Nothing of the query has been looked at, so trying again is harmless.
 fn shed(_: BoxError) -> Reply {
     log_line!("brim", "the budget for bodies is full: a query is rejected unseen");
-    refused()
+    rejected_unseen()
 }
 
-pub fn refused() -> Reply {
+pub fn rejected_unseen() -> Reply {
     let mut reply = Answer::Rejected(SHED_RETRY_AFTER).encode().map(boxed);
     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     reply
--- a/crates/balancer/src/placement.rs
+++ b/crates/balancer/src/placement.rs
@@ -24,6 +24,10 @@
     pub sockets: u64,
 }
 
+/// With less there would be nothing to share out.
+const LEAST_MEMORY_MB: u64 = 8;
+const LEAST_SOCKETS: u64 = 40;
+
 /// Reads the file that `ROUTER_CONFIG` names.
 pub fn read() -> Result<Placement, String> {
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set".to_string())?;
@@ -45,8 +49,8 @@
         discovery: address(&json, "discovery")?,
         seed: u64::from_str_radix(text_of(&json, "seed")?, 16).map_err(|e| format!("seed: {e}"))?,
         limits: Limits {
-            memory_mb: at_least(limits, "memory_mb", 32)?,
-            sockets: at_least(limits, "sockets", 64)?,
+            memory_mb: at_least(limits, "memory_mb", LEAST_MEMORY_MB)?,
+            sockets: at_least(limits, "sockets", LEAST_SOCKETS)?,
         },
         known,
         deployment: whinspindle_terms::parse(settings.as_bytes()).map_err(|e| format!("settings: {e}"))?,
--- a/crates/balancer/src/shares.rs
+++ b/crates/balancer/src/shares.rs
@@ -37,7 +37,7 @@
         for (memory_mb, sockets, shares) in [
             (192, 1024, (576, 384, 504)),
             (32, 1024, (576, 384, 128)),
-            (192, 64, (24, 16, 21)),
+            (8, 40, (10, 6, 9)),
             (2048, 4096, (2304, 1536, 2016)),
         ] {
             let Shares { accepted, upstream, queries } = Shares::of(Limits { memory_mb, sockets });
