--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -83,7 +83,7 @@
         let until = self.clock.now() + order.time_out;
         let prepare = || {
             let left = until.saturating_sub(self.clock.now());
-            let wanted = self.reducer.borrow().is_wanted(order.server);
+            let wanted = self.reducer.borrow().may_begin(order.qry, order.server);
             wanted.then(|| execution::encode(&order.query, order.address, left))
         };
         let exchange = self.upstreams.exchange(order.address, prepare, &trail);
@@ -114,7 +114,7 @@
     async fn probe(&self, server: usize, address: SocketAddr) -> (bool, LoadReport) {
         let trail = Trail::default();
         let prepare = || {
-            let wanted = self.reducer.borrow().is_wanted(server);
+            let wanted = self.reducer.borrow().is_ready(server);
             wanted.then(|| execution::probe(address, !self.deployment.columns.is_empty()))
         };
         let longest = self.deployment.terms.products.iter().map(|row| row.slo_time).max().unwrap_or(0);
--- a/crates/reducer/src/desk.rs
+++ b/crates/reducer/src/desk.rs
@@ -75,6 +75,11 @@
         left
     }
 
+    /// Whether somebody still waits for the query's answer.
+    pub fn is_open(&self, qry: usize) -> bool {
+        self.open[qry].as_ref().is_some_and(|open| open.caller.is_some())
+    }
+
     /// Whether the query has its final answer now, by this end or before it.
     pub fn execution_ended(&mut self, qry: usize, outcome: Outcome, served: Option<Served>) -> bool {
         let Some(open) = &mut self.open[qry] else { return true };
@@ -83,7 +88,7 @@
         if let Some(served) = served {
             self.answer(qry, Answer::Completed(served));
         }
-        self.open[qry].as_ref().is_none_or(|open| open.caller.is_none())
+        !self.is_open(qry)
     }
 
     fn answer(&mut self, qry: usize, answer: Answer) {
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -102,8 +102,14 @@
         self.balancer.timer(now, label);
     }
 
-    /// Whether the list still has the server ready: asked again right before the first byte goes out.
-    pub fn is_wanted(&self, server: usize) -> bool {
+    /// Whether an execution may still begin: asked again right before its first byte goes out. Guards against a
+    /// query that was answered, and a server that has left the list, while the connection came up.
+    pub fn may_begin(&self, qry: usize, server: usize) -> bool {
+        self.balancer.host.is_open(qry) && self.is_ready(server)
+    }
+
+    /// Whether the last list has the server ready.
+    pub fn is_ready(&self, server: usize) -> bool {
         self.balancer.host.servers.is_ready(server)
     }
 
--- a/crates/upstreams/src/failure.rs
+++ b/crates/upstreams/src/failure.rs
@@ -23,7 +23,7 @@
 pub enum Cause {
     /// All connections that may be open are in use.
     NoneFree,
-    /// The server was taken off the list before the first byte.
+    /// Nothing was wanted of the server any more, before the first byte.
     Unwanted,
     Connect(std::io::Error),
     ConnectTimeOut,
@@ -43,7 +43,7 @@
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         match &self.cause {
             Cause::NoneFree => write!(to, "all connections are in use"),
-            Cause::Unwanted => write!(to, "the server is wanted no more"),
+            Cause::Unwanted => write!(to, "wanted no more"),
             Cause::Connect(e) => write!(to, "connect: {e}"),
             Cause::ConnectTimeOut => write!(to, "connect: timed out"),
             Cause::Connection(e) => write!(to, "connection: {e}, request {:?}", self.progress),
