SIGHUP reads the configuration again and moves discovery, instead of ending the program

Now main::reload reads the file at each SIGHUP. Source::move_to ends the watch at the old address at once and asks the new one for the whole list, since its generations may be others. Listener, open queries and what is known of servers stay; a bad file is logged and changes nothing; other changed fields are logged and count from the next start. Test: a_new_configuration_moves_discovery_and_keeps_all_else, which fails without the handler.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -8,7 +8,6 @@
 mod shares;
 mod timers;
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -17,12 +16,14 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use serde_json::Value;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 use whinspindle_logline::log_line;
+use whinspindle_serverlist::Source;
 
 use crate::accept::Accepted;
 use crate::node::Node;
@@ -48,26 +49,29 @@
     let shares = Shares::of(placement.limits);
     let listener =
         listen(placement.listen).await.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let discovery = placement.discovery;
     // What could not be read of the known list is asked for again.
     let generation = placement.known.as_ref().filter(|known| known.faults.is_empty());
     let generation = generation.map(|known| known.generation);
     log_line!("start", "{} at {}, {shares:?}", placement.name, placement.listen);
+    let source = Rc::new(Source::new(placement.discovery, generation));
+    let lasting = placement.lasting.clone();
     let node = Node::new(placement, shares);
     let accepted = Rc::new(Accepted::default());
 
     let timed = Rc::clone(&node);
     spawn_local(unending("timers", move || Rc::clone(&timed).run_timers()));
     let told = Rc::clone(&node);
-    let known = Rc::new(Cell::new(generation));
+    let followed = Rc::clone(&source);
     spawn_local(unending("list", move || {
         let told = Rc::clone(&told);
-        whinspindle_serverlist::follow(discovery, Rc::clone(&known), move |news| {
+        whinspindle_serverlist::follow(Rc::clone(&followed), move |news| {
             told.reducer.borrow_mut().list(told.clock.now(), &news);
         })
     }));
+    spawn_local(reload(hangup, source, lasting));
     spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted)));
     let stop = Rc::new(Notify::new());
     let (stopper, stopping) = (Rc::clone(&stop), Rc::clone(&node));
@@ -85,6 +89,23 @@
     Ok(())
 }
 
+/// At each SIGHUP the file of the configuration is read again, and the list followed where it says now. The
+/// listener, the open queries and all that is known of servers stay; so does the old file if the new one is bad.
+async fn reload(mut hangup: Signal, source: Rc<Source>, lasting: Value) {
+    while hangup.recv().await.is_some() {
+        match placement::read() {
+            Ok(placement) => {
+                log_line!("reload", "the configuration is read again");
+                if placement.lasting != lasting {
+                    log_line!("reload", "only discovery is taken over; the rest counts from the next start");
+                }
+                source.move_to(placement.discovery);
+            }
+            Err(fault) => log_line!("reload", "{fault}; all stays as it was"),
+        }
+    }
+}
+
 /// Guards against a restart that finds the process before it not quite ended: tries again for a second.
 async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     for _ in 0..20 {
--- a/crates/balancer/src/placement.rs
+++ b/crates/balancer/src/placement.rs
@@ -15,6 +15,8 @@
     pub limits: Limits,
     pub known: Option<ListNews>,
     pub deployment: Deployment,
+    /// The fields that count from the start only, as they were read.
+    pub lasting: Value,
 }
 
 /// What the process may hold.
@@ -37,6 +39,10 @@
 
 fn parse(text: &[u8]) -> Result<Placement, String> {
     let json: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    let mut lasting = json.clone();
+    for passing in ["discovery", "known", "seed"] {
+        lasting.as_object_mut().map(|fields| fields.remove(passing));
+    }
     let limits = &json["limits"];
     let known = match &json["known"] {
         Value::Null => None,
@@ -54,6 +60,7 @@
         },
         known,
         deployment: whinspindle_terms::parse(settings.as_bytes()).map_err(|e| format!("settings: {e}"))?,
+        lasting,
     })
 }
 
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -32,11 +33,17 @@
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
-/// Starts the program with this configuration, in a file of its own.
-fn start(configuration: &str) -> Child {
+/// The file of the configuration, one for each test.
+fn write(configuration: &str) -> PathBuf {
     let name = format!("whinspindle-{}-{:?}.json", std::process::id(), thread::current().id());
     let file = std::env::temp_dir().join(name.replace(['(', ')'], "-"));
     std::fs::write(&file, configuration).expect("written");
+    file
+}
+
+/// Starts the program with this configuration.
+fn start(configuration: &str) -> Child {
+    let file = write(configuration);
     Command::new(env!("CARGO_BIN_EXE_whinspindle"))
         .env("ROUTER_CONFIG", &file)
         .stderr(Stdio::piped())
@@ -102,6 +109,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.program.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
     fn connect(&self) -> BufReader<TcpStream> {
         BufReader::new(TcpStream::connect(self.listen).expect("a connection"))
     }
@@ -209,8 +221,7 @@
     client.get_mut().write_all(post("/waits", "", "").as_bytes()).expect("written");
     stand.seen.iter().find(|seen| seen == "/waits").expect("the execution");
     let idle = stand.connect();
-    let kill = Command::new("kill").arg(stand.program.id().to_string()).status();
-    assert!(kill.expect("kill runs").success());
+    stand.signal("TERM");
     stand.log_says("whinspindle stop: told");
     stand.release.send(()).expect("released");
     assert_eq!(answer(&mut client), ("200".to_string(), true, "late".to_string()));
@@ -219,6 +230,34 @@
     drop(idle);
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_keeps_all_else() {
+    let mut stand = Stand::new();
+    let mut client = stand.connect();
+    client.get_mut().write_all(post("/waits", "", "").as_bytes()).expect("written");
+    stand.seen.iter().find(|seen| seen == "/waits").expect("the execution");
+    let next = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let moved = configuration(stand.listen, next.local_addr().expect("an address"));
+    let mut larger = moved.clone();
+    larger["limits"]["sockets"] = json!(2048);
+    let next = thread::spawn(move || message(&mut BufReader::new(next.accept().expect("a watch").0)));
+    for (text, says) in [
+        ("{".to_string(), "whinspindle reload: not JSON: "),
+        (moved.to_string(), "whinspindle reload: the configuration is read again"),
+        (larger.to_string(), "whinspindle reload: only discovery"),
+    ] {
+        write(&text);
+        stand.signal("HUP");
+        stand.log_says(says);
+    }
+    let (head, _) = next.join().expect("no panic").expect("a request");
+    assert!(head.starts_with("GET /v1/servers?watch=1 "), "{head}");
+    stand.release.send(()).expect("released");
+    assert_eq!(answer(&mut client), ("200".to_string(), false, "late".to_string()));
+    client.get_mut().write_all(post("/served", "", "four").as_bytes()).expect("written");
+    assert_eq!(answer(&mut client).2, "four");
+}
+
 #[test]
 fn an_address_that_stays_taken_is_named_in_the_end() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -1,5 +1,6 @@
 //! The list of servers as discovery tells it: whole at first, then each change as it comes. The watch is
-//! opened again when it ends, and also when it has been silent for longer than discovery ever is.
+//! opened again when it ends, and also when it has been silent for longer than discovery ever is. Discovery may
+//! move to another address.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use whinspindle_logline::log_line;
 use whinspindle_messages::list::ListNews;
@@ -26,14 +28,43 @@
 /// Between two tries to open a watch.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Where discovery is, and up to which of its generations the list is known.
+pub struct Source {
+    discovery: Cell<SocketAddr>,
+    generation: Cell<Option<u64>>,
+    moved: Notify,
+}
+
+impl Source {
+    pub fn new(discovery: SocketAddr, generation: Option<u64>) -> Self {
+        Source { discovery: Cell::new(discovery), generation: Cell::new(generation), moved: Notify::new() }
+    }
+
+    /// The list is followed at this address from now on. One that is new may count otherwise than the one
+    /// before, so it is asked for the whole list.
+    pub fn move_to(&self, discovery: SocketAddr) {
+        if self.discovery.replace(discovery) != discovery {
+            self.generation.set(None);
+            self.moved.notify_one();
+        }
+    }
+}
+
 /// Follows the list for ever, from the generation that is known already, and keeps that up to date.
-pub async fn follow(discovery: SocketAddr, known: Rc<Cell<Option<u64>>>, mut told: impl FnMut(ListNews)) {
+pub async fn follow(source: Rc<Source>, mut told: impl FnMut(ListNews)) {
     loop {
-        match watch(discovery, &known, &mut told).await {
-            Ok(()) => log_line!("list", "the watch ended; it is opened again"),
-            Err(fault) => log_line!("list", "the watch failed: {fault}; it is opened again"),
+        let watching = async {
+            match watch(source.discovery.get(), &source.generation, &mut told).await {
+                Ok(()) => log_line!("list", "the watch ended; it is opened again"),
+                Err(fault) => log_line!("list", "the watch failed: {fault}; it is opened again"),
+            }
+            sleep(PAUSE).await;
+        };
+        tokio::select! {
+            biased;
+            () = source.moved.notified() => log_line!("list", "followed at {} now", source.discovery.get()),
+            () = watching => {}
         }
-        sleep(PAUSE).await;
     }
 }
 
--- a/crates/serverlist/tests/watch.rs
+++ b/crates/serverlist/tests/watch.rs
@@ -1,13 +1,13 @@
 //! The watch against a scripted discovery: what is told, and from where it is opened again.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::mpsc::channel;
 use std::thread;
 
-use whinspindle_serverlist::follow;
+use whinspindle_serverlist::{Source, follow};
 
 fn line(generation: u64) -> String {
     format!(r#"{{"generation": {generation}, "reset": false, "instances": []}}"#)
@@ -62,8 +62,8 @@
         let keep = Rc::clone(&heard);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         let targets = runtime.block_on(async {
-            let known = Rc::new(Cell::new(known));
-            let following = follow(address, known, move |news| keep.borrow_mut().push(news.generation));
+            let source = Rc::new(Source::new(address, known));
+            let following = follow(source, move |news| keep.borrow_mut().push(news.generation));
             let asked_twice = tokio::task::spawn_blocking(move || asked.iter().take(2).collect::<Vec<_>>());
             tokio::select! {
                 () = following => Vec::new(),
