The id of an open query is refused, and a 4xx is no failure of the server that sent it

A probe that printed each answer of a server: 196 of 213 that were not a 200 were 400s, each for a POST without a body under the id of another client's open query, and each was sent twice. At fault: Desk::take opened a second query under an id that was open, and Reply::decode made Outcome::Error of any other status, so Balancer::completed struck the server, sent the query again and rested good servers. Now the desk holds the ids of open queries until their last execution has ended and refuses a second one with 409, leaving the first alone. A 4xx (but for 408 and 429) is Outcome::Unfit: no strike, no repeat. A Transfer-Encoding is refused with 411, since hyper keeps only one of it and Content-Length and the other can't be seen any more.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -19,7 +19,7 @@
 use whinspindle::host::Arrival;
 use whinspindle_logline::log_line;
 use whinspindle_messages::answer::{Answer, plain};
-use whinspindle_messages::query::{Head, MOST_BODY};
+use whinspindle_messages::query::{Head, MOST_BODY, TAKEN};
 use whinspindle_reducer::Ticket;
 
 use crate::node::Node;
@@ -129,7 +129,10 @@
     let now = node.clock.now();
     let arrival = Arrival { product: head.product, tenant: head.tenant, deadline: now + head.patience };
     let (caller, answer) = oneshot::channel();
-    let ticket = node.reducer.borrow_mut().query(now, arrival, head.with(body), caller);
+    let Some(ticket) = node.reducer.borrow_mut().query(now, arrival, head.with(body), caller) else {
+        log_line!("query", "turned down: {TAKEN}");
+        return Ok(TAKEN.encode());
+    };
     let _waiting = Waiting { node: &node, ticket };
     Ok(answer.await.unwrap_or(Answer::Aborted { in_time: true }).encode())
 }
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -134,6 +134,7 @@
         let body = String::from_utf8_lossy(&body);
         let reply = match path.as_str() {
             "/served" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()),
+            "/unfit" => "HTTP/1.1 400 No\r\ncontent-length: 0\r\n\r\n".to_string(),
             "/error" => "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n".to_string(),
             "/full" => "HTTP/1.1 503 No\r\nx-never-ran: 1\r\ncontent-length: 0\r\n\r\n".to_string(),
             "/busy" => "HTTP/1.1 429 No\r\nretry-after: 9\r\ncontent-length: 0\r\n\r\n".to_string(),
@@ -173,6 +174,9 @@
         (post("/served", "x-expires-in-ms: 30000\r\n", &long), "200", &long),
         (post("/full", "", ""), "503", "rejected\n"),
         (post("/error", "", ""), "502", "aborted\n"),
+        (post("/unfit", "", ""), "502", "aborted\n"),
+        (post("/unfit", "", ""), "502", "aborted\n"),
+        (post("/served", "", "not rested"), "200", "not rested"),
         (post("/served", "x-expires-in-ms: soon\r\n", ""), "400", "x-expires-in-ms: is not a whole number\n"),
         (post("/served", "x-expires-in-ms: 0\r\n", ""), "503", "rejected\n"),
         (post("/served", "", "").replace("order", "buy"), "400", "x-qos: is not a known class\n"),
@@ -185,6 +189,12 @@
     for (request, status) in [
         (post("/served", "", &(long + "x")), "413"),
         ("nonsense\r\n\r\n".to_string(), "400"),
+        // In either order; hyper keeps only one of the two.
+        (post("/served", "transfer-encoding: chunked\r\n", "0\r\n\r\n"), "411"),
+        (
+            post("/served", "", "0\r\n\r\n").replace("\r\n\r\n0", "\r\ntransfer-encoding: chunked\r\n\r\n0"),
+            "411",
+        ),
         (post("/served", &format!("x-long: {}\r\n", "x".repeat(100_000)), ""), "431"),
     ] {
         let mut client = stand.connect();
@@ -194,6 +204,18 @@
     }
 }
 
+#[test]
+fn the_id_of_an_open_query_is_refused_and_leaves_that_alone() {
+    let stand = Stand::new();
+    let mut clients = [stand.connect(), stand.connect()];
+    clients[0].get_mut().write_all(post("/waits", "", "").as_bytes()).expect("written");
+    stand.seen.iter().find(|seen| seen == "/waits").expect("the execution");
+    clients[1].get_mut().write_all(post("/served", "", "").as_bytes()).expect("written");
+    assert_eq!(answer(&mut clients[1]).0, "409");
+    stand.release.send(()).expect("released");
+    assert_eq!(answer(&mut clients[0]).2, "late");
+}
+
 #[test]
 fn an_upstreams_own_refusal_never_reaches_the_client() {
     for (path, status) in [("/busy", "502"), ("/broken", "502")] {
--- a/crates/messages/src/execution.rs
+++ b/crates/messages/src/execution.rs
@@ -64,6 +64,9 @@
         let outcome = match parts.status {
             StatusCode::OK => Outcome::Completed,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Outcome::TurnedAway,
+            // Guards against one client's bad queries making all servers look broken.
+            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+            status if status.is_client_error() => Outcome::Unfit,
             _ => Outcome::Error,
         };
         let served = (outcome == Outcome::Completed)
--- a/crates/messages/src/query.rs
+++ b/crates/messages/src/query.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
-use http::{HeaderMap, Method, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use whinspindle::host::Effect;
 use whinspindle_terms::{Deployment, index};
 
@@ -21,6 +22,7 @@
     pub tenant: usize,
     /// How long the client waits, in microseconds from the last byte.
     pub patience: u64,
+    trace: HeaderValue,
     method: Method,
     target: Uri,
     headers: HeaderMap,
@@ -29,6 +31,8 @@
 /// What goes on to the servers unchanged; kept for further executions.
 #[derive(Debug)]
 pub struct Forwarded {
+    /// Which query this is; no other one has the same while it is open.
+    pub trace: HeaderValue,
     pub method: Method,
     pub target: Uri,
     pub headers: HeaderMap,
@@ -57,6 +61,10 @@
     headers::single(&parts.headers, name).map_err(|fault| malformed(name, fault))
 }
 
+/// Why a query can't be taken while another one is open under its id.
+pub const TAKEN: Malformed =
+    Malformed { status: StatusCode::CONFLICT, field: headers::TRACE, fault: "is that of an open query" };
+
 impl Head {
     pub fn decode(parts: &Parts, deployment: &Deployment) -> Result<Head, Malformed> {
         if parts.method != Method::GET && parts.method != Method::POST {
@@ -66,9 +74,20 @@
         if parts.uri.path_and_query().is_none() {
             return Err(malformed("target", "has no path"));
         }
+        // Guards against lengths that servers and balancers may read differently, which would hide a query in
+        // the body of another.
+        if parts.headers.contains_key(TRANSFER_ENCODING) {
+            let status = StatusCode::LENGTH_REQUIRED;
+            return Err(Malformed {
+                status,
+                field: "transfer-encoding",
+                fault: "instead of a content-length",
+            });
+        }
         if field(parts, headers::TRACE)?.is_none_or(str::is_empty) {
             return Err(malformed(headers::TRACE, "is missing"));
         }
+        let trace = parts.headers[headers::TRACE].clone();
         let product =
             field(parts, headers::PRODUCT)?.ok_or_else(|| malformed(headers::PRODUCT, "is missing"))?;
         let product = index(&deployment.products, product)
@@ -96,6 +115,7 @@
             product,
             tenant: tenant.unwrap_or(deployment.tenants.len()),
             patience,
+            trace,
             method: parts.method.clone(),
             target: parts.uri.clone(),
             headers: headers::end_to_end(&parts.headers, headers::EXPIRES),
@@ -103,6 +123,7 @@
     }
 
     pub fn with(self, body: Bytes) -> Forwarded {
-        Forwarded { method: self.method, target: self.target, headers: self.headers, body }
+        let Head { trace, method, target, headers, .. } = self;
+        Forwarded { trace, method, target, headers, body }
     }
 }
--- a/crates/reducer/src/desk.rs
+++ b/crates/reducer/src/desk.rs
@@ -1,7 +1,9 @@
 //! The host of the decisions: the open queries, and what the decisions ask for turned into effects.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
+use http::HeaderValue;
 use whinspindle::host::{Host, Outcome};
 use whinspindle_logline::log_line;
 use whinspindle_messages::answer::{Answer, Served};
@@ -35,6 +37,8 @@
     pub tally: Tally,
     open: Vec<Option<Open<E::Caller>>>,
     free: Vec<usize>,
+    /// The ids of the open queries.
+    traces: HashSet<HeaderValue>,
 }
 
 impl<E: Effects> Desk<E> {
@@ -45,10 +49,16 @@
             tally: Tally::default(),
             open: Vec::new(),
             free: Vec::new(),
+            traces: HashSet::new(),
         }
     }
 
-    pub fn take(&mut self, query: Forwarded, caller: E::Caller) -> Ticket {
+    /// None if another query is open under the same id. Guards against a client that uses the id of another's
+    /// query: what it sends would pass for a second copy of that.
+    pub fn take(&mut self, query: Forwarded, caller: E::Caller) -> Option<Ticket> {
+        if !self.traces.insert(query.trace.clone()) {
+            return None;
+        }
         self.tally.taken += 1;
         let serial = self.tally.taken;
         let open = Open {
@@ -64,7 +74,7 @@
             self.open.len() - 1
         });
         self.open[qry] = Some(open);
-        Ticket { qry, serial }
+        Some(Ticket { qry, serial })
     }
 
     /// Whether the query was still open; nobody waits for it from now on.
@@ -105,8 +115,8 @@
     /// Frees the index once the query is answered and nothing of it is out.
     pub fn release(&mut self, qry: usize) {
         let done = |open: &Open<_>| open.caller.is_none() && open.executions_out == 0;
-        if self.open[qry].as_ref().is_some_and(done) {
-            self.open[qry] = None;
+        if let Some(open) = self.open[qry].take_if(|open| done(open)) {
+            self.traces.remove(&open.query.trace);
             self.free.push(qry);
         }
     }
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -71,12 +71,19 @@
         }
     }
 
-    pub fn query(&mut self, now: u64, arrival: Arrival, query: Forwarded, caller: E::Caller) -> Ticket {
-        let ticket = self.balancer.host.take(query, caller);
+    /// None if another query is open under the same id; nothing has happened then.
+    pub fn query(
+        &mut self,
+        now: u64,
+        arrival: Arrival,
+        query: Forwarded,
+        caller: E::Caller,
+    ) -> Option<Ticket> {
+        let ticket = self.balancer.host.take(query, caller)?;
         self.balancer.query(now, ticket.qry, arrival);
         // It may have its answer already.
         self.balancer.host.release(ticket.qry);
-        ticket
+        Some(ticket)
     }
 
     /// The client has gone; nobody waits for the answer any more.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -297,7 +297,7 @@
         self.note_report(server, ending.report);
         match ending.outcome {
             Outcome::Completed => self.note_served(server, product, ending.spent),
-            Outcome::Cancelled | Outcome::Moot | Outcome::TurnedAway => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::TurnedAway | Outcome::Unfit => {}
             _ if struck => {}
             _ => self.note_failure(server),
         }
@@ -306,7 +306,7 @@
             self.cancel_all_but(qry, None);
         } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
             let late = now + self.usual_latency(product) >= q.give_up;
-            if late || !self.place(qry) {
+            if late || ending.outcome == Outcome::Unfit || !self.place(qry) {
                 self.finish(qry);
             }
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -107,6 +107,8 @@
 pub enum Outcome {
     Completed,
     Error,
+    /// The server can't use the query: the fault is the query's, and another server would say the same.
+    Unfit,
     /// Sent back unseen: the waiting room is full or the server drains.
     TurnedAway,
     TimedOut,
