Clients have 2 s for a whole query, and silent connections make room first at the brim

Idle ones close after the servers' idle time, unread answers 2 s after that. At the brim those that have asked nothing go first, silent ones at once. The socket that counts (before in upstreams, now crates/sockets) tells when the first bytes came.

--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -1,5 +1,5 @@
-//! The connections that clients open: accepted up to a number, the longest idle closed at the brim, and all
-//! brought to their end when the program stops.
+//! The connections that clients open: accepted up to a number, closed when they are silent for too long or at
+//! the brim, and all brought to their end when the program stops.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{self, Connection};
 use hyper::service::HttpService;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -21,8 +21,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tower::{BoxError, Service};
 use whinspindle_logline::log_line;
+use whinspindle_sockets::{Meter, Metered};
 
-use crate::front::{self, Reply, ReplyBody};
+use crate::front::{self, Due, Reply, ReplyBody};
 use crate::node::Node;
 use crate::shares::Shares;
 
@@ -30,8 +31,11 @@
 /// What comes later may not be answered before the program is killed.
 const STOPPING: Duration = Duration::from_millis(500);
 const QUIET: Duration = Duration::from_millis(200);
-/// A head must be whole, and the next one begun, within this many times the servers' idle time.
-const HEAD_TIME: u32 = 4;
+/// A query must be whole so long after its first byte, and the first one so long after its client connected.
+/// Guards against clients that hold connections with nothing, or with queries without an end.
+const WHOLE: Duration = Duration::from_millis(2000);
+/// How often connections that have used up their time are looked for.
+const LOOK: Duration = Duration::from_millis(250);
 /// More than the longest head that is reasonable, and a piece of a body.
 const READ_BUFFER: usize = 32 * 1024;
 
@@ -48,7 +52,27 @@
     idle_since: Cell<Option<Instant>>,
     /// Nothing of it has been a whole head yet.
     fresh: Cell<bool>,
+    /// Heard, if the first bytes of a query have come that is not answered yet.
+    meter: Rc<Meter>,
+    /// When it was told to come to its end.
+    closing: Cell<Option<Instant>>,
     close: Notify,
+    drop: Notify,
+}
+
+impl Client {
+    /// Until when the query that has begun, or is due, must be whole.
+    fn due(&self) -> Option<Instant> {
+        let connected = self.idle_since.get().filter(|_| self.fresh.get());
+        Some(connected.or(self.meter.heard.get())? + WHOLE)
+    }
+
+    fn close(&self) {
+        if self.closing.get().is_none() {
+            self.closing.set(Some(Instant::now()));
+            self.close.notify_one();
+        }
+    }
 }
 
 impl Accepted {
@@ -56,21 +80,35 @@
         self.open.borrow().len()
     }
 
-    /// At the brim the connection that has been idle longest makes room.
+    /// Drops what has begun a query and does not end it, or does not read its answer; closes what has been idle
+    /// for too long.
+    fn sweep(&self, idle_time: Duration) {
+        let now = Instant::now();
+        for client in self.open.borrow().values() {
+            let Some(since) = client.idle_since.get() else { continue };
+            let ends = client.due().into_iter().chain(client.closing.get().map(|at| at + WHOLE)).min();
+            if ends.is_some_and(|at| at <= now) {
+                client.drop.notify_one();
+            } else if since + idle_time <= now {
+                client.close();
+            }
+        }
+    }
+
+    /// At the brim a connection makes room: the longest idle of those that have asked nothing yet, else of all.
+    /// Guards against clients that connect by hundreds and say nothing: they can't crowd out those that ask.
     fn close_longest_idle(&self) {
         let open = self.open.borrow();
-        let idle = open.values().filter_map(|client| Some((client.idle_since.get()?, client)));
-        if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
-            client.close.notify_one();
-            // Should it end slowly, the next one is closed after it.
-            client.idle_since.set(None);
+        // Should one end slowly, the next one is closed after it.
+        let idle = open.values().filter(|client| client.idle_since.get().is_some());
+        let idle = idle.filter(|client| client.closing.get().is_none());
+        if let Some(client) = idle.min_by_key(|client| (!client.fresh.get(), client.idle_since.get())) {
+            client.close();
         }
     }
 
     fn close_idle(&self) {
-        for client in self.open.borrow().values() {
-            client.close.notify_one();
-        }
+        self.open.borrow().values().for_each(|client| client.close());
     }
 
     async fn all_ended(&self) {
@@ -89,7 +127,14 @@
     stop: &Notify,
 ) {
     let services = front::services(&node, shares);
-    let head_time = Duration::from_micros(node.deployment.idle_time) * HEAD_TIME;
+    let idle_time = Duration::from_micros(node.deployment.idle_time);
+    let watched = Rc::clone(&accepted);
+    spawn_local(async move {
+        loop {
+            sleep(LOOK).await;
+            watched.sweep(idle_time);
+        }
+    });
     let mut next = 0;
     let mut quiet_at = None;
     loop {
@@ -111,7 +156,7 @@
                 Ok((socket, _)) => {
                     next += 1;
                     quiet_at = quiet_at.map(|at: Instant| at.max(Instant::now() + QUIET));
-                    serve(next, socket, services.clone(), &accepted, head_time);
+                    serve(next, socket, services.clone(), &accepted);
                 }
                 Err(e) => {
                     log_line!("accept", "{e}");
@@ -125,45 +170,55 @@
     // What the machine has accepted already counts as taken, so nothing may be left waiting there.
     while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
         next += 1;
-        serve(next, socket, services.clone(), &accepted, head_time);
+        serve(next, socket, services.clone(), &accepted);
     }
     drop(listener);
     accepted.close_idle();
     accepted.all_ended().await;
 }
 
-fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>, head_time: Duration)
+fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
     let idle_since = Cell::new(Some(Instant::now()));
-    let client = Rc::new(Client { idle_since, fresh: Cell::new(true), close: Notify::new() });
+    let client = Rc::new(Client {
+        idle_since,
+        fresh: Cell::new(true),
+        meter: Rc::default(),
+        closing: Cell::default(),
+        close: Notify::new(),
+        drop: Notify::new(),
+    });
     accepted.open.borrow_mut().insert(number, Rc::clone(&client));
     let accepted = Rc::clone(accepted);
     spawn_local(async move {
         let _ = socket.set_nodelay(true);
         let (watched, watching) = (Rc::clone(&client), Rc::clone(&accepted));
-        let services = tower::service_fn(move |request| {
+        let services = tower::service_fn(move |mut request: Request<Incoming>| {
             let (client, accepted, mut services) =
                 (Rc::clone(&watched), Rc::clone(&watching), services.clone());
             async move {
+                let due = client.due().unwrap_or_else(|| Instant::now() + WHOLE);
+                request.extensions_mut().insert(Due(due));
                 client.idle_since.set(None);
                 client.fresh.set(false);
                 let reply = services.call(request).await;
                 client.idle_since.set(Some(Instant::now()));
+                client.meter.heard.set(None);
                 accepted.eased.notify_one();
                 reply
             }
         });
-        let connection = http1::Builder::new()
-            .max_buf_size(READ_BUFFER)
-            .timer(TokioTimer::new())
-            .header_read_timeout(head_time)
-            .serve_connection(TokioIo::new(socket), TowerToHyperService::new(services));
+        let connection = http1::Builder::new().max_buf_size(READ_BUFFER).serve_connection(
+            TokioIo::new(Metered::new(socket, Rc::clone(&client.meter))),
+            TowerToHyperService::new(services),
+        );
         let mut connection = pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             () = client.close.notified() => finish(connection, &client).await,
+            () = client.drop.notified() => Ok(()),
         };
         if let Err(fault) = ended
             && !fault.is_incomplete_message()
@@ -177,7 +232,7 @@
 
 /// Lets a connection that is to close come to its end.
 async fn finish<S>(
-    mut connection: Pin<&mut Connection<TokioIo<TcpStream>, S>>,
+    mut connection: Pin<&mut Connection<TokioIo<Metered>, S>>,
     client: &Client,
 ) -> hyper::Result<()>
 where
@@ -189,10 +244,15 @@
         ended = connection.as_mut() => return ended,
         () = yield_now() => {}
     }
+    // Guards against a flood of connections that say nothing, each of which would hold its place for a while.
+    if client.fresh.get() && client.meter.heard.get().is_none() {
+        return Ok(());
+    }
     connection.as_mut().graceful_shutdown();
     loop {
         tokio::select! {
             ended = connection.as_mut() => return ended,
+            () = client.drop.notified() => return Ok(()),
             // Guards against a first head that never becomes whole: hyper would wait for the rest of it.
             () = sleep(QUIET) => if client.fresh.get() {
                 return Ok(());
@@ -207,6 +267,64 @@
 
     use super::*;
 
+    /// A connection as a sweep sees it: what it did so many milliseconds ago.
+    fn client(idle: Option<u64>, fresh: bool, heard: Option<u64>, closing: Option<u64>) -> Rc<Client> {
+        let ago = |ms: Option<u64>| ms.map(|ms| Instant::now() - Duration::from_millis(ms));
+        let meter = Rc::new(Meter::default());
+        meter.heard.set(ago(heard));
+        Rc::new(Client {
+            idle_since: Cell::new(ago(idle)),
+            fresh: Cell::new(fresh),
+            meter,
+            closing: Cell::new(ago(closing)),
+            close: Notify::new(),
+            drop: Notify::new(),
+        })
+    }
+
+    #[test]
+    fn silence_and_queries_without_an_end_have_a_limit() {
+        for (idle, fresh, heard, closing, (closed, dropped)) in [
+            (Some(1_000), true, None, None, (false, false)),
+            (Some(2_000), true, None, None, (false, true)),
+            (Some(2_000), true, Some(10), None, (false, true)),
+            (Some(9_000), false, None, None, (false, false)),
+            (Some(9_000), false, Some(1_000), None, (false, false)),
+            (Some(9_000), false, Some(2_000), None, (false, true)),
+            (Some(10_000), false, None, None, (true, false)),
+            // Told to close, and its answer not read.
+            (Some(10_000), false, None, Some(1_000), (false, false)),
+            (Some(10_000), false, None, Some(2_000), (false, true)),
+            // While a query is in hand its own time counts.
+            (None, false, Some(30_000), Some(30_000), (false, false)),
+        ] {
+            let client = client(idle, fresh, heard, closing);
+            let accepted = Accepted::default();
+            accepted.open.borrow_mut().insert(1, Rc::clone(&client));
+            accepted.sweep(Duration::from_secs(10));
+            let told = (client.close.notified().now_or_never(), client.drop.notified().now_or_never());
+            let told = (told.0.is_some(), told.1.is_some());
+            assert_eq!(told, (closed, dropped), "{idle:?} {fresh} {heard:?} {closing:?}");
+        }
+    }
+
+    #[test]
+    fn at_the_brim_those_that_asked_nothing_make_room_first() {
+        let clients = [
+            client(Some(9_000), false, None, None),
+            client(Some(20), true, None, None),
+            client(Some(90), true, None, None),
+            client(None, false, None, None),
+        ];
+        let accepted = Accepted::default();
+        accepted.open.borrow_mut().extend((0..).zip(clients.iter().map(Rc::clone)));
+        for next in [2, 1, 0] {
+            accepted.close_longest_idle();
+            let closing = (0..4).filter(|&i| clients[i].close.notified().now_or_never().is_some());
+            assert_eq!(closing.collect::<Vec<_>>(), [next]);
+        }
+    }
+
     #[tokio::test(flavor = "current_thread")]
     async fn a_query_that_has_come_is_answered_though_its_connection_is_to_close() {
         for sent in ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n", ""] {
@@ -219,7 +337,7 @@
             tokio::task::LocalSet::new()
                 .run_until(async {
                     let (socket, _) = listener.accept().await.expect("a connection");
-                    serve(1, socket, services, &accepted, STOPPING * 100);
+                    serve(1, socket, services, &accepted);
                     accepted.close_idle();
                     accepted.all_ended().await;
                 })
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -11,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 use tower::limit::GlobalConcurrencyLimitLayer;
 use tower::{BoxError, Service, ServiceBuilder, ServiceExt};
 use tower_http::catch_panic::CatchPanicLayer;
@@ -31,6 +30,10 @@
 pub type ReplyBody = UnsyncBoxBody<Bytes, BoxError>;
 pub type Reply = Response<ReplyBody>;
 
+/// Goes with a request: until when its body must be whole.
+#[derive(Clone, Copy)]
+pub struct Due(pub Instant);
+
 /// The services of the front, from the outside in: a panic ends one answer, what is more than the budget for
 /// bodies holds is turned away, and a body may be only so long.
 pub fn services(
@@ -108,6 +111,7 @@
     request: Request<impl Body<Error = BoxError>>,
 ) -> Result<Response<Full<Bytes>>, BoxError> {
     let (parts, body) = request.into_parts();
+    let due = parts.extensions.get().map_or_else(Instant::now, |Due(due)| *due);
     let head = match Head::decode(&parts, &node.deployment) {
         Ok(head) => head,
         Err(fault) => {
@@ -116,8 +120,7 @@
         }
     };
     // Guards against a client that begins a query and never ends it; its own time counts from the last byte.
-    let longest = Duration::from_micros(node.deployment.idle_time);
-    let body = match timeout(longest, body.collect()).await {
+    let body = match timeout_at(due, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(fault)) if fault.is::<http_body_util::LengthLimitError>() => {
             log_line!("query", "turned down: body: over {MOST_BODY} bytes");
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -216,6 +216,24 @@
     assert_eq!(answer(&mut clients[0]).2, "late");
 }
 
+#[test]
+fn queries_without_an_end_are_ended() {
+    let stand = Stand::new();
+    let body = post("/served", "", "four");
+    let cases = [("", None), ("POST /served HT", None), (&body[..body.len() - 2], Some("408".to_string()))];
+    let clients = cases.map(|(sent, status)| {
+        let mut client = stand.connect();
+        client.get_mut().write_all(sent.as_bytes()).expect("written");
+        (client, status)
+    });
+    for (mut client, status) in clients {
+        assert_eq!(
+            message(&mut client).and_then(|(head, _)| Some(head.split(' ').nth(1)?.to_string())),
+            status
+        );
+    }
+}
+
 #[test]
 fn an_upstreams_own_refusal_never_reaches_the_client() {
     for (path, status) in [("/busy", "502"), ("/broken", "502")] {
--- a/crates/upstreams/src/counted.rs
+++ b/crates/sockets/src/lib.rs
@@ -1,4 +1,4 @@
-//! A socket that counts what has really been written to it.
+//! A socket that notes what has really passed on it, both ways.
 
 use std::cell::Cell;
 use std::io;
@@ -6,39 +6,53 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
-pub struct Counted {
-    socket: TokioIo<TcpStream>,
-    written: Rc<Cell<u64>>,
+/// What has passed; shared by the socket and by who watches it.
+#[derive(Default)]
+pub struct Meter {
+    /// Bytes written.
+    pub written: Cell<u64>,
+    /// When the first bytes came since this was last cleared.
+    pub heard: Cell<Option<Instant>>,
 }
 
-impl Counted {
-    pub fn new(socket: TcpStream, written: Rc<Cell<u64>>) -> Self {
-        Counted { socket: TokioIo::new(socket), written }
+pub struct Metered {
+    socket: TcpStream,
+    meter: Rc<Meter>,
+}
+
+impl Metered {
+    pub fn new(socket: TcpStream, meter: Rc<Meter>) -> Self {
+        Metered { socket, meter }
     }
 
     fn count(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = wrote {
-            self.written.set(self.written.get() + bytes as u64);
+            self.meter.written.set(self.meter.written.get() + bytes as u64);
         }
         wrote
     }
 }
 
-impl Read for Counted {
+impl AsyncRead for Metered {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.socket).poll_read(cx, buf);
+        if buf.filled().len() > before && self.meter.heard.get().is_none() {
+            self.meter.heard.set(Some(Instant::now()));
+        }
+        read
     }
 }
 
-impl Write for Counted {
+impl AsyncWrite for Metered {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let wrote = Pin::new(&mut self.socket).poll_write(cx, buf);
         self.count(wrote)
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One connection, and one request on it for one response.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -10,9 +10,10 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use whinspindle_sockets::{Meter, Metered};
 
-use crate::counted::Counted;
 use crate::failure::{Cause, Failure, Progress};
 
 /// What an exchange leaves behind of how far it has come, also where its future is dropped.
@@ -20,7 +21,7 @@
 pub struct Trail(Rc<RefCell<Option<Written>>>);
 
 struct Written {
-    count: Rc<Cell<u64>>,
+    meter: Rc<Meter>,
     begin: u64,
     end: u64,
 }
@@ -28,15 +29,15 @@
 impl Trail {
     pub fn progress(&self) -> Progress {
         match &*self.0.borrow() {
-            Some(written) if written.count.get() >= written.end => Progress::Whole,
-            Some(written) if written.count.get() > written.begin => Progress::Begun,
+            Some(written) if written.meter.written.get() >= written.end => Progress::Whole,
+            Some(written) if written.meter.written.get() > written.begin => Progress::Begun,
             _ => Progress::Nothing,
         }
     }
 
-    fn begin(&self, count: &Rc<Cell<u64>>, size: u64) {
-        let begin = count.get();
-        *self.0.borrow_mut() = Some(Written { count: Rc::clone(count), begin, end: begin + size });
+    fn begin(&self, meter: &Rc<Meter>, size: u64) {
+        let begin = meter.written.get();
+        *self.0.borrow_mut() = Some(Written { meter: Rc::clone(meter), begin, end: begin + size });
     }
 
     pub(crate) fn failure(&self, cause: Cause) -> Failure {
@@ -48,21 +49,21 @@
 /// polled, and closes when dropped.
 pub struct Lane {
     sender: SendRequest<Full<Bytes>>,
-    connection: Pin<Box<Connection<Counted, Full<Bytes>>>>,
+    connection: Pin<Box<Connection<TokioIo<Metered>, Full<Bytes>>>>,
     ended: bool,
-    written: Rc<Cell<u64>>,
+    meter: Rc<Meter>,
 }
 
 impl Lane {
     pub async fn open(socket: TcpStream) -> Result<Lane, Cause> {
         socket.set_nodelay(true).map_err(Cause::Connect)?;
-        let written = Rc::new(Cell::new(0));
+        let meter = Rc::new(Meter::default());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(64 * 1024)
-            .handshake(Counted::new(socket, Rc::clone(&written)))
+            .handshake(TokioIo::new(Metered::new(socket, Rc::clone(&meter))))
             .await
             .map_err(Cause::Connection)?;
-        Ok(Lane { sender, connection: Box::pin(connection), ended: false, written })
+        Ok(Lane { sender, connection: Box::pin(connection), ended: false, meter })
     }
 
     /// Polls the connection beside the future, which waits on it.
@@ -106,7 +107,7 @@
         most_body: usize,
         trail: &Trail,
     ) -> Result<Response<Bytes>, Failure> {
-        trail.begin(&self.written, size(&request));
+        trail.begin(&self.meter, size(&request));
         let response = self.drive(|sender| sender.send_request(request)).await;
         let response = response.map_err(|e| trail.failure(Cause::Connection(e)))?;
         let (parts, body) = response.into_parts();
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -1,7 +1,6 @@
 //! The connections to upstreams: a small pool, and one exchange of a request for a response. Nothing here
 //! sends anything twice by itself.
 
-mod counted;
 mod exchange;
 mod failure;
 mod pool;
