Indices of gone servers are used again, and an answer that stalls has failed at once

Now an index goes back when its server is gone and no open query or probe holds it (Servers::let_go, Balancer::let_go, which forgets its history); connections are kept by process, new with each id, start or address; times are kept for a check period. An answer that has begun and is silent for the connect time-out has failed (1xx do not count as begun), one that says it is too long or tells two kinds of length at once; the last report that can be read counts. Ruled out: bytes behind an answer: hyper closes that connection already, now with a test.

--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -16,9 +15,9 @@
 use whinspindle_messages::answer::Answer;
 use whinspindle_messages::execution::{self, Reply};
 use whinspindle_messages::query::MOST_BODY;
-use whinspindle_reducer::{Effects, Ended, Execution, Reducer};
+use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer};
 use whinspindle_terms::Deployment;
-use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail};
+use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail, Upstream};
 
 use crate::clock::Clock;
 use crate::placement::Placement;
@@ -51,6 +50,8 @@
                     most_open: shares.upstream,
                     idle_time: Duration::from_micros(deployment.idle_time),
                     connect_time_out: Duration::from_micros(deployment.connect_time_out),
+                    // What a server has begun to write should not pause for longer than it takes to reach it.
+                    stall: Duration::from_micros(deployment.connect_time_out),
                     most_body: MOST_BODY,
                 }),
                 deployment,
@@ -80,17 +81,18 @@
     /// Sends an execution and waits for its end, or for the order to stop waiting.
     async fn execute(&self, order: &Execution, cancelled: oneshot::Receiver<()>) -> (Outcome, Option<Reply>) {
         let trail = Trail::default();
+        let address = order.place.address;
         let until = self.clock.now() + order.time_out;
         let prepare = || {
             let left = until.saturating_sub(self.clock.now());
             let wanted = self.reducer.borrow().may_begin(order.qry, order.server);
-            wanted.then(|| execution::encode(&order.query, order.address, left))
+            wanted.then(|| execution::encode(&order.query, address, left))
         };
-        let exchange = self.upstreams.exchange(order.address, prepare, &trail);
+        let exchange = self.upstreams.exchange(upstream(order.place), prepare, &trail);
         tokio::select! {
             biased;
             Ok(()) = cancelled => {
-                log_line!("upstream", "{}: called off, request {:?}", order.address, trail.progress());
+                log_line!("upstream", "{address}: called off, request {:?}", trail.progress());
                 match trail.progress() {
                     Progress::Whole => (Outcome::Cancelled, None),
                     Progress::Begun | Progress::Nothing => (Outcome::Moot, None),
@@ -102,7 +104,7 @@
                     (reply.outcome, Some(reply))
                 }
                 Ok(Err(failure)) => {
-                    log_line!("upstream", "{}: {failure}", order.address);
+                    log_line!("upstream", "{address}: {failure}");
                     (outcome(&failure), None)
                 }
                 Err(_) if trail.progress() == Progress::Whole => (Outcome::TimedOut, None),
@@ -111,14 +113,14 @@
         }
     }
 
-    async fn probe(&self, server: usize, address: SocketAddr) -> (bool, LoadReport) {
+    async fn probe(&self, server: usize, place: Place) -> (bool, LoadReport) {
         let trail = Trail::default();
         let prepare = || {
             let wanted = self.reducer.borrow().is_ready(server);
-            wanted.then(|| execution::probe(address, !self.deployment.columns.is_empty()))
+            wanted.then(|| execution::probe(place.address, !self.deployment.columns.is_empty()))
         };
         let longest = self.deployment.terms.products.iter().map(|row| row.slo_time).max().unwrap_or(0);
-        let exchange = self.upstreams.exchange(address, prepare, &trail);
+        let exchange = self.upstreams.exchange(upstream(place), prepare, &trail);
         match timeout(Duration::from_micros(longest), exchange).await {
             Ok(Ok(response)) => Reply::decode_probe(response, &self.deployment.columns),
             _ => (false, LoadReport::default()),
@@ -126,6 +128,10 @@
     }
 }
 
+fn upstream(place: Place) -> Upstream {
+    Upstream { address: place.address, process: place.process }
+}
+
 /// What an exchange that came to nothing means for the decisions.
 fn outcome(failure: &Failure) -> Outcome {
     match failure.progress {
@@ -179,10 +185,10 @@
         self.timers.add(wait, label);
     }
 
-    fn probe(&mut self, server: usize, address: SocketAddr) {
+    fn probe(&mut self, server: usize, place: Place) {
         let Some(node) = self.node.upgrade() else { return };
         spawn_local(async move {
-            let probe = AssertUnwindSafe(node.probe(server, address)).catch_unwind().await;
+            let probe = AssertUnwindSafe(node.probe(server, place)).catch_unwind().await;
             let (answered, report) = probe.unwrap_or_default();
             node.reducer.borrow_mut().probed(node.clock.now(), server, answered, report);
         });
--- a/crates/messages/src/execution.rs
+++ b/crates/messages/src/execution.rs
@@ -55,11 +55,8 @@
 impl Reply {
     pub fn decode(response: Response<Bytes>, columns: &[String]) -> Reply {
         let (parts, body) = response.into_parts();
-        let report = parts
-            .headers
-            .get(headers::LOAD)
-            .and_then(|value| value.to_str().ok())
-            .map_or(LoadReport::default(), |text| report::decode(text, columns));
+        let reports = parts.headers.get_all(headers::LOAD).iter().filter_map(|value| value.to_str().ok());
+        let report = reports.fold(LoadReport::default(), |told, text| report::decode(text, columns).or(told));
         let never_ran = parts.headers.get(headers::NEVER_RAN).is_some_and(|value| value == "1");
         let outcome = match parts.status {
             StatusCode::OK => Outcome::Completed,
--- a/crates/messages/tests/messages.rs
+++ b/crates/messages/tests/messages.rs
@@ -157,6 +157,9 @@
         let report = reply(500, &[("endpoint-load-metrics", header)]).report;
         assert_eq!((report.utilization, report.throughput), (utilization, throughput), "{header}");
     }
+    // A bad report beside a good one spoils neither that nor the answer.
+    let reply = reply(200, &[("endpoint-load-metrics", "%%%"), ("endpoint-load-metrics", "TEXT qps=2")]);
+    assert_eq!((reply.outcome, reply.report.throughput), (Outcome::Completed, Some(2.0)));
     let probed = Response::new(Bytes::from_static(b"TEXT util=0.5"));
     assert_eq!(Reply::decode_probe(probed, &deployment().columns).1.utilization, Some(0.5));
 }
--- a/crates/reducer/src/desk.rs
+++ b/crates/reducer/src/desk.rs
@@ -26,7 +26,8 @@
     query: Rc<Forwarded>,
     /// Taken with the final answer, or when the client leaves.
     caller: Option<C>,
-    executions: usize,
+    /// The servers that it was sent to.
+    servers: Vec<usize>,
     executions_out: usize,
     last_outcome: Option<Outcome>,
 }
@@ -65,7 +66,7 @@
             serial,
             query: Rc::new(query),
             caller: Some(caller),
-            executions: 0,
+            servers: Vec::new(),
             executions_out: 0,
             last_outcome: None,
         };
@@ -117,6 +118,7 @@
         let done = |open: &Open<_>| open.caller.is_none() && open.executions_out == 0;
         if let Some(open) = self.open[qry].take_if(|open| done(open)) {
             self.traces.remove(&open.query.trace);
+            open.servers.iter().for_each(|&server| self.servers.release(server));
             self.free.push(qry);
         }
     }
@@ -124,17 +126,17 @@
 
 impl<E: Effects> Host for Desk<E> {
     fn execute(&mut self, qry: usize, server: usize, time_out: u64) {
-        let address = self.servers.address(server);
-        let (Some(open), Some(address)) = (&mut self.open[qry], address) else {
+        let place = self.servers.hold(server);
+        let (Some(open), Some(place)) = (&mut self.open[qry], place) else {
             log_line!("fault", "an execution of no open query, or at a server without an address");
             return;
         };
-        let exec = open.executions;
-        open.executions += 1;
+        let exec = open.servers.len();
+        open.servers.push(server);
         open.executions_out += 1;
         self.tally.executions += 1;
         let query = Rc::clone(&open.query);
-        self.effects.execute(Execution { qry, exec, server, address, query, time_out });
+        self.effects.execute(Execution { qry, exec, server, place, query, time_out });
     }
 
     fn cancel(&mut self, qry: usize, exec: usize) {
@@ -156,8 +158,8 @@
     }
 
     fn probe(&mut self, server: usize) {
-        if let Some(address) = self.servers.address(server) {
-            self.effects.probe(server, address);
+        if let Some(place) = self.servers.hold(server) {
+            self.effects.probe(server, place);
         }
     }
 
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -30,14 +30,21 @@
     /// Calls `Reducer::timer` after so many microseconds.
     fn wake(&mut self, wait: u64, label: u32);
     /// `Reducer::probed` tells what came of it.
-    fn probe(&mut self, server: usize, address: SocketAddr);
+    fn probe(&mut self, server: usize, place: Place);
+}
+
+/// Where a server listens, and which of its processes: each that the list has named has a number of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub process: u64,
 }
 
 pub struct Execution {
     pub qry: usize,
     pub exec: usize,
     pub server: usize,
-    pub address: SocketAddr,
+    pub place: Place,
     pub query: Rc<Forwarded>,
     pub time_out: u64,
 }
@@ -69,6 +76,14 @@
         } else {
             self.balancer.list_changed(now, &entries);
         }
+        self.let_go();
+    }
+
+    /// Servers that are gone and that nothing in flight holds any more make way for others.
+    fn let_go(&mut self) {
+        while let Some(server) = self.balancer.host.servers.let_go() {
+            self.balancer.let_go(server);
+        }
     }
 
     /// None if another query is open under the same id; nothing has happened then.
@@ -82,7 +97,7 @@
         let ticket = self.balancer.host.take(query, caller)?;
         self.balancer.query(now, ticket.qry, arrival);
         // It may have its answer already.
-        self.balancer.host.release(ticket.qry);
+        self.release(ticket.qry);
         Some(ticket)
     }
 
@@ -90,19 +105,26 @@
     pub fn left(&mut self, now: u64, ticket: Ticket) {
         if self.balancer.host.leave(ticket) {
             self.balancer.withdrawn(now, ticket.qry);
-            self.balancer.host.release(ticket.qry);
+            self.release(ticket.qry);
         }
     }
 
+    fn release(&mut self, qry: usize) {
+        self.balancer.host.release(qry);
+        self.let_go();
+    }
+
     pub fn execution_ended(&mut self, now: u64, ended: Ended) {
         let Ended { qry, exec, outcome, spent, report, served } = ended;
         let over = self.balancer.host.execution_ended(qry, outcome, served);
         self.balancer.completed(now, qry, exec, Ending { outcome, over, spent, report });
-        self.balancer.host.release(qry);
+        self.release(qry);
     }
 
     pub fn probed(&mut self, now: u64, server: usize, answered: bool, report: LoadReport) {
         self.balancer.probed(now, server, answered, report);
+        self.balancer.host.servers.release(server);
+        self.let_go();
     }
 
     pub fn timer(&mut self, now: u64, label: u32) {
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -1,22 +1,33 @@
-//! The servers that the list has named, and the small indices that stand for them.
+//! The servers that the list names, and the small indices that stand for them. One that is gone is forgotten
+//! once nothing in flight holds it, and its index stands for the next new one.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use whinspindle::host::{Entry, Standing};
-use whinspindle_messages::list::ListNews;
+use whinspindle_messages::list::{ListNews, ListedServer};
+
+use crate::Place;
 
 pub struct Servers {
     index: HashMap<String, usize>,
     known: Vec<Known>,
+    free: Vec<usize>,
+    /// How many processes of servers the list has named.
+    processes: u64,
     zones: Vec<String>,
     kinds: Vec<String>,
     has_list: bool,
 }
 
+#[derive(Default)]
 struct Known {
-    address: Option<SocketAddr>,
+    name: String,
+    place: Option<Place>,
+    born: u64,
     ready: bool,
+    gone: bool,
+    /// Open queries that were sent to it, and probes that are out.
+    held: usize,
 }
 
 /// The index of a name; one that is new gets the next.
@@ -29,25 +40,24 @@
 
 impl Servers {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Servers { index: HashMap::new(), known: Vec::new(), zones, kinds, has_list: false }
+        let (index, known, free) = Default::default();
+        Servers { index, known, free, processes: 0, zones, kinds, has_list: false }
     }
 
     /// Takes the news in and turns it into entries for the decisions.
     pub fn learn(&mut self, news: &ListNews) -> Vec<Entry> {
         if news.whole {
             self.has_list = true;
-            self.known.iter_mut().for_each(|known| known.ready = false);
+            self.known.iter_mut().for_each(|known| (known.ready, known.gone) = (false, true));
         }
         let mut entries = Vec::with_capacity(news.servers.len());
         for listed in &news.servers {
-            let next = self.known.len();
-            let server = *self.index.entry(listed.name.clone()).or_insert(next);
-            if server == next {
-                self.known.push(Known { address: None, ready: false });
+            // Of one that was never known, nothing need be kept.
+            if listed.standing == Standing::Gone && !self.index.contains_key(&listed.name) {
+                continue;
             }
-            let known = &mut self.known[server];
-            known.address = listed.address.or(known.address);
-            known.ready = listed.standing == Standing::Ready && known.address.is_some();
+            let server = self.index_of(&listed.name);
+            self.renew(server, listed);
             entries.push(Entry {
                 server,
                 zone: index(&mut self.zones, &listed.zone),
@@ -61,8 +71,52 @@
         entries
     }
 
-    pub fn address(&self, server: usize) -> Option<SocketAddr> {
-        self.known.get(server)?.address
+    fn index_of(&mut self, name: &str) -> usize {
+        if let Some(&server) = self.index.get(name) {
+            return server;
+        }
+        let server = self.free.pop().unwrap_or_else(|| {
+            self.known.push(Known::default());
+            self.known.len() - 1
+        });
+        self.index.insert(name.to_string(), server);
+        self.known[server] = Known { name: name.to_string(), ..Known::default() };
+        server
+    }
+
+    fn renew(&mut self, server: usize, listed: &ListedServer) {
+        let known = &mut self.known[server];
+        if let Some(address) = listed.address
+            && (known.place.is_none_or(|place| place.address != address) || known.born != listed.born)
+        {
+            self.processes += 1;
+            known.place = Some(Place { address, process: self.processes });
+        }
+        known.born = listed.born;
+        known.gone = listed.standing == Standing::Gone;
+        known.ready = listed.standing == Standing::Ready && known.place.is_some();
+    }
+
+    /// Where to reach a server for something that holds it until `release`.
+    pub fn hold(&mut self, server: usize) -> Option<Place> {
+        let known = self.known.get_mut(server)?;
+        known.held += usize::from(known.place.is_some());
+        known.place
+    }
+
+    pub fn release(&mut self, server: usize) {
+        if let Some(known) = self.known.get_mut(server) {
+            known.held = known.held.saturating_sub(1);
+        }
+    }
+
+    /// Forgets one server that is gone and that nothing holds.
+    pub fn let_go(&mut self) -> Option<usize> {
+        let leaves = |known: &Known| known.gone && known.held == 0 && !known.name.is_empty();
+        let server = self.known.iter().position(leaves)?;
+        self.index.remove(&std::mem::take(&mut self.known[server].name));
+        self.free.push(server);
+        Some(server)
     }
 
     pub fn is_ready(&self, server: usize) -> bool {
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -1,27 +1,29 @@
 //! The reducer without sockets: what it asks for when things happen.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use whinspindle::host::{Arrival, LoadReport, Outcome};
 use whinspindle_messages::answer::{Answer, Served};
 use whinspindle_messages::list::ListNews;
 use whinspindle_messages::query::Forwarded;
-use whinspindle_reducer::{Effects, Ended, Execution, Reducer, Ticket};
+use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer, Ticket};
 
 use Outcome::{Broken, Cancelled, Completed, Error, Moot, NotConnected, TimedOut, TurnedAway, Unfit};
 
 const NOW: u64 = 1_000_000_000;
 
-struct Notes(Rc<RefCell<Vec<String>>>);
+/// What was said, and the index and the process of each server that was sent to.
+struct Notes(Rc<RefCell<Vec<String>>>, Rc<RefCell<Vec<(usize, u64)>>>);
 
 impl Effects for Notes {
     type Caller = &'static str;
 
     fn execute(&mut self, execution: Execution) {
-        let Execution { qry, exec, address, .. } = execution;
-        self.0.borrow_mut().push(format!("execute {qry}.{exec} at {address}"));
+        let Execution { qry, exec, place, server, .. } = execution;
+        let line = format!("execute {qry}.{exec} at {}", place.address);
+        self.0.borrow_mut().push(line);
+        self.1.borrow_mut().push((server, place.process));
     }
 
     fn cancel(&mut self, qry: usize, exec: usize) {
@@ -40,14 +42,15 @@
 
     fn wake(&mut self, _wait: u64, _label: u32) {}
 
-    fn probe(&mut self, _server: usize, address: SocketAddr) {
-        self.0.borrow_mut().push(format!("probe {address}"));
+    fn probe(&mut self, _server: usize, place: Place) {
+        self.0.borrow_mut().push(format!("probe {}", place.address));
     }
 }
 
 struct Bench {
     reducer: Reducer<Notes>,
     said: Rc<RefCell<Vec<String>>>,
+    sent: Rc<RefCell<Vec<(usize, u64)>>>,
 }
 
 impl Bench {
@@ -62,8 +65,9 @@
             "obligations": {{"coldFrom": 0.3, "coldNs": 1, "fallMultiple": 3.0, "tipAfterNs": 1}}}}"#
         );
         let deployment = whinspindle_terms::parse(settings.as_bytes()).expect("settings");
-        let said = Rc::new(RefCell::new(Vec::new()));
-        let mut bench = Bench { reducer: Reducer::new(Notes(Rc::clone(&said)), &deployment, 7, NOW), said };
+        let (said, sent) = <(Rc<RefCell<Vec<String>>>, Rc<RefCell<Vec<_>>>)>::default();
+        let notes = Notes(Rc::clone(&said), Rc::clone(&sent));
+        let mut bench = Bench { reducer: Reducer::new(notes, &deployment, 7, NOW), said, sent };
         bench.list(true, servers);
         bench
     }
@@ -231,6 +235,34 @@
     assert!(Bench::new("keyed", &[]).reducer.has_list());
 }
 
+#[test]
+fn an_index_of_a_server_is_used_again_once_nothing_holds_it() {
+    let mut bench = Bench::new("keyed", &[("1", "ready")]);
+    let mut next = 1;
+    let replace = |bench: &mut Bench, next: &mut u32| {
+        let (old, new) = (next.to_string(), (*next + 1).to_string());
+        bench.list(false, &[(&old, "gone"), (&new, "ready")]);
+        *next += 1;
+    };
+    // Held by an execution until that ends, whatever becomes of the query.
+    bench.query("first");
+    replace(&mut bench, &mut next);
+    bench.query("second");
+    bench.ended(0, 0, Completed);
+    bench.ended(1, 0, Completed);
+    assert_eq!(bench.sent.take(), [(0, 1), (1, 2)]);
+    for _ in 0..1000 {
+        replace(&mut bench, &mut next);
+        bench.query("later");
+        bench.ended(0, 0, Completed);
+        bench.ended(1, 0, Completed);
+    }
+    let sent = bench.sent.take();
+    assert!(sent.iter().all(|&(server, _)| server < 3), "{sent:?}");
+    let processes: Vec<u64> = sent.iter().map(|&(_, process)| process).collect();
+    assert_eq!(processes, (3..1003).collect::<Vec<u64>>());
+}
+
 #[test]
 fn no_server_is_a_rejection_at_once() {
     for servers in [&[][..], &[("1", "draining")]] {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -17,6 +17,8 @@
     pub written: Cell<u64>,
     /// When the first bytes came since this was last cleared.
     pub heard: Cell<Option<Instant>>,
+    /// When the last bytes came.
+    pub heard_last: Cell<Option<Instant>>,
 }
 
 pub struct Metered {
@@ -45,8 +47,10 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.socket).poll_read(cx, buf);
-        if buf.filled().len() > before && self.meter.heard.get().is_none() {
-            self.meter.heard.set(Some(Instant::now()));
+        if buf.filled().len() > before {
+            let now = Some(Instant::now());
+            self.meter.heard.set(self.meter.heard.get().or(now));
+            self.meter.heard_last.set(now);
         }
         read
     }
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -4,17 +4,23 @@
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until};
 use whinspindle_sockets::{Meter, Metered};
 
 use crate::failure::{Cause, Failure, Progress};
+use crate::pool::Terms;
 
 /// What an exchange leaves behind of how far it has come, also where its future is dropped.
 #[derive(Clone, Default)]
@@ -103,24 +109,48 @@
     /// Afterwards the connection may carry the next request if it `is_reusable`.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
-        most_body: usize,
+        mut request: Request<Full<Bytes>>,
+        terms: &Terms,
         trail: &Trail,
     ) -> Result<Response<Bytes>, Failure> {
         trail.begin(&self.meter, size(&request));
-        let response = self.drive(|sender| sender.send_request(request)).await;
-        let response = response.map_err(|e| trail.failure(Cause::Connection(e)))?;
+        let heard = Heard { meter: Rc::clone(&self.meter), told: Arc::new(Mutex::new(Instant::now())) };
+        let told = Arc::clone(&heard.told);
+        hyper::ext::on_informational(&mut request, move |_| {
+            *told.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        });
+        let end = tokio::select! {
+            biased;
+            end = self.answer(request, terms.most_body) => end,
+            () = heard.stalled(terms.stall) => Err(Cause::Stalled),
+        };
+        end.map_err(|cause| trail.failure(cause))
+    }
+
+    async fn answer(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most_body: usize,
+    ) -> Result<Response<Bytes>, Cause> {
+        let response = self.drive(|sender| sender.send_request(request)).await.map_err(Cause::Connection)?;
         let (parts, body) = response.into_parts();
-        let body = self.drive(|_| Limited::new(body, most_body).collect()).await.map_err(|e| {
-            let cause = match e.downcast::<hyper::Error>() {
+        if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Cause::TwoLengths);
+        }
+        // What is said to be too long need not be read first.
+        if body.size_hint().lower() > most_body as u64 {
+            return Err(Cause::TooLong);
+        }
+        let body =
+            self.drive(|_| Limited::new(body, most_body).collect()).await.map_err(|e| match e
+                .downcast::<hyper::Error>()
+            {
                 Ok(e) => Cause::Connection(*e),
                 Err(e) => {
                     debug_assert!(e.is::<LengthLimitError>());
                     Cause::TooLong
                 }
-            };
-            trail.failure(cause)
-        })?;
+            })?;
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 
@@ -130,9 +160,28 @@
     }
 }
 
+/// When a server was last heard on a connection, and when an answer of it was last only told to come (1xx).
+struct Heard {
+    meter: Rc<Meter>,
+    told: Arc<Mutex<Instant>>,
+}
+
+impl Heard {
+    /// Guards against an answer that begins and never ends: its server keeps the connection open in silence.
+    async fn stalled(&self, stall: Duration) {
+        loop {
+            let told = *self.told.lock().unwrap_or_else(PoisonError::into_inner);
+            match self.meter.heard_last.get().filter(|&at| at > told).map(|at| at + stall) {
+                Some(end) if end <= Instant::now() => return,
+                Some(end) => sleep_until(end).await,
+                None => sleep(stall).await,
+            }
+        }
+    }
+}
+
 /// The bytes that hyper writes for a request whose headers are all set already.
 fn size(request: &Request<Full<Bytes>>) -> u64 {
-    use hyper::body::Body;
     let line = request.method().as_str().len() + request.uri().to_string().len() + "  HTTP/1.1\r\n".len();
     let headers: usize = request
         .headers()
--- a/crates/upstreams/src/failure.rs
+++ b/crates/upstreams/src/failure.rs
@@ -28,8 +28,12 @@
     Connect(std::io::Error),
     ConnectTimeOut,
     Connection(hyper::Error),
-    /// The body of the response is longer than one may be.
+    /// The body of the response is longer than one may be, or says that it will be.
     TooLong,
+    /// The response tells its length in two ways.
+    TwoLengths,
+    /// The response has begun and does not go on.
+    Stalled,
 }
 
 impl Failure {
@@ -48,6 +52,8 @@
             Cause::ConnectTimeOut => write!(to, "connect: timed out"),
             Cause::Connection(e) => write!(to, "connection: {e}, request {:?}", self.progress),
             Cause::TooLong => write!(to, "response too long"),
+            Cause::TwoLengths => write!(to, "response with two kinds of length"),
+            Cause::Stalled => write!(to, "response begun and not ended"),
         }
     }
 }
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use exchange::Trail;
 pub use failure::{Failure, Progress};
-pub use pool::{Connections, Terms};
+pub use pool::{Connections, Terms, Upstream};
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -20,16 +20,25 @@
     /// Servers close a connection that has stood idle for so long.
     pub idle_time: Duration,
     pub connect_time_out: Duration,
+    /// An answer that has begun and is silent for so long does not end any more.
+    pub stall: Duration,
     pub most_body: usize,
 }
 
+/// One process of a server: another one at the same address gets connections of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub process: u64,
+}
+
 /// Idle connections are dropped at this part of the time after which servers close them.
 const IDLE_PART: f64 = 0.7;
 
 pub struct Connections {
     terms: Terms,
     open: Rc<Cell<usize>>,
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    idle: RefCell<BTreeMap<Upstream, Vec<Idle>>>,
 }
 
 struct Idle {
@@ -60,24 +69,24 @@
     /// connect, and may want nothing sent any more.
     pub async fn exchange(
         &self,
-        server: SocketAddr,
+        server: Upstream,
         prepare: impl FnOnce() -> Option<Request<Full<Bytes>>>,
         trail: &Trail,
     ) -> Result<Response<Bytes>, Failure> {
         let mut lease = match self.take_idle(server).await {
             Some(lease) => lease,
-            None => self.connect(server).await.map_err(|cause| trail.failure(cause))?,
+            None => self.connect(server.address).await.map_err(|cause| trail.failure(cause))?,
         };
         let Some(request) = prepare() else {
             self.keep(server, lease).await;
             return Err(trail.failure(Cause::Unwanted));
         };
-        let response = lease.lane.exchange(request, self.terms.most_body, trail).await?;
+        let response = lease.lane.exchange(request, &self.terms, trail).await?;
         self.keep(server, lease).await;
         Ok(response)
     }
 
-    async fn keep(&self, server: SocketAddr, mut lease: Lease) {
+    async fn keep(&self, server: Upstream, mut lease: Lease) {
         if lease.lane.is_reusable().await {
             let idle = Idle { since: Instant::now(), lease };
             self.idle.borrow_mut().entry(server).or_default().push(idle);
@@ -85,7 +94,7 @@
     }
 
     /// The one used last, so that those that are not needed grow old.
-    async fn take_idle(&self, server: SocketAddr) -> Option<Lease> {
+    async fn take_idle(&self, server: Upstream) -> Option<Lease> {
         loop {
             let mut idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
             if self.is_fresh(&idle) && idle.lease.lane.is_still_open().await {
--- a/crates/upstreams/tests/exchange.rs
+++ b/crates/upstreams/tests/exchange.rs
@@ -9,13 +9,21 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail};
+use whinspindle_upstreams::{Connections, Failure, Progress, Terms, Trail, Upstream};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi";
 const CLOSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nhi";
 const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n\
     ----------------------------------------------------------------------";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhi";
+const HUGE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nhi";
+const TWO_LENGTHS: &str =
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+const NO_END: &str = "HTTP/1.1 200 OK\r\nx-pad: p\r\n";
+const EARLY: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n\
+    HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi";
+const TWICE: &str =
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
 const BAD: &str = "HTTP/1.1 lots\r\n\r\n";
 
 /// Answers each request with the next of the replies, after which it goes on (`true`) or closes the
@@ -58,8 +66,18 @@
 }
 
 fn connections(most_open: usize, idle_time: Duration) -> Connections {
+    Connections::new(Terms { most_open, idle_time, ..terms() })
+}
+
+fn terms() -> Terms {
     let connect_time_out = Duration::from_secs(5);
-    Connections::new(Terms { most_open, idle_time, connect_time_out, most_body: 64 })
+    Terms {
+        most_open: 4,
+        idle_time: LONG_IDLE,
+        connect_time_out,
+        stall: Duration::from_millis(20),
+        most_body: 64,
+    }
 }
 
 const LONG_IDLE: Duration = Duration::from_secs(3600);
@@ -72,6 +90,7 @@
 ) -> Result<Response<Bytes>, Failure> {
     let request = Request::post("/api?x=1").header("host", "upstream").header("content-length", 4);
     let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
+    let server = Upstream { address: server, process: 1 };
     connections.exchange(server, || wanted.then_some(request), trail).await
 }
 
@@ -90,6 +109,11 @@
         (Some(CUT), false, true, Progress::Whole, "connection: "),
         (Some(BAD), true, true, Progress::Whole, "connection: "),
         (Some(LONG), true, true, Progress::Whole, "response too long"),
+        (Some(HUGE), true, true, Progress::Whole, "response too long"),
+        (Some(TWO_LENGTHS), true, true, Progress::Whole, "response with two kinds of length"),
+        // The connection stays open in silence.
+        (Some(CUT), true, true, Progress::Whole, "response begun and not ended"),
+        (Some(NO_END), true, true, Progress::Whole, "response begun and not ended"),
     ] {
         run(async {
             let address = reply.map_or(refused, |reply| server(vec![(reply, more)]).0);
@@ -111,6 +135,9 @@
         ((CLOSE, false), LONG_IDLE, "1"),
         // The server closes after its answer without a word.
         ((OK, false), LONG_IDLE, "1"),
+        ((EARLY, true), LONG_IDLE, "0"),
+        // What comes behind an answer belongs to no request: its connection is closed.
+        ((TWICE, true), LONG_IDLE, "1"),
     ] {
         run(async {
             let (address, told) = server(vec![first, (OK, true)]);
@@ -127,12 +154,31 @@
             }
             exchange(&connections, address, true, &Trail::default()).await.expect("a response");
             let mut requests = told.iter().filter(|news| news.ends_with("bytes"));
-            let on = if first.1 { requests.nth(1) } else { requests.next() }.expect("a request");
+            let on = requests.nth(usize::from(first.1)).expect("a request");
             assert!(on.starts_with(second), "{first:?} {idle_time:?}: {on}");
         });
     }
 }
 
+#[test]
+fn another_process_at_an_address_gets_connections_of_its_own() {
+    run(async {
+        let (address, told) = server(vec![(OK, true), (OK, true)]);
+        let connections = connections(4, LONG_IDLE);
+        for process in [1, 2] {
+            let request = Request::post("/api").header("content-length", 4);
+            let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
+            let upstream = Upstream { address, process };
+            let trail = Trail::default();
+            // The scripted server takes one connection at a time.
+            let exchange = connections.exchange(upstream, || Some(request), &trail);
+            let _ = tokio::time::timeout(Duration::from_millis(200), exchange).await;
+            let on = told.try_iter().next().unwrap_or_default();
+            assert_eq!(on.starts_with("0:"), process == 1, "{process}: {on}");
+        }
+    });
+}
+
 #[test]
 fn the_size_of_a_request_is_known_before_it_is_written() {
     // The trail says whole at the last byte and not before: the size must be what hyper writes.
@@ -176,12 +222,7 @@
         // The first, idle for longest, was closed; the others are used again.
         assert_eq!(servers[0].1.iter().nth(1).expect("news"), "0: end");
         exchange(&connections, servers[1].0, true, &Trail::default()).await.expect("a response");
-        let none = Connections::new(Terms {
-            most_open: 0,
-            idle_time: LONG_IDLE,
-            connect_time_out: LONG_IDLE,
-            most_body: 64,
-        });
+        let none = Connections::new(Terms { most_open: 0, ..terms() });
         let failure = exchange(&none, servers[2].0, true, &Trail::default()).await.expect_err("none free");
         assert!(failure.is_own() && failure.progress == Progress::Nothing);
     });
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,5 +1,5 @@
 //! All decisions of one balancer. The host builds a `Balancer` with the deployment's terms and its seed, and
-//! calls one method for each thing that happens: `list_whole`, `list_changed`, `list_failed`, `query`,
+//! calls one method for each thing that happens: `list_whole`, `list_changed`, `let_go`, `list_failed`, `query`,
 //! `started`, `completed`, `withdrawn`, `probed`, `timer`. The balancer acts only by calling the `Host`
 //! trait, which `host.rs` defines together with the plain types handed over. `docs/design.md` tells what
 //! follows the design page, and under which conditions each exception acts.
@@ -26,8 +26,6 @@
 const LATENCIES: usize = 32;
 /// Of the reports, those that tell what a server can do right now.
 const RECENT: usize = 4;
-/// Times of arrivals and answers, enough for a check period.
-const TIMES: usize = 8192;
 /// Runs of this many served queries have their mean time taken, and this many runs are remembered.
 const RUN: usize = 64;
 const RUNS: usize = 32;
@@ -163,6 +161,12 @@
     ring.push_back(item);
 }
 
+/// Times of arrivals and answers are kept for a check period.
+fn note_time(times: &mut VecDeque<u64>, now: u64) {
+    while times.pop_front_if(|at| *at + CHECK < now).is_some() {}
+    times.push_back(now);
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     if count > 0.0 { sum / count } else { 0.0 }
@@ -232,14 +236,20 @@
                 *s = Server { own: s.own, askers, luck: self.chance.unit(), ..Server::default() };
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
-            (s.zone, s.cell, s.kind) = (entry.zone, entry.cell, entry.kind);
-            (s.size, s.born) = (size, entry.born);
+            (s.zone, s.cell, s.kind, s.size, s.born) = (entry.zone, entry.cell, entry.kind, size, entry.born);
             self.kinds = self.kinds.max(entry.kind + 1);
             (s.ready, s.gone) = (entry.standing == Standing::Ready, entry.standing == Standing::Gone);
         }
         self.listed = (0..self.servers.len()).filter(|&i| !self.servers[i].gone).collect();
     }
 
+    /// The server is gone and nothing in flight holds it: its index may stand for another one now.
+    pub fn let_go(&mut self, server: usize) {
+        if let Some(s) = self.servers.get_mut(server) {
+            *s = Server { gone: true, ..Server::default() };
+        }
+    }
+
     /// The subscription or a call for the list failed: the list stays, and it is asked for again.
     pub fn list_failed(&mut self, now: u64) {
         self.now = now;
@@ -257,7 +267,7 @@
         if qry >= self.queries.len() {
             self.queries.resize_with(qry + 1, Query::default);
         }
-        push(&mut self.arrivals, TIMES, now);
+        note_time(&mut self.arrivals, now);
         let margin = 2 * self.terms.tick;
         let Arrival { product, tenant, deadline } = arrival;
         let mut give_up = deadline.saturating_sub(margin);
@@ -270,10 +280,8 @@
         self.queries[qry] = Query { live: true, product, came: now, deadline, give_up, ..Query::default() };
         if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
-            return;
-        }
-        if let Some(times) = self.let_in.get_mut(tenant) {
-            push(times, TIMES, now);
+        } else if let Some(times) = self.let_in.get_mut(tenant) {
+            note_time(times, now);
         }
     }
 
@@ -383,10 +391,6 @@
                 }
             }
         }
-        self.look_again(qry);
-    }
-
-    fn look_again(&mut self, qry: usize) {
         self.look_in(qry, self.patience(self.queries[qry].product));
     }
 
@@ -401,9 +405,9 @@
     /// copies.
     fn ask(&mut self, qry: usize) -> bool {
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
-        let blind = SELDOM * self.own_rate() * (slo_time as f64) < 1e6 * self.listed.len() as f64;
+        let heard = SELDOM * slo_time as f64 * self.rate(&self.arrivals, CHECK) / 1e6;
         let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
-        if !self.terms.probes_pay || !blind || quick {
+        if !self.terms.probes_pay || heard >= self.listed.len() as f64 || quick {
             return false;
         }
         let mut asked = Vec::with_capacity(ASKED);
@@ -442,7 +446,7 @@
         self.servers[server].own += 1;
         push(&mut self.servers[server].sent, 64, (self.now, work));
         self.host.execute(qry, server, q.deadline - self.now);
-        self.look_again(qry);
+        self.look_in(qry, self.patience(self.queries[qry].product));
         true
     }
 
@@ -645,7 +649,7 @@
         // served.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
-        let rate = served.unwrap_or_else(|| self.own_rate());
+        let rate = served.unwrap_or_else(|| self.rate(&self.arrivals, CHECK));
         let even = rate * s.size / sizes * self.terms.tip_after as f64 / 1e6;
         spent + 1.0 <= even * warmth * self.terms.fall_multiple / 2.0 + s.luck
     }
@@ -667,7 +671,7 @@
 
     fn note_served(&mut self, server: usize, product: usize, spent: u64) {
         push(&mut self.latencies[product], LATENCIES, spent);
-        push(&mut self.served, TIMES, self.now);
+        note_time(&mut self.served, self.now);
         self.run.push(spent as f64);
         push(&mut self.recent, RESULTS, spent as f64);
         // A copy that gets little ends its run after a check period, if an eighth of it is there.
@@ -750,10 +754,6 @@
         recent as f64 * 1e6 / (self.now - since).max(CHECK / 10) as f64
     }
 
-    fn own_rate(&self) -> f64 {
-        self.rate(&self.arrivals, CHECK)
-    }
-
     fn ready_count(&self, zone: usize) -> f64 {
         self.listed.iter().filter(|&&i| self.servers[i].zone == zone && self.fit(i)).count() as f64
     }
@@ -778,7 +778,7 @@
         if ready().any(|&i| !self.servers[i].rates.is_empty()) {
             return mean(ready().filter_map(|&i| self.servers[i].rates.back().copied()));
         }
-        let own = self.own_rate() * self.weights()[zone] * self.terms.balancers as f64;
+        let own = self.rate(&self.arrivals, CHECK) * self.weights()[zone] * self.terms.balancers as f64;
         own / self.ready_count(zone).max(1.0)
     }
 
@@ -789,7 +789,7 @@
 
     fn check(&mut self) {
         let changed = |old: f64, new: f64| (new - old).abs() > CHANGE * old;
-        let rate = self.own_rate();
+        let rate = self.rate(&self.arrivals, CHECK);
         let mut due = changed(self.solved_rate, rate);
         let mut seen = Vec::with_capacity(self.zones.len());
         for (zone, z) in self.zones.iter().enumerate() {
--- a/src/host.rs
+++ b/src/host.rs
@@ -142,3 +142,13 @@
     pub utilization: Option<f64>,
     pub throughput: Option<f64>,
 }
+
+impl LoadReport {
+    /// What is told here, and what only the other one tells.
+    pub fn or(self, other: LoadReport) -> LoadReport {
+        LoadReport {
+            utilization: self.utilization.or(other.utilization),
+            throughput: self.throughput.or(other.throughput),
+        }
+    }
+}
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -142,6 +142,24 @@
     }
 }
 
+#[test]
+fn a_server_at_the_index_of_one_that_is_gone_starts_with_no_history() {
+    let mut b = start(terms(Effect::NonIdempotent), &[0, 1, 2, 3].map(|server| entry(server, 0)));
+    let mut failed = 0;
+    while failed < 2 {
+        let server = sent_to(&ask(&mut b, NOON, 0)).expect("sent");
+        failed += usize::from(server == 0);
+        end(&mut b, NOON, 0, 0, ending(if server == 0 { Error } else { Completed }, 100 * MS));
+    }
+    assert_eq!(serve(&mut b, NOON + MS, 90, 4, steady)[0], 0);
+    let now = NOON + 900 * MS;
+    b.list_changed(now, &[Entry { standing: Standing::Gone, ..entry(0, 0) }]);
+    b.let_go(0);
+    b.let_go(9);
+    b.list_changed(now, &[entry(0, 0)]);
+    assert!(serve(&mut b, now, 90, 4, steady)[0] > 0);
+}
+
 #[test]
 fn a_slow_server_rests() {
     let entries: Vec<Entry> = (0..6).map(|server| entry(server, 0)).collect();
