--- a/crates/balancer/src/shares.rs
+++ b/crates/balancer/src/shares.rs
@@ -48,7 +48,7 @@
                 Shares::of(Limits { memory_mb, sockets });
             assert_eq!((accepted, upstream, queries), shares);
             assert!(accepted + upstream + 24 <= sockets as usize && queries < accepted);
-            assert!(2 * queries * MOST_BODY + long_answers <= 3 * (memory_mb as usize) << 18);
+            assert!(2 * queries * MOST_BODY + long_answers <= (3 * memory_mb as usize) << 18);
         }
     }
 }
