A front server without room is passed over only while another one has room

Room is counted from the best rate told, and what was never asked of a server it never told of: at a third of its load it seems full. At fault: choose leaves out every server without room (has_room), so that this guard against one good server taking all the load rejects by itself; rejecting is the business of full(). Now it acts only while some fit server has room.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -523,6 +523,7 @@
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
+        let roomy = self.listed.iter().any(|&i| self.fit(i) && self.has_room(i));
         for i in 0..self.listed.len() {
             let server = self.listed[i];
             let tried = self.queries[qry].execs.iter().any(|e| e.server == server) || asked.contains(&server);
@@ -534,7 +535,7 @@
                 && !tried
                 && asked.first().is_none_or(near)
                 && self.fit(server)
-                && self.has_room(server)
+                && (self.has_room(server) || !roomy)
                 && self.cold_room(server)
                 && self.may_repeat_at(qry, server)
             {
@@ -600,8 +601,8 @@
         times.get(times.len() / 2).copied().unwrap_or(0.0)
     }
 
-    /// Guards against one good first-tier server taking the load of its zone: what it holds of this copy's,
-    /// times the copies, must be served in the least mean time at the rate that it tells of.
+    /// Guards against one good first-tier server taking the load of others that have room: what it holds of this
+    /// copy's, times the copies, must be served in the least mean time at the rate that it tells of.
     fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
         let least = self.least_time() / 1e6;
