What a server has spoilt or dropped it may get again where no other may have the query

Keyed queries may be repeated in the cell of the first execution alone; with four front servers in two cells or more there is often no other, and choose left out every server that had the query (tried). Now, where no other may have it, a server whose answer was spoilt or whose connection went (Broken, Stale) may have it again; it knows the key.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -99,19 +99,13 @@
     solved_latency: f64,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 struct Exec {
     server: usize,
     zone: usize,
     cell: usize,
     sent: u64,
-    fate: Fate,
+    /// How it ended; none while it is out.
+    ended: Option<Outcome>,
     /// Already counted against its server.
     struck: bool,
 }
@@ -296,8 +290,8 @@
     pub fn completed(&mut self, now: u64, qry: usize, exec: usize, ending: Ending) {
         self.now = now;
         let Some(q) = self.queries.get_mut(qry) else { return };
-        let Some(e) = q.execs.get_mut(exec).filter(|e| e.fate == Fate::Out) else { return };
-        e.fate = if ending.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let Some(e) = q.execs.get_mut(exec).filter(|e| e.ended.is_none()) else { return };
+        e.ended = Some(ending.outcome);
         let (server, struck, product, was_live) = (e.server, e.struck, q.product, q.live);
         q.live &= !ending.over;
         self.own_total = self.own_total.saturating_sub(1);
@@ -311,7 +305,7 @@
         let q = &self.queries[qry];
         if was_live && ending.over {
             self.cancel_all_but(qry, None);
-        } else if q.live && q.execs.iter().all(|e| e.fate != Fate::Out) {
+        } else if q.live && q.execs.iter().all(|e| e.ended.is_some()) {
             let late = now + self.usual_latency(product) >= q.give_up;
             if late || ending.outcome == Outcome::Unfit || !self.place(qry) {
                 self.finish(qry);
@@ -371,7 +365,7 @@
         let (product, count) = (q.product, q.execs.len());
         let since = self.now.saturating_sub(self.patience(product));
         let silent = |e: &Exec| {
-            e.fate == Fate::Out && !e.struck && e.sent <= since && self.servers[e.server].last_answer < e.sent
+            e.ended.is_none() && !e.struck && e.sent <= since && self.servers[e.server].last_answer < e.sent
         };
         // Guards against a server that takes queries and answers none: it has answered nobody since.
         if let Some(exec) = self.queries[qry].execs.iter().rposition(silent) {
@@ -411,7 +405,7 @@
         }
         let mut asked = Vec::with_capacity(ASKED);
         while asked.len() < ASKED
-            && let Some(server) = self.choose(qry, &asked)
+            && let Some(server) = self.choose(qry, &asked, false)
         {
             asked.push(server);
             self.servers[server].askers.push_back((qry, self.now));
@@ -421,22 +415,23 @@
         !asked.is_empty()
     }
 
-    /// Sends the query somewhere, if any server may have it.
+    /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other server
+    /// may repeat what one has spoilt or dropped: that one may.
     fn place(&mut self, qry: usize) -> bool {
-        self.choose(qry, &[]).is_some_and(|server| self.execute(qry, server))
+        let server = self.choose(qry, &[], false).or_else(|| self.choose(qry, &[], true));
+        server.is_some_and(|server| self.execute(qry, server))
     }
 
     /// The one way out for executions: rules 2 to 4 and the query's state are checked here.
     fn execute(&mut self, qry: usize, server: usize) -> bool {
         let q = &self.queries[qry];
         let open = q.live && self.now < q.give_up && q.execs.len() < self.terms.most_executions;
-        let alone = self.terms.second_copies || q.execs.iter().all(|e| e.fate != Fate::Out);
+        let alone = self.terms.second_copies || q.execs.iter().all(|e| e.ended.is_some());
         let s = &self.servers[server];
         if !open || !alone || !s.ready || !self.may_repeat_at(qry, server) || !self.cold_room(server) {
             return false;
         }
-        let exec =
-            Exec { server, zone: s.zone, cell: s.cell, sent: self.now, fate: Fate::Out, struck: false };
+        let exec = Exec { server, zone: s.zone, cell: s.cell, sent: self.now, ended: None, struck: false };
         let usual = mean((0..self.latencies.len()).map(|product| self.usual_latency(product) as f64));
         let work = (self.usual_latency(q.product) as f64 / usual.max(1.0)).max(1.0);
         let q = &mut self.queries[qry];
@@ -453,7 +448,7 @@
     fn may_repeat_at(&self, qry: usize, server: usize) -> bool {
         let (q, s) = (&self.queries[qry], &self.servers[server]);
         let row = &self.terms.products[q.product];
-        let mut ran = q.execs.iter().filter(|e| e.fate != Fate::NeverRan);
+        let mut ran = q.execs.iter().filter(|e| !e.ended.is_some_and(Outcome::never_ran));
         match row.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => ran.next().is_none(),
@@ -474,7 +469,7 @@
         q.live = false;
         let row = &self.terms.products[q.product];
         let repeatable = matches!(row.effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
-        if repeatable || q.execs.iter().all(|e| e.fate == Fate::NeverRan) {
+        if repeatable || q.execs.iter().all(|e| e.ended.is_some_and(Outcome::never_ran)) {
             self.host.reject(qry, (row.slo_time / 2).min(self.terms.most_retry_after));
         } else {
             self.host.abort(qry);
@@ -484,7 +479,7 @@
 
     fn cancel_all_but(&mut self, qry: usize, kept: Option<usize>) {
         for (exec, e) in self.queries[qry].execs.iter().enumerate() {
-            if self.terms.cancel && e.fate == Fate::Out && Some(exec) != kept {
+            if self.terms.cancel && e.ended.is_none() && Some(exec) != kept {
                 self.host.cancel(qry, exec);
             }
         }
@@ -517,16 +512,17 @@
 
     // ---- choice of a server
 
-    /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`),
-    /// passing over the crowded.
-    fn choose(&mut self, qry: usize, asked: &[usize]) -> Option<usize> {
+    /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`, and
+    /// those that had the query, but for broken connections if `again`), passing over the crowded.
+    fn choose(&mut self, qry: usize, asked: &[usize], again: bool) -> Option<usize> {
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
         let roomy = self.listed.iter().any(|&i| self.fit(i) && self.has_room(i));
         for i in 0..self.listed.len() {
             let server = self.listed[i];
-            let tried = self.queries[qry].execs.iter().any(|e| e.server == server) || asked.contains(&server);
+            let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::broke));
+            let tried = self.queries[qry].execs.iter().any(had) || asked.contains(&server);
             // Servers asked together share a zone, so that the ways to them are alike.
             let near = |&first: &usize| self.servers[first].zone == self.servers[server].zone;
             // A cold server gets the part of an even share that it can do.
--- a/src/host.rs
+++ b/src/host.rs
@@ -128,6 +128,11 @@
         matches!(self, Cancelled | Moot | TurnedAway | Unfit | Stale)
     }
 
+    /// Whether an answer was spoilt, or its connection went: it may have run, and its server may be well.
+    pub fn broke(self) -> bool {
+        matches!(self, Outcome::Broken | Outcome::Stale)
+    }
+
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::TurnedAway | Outcome::NotConnected | Outcome::Moot)
     }
