--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -95,14 +95,19 @@
         }
     }
 
-    /// At the brim a connection makes room: the longest idle of those that have asked nothing yet, else of all.
-    /// Guards against clients that connect by hundreds and say nothing: they can't crowd out those that ask.
+    /// At the brim a connection makes room: the longest idle of those that have asked nothing for a while since
+    /// they came, else of all. Guards against clients that connect by hundreds and say nothing: they can't crowd
+    /// out those that ask, nor those whose first query is on its way.
     fn close_longest_idle(&self) {
         let open = self.open.borrow();
         // Should one end slowly, the next one is closed after it.
         let idle = open.values().filter(|client| client.idle_since.get().is_some());
         let idle = idle.filter(|client| client.closing.get().is_none());
-        if let Some(client) = idle.min_by_key(|client| (!client.fresh.get(), client.idle_since.get())) {
+        let now = Instant::now();
+        let silent = |client: &Client| {
+            client.fresh.get() && client.idle_since.get().is_some_and(|at| at + LOOK <= now)
+        };
+        if let Some(client) = idle.min_by_key(|client| (!silent(client), client.idle_since.get())) {
             client.close();
         }
     }
@@ -314,15 +319,18 @@
     fn at_the_brim_those_that_asked_nothing_make_room_first() {
         let clients = [
             client(Some(9_000), false, None, None),
-            client(Some(20), true, None, None),
-            client(Some(90), true, None, None),
+            client(Some(300), true, None, None),
+            client(Some(900), true, None, None),
+            client(Some(0), true, None, None),
             client(None, false, None, None),
         ];
+        // It has only just come, however slow this test is.
+        clients[3].idle_since.set(Some(Instant::now() + Duration::from_secs(3600)));
         let accepted = Accepted::default();
         accepted.open.borrow_mut().extend((0..).zip(clients.iter().map(Rc::clone)));
-        for next in [2, 1, 0] {
+        for next in [2, 1, 0, 3] {
             accepted.close_longest_idle();
-            let closing = (0..4).filter(|&i| clients[i].close.notified().now_or_never().is_some());
+            let closing = (0..5).filter(|&i| clients[i].close.notified().now_or_never().is_some());
             assert_eq!(closing.collect::<Vec<_>>(), [next]);
         }
     }
