Room stays strict where utilization is told; what broke under a stale connection never ran

Two causes: the guard by room was lifted also where reports tell utilization, so that strength is known and not guessed from rates; and every refusal drew servers a second time, which only moves chance along. Now the guard is lifted for guesses alone, and the second draw is made only after something broke or was spoilt. An answer that had begun and is no good is Spoilt, told from a connection that broke before any; both may go to the same server again as before.

--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -137,7 +137,8 @@
 fn outcome(failure: &Failure) -> Outcome {
     match failure.progress {
         _ if failure.is_own() => Outcome::Moot,
-        Progress::Whole if failure.is_stale() => Outcome::Stale,
+        Progress::Whole if failure.stale => Outcome::Stale,
+        Progress::Whole if failure.answered => Outcome::Spoilt,
         Progress::Whole => Outcome::Broken,
         Progress::Begun | Progress::Nothing => Outcome::NotConnected,
     }
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -9,7 +9,9 @@
 use whinspindle_messages::query::Forwarded;
 use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer, Ticket};
 
-use Outcome::{Broken, Cancelled, Completed, Error, Moot, NotConnected, Stale, TimedOut, TurnedAway, Unfit};
+use Outcome::{
+    Broken, Cancelled, Completed, Error, Moot, NotConnected, Spoilt, Stale, TimedOut, TurnedAway, Unfit,
+};
 
 const NOW: u64 = 1_000_000_000;
 
@@ -118,7 +120,7 @@
     for (effect, outcomes, answers) in [
         ("keyed", &[Completed][..], &["completed"][..]),
         ("keyed", &[Error], &["aborted"]),
-        ("keyed", &[Broken, Broken, Broken], &["aborted"]),
+        ("keyed", &[Spoilt, Spoilt, Spoilt], &["aborted"]),
         ("keyed", &[TimedOut], &["aborted, out of time"]),
         ("keyed", &[TurnedAway], &["rejected"]),
         ("keyed", &[NotConnected], &["rejected"]),
@@ -126,7 +128,7 @@
         ("safe", &[Error], &["rejected"]),
         ("unsafe", &[Broken], &["aborted"]),
         ("keyed", &[Unfit], &["aborted"]),
-        ("keyed", &[Stale, Broken, Completed], &["completed"]),
+        ("keyed", &[Stale, Spoilt, Completed], &["completed"]),
     ] {
         let mut bench = Bench::new(effect, &[("1", "ready")]);
         bench.query("client");
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -48,7 +48,7 @@
     }
 
     pub(crate) fn failure(&self, cause: Cause) -> Failure {
-        Failure { progress: self.progress(), cause }
+        Failure { progress: self.progress(), cause, stale: false, answered: false }
     }
 }
 
@@ -129,11 +129,10 @@
             () = heard.stalled(terms.stall) => Err(Cause::Stalled),
         };
         let kept = std::mem::replace(&mut self.kept, true);
-        end.map_err(|cause| match cause {
-            Cause::Connection(e) if kept && self.meter.heard.get().is_none() => {
-                trail.failure(Cause::Stale(e))
-            }
-            cause => trail.failure(cause),
+        end.map_err(|cause| {
+            let answered = self.meter.heard.get().is_some();
+            let stale = kept && !answered && matches!(cause, Cause::Connection(_));
+            Failure { stale, answered, ..trail.failure(cause) }
         })
     }
 
--- a/crates/upstreams/src/failure.rs
+++ b/crates/upstreams/src/failure.rs
@@ -17,6 +17,10 @@
 pub struct Failure {
     pub progress: Progress,
     pub cause: Cause,
+    /// The connection had stood idle and broke before any answer: it may have been gone already.
+    pub stale: bool,
+    /// Some of an answer had come.
+    pub answered: bool,
 }
 
 #[derive(Debug)]
@@ -28,8 +32,6 @@
     Connect(std::io::Error),
     ConnectTimeOut,
     Connection(hyper::Error),
-    /// The connection had stood idle and broke before any answer: it may have been gone already.
-    Stale(hyper::Error),
     /// There is no room for a body so long.
     TooLong(u64),
     /// The response tells its length in two ways.
@@ -39,14 +41,11 @@
 }
 
 impl Failure {
-    /// Whether this tells of the connection alone and nothing of the server.
-    pub fn is_stale(&self) -> bool {
-        matches!(self.cause, Cause::Stale(_))
-    }
-
-    /// Whether the exchange was given up here, through no fault of the server.
+    /// Whether the exchange came to nothing here, through no fault of the server, which has seen none of it or not
+    /// all.
     pub fn is_own(&self) -> bool {
         matches!(self.cause, Cause::NoneFree | Cause::Unwanted)
+            || (self.stale && self.progress != Progress::Whole)
     }
 }
 
@@ -57,8 +56,10 @@
             Cause::Unwanted => write!(to, "wanted no more"),
             Cause::Connect(e) => write!(to, "connect: {e}"),
             Cause::ConnectTimeOut => write!(to, "connect: timed out"),
+            Cause::Connection(e) if self.stale => {
+                write!(to, "kept connection: {e}, request {:?}", self.progress)
+            }
             Cause::Connection(e) => write!(to, "connection: {e}, request {:?}", self.progress),
-            Cause::Stale(e) => write!(to, "kept connection: {e}, request {:?}", self.progress),
             Cause::TooLong(bytes) => write!(to, "response too long: {bytes} bytes or more"),
             Cause::TwoLengths => write!(to, "response with two kinds of length"),
             Cause::Stalled => write!(to, "response begun and not ended"),
@@ -67,3 +68,22 @@
 }
 
 impl std::error::Error for Failure {}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_that_was_gone_is_no_fault_of_its_server() {
+        for (stale, progress, own) in [
+            (true, Progress::Nothing, true),
+            (true, Progress::Begun, true),
+            (true, Progress::Whole, false),
+            (false, Progress::Nothing, false),
+            (false, Progress::Begun, false),
+        ] {
+            let failure = Failure { progress, cause: Cause::Stalled, stale, answered: !stale };
+            assert_eq!(failure.is_own(), own, "{failure:?}");
+        }
+    }
+}
--- a/crates/upstreams/tests/exchange.rs
+++ b/crates/upstreams/tests/exchange.rs
@@ -163,10 +163,11 @@
 #[test]
 fn a_kept_connection_that_breaks_under_a_request_tells_nothing_of_its_server() {
     // The second reply: the connection ends without a byte, in the middle of an answer, or at its begin.
-    for (replies, stale) in [
-        (vec![(OK, true), ("", false)], true),
-        (vec![(OK, true), (CUT, false)], false),
-        (vec![("", false)], false),
+    for (replies, told) in [
+        (vec![(OK, true), ("", false)], (true, false)),
+        (vec![(OK, true), (CUT, false)], (false, true)),
+        (vec![(BAD, true)], (false, true)),
+        (vec![("", false)], (false, false)),
     ] {
         run(async {
             let count = replies.len();
@@ -177,7 +178,8 @@
             }
             let failure = exchange(&connections, address, true, &Trail::default()).await;
             let failure = failure.expect_err("a failure");
-            assert_eq!((failure.is_stale(), failure.progress), (stale, Progress::Whole), "{replies:?}");
+            assert_eq!((failure.stale, failure.answered), told, "{replies:?}");
+            assert_eq!(failure.progress, Progress::Whole);
         });
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -416,9 +416,11 @@
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other server
-    /// may repeat what one has spoilt or dropped: that one may.
+    /// may repeat what one has spoilt: that one may.
     fn place(&mut self, qry: usize) -> bool {
-        let server = self.choose(qry, &[], false).or_else(|| self.choose(qry, &[], true));
+        let spoilt = self.queries[qry].execs.iter().any(|e| e.ended.is_some_and(Outcome::is_chance));
+        let first = self.choose(qry, &[], false);
+        let server = if first.is_none() && spoilt { self.choose(qry, &[], true) } else { first };
         server.is_some_and(|server| self.execute(qry, server))
     }
 
@@ -513,7 +515,7 @@
     // ---- choice of a server
 
     /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`, and
-    /// those that had the query, but for broken connections if `again`), passing over the crowded.
+    /// those that had the query, but for spoilt answers if `again`), passing over the crowded.
     fn choose(&mut self, qry: usize, asked: &[usize], again: bool) -> Option<usize> {
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
@@ -521,7 +523,7 @@
         let roomy = self.listed.iter().any(|&i| self.fit(i) && self.has_room(i));
         for i in 0..self.listed.len() {
             let server = self.listed[i];
-            let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::broke));
+            let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::is_chance));
             let tried = self.queries[qry].execs.iter().any(had) || asked.contains(&server);
             // Servers asked together share a zone, so that the ways to them are alike.
             let near = |&first: &usize| self.servers[first].zone == self.servers[server].zone;
@@ -531,7 +533,7 @@
                 && !tried
                 && asked.first().is_none_or(near)
                 && self.fit(server)
-                && (self.has_room(server) || !roomy)
+                && (self.has_room(server) || (!roomy && self.servers[server].busy.is_empty()))
                 && self.cold_room(server)
                 && self.may_repeat_at(qry, server)
             {
--- a/src/host.rs
+++ b/src/host.rs
@@ -114,6 +114,8 @@
     TimedOut,
     NotConnected,
     Broken,
+    /// An answer came that can't be used, or only a part of one: it may have run.
+    Spoilt,
     /// A connection that had stood idle broke under it: it may have run, and nothing is told of the server.
     Stale,
     Cancelled,
@@ -128,9 +130,9 @@
         matches!(self, Cancelled | Moot | TurnedAway | Unfit | Stale)
     }
 
-    /// Whether an answer was spoilt, or its connection went: it may have run, and its server may be well.
-    pub fn broke(self) -> bool {
-        matches!(self, Outcome::Broken | Outcome::Stale)
+    /// Whether it may have run at a server that may well answer the next time.
+    pub fn is_chance(self) -> bool {
+        matches!(self, Outcome::Broken | Outcome::Spoilt | Outcome::Stale)
     }
 
     pub fn never_ran(self) -> bool {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -290,13 +290,13 @@
 fn a_first_tier_server_takes_what_it_can_serve_in_time() {
     // Twenty a second at half of its cores: forty, which is four in 100 ms, two of each copy and one more.
     // With no utilization told, half as much again as the rate: three, one of each copy and one more.
-    // The other server has room for all, or for as little: then the load is no longer one server's alone, and
-    // only a full tier rejects.
+    // The other server has room for all, or for as little: then what they could do is only guessed, unless
+    // utilization tells it, and only a full tier rejects.
     for (tier, utilization, other, held) in [
         (0, Some(0.5), 900.0, 0..=3),
         (0, None, 900.0, 1..=2),
         (1, None, 900.0, 5..=15),
-        (0, Some(0.5), 20.0, 5..=15),
+        (0, Some(0.5), 20.0, 3..=3),
         (0, None, 20.0, 5..=15),
     ] {
         let rules = Terms { tier, ..terms(Effect::Idempotent) };
@@ -305,7 +305,8 @@
         serve(&mut b, NOON, 64, 2, |server| (100 * MS, told(server)));
         let sent = (1..21).filter_map(|qry| sent_to(&ask(&mut b, NOON + 640 * MS, qry)));
         let sent: Vec<usize> = sent.collect();
-        assert_eq!(sent.len(), 20, "{tier} {utilization:?} {other}");
+        let all = if utilization.is_some() && other == 20.0 { 6 } else { 20 };
+        assert_eq!(sent.len(), all, "{tier} {utilization:?} {other}");
         let first = sent.iter().filter(|&&server| server == 0).count();
         assert!(held.contains(&first), "{tier} {utilization:?} {other}: {first}");
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 use whinspindle::host::*;
 
 use Effect::{Deduplicated, Idempotent, NonIdempotent};
-use Outcome::{Broken, Completed, Error, NotConnected, Stale, TimedOut, TurnedAway};
+use Outcome::{Broken, Completed, Error, NotConnected, Spoilt, Stale, TimedOut, TurnedAway};
 
 #[test]
 fn last_answer_follows_what_may_have_run() {
@@ -27,15 +27,16 @@
 }
 
 #[test]
-fn what_a_server_dropped_it_gets_again_if_no_other_may_have_it() {
+fn what_a_server_spoilt_it_gets_again_if_no_other_may_have_it() {
     for (effect, outcome, cell, to) in [
-        (Deduplicated(Group::Cell), Broken, 1, Some(0)),
+        (Deduplicated(Group::Cell), Spoilt, 1, Some(0)),
         (Deduplicated(Group::Cell), Stale, 1, Some(0)),
-        (Deduplicated(Group::Cell), Broken, 0, Some(1)),
-        // What it answers, refuses or keeps silent about, it would again.
+        (Deduplicated(Group::Cell), Spoilt, 0, Some(1)),
+        (Deduplicated(Group::Cell), Broken, 1, Some(0)),
+        // What it answers or keeps silent about it would again.
         (Deduplicated(Group::Cell), Error, 1, None),
         (Deduplicated(Group::Cell), TimedOut, 1, None),
-        (NonIdempotent, Broken, 1, None),
+        (NonIdempotent, Spoilt, 1, None),
         (NonIdempotent, NotConnected, 1, Some(1)),
     ] {
         let mut b = start(terms(effect), &[entry(0, 0)]);
