Queries stay home for their even part; a copy knows its part of the traffic by what servers tell

Two causes, both harmless in one balancer.

At fault: beyond_share in src/decide.rs, which takes every copy to have one part in n of the traffic; clients give this one a third of it. 'part' now tells this copy's part: what it lets in, less chance, of what servers tell that they serve.

Zones draw by ready counts, so that four of five calls cross among five zones; a cut between one and the rest meets a third of the calls of each tier, and a query has three. At fault: choose, which lets queries cross where the home zone could serve them. Where crossings have a price a query now stays home by a chance that gives the zone's servers an even part of the traffic ('stays'); the rest is drawn by the weights as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,7 @@
 //! All decisions of one balancer. The host builds a `Balancer` with the deployment's terms and its seed, and
-//! calls one method for each thing that happens: `routes`, `list_whole`, `list_changed`, `let_go`,
-//! `list_failed`, `query`,
-//! `started`, `completed`, `withdrawn`, `stopping`, `probed`, `timer`. The balancer acts only by calling the `Host`
-//! trait, which `host.rs` defines together with the plain types handed over. `docs/design.md` tells what
-//! follows the design page, and under which conditions each exception acts.
+//! calls one method for each thing that happens. The balancer acts only by calling the `Host` trait, which
+//! `host.rs` defines together with the plain types handed over. `docs/design.md` tells what follows the
+//! design page, and under which conditions each exception acts.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -13,6 +11,7 @@
     Arrival, Conditions, Effect, Ending, Entry, Group, Host, LoadReport, Outcome, SecondCopy, Standing, Terms,
 };
 use crate::pcg::Pcg;
+use crate::samples::{count_times, mean, note_time, push, ranked};
 
 // The design's own figures: check period, settling time, change that counts, step, tries, pass-over.
 const CHECK: u64 = 5_000_000;
@@ -153,8 +152,9 @@
     lanes: Vec<Rc<RefCell<Lane>>>,
     /// The last served latencies, a row a product.
     latencies: Vec<VecDeque<u64>>,
-    /// When the last queries came, and when those let in did, a row a tenant.
+    /// When the last queries came, when those let in did, and these by a row a tenant.
     arrivals: VecDeque<u64>,
+    admitted: VecDeque<u64>,
     let_in: Vec<VecDeque<u64>>,
     /// When the last queries were served, what those of the present run took, and the means of the last runs.
     served: VecDeque<u64>,
@@ -166,29 +166,6 @@
     solved_rate: f64,
 }
 
-fn push<T>(ring: &mut VecDeque<T>, most: usize, item: T) {
-    if ring.len() >= most {
-        ring.pop_front();
-    }
-    ring.push_back(item);
-}
-
-/// Times of arrivals and answers are kept for a check period.
-fn note_time(times: &mut VecDeque<u64>, now: u64) {
-    count_times(times, now);
-    times.push_back(now);
-}
-
-fn count_times(times: &mut VecDeque<u64>, now: u64) -> f64 {
-    while times.pop_front_if(|at| *at + CHECK < now).is_some() {}
-    times.len() as f64
-}
-
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
-    if count > 0.0 { sum / count } else { 0.0 }
-}
-
 /// What a server could do by its last reports: the rate it serves over the part of its cores that this takes.
 fn told_strength(s: &Server, reports: usize) -> Option<f64> {
     let (rate, busy) =
@@ -211,6 +188,7 @@
             lanes: Vec::new(),
             latencies: vec![VecDeque::new(); terms.products.len()],
             arrivals: VecDeque::new(),
+            admitted: VecDeque::new(),
             let_in: vec![VecDeque::new(); terms.tenant_quotas.len()],
             served: VecDeque::new(),
             run: Vec::new(),
@@ -292,12 +270,12 @@
         if qry >= self.queries.len() {
             self.queries.resize_with(qry + 1, Query::default);
         }
-        note_time(&mut self.arrivals, now);
+        note_time(&mut self.arrivals, now, CHECK);
         let margin = 2 * self.terms.tick;
         let Arrival { product, tenant, mut deadline, route } = arrival;
         let lane = route.and_then(|route| self.lanes.get(route).cloned());
         if let Some(mut lane) = lane.as_ref().map(|lane| lane.borrow_mut()) {
-            note_time(&mut lane.came, now);
+            note_time(&mut lane.came, now, CHECK);
             deadline = lane.rows.get(product).map_or(deadline, |row| deadline.min(now + row.time));
         }
         let mut give_up = deadline.saturating_sub(margin);
@@ -311,8 +289,11 @@
         self.queries[qry] = query;
         if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
-        } else if let Some(times) = self.let_in.get_mut(tenant) {
-            note_time(times, now);
+            return;
+        }
+        note_time(&mut self.admitted, now, CHECK);
+        if let Some(times) = self.let_in.get_mut(tenant) {
+            note_time(times, now, CHECK);
         }
     }
 
@@ -462,7 +443,8 @@
         let Some(mut lane) = q.lane.as_ref().map(|lane| lane.borrow_mut()) else { return Some(0) };
         let Lane { rows, came, repeats } = &mut *lane;
         let Some(row) = rows.get(q.product) else { return Some(0) };
-        let room = count_times(repeats, self.now) + 1.0 <= row.budget * count_times(came, self.now);
+        let room =
+            count_times(repeats, self.now, CHECK) + 1.0 <= row.budget * count_times(came, self.now, CHECK);
         let spread = if row.wait > 0 { self.chance.unit() * row.spread } else { 0.0 };
         (room && row.repeat_after.allows(outcome)).then(|| row.wait + (row.wait as f64 * spread) as u64)
     }
@@ -527,7 +509,7 @@
         let longest = self.conditions(qry, |row| row.execution_time).unwrap_or(u64::MAX);
         let q = &mut self.queries[qry];
         if let Some(lane) = q.lane.as_ref().filter(|_| !q.execs.is_empty()) {
-            note_time(&mut lane.borrow_mut().repeats, self.now);
+            note_time(&mut lane.borrow_mut().repeats, self.now, CHECK);
         }
         q.held = false;
         q.execs.push(exec);
@@ -597,19 +579,31 @@
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
-        let part = if self.beyond_share(tenant) { BEYOND } else { 1.0 };
-        self.terms.tier == 0 && !self.runs.is_empty() && self.own_total as f64 > part * most
+        let held = self.own_total as f64;
+        let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
+        self.terms.tier == 0 && !self.runs.is_empty() && over
     }
 
     fn least_time(&self) -> f64 {
         self.runs.iter().copied().fold(f64::MAX, f64::min)
     }
 
+    /// This copy's part of the fleet's traffic: what it lets in, less what chance brings, of what servers tell
+    /// that they serve; an even part at the least. Guards against taking a copy that clients use several times
+    /// as much as others for one like them.
+    fn part(&self) -> f64 {
+        let even = 1.0 / self.terms.balancers as f64;
+        let told = mean(self.listed.iter().filter_map(|&i| self.servers[i].rates.back().copied()));
+        let own = self.rate(&self.admitted, CHECK);
+        let own = own - (own * 1e6 / CHECK as f64).sqrt();
+        if told > 0.0 { (own / (told * self.listed.len() as f64)).clamp(even, 1.0) } else { even }
+    }
+
     /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share, by more
     /// than chance brings where that part is a few queries.
     fn beyond_share(&self, tenant: usize) -> bool {
         let quota = self.terms.tenant_quotas.get(tenant).copied().unwrap_or(0.0);
-        let part = quota / self.terms.balancers as f64;
+        let part = quota * self.part();
         let chance = (part * 1e6 / CHECK as f64).sqrt();
         quota > 0.0 && self.rate(&self.let_in[tenant], CHECK) > part + chance
     }
@@ -650,7 +644,11 @@
             at -= weight;
             at < 0.0
         };
-        let zone = open.iter().position(passed).unwrap_or(last);
+        let mut zone = open.iter().position(passed).unwrap_or(last);
+        let stays = self.stays(&fit);
+        if stays > 0.0 && self.chance.unit() < stays {
+            zone = self.terms.home;
+        }
         fit.retain(|&server| self.servers[server].zone == zone);
         let strengths = self.strengths(&fit);
         let own = |server: usize| self.servers[server].own as f64;
@@ -670,6 +668,15 @@
         chosen.map(|(_, server)| server)
     }
 
+    /// Where crossings have a price, the chance that a query stays in the home zone and is not drawn by weight:
+    /// so much that the zone's part of the servers serves an even part of the traffic there. Guards against
+    /// crossings that gain nothing, each of which fails when a cut or a loss comes between the zones.
+    fn stays(&self, fit: &[usize]) -> f64 {
+        let home = fit.iter().filter(|&&server| self.servers[server].zone == self.terms.home).count();
+        let priced = if self.terms.cross_zone > 0.0 { self.zones.len() } else { 0 };
+        (home * priced) as f64 / (fit.len() * self.terms.balancers) as f64 / self.part()
+    }
+
     /// What each server can do against the others: by its reports and those of its kind, which are known long
     /// before it is, else by its listed size; less where its last answers took longer than usual.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
@@ -696,9 +703,7 @@
     /// What the last completed executions of the middle one of the servers took.
     fn usual_time(&self) -> f64 {
         let known = self.listed.iter().filter(|&&i| self.fit(i) && self.servers[i].took.len() >= 3);
-        let mut times: Vec<f64> = known.map(|&i| mean(self.servers[i].took.iter().copied())).collect();
-        times.sort_unstable_by(f64::total_cmp);
-        times.get(times.len() / 2).copied().unwrap_or(0.0)
+        ranked(known.map(|&i| mean(self.servers[i].took.iter().copied())), 0.5).unwrap_or(0.0)
     }
 
     /// Guards against one good first-tier server taking the load of others that have room: what it holds of
@@ -771,7 +776,7 @@
 
     fn note_served(&mut self, server: usize, product: usize, spent: u64) {
         push(&mut self.latencies[product], LATENCIES, spent);
-        note_time(&mut self.served, self.now);
+        note_time(&mut self.served, self.now, CHECK);
         self.run.push(spent as f64);
         push(&mut self.recent, RESULTS, spent as f64);
         // A copy that gets little ends its run after a check period, if an eighth of it is there.
@@ -834,9 +839,7 @@
     }
 
     fn latency_rank(&self, product: usize, rank: f64) -> Option<u64> {
-        let mut sorted: Vec<u64> = self.latencies[product].iter().copied().collect();
-        sorted.sort_unstable();
-        sorted.get((sorted.len() as f64 * rank) as usize).copied()
+        ranked(self.latencies[product].iter().copied(), rank)
     }
 
     // ---- the weights
@@ -850,7 +853,7 @@
     /// Events a second over the last `span`, or since the start.
     fn rate(&self, times: &VecDeque<u64>, span: u64) -> f64 {
         let since = self.now.saturating_sub(span).max(self.start);
-        let recent = times.iter().rev().take_while(|&&at| at >= since).count();
+        let recent = times.len() - times.partition_point(|&at| at < since);
         recent as f64 * 1e6 / (self.now - since).max(CHECK / 10) as f64
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod decide;
 pub mod host;
 pub mod pcg;
+mod samples;
