Tenants beyond their share are rejected half way, by ratio, from the least time to full

Copies with little traffic never rejected: the slack for chance hides half of a limit of a few calls. At fault: BEYOND, half of the limit, is 1.25 times the least time, which only a nearly idle fleet keeps. It is the geometric mean now (1 / sqrt(2.5) = 0.63).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,8 +35,8 @@
 const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
 const FULL: f64 = 2.5;
-/// For a tenant beyond its share it is full at this part of that.
-const BEYOND: f64 = 0.5;
+/// For a tenant beyond its share it is full at this part of that: half way, by ratio, to the least time.
+const BEYOND: f64 = 0.63;
 /// Where no utilization is told, a server is taken to do this many times the best rate it told of.
 const PEAK: f64 = 1.5;
 /// What the reports of its kind weigh against a server's own, as a number of reports.
