--- a/crates/balancer/src/command.rs
+++ b/crates/balancer/src/command.rs
@@ -2,10 +2,12 @@
 //! a rule is explained. Without arguments it balances.
 
 use std::fmt::Write;
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueHint};
+use clap_complete::Shell;
 use serde_json::json;
 use whinspindle_operator::{Operator, RULES};
 use whinspindle_routes::{Lookup, Route, SecondCopy, proof};
@@ -38,22 +40,28 @@
     Route(RouteLine),
     /// Explain a rule by its number
     Explain(ExplainLine),
+    /// Write what makes a shell complete these commands, for its start-up file
+    Completions {
+        #[arg(value_enum)]
+        shell: Shell,
+    },
 }
 
 #[derive(Args)]
 struct RunLine {
     /// The operator's file; read again at SIGHUP
-    #[arg(long)]
+    #[arg(long, value_hint = ValueHint::FilePath)]
     operator: Option<PathBuf>,
 }
 
 #[derive(Args)]
 struct Files {
     /// The operator's file
+    #[arg(value_hint = ValueHint::FilePath)]
     file: PathBuf,
     /// The platform's configuration, whose settings the file is held against; else the one that ROUTER_CONFIG
     /// names
-    #[arg(long)]
+    #[arg(long, value_hint = ValueHint::FilePath)]
     config: Option<PathBuf>,
 }
 
@@ -94,6 +102,7 @@
         Command::Check(line) => check(&line),
         Command::Route(line) => route(&line),
         Command::Explain(line) => explain(&line),
+        Command::Completions { shell } => completions(shell),
     };
     done.unwrap_or_else(|fault| {
         eprintln!("whinspindle: {fault}");
@@ -101,6 +110,14 @@
     })
 }
 
+/// Guards against a reader that has gone, such as `head`: the generator would panic on a closed pipe.
+fn completions(shell: Shell) -> Result<ExitCode, String> {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Line::command(), "whinspindle", &mut script);
+    std::io::stdout().write_all(&script).map_err(|fault| format!("standard output: {fault}"))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn deployment(config: Option<&Path>) -> Result<Deployment, String> {
     let Some(config) = config else { return placement::read().map(|placement| placement.deployment) };
     let read = placement::read_file(config).map_err(|fault| match fault {
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -1,29 +1,12 @@
 //! Deliberately wrong files, each refused for the line and the rule expected; good ones, and what they come
 //! to.
 
+mod common;
+
+use common::deployment;
 use whinspindle_operator::{LARGEST_BODY, Operator, draw, read};
 use whinspindle_routes::RepeatAfter;
 use whinspindle_tables::Fault;
-use whinspindle_terms::Deployment;
-
-/// Three products: `read` is idempotent, `order` deduplicated in the pod for 5 s, `pay` non-idempotent; 3 s
-/// each.
-fn deployment() -> Deployment {
-    let settings = r#"{"balancers": 2, "tier": 0, "zones": ["a", "b"], "kinds": ["m"], "membershipMode": "pushed",
-        "tickNs": 5000000, "products": [
-        {"name": "read", "effect": "safe", "sloTimeNs": 500000000, "statementTimeoutNs": 3000000000},
-        {"name": "order", "effect": "keyed", "keyScope": "cell", "sloTimeNs": 500000000,
-            "memorySpanNs": 5000000000, "statementTimeoutNs": 3000000000},
-        {"name": "pay", "effect": "unsafe", "sloTimeNs": 500000000, "statementTimeoutNs": 3000000000},
-        {"name": "brief", "effect": "keyed", "keyScope": "all", "sloTimeNs": 500000000,
-            "memorySpanNs": 1000000000, "statementTimeoutNs": 3000000000}],
-        "projects": [{"name": "acme", "quotaPerS": 50.0}, {"name": "bolt", "quotaPerS": 50.0}],
-        "limits": {"cancel": true, "mostExecutions": 4, "maxRetryAfterNs": 0, "retryAfter": false,
-            "secondCopies": false, "connIdleNs": 15000000000, "connectTimeoutNs": 250000000},
-        "loadInfo": {"columns": []},
-        "obligations": {"coldFrom": 0.3, "coldNs": 1, "fallMultiple": 3.0, "tipAfterNs": 1}}"#;
-    whinspindle_terms::parse(settings.as_bytes()).expect("settings")
-}
 
 fn faults(text: &str) -> Vec<Fault> {
     read(text, &deployment()).err().unwrap_or_default()
