Queries stay home only where a zone has two copies of the balancer or more

While one front balancer restarts the other has all queries and sends most of them to the servers of its own zone. At fault: stays in src/decide.rs, which takes a zone to have copies enough that the loss of one does not shift its traffic.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -668,12 +668,13 @@
         chosen.map(|(_, server)| server)
     }
 
-    /// Where crossings have a price, the chance that a query stays in the home zone and is not drawn by weight:
-    /// so much that the zone's part of the servers serves an even part of the traffic there. Guards against
-    /// crossings that gain nothing, each of which fails when a cut or a loss comes between the zones.
+    /// Where crossings have a price and a zone two copies, the chance that a query stays home and is not drawn by
+    /// weight: so much that the zone's part of the servers serves an even part. Guards against crossings, which
+    /// a cut or a lost zone fails; with one copy a zone, the loss of a copy would bring all to another's home.
     fn stays(&self, fit: &[usize]) -> f64 {
         let home = fit.iter().filter(|&&server| self.servers[server].zone == self.terms.home).count();
-        let priced = if self.terms.cross_zone > 0.0 { self.zones.len() } else { 0 };
+        let several = self.terms.balancers >= 2 * self.zones.len();
+        let priced = if self.terms.cross_zone > 0.0 && several { self.zones.len() } else { 0 };
         (home * priced) as f64 / (fit.len() * self.terms.balancers) as f64 / self.part()
     }
 
