--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -406,7 +406,7 @@
     }
 }
 
-/// Orders may take 300 ms, and bodies of four bytes.
+/// Orders that hang may take 2 s, and bodies of four bytes.
 const BRIEF: &str = "[[route]]\nname = \"brief\"\nproduct = \"order\"\npath = \"/hangs\"\ntime = \"2s\"\n\
     [[route]]\nname = \"small\"\npath = \"/served\"\nlargest-body = \"4B\"\n";
 
--- a/lab/fleet/src/play.rs
+++ b/lab/fleet/src/play.rs
@@ -492,6 +492,7 @@
             nodes = self.fronts.concat().into_iter().filter(|&n| self.nodes[n].dealt).collect();
         }
         // With none dealt the client finds nobody to connect to.
+        // Without favours the draw is as it always was, so that kept runs replay.
         let chosen = match self.scenario.clients.favour {
             1.0 => self.clients.below(nodes.len()),
             _ => self.scenario.favoured(nodes.len(), self.clients.unit()),
--- a/lab/fleet/tests/routes.rs
+++ b/lab/fleet/tests/routes.rs
@@ -12,7 +12,7 @@
 
 const ROUTES: u64 = 20_000;
 const THREADS: u64 = 8;
-/// The clock of virtual time, and what a lost message and the way to a server may take there.
+/// The shortest step of the clock that the decisions are told of.
 const TICK: u64 = 1_000;
 
 fn hostile(seed: u64) -> Scenario {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -350,7 +350,7 @@
         self.now = now;
         for (qry, q) in self.queries.iter_mut().enumerate().filter(|(_, q)| q.live && q.give_up > until) {
             (q.give_up, q.next_look) = (until, q.next_look.min(until));
-            self.host.wake(until - now, LABEL_QUERIES + qry as u32);
+            self.host.wake(until.saturating_sub(now), LABEL_QUERIES + qry as u32);
         }
     }
 
