Each copy reaches its own part of the list; where load is told to probes, it asks

At 1.3 and 5 balancers a server every copy drew from all servers of a zone, so that tables of connections (22 to 33, 76) were full: no connection, and each new one 16 to 38 ms of work.

draw_reach: where a connection carries several queries, a copy reaches a row of servers in each zone from its place on a ring of keys. ask, settle, roomy: where load is told to probes alone, three servers are asked unless their report is fresh, and the one with the least held for its strength gets the query; none has room: rejected at once. A probe unanswered is a failure, and until it is answered the server has no room. stays: this copy's own traffic and its neighbours' even parts against the zone's part of servers, in place of its part alone.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -98,6 +98,7 @@
             match self.columns.get(place).map(String::as_str) {
                 Some("utilization") => report.utilization = value,
                 Some("throughput") => report.throughput = value,
+                Some("outstanding" | "backlog") => report.held = report.held.or(value),
                 _ => {}
             }
         }
@@ -314,7 +315,16 @@
             let size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
             listed.push(Listed {
                 upstream,
-                entry: Entry { server: 0, zone, cell, kind, standing, size, born },
+                entry: Entry {
+                    server: 0,
+                    key: terms::key(&upstream),
+                    zone,
+                    cell,
+                    kind,
+                    standing,
+                    size,
+                    born,
+                },
             });
         }
         self.banks.insert(bank, listed);
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -60,6 +60,7 @@
             self.renew(server, listed);
             entries.push(Entry {
                 server,
+                key: whinspindle_terms::key(listed.name.as_bytes()),
                 zone: index(&mut self.zones, &listed.zone),
                 cell: listed.cell,
                 kind: index(&mut self.kinds, &listed.kind),
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -8,6 +8,8 @@
 #[serde(rename_all = "camelCase")]
 struct Options {
     balancers: usize,
+    #[serde(default)]
+    rank: usize,
     tier: usize,
     #[serde(default)]
     locality: usize,
@@ -75,12 +77,16 @@
     conn_idle_ns: Option<u64>,
     #[serde(default)]
     connect_timeout_ns: Option<u64>,
+    #[serde(default)]
+    streams_per_conn: Option<usize>,
 }
 
 #[derive(Deserialize)]
 struct LoadOptions {
     #[serde(default)]
     columns: Vec<String>,
+    #[serde(default)]
+    how: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +105,12 @@
     names.iter().position(|known| known == name)
 }
 
+/// A server's place among the others, drawn from its id, so that neighbours by id are none by key.
+pub fn key(id: &[u8]) -> u64 {
+    let fold = |hash: u64, &byte: &u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+    id.iter().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
 /// What the settings tell of a deployment.
 pub struct Deployment {
     pub terms: Terms,
@@ -147,6 +159,9 @@
     }
     let terms = Terms {
         balancers: options.balancers.max(1),
+        rank: options.rank,
+        streams: limits.streams_per_conn.unwrap_or(1),
+        load_by_probe: options.load_info.how.as_deref() == Some("pull"),
         tier: options.tier,
         home: options.locality,
         cross_zone: options.deductions.cross_zone.max(0.0),
--- a/lab/fleet/src/play.rs
+++ b/lab/fleet/src/play.rs
@@ -305,7 +305,7 @@
         let seed =
             Dice::new(self.scenario.seed ^ (u64::from(incarnation) << 32), Concern::Balancer(node)).bits();
         let dice = Dice::new(seed, Concern::Policy(node));
-        let terms = rules::terms(self.scenario, tier, zone);
+        let terms = rules::terms(self.scenario, tier, zone, node);
         let n = &mut self.nodes[node];
         (n.up, n.stopped, n.incarnation) = (true, false, incarnation);
         let mut decider = Decider::new(self.policy, terms, seed, dice, self.now);
@@ -1129,6 +1129,7 @@
             self.referee.told(self.now, node, id(listing), listed, listing.zone, listing.cell);
             entries.push(Entry {
                 server: listing.server,
+                key: listing.server as u64,
                 zone: listing.zone,
                 cell: listing.cell,
                 kind: listing.kind,
@@ -1236,5 +1237,6 @@
     report.map_or(LoadReport::default(), |report| LoadReport {
         utilization: report.utilization,
         throughput: report.throughput,
+        ..LoadReport::default()
     })
 }
--- a/lab/fleet/src/rules.rs
+++ b/lab/fleet/src/rules.rs
@@ -8,7 +8,7 @@
 const TICK: u64 = 1_000;
 
 /// What a balancer of a tier in a zone is handed at its start.
-pub fn terms(scenario: &Scenario, tier: usize, home: usize) -> Terms {
+pub fn terms(scenario: &Scenario, tier: usize, home: usize, rank: usize) -> Terms {
     let row = &scenario.tiers[tier];
     let products = scenario.products.iter().map(|product| Product {
         effect: product.effect,
@@ -18,6 +18,9 @@
     });
     Terms {
         balancers: scenario.balancers(tier),
+        rank,
+        streams: 1,
+        load_by_probe: false,
         tier,
         home,
         cross_zone: scenario.allowed.crossing,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,6 +44,9 @@
 /// A copy that hears of a server less than once in so many SLO times asks before it sends.
 const SELDOM: f64 = 4.0;
 const ASKED: usize = 3;
+/// How many servers a copy reaches where a connection carries many queries.
+const REACH: f64 = 6.0;
+const ROOM: f64 = 3.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -61,6 +64,7 @@
     cell: usize,
     kind: usize,
     size: f64,
+    key: u64,
     born: u64,
     /// Rounds this copy's part of the cold budget, up at as many copies as the budget needs.
     luck: f64,
@@ -85,6 +89,8 @@
     busy: VecDeque<(f64, f64)>,
     /// What it could do by these.
     told: Option<f64>,
+    /// What it held by the last report that told, and when that came.
+    held: Option<(f64, u64)>,
 }
 
 struct Sample {
@@ -135,6 +141,12 @@
     lane: Option<Rc<RefCell<Lane>>>,
     /// Waits for its time to be sent again.
     held: bool,
+    /// Of a beyond-share tenant.
+    beyond: bool,
+    /// The servers asked for it, and how many answers are still out.
+    asked: Vec<usize>,
+    unheard: usize,
+    rounds: usize,
 }
 
 pub struct Balancer<H: Host> {
@@ -146,6 +158,8 @@
     servers: Vec<Server>,
     /// The servers not gone, in the order of their indices.
     listed: Vec<usize>,
+    /// Those that this copy holds connections to.
+    reach: Vec<usize>,
     zones: Vec<Zone>,
     kinds: usize,
     queries: Vec<Query>,
@@ -182,6 +196,7 @@
             start: now,
             servers: Vec::new(),
             listed: Vec::new(),
+            reach: Vec::new(),
             zones: Vec::new(),
             kinds: 0,
             queries: Vec::new(),
@@ -233,10 +248,42 @@
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
             (s.zone, s.cell, s.kind, s.size, s.born) = (entry.zone, entry.cell, entry.kind, size, entry.born);
+            s.key = entry.key;
             self.kinds = self.kinds.max(entry.kind + 1);
             (s.ready, s.gone) = (entry.standing == Standing::Ready, entry.standing == Standing::Gone);
         }
         self.listed = (0..self.servers.len()).filter(|&i| !self.servers[i].gone).collect();
+        self.draw_reach();
+    }
+
+    /// Where a connection carries many queries, few connections do: a copy reaches its own part of the list, in
+    /// each zone as many servers as its share of the copy's queries is worth, in a row from the copy's place.
+    /// Guards against tables of connections that are full, so that most executions find none.
+    fn draw_reach(&mut self) {
+        self.reach.clear();
+        if self.terms.streams <= 1 {
+            self.reach.extend(&self.listed);
+            return;
+        }
+        // By the golden ratio any row of ranks is spread evenly.
+        let place = (self.terms.rank as f64 * 0.618_033_988_75).fract();
+        let (weights, stays) = (self.weights(), self.stays());
+        let many = REACH * (self.part() * self.terms.balancers as f64);
+        for (zone, weight) in weights.iter().enumerate() {
+            let home = if zone == self.terms.home { stays } else { 0.0 };
+            let mut wanted = (many * (home + (1.0 - stays) * weight)).max(1.0);
+            let mut ring: Vec<usize> = Vec::new();
+            ring.extend(self.listed.iter().filter(|&&i| self.servers[i].zone == zone));
+            ring.sort_by_key(|&i| self.servers[i].key);
+            let first = (place * ring.len() as f64) as usize;
+            for at in first..first + ring.len() {
+                let server = ring[at % ring.len()];
+                if wanted > 0.0 {
+                    self.reach.push(server);
+                    wanted -= if self.fit(server) { self.warmth(server) } else { 0.0 };
+                }
+            }
+        }
     }
 
     /// The server is gone and nothing in flight holds it: its index may stand for another one now.
@@ -287,7 +334,8 @@
         let product = if known { product } else { 0 };
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         self.queries[qry] = query;
-        if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
+        self.queries[qry].beyond = self.beyond_share(tenant);
+        if !known || self.full(qry) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
             return;
         }
@@ -360,10 +408,21 @@
             return;
         }
         self.note_report(server, report);
+        if self.terms.load_by_probe && !answered {
+            self.note_failure(server);
+        }
         let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
-        // The first of the servers asked to answer gets the query.
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
-        if answered && waits && self.fit(server) {
+        if !waits {
+            return;
+        }
+        if self.terms.load_by_probe {
+            self.queries[qry].unheard = self.queries[qry].unheard.saturating_sub(1);
+            if self.queries[qry].unheard == 0 && !self.settle(qry) {
+                self.finish(qry);
+            }
+        } else if answered && self.fit(server) {
+            // The first of the servers asked to answer gets the query.
             self.execute(qry, server);
         }
     }
@@ -387,7 +446,7 @@
             return;
         }
         let asks = q.execs.is_empty() || q.held;
-        if self.now >= q.give_up || (asks && !self.place(qry)) {
+        if self.now >= q.give_up || (asks && !self.settle(qry)) {
             return self.finish(qry);
         }
         if asks {
@@ -469,19 +528,70 @@
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
         let heard = SELDOM * slo_time as f64 * self.rate(&self.arrivals, CHECK) / 1e6;
         let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
-        if !self.terms.probes_pay || heard >= self.listed.len() as f64 || quick {
+        let known = heard >= self.reach.len() as f64 || quick;
+        if !self.terms.probes_pay || (known && !self.terms.load_by_probe) {
             return false;
         }
         let mut asked = Vec::with_capacity(ASKED);
+        self.queries[qry].unheard = 0;
+        self.queries[qry].rounds += 1;
         while asked.len() < ASKED
             && let Some(server) = self.choose(qry, &asked, false)
         {
             asked.push(server);
-            self.servers[server].askers.push_back((qry, self.now));
-            self.host.probe(server);
+            if !self.terms.load_by_probe || self.load(server).is_none() {
+                self.servers[server].askers.push_back((qry, self.now));
+                self.host.probe(server);
+                self.queries[qry].unheard += 1;
+            }
         }
         self.look_in(qry, slo_time / 8);
-        !asked.is_empty()
+        self.queries[qry].asked = asked;
+        let q = &self.queries[qry];
+        !q.asked.is_empty() && (q.unheard > 0 || self.settle(qry))
+    }
+
+    /// What the server holds by its last report and this copy's sends since, while that report is fresh.
+    fn load(&self, server: usize) -> Option<f64> {
+        let s = &self.servers[server];
+        let (held, at) = s.held.filter(|&(_, at)| self.now <= at + self.fresh())?;
+        let since = s.sent.iter().rev().take_while(|sent| sent.0 >= at).count();
+        Some(held + since as f64)
+    }
+
+    fn fresh(&self) -> u64 {
+        self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) / 8
+    }
+
+    /// Of the servers asked, the one that holds least against its strength gets the query, if one has room.
+    fn settle(&mut self, qry: usize) -> bool {
+        let asked = std::mem::take(&mut self.queries[qry].asked);
+        let told: Vec<usize> =
+            asked.iter().copied().filter(|&i| self.fit(i) && self.load(i).is_some()).collect();
+        if told.is_empty() {
+            let again = self.terms.load_by_probe && self.queries[qry].rounds < 2;
+            return if again { self.ask(qry) } else { !self.terms.load_by_probe && self.place(qry) };
+        }
+        let strengths = self.strengths(&told);
+        let mut best = None;
+        for (&server, strength) in told.iter().zip(strengths) {
+            let load = (self.load(server).unwrap_or(0.0) + 1.0) / strength;
+            if self.has_room(server, self.queries[qry].beyond) && best.is_none_or(|(least, _)| load < least) {
+                best = Some((load, server));
+            }
+        }
+        best.is_some_and(|(_, server)| self.execute(qry, server))
+    }
+
+    /// Whether what it holds is served in the time that counts as full.
+    fn roomy(&self, server: usize, beyond: bool) -> bool {
+        let s = &self.servers[server];
+        let shortest = self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) as f64;
+        let time = (FULL * self.least_time()).min(shortest / ROOM) / 1e6;
+        let time = if beyond { BEYOND * time } else { time };
+        let (Some(load), Some(&rate)) = (self.load(server), s.rates.back()) else { return true };
+        let most = time * told_strength(s, RECENT).unwrap_or(rate);
+        load <= most.max(1.0)
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other
@@ -573,15 +683,15 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one
     /// more query would take. Only the first tier rejects: what tiers below turn away is work lost above.
-    fn full(&self, tenant: usize) -> bool {
+    fn full(&self, qry: usize) -> bool {
         let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let held = self.own_total as f64;
-        let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
-        self.terms.tier == 0 && !self.runs.is_empty() && over
+        let over = held > most || (held > BEYOND * most && self.queries[qry].beyond);
+        self.terms.tier == 0 && !self.terms.load_by_probe && !self.runs.is_empty() && over
     }
 
     fn least_time(&self) -> f64 {
@@ -616,9 +726,10 @@
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
-        let roomy = self.listed.iter().any(|&i| self.fit(i) && self.has_room(i));
-        for i in 0..self.listed.len() {
-            let server = self.listed[i];
+        let beyond = self.queries[qry].beyond;
+        let roomy = self.reach.iter().any(|&i| self.fit(i) && self.has_room(i, beyond));
+        for i in 0..self.reach.len() {
+            let server = self.reach[i];
             let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::is_chance));
             let tried = self.queries[qry].execs.iter().any(had) || asked.contains(&server);
             // Servers asked together share a zone, so that the ways to them are alike.
@@ -629,7 +740,8 @@
                 && !tried
                 && asked.first().is_none_or(near)
                 && self.fit(server)
-                && (self.has_room(server) || (!roomy && self.servers[server].busy.is_empty()))
+                && (self.has_room(server, beyond)
+                    || (!roomy && !self.terms.load_by_probe && self.servers[server].busy.is_empty()))
                 && self.cold_room(server)
                 && self.may_repeat_at(qry, server)
             {
@@ -645,8 +757,8 @@
             at < 0.0
         };
         let mut zone = open.iter().position(passed).unwrap_or(last);
-        let stays = self.stays(&fit);
-        if stays > 0.0 && self.chance.unit() < stays {
+        let stays = self.stays();
+        if stays > 0.0 && open.get(self.terms.home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
             zone = self.terms.home;
         }
         fit.retain(|&server| self.servers[server].zone == zone);
@@ -669,13 +781,23 @@
     }
 
     /// Where crossings have a price and a zone two copies, the chance that a query stays home and is not drawn by
-    /// weight: so much that the zone's part of the servers serves an even part. Guards against crossings, which
-    /// a cut or a lost zone fails; with one copy a zone, the loss of a copy would bring all to another's home.
-    fn stays(&self, fit: &[usize]) -> f64 {
-        let home = fit.iter().filter(|&&server| self.servers[server].zone == self.terms.home).count();
+    /// weight: so much that its servers' part of all serves what this copy brings and the zone's others, who share
+    /// the rest evenly with all. Guards against crossings, which a cut or a lost zone fails; with one copy a zone,
+    /// the loss of a copy would bring all to another's home.
+    fn stays(&self) -> f64 {
+        let count = |(home, all): (f64, f64), &i: &usize| {
+            let warmth = if self.fit(i) { self.warmth(i) } else { 0.0 };
+            (if self.servers[i].zone == self.terms.home { home + warmth } else { home }, all + warmth)
+        };
+        let (home, all) = self.listed.iter().fold((0.0, 0.0), count);
         let several = self.terms.balancers >= 2 * self.zones.len();
-        let priced = if self.terms.cross_zone > 0.0 && several { self.zones.len() } else { 0 };
-        (home * priced) as f64 / (fit.len() * self.terms.balancers) as f64 / self.part()
+        if self.terms.cross_zone <= 0.0 || !several || home <= 0.0 {
+            return 0.0;
+        }
+        let (zones, part) = (self.zones.len() as f64, self.part());
+        let beside = self.terms.balancers as f64 / zones - 1.0;
+        let others = (1.0 - part) * beside / (self.terms.balancers - 1) as f64;
+        (home / all / (part + others)).min(1.0)
     }
 
     /// What each server can do against the others: by its reports and those of its kind, which are known long
@@ -709,8 +831,12 @@
 
     /// Guards against one good first-tier server taking the load of others that have room: what it holds of
     /// this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
-    fn has_room(&self, server: usize) -> bool {
+    fn has_room(&self, server: usize, beyond: bool) -> bool {
         let s = &self.servers[server];
+        if self.terms.load_by_probe {
+            let silent = s.askers.front().is_some_and(|&(_, came)| came + self.fresh() <= self.now);
+            return !silent && self.roomy(server, beyond);
+        }
         let least = self.least_time() / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
         let best = s.rates.iter().copied().reduce(f64::max).filter(|_| s.busy.is_empty());
@@ -767,6 +893,7 @@
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
         }
+        s.held = report.held.map(|held| (held, self.now)).or(s.held);
         if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
             && s.busy.back() != Some(&(rate, busy))
         {
@@ -827,6 +954,7 @@
             let s = &mut self.servers[server];
             s.aside_until = self.now + (rest << s.strikes.min(3));
             s.strikes += 1;
+            self.draw_reach();
         }
     }
 
@@ -892,6 +1020,7 @@
     }
 
     fn check(&mut self) {
+        self.draw_reach();
         let changed = |old: f64, new: f64| (new - old).abs() > CHANGE * old;
         let rate = self.rate(&self.arrivals, CHECK);
         let mut due = changed(self.solved_rate, rate);
--- a/src/host.rs
+++ b/src/host.rs
@@ -50,7 +50,13 @@
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub balancers: usize,
+    /// This one's number among them, from 0.
+    pub rank: usize,
     pub tier: usize,
+    /// How many queries a connection to a server carries at once.
+    pub streams: usize,
+    /// Servers tell their load to probes alone.
+    pub load_by_probe: bool,
     /// The zone of this balancer, and what an execution in another one costs, as a part of a query's
     /// importance.
     pub home: usize,
@@ -148,6 +154,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Entry {
     pub server: usize,
+    /// Drawn from its id: the same at every balancer.
+    pub key: u64,
     pub zone: usize,
     pub cell: usize,
     /// The kind of machine; those of a kind are much alike.
@@ -221,6 +229,8 @@
 pub struct LoadReport {
     pub utilization: Option<f64>,
     pub throughput: Option<f64>,
+    /// Queries that it holds, or that wait there.
+    pub held: Option<f64>,
 }
 
 impl LoadReport {
@@ -229,6 +239,7 @@
         LoadReport {
             utilization: self.utilization.or(other.utilization),
             throughput: self.throughput.or(other.throughput),
+            held: self.held.or(other.held),
         }
     }
 }
