A share of queries passes that falls while servers tell too much and rises while they don't

Each copy decides by a report of up to half a second before, and all see the same one: room for all or for none. And the rate told counts deep probes, 67 of 112 a second at a server, so that room was taken for thrice what it was; a probe shows itself deep by taking long. most_held takes probes off the rate; a full server is not asked before its surplus is served; where probes are dear they go out one at a time; a query with no room at home is asked for by weight. passes (note_room): the share let in falls by the time that servers tell too much, rises by a quarter of the time that they don't.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -171,6 +171,7 @@
         second_copies: limits.second_copies,
         cancel: limits.cancel,
         probes_pay: limits.probes && 2.0 * options.deductions.probe < options.deductions.late_fail,
+        probe_dear: 4.0 * options.deductions.probe > options.deductions.late_fail,
         most_retry_after: if limits.retry_after { limits.max_retry_after_ns / 1000 } else { 0 },
         tick: options.tick_ns / 1000,
         must_ask_in: (options.membership_mode == "on_request")
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -89,8 +89,10 @@
     busy: VecDeque<(f64, f64)>,
     /// What it could do by these.
     told: Option<f64>,
-    /// What it held by the last report that told, and when that came.
+    /// What it held by the last report that told, and when that came first.
     held: Option<(f64, u64)>,
+    heard: u64,
+    full_until: u64,
 }
 
 struct Sample {
@@ -176,6 +178,13 @@
     run_begun: u64,
     recent: VecDeque<f64>,
     runs: VecDeque<f64>,
+    /// For how long reports have stood unchanged.
+    ages: VecDeque<f64>,
+    probes: VecDeque<u64>,
+    sends: VecDeque<u64>,
+    probe_times: VecDeque<u64>,
+    passes: f64,
+    noted_room: u64,
     own_total: usize,
     solved_rate: f64,
 }
@@ -210,6 +219,12 @@
             run_begun: now,
             recent: VecDeque::new(),
             runs: VecDeque::new(),
+            ages: VecDeque::new(),
+            probes: VecDeque::new(),
+            sends: VecDeque::new(),
+            probe_times: VecDeque::new(),
+            passes: 1.0,
+            noted_room: now,
             own_total: 0,
             solved_rate: 0.0,
             terms,
@@ -335,7 +350,8 @@
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         self.queries[qry] = query;
         self.queries[qry].beyond = self.beyond_share(tenant);
-        if !known || self.full(qry) || !(self.ask(qry) || self.place(qry)) {
+        let passes = !self.terms.load_by_probe || self.chance.unit() < self.passes;
+        if !known || !passes || self.full(qry) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
             return;
         }
@@ -412,6 +428,10 @@
             self.note_failure(server);
         }
         let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
+        push(&mut self.probe_times, RESULTS, now - came);
+        if self.terms.load_by_probe && answered {
+            self.note_room(server);
+        }
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
         if !waits {
             return;
@@ -535,12 +555,14 @@
         let mut asked = Vec::with_capacity(ASKED);
         self.queries[qry].unheard = 0;
         self.queries[qry].rounds += 1;
-        while asked.len() < ASKED
+        let most = if self.terms.load_by_probe && self.terms.probe_dear { 1 } else { ASKED };
+        while asked.len() < most
             && let Some(server) = self.choose(qry, &asked, false)
         {
             asked.push(server);
             if !self.terms.load_by_probe || self.load(server).is_none() {
                 self.servers[server].askers.push_back((qry, self.now));
+                note_time(&mut self.probes, self.now, CHECK);
                 self.host.probe(server);
                 self.queries[qry].unheard += 1;
             }
@@ -554,7 +576,7 @@
     /// What the server holds by its last report and this copy's sends since, while that report is fresh.
     fn load(&self, server: usize) -> Option<f64> {
         let s = &self.servers[server];
-        let (held, at) = s.held.filter(|&(_, at)| self.now <= at + self.fresh())?;
+        let (held, at) = s.held.filter(|_| self.now <= s.heard + self.fresh())?;
         let since = s.sent.iter().rev().take_while(|sent| sent.0 >= at).count();
         Some(held + since as f64)
     }
@@ -563,35 +585,75 @@
         self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) / 8
     }
 
+    /// How old a report may be.
+    fn age(&self) -> f64 {
+        self.ages.iter().copied().fold(0.0, f64::max)
+    }
+
     /// Of the servers asked, the one that holds least against its strength gets the query, if one has room.
     fn settle(&mut self, qry: usize) -> bool {
         let asked = std::mem::take(&mut self.queries[qry].asked);
         let told: Vec<usize> =
             asked.iter().copied().filter(|&i| self.fit(i) && self.load(i).is_some()).collect();
-        if told.is_empty() {
-            let again = self.terms.load_by_probe && self.queries[qry].rounds < 2;
-            return if again { self.ask(qry) } else { !self.terms.load_by_probe && self.place(qry) };
+        if !self.terms.load_by_probe {
+            return self.place(qry);
         }
         let strengths = self.strengths(&told);
         let mut best = None;
         for (&server, strength) in told.iter().zip(strengths) {
-            let load = (self.load(server).unwrap_or(0.0) + 1.0) / strength;
+            let blind = self.servers[server].rates.back().copied().unwrap_or(0.0) * self.age() / 1e6;
+            let blind = -(1.0 - self.chance.unit()).ln() * blind;
+            let load = (self.load(server).unwrap_or(0.0) + 1.0 + blind) / strength;
             if self.has_room(server, self.queries[qry].beyond) && best.is_none_or(|(least, _)| load < least) {
                 best = Some((load, server));
             }
         }
-        best.is_some_and(|(_, server)| self.execute(qry, server))
+        match best {
+            Some((_, server)) => self.execute(qry, server),
+            None => {
+                let most = if told.is_empty() {
+                    2
+                } else if self.terms.probe_dear {
+                    ASKED
+                } else {
+                    1
+                };
+                self.queries[qry].rounds < most && self.ask(qry)
+            }
+        }
     }
 
-    /// Whether what it holds is served in the time that counts as full.
-    fn roomy(&self, server: usize, beyond: bool) -> bool {
+    /// How much the server may hold: what it serves in the time that counts as full.
+    fn most_held(&self, server: usize) -> f64 {
         let s = &self.servers[server];
         let shortest = self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) as f64;
         let time = (FULL * self.least_time()).min(shortest / ROOM) / 1e6;
-        let time = if beyond { BEYOND * time } else { time };
-        let (Some(load), Some(&rate)) = (self.load(server), s.rates.back()) else { return true };
-        let most = time * told_strength(s, RECENT).unwrap_or(rate);
-        load <= most.max(1.0)
+        let deep = self.probe_times.iter().any(|&t| t >= self.fresh() / 4);
+        let ratio = if deep { self.probes.len() as f64 / (self.sends.len() as f64).max(1.0) } else { 0.0 };
+        let rate = s.rates.back().copied().unwrap_or(f64::MAX) / (1.0 + ratio);
+        (time * told_strength(s, RECENT).unwrap_or(rate)).max(1.0)
+    }
+
+    fn note_room(&mut self, server: usize) {
+        let most = self.most_held(server);
+        if let Some((held, _)) = self.servers[server].held {
+            let span = (self.now - self.noted_room).min(1_000_000) as f64 / 1e6;
+            self.noted_room = self.now;
+            self.passes =
+                if held > most { self.passes * (-span).exp() } else { (self.passes + span / 4.0).min(1.0) };
+        }
+        let s = &mut self.servers[server];
+        if let (Some((held, _)), Some(&rate)) = (s.held, s.rates.back())
+            && held > most
+        {
+            s.full_until = self.now + ((held - most) / rate.max(1.0) * 1e6) as u64;
+        }
+    }
+
+    fn roomy(&self, server: usize, beyond: bool) -> bool {
+        let most = self.most_held(server);
+        let most = if beyond { (BEYOND * most).max(1.0) } else { most };
+        self.now >= self.servers[server].full_until && self.load(server).is_none_or(|load| load <= most)
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other
@@ -623,6 +685,7 @@
         }
         q.held = false;
         q.execs.push(exec);
+        note_time(&mut self.sends, self.now, CHECK);
         self.own_total += 1;
         self.servers[server].own += 1;
         push(&mut self.servers[server].sent, 64, (self.now, work));
@@ -758,7 +821,11 @@
         };
         let mut zone = open.iter().position(passed).unwrap_or(last);
         let stays = self.stays();
-        if stays > 0.0 && open.get(self.terms.home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
+        if stays > 0.0
+            && self.queries[qry].rounds <= 1
+            && open.get(self.terms.home).is_some_and(|&o| o > 0.0)
+            && self.chance.unit() < stays
+        {
             zone = self.terms.home;
         }
         fit.retain(|&server| self.servers[server].zone == zone);
@@ -890,10 +957,16 @@
 
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
+        if let (Some(held), Some(rate)) = (report.held, report.throughput) {
+            match s.held.filter(|&(last, _)| last == held && s.rates.back() == Some(&rate)) {
+                Some((_, at)) if rate > 0.0 => push(&mut self.ages, RESULTS, (self.now - at) as f64),
+                _ => s.held = Some((held, self.now)),
+            }
+            s.heard = self.now;
+        }
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
         }
-        s.held = report.held.map(|held| (held, self.now)).or(s.held);
         if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
             && s.busy.back() != Some(&(rate, busy))
         {
--- a/src/host.rs
+++ b/src/host.rs
@@ -69,6 +69,7 @@
     pub cancel: bool,
     /// Probes are allowed, and two of them cost less than a query that fails late.
     pub probes_pay: bool,
+    pub probe_dear: bool,
     /// Longest wait that clients follow; 0 where no advice is passed on.
     pub most_retry_after: u64,
     pub tick: u64,
