--- a/lab/fleet/src/rules.rs
+++ b/lab/fleet/src/rules.rs
@@ -30,6 +30,7 @@
         second_copies: scenario.allowed.second_copies,
         cancel: scenario.allowed.cancel,
         probes_pay: scenario.allowed.probes,
+        probe_dear: false,
         most_retry_after: scenario.allowed.retry_after,
         tick: TICK,
         must_ask_in: None,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,7 +45,7 @@
 const SELDOM: f64 = 4.0;
 const ASKED: usize = 3;
 /// How many servers a copy reaches where a connection carries many queries.
-const REACH: f64 = 6.0;
+const REACH: f64 = 3.0;
 const ROOM: f64 = 3.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
@@ -640,7 +640,7 @@
             let span = (self.now - self.noted_room).min(1_000_000) as f64 / 1e6;
             self.noted_room = self.now;
             self.passes =
-                if held > most { self.passes * (-span).exp() } else { (self.passes + span / 4.0).min(1.0) };
+                if held > most { self.passes * (-2.0 * span).exp() } else { (self.passes + span / 4.0).min(1.0) };
         }
         let s = &mut self.servers[server];
         if let (Some((held, _)), Some(&rate)) = (s.held, s.rates.back())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,6 +56,7 @@
         second_copies: false,
         cancel: true,
         probes_pay: false,
+        probe_dear: false,
         most_retry_after: 500 * MS,
         tick: 5 * MS,
         must_ask_in: None,
