--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,7 +46,10 @@
 const ASKED: usize = 3;
 /// How many servers a copy reaches where a connection carries many queries.
 const REACH: f64 = 3.0;
+/// Where load is told to probes alone, a server has room for what it serves in this part of the shortest SLO time.
 const ROOM: f64 = 3.0;
+/// The share let in falls within the shortest SLO time and rises from none to all in so many of them.
+const RISE: f64 = 8.0;
 /// Servers are not asked while the last answers took less than this many times the least mean time.
 const QUICK: f64 = 1.25;
 /// A server that takes this many times the usual rests.
@@ -89,10 +92,8 @@
     busy: VecDeque<(f64, f64)>,
     /// What it could do by these.
     told: Option<f64>,
-    /// What it held by the last report that told, and when that came first.
+    /// What it held by the last report, and when that came; only where load is told to probes alone.
     held: Option<(f64, u64)>,
-    heard: u64,
-    full_until: u64,
 }
 
 struct Sample {
@@ -143,12 +144,9 @@
     lane: Option<Rc<RefCell<Lane>>>,
     /// Waits for its time to be sent again.
     held: bool,
-    /// Of a beyond-share tenant.
-    beyond: bool,
     /// The servers asked for it, and how many answers are still out.
     asked: Vec<usize>,
     unheard: usize,
-    rounds: usize,
 }
 
 pub struct Balancer<H: Host> {
@@ -178,13 +176,13 @@
     run_begun: u64,
     recent: VecDeque<f64>,
     runs: VecDeque<f64>,
-    /// For how long reports have stood unchanged.
-    ages: VecDeque<f64>,
+    /// When the last probes went out, and how long the last answers to them took.
     probes: VecDeque<u64>,
-    sends: VecDeque<u64>,
-    probe_times: VecDeque<u64>,
+    waited: VecDeque<u64>,
+    /// The share of queries let in where load is told to probes alone, and when it last moved.
     passes: f64,
-    noted_room: u64,
+    moved: u64,
+    shortest: u64,
     own_total: usize,
     solved_rate: f64,
 }
@@ -219,12 +217,11 @@
             run_begun: now,
             recent: VecDeque::new(),
             runs: VecDeque::new(),
-            ages: VecDeque::new(),
             probes: VecDeque::new(),
-            sends: VecDeque::new(),
-            probe_times: VecDeque::new(),
+            waited: VecDeque::new(),
             passes: 1.0,
-            noted_room: now,
+            moved: now,
+            shortest: terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0),
             own_total: 0,
             solved_rate: 0.0,
             terms,
@@ -349,9 +346,7 @@
         let product = if known { product } else { 0 };
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         self.queries[qry] = query;
-        self.queries[qry].beyond = self.beyond_share(tenant);
-        let passes = !self.terms.load_by_probe || self.chance.unit() < self.passes;
-        if !known || !passes || self.full(qry) || !(self.ask(qry) || self.place(qry)) {
+        if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
             self.finish(qry);
             return;
         }
@@ -424,24 +419,18 @@
             return;
         }
         self.note_report(server, report);
-        if self.terms.load_by_probe && !answered {
-            self.note_failure(server);
-        }
         let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
-        push(&mut self.probe_times, RESULTS, now - came);
-        if self.terms.load_by_probe && answered {
-            self.note_room(server);
+        push(&mut self.waited, RESULTS, now - came);
+        if answered {
+            self.note_load(server);
         }
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
-        if !waits {
-            return;
-        }
-        if self.terms.load_by_probe {
-            self.queries[qry].unheard = self.queries[qry].unheard.saturating_sub(1);
+        if waits && self.terms.load_by_probe {
+            self.queries[qry].unheard -= 1;
             if self.queries[qry].unheard == 0 && !self.settle(qry) {
                 self.finish(qry);
             }
-        } else if answered && self.fit(server) {
+        } else if waits && answered && self.fit(server) {
             // The first of the servers asked to answer gets the query.
             self.execute(qry, server);
         }
@@ -552,108 +541,73 @@
         if !self.terms.probes_pay || (known && !self.terms.load_by_probe) {
             return false;
         }
-        let mut asked = Vec::with_capacity(ASKED);
-        self.queries[qry].unheard = 0;
-        self.queries[qry].rounds += 1;
-        let most = if self.terms.load_by_probe && self.terms.probe_dear { 1 } else { ASKED };
-        while asked.len() < most
+        let many = if self.terms.load_by_probe && self.terms.probe_dear { 1 } else { ASKED };
+        let (mut asked, mut unheard) = (Vec::with_capacity(many), 0);
+        while asked.len() < many
             && let Some(server) = self.choose(qry, &asked, false)
         {
             asked.push(server);
-            if !self.terms.load_by_probe || self.load(server).is_none() {
+            if self.load(server).is_none() {
+                unheard += 1;
                 self.servers[server].askers.push_back((qry, self.now));
                 note_time(&mut self.probes, self.now, CHECK);
                 self.host.probe(server);
-                self.queries[qry].unheard += 1;
             }
         }
         self.look_in(qry, slo_time / 8);
-        self.queries[qry].asked = asked;
-        let q = &self.queries[qry];
-        !q.asked.is_empty() && (q.unheard > 0 || self.settle(qry))
-    }
-
-    /// What the server holds by its last report and this copy's sends since, while that report is fresh.
-    fn load(&self, server: usize) -> Option<f64> {
-        let s = &self.servers[server];
-        let (held, at) = s.held.filter(|_| self.now <= s.heard + self.fresh())?;
-        let since = s.sent.iter().rev().take_while(|sent| sent.0 >= at).count();
-        Some(held + since as f64)
-    }
-
-    fn fresh(&self) -> u64 {
-        self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) / 8
-    }
-
-    /// How old a report may be.
-    fn age(&self) -> f64 {
-        self.ages.iter().copied().fold(0.0, f64::max)
+        let any = !asked.is_empty();
+        if self.terms.load_by_probe {
+            let q = &mut self.queries[qry];
+            (q.asked, q.unheard) = (asked, unheard);
+        }
+        any && (unheard > 0 || self.settle(qry))
     }
 
-    /// Of the servers asked, the one that holds least against its strength gets the query, if one has room.
+    /// Of the servers asked that have told their load, the one that holds least for its strength gets the query, if
+    /// it has room. Guards against servers that other copies fill, of which a copy's own calls say nothing.
     fn settle(&mut self, qry: usize) -> bool {
         let asked = std::mem::take(&mut self.queries[qry].asked);
-        let told: Vec<usize> =
-            asked.iter().copied().filter(|&i| self.fit(i) && self.load(i).is_some()).collect();
-        if !self.terms.load_by_probe {
+        if asked.is_empty() {
             return self.place(qry);
         }
-        let strengths = self.strengths(&told);
-        let mut best = None;
-        for (&server, strength) in told.iter().zip(strengths) {
-            let blind = self.servers[server].rates.back().copied().unwrap_or(0.0) * self.age() / 1e6;
-            let blind = -(1.0 - self.chance.unit()).ln() * blind;
-            let load = (self.load(server).unwrap_or(0.0) + 1.0 + blind) / strength;
-            if self.has_room(server, self.queries[qry].beyond) && best.is_none_or(|(least, _)| load < least) {
-                best = Some((load, server));
-            }
-        }
-        match best {
-            Some((_, server)) => self.execute(qry, server),
-            None => {
-                let most = if told.is_empty() {
-                    2
-                } else if self.terms.probe_dear {
-                    ASKED
-                } else {
-                    1
-                };
-                self.queries[qry].rounds < most && self.ask(qry)
-            }
-        }
+        let told = |&i: &usize| self.fit(i) && self.load(i).is_some() && self.has_room(i);
+        let told: Vec<usize> = asked.into_iter().filter(told).collect();
+        let load = |(&server, strength)| (self.load(server).unwrap_or(0.0) + 1.0) / strength;
+        let loads: Vec<f64> = told.iter().zip(self.strengths(&told)).map(load).collect();
+        let least = (0..told.len()).min_by(|&a, &b| loads[a].total_cmp(&loads[b]));
+        least.is_some_and(|least| self.execute(qry, told[least]))
     }
 
-    /// How much the server may hold: what it serves in the time that counts as full.
-    fn most_held(&self, server: usize) -> f64 {
+    /// What the server holds by its last report and this copy's sends since, while that report is fresh.
+    fn load(&self, server: usize) -> Option<f64> {
         let s = &self.servers[server];
-        let shortest = self.terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0) as f64;
-        let time = (FULL * self.least_time()).min(shortest / ROOM) / 1e6;
-        let deep = self.probe_times.iter().any(|&t| t >= self.fresh() / 4);
-        let ratio = if deep { self.probes.len() as f64 / (self.sends.len() as f64).max(1.0) } else { 0.0 };
-        let rate = s.rates.back().copied().unwrap_or(f64::MAX) / (1.0 + ratio);
-        (time * told_strength(s, RECENT).unwrap_or(rate)).max(1.0)
+        let (held, at) = s.held.filter(|&(_, at)| self.now <= at + self.shortest / 8)?;
+        Some(held + s.sent.iter().rev().take_while(|sent| sent.0 >= at).count() as f64)
     }
 
-    fn note_room(&mut self, server: usize) {
-        let most = self.most_held(server);
-        if let Some((held, _)) = self.servers[server].held {
-            let span = (self.now - self.noted_room).min(1_000_000) as f64 / 1e6;
-            self.noted_room = self.now;
-            self.passes =
-                if held > most { self.passes * (-2.0 * span).exp() } else { (self.passes + span / 4.0).min(1.0) };
-        }
-        let s = &mut self.servers[server];
-        if let (Some((held, _)), Some(&rate)) = (s.held, s.rates.back())
-            && held > most
-        {
-            s.full_until = self.now + ((held - most) / rate.max(1.0) * 1e6) as u64;
-        }
+    /// What a server may hold: what it serves in a part of the shortest SLO time, or in the time that counts as
+    /// full if that is less.
+    fn most_held(&self, server: usize) -> f64 {
+        let s = &self.servers[server];
+        let time = (FULL * self.least_time()).min(self.shortest as f64 / ROOM) / 1e6;
+        // Probes that wait as queries do are told among those served.
+        let waits = self.waited.iter().any(|&time| time >= self.shortest / 32);
+        let (probes, served) = (self.rate(&self.probes, CHECK), self.rate(&self.served, CHECK));
+        let among = if waits { 1.0 + probes / served.max(1.0) } else { 1.0 };
+        let rate = s.rates.back().map_or(f64::MAX, |rate| rate / among);
+        (time * told_strength(s, RECENT).unwrap_or(rate)).max(1.0)
     }
 
-    fn roomy(&self, server: usize, beyond: bool) -> bool {
-        let most = self.most_held(server);
-        let most = if beyond { (BEYOND * most).max(1.0) } else { most };
-        self.now >= self.servers[server].full_until && self.load(server).is_none_or(|load| load <= most)
+    /// The share let in falls while servers asked hold too much and rises slowly while they don't. Guards against
+    /// overload where each copy has few calls and all see the same reports, some of them old: by these alone all
+    /// would send at once, or none.
+    fn note_load(&mut self, server: usize) {
+        let Some((held, _)) = self.servers[server].held else { return };
+        let span = (self.now - self.moved).min(self.shortest) as f64 / self.shortest as f64;
+        let fallen = self.passes * (-span).exp();
+        let risen = (self.passes + span / RISE).min(1.0);
+        self.passes = if held > self.most_held(server) { fallen } else { risen };
+        self.moved = self.now;
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other
@@ -685,7 +639,6 @@
         }
         q.held = false;
         q.execs.push(exec);
-        note_time(&mut self.sends, self.now, CHECK);
         self.own_total += 1;
         self.servers[server].own += 1;
         push(&mut self.servers[server].sent, 64, (self.now, work));
@@ -746,15 +699,18 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one
     /// more query would take. Only the first tier rejects: what tiers below turn away is work lost above.
-    fn full(&self, qry: usize) -> bool {
+    fn full(&mut self, tenant: usize) -> bool {
+        if self.terms.load_by_probe {
+            return self.chance.unit() >= self.passes;
+        }
         let least = self.least_time();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let held = self.own_total as f64;
-        let over = held > most || (held > BEYOND * most && self.queries[qry].beyond);
-        self.terms.tier == 0 && !self.terms.load_by_probe && !self.runs.is_empty() && over
+        let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
+        self.terms.tier == 0 && !self.runs.is_empty() && over
     }
 
     fn least_time(&self) -> f64 {
@@ -789,8 +745,7 @@
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
-        let beyond = self.queries[qry].beyond;
-        let roomy = self.reach.iter().any(|&i| self.fit(i) && self.has_room(i, beyond));
+        let roomy = self.reach.iter().any(|&i| self.fit(i) && self.has_room(i));
         for i in 0..self.reach.len() {
             let server = self.reach[i];
             let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::is_chance));
@@ -803,7 +758,7 @@
                 && !tried
                 && asked.first().is_none_or(near)
                 && self.fit(server)
-                && (self.has_room(server, beyond)
+                && (self.has_room(server)
                     || (!roomy && !self.terms.load_by_probe && self.servers[server].busy.is_empty()))
                 && self.cold_room(server)
                 && self.may_repeat_at(qry, server)
@@ -821,11 +776,7 @@
         };
         let mut zone = open.iter().position(passed).unwrap_or(last);
         let stays = self.stays();
-        if stays > 0.0
-            && self.queries[qry].rounds <= 1
-            && open.get(self.terms.home).is_some_and(|&o| o > 0.0)
-            && self.chance.unit() < stays
-        {
+        if stays > 0.0 && open.get(self.terms.home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
             zone = self.terms.home;
         }
         fit.retain(|&server| self.servers[server].zone == zone);
@@ -898,11 +849,12 @@
 
     /// Guards against one good first-tier server taking the load of others that have room: what it holds of
     /// this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
-    fn has_room(&self, server: usize, beyond: bool) -> bool {
+    fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
         if self.terms.load_by_probe {
-            let silent = s.askers.front().is_some_and(|&(_, came)| came + self.fresh() <= self.now);
-            return !silent && self.roomy(server, beyond);
+            // One that has not answered in time has no room either.
+            let silent = s.askers.front().is_some_and(|&(_, came)| came + self.shortest / 8 <= self.now);
+            return !silent && self.load(server).is_none_or(|load| load <= self.most_held(server));
         }
         let least = self.least_time() / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
@@ -957,12 +909,8 @@
 
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
-        if let (Some(held), Some(rate)) = (report.held, report.throughput) {
-            match s.held.filter(|&(last, _)| last == held && s.rates.back() == Some(&rate)) {
-                Some((_, at)) if rate > 0.0 => push(&mut self.ages, RESULTS, (self.now - at) as f64),
-                _ => s.held = Some((held, self.now)),
-            }
-            s.heard = self.now;
+        if self.terms.load_by_probe {
+            s.held = report.held.map(|held| (held, self.now)).or(s.held);
         }
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
             push(&mut s.rates, REPORTS, rate);
