--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,17 +1,13 @@
-//! All decisions of one balancer. The host builds a `Balancer` with the deployment's terms and its seed, and
-//! calls one method for each thing that happens. The balancer acts only by calling the `Host` trait, which
-//! `host.rs` defines together with the plain types handed over. `docs/design.md` tells what follows the
-//! design page, and under which conditions each exception acts.
+//! All decisions of one balancer: one method for each thing that happens; it acts only by calling the `Host`
+//! trait. `docs/design.md` tells what follows the design page, and when each exception acts.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use crate::host::{
-    Arrival, Conditions, Effect, Ending, Entry, Group, Host, LoadReport, Outcome, SecondCopy, Standing, Terms,
-};
+use crate::host::*;
 use crate::pcg::Pcg;
-use crate::samples::{count_times, mean, note_time, push, ranked};
+use crate::samples::{Runs, count_times, fit, mean, note_time, push, ranked, rate};
 
 // The design's own figures: check period, settling time, change that counts, step, tries, pass-over.
 const CHECK: u64 = 5_000_000;
@@ -23,37 +19,28 @@
 // Left open by the design: the floor share, and the least slope against one through the origin.
 const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
-// How many samples are kept: zone latencies, a server's results, its reports, a product's latencies.
+// How many samples are kept: zone latencies, a server's results, its rates, a product's latencies.
 const ZONE_SAMPLES: usize = 64;
 const RESULTS: usize = 8;
-const REPORTS: usize = 32;
+const RATES: usize = 32;
 const LATENCIES: usize = 32;
-/// Of the reports, those that tell what a server can do right now.
-const RECENT: usize = 4;
-/// Runs of this many served queries have their mean time taken, and this many runs are remembered.
-const RUN: usize = 64;
-const RUNS: usize = 32;
 /// The first tier is full when what is in flight takes this many times the least mean time seen.
 const FULL: f64 = 2.5;
 /// For a tenant beyond its share it is full at this part of that: half way, by ratio, to the least time.
 const BEYOND: f64 = 0.63;
-/// Where no utilization is told, a server is taken to do this many times the best rate it told of.
+/// A server is taken to do this many times the best rate it told of.
 const PEAK: f64 = 1.5;
-/// What the reports of its kind weigh against a server's own, as a number of reports.
-const KIN: f64 = 2.0;
-/// A copy that hears of a server less than once in so many SLO times asks before it sends.
+/// A copy that hears of a server less than once in so many SLO times asks so many before it sends, but not while the
+/// last answers took less than this many times the least mean time.
 const SELDOM: f64 = 4.0;
 const ASKED: usize = 3;
-/// How many servers a copy reaches where a connection carries many queries.
+const QUICK: f64 = 1.25;
+/// How many servers an even copy reaches where a connection carries many queries.
 const REACH: f64 = 3.0;
-/// Where load is told to probes alone, a server has room for what it serves in this part of the shortest SLO time.
+/// Where load is told to probes alone, a server has room for what it serves in this part of the shortest SLO
+/// time, and the share let in rises from none to all in so many of these times.
 const ROOM: f64 = 3.0;
-/// The share let in falls within the shortest SLO time and rises from none to all in so many of them.
 const RISE: f64 = 8.0;
-/// Servers are not asked while the last answers took less than this many times the least mean time.
-const QUICK: f64 = 1.25;
-/// A server that takes this many times the usual rests.
-const SLOW: f64 = 3.0;
 /// A server silent for this many times what nine of ten queries take is taken for hung.
 const SILENT: u64 = 3;
 
@@ -73,43 +60,32 @@
     luck: f64,
     ready: bool,
     gone: bool,
-    /// This copy's own calls in flight.
+    /// This copy's own calls in flight; when the last went out, and their product's work against the usual.
     own: usize,
-    /// When the last calls went out, and how their product's work compares with the usual.
     sent: VecDeque<(u64, f64)>,
-    /// Whether the last executions came to something.
+    /// Whether the last executions came to something, and what completed ones took against their product's usual.
     results: VecDeque<bool>,
-    /// How long the last completed ones took, against the usual of their product.
     took: VecDeque<f64>,
     last_answer: u64,
     aside_until: u64,
     strikes: u32,
     /// The queries that wait for its answer, and when they came.
     askers: VecDeque<(usize, u64)>,
-    /// Queries a second, by the last reports.
+    /// By the last reports: queries a second, these and how busy the cores were, and what it could do by both.
     rates: VecDeque<f64>,
-    /// Queries a second and how busy the cores were with them, by the last reports that tell both.
     busy: VecDeque<(f64, f64)>,
-    /// What it could do by these.
     told: Option<f64>,
     /// What it held by the last report, and when that came; only where load is told to probes alone.
     held: Option<(f64, u64)>,
 }
 
-struct Sample {
-    at: u64,
-    load: f64,
-    latency: f64,
-}
-
 #[derive(Default)]
 struct Zone {
     /// Weight for each ready server against the other zones'; the zone's weight is this times their number.
     each: f64,
-    samples: VecDeque<Sample>,
-    /// What the last solve saw.
-    solved_ready: f64,
-    solved_latency: f64,
+    /// Of queries: when served, the load then, the latency; and the ready servers and latency last solved for.
+    samples: VecDeque<(u64, f64, f64)>,
+    solved: (f64, f64),
 }
 
 struct Exec {
@@ -117,9 +93,8 @@
     zone: usize,
     cell: usize,
     sent: u64,
-    /// How it ended; none while it is out.
+    /// How it ended, if it did, and whether it was counted against its server before.
     ended: Option<Outcome>,
-    /// Already counted against its server.
     struck: bool,
 }
 
@@ -140,11 +115,10 @@
     give_up: u64,
     next_look: u64,
     execs: Vec<Exec>,
-    /// Keeps the conditions under which it came, whatever routes are told later.
+    /// The conditions under which it came, whether it waits to be sent again, the servers asked for it, and how
+    /// many answers are out.
     lane: Option<Rc<RefCell<Lane>>>,
-    /// Waits for its time to be sent again.
     held: bool,
-    /// The servers asked for it, and how many answers are still out.
     asked: Vec<usize>,
     unheard: usize,
 }
@@ -156,12 +130,10 @@
     now: u64,
     start: u64,
     servers: Vec<Server>,
-    /// The servers not gone, in the order of their indices.
+    /// The servers not gone, in the order of their indices, and those of them that this copy may send to.
     listed: Vec<usize>,
-    /// Those that this copy holds connections to.
     reach: Vec<usize>,
     zones: Vec<Zone>,
-    kinds: usize,
     queries: Vec<Query>,
     lanes: Vec<Rc<RefCell<Lane>>>,
     /// The last served latencies, a row a product.
@@ -170,30 +142,18 @@
     arrivals: VecDeque<u64>,
     admitted: VecDeque<u64>,
     let_in: Vec<VecDeque<u64>>,
-    /// When the last queries were served, what those of the present run took, and the means of the last runs.
+    /// When the last were served, what runs of them took, when probes went out and how long they took.
     served: VecDeque<u64>,
-    run: Vec<f64>,
-    run_begun: u64,
-    recent: VecDeque<f64>,
-    runs: VecDeque<f64>,
-    /// When the last probes went out, and how long the last answers to them took.
+    runs: Runs,
     probes: VecDeque<u64>,
     waited: VecDeque<u64>,
     /// The share of queries let in where load is told to probes alone, and when it last moved.
     passes: f64,
     moved: u64,
     shortest: u64,
-    own_total: usize,
     solved_rate: f64,
 }
 
-/// What a server could do by its last reports: the rate it serves over the part of its cores that this takes.
-fn told_strength(s: &Server, reports: usize) -> Option<f64> {
-    let (rate, busy) =
-        s.busy.iter().rev().take(reports).fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
-    (rate > 0.0 && busy > 0.0).then(|| rate / busy)
-}
-
 impl<H: Host> Balancer<H> {
     pub fn new(host: H, terms: Terms, seed: u64, now: u64) -> Self {
         let mut balancer = Balancer {
@@ -205,7 +165,6 @@
             listed: Vec::new(),
             reach: Vec::new(),
             zones: Vec::new(),
-            kinds: 0,
             queries: Vec::new(),
             lanes: Vec::new(),
             latencies: vec![VecDeque::new(); terms.products.len()],
@@ -213,16 +172,12 @@
             admitted: VecDeque::new(),
             let_in: vec![VecDeque::new(); terms.tenant_quotas.len()],
             served: VecDeque::new(),
-            run: Vec::new(),
-            run_begun: now,
-            recent: VecDeque::new(),
-            runs: VecDeque::new(),
+            runs: Runs::new(now),
             probes: VecDeque::new(),
             waited: VecDeque::new(),
             passes: 1.0,
             moved: now,
             shortest: terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0),
-            own_total: 0,
             solved_rate: 0.0,
             terms,
         };
@@ -233,9 +188,6 @@
         balancer
     }
 
-    // ---- the list of servers
-
-    /// The complete list, perhaps out of date: whatever it lacks is gone.
     pub fn list_whole(&mut self, now: u64, entries: &[Entry]) {
         for server in &mut self.servers {
             (server.ready, server.gone) = (false, true);
@@ -259,40 +211,40 @@
                 *s = Server { own: s.own, askers, luck: self.chance.unit(), ..Server::default() };
             }
             let size = if entry.size.is_finite() && entry.size > 0.0 { entry.size } else { 1.0 };
-            (s.zone, s.cell, s.kind, s.size, s.born) = (entry.zone, entry.cell, entry.kind, size, entry.born);
-            s.key = entry.key;
-            self.kinds = self.kinds.max(entry.kind + 1);
-            (s.ready, s.gone) = (entry.standing == Standing::Ready, entry.standing == Standing::Gone);
+            (s.zone, s.cell, s.kind, s.size) = (entry.zone, entry.cell, entry.kind, size);
+            (s.key, s.born, s.ready) = (entry.key, entry.born, entry.standing == Standing::Ready);
+            s.gone = entry.standing == Standing::Gone;
         }
         self.listed = (0..self.servers.len()).filter(|&i| !self.servers[i].gone).collect();
         self.draw_reach();
     }
 
-    /// Where a connection carries many queries, few connections do: a copy reaches its own part of the list, in
-    /// each zone as many servers as its share of the copy's queries is worth, in a row from the copy's place.
-    /// Guards against tables of connections that are full, so that most executions find none.
+    /// Where a connection carries many queries, a copy keeps to its own part of the list: a row of servers in each
+    /// zone, by its share of the copy's queries, from the copy's place on. Guards against full tables of
+    /// connections, at which most executions find none, and new ones that cost as much as a query.
     fn draw_reach(&mut self) {
-        self.reach.clear();
         if self.terms.streams <= 1 {
-            self.reach.extend(&self.listed);
+            self.reach = self.listed.clone();
             return;
         }
+        self.reach.clear();
         // By the golden ratio any row of ranks is spread evenly.
         let place = (self.terms.rank as f64 * 0.618_033_988_75).fract();
         let (weights, stays) = (self.weights(), self.stays());
-        let many = REACH * (self.part() * self.terms.balancers as f64);
+        let many = REACH * self.part() * self.terms.balancers as f64;
         for (zone, weight) in weights.iter().enumerate() {
             let home = if zone == self.terms.home { stays } else { 0.0 };
             let mut wanted = (many * (home + (1.0 - stays) * weight)).max(1.0);
-            let mut ring: Vec<usize> = Vec::new();
-            ring.extend(self.listed.iter().filter(|&&i| self.servers[i].zone == zone));
+            let mut ring = self.listed.clone();
+            ring.retain(|&i| self.servers[i].zone == zone);
             ring.sort_by_key(|&i| self.servers[i].key);
             let first = (place * ring.len() as f64) as usize;
-            for at in first..first + ring.len() {
-                let server = ring[at % ring.len()];
+            ring.rotate_left(first);
+            for server in ring {
                 if wanted > 0.0 {
                     self.reach.push(server);
-                    wanted -= if self.fit(server) { self.warmth(server) } else { 0.0 };
+                    // Resting and cold servers are made up for by more.
+                    wanted -= self.able(server);
                 }
             }
         }
@@ -305,43 +257,36 @@
         }
     }
 
-    /// The subscription or a call for the list failed: the list stays, and it is asked for again.
+    /// The list stays and is asked for again, at a time drawn so that all copies do not flood the list service.
     pub fn list_failed(&mut self, now: u64) {
         self.now = now;
-        // Spread over time, so that all copies together do not flood the list service.
         if let Some(within) = self.terms.must_ask_in {
             let wait = (1.0 + self.chance.unit()) * within as f64 / 8.0;
             self.host.wake(wait as u64, LABEL_LIST);
         }
     }
 
-    /// From now on queries come by these routes, a row of conditions for each product; those in hand keep
-    /// theirs.
     pub fn routes(&mut self, routes: Vec<Vec<Conditions>>) {
         let lane = |rows| Rc::new(RefCell::new(Lane { rows, ..Lane::default() }));
         self.lanes = routes.into_iter().map(lane).collect();
     }
 
-    // ---- queries
-
     pub fn query(&mut self, now: u64, qry: usize, arrival: Arrival) {
         self.now = now;
         if qry >= self.queries.len() {
             self.queries.resize_with(qry + 1, Query::default);
         }
         note_time(&mut self.arrivals, now, CHECK);
-        let margin = 2 * self.terms.tick;
         let Arrival { product, tenant, mut deadline, route } = arrival;
         let lane = route.and_then(|route| self.lanes.get(route).cloned());
         if let Some(mut lane) = lane.as_ref().map(|lane| lane.borrow_mut()) {
             note_time(&mut lane.came, now, CHECK);
             deadline = lane.rows.get(product).map_or(deadline, |row| deadline.min(now + row.time));
         }
-        let mut give_up = deadline.saturating_sub(margin);
         // An answer that earns nothing is not worth a server's time.
-        if let Some(row) = self.terms.products.get(product).filter(|row| row.tardy_importance == 0.0) {
-            give_up = give_up.min((now + row.slo_time).saturating_sub(margin));
-        }
+        let earns = self.terms.products.get(product).filter(|row| row.tardy_importance == 0.0);
+        let give_up = earns.map_or(deadline, |row| deadline.min(now + row.slo_time));
+        let give_up = give_up.saturating_sub(2 * self.terms.tick);
         let known = product < self.terms.products.len();
         let product = if known { product } else { 0 };
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
@@ -350,13 +295,10 @@
             self.finish(qry);
             return;
         }
-        note_time(&mut self.admitted, now, CHECK);
-        if let Some(times) = self.let_in.get_mut(tenant) {
-            note_time(times, now, CHECK);
-        }
+        let times = self.let_in.get_mut(tenant).into_iter().chain([&mut self.admitted]);
+        times.for_each(|times| note_time(times, now, CHECK));
     }
 
-    /// A stream has started: it belongs to the client now and has no deadline.
     pub fn started(&mut self, now: u64, qry: usize, exec: usize) {
         self.now = now;
         let Some(q) = self.queries.get_mut(qry) else { return };
@@ -371,7 +313,6 @@
         e.ended = Some(ending.outcome);
         let (server, struck, product, was_live) = (e.server, e.struck, q.product, q.live);
         q.live &= !ending.over;
-        self.own_total = self.own_total.saturating_sub(1);
         self.servers[server].own = self.servers[server].own.saturating_sub(1);
         self.note_report(server, ending.report);
         match ending.outcome {
@@ -395,7 +336,6 @@
         }
     }
 
-    /// The client has left; nothing is owed any more.
     pub fn withdrawn(&mut self, now: u64, qry: usize) {
         self.now = now;
         if let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) {
@@ -426,7 +366,7 @@
         }
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
         if waits && self.terms.load_by_probe {
-            self.queries[qry].unheard -= 1;
+            self.queries[qry].unheard = self.queries[qry].unheard.saturating_sub(1);
             if self.queries[qry].unheard == 0 && !self.settle(qry) {
                 self.finish(qry);
             }
@@ -455,14 +395,13 @@
             return;
         }
         let asks = q.execs.is_empty() || q.held;
+        let (product, count) = (q.product, q.execs.len());
         if self.now >= q.give_up || (asks && !self.settle(qry)) {
             return self.finish(qry);
         }
         if asks {
             return;
         }
-        let q = &self.queries[qry];
-        let (product, count) = (q.product, q.execs.len());
         let since = self.now.saturating_sub(self.patience(product));
         let silent = |e: &Exec| {
             e.ended.is_none() && !e.struck && e.sent <= since && self.servers[e.server].last_answer < e.sent
@@ -498,14 +437,13 @@
         self.host.wake(q.next_look - self.now, LABEL_QUERIES + qry as u32);
     }
 
-    /// The conditions of the query's route, if it came by one.
     fn conditions<T>(&self, qry: usize, of: impl FnOnce(&Conditions) -> T) -> Option<T> {
         let q = &self.queries[qry];
         q.lane.as_ref().and_then(|lane| lane.borrow().rows.get(q.product).map(of))
     }
 
-    /// How long to wait before the query may be sent again after this outcome; none where its route or the
-    /// route's budget forbids it. Guards against repeats that multiply the traffic of an outage.
+    /// The wait before another execution after this outcome; none where the route or its budget forbids one.
+    /// Guards against repeats that multiply the traffic of an outage.
     fn wait_to_repeat(&mut self, qry: usize, outcome: Outcome) -> Option<u64> {
         let q = &self.queries[qry];
         let Some(mut lane) = q.lane.as_ref().map(|lane| lane.borrow_mut()) else { return Some(0) };
@@ -530,18 +468,17 @@
         after.filter(|_| self.terms.second_copies && first.ended.is_none()).map(|after| first.sent + after)
     }
 
-    /// Where a copy hears too seldom of each server to tell them apart, some are asked and the first to
-    /// answer gets the query. Guards against servers slower than listed, choked, hung or crowded by other
-    /// copies.
+    /// Where a copy hears too seldom of each server, it asks some, and the first to answer gets the query, or
+    /// `settle` decides. Guards against servers slower than listed, choked, hung or crowded by other copies.
     fn ask(&mut self, qry: usize) -> bool {
         let slo_time = self.terms.products[self.queries[qry].product].slo_time;
         let heard = SELDOM * slo_time as f64 * self.rate(&self.arrivals, CHECK) / 1e6;
-        let quick = !self.runs.is_empty() && mean(self.recent.iter().copied()) < QUICK * self.least_time();
-        let known = heard >= self.reach.len() as f64 || quick;
-        if !self.terms.probes_pay || (known && !self.terms.load_by_probe) {
+        let quick = self.runs.latest() < QUICK * self.runs.least();
+        let by_probe = self.terms.load_by_probe;
+        if !self.terms.probes_pay || (!by_probe && (quick || heard >= self.reach.len() as f64)) {
             return false;
         }
-        let many = if self.terms.load_by_probe && self.terms.probe_dear { 1 } else { ASKED };
+        let many = if by_probe && self.terms.probe_dear { 1 } else { ASKED };
         let (mut asked, mut unheard) = (Vec::with_capacity(many), 0);
         while asked.len() < many
             && let Some(server) = self.choose(qry, &asked, false)
@@ -556,9 +493,8 @@
         }
         self.look_in(qry, slo_time / 8);
         let any = !asked.is_empty();
-        if self.terms.load_by_probe {
-            let q = &mut self.queries[qry];
-            (q.asked, q.unheard) = (asked, unheard);
+        if by_probe {
+            (self.queries[qry].asked, self.queries[qry].unheard) = (asked, unheard);
         }
         any && (unheard > 0 || self.settle(qry))
     }
@@ -572,10 +508,10 @@
         }
         let told = |&i: &usize| self.fit(i) && self.load(i).is_some() && self.has_room(i);
         let told: Vec<usize> = asked.into_iter().filter(told).collect();
-        let load = |(&server, strength)| (self.load(server).unwrap_or(0.0) + 1.0) / strength;
-        let loads: Vec<f64> = told.iter().zip(self.strengths(&told)).map(load).collect();
-        let least = (0..told.len()).min_by(|&a, &b| loads[a].total_cmp(&loads[b]));
-        least.is_some_and(|least| self.execute(qry, told[least]))
+        let load = |(&i, strength)| ((self.load(i).unwrap_or(0.0) + 1.0) / strength, i);
+        let loads = told.iter().zip(self.strengths(&told)).map(load);
+        let least = loads.min_by(|a, b| a.0.total_cmp(&b.0));
+        least.is_some_and(|(_, server)| self.execute(qry, server))
     }
 
     /// What the server holds by its last report and this copy's sends since, while that report is fresh.
@@ -585,22 +521,20 @@
         Some(held + s.sent.iter().rev().take_while(|sent| sent.0 >= at).count() as f64)
     }
 
-    /// What a server may hold: what it serves in a part of the shortest SLO time, or in the time that counts as
-    /// full if that is less.
+    /// What a server serves in a part of the shortest SLO time, or in the time that counts as full if that is less.
     fn most_held(&self, server: usize) -> f64 {
         let s = &self.servers[server];
-        let time = (FULL * self.least_time()).min(self.shortest as f64 / ROOM) / 1e6;
+        let time = (FULL * self.runs.least()).min(self.shortest as f64 / ROOM) / 1e6;
         // Probes that wait as queries do are told among those served.
         let waits = self.waited.iter().any(|&time| time >= self.shortest / 32);
         let (probes, served) = (self.rate(&self.probes, CHECK), self.rate(&self.served, CHECK));
         let among = if waits { 1.0 + probes / served.max(1.0) } else { 1.0 };
         let rate = s.rates.back().map_or(f64::MAX, |rate| rate / among);
-        (time * told_strength(s, RECENT).unwrap_or(rate)).max(1.0)
+        (time * s.told.unwrap_or(rate)).max(1.0)
     }
 
-    /// The share let in falls while servers asked hold too much and rises slowly while they don't. Guards against
-    /// overload where each copy has few calls and all see the same reports, some of them old: by these alone all
-    /// would send at once, or none.
+    /// The share let in falls while servers asked hold too much and rises slowly while not. Guards against overload
+    /// where all copies see the same old reports: by these alone all would send at once, or none.
     fn note_load(&mut self, server: usize) {
         let Some((held, _)) = self.servers[server].held else { return };
         let span = (self.now - self.moved).min(self.shortest) as f64 / self.shortest as f64;
@@ -639,7 +573,6 @@
         }
         q.held = false;
         q.execs.push(exec);
-        self.own_total += 1;
         self.servers[server].own += 1;
         push(&mut self.servers[server].sent, 64, (self.now, work));
         self.host.execute(qry, server, longest.min(q.deadline - self.now));
@@ -657,7 +590,6 @@
             Group::Zone => e.zone == s.zone,
             Group::Cell => e.cell == s.cell,
         };
-        // The servers that the query's route names, and where it keeps its repeats.
         let named = |names: &[usize], name: usize| names.is_empty() || names.contains(&name);
         let by_route = |row: &Conditions| {
             let near = ran.clone().all(|e| within(row.near, e));
@@ -697,29 +629,24 @@
         }
     }
 
-    /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one
-    /// more query would take. Only the first tier rejects: what tiers below turn away is work lost above.
+    /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
+    /// query takes. Only the first tier rejects: what those below turn away is work lost above.
     fn full(&mut self, tenant: usize) -> bool {
         if self.terms.load_by_probe {
             return self.chance.unit() >= self.passes;
         }
-        let least = self.least_time();
+        let least = self.runs.least();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
-        let held = self.own_total as f64;
+        let held = self.servers.iter().map(|s| s.own).sum::<usize>() as f64;
         let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
-        self.terms.tier == 0 && !self.runs.is_empty() && over
+        self.terms.tier == 0 && least < f64::MAX && over
     }
 
-    fn least_time(&self) -> f64 {
-        self.runs.iter().copied().fold(f64::MAX, f64::min)
-    }
-
-    /// This copy's part of the fleet's traffic: what it lets in, less what chance brings, of what servers tell
-    /// that they serve; an even part at the least. Guards against taking a copy that clients use several times
-    /// as much as others for one like them.
+    /// This copy's part of the fleet's traffic: what it lets in, less what chance brings, of what servers tell that
+    /// they serve; an even part at the least. Guards against taking favoured copies for ones like the others.
     fn part(&self) -> f64 {
         let even = 1.0 / self.terms.balancers as f64;
         let told = mean(self.listed.iter().filter_map(|&i| self.servers[i].rates.back().copied()));
@@ -728,8 +655,7 @@
         if told > 0.0 { (own / (told * self.listed.len() as f64)).clamp(even, 1.0) } else { even }
     }
 
-    /// Whether this copy has let in more of the tenant's queries than its part of the tenant's share, by more
-    /// than chance brings where that part is a few queries.
+    /// Whether it has let in more of the tenant's queries than its part of the share, and than chance brings.
     fn beyond_share(&self, tenant: usize) -> bool {
         let quota = self.terms.tenant_quotas.get(tenant).copied().unwrap_or(0.0);
         let part = quota * self.part();
@@ -737,15 +663,13 @@
         quota > 0.0 && self.rate(&self.let_in[tenant], CHECK) > part + chance
     }
 
-    // ---- choice of a server
-
     /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`, and
     /// those that had the query, but for spoilt answers if `again`), passing over the crowded.
     fn choose(&mut self, qry: usize, asked: &[usize], again: bool) -> Option<usize> {
         let weights = self.weights();
         let mut fit: Vec<usize> = Vec::with_capacity(self.listed.len());
         let mut open = vec![0.0; weights.len()];
-        let roomy = self.reach.iter().any(|&i| self.fit(i) && self.has_room(i));
+        let strict = self.terms.load_by_probe || self.reach.iter().any(|&i| self.fit(i) && self.has_room(i));
         for i in 0..self.reach.len() {
             let server = self.reach[i];
             let had = |e: &Exec| e.server == server && !(again && e.ended.is_some_and(Outcome::is_chance));
@@ -758,8 +682,7 @@
                 && !tried
                 && asked.first().is_none_or(near)
                 && self.fit(server)
-                && (self.has_room(server)
-                    || (!roomy && !self.terms.load_by_probe && self.servers[server].busy.is_empty()))
+                && (!strict || self.has_room(server))
                 && self.cold_room(server)
                 && self.may_repeat_at(qry, server)
             {
@@ -768,13 +691,7 @@
                 open[zone] = f64::max(weights[zone], f64::MIN_POSITIVE);
             }
         }
-        let mut at = self.chance.unit() * open.iter().sum::<f64>();
-        let last = open.iter().rposition(|&weight| weight > 0.0)?;
-        let passed = |weight: &f64| {
-            at -= weight;
-            at < 0.0
-        };
-        let mut zone = open.iter().position(passed).unwrap_or(last);
+        let mut zone = self.chance.pick(&open)?;
         let stays = self.stays();
         if stays > 0.0 && open.get(self.terms.home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
             zone = self.terms.home;
@@ -784,8 +701,7 @@
         let own = |server: usize| self.servers[server].own as f64;
         let loads = fit.iter().zip(&strengths).map(|(&server, strength)| own(server) / strength);
         let most = PASS_OVER * mean(loads);
-        // One random draw in proportion to strength: the least of exponential times, each at its server's
-        // pace.
+        // A random draw in proportion to strength: the least of exponential times, each at its server's pace.
         let mut chosen = None;
         for (&server, strength) in fit.iter().zip(&strengths) {
             let time = -(1.0 - self.chance.unit()).ln() / strength;
@@ -799,15 +715,13 @@
     }
 
     /// Where crossings have a price and a zone two copies, the chance that a query stays home and is not drawn by
-    /// weight: so much that its servers' part of all serves what this copy brings and the zone's others, who share
-    /// the rest evenly with all. Guards against crossings, which a cut or a lost zone fails; with one copy a zone,
-    /// the loss of a copy would bring all to another's home.
+    /// weight: so much that its servers' part of all serves this copy's traffic and an even part of the rest for
+    /// each of the zone's others. Guards against crossings, which a cut or a lost zone fails; with one copy a zone,
+    /// the loss of one would bring all to another's home.
     fn stays(&self) -> f64 {
-        let count = |(home, all): (f64, f64), &i: &usize| {
-            let warmth = if self.fit(i) { self.warmth(i) } else { 0.0 };
-            (if self.servers[i].zone == self.terms.home { home + warmth } else { home }, all + warmth)
-        };
-        let (home, all) = self.listed.iter().fold((0.0, 0.0), count);
+        let all: f64 = self.listed.iter().map(|&i| self.able(i)).sum();
+        let home = self.listed.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
+        let home: f64 = home.map(|&i| self.able(i)).sum();
         let several = self.terms.balancers >= 2 * self.zones.len();
         if self.terms.cross_zone <= 0.0 || !several || home <= 0.0 {
             return 0.0;
@@ -818,37 +732,28 @@
         (home / all / (part + others)).min(1.0)
     }
 
-    /// What each server can do against the others: by its reports and those of its kind, which are known long
-    /// before it is, else by its listed size; less where its last answers took longer than usual.
+    /// What each server can do against the others: by its reports, else by its listed size and those of all; less
+    /// where its last answers took longer than usual.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
         let usual = self.usual_time();
-        let mut kinds = vec![(0.0, 0.0); self.kinds];
-        let mut all = (0.0, 0.0);
-        for s in self.listed.iter().map(|&i| &self.servers[i]) {
-            let (told, size) = s.told.map_or((0.0, 0.0), |told| (told, s.size));
-            all = (all.0 + told, all.1 + size);
-            kinds[s.kind] = (kinds[s.kind].0 + told, kinds[s.kind].1 + size);
-        }
+        let told = self.listed.iter().map(|&i| &self.servers[i]).filter_map(|s| Some((s.told?, s.size)));
+        let (all, sizes) = told.fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
         let strength = |&i: &usize| {
             let s = &self.servers[i];
             let known = s.took.len() >= 3 && usual > 0.0;
             let pace = if known { (usual / mean(s.took.iter().copied())).clamp(0.25, 1.0) } else { 1.0 };
-            let (told, size) = if kinds[s.kind].1 > 0.0 { kinds[s.kind] } else { all };
-            let alike = if size > 0.0 { told / size * s.size } else { s.size };
-            let reports = s.told.map_or(0.0, |_| s.busy.len() as f64);
-            (s.told.unwrap_or(0.0) * reports + alike * KIN) / (reports + KIN) * pace
+            s.told.unwrap_or(if sizes > 0.0 { all / sizes * s.size } else { s.size }) * pace
         };
         servers.iter().map(strength).collect()
     }
 
-    /// What the last completed executions of the middle one of the servers took.
     fn usual_time(&self) -> f64 {
         let known = self.listed.iter().filter(|&&i| self.fit(i) && self.servers[i].took.len() >= 3);
         ranked(known.map(|&i| mean(self.servers[i].took.iter().copied())), 0.5).unwrap_or(0.0)
     }
 
-    /// Guards against one good first-tier server taking the load of others that have room: what it holds of
-    /// this copy's, times the copies, must be served in the least mean time at the rate that it tells of.
+    /// Guards against one good first-tier server taking the load of others that have room: what it holds of this
+    /// copy's, times the copies, must be served in the least mean time at the best rate that it told of.
     fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
         if self.terms.load_by_probe {
@@ -856,18 +761,21 @@
             let silent = s.askers.front().is_some_and(|&(_, came)| came + self.shortest / 8 <= self.now);
             return !silent && self.load(server).is_none_or(|load| load <= self.most_held(server));
         }
-        let least = self.least_time() / 1e6;
+        let least = self.runs.least() / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
-        let best = s.rates.iter().copied().reduce(f64::max).filter(|_| s.busy.is_empty());
-        let most =
-            told_strength(s, RECENT).or(best.map(|rate| PEAK * rate)).map_or(f64::MAX, |rate| least * rate);
-        self.terms.tier > 0 || s.own == 0 || held <= most
+        let best = s.rates.iter().copied().reduce(f64::max);
+        self.terms.tier > 0 || s.own == 0 || best.is_none_or(|rate| held <= least * PEAK * rate)
     }
 
     fn fit(&self, server: usize) -> bool {
         self.servers[server].ready && !self.is_aside(server)
     }
 
+    /// The least part of its capacity that a server can use.
+    fn able(&self, server: usize) -> f64 {
+        if self.fit(server) { self.warmth(server) } else { 0.0 }
+    }
+
     /// Resting, or on trial with one call out.
     fn is_aside(&self, server: usize) -> bool {
         let s = &self.servers[server];
@@ -895,9 +803,8 @@
         let since = self.now.saturating_sub(self.terms.tip_after);
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
-        // What warm servers of like size serve of this copy's: its even share by size, and half the multiple
-        // of it. What only came is no measure in a jam, when callers repeat; it stands in while nothing was
-        // served.
+        // Half the multiple of what warm servers of like size serve of this copy's. What only came is no measure
+        // in a jam, when callers repeat; it stands in while nothing was served.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
         let rate = served.unwrap_or_else(|| self.rate(&self.arrivals, CHECK));
@@ -905,60 +812,41 @@
         spent + 1.0 <= even * warmth * self.terms.fall_multiple / 2.0 + s.luck
     }
 
-    // ---- what is seen of servers
-
     fn note_report(&mut self, server: usize, report: LoadReport) {
         let s = &mut self.servers[server];
         if self.terms.load_by_probe {
             s.held = report.held.map(|held| (held, self.now)).or(s.held);
         }
         if let Some(rate) = report.throughput.filter(|rate| s.rates.back() != Some(rate)) {
-            push(&mut s.rates, REPORTS, rate);
+            push(&mut s.rates, RATES, rate);
         }
         if let (Some(rate), Some(busy)) = (report.throughput, report.utilization)
             && s.busy.back() != Some(&(rate, busy))
         {
-            push(&mut s.busy, REPORTS, (rate, busy));
-            s.told = told_strength(s, REPORTS);
+            push(&mut s.busy, RESULTS, (rate, busy));
+            let (rate, busy) = s.busy.iter().fold((0.0, 0.0), |sum, told| (sum.0 + told.0, sum.1 + told.1));
+            s.told = (rate > 0.0 && busy > 0.0).then(|| rate / busy);
         }
     }
 
     fn note_served(&mut self, server: usize, product: usize, spent: u64) {
         push(&mut self.latencies[product], LATENCIES, spent);
         note_time(&mut self.served, self.now, CHECK);
-        self.run.push(spent as f64);
-        push(&mut self.recent, RESULTS, spent as f64);
-        // A copy that gets little ends its run after a check period, if an eighth of it is there.
-        let (count, begun) = (self.run.len(), self.run_begun);
-        if count >= RUN || (count >= RUN / 8 && self.now - begun >= CHECK) {
-            // With its standard error: the least of many short runs would lie far under the usual.
-            let time = mean(self.run.iter().copied());
-            let variance = mean(self.run.iter().map(|&t| (t - time) * (t - time)));
-            push(&mut self.runs, RUNS, time + (variance / count as f64).sqrt());
-            self.run.clear();
-            self.run_begun = self.now;
-        }
-        let slow = SLOW * self.usual_time();
+        self.runs.note(self.now, spent as f64, CHECK);
         let took = spent as f64 / self.usual_latency(product).max(1) as f64;
         let s = &mut self.servers[server];
         let zone = s.zone;
         (s.last_answer, s.strikes) = (self.now, 0);
         push(&mut s.results, RESULTS, true);
         push(&mut s.took, RESULTS, took);
-        // Guards against a slow or choked server that holds much of what is in flight: it rests.
-        if slow > 0.0 && s.took.len() >= RESULTS / 2 && mean(s.took.iter().copied()) > slow {
-            s.took.clear();
-            self.set_aside(server);
-        }
-        let sample = Sample { at: self.now, load: self.load_per_ready(zone), latency: spent as f64 };
+        let sample = (self.now, self.load_per_ready(zone), spent as f64);
         push(&mut self.zones[zone].samples, ZONE_SAMPLES, sample);
     }
 
     fn note_failure(&mut self, server: usize) {
         let results = &mut self.servers[server].results;
         push(results, RESULTS, false);
-        // Guards against servers that fail quickly or answer nothing: few calls in flight make them
-        // attractive.
+        // Guards against servers that fail quickly or answer nothing: few calls in flight make them attractive.
         let bad = results.iter().filter(|&&good| !good).count();
         let in_a_row = results.iter().rev().take_while(|&&good| !good).count();
         if in_a_row >= 2 || (bad >= 2 && 2 * bad >= results.len()) {
@@ -966,8 +854,8 @@
         }
     }
 
-    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too. Once half
-    /// of the list is aside the fault is not theirs.
+    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too. Once half of the
+    /// list is aside the fault is not theirs.
     fn set_aside(&mut self, server: usize) {
         let aside = self.listed.iter().filter(|&&i| self.is_aside(i)).count();
         if aside < self.listed.len() / 2 {
@@ -992,19 +880,14 @@
         ranked(self.latencies[product].iter().copied(), rank)
     }
 
-    // ---- the weights
-
     fn wake_for_check(&mut self) {
         // Parents settle first: each tier's checks come one settling time after those of the tier above.
         let phase = (self.terms.tier as u64 * SETTLE) % CHECK;
         self.host.wake(CHECK - (self.now + CHECK - phase) % CHECK, LABEL_CHECK);
     }
 
-    /// Events a second over the last `span`, or since the start.
     fn rate(&self, times: &VecDeque<u64>, span: u64) -> f64 {
-        let since = self.now.saturating_sub(span).max(self.start);
-        let recent = times.len() - times.partition_point(|&at| at < since);
-        recent as f64 * 1e6 / (self.now - since).max(CHECK / 10) as f64
+        rate(times, self.now, self.now.saturating_sub(span).max(self.start), CHECK / 10)
     }
 
     fn ready_count(&self, zone: usize) -> f64 {
@@ -1028,52 +911,38 @@
     /// Queries a second on each ready server of the zone: as reported, else this copy's own for all copies.
     fn load_per_ready(&self, zone: usize) -> f64 {
         let ready = || self.listed.iter().filter(|&&i| self.servers[i].zone == zone && self.fit(i));
-        if ready().any(|&i| !self.servers[i].rates.is_empty()) {
-            return mean(ready().filter_map(|&i| self.servers[i].rates.back().copied()));
+        let told = || ready().filter_map(|&i| self.servers[i].rates.back().copied());
+        if told().next().is_some() {
+            return mean(told());
         }
         let own = self.rate(&self.arrivals, CHECK) * self.weights()[zone] * self.terms.balancers as f64;
         own / self.ready_count(zone).max(1.0)
     }
 
-    /// How much a sample of that time still counts.
-    fn age_weight(&self, at: u64) -> f64 {
-        0.5_f64.powf((self.now - at) as f64 / (2 * CHECK) as f64)
-    }
-
     fn check(&mut self) {
         self.draw_reach();
         let changed = |old: f64, new: f64| (new - old).abs() > CHANGE * old;
         let rate = self.rate(&self.arrivals, CHECK);
-        let mut due = changed(self.solved_rate, rate);
-        let mut seen = Vec::with_capacity(self.zones.len());
-        for (zone, z) in self.zones.iter().enumerate() {
-            let (ready, latency) = (self.ready_count(zone), self.line(zone).2);
-            due |= changed(z.solved_ready, ready) || changed(z.solved_latency, latency);
-            seen.push((ready, latency));
-        }
-        if due {
+        let seen = |zone| (self.ready_count(zone), self.line(zone).2);
+        let seen: Vec<_> = (0..self.zones.len()).map(seen).collect();
+        let mut zones = self.zones.iter().map(|z| z.solved).zip(&seen);
+        let moved = zones.any(|(old, new)| changed(old.0, new.0) || changed(old.1, new.1));
+        if moved || changed(self.solved_rate, rate) {
             self.solved_rate = rate;
-            for (z, seen) in self.zones.iter_mut().zip(seen) {
-                (z.solved_ready, z.solved_latency) = seen;
-            }
+            self.zones.iter_mut().zip(seen).for_each(|(z, seen)| z.solved = seen);
             self.solve(rate * self.terms.balancers as f64);
         }
     }
 
-    /// Zone latency as a + b * load per ready server, by decayed least squares over the served latencies;
-    /// after them the mean latency, and how much the samples count.
+    /// Zone latency as a + b * load per ready server, by decayed least squares; the mean; the samples' weight.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
-        let samples = || self.zones[zone].samples.iter().map(|s| (self.age_weight(s.at), s));
-        let w: f64 = samples().map(|(k, _)| k).sum();
+        let counts = |at: u64| 0.5_f64.powf((self.now - at) as f64 / (2 * CHECK) as f64);
+        let samples = self.zones[zone].samples.iter();
+        let (slope, load, latency, w) = fit(samples.map(|s| (counts(s.0), s.1, s.2)));
         if w <= 0.0 {
             return (0.0, 0.0, 0.0, 0.0);
         }
-        let load = samples().map(|(k, s)| k * s.load).sum::<f64>() / w;
-        let latency = samples().map(|(k, s)| k * s.latency).sum::<f64>() / w;
-        let spread: f64 = samples().map(|(k, s)| k * (s.load - load) * (s.load - load)).sum();
-        let both: f64 = samples().map(|(k, s)| k * (s.load - load) * (s.latency - latency)).sum();
         let through_origin = latency / load.max(0.01);
-        let slope = if spread > 1e-9 * w * load * load { both / spread } else { 0.0 };
         let b = slope.clamp(LEAST_SLOPE * through_origin, through_origin);
         (latency - b * load, b, latency, w)
     }
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -27,4 +27,15 @@
     pub fn below(&mut self, n: usize) -> usize {
         ((u64::from(self.bits()) * n as u64) >> 32) as usize
     }
+
+    /// An index in proportion to its weight; none where no weight is positive.
+    pub fn pick(&mut self, weights: &[f64]) -> Option<usize> {
+        let mut at = self.unit() * weights.iter().sum::<f64>();
+        let last = weights.iter().rposition(|&weight| weight > 0.0)?;
+        let passed = |weight: &f64| {
+            at -= weight;
+            at < 0.0
+        };
+        Some(weights.iter().position(passed).unwrap_or(last))
+    }
 }
