The share let in rises by time alone; what is taken for granted about a deployment's shape

Seen in a test of the share let in: at a copy whose share has fallen far, hardly a query is let in, so hardly a server is asked, and nothing raised the share again (note_load raised it by reports alone; 400 queries at servers with room, none let in). It rises by time now.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -241,7 +241,7 @@
             let first = (place * ring.len() as f64) as usize;
             ring.rotate_left(first);
             for server in ring {
-                if wanted > 0.0 {
+                if wanted > 0.5 {
                     self.reach.push(server);
                     // Resting and cold servers are made up for by more.
                     wanted -= self.able(server);
@@ -491,7 +491,7 @@
                 self.host.probe(server);
             }
         }
-        self.look_in(qry, slo_time / 8);
+        self.look_in(qry, if by_probe { self.shortest } else { slo_time } / 8);
         let any = !asked.is_empty();
         if by_probe {
             (self.queries[qry].asked, self.queries[qry].unheard) = (asked, unheard);
@@ -538,10 +538,13 @@
     fn note_load(&mut self, server: usize) {
         let Some((held, _)) = self.servers[server].held else { return };
         let span = (self.now - self.moved).min(self.shortest) as f64 / self.shortest as f64;
-        let fallen = self.passes * (-span).exp();
-        let risen = (self.passes + span / RISE).min(1.0);
-        self.passes = if held > self.most_held(server) { fallen } else { risen };
-        self.moved = self.now;
+        let fallen = if held > self.most_held(server) { (-span).exp() } else { 1.0 };
+        (self.passes, self.moved) = (self.share_let_in() * fallen, self.now);
+    }
+
+    fn share_let_in(&self) -> f64 {
+        // It rises by time alone: where hardly a query is let in, hardly a server is asked.
+        (self.passes + (self.now - self.moved) as f64 / (RISE * self.shortest as f64)).min(1.0)
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other
@@ -633,7 +636,7 @@
     /// query takes. Only the first tier rejects: what those below turn away is work lost above.
     fn full(&mut self, tenant: usize) -> bool {
         if self.terms.load_by_probe {
-            return self.chance.unit() >= self.passes;
+            return self.chance.unit() >= self.share_let_in();
         }
         let least = self.runs.least();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -318,3 +318,137 @@
         assert!(held.contains(&first), "{tier} {other}: {first}");
     }
 }
+
+/// As at a deployment with a balancer in each client: connections of many queries, load told to probes alone.
+fn spread_out(rank: usize) -> Terms {
+    let (streams, load_by_probe, probes_pay) = (100, true, true);
+    Terms { balancers: 20, rank, streams, load_by_probe, probes_pay, ..terms(Effect::Idempotent) }
+}
+
+fn told(held: f64) -> LoadReport {
+    LoadReport { held: Some(held), throughput: Some(40.0), utilization: Some(0.8) }
+}
+
+/// Hands a query over and answers its probes; a server that holds `None` is silent. Where it went, and how many
+/// were asked.
+fn ask_about(b: &mut Balancer<Notes>, now: u64, qry: usize, held: &[Option<f64>]) -> (Option<usize>, usize) {
+    let said = ask(b, now, qry);
+    let asked: Vec<usize> =
+        said.iter().filter_map(|line| line.strip_prefix("probe ")?.parse().ok()).collect();
+    for &server in &asked {
+        if let Some(held) = held[server] {
+            b.probed(now, server, true, told(held));
+        }
+    }
+    b.timer(now + 125 * MS, 2 + qry as u32);
+    let sent = sent_to(&std::mem::take(&mut b.host.said));
+    for &server in asked.iter().filter(|&&server| held[server].is_none()) {
+        b.probed(now + 250 * MS, server, false, LoadReport::default());
+    }
+    (sent.or(sent_to(&said)), asked.len())
+}
+
+#[test]
+fn copies_keep_to_their_own_parts_and_cover_the_list_evenly() {
+    for servers in [3, 15, 40] {
+        let mut entries: Vec<Entry> = (0..servers).map(|server| entry(server, 0)).collect();
+        let parts = |entries: &[Entry]| -> Vec<Vec<usize>> {
+            let part = |rank| {
+                let mut b = start(spread_out(rank), entries);
+                let mut part: Vec<usize> = Vec::new();
+                for n in 0..60 {
+                    let now = NOON + n * 300 * MS;
+                    let sent = ask_about(&mut b, now, 0, &vec![Some(0.0); servers]).0.expect("sent");
+                    end(&mut b, now + 250 * MS, 0, 0, ending(Outcome::Completed, 100 * MS));
+                    part.push(sent);
+                }
+                part.sort_unstable();
+                part.dedup();
+                part
+            };
+            (0..20).map(part).collect()
+        };
+        let before = parts(&entries);
+        let held: Vec<usize> =
+            (0..servers).map(|server| before.iter().filter(|part| part.contains(&server)).count()).collect();
+        assert!(before.iter().all(|part| part.len() == 3), "{servers}: {before:?}");
+        let even = 60.0 / servers as f64;
+        assert!(held.iter().all(|&held| (held as f64 - even).abs() < 2.0), "{servers}: {held:?}");
+        // A server that drains is made up for by the next, and the others stay.
+        let gone = before[0][1];
+        entries[gone].standing = Standing::Draining;
+        let after = parts(&entries);
+        let lost = |(before, after): (&Vec<usize>, &Vec<usize>)| {
+            before.iter().filter(|server| **server != gone && !after.contains(server)).count()
+        };
+        assert_eq!(before.iter().zip(&after).map(lost).sum::<usize>(), 0, "{servers}");
+        assert!(after.iter().all(|part| !part.contains(&gone)), "{servers}");
+    }
+}
+
+#[test]
+fn the_least_loaded_of_the_servers_asked_gets_the_query() {
+    // What three servers hold, and who may get the query; a third of a second at 50 a second is room for 16.
+    for (held, gets) in [
+        ([Some(3.0), Some(1.0), Some(2.0)], Some(1)),
+        ([Some(3.0), None, Some(2.0)], Some(2)),
+        ([Some(16.0), Some(40.0), Some(17.0)], Some(0)),
+        // Nobody has room, or nobody answers: rejected.
+        ([Some(17.0), Some(40.0), Some(18.0)], None),
+        ([None, None, None], None),
+    ] {
+        let entries: Vec<Entry> = (0..3).map(|server| entry(server, 0)).collect();
+        let mut b = start(spread_out(0), &entries);
+        assert_eq!(ask_about(&mut b, NOON, 0, &held), (gets, 3), "{held:?}");
+    }
+}
+
+#[test]
+fn where_probes_are_dear_one_server_is_asked() {
+    let entries: Vec<Entry> = (0..3).map(|server| entry(server, 0)).collect();
+    let mut b = start(Terms { probe_dear: true, ..spread_out(0) }, &entries);
+    let (sent, asked) = ask_about(&mut b, NOON, 0, &[Some(1.0); 3]);
+    assert!(sent.is_some() && asked == 1);
+}
+
+#[test]
+fn the_share_let_in_falls_while_servers_hold_too_much_and_rises_after() {
+    let entries: Vec<Entry> = (0..3).map(|server| entry(server, 0)).collect();
+    let mut b = start(spread_out(0), &entries);
+    // What servers hold in the phase, and how many of its 400 queries are let in, so that a server is asked.
+    for (phase, (held, least, most)) in
+        [(2.0, 400, 400), (40.0, 4, 120), (2.0, 180, 395), (2.0, 400, 400)].into_iter().enumerate()
+    {
+        let mut let_in = 0;
+        for n in 0..400 {
+            let now = NOON + (phase as u64 * 400 + n) * 300 * MS;
+            let (sent, asked) = ask_about(&mut b, now, 0, &[Some(held); 3]);
+            let_in += usize::from(asked > 0);
+            if sent.is_some() {
+                end(&mut b, now + 250 * MS, 0, 0, ending(Outcome::Completed, 100 * MS));
+            }
+        }
+        assert!((least..=most).contains(&let_in), "{phase}: {let_in}");
+    }
+}
+
+#[test]
+fn probes_that_wait_are_taken_off_the_rate_told() {
+    // Servers tell forty a second, one of two a probe's answer where these wait: room for six instead of thirteen.
+    for (took, held, gets) in [(0, 12.0, true), (100, 5.0, true), (100, 12.0, false)] {
+        let entries: Vec<Entry> = (0..1).map(|server| entry(server, 0)).collect();
+        let mut b = start(Terms { tick: 0, ..spread_out(0) }, &entries);
+        let told = |held| LoadReport { held: Some(held), throughput: Some(40.0), utilization: None };
+        let mut sent = None;
+        for n in 0..20 {
+            let now = NOON + n * 400 * MS;
+            ask(&mut b, now, 0);
+            b.probed(now + took * MS, 0, true, told(if n < 19 { 0.0 } else { held }));
+            sent = sent_to(&std::mem::take(&mut b.host.said));
+            if n < 19 {
+                end(&mut b, now + took * MS + 50 * MS, 0, 0, ending(Outcome::Completed, 300 * MS));
+            }
+        }
+        assert_eq!(sent.is_some(), gets, "{took} {held}");
+    }
+}
