A share let in for each zone; what home does not let in is drawn by weight and may cross

One share for all zones let the full one starve the others. Now note_load moves the share of the server's zone, and choose draws: home by its share, else by weight and that zone's share.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -86,6 +86,9 @@
     /// Of queries: when served, the load then, the latency; and the ready servers and latency last solved for.
     samples: VecDeque<(u64, f64, f64)>,
     solved: (f64, f64),
+    /// The share of queries let in where load is told to probes alone, and when it last moved.
+    passes: f64,
+    moved: u64,
 }
 
 struct Exec {
@@ -147,9 +150,6 @@
     runs: Runs,
     probes: VecDeque<u64>,
     waited: VecDeque<u64>,
-    /// The share of queries let in where load is told to probes alone, and when it last moved.
-    passes: f64,
-    moved: u64,
     shortest: u64,
     solved_rate: f64,
 }
@@ -175,8 +175,6 @@
             runs: Runs::new(now),
             probes: VecDeque::new(),
             waited: VecDeque::new(),
-            passes: 1.0,
-            moved: now,
             shortest: terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0),
             solved_rate: 0.0,
             terms,
@@ -202,7 +200,7 @@
                 self.servers.resize_with(entry.server + 1, || Server { gone: true, ..Server::default() });
             }
             if entry.zone >= self.zones.len() {
-                self.zones.resize_with(entry.zone + 1, || Zone { each: 1.0, ..Zone::default() });
+                self.zones.resize_with(entry.zone + 1, || Zone { each: 1.0, passes: 1.0, ..Zone::default() });
             }
             let s = &mut self.servers[entry.server];
             if s.born != entry.born {
@@ -291,7 +289,7 @@
         let product = if known { product } else { 0 };
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         self.queries[qry] = query;
-        if !known || self.full(tenant) || !(self.ask(qry) || self.place(qry)) {
+        if !known || self.full(tenant) || !(self.ask(qry) || (!self.terms.load_by_probe && self.place(qry))) {
             self.finish(qry);
             return;
         }
@@ -537,14 +535,17 @@
     /// where all copies see the same old reports: by these alone all would send at once, or none.
     fn note_load(&mut self, server: usize) {
         let Some((held, _)) = self.servers[server].held else { return };
-        let span = (self.now - self.moved).min(self.shortest) as f64 / self.shortest as f64;
-        let fallen = if held > self.most_held(server) { (-span).exp() } else { 1.0 };
-        (self.passes, self.moved) = (self.share_let_in() * fallen, self.now);
+        let most = self.most_held(server);
+        let zone = self.servers[server].zone;
+        let span = (self.now - self.zones[zone].moved).min(self.shortest) as f64 / self.shortest as f64;
+        let fallen = if held > most { (-span).exp() } else { 1.0 };
+        (self.zones[zone].passes, self.zones[zone].moved) = (self.share(zone) * fallen, self.now);
     }
 
-    fn share_let_in(&self) -> f64 {
+    fn share(&self, zone: usize) -> f64 {
         // It rises by time alone: where hardly a query is let in, hardly a server is asked.
-        (self.passes + (self.now - self.moved) as f64 / (RISE * self.shortest as f64)).min(1.0)
+        let risen = (self.now - self.zones[zone].moved) as f64 / (RISE * self.shortest as f64);
+        (self.zones[zone].passes + risen).min(1.0)
     }
 
     /// Sends the query somewhere, if any server may have it. Guards against groups so small that no other
@@ -634,10 +635,7 @@
 
     /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
     /// query takes. Only the first tier rejects: what those below turn away is work lost above.
-    fn full(&mut self, tenant: usize) -> bool {
-        if self.terms.load_by_probe {
-            return self.chance.unit() >= self.share_let_in();
-        }
+    fn full(&self, tenant: usize) -> bool {
         let least = self.runs.least();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
         let most = (FULL * least * recent / 1e6).max(self.listed.len() as f64 / self.terms.balancers as f64);
@@ -645,7 +643,7 @@
         let most = most + most.sqrt().max(1.0);
         let held = self.servers.iter().map(|s| s.own).sum::<usize>() as f64;
         let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
-        self.terms.tier == 0 && least < f64::MAX && over
+        self.terms.tier == 0 && !self.terms.load_by_probe && least < f64::MAX && over
     }
 
     /// This copy's part of the fleet's traffic: what it lets in, less what chance brings, of what servers tell that
@@ -695,9 +693,13 @@
             }
         }
         let mut zone = self.chance.pick(&open)?;
-        let stays = self.stays();
-        if stays > 0.0 && open.get(self.terms.home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
-            zone = self.terms.home;
+        let home = self.terms.home;
+        let sheds = self.terms.load_by_probe && asked.is_empty();
+        let stays = self.stays() * if sheds && home < self.zones.len() { self.share(home) } else { 1.0 };
+        if stays > 0.0 && open.get(home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
+            zone = home;
+        } else if sheds && self.chance.unit() >= self.share(zone) {
+            return None;
         }
         fit.retain(|&server| self.servers[server].zone == zone);
         let strengths = self.strengths(&fit);
