--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,13 +30,14 @@
 const BEYOND: f64 = 0.63;
 /// A server is taken to do this many times the best rate it told of.
 const PEAK: f64 = 1.5;
-/// A copy that hears of a server less than once in so many SLO times asks so many before it sends, but not while the
-/// last answers took less than this many times the least mean time.
+/// A copy that hears of a server less than once in so many SLO times asks so many before it sends, but not
+/// while the last answers took less than this many times the least mean time.
 const SELDOM: f64 = 4.0;
 const ASKED: usize = 3;
 const QUICK: f64 = 1.25;
-/// How many servers an even copy reaches where a connection carries many queries.
+/// How many servers an even copy reaches; the golden ratio spreads any row of ranks evenly over the list.
 const REACH: f64 = 3.0;
+const GOLDEN: f64 = 0.618_033_988_75;
 /// Where load is told to probes alone, a server has room for what it serves in this part of the shortest SLO
 /// time, and the share let in rises from none to all in so many of these times.
 const ROOM: f64 = 3.0;
@@ -63,7 +64,7 @@
     /// This copy's own calls in flight; when the last went out, and their product's work against the usual.
     own: usize,
     sent: VecDeque<(u64, f64)>,
-    /// Whether the last executions came to something, and what completed ones took against their product's usual.
+    /// Whether the last executions came to something, and what completed ones took by their product's usual.
     results: VecDeque<bool>,
     took: VecDeque<f64>,
     last_answer: u64,
@@ -71,7 +72,7 @@
     strikes: u32,
     /// The queries that wait for its answer, and when they came.
     askers: VecDeque<(usize, u64)>,
-    /// By the last reports: queries a second, these and how busy the cores were, and what it could do by both.
+    /// By the last reports: queries a second, these and how busy the cores were, what it could do by both.
     rates: VecDeque<f64>,
     busy: VecDeque<(f64, f64)>,
     told: Option<f64>,
@@ -83,7 +84,7 @@
 struct Zone {
     /// Weight for each ready server against the other zones'; the zone's weight is this times their number.
     each: f64,
-    /// Of queries: when served, the load then, the latency; and the ready servers and latency last solved for.
+    /// Of queries: when served, the load then, the latency; and ready servers and latency last solved for.
     samples: VecDeque<(u64, f64, f64)>,
     solved: (f64, f64),
     /// The share of queries let in where load is told to probes alone, and when it last moved.
@@ -118,8 +119,8 @@
     give_up: u64,
     next_look: u64,
     execs: Vec<Exec>,
-    /// The conditions under which it came, whether it waits to be sent again, the servers asked for it, and how
-    /// many answers are out.
+    /// The conditions under which it came, whether it waits to be sent again, the servers asked for it, and
+    /// how many answers are out.
     lane: Option<Rc<RefCell<Lane>>>,
     held: bool,
     asked: Vec<usize>,
@@ -217,17 +218,16 @@
         self.draw_reach();
     }
 
-    /// Where a connection carries many queries, a copy keeps to its own part of the list: a row of servers in each
-    /// zone, by its share of the copy's queries, from the copy's place on. Guards against full tables of
-    /// connections, at which most executions find none, and new ones that cost as much as a query.
+    /// Where a connection carries many queries, a copy keeps to its part of the list: a row of servers in a
+    /// zone, by its share of the queries, from the copy's place on. Guards against full tables of connections
+    /// at which most executions find none, and new ones that cost as much as a query.
     fn draw_reach(&mut self) {
         if self.terms.streams <= 1 {
             self.reach = self.listed.clone();
             return;
         }
         self.reach.clear();
-        // By the golden ratio any row of ranks is spread evenly.
-        let place = (self.terms.rank as f64 * 0.618_033_988_75).fract();
+        let place = (self.terms.rank as f64 * GOLDEN).fract();
         let (weights, stays) = (self.weights(), self.stays());
         let many = REACH * self.part() * self.terms.balancers as f64;
         for (zone, weight) in weights.iter().enumerate() {
@@ -248,14 +248,14 @@
         }
     }
 
-    /// The server is gone and nothing in flight holds it: its index may stand for another one now.
+    /// Nothing in flight holds the server that is gone: its index may stand for another one now.
     pub fn let_go(&mut self, server: usize) {
         if let Some(s) = self.servers.get_mut(server) {
             *s = Server { gone: true, ..Server::default() };
         }
     }
 
-    /// The list stays and is asked for again, at a time drawn so that all copies do not flood the list service.
+    /// The list stays and is asked for again, at a time drawn so that the copies don't flood discovery.
     pub fn list_failed(&mut self, now: u64) {
         self.now = now;
         if let Some(within) = self.terms.must_ask_in {
@@ -286,12 +286,11 @@
         let give_up = earns.map_or(deadline, |row| deadline.min(now + row.slo_time));
         let give_up = give_up.saturating_sub(2 * self.terms.tick);
         let known = product < self.terms.products.len();
-        let product = if known { product } else { 0 };
+        let product = product.min(self.terms.products.len() - 1);
         let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         self.queries[qry] = query;
         if !known || self.full(tenant) || !(self.ask(qry) || (!self.terms.load_by_probe && self.place(qry))) {
-            self.finish(qry);
-            return;
+            return self.finish(qry);
         }
         let times = self.let_in.get_mut(tenant).into_iter().chain([&mut self.admitted]);
         times.for_each(|times| note_time(times, now, CHECK));
@@ -377,16 +376,12 @@
     pub fn timer(&mut self, now: u64, label: u32) {
         self.now = now;
         match label {
-            LABEL_CHECK => {
-                self.check();
-                self.wake_for_check();
-            }
+            LABEL_CHECK => self.check(),
             LABEL_LIST => self.host.follow_list(),
             _ => self.look((label - LABEL_QUERIES) as usize),
         }
     }
 
-    /// What a query held or out for long needs.
     fn look(&mut self, qry: usize) {
         let Some(q) = self.queries.get_mut(qry).filter(|q| q.live) else { return };
         if self.now < q.next_look {
@@ -396,8 +391,7 @@
         let (product, count) = (q.product, q.execs.len());
         if self.now >= q.give_up || (asks && !self.settle(qry)) {
             return self.finish(qry);
-        }
-        if asks {
+        } else if asks {
             return;
         }
         let since = self.now.saturating_sub(self.patience(product));
@@ -497,8 +491,8 @@
         any && (unheard > 0 || self.settle(qry))
     }
 
-    /// Of the servers asked that have told their load, the one that holds least for its strength gets the query, if
-    /// it has room. Guards against servers that other copies fill, of which a copy's own calls say nothing.
+    /// Of the servers asked that told their load and have room, the one with least for its strength gets the
+    /// query. Guards against servers that other copies fill, of which own calls say nothing.
     fn settle(&mut self, qry: usize) -> bool {
         let asked = std::mem::take(&mut self.queries[qry].asked);
         if asked.is_empty() {
@@ -507,8 +501,7 @@
         let told = |&i: &usize| self.fit(i) && self.load(i).is_some() && self.has_room(i);
         let told: Vec<usize> = asked.into_iter().filter(told).collect();
         let load = |(&i, strength)| ((self.load(i).unwrap_or(0.0) + 1.0) / strength, i);
-        let loads = told.iter().zip(self.strengths(&told)).map(load);
-        let least = loads.min_by(|a, b| a.0.total_cmp(&b.0));
+        let least = told.iter().zip(self.strengths(&told)).map(load).min_by(|a, b| a.0.total_cmp(&b.0));
         least.is_some_and(|(_, server)| self.execute(qry, server))
     }
 
@@ -519,7 +512,7 @@
         Some(held + s.sent.iter().rev().take_while(|sent| sent.0 >= at).count() as f64)
     }
 
-    /// What a server serves in a part of the shortest SLO time, or in the time that counts as full if that is less.
+    /// What a server serves in a part of the shortest SLO time, or in the time that counts as full if less.
     fn most_held(&self, server: usize) -> f64 {
         let s = &self.servers[server];
         let time = (FULL * self.runs.least()).min(self.shortest as f64 / ROOM) / 1e6;
@@ -527,16 +520,14 @@
         let waits = self.waited.iter().any(|&time| time >= self.shortest / 32);
         let (probes, served) = (self.rate(&self.probes, CHECK), self.rate(&self.served, CHECK));
         let among = if waits { 1.0 + probes / served.max(1.0) } else { 1.0 };
-        let rate = s.rates.back().map_or(f64::MAX, |rate| rate / among);
-        (time * s.told.unwrap_or(rate)).max(1.0)
+        (time * s.told.or(s.rates.back().map(|rate| rate / among)).unwrap_or(f64::MAX)).max(1.0)
     }
 
-    /// The share let in falls while servers asked hold too much and rises slowly while not. Guards against overload
-    /// where all copies see the same old reports: by these alone all would send at once, or none.
+    /// A zone's share let in falls while servers asked there hold too much, and rises slowly. Guards against
+    /// overload where all copies see the same old reports: by these alone all would send at once, or none.
     fn note_load(&mut self, server: usize) {
         let Some((held, _)) = self.servers[server].held else { return };
-        let most = self.most_held(server);
-        let zone = self.servers[server].zone;
+        let (most, zone) = (self.most_held(server), self.servers[server].zone);
         let span = (self.now - self.zones[zone].moved).min(self.shortest) as f64 / self.shortest as f64;
         let fallen = if held > most { (-span).exp() } else { 1.0 };
         (self.zones[zone].passes, self.zones[zone].moved) = (self.share(zone) * fallen, self.now);
@@ -633,8 +624,8 @@
         }
     }
 
-    /// Guards against overload: by Little's law what is in flight, over what is served, is the time that one more
-    /// query takes. Only the first tier rejects: what those below turn away is work lost above.
+    /// Guards against overload: by Little's law what is in flight over what is served is the time that one
+    /// query more takes. Only the first tier rejects: what those below turn away is work lost above.
     fn full(&self, tenant: usize) -> bool {
         let least = self.runs.least();
         let recent = self.rate(&self.served, CHECK).max(self.rate(&self.served, CHECK / 4));
@@ -642,12 +633,12 @@
         // With few in flight chance alone brings their number above the limit by about its root.
         let most = most + most.sqrt().max(1.0);
         let held = self.servers.iter().map(|s| s.own).sum::<usize>() as f64;
-        let over = held > most || (held > BEYOND * most && self.beyond_share(tenant));
-        self.terms.tier == 0 && !self.terms.load_by_probe && least < f64::MAX && over
+        let rejects = self.terms.tier == 0 && !self.terms.load_by_probe && least < f64::MAX;
+        rejects && (held > most || (held > BEYOND * most && self.beyond_share(tenant)))
     }
 
-    /// This copy's part of the fleet's traffic: what it lets in, less what chance brings, of what servers tell that
-    /// they serve; an even part at the least. Guards against taking favoured copies for ones like the others.
+    /// This copy's part of the traffic: what it lets in, less what chance brings, of the rates that servers
+    /// tell; an even part at the least. Guards against taking favoured copies for ones like the others.
     fn part(&self) -> f64 {
         let even = 1.0 / self.terms.balancers as f64;
         let told = mean(self.listed.iter().filter_map(|&i| self.servers[i].rates.back().copied()));
@@ -658,10 +649,8 @@
 
     /// Whether it has let in more of the tenant's queries than its part of the share, and than chance brings.
     fn beyond_share(&self, tenant: usize) -> bool {
-        let quota = self.terms.tenant_quotas.get(tenant).copied().unwrap_or(0.0);
-        let part = quota * self.part();
-        let chance = (part * 1e6 / CHECK as f64).sqrt();
-        quota > 0.0 && self.rate(&self.let_in[tenant], CHECK) > part + chance
+        let part = self.terms.tenant_quotas.get(tenant).map_or(0.0, |quota| quota * self.part());
+        part > 0.0 && self.rate(&self.let_in[tenant], CHECK) > part + (part * 1e6 / CHECK as f64).sqrt()
     }
 
     /// The design's ordinary path: a zone by its weight, inside it a random server (beside those `asked`, and
@@ -679,22 +668,15 @@
             let near = |&first: &usize| self.servers[first].zone == self.servers[server].zone;
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
-            if warm
-                && !tried
-                && asked.first().is_none_or(near)
-                && self.fit(server)
-                && (!strict || self.has_room(server))
-                && self.cold_room(server)
-                && self.may_repeat_at(qry, server)
-            {
+            let may = self.fit(server) && self.cold_room(server) && self.may_repeat_at(qry, server);
+            if may && warm && !tried && asked.first().is_none_or(near) && (!strict || self.has_room(server)) {
                 fit.push(server);
                 let zone = self.servers[server].zone;
                 open[zone] = f64::max(weights[zone], f64::MIN_POSITIVE);
             }
         }
         let mut zone = self.chance.pick(&open)?;
-        let home = self.terms.home;
-        let sheds = self.terms.load_by_probe && asked.is_empty();
+        let (home, sheds) = (self.terms.home, self.terms.load_by_probe && asked.is_empty());
         let stays = self.stays() * if sheds && home < self.zones.len() { self.share(home) } else { 1.0 };
         if stays > 0.0 && open.get(home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
             zone = home;
@@ -719,26 +701,24 @@
         chosen.map(|(_, server)| server)
     }
 
-    /// Where crossings have a price and a zone two copies, the chance that a query stays home and is not drawn by
-    /// weight: so much that its servers' part of all serves this copy's traffic and an even part of the rest for
-    /// each of the zone's others. Guards against crossings, which a cut or a lost zone fails; with one copy a zone,
-    /// the loss of one would bring all to another's home.
+    /// Where crossings cost and zones have two copies, the chance that a query stays home: by its servers'
+    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings, which
+    /// a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home.
     fn stays(&self) -> f64 {
         let all: f64 = self.listed.iter().map(|&i| self.able(i)).sum();
         let home = self.listed.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
         let home: f64 = home.map(|&i| self.able(i)).sum();
-        let several = self.terms.balancers >= 2 * self.zones.len();
-        if self.terms.cross_zone <= 0.0 || !several || home <= 0.0 {
+        if self.terms.cross_zone <= 0.0 || self.terms.balancers < 2 * self.zones.len() || home <= 0.0 {
             return 0.0;
         }
         let (zones, part) = (self.zones.len() as f64, self.part());
-        let beside = self.terms.balancers as f64 / zones - 1.0;
-        let others = (1.0 - part) * beside / (self.terms.balancers - 1) as f64;
+        let all_but_it = (self.terms.balancers - 1) as f64;
+        let others = (1.0 - part) * (self.terms.balancers as f64 / zones - 1.0) / all_but_it;
         (home / all / (part + others)).min(1.0)
     }
 
-    /// What each server can do against the others: by its reports, else by its listed size and those of all; less
-    /// where its last answers took longer than usual.
+    /// What each server can do against the others: by its reports, else by its listed size and those of all;
+    /// less where its last answers took longer than usual.
     fn strengths(&self, servers: &[usize]) -> Vec<f64> {
         let usual = self.usual_time();
         let told = self.listed.iter().map(|&i| &self.servers[i]).filter_map(|s| Some((s.told?, s.size)));
@@ -757,7 +737,7 @@
         ranked(known.map(|&i| mean(self.servers[i].took.iter().copied())), 0.5).unwrap_or(0.0)
     }
 
-    /// Guards against one good first-tier server taking the load of others that have room: what it holds of this
+    /// Guards against one good first-tier server taking the load of others with room: what it holds of this
     /// copy's, times the copies, must be served in the least mean time at the best rate that it told of.
     fn has_room(&self, server: usize) -> bool {
         let s = &self.servers[server];
@@ -766,17 +746,17 @@
             let silent = s.askers.front().is_some_and(|&(_, came)| came + self.shortest / 8 <= self.now);
             return !silent && self.load(server).is_none_or(|load| load <= self.most_held(server));
         }
-        let least = self.runs.least() / 1e6;
         let held = (s.own * self.terms.balancers) as f64;
         let best = s.rates.iter().copied().reduce(f64::max);
-        self.terms.tier > 0 || s.own == 0 || best.is_none_or(|rate| held <= least * PEAK * rate)
+        self.terms.tier > 0
+            || s.own == 0
+            || best.is_none_or(|rate| held <= self.runs.least() / 1e6 * PEAK * rate)
     }
 
     fn fit(&self, server: usize) -> bool {
         self.servers[server].ready && !self.is_aside(server)
     }
 
-    /// The least part of its capacity that a server can use.
     fn able(&self, server: usize) -> f64 {
         if self.fit(server) { self.warmth(server) } else { 0.0 }
     }
@@ -794,8 +774,7 @@
         if born == 0 || age >= self.terms.cold_time {
             return 1.0;
         }
-        let from = self.terms.cold_from;
-        from + (1.0 - from) * age as f64 / self.terms.cold_time as f64
+        self.terms.cold_from + (1.0 - self.terms.cold_from) * age as f64 / self.terms.cold_time as f64
     }
 
     /// Rule 4: whether this copy's part of a cold server's budget has room for one more execution. With many
@@ -808,8 +787,8 @@
         let since = self.now.saturating_sub(self.terms.tip_after);
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
-        // Half the multiple of what warm servers of like size serve of this copy's. What only came is no measure
-        // in a jam, when callers repeat; it stands in while nothing was served.
+        // Half the multiple of what warm servers of like size serve of this copy's. What only came is no
+        // measure in a jam, when callers repeat; it stands in while nothing was served.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
         let rate = served.unwrap_or_else(|| self.rate(&self.arrivals, CHECK));
@@ -851,7 +830,7 @@
     fn note_failure(&mut self, server: usize) {
         let results = &mut self.servers[server].results;
         push(results, RESULTS, false);
-        // Guards against servers that fail quickly or answer nothing: few calls in flight make them attractive.
+        // Guards against servers that fail quickly or answer nothing: few calls in flight attract more.
         let bad = results.iter().filter(|&&good| !good).count();
         let in_a_row = results.iter().rev().take_while(|&&good| !good).count();
         if in_a_row >= 2 || (bad >= 2 && 2 * bad >= results.len()) {
@@ -859,8 +838,8 @@
         }
     }
 
-    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too. Once half of the
-    /// list is aside the fault is not theirs.
+    /// No new calls for the longest SLO time, doubled each time that the trial after it fails too; once half
+    /// the list is aside the fault is not theirs.
     fn set_aside(&mut self, server: usize) {
         let aside = self.listed.iter().filter(|&&i| self.is_aside(i)).count();
         if aside < self.listed.len() / 2 {
@@ -925,6 +904,7 @@
     }
 
     fn check(&mut self) {
+        self.wake_for_check();
         self.draw_reach();
         let changed = |old: f64, new: f64| (new - old).abs() > CHANGE * old;
         let rate = self.rate(&self.arrivals, CHECK);
@@ -939,14 +919,11 @@
         }
     }
 
-    /// Zone latency as a + b * load per ready server, by decayed least squares; the mean; the samples' weight.
+    /// Zone latency as a + b * load per ready server by decayed least squares; its mean, the samples' weight.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
         let counts = |at: u64| 0.5_f64.powf((self.now - at) as f64 / (2 * CHECK) as f64);
         let samples = self.zones[zone].samples.iter();
         let (slope, load, latency, w) = fit(samples.map(|s| (counts(s.0), s.1, s.2)));
-        if w <= 0.0 {
-            return (0.0, 0.0, 0.0, 0.0);
-        }
         let through_origin = latency / load.max(0.01);
         let b = slope.clamp(LEAST_SLOPE * through_origin, through_origin);
         (latency - b * load, b, latency, w)
@@ -984,10 +961,7 @@
             let first = self.chance.below(open.len());
             let second = (first + 1 + self.chance.below(open.len() - 1)) % open.len();
             let (from, to) = (open[first], open[second]);
-            let step = (STEP * (1.0 - self.chance.unit())).min(weights[from] - FLOOR_SHARE);
-            if step <= 0.0 {
-                continue;
-            }
+            let step = (STEP * (1.0 - self.chance.unit())).min(weights[from] - FLOOR_SHARE).max(0.0);
             let mut shares = weights.clone();
             shares[from] -= step;
             shares[to] += step;
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -45,8 +45,8 @@
     recent as f64 * 1e6 / (now - since).max(least) as f64
 }
 
-/// The line by weighted least squares through samples of weight, x and y: its slope, the mean x and y, and the
-/// sum of the weights. Of samples all at one x the slope is 0.
+/// The line by weighted least squares through samples of weight, x and y: its slope, the mean x and y, and
+/// the sum of the weights. Of samples all at one x the slope is 0.
 pub fn fit(samples: impl Iterator<Item = (f64, f64, f64)> + Clone) -> (f64, f64, f64, f64) {
     let w: f64 = samples.clone().map(|(k, _, _)| k).sum();
     if w <= 0.0 {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -329,8 +329,8 @@
     LoadReport { held: Some(held), throughput: Some(40.0), utilization: Some(0.8) }
 }
 
-/// Hands a query over and answers its probes; a server that holds `None` is silent. Where it went, and how many
-/// were asked.
+/// Hands a query over and answers its probes; a server that holds `None` is silent. Where it went, and how
+/// many were asked.
 fn ask_about(b: &mut Balancer<Notes>, now: u64, qry: usize, held: &[Option<f64>]) -> (Option<usize>, usize) {
     let said = ask(b, now, qry);
     let asked: Vec<usize> =
@@ -434,7 +434,7 @@
 
 #[test]
 fn probes_that_wait_are_taken_off_the_rate_told() {
-    // Servers tell forty a second, one of two a probe's answer where these wait: room for six instead of thirteen.
+    // Servers tell forty a second, one of two a probe's answer where these wait: room for six, not thirteen.
     for (took, held, gets) in [(0, 12.0, true), (100, 5.0, true), (100, 12.0, false)] {
         let entries: Vec<Entry> = (0..1).map(|server| entry(server, 0)).collect();
         let mut b = start(Terms { tick: 0, ..spread_out(0) }, &entries);
