--- a/src/decide.rs
+++ b/src/decide.rs
@@ -702,8 +702,8 @@
     }
 
     /// Where crossings cost and zones have two copies, the chance that a query stays home: by its servers'
-    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings, which
-    /// a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home.
+    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings
+    /// that a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home.
     fn stays(&self) -> f64 {
         let all: f64 = self.listed.iter().map(|&i| self.able(i)).sum();
         let home = self.listed.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
