A probe unanswered is a failure, so that a part of the list lost at once is drawn anew

Seen in a test: a copy whose three servers all die rejects every query until the list tells, 4 to 14 s on the new deployments: probes fail, none of the asked has told its load, settle rejects, and nothing but failures of executions set a server aside and had draw_reach find others. probed counts a probe unanswered as a failure of its server now: 0 of 30 queries sent before, 15 and more after.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -352,14 +352,14 @@
 
     pub fn probed(&mut self, now: u64, server: usize, answered: bool, report: LoadReport) {
         self.now = now;
-        if server >= self.servers.len() {
-            return;
-        }
+        let Some(_) = self.servers.get(server) else { return };
         self.note_report(server, report);
         let Some((qry, came)) = self.servers[server].askers.pop_front() else { return };
         push(&mut self.waited, RESULTS, now - came);
         if answered {
             self.note_load(server);
+        } else if self.terms.load_by_probe {
+            self.note_failure(server);
         }
         let waits = self.queries.get(qry).is_some_and(|q| q.live && q.came == came && q.execs.is_empty());
         if waits && self.terms.load_by_probe {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -403,6 +403,26 @@
     }
 }
 
+/// Long before the list tells of it.
+#[test]
+fn a_part_lost_at_once_is_drawn_anew() {
+    let entries: Vec<Entry> = (0..20).map(|server| entry(server, 0)).collect();
+    for dear in [false, true] {
+        let mut b = start(Terms { probe_dear: dear, ..spread_out(0) }, &entries);
+        let mut held = vec![Some(0.0); 20];
+        for n in 0..20 {
+            if let Some(server) = ask_about(&mut b, NOON + n * 300 * MS, 0, &vec![Some(0.0); 20]).0 {
+                held[server] = None;
+                end(&mut b, NOON + (n * 300 + 100) * MS, 0, 0, ending(Outcome::Completed, 100 * MS));
+            }
+        }
+        assert_eq!(held.iter().filter(|held| held.is_none()).count(), 3);
+        let mut again = |n: u64| ask_about(&mut b, NOON + (6000 + n * 400) * MS, 0, &held).0;
+        let served = (0..30).filter(|&n| again(n).is_some()).count();
+        assert!(served >= 15, "{dear}: {served} of 30");
+    }
+}
+
 #[test]
 fn where_probes_are_dear_one_server_is_asked() {
     let entries: Vec<Entry> = (0..3).map(|server| entry(server, 0)).collect();
