Where a copy sends anywhere, home's part is counted among servers that may have the query

Where a copy keeps to its part of the list, the candidates are that part and tell nothing of the zone: there the list counts, as it has.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -228,7 +228,7 @@
         }
         self.reach.clear();
         let place = (self.terms.rank as f64 * GOLDEN).fract();
-        let (weights, stays) = (self.weights(), self.stays());
+        let (weights, stays) = (self.weights(), self.stays(&self.listed));
         let many = REACH * self.part() * self.terms.balancers as f64;
         for (zone, weight) in weights.iter().enumerate() {
             let home = if zone == self.terms.home { stays } else { 0.0 };
@@ -368,7 +368,6 @@
                 self.finish(qry);
             }
         } else if waits && answered && self.fit(server) {
-            // The first of the servers asked to answer gets the query.
             self.execute(qry, server);
         }
     }
@@ -677,7 +676,8 @@
         }
         let mut zone = self.chance.pick(&open)?;
         let (home, sheds) = (self.terms.home, self.terms.load_by_probe && asked.is_empty());
-        let stays = self.stays() * if sheds && home < self.zones.len() { self.share(home) } else { 1.0 };
+        let stays = self.stays(if self.terms.streams > 1 { &self.listed } else { &fit });
+        let stays = stays * if sheds && home < self.zones.len() { self.share(home) } else { 1.0 };
         if stays > 0.0 && open.get(home).is_some_and(|&o| o > 0.0) && self.chance.unit() < stays {
             zone = home;
         } else if sheds && self.chance.unit() >= self.share(zone) {
@@ -704,9 +704,9 @@
     /// Where crossings cost and zones have two copies, the chance that a query stays home: by its servers'
     /// part of all, for this copy and an even part of the rest for its others. Guards against crossings
     /// that a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home.
-    fn stays(&self) -> f64 {
-        let all: f64 = self.listed.iter().map(|&i| self.able(i)).sum();
-        let home = self.listed.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
+    fn stays(&self, among: &[usize]) -> f64 {
+        let all: f64 = among.iter().map(|&i| self.able(i)).sum();
+        let home = among.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
         let home: f64 = home.map(|&i| self.able(i)).sum();
         if self.terms.cross_zone <= 0.0 || self.terms.balancers < 2 * self.zones.len() || home <= 0.0 {
             return 0.0;
