--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -229,6 +229,27 @@
     }
 }
 
+/// A home zone whose servers are nearly all out of room must not get all that stays at home.
+#[test]
+fn a_home_zone_with_little_room_sends_some_away() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, server / 3)).collect();
+    let mut b = start(Terms { cross_zone: 0.5, balancers: 4, ..terms(Effect::Idempotent) }, &entries);
+    // Four a second told: a server that holds one call has no room.
+    let told = LoadReport { throughput: Some(4.0), ..LoadReport::default() };
+    serve(&mut b, NOON, 450, 6, |_| (100 * MS, told));
+    let mut crossed = 0;
+    for trial in 0..100 {
+        let now = NOON + (5000 + trial * 500) * MS;
+        let sent: Vec<usize> = (0..3).filter_map(|qry| sent_to(&ask(&mut b, now, qry))).collect();
+        assert_eq!(sent.len(), 3);
+        crossed += sent.iter().filter(|&&server| server >= 3).count();
+        (0..3).for_each(|qry| {
+            end(&mut b, now + 100 * MS, qry, 0, Ending { report: told, ..ending(Completed, 100 * MS) });
+        });
+    }
+    assert!((15..120).contains(&crossed), "{crossed}");
+}
+
 #[test]
 fn copies_that_hear_little_ask_before_they_send() {
     let entries: Vec<Entry> = (0..40).map(|server| entry(server, server % 2)).collect();
