A silent server keeps its query where no other may have it; aborts say why

The answer named time, as a called-off execution was told like one that timed out (desk.rs, abort).

Change: an execution is called off for silence only if another server could have the query now; else it waits. Aborts carry their reason: failed, out of time, silent server.

The table of a_silent_server_is_answered_for has the cases without a busy machine: no other server, or only one that must not repeat a deduplicated query; they fail on the module before.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -18,7 +18,7 @@
 use tower_http::limit::RequestBodyLimitLayer;
 use whinspindle::host::Arrival;
 use whinspindle_logline::log_line;
-use whinspindle_messages::answer::{Answer, plain};
+use whinspindle_messages::answer::{Answer, Because, plain};
 use whinspindle_messages::query::{Head, MOST_BODY, TAKEN};
 use whinspindle_reducer::Ticket;
 use whinspindle_routes::Lookup;
@@ -70,7 +70,7 @@
 
 fn panicked(_: Box<dyn std::any::Any + Send>) -> Response<Full<Bytes>> {
     log_line!("fault", "a panic ended a query");
-    Answer::Aborted { in_time: true }.encode()
+    Answer::Aborted(Because::Failed).encode()
 }
 
 /// Nothing of the query has been looked at, so trying again is harmless.
@@ -155,5 +155,5 @@
         return Ok(TAKEN.encode());
     };
     let _waiting = Waiting { node: &node, ticket };
-    Ok(answer.await.unwrap_or(Answer::Aborted { in_time: true }).encode())
+    Ok(answer.await.unwrap_or(Answer::Aborted(Because::Failed)).encode())
 }
--- a/crates/messages/src/answer.rs
+++ b/crates/messages/src/answer.rs
@@ -12,10 +12,19 @@
     Completed(Served),
     /// Nothing has happened; best tried again after so many microseconds (0: no advice).
     Rejected(u64),
-    /// It may have happened: the last execution failed, or ran out of time.
-    Aborted {
-        in_time: bool,
-    },
+    /// It may have happened.
+    Aborted(Because),
+}
+
+/// Why a query was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Because {
+    /// The last execution came to an end that allows no other.
+    Failed,
+    /// It has no time left.
+    OutOfTime,
+    /// Its server was silent and was given up, and no other could have it then.
+    Silent,
 }
 
 /// What a server made of a query.
@@ -42,9 +51,13 @@
                 }
                 response
             }
-            Answer::Aborted { in_time: true } => plain(StatusCode::BAD_GATEWAY, "aborted".to_string()),
-            Answer::Aborted { in_time: false } => {
-                plain(StatusCode::GATEWAY_TIMEOUT, "aborted: out of time".to_string())
+            Answer::Aborted(because) => {
+                let (status, text) = match because {
+                    Because::Failed => (StatusCode::BAD_GATEWAY, "aborted"),
+                    Because::OutOfTime => (StatusCode::GATEWAY_TIMEOUT, "aborted: out of time"),
+                    Because::Silent => (StatusCode::GATEWAY_TIMEOUT, "aborted: its server is silent"),
+                };
+                plain(status, text.to_string())
             }
         }
     }
--- a/crates/messages/tests/messages.rs
+++ b/crates/messages/tests/messages.rs
@@ -4,7 +4,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use whinspindle::host::{Outcome, Standing};
-use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::answer::{Answer, Because, Served};
 use whinspindle_messages::execution::{self, Reply};
 use whinspindle_messages::list::ListNews;
 use whinspindle_messages::query::Head;
@@ -185,8 +185,14 @@
         (Answer::Completed(served), StatusCode::OK, None, "body"),
         (Answer::Rejected(0), StatusCode::SERVICE_UNAVAILABLE, None, "rejected\n"),
         (Answer::Rejected(600_000), StatusCode::SERVICE_UNAVAILABLE, Some("0.600"), "rejected\n"),
-        (Answer::Aborted { in_time: true }, StatusCode::BAD_GATEWAY, None, "aborted\n"),
-        (Answer::Aborted { in_time: false }, StatusCode::GATEWAY_TIMEOUT, None, "aborted: out of time\n"),
+        (Answer::Aborted(Because::Failed), StatusCode::BAD_GATEWAY, None, "aborted\n"),
+        (Answer::Aborted(Because::OutOfTime), StatusCode::GATEWAY_TIMEOUT, None, "aborted: out of time\n"),
+        (
+            Answer::Aborted(Because::Silent),
+            StatusCode::GATEWAY_TIMEOUT,
+            None,
+            "aborted: its server is silent\n",
+        ),
     ] {
         let (parts, body) = answer.encode().into_parts();
         let written = parts.headers.get("retry-after").map(|value| value.to_str().expect("text"));
--- a/crates/reducer/src/desk.rs
+++ b/crates/reducer/src/desk.rs
@@ -6,7 +6,7 @@
 use http::HeaderValue;
 use whinspindle::host::{Host, Outcome};
 use whinspindle_logline::log_line;
-use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::answer::{Answer, Because, Served};
 use whinspindle_messages::query::Forwarded;
 use whinspindle_terms::Deployment;
 
@@ -149,8 +149,13 @@
 
     fn abort(&mut self, qry: usize) {
         let last = self.open[qry].as_ref().and_then(|open| open.last_outcome);
-        let in_time = !matches!(last, None | Some(Outcome::TimedOut | Outcome::Cancelled));
-        self.answer(qry, Answer::Aborted { in_time });
+        let because = match last {
+            None | Some(Outcome::TimedOut) => Because::OutOfTime,
+            // While the query was open, only the silence of a server has called an execution off.
+            Some(Outcome::Cancelled) => Because::Silent,
+            Some(_) => Because::Failed,
+        };
+        self.answer(qry, Answer::Aborted(because));
     }
 
     fn wake(&mut self, wait: u64, label: u32) {
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use whinspindle::host::{Arrival, LoadReport, Outcome};
-use whinspindle_messages::answer::{Answer, Served};
+use whinspindle_messages::answer::{Answer, Because, Served};
 use whinspindle_messages::list::ListNews;
 use whinspindle_messages::query::Forwarded;
 use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer, Ticket};
@@ -36,8 +36,9 @@
         let answer = match answer {
             Answer::Completed(_) => "completed",
             Answer::Rejected(_) => "rejected",
-            Answer::Aborted { in_time: true } => "aborted",
-            Answer::Aborted { in_time: false } => "aborted, out of time",
+            Answer::Aborted(Because::Failed) => "aborted",
+            Answer::Aborted(Because::OutOfTime) => "aborted, out of time",
+            Answer::Aborted(Because::Silent) => "aborted, silent",
         };
         self.0.borrow_mut().push(format!("{caller}: {answer}"));
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -397,7 +397,7 @@
         let silent = |e: &Exec| {
             e.ended.is_none() && !e.struck && e.sent <= since && self.servers[e.server].last_answer < e.sent
         };
-        // Guards against a server that takes queries and answers none: it has answered nobody since.
+        // Guards against a server that has answered nobody since; where no other may have the query, it waits.
         if let Some(exec) = self.queries[qry].execs.iter().rposition(silent) {
             let e = &mut self.queries[qry].execs[exec];
             e.struck = true;
@@ -409,7 +409,7 @@
                 if self.terms.second_copies && self.place(qry) {
                     return;
                 }
-                if !self.terms.second_copies && self.terms.cancel {
+                if !self.terms.second_copies && self.terms.cancel && self.choose(qry, &[], false).is_some() {
                     self.host.cancel(qry, exec);
                 }
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -271,15 +271,29 @@
 
 #[test]
 fn a_silent_server_is_answered_for() {
-    for (second_copies, cancel, said) in
-        [(false, true, vec!["cancel 0.0"]), (true, true, vec!["execute 0 on 1"]), (false, false, vec![])]
-    {
-        let mut b = start(Terms { second_copies, cancel, ..terms(Idempotent) }, &[entry(0, 0)]);
+    // A deduplicated query may be repeated by its own pod alone: one that is far is no other server for it.
+    let (near, far, none) = (vec![entry(1, 0)], vec![entry(1, 1)], vec![]);
+    let pod = Deduplicated(Group::Cell);
+    for (effect, second_copies, cancel, others, said) in [
+        (Idempotent, false, true, &near, vec!["cancel 0.0"]),
+        (Idempotent, true, true, &near, vec!["execute 0 on 1"]),
+        (Idempotent, false, false, &near, vec![]),
+        (Idempotent, false, true, &none, vec![]),
+        (pod, false, true, &near, vec!["cancel 0.0"]),
+        (pod, false, true, &far, vec![]),
+        (pod, false, true, &none, vec![]),
+    ] {
+        let mut b = start(Terms { second_copies, cancel, ..terms(effect) }, &[entry(0, 0)]);
         ask(&mut b, NOON, 0);
-        b.list_changed(NOON, &[entry(1, 0)]);
+        b.list_changed(NOON, others);
         b.timer(NOON + 1000 * MS, 2);
         assert_eq!(std::mem::take(&mut b.host.said), said);
         // The outcome of the cancel is no second failure, and leads to the other server.
+        if said.is_empty() {
+            // What it answers after all is served: before, the query was aborted with its time to spare.
+            assert!(end(&mut b, NOON + 1005 * MS, 0, 0, ending(Completed, 1005 * MS)).is_empty());
+            continue;
+        }
         let again = end(&mut b, NOON + 1005 * MS, 0, 0, ending(Outcome::Cancelled, 1005 * MS));
         assert_eq!(sent_to(&again), (!second_copies).then_some(1));
     }
