--- a/crates/balancer/src/command.rs
+++ b/crates/balancer/src/command.rs
@@ -13,6 +13,7 @@
 use whinspindle_routes::{Lookup, Route, SecondCopy, proof};
 use whinspindle_terms::{Deployment, index};
 
+use crate::fleet_command::FleetLine;
 use crate::placement::{self, Fault};
 
 const LONG: &str = "A load balancer for services that call services. Without arguments it balances, as the file \
@@ -38,6 +39,8 @@
     Check(CheckLine),
     /// Tell which route a query takes, why that one, and its worst schedule
     Route(RouteLine),
+    /// Speak to a running balancer of a fleet: what is agreed, and changes of it
+    Fleet(FleetLine),
     /// Explain a rule by its number
     Explain(ExplainLine),
     /// Write what makes a shell complete these commands, for its start-up file
@@ -101,6 +104,7 @@
         Command::Run(line) => return crate::balance(line.operator),
         Command::Check(line) => check(&line),
         Command::Route(line) => route(&line),
+        Command::Fleet(line) => crate::fleet_command::run(&line),
         Command::Explain(line) => explain(&line),
         Command::Completions { shell } => completions(shell),
     };
--- /dev/null
+++ b/crates/balancer/src/fleet.rs
@@ -0,0 +1,431 @@
+//! The process as a member of its fleet: a thread of its own with the socket for datagrams, the store and the
+//! member's core. Queries only look at what it has published last, so that none waits for the network or the disk.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, Sender, SyncSender, channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use whinspindle_logline::log_line;
+use whinspindle_operator::{CutOff, FleetTerms, Operator};
+use whinspindle_peers::Peers;
+use whinspindle_policy::{
+    Fate, Hash, LONGEST_TEXT, Member, Memory, Message, Objection, Outside, Policy, Readiness, Right, Terms,
+};
+use whinspindle_store::Store;
+use whinspindle_terms::Deployment;
+
+use crate::control::{Answer, Request};
+use crate::placement::Placement;
+
+/// The thread looks after its clock at least so often.
+const BEAT: Duration = Duration::from_millis(20);
+/// Datagrams taken before the clock is looked at again.
+const AT_ONCE: usize = 256;
+/// Texts kept on disk, by their number.
+const TEXTS: u64 = 4;
+/// Longest words of an objection that are told to others, in bytes.
+const WORDS: usize = 120;
+
+/// By what queries are decided now.
+pub enum By {
+    /// The operator's file to go by, and a number that is another one for each: what was taken over need not be
+    /// taken over again.
+    Terms(u64, Arc<Operator>),
+    /// The process may not know what holds, and the policy says that it rejects then.
+    Nothing,
+}
+
+/// What the thread has published.
+struct Published {
+    right: Right,
+    until: u64,
+    policy: Option<(u64, Arc<Operator>)>,
+    cut_off: Arc<Operator>,
+}
+
+pub struct Fleet {
+    clock: FleetClock,
+    published: Arc<Mutex<Published>>,
+}
+
+/// Microseconds since the start, by the monotonic clock; the first moment is 1, so that 0 is before all.
+#[derive(Clone, Copy)]
+struct FleetClock(Instant);
+
+impl FleetClock {
+    fn now(self) -> u64 {
+        1 + self.0.elapsed().as_micros() as u64
+    }
+}
+
+/// A panic in one holder of the lock must not end the other: what is published is replaced as a whole.
+fn held(published: &Mutex<Published>) -> MutexGuard<'_, Published> {
+    published.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Numbers of terms for being cut off lie apart from those of policies.
+const CUT_OFF: u64 = 1 << 63;
+
+impl Fleet {
+    /// Asked for each query. Guards against a process that was stopped: its right is held against the clock of now.
+    pub fn by(&self) -> By {
+        let published = held(&self.published);
+        if let (Some((number, operator)), Right::Policy(right)) = (&published.policy, published.right)
+            && *number == right
+            && self.clock.now() < published.until
+        {
+            return By::Terms(*number, Arc::clone(operator));
+        }
+        match published.cut_off.cut_off {
+            CutOff::Rejects => By::Nothing,
+            CutOff::Routes(_) => {
+                let number = published.policy.as_ref().map_or(0, |(number, _)| *number);
+                By::Terms(CUT_OFF + number, Arc::clone(&published.cut_off))
+            }
+        }
+    }
+
+    /// Whether the process has learned what holds, or has given up learning it.
+    pub fn is_settled(&self) -> bool {
+        let published = held(&self.published);
+        published.right != Right::Learning || self.clock.now() >= published.until
+    }
+
+    /// Starts the thread, and the one that listens on the control socket.
+    pub fn start(placement: &Placement, operator: Operator) -> Result<Fleet, String> {
+        let Some(terms) = operator.fleet.clone() else { return Err("fleet: no table".to_string()) };
+        let (listen, peers) = addresses(placement, &terms)?;
+        let store = Store::open(&terms.store).map_err(|fault| format!("fleet.store: {fault}"))?;
+        let socket = UdpSocket::bind(listen).map_err(|fault| format!("peer_listen: {listen}: {fault}"))?;
+        socket.set_read_timeout(Some(BEAT)).map_err(|fault| format!("peer_listen: {listen}: {fault}"))?;
+        let (asks, asked) = channel();
+        crate::control::listen(&terms.socket, asks)?;
+        let clock = FleetClock(Instant::now());
+        let cut_off = Arc::new(operator);
+        let published = Arc::new(Mutex::new(Published {
+            right: Right::Learning,
+            until: terms.learn,
+            policy: None,
+            cut_off: Arc::clone(&cut_off),
+        }));
+        let deployment = placement.deployment.clone();
+        let told = Arc::clone(&published);
+        let run = move || {
+            // Made in the thread: what the core holds never leaves it.
+            let mut thread = Thread::new(terms, socket, peers, store, deployment, clock, told, cut_off);
+            thread.run(&asked);
+        };
+        let spawned = thread::Builder::new().name("fleet".to_string()).spawn(run);
+        spawned.map_err(|fault| format!("fleet: {fault}"))?;
+        Ok(Fleet { clock, published })
+    }
+}
+
+fn addresses(placement: &Placement, terms: &FleetTerms) -> Result<(SocketAddr, Vec<SocketAddr>), String> {
+    let peers = placement.peers.clone();
+    let Some(listen) = placement.peer_listen else {
+        return Err("peer_listen: missing, or not an address and port; a fleet needs it".to_string());
+    };
+    if peers.len() != terms.members as usize {
+        return Err(format!("peers: {} addresses, settings.balancers says {}", peers.len(), terms.members));
+    }
+    Ok((listen, peers))
+}
+
+/// The core's outside.
+struct Wires {
+    me: u16,
+    socket: UdpSocket,
+    peers: Peers,
+    addresses: Vec<SocketAddr>,
+    store: Rc<Store>,
+    to_prove: Vec<(Policy, Rc<[u8]>)>,
+    sent: u64,
+}
+
+impl Outside for Wires {
+    fn send(&mut self, to: u16, message: Message) {
+        let Some(address) = self.addresses.get(to as usize) else { return };
+        for datagram in self.peers.datagrams(to, &message) {
+            self.sent += 1;
+            // What can't be sent is lost like any datagram.
+            let _ = self.socket.send_to(&datagram, address);
+        }
+    }
+
+    fn keep(&mut self, memory: &Memory) -> bool {
+        let written = postcard::to_stdvec(memory).map_err(|fault| fault.to_string());
+        let written = written.and_then(|bytes| self.store.write("votes", &bytes).map_err(|f| f.to_string()));
+        if let Err(fault) = &written {
+            log_line!("store", "{fault}");
+        }
+        written.is_ok()
+    }
+
+    fn prove(&mut self, policy: Policy, text: Rc<[u8]>) {
+        self.to_prove.push((policy, text));
+    }
+
+    fn tell(&mut self, words: String) {
+        log_line!("fleet", "member {}: {words}", self.me);
+    }
+}
+
+struct Thread {
+    member: Member<Wires>,
+    deployment: Deployment,
+    clock: FleetClock,
+    published: Arc<Mutex<Published>>,
+    operators: Vec<(u64, Arc<Operator>)>,
+    /// What holds where no policy is known: the file's own word.
+    own: Arc<Operator>,
+    received: u64,
+}
+
+impl Thread {
+    #[expect(clippy::too_many_arguments, reason = "each is a part of the process that is handed over once")]
+    fn new(
+        terms: FleetTerms,
+        socket: UdpSocket,
+        addresses: Vec<SocketAddr>,
+        store: Store,
+        deployment: Deployment,
+        clock: FleetClock,
+        published: Arc<Mutex<Published>>,
+        own: Arc<Operator>,
+    ) -> Thread {
+        let FleetTerms { me, members, ref name, ref secret, datagram, .. } = terms;
+        let peers = Peers::new(me, members, name, secret, rand::random(), datagram);
+        let store = Rc::new(store);
+        let memory = store.read("votes").and_then(|bytes| postcard::from_bytes::<Memory>(&bytes).ok());
+        let texts = (0..TEXTS).filter_map(|number| store.read(&format!("text-{number}")));
+        let texts: Vec<Vec<u8>> = texts.collect();
+        match &memory {
+            Some(memory) => {
+                log_line!("fleet", "member {me}: remembers policy {}", memory.record.policy.number)
+            }
+            None => log_line!("fleet", "member {me}: remembers nothing"),
+        }
+        let wires = Wires { me, socket, peers, addresses, store, to_prove: Vec::new(), sent: 0 };
+        let terms = Terms {
+            me,
+            members,
+            voters: terms.voters,
+            right: terms.right,
+            drift: terms.drift,
+            pace: terms.pace,
+            absent: terms.absent,
+            give_up: terms.give_up,
+            learn: terms.learn,
+        };
+        // A birth of 0 would pass for none.
+        let start = rand::random::<u64>() | 1;
+        let mut member = Member::new(wires, terms, memory, start, clock.now());
+        texts.iter().for_each(|text| member.hold(text));
+        Thread { member, deployment, clock, published, operators: Vec::new(), own, received: 0 }
+    }
+
+    fn run(&mut self, asked: &Receiver<(Request, SyncSender<Answer>)>) {
+        let mut buffer = [0; 2048];
+        let mut next_tick = 0;
+        loop {
+            for _ in 0..AT_ONCE {
+                match self.member.outside.socket.recv_from(&mut buffer) {
+                    Ok((length, from)) => self.take(&buffer[..length], from),
+                    // A peer that is down is told of here; there is nothing to read.
+                    Err(fault) if fault.kind() == ErrorKind::ConnectionRefused => {}
+                    Err(_) => break,
+                }
+                if self.clock.now() >= next_tick {
+                    break;
+                }
+            }
+            while let Ok((request, answer)) = asked.try_recv() {
+                let _ = answer.try_send(self.serve(request));
+            }
+            let now = self.clock.now();
+            if now >= next_tick {
+                self.member.tick(now);
+                next_tick = now + (self.member.terms().pace / 8).min(100_000);
+            }
+            self.prove();
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, datagram: &[u8], from: SocketAddr) {
+        let now = self.clock.now();
+        self.received += 1;
+        let wires = &mut self.member.outside;
+        let said = Peers::sender(datagram);
+        let known = said.filter(|said| wires.addresses.get(*said as usize) == Some(&from));
+        let before = wires.peers.passed_over;
+        match wires.peers.take::<Message>(now / 1_000_000, known, datagram) {
+            Some((from, message)) => self.member.heard(now, from, message),
+            None if wires.peers.passed_over != before => {
+                log_line!("peers", "a datagram from {from} is passed over: {:?}", wires.peers.passed_over);
+            }
+            None => {}
+        }
+    }
+
+    fn prove(&mut self) {
+        for (policy, text) in std::mem::take(&mut self.member.outside.to_prove) {
+            let verdict = match std::str::from_utf8(&text) {
+                Err(_) => Err(Objection { line: 0, words: "is not UTF-8 text".to_string() }),
+                Ok(text) => whinspindle_operator::read_policy(text, &self.deployment).map_err(|faults| {
+                    let first = faults.first();
+                    let mut words = first.map_or(String::new(), |fault| {
+                        format!("{}: {} ({} faults)", fault.field, fault.fault, faults.len())
+                    });
+                    while words.len() > WORDS {
+                        words.pop();
+                    }
+                    Objection { line: first.map_or(0, |fault| fault.line as u32), words }
+                }),
+            };
+            if let Err(fault) =
+                self.member.outside.store.write(&format!("text-{}", policy.number % TEXTS), &text)
+            {
+                log_line!("store", "{fault}");
+            }
+            let verdict = verdict.map(|operator| {
+                self.operators.push((policy.number, Arc::new(operator)));
+                let over = self.operators.len().saturating_sub(TEXTS as usize);
+                self.operators.drain(..over);
+            });
+            self.member.proved(self.clock.now(), policy.number, verdict);
+        }
+    }
+
+    fn publish(&mut self) {
+        let (right, until) = self.member.right_until(self.clock.now());
+        let of = |number: u64| match number {
+            0 => Some(Arc::new(Operator::none())),
+            _ => {
+                self.operators.iter().find(|(known, _)| *known == number).map(|(_, known)| Arc::clone(known))
+            }
+        };
+        let mut published = held(&self.published);
+        if let Right::Policy(number) = right
+            && published.policy.as_ref().is_none_or(|(known, _)| *known != number)
+            && let Some(operator) = of(number)
+        {
+            // Number 0 says nothing of being cut off; the file's own word holds until a policy says something.
+            published.cut_off = Arc::clone(if number == 0 { &self.own } else { &operator });
+            published.policy = Some((number, operator));
+        }
+        (published.right, published.until) = (right, until);
+    }
+
+    fn serve(&mut self, request: Request) -> Answer {
+        let now = self.clock.now();
+        let serial = || rand::random::<u64>();
+        let record = self.member.record();
+        match request {
+            Request::Status => Ok(self.status(now)),
+            Request::Found if record.founding != 0 => Err("the fleet is founded already".to_string()),
+            Request::Found => {
+                self.member.found(now, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Propose { .. } | Request::Withdraw { .. } if record.founding == 0 => {
+                Err("the fleet is not founded: whinspindle fleet found".to_string())
+            }
+            Request::Propose { text, length, hash } => {
+                if text.len() != length || Hash::of(text.as_bytes()).to_string() != hash {
+                    return Err("the text did not come whole".to_string());
+                }
+                if text.len() > LONGEST_TEXT {
+                    return Err(format!("{} bytes; a policy has {LONGEST_TEXT} at most", text.len()));
+                }
+                // What can't be proved here is not proposed to others.
+                if let Err(faults) = whinspindle_operator::read_policy(&text, &self.deployment) {
+                    let drawn = whinspindle_operator::draw("the policy", &text, &faults);
+                    return Err(format!("{} faults\n{drawn}", faults.len()));
+                }
+                if let Some(change) = record.next {
+                    return Err(format!("policy {} is under way; withdraw it or wait", change.policy.number));
+                }
+                let wish = self.member.propose(now, text.as_bytes(), serial());
+                Ok(json!({"by": wish.by, "serial": wish.serial}))
+            }
+            Request::Withdraw { number } => {
+                if record.next.is_none_or(|change| change.policy.number != number) {
+                    return Err(format!("policy {number} is not under way"));
+                }
+                let wish = self.member.withdraw(now, number, serial());
+                Ok(json!({"by": wish.by, "serial": wish.serial}))
+            }
+        }
+    }
+
+    fn status(&self, now: u64) -> Value {
+        let member = &self.member;
+        let record = member.record();
+        let change = |policy: Policy, by: u16, serial: u64| {
+            json!({"number": policy.number, "hash": policy.hash.to_string(), "bytes": policy.length, "by": by,
+                "serial": serial})
+        };
+        let past: Vec<Value> = record
+            .past
+            .iter()
+            .map(|past| {
+                let mut told = change(past.change.policy, past.change.wish.by, past.change.wish.serial);
+                told["fate"] = match past.fate {
+                    Fate::InForce => json!("in force"),
+                    Fate::Withdrawn => json!("withdrawn"),
+                    Fate::Refused(member) => json!(format!("refused by member {member}")),
+                    Fate::GivenUp => json!("given up"),
+                };
+                told
+            })
+            .collect();
+        let members: Vec<Value> = member
+            .heard_of()
+            .iter()
+            .enumerate()
+            .map(|(number, heard)| {
+                let Some(heard) = heard else { return json!({"member": number, "heard": null}) };
+                let mut told = json!({"member": number, "heardMsAgo": now.saturating_sub(heard.at) / 1000,
+                "version": heard.version, "right": right_words(heard.right)});
+                if let Readiness::Objects(number, no) = &heard.readiness {
+                    told["objects"] = json!({"number": number, "line": no.line, "words": no.words});
+                }
+                told["ready"] = match heard.readiness {
+                    Readiness::Ready(number) => json!(number),
+                    _ => Value::Null,
+                };
+                if let Readiness::Lacks(pieces) = heard.readiness {
+                    told["lacks"] = json!(pieces);
+                }
+                told
+            })
+            .collect();
+        let voters: Vec<u16> = record.boards.iter().flatten().map(|voter| voter.member).collect();
+        json!({"me": member.terms().me, "founded": record.founding != 0, "version": record.version,
+            "voters": voters, "isVoter": member.is_voter(), "right": right_words(member.right(now)),
+            "why": if member.right(now) == Right::CutOff { member.why_cut_off(now) } else { String::new() },
+            "policy": {"number": record.policy.number, "hash": record.policy.hash.to_string()},
+            "next": record.next.map(|next| change(next.policy, next.wish.by, next.wish.serial)),
+            "past": past, "members": members,
+            "datagrams": {"sent": member.outside.sent, "received": self.received,
+                "passedOver": member.outside.peers.passed_over}})
+    }
+}
+
+fn right_words(right: Right) -> String {
+    match right {
+        Right::Learning => "learning".to_string(),
+        Right::Policy(number) => format!("policy {number}"),
+        Right::CutOff => "cut off".to_string(),
+    }
+}
+
+/// So that senders of requests need not know of channels.
+pub type Asks = Sender<(Request, SyncSender<Answer>)>;
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -23,6 +23,7 @@
 use whinspindle_reducer::Ticket;
 use whinspindle_routes::Lookup;
 
+use crate::fleet::Fleet;
 use crate::node::Node;
 use crate::shares::Shares;
 
@@ -86,10 +87,11 @@
 }
 
 fn health(node: &Node) -> Response<Full<Bytes>> {
-    if node.reducer.borrow().has_list() && !node.stop.is_ordered() {
+    let settled = node.fleet.as_ref().is_none_or(Fleet::is_settled);
+    if settled && node.reducer.borrow().has_list() && !node.stop.is_ordered() {
         return plain(StatusCode::OK, "ok".to_string());
     }
-    plain(StatusCode::SERVICE_UNAVAILABLE, "no list yet, or stopping".to_string())
+    plain(StatusCode::SERVICE_UNAVAILABLE, "no list or no policy yet, or stopping".to_string())
 }
 
 /// Tells the reducer that the client has left, unless the answer was there first.
@@ -130,6 +132,10 @@
             return Ok(fault.encode());
         }
     };
+    if !node.keep_up() {
+        log_line!("query", "rejected: the process is cut off from its fleet");
+        return Ok(Answer::Rejected(SHED_RETRY_AFTER).encode());
+    }
     let (route, largest) = route_of(&node, &parts, &head);
     if body.size_hint().lower() > largest {
         log_line!("query", "turned down: body: over the {largest} bytes of its route");
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -3,6 +3,9 @@
 mod accept;
 mod clock;
 mod command;
+mod control;
+mod fleet;
+mod fleet_command;
 mod front;
 mod node;
 mod placement;
@@ -16,6 +19,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -30,6 +34,7 @@
 use whinspindle_terms::Deployment;
 
 use crate::accept::Accepted;
+use crate::fleet::Fleet;
 use crate::node::Node;
 use crate::placement::Placement;
 use crate::shares::Shares;
@@ -84,12 +89,17 @@
     log_line!("start", "{} at {}, {shares:?}", placement.name, placement.listen);
     let source = Rc::new(Source::new(placement.discovery, generation));
     let lasting = placement.lasting.clone();
-    let node = Node::new(placement, shares);
-    let file = operated.map(|(file, operator)| {
-        log_line!("start", "{} with {} routes", file.display(), operator.routes.routes().len());
-        node.operate(operator);
-        file
-    });
+    let (file, operator) = operated.unzip();
+    let (fleet, operator) = match operator {
+        Some(own) if own.fleet.is_some() => (Some(Fleet::start(&placement, own)?), None),
+        other => (None, other),
+    };
+    let node = Node::new(placement, shares, fleet);
+    if let Some(operator) = operator {
+        let name = file.as_deref().unwrap_or(Path::new("")).display();
+        log_line!("start", "{name} with {} routes", operator.routes.routes().len());
+        node.operate(Arc::new(operator));
+    }
     let accepted = Rc::new(Accepted::default());
 
     let timed = Rc::clone(&node);
@@ -131,9 +141,19 @@
     while hangup.recv().await.is_some() {
         if let Some(file) = &file {
             match operator(file, &node.deployment) {
+                Ok(_) if node.fleet.is_some() => {
+                    log_line!(
+                        "reload",
+                        "{}: of a fleet's file all counts from the next start",
+                        file.display()
+                    );
+                }
+                Ok(operator) if operator.fleet.is_some() => {
+                    log_line!("reload", "{}: a fleet is joined at the next start", file.display());
+                }
                 Ok(operator) => {
                     log_line!("reload", "{}: {} routes", file.display(), operator.routes.routes().len());
-                    node.operate(operator);
+                    node.operate(Arc::new(operator));
                 }
                 Err(faults) => log_line!("reload", "the operator's file stays as it was: {faults}"),
             }
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -1,9 +1,10 @@
 //! One running balancer: the reducer, and what carries out the effects that it asks for.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::AssertUnwindSafe;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -21,6 +22,7 @@
 use whinspindle_upstreams::{Connections, Failure, Progress, Room, Terms, Trail, Upstream};
 
 use crate::clock::Clock;
+use crate::fleet::{By, Fleet};
 use crate::placement::Placement;
 use crate::shares::Shares;
 use crate::stop::Stop;
@@ -33,14 +35,17 @@
     pub upstreams: Connections,
     pub timers: Rc<Timers>,
     pub stop: Stop,
-    /// What the operator's file says, where there is one.
-    pub operator: RefCell<Option<Rc<Operator>>>,
+    /// What the operator's file says, where there is one, or what the fleet has agreed on.
+    pub operator: RefCell<Option<Arc<Operator>>>,
+    pub fleet: Option<Fleet>,
+    /// The terms of the fleet that were taken over last, by their number.
+    by: Cell<Option<u64>>,
     /// Where the order to stop waiting goes, by query and execution.
     cancels: RefCell<BTreeMap<(usize, usize), oneshot::Sender<()>>>,
 }
 
 impl Node {
-    pub fn new(placement: Placement, shares: Shares) -> Rc<Node> {
+    pub fn new(placement: Placement, shares: Shares, fleet: Option<Fleet>) -> Rc<Node> {
         let Placement { deployment, known, seed, .. } = placement;
         let clock = Clock::start();
         let stop = Stop::new(deployment.statement_timeouts.iter().copied().max().unwrap_or(0));
@@ -62,6 +67,8 @@
                 timers,
                 stop,
                 operator: RefCell::default(),
+                fleet,
+                by: Cell::new(None),
                 cancels: RefCell::default(),
             }
         });
@@ -76,9 +83,24 @@
     }
 
     /// Takes an operator's file over: it counts for queries that come from now on.
-    pub fn operate(&self, operator: Operator) {
+    pub fn operate(&self, operator: Arc<Operator>) {
         self.reducer.borrow_mut().routes(operator.rows(&self.deployment));
-        self.operator.replace(Some(Rc::new(operator)));
+        self.operator.replace(Some(operator));
+    }
+
+    /// Before a query is taken: it is decided by what holds for the fleet now, if this is one of a fleet. False if
+    /// the query has to be rejected, since this process may not know what holds.
+    pub fn keep_up(&self) -> bool {
+        let Some(fleet) = &self.fleet else { return true };
+        match fleet.by() {
+            By::Nothing => false,
+            By::Terms(number, _) if self.by.get() == Some(number) => true,
+            By::Terms(number, operator) => {
+                self.by.set(Some(number));
+                self.operate(operator);
+                true
+            }
+        }
     }
 
     /// Told to stop: what is in hand may have more patience left than there is time.
--- a/crates/balancer/src/placement.rs
+++ b/crates/balancer/src/placement.rs
@@ -16,6 +16,9 @@
     pub limits: Limits,
     pub known: Option<ListNews>,
     pub deployment: Deployment,
+    /// Where datagrams of other balancers arrive, and where each of them is; only a fleet needs them.
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
     /// The fields that count from the start only, as they were read.
     pub lasting: Value,
 }
@@ -63,6 +66,10 @@
         known => Some(ListNews::decode(known.to_string().as_bytes()).map_err(|e| format!("known: {e}"))?),
     };
     let settings = json["settings"].to_string();
+    // Without a fleet nobody asks for these, so that nothing is wrong about them.
+    let peer = |value: &Value| value.as_str().and_then(|text| text.parse().ok());
+    let peers: Option<Vec<SocketAddr>> =
+        json["peers"].as_array().and_then(|peers| peers.iter().map(peer).collect());
     Ok(Placement {
         name: text_of(&json, "name")?.to_string(),
         listen: address(&json, "listen")?,
@@ -73,6 +80,8 @@
             sockets: at_least(limits, "sockets", LEAST_SOCKETS)?,
         },
         known,
+        peer_listen: peer(&json["peer_listen"]),
+        peers: peers.unwrap_or_default(),
         deployment: whinspindle_terms::parse(settings.as_bytes()).map_err(|e| format!("settings: {e}"))?,
         lasting,
     })
--- /dev/null
+++ b/crates/balancer/tests/fleet.rs
@@ -0,0 +1,191 @@
+//! Several processes of the program as one fleet, with faults between them. What is judged rests on safety and on
+//! generous bounds, never on how fast the machine is.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use whinspindle_lab_relays::{Referee, Stand, Way};
+
+const FLEET: &str = "name = \"try\"\nsecret = \"s\"\nvoters = [0, 1, 2]\nright = \"2s\"\nlearn = \"1s\"\n\
+    give-up = \"40s\"\n";
+/// A right of 2 s by a clock that is slow by a hundredth.
+const WINDOW: Duration = Duration::from_micros(2_020_203);
+
+fn stand(name: &str, members: usize) -> Stand {
+    Stand::new(Path::new(env!("CARGO_BIN_EXE_whinspindle")), name, members, FLEET)
+}
+
+fn running(name: &str, members: usize) -> (Stand, Referee) {
+    let mut stand = stand(name, members);
+    stand.start_all();
+    let referee = Referee::new(&stand.listens);
+    stand.found();
+    (stand, referee)
+}
+
+/// These members decide by this policy from now on.
+fn decide_by(stand: &Stand, referee: &Referee, members: &[usize], limit: u64) {
+    let since = Instant::now();
+    stand.until(&format!("{members:?} by {limit}"), || {
+        let last = referee.last(since);
+        members.iter().all(|member| last[*member].is_some_and(|seen| seen.limit == Some(limit)))
+    });
+}
+
+fn proposed(stand: &Stand, at: usize, limit: u64, code: i32) -> String {
+    let told = stand.ask(at, &["propose", &stand.policy(limit)]);
+    assert_eq!(told.code, code, "{}\n{}", told.said, stand.logs());
+    told.said
+}
+
+#[test]
+fn changes_take_hold_everywhere_over_links_that_lose_delay_repeat_and_reorder() {
+    let (stand, referee) = running("links", 5);
+    stand.relays.all(Way { cut: false, loss: 0.1, repeats: 0.1, delay: Duration::from_millis(60) });
+    for (number, at) in [(11, 3), (12, 0), (13, 4)] {
+        proposed(&stand, at, number, 0);
+        decide_by(&stand, &referee, &[0, 1, 2, 3, 4], number);
+    }
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+    let history = stand.ask(4, &["history"]).said;
+    assert_eq!(history.lines().filter(|line| line.ends_with("in force")).count(), 3, "{history}");
+}
+
+#[test]
+fn those_that_were_down_come_back_with_the_old_on_disk_and_never_decide_by_it() {
+    let (mut stand, referee) = running("down", 5);
+    proposed(&stand, 0, 11, 0);
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 11);
+    // A voter and a follower.
+    stand.kill(2);
+    stand.kill(4);
+    proposed(&stand, 3, 12, 0);
+    decide_by(&stand, &referee, &[0, 1, 3], 12);
+    let back = Instant::now();
+    stand.start(2);
+    stand.start(4);
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 12);
+    let since = referee.seen();
+    for member in [2, 4] {
+        let old = since[member].iter().find(|seen| seen.sent > back && seen.limit == Some(11));
+        assert_eq!(old, None, "{}", stand.logs());
+    }
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
+#[test]
+fn cut_off_and_stopped_processes_go_by_their_terms_and_a_change_waits_for_a_majority() {
+    let (stand, referee) = running("cut", 5);
+    proposed(&stand, 0, 11, 0);
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 11);
+    // Member 4 stands still, member 3 is heard but does not hear.
+    stand.signal(4, "STOP");
+    stand.relays.set(&[0, 1, 2], &[3], Way { cut: true, ..Way::default() });
+    stand.until("member 3 cut off", || referee.last(Instant::now() - WINDOW)[3].is_some_and(|s| s.rejected));
+    // It is heard, so a change that it can't know of does not pass it by.
+    let told = stand.ask(0, &["propose", &stand.policy(12), "--wait", "4"]);
+    assert_eq!(told.code, 3, "{}", told.said);
+    stand.relays.all(Way::default());
+    decide_by(&stand, &referee, &[0, 1, 2, 3], 12);
+    stand.signal(4, "CONT");
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 12);
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+    // A minority of the voters, with a follower, and the others: only these can change anything.
+    stand.relays.cut(&[2, 4], true);
+    let waits = stand.begin(4, &["propose", &stand.policy(13), "--wait", "30"]);
+    stand.until("the minority cut off", || {
+        let last = referee.last(Instant::now() - WINDOW);
+        [2, 4].iter().all(|member| last[*member].is_some_and(|seen| seen.rejected))
+    });
+    decide_by(&stand, &referee, &[0, 1, 3], 12);
+    stand.relays.cut(&[2, 4], false);
+    assert_eq!(Stand::finish(waits).code, 0, "{}", stand.logs());
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 13);
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
+#[test]
+fn one_reasoned_no_makes_it_nowhere_and_an_operator_may_withdraw() {
+    let mut stand = stand("no", 3);
+    // Less time than the policy's route gives.
+    stand.statement_timeout_ms[2] = 3_000;
+    stand.start_all();
+    let referee = Referee::new(&stand.listens);
+    stand.found();
+    let told = proposed(&stand, 0, 11, 1);
+    assert!(told.contains("refused by member 2"), "{told}");
+    assert!(stand.log(2).contains("can't be proved: line 3"), "{}", stand.log(2));
+    // Nor can it be proposed where it can't be proved.
+    assert!(proposed(&stand, 2, 12, 2).contains("rule 1"));
+    // One that never becomes whole anywhere else: its proposer is cut off from all but one voter's questions.
+    stand.kill(2);
+    stand.statement_timeout_ms[2] = 60_000;
+    stand.start(2);
+    proposed(&stand, 0, 13, 0);
+    decide_by(&stand, &referee, &[0, 1, 2], 13);
+    stand.relays.set(&[0, 1], &[2], Way { cut: true, ..Way::default() });
+    let number = stand.begin(0, &["propose", &stand.policy(14)]);
+    stand.until("a change under way", || stand.status(0)["next"]["number"].is_u64());
+    let next = stand.status(0)["next"]["number"].to_string();
+    assert_eq!(stand.ask(1, &["withdraw", &next]).code, 0, "{}", stand.logs());
+    assert_eq!(Stand::finish(number).code, 1);
+    stand.relays.all(Way::default());
+    decide_by(&stand, &referee, &[0, 1, 2], 13);
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
+#[test]
+fn a_voter_that_lost_its_disk_votes_again_as_another() {
+    let (mut stand, referee) = running("disk", 3);
+    proposed(&stand, 0, 11, 0);
+    stand.kill(1);
+    std::fs::remove_dir_all(stand.store(1)).expect("removed");
+    stand.start(1);
+    // Two of the three take the reborn one in, and then stand it in for another that dies.
+    stand.until("the reborn voter taken in", || stand.status(1)["isVoter"] == true);
+    stand.until("settled", || stand.status(0)["voters"].as_array().is_some_and(|voters| voters.len() == 3));
+    stand.kill(2);
+    proposed(&stand, 1, 12, 0);
+    decide_by(&stand, &referee, &[0, 1], 12);
+    // All votes are lost but one: the fleet serves by the terms for being cut off and decides nothing.
+    stand.kill(0);
+    std::fs::remove_dir_all(stand.store(0)).expect("removed");
+    stand.start(0);
+    stand.until("cut off", || referee.last(Instant::now() - WINDOW)[1].is_some_and(|seen| seen.rejected));
+    let told = stand.ask(1, &["propose", &stand.policy(13), "--wait", "2"]);
+    assert_eq!(told.code, 3, "{}", told.said);
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
+#[test]
+fn proposers_and_stewards_that_die_at_any_moment_leave_a_change_everywhere_or_nowhere() {
+    let (mut stand, referee) = running("dies", 9);
+    let mut last = 10;
+    for (round, pause) in [0, 40, 120, 300, 700].into_iter().enumerate() {
+        let (proposer, limit) = ([5, 0, 7, 1, 0][round], 11 + round as u64);
+        let command = stand.begin(proposer, &["propose", &stand.policy(limit), "--wait", "0"]);
+        std::thread::sleep(Duration::from_millis(pause));
+        stand.kill(proposer);
+        let _ = Stand::finish(command);
+        std::thread::sleep(Duration::from_millis(300));
+        stand.start(proposer);
+        let all: Vec<usize> = (0..9).collect();
+        let since = Instant::now();
+        // Whatever became of it, nothing is under way in the end, and all decide by the same.
+        stand.until("an end", || {
+            let answers = referee.last(since);
+            let by = |member: &usize| answers[*member].map(|seen| seen.limit);
+            let rights = |member: &usize| stand.status(*member)["right"].clone();
+            let first = rights(&0);
+            stand.status(0)["next"].is_null()
+                && first.as_str().is_some_and(|right| right.starts_with("policy"))
+                && all
+                    .iter()
+                    .all(|member| by(member).is_some() && by(member) == by(&0) && rights(member) == first)
+        });
+        let limit = referee.last(since)[0].and_then(|seen| seen.limit).unwrap_or(10);
+        assert!(limit >= last);
+        last = limit;
+    }
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,6 +3,7 @@
 //! it is read, and its routes are proved against the rules; all faults are told at once.
 
 mod draw;
+mod fleet;
 mod read;
 
 use whinspindle::host;
@@ -11,6 +12,7 @@
 use whinspindle_terms::{Deployment, index};
 
 pub use draw::draw;
+pub use fleet::FleetTerms;
 
 /// What the way to a server may take beside the connect time-out.
 const NETWORK_MARGIN: u64 = 50_000;
@@ -20,6 +22,17 @@
 /// What the file says.
 pub struct Operator {
     pub routes: RouteTable,
+    /// By what a balancer decides that is cut off from the others of its fleet.
+    pub cut_off: CutOff,
+    pub fleet: Option<FleetTerms>,
+}
+
+/// For a balancer that may not know which policy is in force.
+pub enum CutOff {
+    /// Queries are rejected, with a time to come back.
+    Rejects,
+    /// These routes hold; none of them is as without a file.
+    Routes(RouteTable),
 }
 
 impl Operator {
@@ -47,11 +60,26 @@
         };
         self.routes.routes().iter().map(|route| route.conditions.iter().map(row).collect()).collect()
     }
+
+    /// No routes: as without a file.
+    pub fn none() -> Operator {
+        Operator {
+            routes: RouteTable::new(Vec::new()),
+            cut_off: CutOff::Routes(RouteTable::new(Vec::new())),
+            fleet: None,
+        }
+    }
 }
 
 /// Reads and proves a file for a deployment.
 pub fn read(text: &str, deployment: &Deployment) -> Result<Operator, Vec<Fault>> {
-    whinspindle_tables::read(text, |table| read::operator(table, deployment))
+    whinspindle_tables::read(text, |table| read::operator(table, deployment, true))
+}
+
+/// Reads and proves the text of a policy, which the whole fleet goes by: routes, and what holds for those that are
+/// cut off, but nothing that is a balancer's own.
+pub fn read_policy(text: &str, deployment: &Deployment) -> Result<Operator, Vec<Fault>> {
+    whinspindle_tables::read(text, |table| read::operator(table, deployment, false))
 }
 
 /// What the deployment allows and demands, as far as the proof needs it.
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -11,7 +11,7 @@
 use whinspindle_tables::{Place, Table, units};
 use whinspindle_terms::{Deployment, index};
 
-use crate::{LARGEST_BODY, Operator, bounds};
+use crate::{CutOff, LARGEST_BODY, Operator, bounds};
 
 /// More routes than this are no file that a person keeps.
 const MOST_ROUTES: usize = 10_000;
@@ -28,11 +28,38 @@
     }
 }
 
-pub fn operator(table: &Table, deployment: &Deployment) -> Operator {
-    let tables = table.tables("route");
+/// `own`: the file is the balancer's own, in which the fleet may stand; else it is a policy for all.
+pub fn operator(table: &Table, deployment: &Deployment, own: bool) -> Operator {
+    let fleet = own.then(|| crate::fleet::fleet(table, deployment)).flatten();
+    if table.is_empty() {
+        let way_out = "a table at the least, [cut-off] for one; a file that is only being written looks like this, so \
+                       write it beside and rename it";
+        table.fault(&table.place(), "the file is empty", way_out);
+    }
+    let routes = routes(table, "route", deployment);
+    if fleet.is_some() && table.holds("route") {
+        let way_out = "a file of their own for them: whinspindle fleet propose FILE";
+        table.fault(&table.place_of("route"), "routes are agreed on by the fleet", way_out);
+    }
+    let cut_off = match table.table("cut-off") {
+        None => CutOff::Routes(RouteTable::new(Vec::new())),
+        Some(t) => {
+            let rejects = t.one_of("queries", &[("reject", true), ("take", false)], Some(false));
+            if rejects && t.holds("route") {
+                t.fault(&t.place_of("route"), "no query comes to a route here", "queries = \"take\"");
+            }
+            let routes = self::routes(&t, "route", deployment);
+            if rejects { CutOff::Rejects } else { CutOff::Routes(routes) }
+        }
+    };
+    Operator { routes, cut_off, fleet }
+}
+
+fn routes(table: &Table, key: &str, deployment: &Deployment) -> RouteTable {
+    let tables = table.tables(key);
     if tables.len() > MOST_ROUTES {
         let fault = format!("there are {} routes", tables.len());
-        table.fault(&table.place_of("route"), fault, format!("at most {MOST_ROUTES}"));
+        table.fault(&table.place_of(key), fault, format!("at most {MOST_ROUTES}"));
     }
     let mut routes = Vec::new();
     let mut places = Vec::new();
@@ -56,7 +83,7 @@
         let way_out = "another path, or a method, product or tenant in one of them";
         table.fault(&places[tie.second].route, fault, way_out);
     }
-    Operator { routes }
+    routes
 }
 
 fn named(t: &Table, key: &str, names: &[String]) -> Option<usize> {
--- /dev/null
+++ b/crates/policy/src/message.rs
@@ -0,0 +1,105 @@
+//! What members of a fleet say to one another.
+
+use serde::{Deserialize, Serialize};
+use whinspindle_agreement::{Ballot, Voter};
+
+use crate::record::{Hash, Record, Wish};
+
+/// Why a member can't prove a policy against its own settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Objection {
+    /// Line of the policy's text, from 1; 0 for the whole of it.
+    pub line: u32,
+    pub words: String,
+}
+
+/// How far a member is with the change under way.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Readiness {
+    #[default]
+    Nothing,
+    /// Pieces of its text are wanting.
+    Lacks(u64),
+    Ready(u64),
+    Objects(u64, Objection),
+}
+
+/// By what a member decides now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Right {
+    /// It has just started and learns what holds.
+    #[default]
+    Learning,
+    Policy(u64),
+    /// It may not know what holds: by the terms for being cut off.
+    CutOff,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// A follower to a voter: may I go on? `at` is the asker's clock, from which a right counts.
+    Ask {
+        at: u64,
+        birth: u64,
+        founding: u64,
+        version: u64,
+        right: Right,
+        readiness: Readiness,
+    },
+    /// A voter to a follower: as long as a right lasts from `at`, this number is in force.
+    Grant {
+        at: u64,
+        voter: Voter,
+        board: u64,
+        number: u64,
+    },
+    /// What is agreed on, to one that knows less.
+    News {
+        record: Record,
+    },
+    /// Pieces of a text from this one on.
+    Fetch {
+        hash: Hash,
+        piece: u16,
+        count: u16,
+    },
+    Piece {
+        hash: Hash,
+        piece: u16,
+        length: u32,
+        bytes: Vec<u8>,
+    },
+    /// An operator's wish, to the voters.
+    Wanted {
+        want: Want,
+        wish: Wish,
+    },
+    Prepare {
+        ballot: Ballot,
+    },
+    Promise {
+        ballot: Ballot,
+        voter: Voter,
+        accepted: Option<(Ballot, Record)>,
+    },
+    Accept {
+        ballot: Ballot,
+        record: Record,
+    },
+    Accepted {
+        ballot: Ballot,
+        voter: Voter,
+    },
+    /// Another round has gone further.
+    Refuse {
+        ballot: Ballot,
+        promised: Ballot,
+    },
+}
+
+/// What an operator wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Want {
+    Propose { hash: Hash, length: u32 },
+    Withdraw { number: u64 },
+}
--- /dev/null
+++ b/crates/policy/src/record.rs
@@ -0,0 +1,181 @@
+//! What the fleet agrees on, and the steps by which it changes.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use whinspindle_agreement::{Agreed, Voter};
+
+/// How many ended changes the record keeps.
+const PAST: usize = 8;
+/// Longest text of a policy, in bytes.
+pub const LONGEST_TEXT: usize = 64 * 1024;
+
+/// The first half of a text's BLAKE3 hash.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hash(pub [u8; 16]);
+
+impl Hash {
+    pub fn of(text: &[u8]) -> Hash {
+        let mut half = [0; 16];
+        half.copy_from_slice(&blake3::hash(text).as_bytes()[..16]);
+        Hash(half)
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        self.0.iter().take(6).try_for_each(|byte| write!(to, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Hash {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{self}")
+    }
+}
+
+/// A policy by its number and the hash and length of its text. Number 0 is none: no routes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Policy {
+    pub number: u64,
+    pub hash: Hash,
+    pub length: u32,
+}
+
+/// Who asked for a change; the serial number is drawn, so that one asked for again is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Wish {
+    pub by: u16,
+    pub serial: u64,
+}
+
+/// A change under way: every process that is heard has to prove it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Change {
+    pub policy: Policy,
+    pub wish: Wish,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Fate {
+    InForce,
+    /// By an operator.
+    Withdrawn,
+    /// This member could not prove it.
+    Refused(u16),
+    /// It was not proved everywhere in time.
+    GivenUp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Past {
+    pub change: Change,
+    pub fate: Fate,
+}
+
+/// One step of the record.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Step {
+    /// Nothing but to bring to its end what another began.
+    Finish,
+    /// The first agreement, on these voters.
+    Found {
+        nonce: u64,
+    },
+    Propose {
+        hash: Hash,
+        length: u32,
+        wish: Wish,
+    },
+    End {
+        number: u64,
+        fate: Fate,
+    },
+    /// One voter makes way for another; both boards vote until `Settle`.
+    Replace {
+        old: Voter,
+        new: Voter,
+    },
+    Settle,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// Drawn when the fleet was founded; 0 before.
+    pub founding: u64,
+    /// Grows by one with each step.
+    pub version: u64,
+    /// Grows with each change of the voters.
+    pub board: u64,
+    pub boards: Vec<Vec<Voter>>,
+    pub policy: Policy,
+    pub next: Option<Change>,
+    /// The last changes that ended, the newest at the end.
+    pub past: Vec<Past>,
+    /// The highest number that a change ever had.
+    pub highest: u64,
+}
+
+impl Agreed for Record {
+    fn boards(&self) -> &[Vec<Voter>] {
+        &self.boards
+    }
+
+    fn is_founded(&self) -> bool {
+        self.founding != 0
+    }
+}
+
+impl Record {
+    /// What stands before the first agreement of these voters.
+    pub fn unfounded(mut voters: Vec<Voter>) -> Record {
+        voters.sort_unstable();
+        Record { boards: vec![voters], ..Record::default() }
+    }
+
+    pub fn is_voter(&self, voter: Voter) -> bool {
+        self.boards.iter().flatten().any(|known| *known == voter)
+    }
+
+    /// Whether this wish has led to a change already.
+    pub fn knows(&self, wish: Wish) -> bool {
+        let past = self.past.iter().map(|past| past.change);
+        past.chain(self.next).any(|change| change.wish == wish)
+    }
+
+    /// The record after a step; none where the step has no place in it any more.
+    pub fn after(&self, step: &Step) -> Option<Record> {
+        let mut next = Record { version: self.version + 1, ..self.clone() };
+        match *step {
+            Step::Found { nonce } if self.founding == 0 => next.founding = nonce,
+            Step::Propose { hash, length, wish } if self.next.is_none() && !self.knows(wish) => {
+                next.highest += 1;
+                next.next = Some(Change { policy: Policy { number: next.highest, hash, length }, wish });
+            }
+            Step::End { number, fate } => {
+                let change = next.next.take_if(|change| change.policy.number == number)?;
+                if fate == Fate::InForce {
+                    next.policy = change.policy;
+                }
+                next.past.push(Past { change, fate });
+                let over = next.past.len().saturating_sub(PAST);
+                next.past.drain(..over);
+            }
+            Step::Replace { old, new } if self.boards.len() == 1 && !self.is_voter(new) => {
+                let mut board = self.boards[0].clone();
+                let place = board.iter().position(|voter| *voter == old)?;
+                board[place] = new;
+                board.sort_unstable();
+                next.boards.push(board);
+                next.board += 1;
+            }
+            Step::Settle if self.boards.len() == 2 => {
+                next.boards.remove(0);
+                next.board += 1;
+            }
+            _ => return None,
+        }
+        (next.founding != 0).then_some(next)
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,118 @@
+//! Small records in a folder, each read whole or not at all, whatever moment the process or the machine died in.
+//! Knows nothing of what is in them. A record has two files that are written in turn, each by way of a file beside
+//! it, a sync and a rename: the other one stays whole meanwhile.
+
+use std::fmt;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+const MAGIC: &[u8; 8] = b"whspin-1";
+/// Magic, generation, length, hash.
+const HEAD: usize = 8 + 8 + 8 + 32;
+/// A record may be so long.
+pub const LONGEST: usize = 1024 * 1024;
+
+#[derive(Debug)]
+pub enum Fault {
+    /// Another process has the folder.
+    Taken(PathBuf),
+    Io(PathBuf, io::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Taken(folder) => write!(to, "{}: another process holds it", folder.display()),
+            Fault::Io(path, fault) => write!(to, "{}: {fault}", path.display()),
+        }
+    }
+}
+
+/// The folder, held for this process alone.
+pub struct Store {
+    folder: PathBuf,
+    _lock: File,
+}
+
+/// What a file holds, if it is whole.
+struct Found {
+    generation: u64,
+    bytes: Vec<u8>,
+}
+
+fn read(path: &Path) -> Option<Found> {
+    let mut file = File::open(path).ok()?;
+    let mut head = [0; HEAD];
+    file.read_exact(&mut head).ok()?;
+    let number = |at: usize| head[at..at + 8].try_into().map_or(0, u64::from_le_bytes);
+    let (generation, length) = (number(8), number(16));
+    if &head[..8] != MAGIC || length > LONGEST as u64 {
+        return None;
+    }
+    let mut bytes = vec![0; length as usize];
+    file.read_exact(&mut bytes).ok()?;
+    // Guards against a file that was written over in part: the hash takes in the generation too.
+    (hash(generation, &bytes) == head[24..HEAD]).then_some(Found { generation, bytes })
+}
+
+fn hash(generation: u64, bytes: &[u8]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&generation.to_le_bytes());
+    hasher.update(bytes);
+    *hasher.finalize().as_bytes()
+}
+
+impl Store {
+    /// Makes the folder if there is none, and holds it. Guards against two processes that write over one another.
+    pub fn open(folder: &Path) -> Result<Store, Fault> {
+        let told = |fault| Fault::Io(folder.to_path_buf(), fault);
+        fs::create_dir_all(folder).map_err(told)?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"));
+        let lock = lock.map_err(told)?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Store { folder: folder.to_path_buf(), _lock: lock }),
+            Err(TryLockError::WouldBlock) => Err(Fault::Taken(folder.to_path_buf())),
+            Err(TryLockError::Error(fault)) => Err(told(fault)),
+        }
+    }
+
+    fn files(&self, name: &str) -> [PathBuf; 2] {
+        ["a", "b"].map(|turn| self.folder.join(format!("{name}.{turn}")))
+    }
+
+    /// The newest whole version of a record.
+    pub fn read(&self, name: &str) -> Option<Vec<u8>> {
+        let found =
+            self.files(name).iter().filter_map(|file| read(file)).max_by_key(|found| found.generation);
+        found.map(|found| found.bytes)
+    }
+
+    /// Writes a record; it is durable when this returns. Where it fails, the version before stands.
+    pub fn write(&self, name: &str, bytes: &[u8]) -> Result<(), Fault> {
+        let files = self.files(name);
+        let generations = files.each_ref().map(|file| read(file).map_or(0, |found| found.generation));
+        let turn = usize::from(generations[0] > generations[1]);
+        let generation = generations[0].max(generations[1]) + 1;
+        let beside = self.folder.join(format!("{name}.new"));
+        let written = (|| {
+            let mut file = File::create(&beside)?;
+            file.write_all(MAGIC)?;
+            file.write_all(&generation.to_le_bytes())?;
+            file.write_all(&(bytes.len() as u64).to_le_bytes())?;
+            file.write_all(&hash(generation, bytes))?;
+            file.write_all(bytes)?;
+            file.sync_all()?;
+            fs::rename(&beside, &files[turn])?;
+            File::open(&self.folder)?.sync_all()
+        })();
+        written.map_err(|fault| Fault::Io(files[turn].clone(), fault))
+    }
+
+    /// Forgets a record.
+    pub fn remove(&self, name: &str) {
+        for file in self.files(name) {
+            let _ = fs::remove_file(file);
+        }
+    }
+}
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -160,6 +160,11 @@
         self.value(key).is_some()
     }
 
+    /// Whether it holds no key at all.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_none_or(|table| table.is_empty())
+    }
+
     /// Where this table begins.
     pub fn place(&self) -> Place {
         Place { span: self.span.clone(), field: self.path.clone() }
@@ -337,6 +342,34 @@
         texts
     }
 
+    /// An array of whole numbers within `range`, both ends allowed.
+    pub fn numbers(&self, key: &str, range: (u64, u64)) -> Vec<u64> {
+        let wanted = format!("whole numbers from {} to {}", range.0, range.1);
+        let Some(value) = self.value(key) else {
+            self.missing(key, &wanted);
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong(key, format!("is a {}", value.get_ref().type_str()), wanted);
+            return Vec::new();
+        };
+        let mut numbers = Vec::new();
+        for (at, item) in array.iter().enumerate() {
+            let read = match item.get_ref() {
+                DeValue::Integer(number) => u64::from_str_radix(number.as_str(), number.radix()).ok(),
+                _ => None,
+            };
+            match read.filter(|read| (range.0..=range.1).contains(read)) {
+                Some(read) => numbers.push(read),
+                None => {
+                    let place = Place { span: item.span(), field: format!("{}[{at}]", self.path_of(key)) };
+                    self.fault(&place, "is no such number", wanted.as_str());
+                }
+            }
+        }
+        numbers
+    }
+
     /// A table inside this one; none where there is no such key.
     pub fn table(&self, key: &str) -> Option<Table<'a>> {
         let value = self.value(key)?;
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -112,6 +112,7 @@
 }
 
 /// What the settings tell of a deployment.
+#[derive(Clone)]
 pub struct Deployment {
     pub terms: Terms,
     pub products: Vec<String>,
--- /dev/null
+++ b/lab/explore/src/members.rs
@@ -0,0 +1,522 @@
+//! Whole members over a network that the search rules. A plain schedule founds a fleet and makes two changes; the
+//! search departs from it at every delivery, in every way it knows, up to so many departures together
+//! (delay-bounded scheduling: M. Emmi, S. Qadeer, Z. Rakamaric, "Delay-Bounded Scheduling", 2011). Clocks run at
+//! the rates that the terms allow. The judge sees only by which number each member would decide at each moment.
+
+use std::cell::RefCell;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+
+use whinspindle_lab_world::dice::{Concern, Dice};
+use whinspindle_policy::{Laws, Member, Memory, Message, Objection, Outside, Policy, Record, Right, Terms};
+
+/// Steps of true time; in each every member ticks once and all that is due is delivered.
+pub const STEPS: u64 = 30;
+const STEP: u64 = 16;
+const MEMBERS: u16 = 5;
+const VOTERS: u16 = 3;
+const RIGHT: u64 = 3 * STEP;
+const DRIFT: u64 = 250_000;
+
+/// What a departure does to the message that is delivered next, or to the member that it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Turn {
+    Lose,
+    /// It comes so many steps later.
+    Late(u64),
+    /// It comes now and again so many steps later.
+    Twice(u64),
+    /// The member dies before it and is back after so many steps, with its disk or without.
+    Crash(u64),
+    LostDisk(u64),
+    /// It stands still for so many steps; what it is sent waits.
+    Stop(u64),
+    /// For so many steps nothing passes to it or from it, or only what it sends.
+    Cut(u64),
+    Deaf(u64),
+}
+
+pub const TURNS: [Turn; 11] = [
+    Turn::Lose,
+    Turn::Late(1),
+    Turn::Late(4),
+    Turn::Twice(3),
+    Turn::Twice(8),
+    Turn::Crash(2),
+    Turn::LostDisk(2),
+    Turn::Stop(7),
+    Turn::Cut(3),
+    Turn::Cut(9),
+    Turn::Deaf(9),
+];
+
+/// A departure before this delivery, counted from the beginning.
+pub type Departure = (usize, Turn);
+
+#[derive(Default)]
+struct Out {
+    sent: Vec<(u16, Message)>,
+    kept: Option<Memory>,
+    to_prove: Vec<Policy>,
+}
+
+#[derive(Clone, Default)]
+struct Net(Rc<RefCell<Out>>);
+
+impl Outside for Net {
+    fn send(&mut self, to: u16, message: Message) {
+        self.0.borrow_mut().sent.push((to, message));
+    }
+    fn keep(&mut self, memory: &Memory) -> bool {
+        self.0.borrow_mut().kept = Some(memory.clone());
+        true
+    }
+    fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
+        self.0.borrow_mut().to_prove.push(policy);
+    }
+    fn tell(&mut self, _: String) {}
+}
+
+#[derive(Clone)]
+struct Place<L: Laws> {
+    member: Option<Member<Net, L>>,
+    disk: Option<Memory>,
+    /// Back from a crash at this step; standing still, cut off or deaf until then.
+    back: u64,
+    stopped: u64,
+    cut: u64,
+    deaf: u64,
+    starts: u64,
+}
+
+#[derive(Clone, Hash, PartialEq, Eq)]
+struct Mail {
+    due: u64,
+    from: u16,
+    to: u16,
+    message: Message,
+}
+
+/// What the judge has seen.
+#[derive(Clone, Default, Hash)]
+struct Judge {
+    /// When each number was first decided by.
+    first: BTreeMap<u64, u64>,
+    /// The highest number that each member has decided by.
+    highest: BTreeMap<u16, u64>,
+    records: BTreeMap<(u64, u64), Record>,
+}
+
+/// A schedule of what operators do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// At which step member 3 proposes the first policy, member 4 the second.
+    pub proposed: [u64; 2],
+    /// Who can't prove the second.
+    pub objects: Option<u16>,
+    /// In steps: one unheard for so long is taken to be away.
+    pub absent: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { proposed: [3, 4], objects: None, absent: 3 }
+    }
+}
+
+#[derive(Clone)]
+pub struct World<L: Laws> {
+    step: u64,
+    /// The member that ticks next in this step.
+    turn: u16,
+    events: usize,
+    places: Vec<Place<L>>,
+    mail: Vec<Mail>,
+    judge: Judge,
+    plan: Plan,
+    forgets: bool,
+}
+
+fn terms(me: u16, absent: u64) -> Terms {
+    Terms {
+        me,
+        members: MEMBERS,
+        voters: (0..VOTERS).collect(),
+        right: RIGHT,
+        drift: DRIFT,
+        pace: STEP,
+        absent: absent * STEP,
+        give_up: 12 * STEP,
+        learn: 3 * STEP,
+    }
+}
+
+/// The member's own clock: the steward's fast, the followers' slow, each with an offset of its own.
+fn clock(me: u16, step: u64) -> u64 {
+    let time = step * STEP;
+    let (more, of) = [(5, 4), (1, 1), (1, 1), (3, 4), (3, 4)][me as usize];
+    time * more / of + 1000 * u64::from(me + 1)
+}
+
+impl<L: Laws> World<L> {
+    /// `forgets`: a lost disk gives the birth back, and no votes.
+    pub fn new(plan: Plan, forgets: bool) -> Self {
+        let place = Place { member: None, disk: None, back: 0, stopped: 0, cut: 0, deaf: 0, starts: 0 };
+        World {
+            step: 0,
+            turn: 0,
+            events: 0,
+            places: vec![place; MEMBERS as usize],
+            mail: Vec::new(),
+            judge: Judge::default(),
+            plan,
+            forgets,
+        }
+    }
+
+    fn begin(&mut self, me: u16) {
+        let (step, terms) = (self.step, terms(me, self.plan.absent));
+        let place = &mut self.places[me as usize];
+        place.starts += 1;
+        let start = 100 * u64::from(me + 1) + place.starts;
+        place.member = Some(Member::new(Net::default(), terms, place.disk.clone(), start, clock(me, step)));
+        self.settle(me);
+    }
+
+    /// Carries out what a member has asked for: its disk, its proofs, its mail.
+    fn settle(&mut self, me: u16) {
+        let now = clock(me, self.step);
+        loop {
+            let place = &mut self.places[me as usize];
+            let Some(member) = &mut place.member else { return };
+            let out = std::mem::take(&mut *member.outside.0.borrow_mut());
+            if let Some(memory) = out.kept {
+                place.disk = Some(memory);
+            }
+            for (to, message) in out.sent {
+                self.mail.push(Mail { due: self.step, from: me, to, message });
+            }
+            if out.to_prove.is_empty() {
+                return;
+            }
+            for policy in out.to_prove {
+                // The second text is the longer one.
+                let second = policy.length > 1;
+                let no = Objection { line: 1, words: "no".to_string() };
+                let verdict = if second && self.plan.objects == Some(me) { Err(no) } else { Ok(()) };
+                if let Some(member) = &mut self.places[me as usize].member {
+                    member.proved(now, policy.number, verdict);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, me: u16) {
+        let (step, plan) = (self.step, self.plan);
+        if self.places[me as usize].member.is_none() && step >= self.places[me as usize].back {
+            self.begin(me);
+        }
+        let place = &mut self.places[me as usize];
+        let Some(member) = place.member.as_mut().filter(|_| step >= place.stopped) else { return };
+        let now = clock(me, step);
+        if me == 0 && member.record().founding == 0 && step >= 1 {
+            member.found(now, 77);
+        }
+        if me >= VOTERS && step == plan.proposed[(me - VOTERS) as usize] {
+            let text: &[u8] = if me == VOTERS { b"a" } else { b"bb" };
+            member.propose(now, text, 1000 + u64::from(me));
+        }
+        member.tick(now);
+        self.settle(me);
+    }
+
+    /// The next delivery of this step, if any.
+    fn next_mail(&mut self) -> Option<Mail> {
+        let step = self.step;
+        let ready = |mail: &Mail| mail.due <= step && step >= self.places[mail.to as usize].stopped;
+        let at = self.mail.iter().position(ready)?;
+        Some(self.mail.remove(at))
+    }
+
+    fn deliver(&mut self, mail: Mail) {
+        let step = self.step;
+        let (from, to) = (&self.places[mail.from as usize], &self.places[mail.to as usize]);
+        if step < from.cut || step < to.cut || step < to.deaf {
+            return;
+        }
+        let now = clock(mail.to, step);
+        if let Some(member) = &mut self.places[mail.to as usize].member {
+            member.heard(now, mail.from, mail.message);
+            self.settle(mail.to);
+        }
+    }
+
+    fn depart(&mut self, turn: Turn, mail: Mail) {
+        let (step, to) = (self.step, mail.to as usize);
+        match turn {
+            Turn::Lose => {}
+            Turn::Late(by) => self.mail.push(Mail { due: step + by, ..mail }),
+            Turn::Twice(by) => {
+                self.mail.push(Mail { due: step + by, ..mail.clone() });
+                self.deliver(mail);
+            }
+            Turn::Crash(by) | Turn::LostDisk(by) => {
+                let place = &mut self.places[to];
+                (place.member, place.back) = (None, step + by);
+                if matches!(turn, Turn::LostDisk(_)) {
+                    let birth = place.disk.take().map(|disk| disk.birth);
+                    let memory =
+                        |birth| Memory { birth, votes: Default::default(), record: Record::default() };
+                    place.disk = birth.filter(|_| self.forgets).map(memory);
+                }
+            }
+            Turn::Stop(by) => {
+                self.places[to].stopped = step + by;
+                self.mail.push(mail);
+            }
+            Turn::Cut(by) => self.places[to].cut = step + by,
+            Turn::Deaf(by) => self.places[to].deaf = step + by,
+        }
+    }
+
+    /// Up to the next delivery; none once the schedule is over.
+    fn advance(&mut self) -> Result<Option<Mail>, String> {
+        loop {
+            if let Some(mail) = self.next_mail() {
+                self.events += 1;
+                return Ok(Some(mail));
+            }
+            if self.turn < MEMBERS {
+                self.tick(self.turn);
+                self.turn += 1;
+                self.judge()?;
+                continue;
+            }
+            if self.step == STEPS {
+                return Ok(None);
+            }
+            self.step += 1;
+            self.turn = 0;
+            self.judge()?;
+        }
+    }
+
+    fn judge(&mut self) -> Result<(), String> {
+        let time = self.step * STEP;
+        // True time that a right can outlast the decision: by the slowest clock.
+        let window = RIGHT * 1_000_000 / (1_000_000 - DRIFT);
+        let mut used: BTreeMap<u64, u16> = BTreeMap::new();
+        for (me, place) in self.places.iter().enumerate() {
+            let me = me as u16;
+            let Some(member) = place.member.as_ref().filter(|_| self.step >= place.stopped) else { continue };
+            let record = member.record();
+            let known = self.judge.records.entry(record.order()).or_insert_with(|| record.clone());
+            if known != record {
+                return Err(format!("member {me} knows another record of version {}", record.version));
+            }
+            let Right::Policy(number) = member.right(clock(me, self.step)) else { continue };
+            used.insert(number, me);
+            self.judge.first.entry(number).or_insert(time);
+            let highest = self.judge.highest.entry(me).or_insert(number);
+            if number < *highest {
+                return Err(format!("member {me} goes back from policy {highest} to {number}"));
+            }
+            *highest = number;
+            let later = self.judge.first.iter().find(|(n, first)| **n > number && **first + window < time);
+            if let Some((newer, first)) = later {
+                return Err(format!(
+                    "member {me} decides by policy {number} at {time}, {} after the first by policy {newer}; at \
+                     most {window}",
+                    time - first
+                ));
+            }
+        }
+        if used.len() > 2 {
+            return Err(format!("three policies are decided by at once: {used:?}"));
+        }
+        Ok(())
+    }
+
+    fn print(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.step, self.turn, &self.mail, &self.judge).hash(&mut hasher);
+        for place in &self.places {
+            (&place.disk, place.back, place.stopped, place.cut, place.deaf).hash(&mut hasher);
+            place.member.as_ref().map(|member| member.state()).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// The number in force in the end, as each running member knows it.
+    pub fn in_force(&self) -> Vec<Option<u64>> {
+        let number = |place: &Place<L>| place.member.as_ref().map(|member| member.record().policy.number);
+        self.places.iter().map(number).collect()
+    }
+
+    /// By what each running member decides in the end.
+    pub fn rights(&self) -> Vec<Option<Right>> {
+        let right = |(me, place): (usize, &Place<L>)| {
+            place.member.as_ref().map(|member| member.right(clock(me as u16, self.step)))
+        };
+        self.places.iter().enumerate().map(right).collect()
+    }
+
+    /// Plays with these departures to the end.
+    pub fn play(mut self, departures: &[Departure]) -> Result<World<L>, String> {
+        while let Some(mail) = self.advance()? {
+            match departures.iter().find(|(at, _)| *at == self.events) {
+                Some((_, turn)) => self.depart(*turn, mail),
+                None => self.deliver(mail),
+            }
+            self.judge()?;
+        }
+        Ok(self)
+    }
+
+    /// The same, told line by line for a person to read.
+    pub fn tell(mut self, departures: &[Departure]) -> Vec<String> {
+        let mut lines = Vec::new();
+        loop {
+            let mail = match self.advance() {
+                Ok(Some(mail)) => mail,
+                Ok(None) => break,
+                Err(broken) => {
+                    lines.push(broken);
+                    break;
+                }
+            };
+            let what = format!("{:?}", mail.message);
+            let what = what.split([' ', '{']).next().unwrap_or_default().to_string();
+            let (step, from, to) = (self.step, mail.from, mail.to);
+            let turn = departures.iter().find(|(at, _)| *at == self.events);
+            match turn {
+                Some((at, turn)) => {
+                    lines.push(format!("step {step}, event {at}: {what} from {from} to {to}: {turn:?}"));
+                    self.depart(*turn, mail);
+                }
+                None => self.deliver(mail),
+            }
+            if let Err(broken) = self.judge() {
+                lines.push(format!("step {step}: {broken}"));
+                break;
+            }
+        }
+        lines
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Searched {
+    pub states: usize,
+    pub schedules: usize,
+    /// What is wrong, and the departures that lead there.
+    pub broken: Option<(String, Vec<Departure>)>,
+}
+
+/// Every schedule with up to `most` departures, each at any delivery and in any way. A state that was met before
+/// with as many departures left is not gone on from. `limit` bounds the states.
+pub fn search<L: Laws>(plan: Plan, forgets: bool, most: usize, limit: usize) -> Searched {
+    let mut searched = Searched::default();
+    // Few departures first, so that what is found is the shortest.
+    for left in 0..=most {
+        let mut met: HashMap<u64, usize> = HashMap::new();
+        let mut path = Vec::new();
+        walk(World::<L>::new(plan, forgets), left, &mut met, &mut path, &mut searched, limit);
+        searched.states = met.len();
+        if searched.broken.is_some() {
+            break;
+        }
+    }
+    searched
+}
+
+fn walk<L: Laws>(
+    mut world: World<L>,
+    left: usize,
+    met: &mut HashMap<u64, usize>,
+    path: &mut Vec<Departure>,
+    searched: &mut Searched,
+    limit: usize,
+) {
+    loop {
+        let mail = match world.advance() {
+            Ok(Some(mail)) => mail,
+            Ok(None) => break,
+            Err(broken) => {
+                searched.broken = Some((broken, path.clone()));
+                return;
+            }
+        };
+        // At the first delivery of each tick: states in between are as many as the departures that lead there.
+        let print = world.print();
+        if met.get(&print).is_some_and(|before| *before >= left) || met.len() >= limit {
+            return;
+        }
+        met.insert(print, left);
+        if left > 0 {
+            for turn in TURNS {
+                let mut other = world.clone_apart();
+                other.depart(turn, mail.clone());
+                path.push((world.events, turn));
+                match other.judge() {
+                    Ok(()) => walk(other, left - 1, met, path, searched, limit),
+                    Err(broken) => searched.broken = Some((broken, path.clone())),
+                }
+                if searched.broken.is_some() {
+                    return;
+                }
+                path.pop();
+            }
+        }
+        world.deliver(mail);
+        if let Err(broken) = world.judge() {
+            searched.broken = Some((broken, path.clone()));
+            return;
+        }
+    }
+    searched.schedules += 1;
+}
+
+impl<L: Laws> World<L> {
+    /// A copy whose members write to places of their own.
+    fn clone_apart(&self) -> Self {
+        let mut copy = self.clone();
+        for member in copy.places.iter_mut().filter_map(|place| place.member.as_mut()) {
+            member.outside = Net::default();
+        }
+        copy
+    }
+}
+
+/// Schedules drawn by seed: from 1 to `most` departures at any place. The first that breaks something, shrunk to
+/// the departures that are needed for it.
+pub fn hunt<L: Laws>(plan: Plan, forgets: bool, seeds: std::ops::Range<u64>, most: usize) -> Searched {
+    let mut searched = Searched::default();
+    let deliveries = World::<L>::new(plan, forgets).play(&[]).map_or(0, |world| world.events);
+    for seed in seeds {
+        let mut dice = Dice::new(seed, Concern::Clients);
+        let mut departures: Vec<Departure> = Vec::new();
+        for _ in 0..1 + dice.below(most) {
+            departures.push((1 + dice.below(deliveries), TURNS[dice.below(TURNS.len())]));
+        }
+        searched.schedules += 1;
+        if World::<L>::new(plan, forgets).play(&departures).is_err() {
+            let mut at = 0;
+            while at < departures.len() {
+                let mut fewer = departures.clone();
+                fewer.remove(at);
+                if World::<L>::new(plan, forgets).play(&fewer).is_err() {
+                    departures = fewer
+                } else {
+                    at += 1
+                }
+            }
+            let broken = World::<L>::new(plan, forgets).play(&departures).err().unwrap_or_default();
+            searched.broken = Some((broken, departures));
+            break;
+        }
+    }
+    searched
+}
--- /dev/null
+++ b/lab/explore/src/plants.rs
@@ -0,0 +1,95 @@
+//! Faults planted in the laws of the core: each is one rule left out, and each must be found.
+
+use whinspindle_agreement::{Agreed, Ballot, Laws as Counting, Voter};
+use whinspindle_policy::{Laws, Memory, Terms};
+
+macro_rules! plant {
+    ($(#[$what:meta])* $name:ident, counting { $($counting:item)* }, member { $($member:item)* }) => {
+        $(#[$what])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub struct $name;
+        impl Counting for $name { $($counting)* }
+        impl Laws for $name { $($member)* }
+    };
+}
+
+plant! {
+    /// Half of the voters pass for a majority.
+    HalfIsEnough, counting {
+        fn is_majority(votes: usize, of: usize) -> bool {
+            2 * votes + 1 >= of
+        }
+    }, member {}
+}
+plant! {
+    /// A voter votes for a ballot older than the one that it has promised.
+    PromiseBroken, counting {
+        fn may_vote(_: Ballot, _: Ballot) -> bool {
+            true
+        }
+    }, member {}
+}
+plant! {
+    /// A round starts from the oldest that voters have accepted.
+    OldestAdopted, counting {
+        fn newest<'a, V>(accepted: impl Iterator<Item = &'a (Ballot, V)>) -> Option<&'a V> {
+            accepted.min_by_key(|(ballot, _)| *ballot).map(|(_, value)| value)
+        }
+    }, member {}
+}
+plant! {
+    /// A round takes no heed of what voters have accepted.
+    NothingAdopted, counting {
+        fn newest<'a, V>(_: impl Iterator<Item = &'a (Ballot, V)>) -> Option<&'a V> {
+            None
+        }
+    }, member {}
+}
+plant! {
+    /// Voters are replaced by a majority of the new board alone.
+    NewBoardAlone, counting {
+        fn boards_to_write<V: Agreed>(_: &V, written: &V) -> Vec<Vec<Voter>> {
+            written.boards().last().cloned().into_iter().collect()
+        }
+    }, member {}
+}
+plant! {
+    /// A right counts from when its grant came, not from when it was asked for.
+    RightFromItsComing, counting {}, member {
+        fn right_until(_: u64, now: u64, terms: &Terms) -> u64 {
+            now + terms.right
+        }
+    }
+}
+plant! {
+    /// A right is held for twice its time.
+    RightHeldTooLong, counting {}, member {
+        fn right_until(asked: u64, _: u64, terms: &Terms) -> u64 {
+            asked + 2 * terms.right
+        }
+    }
+}
+plant! {
+    /// A right that was granted for one number is used for another.
+    AnyRightWillDo, counting {}, member {
+        fn is_for(_: (u64, u64), _: u64, _: u64) -> bool {
+            true
+        }
+    }
+}
+plant! {
+    /// The next policy comes into force while rights to the one before the last may still be held.
+    NoWindow, counting {}, member {
+        fn next_after(learned: u64, _: &Terms) -> u64 {
+            learned
+        }
+    }
+}
+plant! {
+    /// A voter that has lost its memory goes by its old birth. Its disk gives the birth back, and no votes.
+    VotesForgotten, counting {}, member {
+        fn is_reborn(_: &Option<Memory>) -> bool {
+            false
+        }
+    }
+}
--- /dev/null
+++ b/lab/explore/tests/members.rs
@@ -0,0 +1,52 @@
+//! Whole members, with departures from the plain schedule at every delivery, and the faults that these find.
+
+use whinspindle_lab_explore::members::{Plan, World, hunt, search};
+use whinspindle_lab_explore::plants::*;
+use whinspindle_policy::{AsPublished, Laws, Right};
+
+#[test]
+fn undisturbed_both_changes_take_hold_everywhere() {
+    for (plan, number) in [
+        (Plan::default(), 2),
+        (Plan { objects: Some(2), ..Plan::default() }, 1),
+        // Founded, and nothing more: there is a right to number 0. It was granted and not counted once.
+        (Plan { proposed: [99, 99], ..Plan::default() }, 0),
+    ] {
+        let end = World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken");
+        assert_eq!(end.in_force(), vec![Some(number); 5], "{plan:?}");
+        assert_eq!(end.rights(), vec![Some(Right::Policy(number)); 5], "{plan:?}");
+    }
+}
+
+#[test]
+fn as_published_no_departure_breaks_anything() {
+    let searched = search::<AsPublished>(Plan::default(), false, 1, 100_000);
+    println!("one departure: {} states, {} schedules", searched.states, searched.schedules);
+    assert_eq!(searched.broken, None);
+    for plan in [Plan::default(), HASTY] {
+        assert_eq!(hunt::<AsPublished>(plan, false, 0..300, 6).broken, None, "{plan:?}");
+    }
+}
+
+/// Who is unheard for a step is taken to be away, so that changes follow one another fast.
+const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1 };
+
+fn found<L: Laws>(plan: Plan, forgets: bool) {
+    let searched = search::<L>(plan, forgets, 1, 50_000);
+    let broken = searched.broken.or_else(|| hunt::<L>(plan, forgets, 0..20_000, 6).broken);
+    let (broken, departures) =
+        broken.unwrap_or_else(|| panic!("{} is not found", std::any::type_name::<L>()));
+    println!("{}: {broken}\n  {departures:?}", std::any::type_name::<L>());
+    assert!(departures.len() <= 6);
+}
+
+#[test]
+fn each_planted_fault_is_found() {
+    let plan = Plan::default();
+    found::<HalfIsEnough>(plan, false);
+    found::<RightFromItsComing>(plan, false);
+    found::<RightHeldTooLong>(plan, false);
+    found::<AnyRightWillDo>(plan, false);
+    found::<NoWindow>(HASTY, false);
+    found::<VotesForgotten>(plan, true);
+}
