Fleets of 3 to 1,000 in virtual time, founding anew, texts by the bits that are wanting

Need: the promises had to be measured by size and searched under drawn faults; a fleet whose voters lost their stores could not be used again; 64 KiB at 10% loss took 27 s.

Change: lab/explore sizes, 'whinspindle-lab fleet' (table by size and fault) and 'explore' (all searches). A question without a majority of answers is asked again up to twice in a pace. Pieces are asked for by a word of bits, at once when the last ones are there.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -16,9 +16,11 @@
     pub birth: u64,
 }
 
-/// The number of a round, never used twice: `start` is drawn anew at each start of the member.
+/// The number of a round, never used twice: `start` is drawn anew at each start of the member. A later epoch is a
+/// later founding: what was voted for in one before binds nobody in it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
+    pub epoch: u64,
     pub round: u64,
     pub member: u16,
     pub start: u64,
@@ -126,7 +128,9 @@
 
     /// The newest value that can have been agreed on, known once enough have promised.
     fn newest<L: Laws>(&self) -> &V {
-        L::newest(self.promises.values().flatten()).unwrap_or(&self.known)
+        let accepted = self.promises.values().flatten();
+        let of_epoch = accepted.filter(|(ballot, _)| ballot.epoch == self.ballot.epoch);
+        L::newest(of_epoch).unwrap_or(&self.known)
     }
 
     /// What a change has to start from; none while promises are wanting.
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -23,7 +23,11 @@
 #[serde(rename_all = "camelCase", tag = "do")]
 pub enum Request {
     Status,
-    Found,
+    /// Anew where most voters have lost their memories; not `sure`, it is only told what is known.
+    Found {
+        anew: bool,
+        sure: bool,
+    },
     /// The length in bytes and the hash tell whether the text came whole.
     Propose {
         text: String,
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -172,7 +172,8 @@
     }
 
     fn tell(&mut self, words: String) {
-        log_line!("fleet", "member {}: {words}", self.me);
+        // Each is a step of the fleet or a change of the right, which are few: none is kept back.
+        whinspindle_logline::write(format_args!("whinspindle fleet: member {}: {words}", self.me));
     }
 }
 
@@ -329,10 +330,22 @@
         let record = self.member.record();
         match request {
             Request::Status => Ok(self.status(now)),
-            Request::Found if record.founding != 0 => Err("the fleet is founded already".to_string()),
-            Request::Found => {
+            Request::Found { anew: false, .. } if record.founding != 0 => {
+                Err("the fleet is founded already".to_string())
+            }
+            Request::Found { anew: true, .. } if record.founding == 0 => {
+                Err("nothing is known here of a founding before; ask at a member that remembers".to_string())
+            }
+            Request::Found { anew: true, .. } if matches!(self.member.right(now), Right::Policy(_)) => {
+                Err("a majority of the voters answers: nothing is to be founded anew".to_string())
+            }
+            Request::Found { anew: true, sure: false } => {
+                Ok(json!({"begun": false, "known": self.status(now)}))
+            }
+            Request::Found { .. } => {
+                let epoch = record.epoch();
                 self.member.found(now, serial());
-                Ok(json!({"begun": true}))
+                Ok(json!({"begun": true, "epoch": epoch}))
             }
             Request::Propose { .. } | Request::Withdraw { .. } if record.founding == 0 => {
                 Err("the fleet is not founded: whinspindle fleet found".to_string())
@@ -408,7 +421,7 @@
             })
             .collect();
         let voters: Vec<u16> = record.boards.iter().flatten().map(|voter| voter.member).collect();
-        json!({"me": member.terms().me, "founded": record.founding != 0, "version": record.version,
+        json!({"me": member.terms().me, "founded": record.founding != 0, "epoch": record.epoch(), "version": record.version,
             "voters": voters, "isVoter": member.is_voter(), "right": right_words(member.right(now)),
             "why": if member.right(now) == Right::CutOff { member.why_cut_off(now) } else { String::new() },
             "policy": {"number": record.policy.number, "hash": record.policy.hash.to_string()},
--- a/crates/balancer/src/fleet_command.rs
+++ b/crates/balancer/src/fleet_command.rs
@@ -37,6 +37,12 @@
     },
     /// The voters of the operator's file begin to agree; once in the life of a fleet
     Found {
+        /// Again, after most voters have lost their stores: all voters of the file must be up
+        #[arg(long)]
+        anew: bool,
+        /// With --anew: do it, and not only tell what this balancer knows and would go on from
+        #[arg(long)]
+        sure: bool,
         #[command(flatten)]
         wait: Wait,
     },
@@ -81,10 +87,18 @@
             status["past"].as_array().into_iter().flatten().for_each(|past| println!("{}", past_line(past)));
             Ok(ExitCode::SUCCESS)
         }
-        What::Found { wait } => {
-            ask(&Request::Found)?;
+        What::Found { anew, sure, wait } => {
+            let begun = ask(&Request::Found { anew: *anew, sure: *sure })?;
+            if begun["begun"] != true {
+                print!("{}", table(&begun["known"]));
+                println!(
+                    "nothing is done; --sure founds the fleet anew from this, and what others knew is lost"
+                );
+                return Ok(ExitCode::from(OTHERWISE));
+            }
+            let before = begun["epoch"].as_u64();
             waited(wait, ask, |status| {
-                let founded = status["founded"] == true;
+                let founded = status["epoch"].as_u64() > before;
                 founded.then(|| ("the fleet is founded".to_string(), 0))
             })
         }
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -152,8 +152,23 @@
     std::fs::remove_dir_all(stand.store(0)).expect("removed");
     stand.start(0);
     stand.until("cut off", || referee.last(Instant::now() - WINDOW)[1].is_some_and(|seen| seen.rejected));
-    let told = stand.ask(1, &["propose", &stand.policy(13), "--wait", "2"]);
+    let waits = stand.begin(1, &["propose", &stand.policy(13), "--wait", "0"]);
+    let told = Stand::finish(waits);
     assert_eq!(told.code, 3, "{}", told.said);
+    // Founded anew by an operator's explicit word, once all voters are up, from what the one that remembers knows.
+    std::fs::remove_dir_all(stand.store(2)).expect("removed");
+    stand.start(2);
+    assert_eq!(stand.ask(1, &["found"]).code, 2);
+    let laid_open = stand.ask(1, &["found", "--anew"]);
+    assert!(laid_open.code == 1 && laid_open.said.contains("in force: policy 2"), "{}", laid_open.said);
+    let told = stand.ask(1, &["found", "--anew", "--sure", "--wait", "60"]);
+    assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
+    // The change that waited goes on, with a number that the lost can't have given out.
+    decide_by(&stand, &referee, &[0, 1, 2], 13);
+    assert_eq!(stand.status(2)["policy"]["number"], 1001);
+    proposed(&stand, 0, 14, 0);
+    decide_by(&stand, &referee, &[0, 1, 2], 14);
+    assert_eq!(stand.ask(0, &["found", "--anew"]).code, 2, "there is a majority");
     assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
 }
 
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -84,6 +84,9 @@
     }
 }
 
+/// How often in a pace voters that have not answered are asked again.
+const AGAIN: u64 = 2;
+
 /// What a member must not forget over a restart.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Memory {
@@ -187,8 +190,15 @@
     quiet_until: u64,
     highest_round: u64,
     next_ask: u64,
+    /// When it asked last, and how often those that had not answered since.
+    asked: u64,
+    again: u64,
     next_fetch: u64,
+    /// What was asked for last.
+    fetching: Option<(Hash, u16, u64)>,
     fetches: usize,
+    /// Who has given pieces since the last question for some.
+    source: Option<u16>,
     laws: PhantomData<L>,
 }
 
@@ -226,8 +236,12 @@
             quiet_until: 0,
             highest_round: 0,
             next_ask: now,
+            asked: now,
+            again: 0,
             next_fetch: now,
+            fetching: None,
             fetches: terms.me as usize,
+            source: None,
             laws: PhantomData,
             memory,
             record,
@@ -332,9 +346,12 @@
         wish
     }
 
-    /// An operator founds the fleet: the voters of the file begin to agree. Goes on until it is done.
+    /// An operator founds the fleet: the voters of the file begin to agree, each of them, with whatever birth it has
+    /// now. Goes on until it is done. Anew it is for a fleet whose voters have lost their memories: as each voter of
+    /// the file has to promise, those with the births of before can't be a majority of their own any more. What is
+    /// known here of the founding before is taken over.
     pub fn found(&mut self, now: u64, nonce: u64) {
-        self.found = Some(nonce.max(1));
+        self.found = Some(self.record.next_founding(nonce));
         self.steward(now);
     }
 
@@ -347,6 +364,7 @@
             self.ask(now);
             self.pass_on(now);
         }
+        self.ask_again(now);
         self.fetch(now);
         self.steward(now);
         self.note_right(now);
@@ -379,10 +397,17 @@
             }
             Message::Grant { at, voter, board, number } => self.granted(now, at, voter, (board, number)),
             Message::News { record } => self.learn(now, record),
-            Message::Fetch { hash, piece, count } => self.give(from, hash, piece, count),
+            Message::Fetch { hash, piece, wanting } => self.give(from, hash, piece, wanting),
             Message::Piece { hash, piece, bytes, .. } => {
+                self.source = Some(from);
                 if self.texts.take(hash, piece, bytes) {
                     self.prove();
+                } else if let Some((asked, piece, wanting)) = self.fetching
+                    && !self.texts.is_wanting(asked, piece, wanting)
+                {
+                    // All that was asked for is here: the next ones are asked for without a pause.
+                    self.next_fetch = now;
+                    self.fetch(now);
                 }
             }
             Message::Wanted { want, wish } => {
@@ -424,22 +449,45 @@
 
     fn ask(&mut self, now: u64) {
         self.next_ask = now + self.terms.pace;
-        let heard = Heard {
+        (self.asked, self.again) = (now, 0);
+        self.ask_those(now, self.voters());
+    }
+
+    /// Guards against lost datagrams in large fleets, where the pace is long against the right: a voter that has not
+    /// answered is asked again, so often at most, if those that have are no majority.
+    fn ask_again(&mut self, now: u64) {
+        let due = self.asked + self.terms.pace / 4 * (self.again + 1);
+        if self.again == AGAIN || now < due || self.now_held.until::<L>() >= self.asked + self.terms.right {
+            return;
+        }
+        self.again += 1;
+        let answered = |voter: &u16| {
+            let grants = self.now_held.grants.iter().filter(|(of, _)| of.member == *voter);
+            grants.into_iter().any(|(_, (until, _))| *until >= self.asked + self.terms.right)
+        };
+        let silent = self.voters().into_iter().filter(|voter| !answered(voter)).collect();
+        self.ask_those(now, silent);
+    }
+
+    fn ask_those(&mut self, now: u64, voters: BTreeSet<u16>) {
+        for voter in voters {
+            let question = self.question(now);
+            if voter == self.terms.me {
+                self.heard(now, voter, question);
+            } else {
+                self.outside.send(voter, question);
+            }
+        }
+    }
+
+    fn question(&self, now: u64) -> Message {
+        Message::Ask {
             at: now,
             birth: self.memory.birth,
             founding: self.record.founding,
             version: self.record.version,
             right: self.right(now),
             readiness: self.readiness(),
-        };
-        for voter in self.voters() {
-            if voter == self.terms.me {
-                self.answer(now, voter, now, heard.clone());
-                continue;
-            }
-            let Heard { birth, founding, version, right, readiness, .. } = heard.clone();
-            let ask = Message::Ask { at: now, birth, founding, version, right, readiness };
-            self.outside.send(voter, ask);
         }
     }
 
@@ -577,7 +625,7 @@
         }
     }
 
-    /// Asks for the pieces that are wanting, in turn whoever proposed it and the voters.
+    /// Asks for the pieces that are wanting: whoever gave some, else in turn whoever proposed it and the voters.
     fn fetch(&mut self, now: u64) {
         if now < self.next_fetch {
             return;
@@ -587,20 +635,23 @@
             self.voters().into_iter().chain(next.map(|change| change.wish.by)).collect();
         let sources: Vec<u16> = sources.into_iter().filter(|source| *source != self.terms.me).collect();
         for policy in self.wanted() {
-            let Some((piece, count)) = self.texts.wanting(policy.hash, policy.length) else { continue };
+            let Some((piece, wanting)) = self.texts.wanting(policy.hash, policy.length) else { continue };
             if sources.is_empty() {
                 return;
             }
             self.fetches += 1;
-            let source = sources[self.fetches % sources.len()];
+            let source = self.source.take().unwrap_or(sources[self.fetches % sources.len()]);
             self.next_fetch = now + self.terms.pace / 4;
-            self.outside.send(source, Message::Fetch { hash: policy.hash, piece, count });
+            self.fetching = Some((policy.hash, piece, wanting));
+            self.outside.send(source, Message::Fetch { hash: policy.hash, piece, wanting });
             return;
         }
+        self.fetching = None;
     }
 
-    fn give(&mut self, to: u16, hash: Hash, piece: u16, count: u16) {
-        for piece in piece..piece.saturating_add(count.min(crate::texts::AT_ONCE)) {
+    fn give(&mut self, to: u16, hash: Hash, piece: u16, wanting: u64) {
+        for at in (0..64).filter(|at| wanting >> at & 1 == 1) {
+            let piece = piece.saturating_add(at);
             let Some((length, bytes)) = self.texts.piece(hash, piece) else { return };
             self.outside.send(to, Message::Piece { hash, piece, length, bytes });
         }
@@ -611,6 +662,11 @@
     fn answer(&mut self, now: u64, from: u16, at: u64, heard: Heard) {
         let order = (heard.founding, heard.version);
         self.heard[from as usize] = Some(heard);
+        // One that knows more tells it when it is asked; it may be that no voter does.
+        if order > self.record.order() && from != self.terms.me {
+            let ask = self.question(now);
+            self.outside.send(from, ask);
+        }
         if order < self.record.order() {
             if from != self.terms.me {
                 self.outside.send(from, Message::News { record: self.record.clone() });
@@ -667,9 +723,8 @@
     }
 
     fn steward(&mut self, now: u64) {
-        if self.record.founding != 0 {
-            self.found = None;
-        }
+        let founding = self.record.founding;
+        self.found.take_if(|wanted| founding >= *wanted || self.record.epoch() + 1 != *wanted >> 48);
         if let Some((round, _, began)) = &self.round {
             if now < began + 4 * self.terms.pace {
                 // Prepared or written again for those that may not have heard.
@@ -703,8 +758,8 @@
 
     /// What has to be done for the fleet.
     fn duty(&self, now: u64) -> Option<Step> {
-        if let Some(nonce) = self.found {
-            return Some(Step::Found { nonce });
+        if let Some(founding) = self.found {
+            return Some(Step::Found { founding, base: Box::new(self.record.clone()) });
         }
         if !self.is_voter() || !self.is_steward(now) {
             return None;
@@ -762,7 +817,8 @@
     }
 
     fn begin(&mut self, now: u64, step: Step) {
-        let known = if self.record.founding == 0 {
+        let founds = matches!(step, Step::Found { .. });
+        let known = if founds {
             let birth = |member: &u16| {
                 let heard = self.heard.get(*member as usize)?.as_ref();
                 let own = (*member == self.terms.me).then_some(self.memory.birth);
@@ -776,7 +832,8 @@
             self.record.clone()
         };
         self.highest_round = self.highest_round.max(self.memory.votes.promised.round) + 1;
-        let ballot = Ballot { round: self.highest_round, member: self.terms.me, start: self.start };
+        let epoch = self.record.epoch() + u64::from(founds);
+        let ballot = Ballot { epoch, round: self.highest_round, member: self.terms.me, start: self.start };
         let mut round = Round::new(ballot, known);
         if self.memory.votes.prepare(ballot).is_err() || !self.keep() {
             return;
@@ -839,7 +896,8 @@
     pub fn state(&self) -> impl std::hash::Hash + '_ {
         let held = (&self.now_held, &self.before_held, self.had_right);
         let known = (&self.memory, self.kept, &self.record, self.learned, self.next_since);
-        let times = (self.quiet_until, self.highest_round, self.next_ask, self.next_fetch, self.began);
+        let times =
+            (self.quiet_until, self.highest_round, self.next_ask, self.next_fetch, self.began, self.again);
         let round = (&self.round, &self.wants, self.found, self.start);
         let texts = (&self.verdicts, &self.proving, &self.texts, &self.heard);
         (held, known, times, round, texts)
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -57,11 +57,11 @@
     News {
         record: Record,
     },
-    /// Pieces of a text from this one on.
+    /// Pieces of a text: those of the 64 from this one on whose bits are set.
     Fetch {
         hash: Hash,
         piece: u16,
-        count: u16,
+        wanting: u64,
     },
     Piece {
         hash: Hash,
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -7,6 +7,10 @@
 
 /// How many ended changes the record keeps.
 const PAST: usize = 8;
+/// After a founding anew numbers go on at the next multiple of this.
+const NUMBERS: u64 = 1000;
+/// Bits of a founding that are drawn; those above count the foundings.
+const DRAWN: u32 = 48;
 /// Longest text of a policy, in bytes.
 pub const LONGEST_TEXT: usize = 64 * 1024;
 
@@ -79,9 +83,10 @@
 pub enum Step {
     /// Nothing but to bring to its end what another began.
     Finish,
-    /// The first agreement, on these voters.
+    /// The first agreement of its voters; `base` has what is known from a founding before, if there was one.
     Found {
-        nonce: u64,
+        founding: u64,
+        base: Box<Record>,
     },
     Propose {
         hash: Hash,
@@ -102,7 +107,7 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
-    /// Drawn when the fleet was founded; 0 before.
+    /// Which founding it is, in the upper bits, and what was drawn for it; 0 before the first.
     pub founding: u64,
     /// Grows by one with each step.
     pub version: u64,
@@ -134,6 +139,16 @@
         Record { boards: vec![voters], ..Record::default() }
     }
 
+    /// How often the fleet was founded.
+    pub fn epoch(&self) -> u64 {
+        self.founding >> DRAWN
+    }
+
+    /// The founding after this one.
+    pub fn next_founding(&self, nonce: u64) -> u64 {
+        (self.epoch() + 1) << DRAWN | nonce & ((1 << DRAWN) - 1)
+    }
+
     pub fn is_voter(&self, voter: Voter) -> bool {
         self.boards.iter().flatten().any(|known| *known == voter)
     }
@@ -148,7 +163,15 @@
     pub fn after(&self, step: &Step) -> Option<Record> {
         let mut next = Record { version: self.version + 1, ..self.clone() };
         match *step {
-            Step::Found { nonce } if self.founding == 0 => next.founding = nonce,
+            Step::Found { founding, ref base } if self.founding == 0 => {
+                let boards = std::mem::take(&mut next.boards);
+                next = Record { version: base.version + 1, board: base.board + 1, ..(**base).clone() };
+                (next.founding, next.boards, next.next) = (founding, boards, None);
+                if base.founding != 0 {
+                    // Numbers that only the lost have given out are not given out again.
+                    next.highest = (base.highest / NUMBERS + 1) * NUMBERS;
+                }
+            }
             Step::Propose { hash, length, wish } if self.next.is_none() && !self.knows(wish) => {
                 next.highest += 1;
                 next.next = Some(Change { policy: Policy { number: next.highest, hash, length }, wish });
--- a/crates/policy/src/texts.rs
+++ b/crates/policy/src/texts.rs
@@ -9,8 +9,8 @@
 pub const PIECE: usize = 176;
 /// Whole texts kept: the one in force, the next, and the one before for those that are behind.
 const KEPT: usize = 4;
-/// Pieces asked for at once.
-pub const AT_ONCE: u16 = 64;
+/// Pieces asked for at once: the bits of a word.
+pub const AT_ONCE: usize = 64;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Partly {
@@ -48,8 +48,8 @@
         }
     }
 
-    /// The first piece wanting of a text, and how many to ask for from there.
-    pub fn wanting(&mut self, hash: Hash, length: u32) -> Option<(u16, u16)> {
+    /// The first piece wanting of a text, and which of those from there on are wanting too.
+    pub fn wanting(&mut self, hash: Hash, length: u32) -> Option<(u16, u64)> {
         let length = length as usize;
         if self.whole.contains_key(&hash) || length == 0 || length > LONGEST_TEXT {
             return None;
@@ -60,7 +60,16 @@
         }
         let pieces = &self.partly.as_ref()?.pieces;
         let first = pieces.iter().position(Option::is_none)?;
-        Some((first as u16, AT_ONCE.min((pieces.len() - first) as u16)))
+        let window = pieces[first..].iter().take(AT_ONCE).enumerate();
+        let wanting = window.filter(|(_, piece)| piece.is_none()).fold(0, |bits, (at, _)| bits | 1 << at);
+        Some((first as u16, wanting))
+    }
+
+    /// Whether a piece of those asked for is still on its way.
+    pub fn is_wanting(&self, hash: Hash, piece: u16, wanting: u64) -> bool {
+        let Some(partly) = self.partly.as_ref().filter(|partly| partly.hash == hash) else { return false };
+        let asked = (0..AT_ONCE).filter(|at| wanting >> at & 1 == 1).map(|at| piece as usize + at);
+        asked.filter_map(|at| partly.pieces.get(at)).any(Option::is_none)
     }
 
     pub fn lacks(&self, hash: Hash) -> u64 {
--- a/lab/explore/src/lib.rs
+++ b/lab/explore/src/lib.rs
@@ -1,7 +1,8 @@
 //! Searches over the agreement of a fleet, over the very code that ships. `register` walks every order of
 //! deliveries of two rounds; `members` plays whole members and departs from the plain schedule at every place;
-//! `plants` are the faults that the searches must find.
+//! `sizes` plays whole fleets in virtual time; `plants` are the faults that the searches must find.
 
 pub mod members;
 pub mod plants;
 pub mod register;
+pub mod sizes;
--- a/lab/tool/src/main.rs
+++ b/lab/tool/src/main.rs
@@ -3,6 +3,7 @@
 
 mod compare;
 mod file;
+mod fleet;
 mod hunt;
 mod play;
 mod sweep;
@@ -41,6 +42,10 @@
     Replay(play::ReplayLine),
     /// Make the table and the page of a kept run anew
     Report(play::ReportLine),
+    /// Play the agreement of fleets in virtual time: how long a change takes at each size, and what it sends
+    Fleet(fleet::FleetLine),
+    /// Search the agreement of a fleet for broken promises; exit 3 if one is found
+    Explore(fleet::ExploreLine),
     /// Read a scenario file and tell all its faults, each with its line; exit 2 if there are any
     Check(file::CheckLine),
 }
@@ -53,6 +58,8 @@
         Command::Hunt(line) => hunt::run(&line),
         Command::Replay(line) => play::replay(&line),
         Command::Report(line) => play::report(&line),
+        Command::Fleet(line) => fleet::sizes(&line),
+        Command::Explore(line) => fleet::explore(&line),
         Command::Check(line) => file::check(&line),
     };
     done.unwrap_or_else(|fault| {
