--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -112,7 +112,7 @@
         }
     }
 
-    fn close_idle(&self) {
+    pub fn close_idle(&self) {
         self.open.borrow().values().for_each(|client| client.close());
     }
 
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use whinspindle_logline::log_line;
+use whinspindle_policy::Unit;
 
 use crate::fleet::Asks;
 
@@ -37,6 +38,18 @@
     Withdraw {
         number: u64,
     },
+    /// The serial number is the supervisor's own word: asked again it is the same wish.
+    Out {
+        unit: Unit,
+        serial: u64,
+    },
+    Back {
+        unit: Unit,
+    },
+    Halt {
+        why: String,
+    },
+    Resume,
 }
 
 /// What was done, or why not.
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The process as a member of its fleet: a thread of its own with the socket for datagrams, the store and the
 //! member's core. Queries only look at what it has published last, so that none waits for the network or the disk.
 
+use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -14,8 +15,10 @@
 use whinspindle_operator::{CutOff, FleetTerms, Operator};
 use whinspindle_peers::Peers;
 use whinspindle_policy::{
-    Fate, Hash, LONGEST_TEXT, Member, Memory, Message, Objection, Outside, Policy, Readiness, Right, Terms,
+    Fate, Hash, LONGEST_TEXT, Member, Memory, Message, No, Objection, Outside, Policy, Readiness, Record,
+    Right, Terms, Unit, Want,
 };
+use whinspindle_release::{Limits, Place, Scene};
 use whinspindle_store::Store;
 use whinspindle_terms::Deployment;
 
@@ -46,6 +49,11 @@
     until: u64,
     policy: Option<(u64, Arc<Operator>)>,
     cut_off: Arc<Operator>,
+    /// The servers that are let out, and a number that grows when they change; whether this balancer is.
+    let_out: (u64, BTreeSet<u64>),
+    is_let_out: bool,
+    /// The servers as this balancer has them listed, for the thread.
+    places: Vec<Place>,
 }
 
 pub struct Fleet {
@@ -90,6 +98,22 @@
         }
     }
 
+    /// The servers that are let out, if they are others than at `known`, and the number of what is told.
+    pub fn let_out(&self, known: u64) -> Option<(u64, BTreeSet<u64>)> {
+        let published = held(&self.published);
+        (published.let_out.0 != known).then(|| published.let_out.clone())
+    }
+
+    /// Whether this balancer is let out, and has to take itself out.
+    pub fn is_let_out(&self) -> bool {
+        held(&self.published).is_let_out
+    }
+
+    /// The servers as they are listed here, for the decision on who may be let out.
+    pub fn tell_places(&self, places: Vec<Place>) {
+        held(&self.published).places = places;
+    }
+
     /// Whether the process has learned what holds, or has given up learning it.
     pub fn is_settled(&self) -> bool {
         let published = held(&self.published);
@@ -112,6 +136,9 @@
             until: terms.learn,
             policy: None,
             cut_off: Arc::clone(&cut_off),
+            let_out: (0, BTreeSet::new()),
+            is_let_out: false,
+            places: Vec::new(),
         }));
         let deployment = placement.deployment.clone();
         let told = Arc::clone(&published);
@@ -146,6 +173,9 @@
     store: Rc<Store>,
     to_prove: Vec<(Policy, Rc<[u8]>)>,
     sent: u64,
+    /// The limits of each policy that is known, by its number, and the servers as they were told last.
+    limits: Vec<(u64, Limits)>,
+    places: Vec<Place>,
 }
 
 impl Outside for Wires {
@@ -171,6 +201,14 @@
         self.to_prove.push((policy, text));
     }
 
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+        let of = self.limits.iter().rev().find(|(number, _)| *number == record.policy.number);
+        let limits = of.map(|(_, limits)| *limits).unwrap_or_default();
+        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
+        let (balancers, servers) = (self.addresses.len(), self.places.as_slice());
+        Scene { limits: &limits, granted: &granted, away, balancers, servers }.may_go(unit)
+    }
+
     fn tell(&mut self, words: String) {
         // Each is a step of the fleet or a change of the right, which are few: none is kept back.
         whinspindle_logline::write(format_args!("whinspindle fleet: member {}: {words}", self.me));
@@ -212,7 +250,17 @@
             }
             None => log_line!("fleet", "member {me}: remembers nothing"),
         }
-        let wires = Wires { me, socket, peers, addresses, store, to_prove: Vec::new(), sent: 0 };
+        let wires = Wires {
+            me,
+            socket,
+            peers,
+            addresses,
+            store,
+            to_prove: Vec::new(),
+            sent: 0,
+            limits: Vec::new(),
+            places: Vec::new(),
+        };
         let terms = Terms {
             me,
             members,
@@ -296,6 +344,9 @@
                 log_line!("store", "{fault}");
             }
             let verdict = verdict.map(|operator| {
+                self.member.outside.limits.push((policy.number, operator.limits));
+                let over = self.member.outside.limits.len().saturating_sub(TEXTS as usize);
+                self.member.outside.limits.drain(..over);
                 self.operators.push((policy.number, Arc::new(operator)));
                 let over = self.operators.len().saturating_sub(TEXTS as usize);
                 self.operators.drain(..over);
@@ -322,6 +373,16 @@
             published.policy = Some((number, operator));
         }
         (published.right, published.until) = (right, until);
+        let servers = self.member.record().out.iter().filter_map(|out| match out.unit {
+            Unit::Server(key) => Some(key),
+            Unit::Balancer(_) => None,
+        });
+        let servers: BTreeSet<u64> = servers.collect();
+        if servers != published.let_out.1 {
+            published.let_out = (published.let_out.0 + 1, servers);
+        }
+        published.is_let_out = self.member.is_let_out();
+        self.member.outside.places.clone_from(&published.places);
     }
 
     fn serve(&mut self, request: Request) -> Answer {
@@ -368,6 +429,23 @@
                 let wish = self.member.propose(now, text.as_bytes(), serial());
                 Ok(json!({"by": wish.by, "serial": wish.serial}))
             }
+            Request::Out { unit, serial } => self.ask_out(now, unit, serial),
+            Request::Back { unit } if record.out_as(unit).is_none() => Err("it is not let out".to_string()),
+            Request::Back { unit } => {
+                self.member.want(now, Want::Back { unit }, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Halt { mut why } => {
+                while why.len() > WORDS {
+                    why.pop();
+                }
+                self.member.want(now, Want::Halt { why }, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Resume => {
+                self.member.want(now, Want::Resume, serial());
+                Ok(json!({"begun": true}))
+            }
             Request::Withdraw { number } => {
                 if record.next.is_none_or(|change| change.policy.number != number) {
                     return Err(format!("policy {number} is not under way"));
@@ -378,6 +456,32 @@
         }
     }
 
+    /// A supervisor asks whether it may take a unit out; the answer may have been lost, so it may ask again.
+    fn ask_out(&mut self, now: u64, unit: Unit, serial: u64) -> Answer {
+        let record = self.member.record();
+        if let Some(out) = record.out_as(unit) {
+            return match out.wish.serial == serial {
+                true => Ok(json!({"granted": true})),
+                false => Err("it is let out already, by another's wish".to_string()),
+            };
+        }
+        // By whichever member it was asked.
+        if record.done.iter().any(|wish| wish.serial == serial) {
+            return Err("this wish was granted, and its unit is back: ask with another word".to_string());
+        }
+        if let Some(halt) = &record.halted {
+            return Ok(json!({"granted": false, "halted": halt.why}));
+        }
+        // The steward decides; what this balancer sees is told as the likely reason.
+        let waits = match self.member.outside.may_go(record, unit, &BTreeSet::new()) {
+            Err(no @ (No::NoLimit | No::Unknown)) => return Err(no.to_string()),
+            Err(no) => no.to_string(),
+            Ok(()) => "the voters have not said so yet".to_string(),
+        };
+        self.member.want(now, Want::Out { unit }, serial);
+        Ok(json!({"granted": false, "waits": waits}))
+    }
+
     fn status(&self, now: u64) -> Value {
         let member = &self.member;
         let record = member.record();
@@ -420,13 +524,22 @@
                 told
             })
             .collect();
+        let out: Vec<Value> = record
+            .out
+            .iter()
+            .map(|out| match out.unit {
+                Unit::Balancer(number) => json!({"balancer": number, "by": out.wish.by}),
+                Unit::Server(key) => json!({"server": format!("{key:016x}"), "by": out.wish.by}),
+            })
+            .collect();
         let voters: Vec<u16> = record.boards.iter().flatten().map(|voter| voter.member).collect();
         json!({"me": member.terms().me, "founded": record.founding != 0, "epoch": record.epoch(), "version": record.version,
             "voters": voters, "isVoter": member.is_voter(), "right": right_words(member.right(now)),
             "why": if member.right(now) == Right::CutOff { member.why_cut_off(now) } else { String::new() },
             "policy": {"number": record.policy.number, "hash": record.policy.hash.to_string()},
             "next": record.next.map(|next| change(next.policy, next.wish.by, next.wish.serial)),
-            "past": past, "members": members,
+            "past": past, "members": members, "out": out,
+            "halted": record.halted.as_ref().map(|halt| json!({"by": halt.wish.by, "why": halt.why})),
             "datagrams": {"sent": member.outside.sent, "received": self.received,
                 "passedOver": member.outside.peers.passed_over}})
     }
--- a/crates/balancer/src/fleet_command.rs
+++ b/crates/balancer/src/fleet_command.rs
@@ -8,7 +8,7 @@
 
 use clap::{Args, Subcommand, ValueHint};
 use serde_json::Value;
-use whinspindle_policy::Hash;
+use whinspindle_policy::{Hash, Unit};
 
 use crate::command;
 use crate::control::{self, Request};
@@ -59,6 +59,30 @@
         #[command(flatten)]
         wait: Wait,
     },
+    /// Ask whether a unit may be taken out: balancer:NUMBER or server:ID. Exit 0 it may and is counted as out, 1 no,
+    /// or grants are halted, 3 not yet. Asking again with the same word is harmless
+    Out {
+        unit: String,
+        /// The supervisor's own word for this wish
+        #[arg(long = "as")]
+        word: String,
+        #[command(flatten)]
+        wait: Wait,
+    },
+    /// A unit that was let out is back. A balancer that was started anew says so by itself
+    Back { unit: String },
+    /// Nothing is let out any more until it is resumed
+    Halt {
+        #[arg(long, default_value = "an operator's word")]
+        why: String,
+        #[command(flatten)]
+        wait: Wait,
+    },
+    /// Units may be let out again
+    Resume {
+        #[command(flatten)]
+        wait: Wait,
+    },
     /// The last changes and what became of them
     History,
 }
@@ -112,6 +136,19 @@
                 Some((past_line(past), if past["fate"] == "in force" { 0 } else { OTHERWISE }))
             })
         }
+        What::Out { unit, word, wait } => out(unit, word, wait, ask),
+        What::Back { unit: text } => {
+            ask(&Request::Back { unit: unit(text)? })?;
+            Ok(ExitCode::SUCCESS)
+        }
+        What::Halt { why, wait } => {
+            ask(&Request::Halt { why: why.clone() })?;
+            waited(wait, ask, |status| status["halted"].is_object().then(|| ("halted".to_string(), 0)))
+        }
+        What::Resume { wait } => {
+            ask(&Request::Resume)?;
+            waited(wait, ask, |status| status["halted"].is_null().then(|| ("resumed".to_string(), 0)))
+        }
         What::Withdraw { number, wait } => {
             ask(&Request::Withdraw { number: *number })?;
             waited(wait, ask, |status| {
@@ -123,6 +160,43 @@
     }
 }
 
+fn unit(text: &str) -> Result<Unit, String> {
+    let unit = match text.split_once(':') {
+        Some(("balancer", number)) => number.parse().ok().map(Unit::Balancer),
+        Some(("server", id)) if !id.is_empty() => Some(Unit::Server(whinspindle_terms::key(id.as_bytes()))),
+        _ => None,
+    };
+    unit.ok_or_else(|| format!("{text:?} is no unit: balancer:NUMBER or server:ID"))
+}
+
+/// Asks until it is granted, refused or the time is over.
+fn out(
+    text: &str,
+    word: &str,
+    wait: &Wait,
+    ask: impl Fn(&Request) -> Result<Value, String>,
+) -> Result<ExitCode, String> {
+    let unit = unit(text)?;
+    let serial = whinspindle_terms::key(format!("{word} {text}").as_bytes());
+    let until = Instant::now() + Duration::from_secs(wait.wait);
+    loop {
+        let answer = ask(&Request::Out { unit, serial })?;
+        if answer["granted"] == true {
+            println!("{text} is let out");
+            return Ok(ExitCode::SUCCESS);
+        }
+        if let Some(why) = answer["halted"].as_str() {
+            println!("halted: {why}");
+            return Ok(ExitCode::from(OTHERWISE));
+        }
+        if Instant::now() >= until {
+            println!("not yet: {}", answer["waits"].as_str().unwrap_or_default());
+            return Ok(ExitCode::from(WAITING));
+        }
+        sleep(LOOK);
+    }
+}
+
 /// Waits for an end, with a line of progress where somebody looks.
 fn waited(
     wait: &Wait,
@@ -190,6 +264,17 @@
     if status["next"].is_object() {
         lines.push(format!("under way: {}, {}", progress(status), text(&status["next"]["hash"])));
     }
+    for out in status["out"].as_array().into_iter().flatten() {
+        let what = if out["server"].is_string() { "server" } else { "balancer" };
+        lines.push(format!("out: {what} {}, asked for at member {}", out[what], out["by"]));
+    }
+    if status["halted"].is_object() {
+        lines.push(format!(
+            "halted, by member {}: {}",
+            status["halted"]["by"],
+            text(&status["halted"]["why"])
+        ));
+    }
     for member in status["members"].as_array().into_iter().flatten() {
         let number = &member["member"];
         let Some(ago) = member["heardMsAgo"].as_u64() else {
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -88,6 +88,9 @@
 
 fn health(node: &Node) -> Response<Full<Bytes>> {
     let settled = node.fleet.as_ref().is_none_or(Fleet::is_settled);
+    if node.fleet.as_ref().is_some_and(Fleet::is_let_out) {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "let out by the fleet".to_string());
+    }
     if settled && node.reducer.borrow().has_list() && !node.stop.is_ordered() {
         return plain(StatusCode::OK, "ok".to_string());
     }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -113,6 +113,7 @@
         })
     }));
     spawn_local(reload(hangup, source, lasting, Rc::clone(&node), file));
+    spawn_local(Rc::clone(&node).follow_fleet(Rc::clone(&accepted)));
     spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted)));
     let stopped = Rc::clone(&node);
     spawn_local(async move {
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -10,17 +10,19 @@
 use futures_util::FutureExt;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
-use whinspindle::host::{LoadReport, Outcome};
+use tokio::time::{sleep, timeout};
+use whinspindle::host::{Entry, LoadReport, Outcome, Standing};
 use whinspindle_logline::log_line;
 use whinspindle_messages::answer::Answer;
 use whinspindle_messages::execution::{self, Reply};
 use whinspindle_messages::query::MOST_BODY;
 use whinspindle_operator::Operator;
 use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer};
+use whinspindle_release::Place as Seen;
 use whinspindle_terms::Deployment;
 use whinspindle_upstreams::{Connections, Failure, Progress, Room, Terms, Trail, Upstream};
 
+use crate::accept::Accepted;
 use crate::clock::Clock;
 use crate::fleet::{By, Fleet};
 use crate::placement::Placement;
@@ -28,6 +30,9 @@
 use crate::stop::Stop;
 use crate::timers::Timers;
 
+/// How often what the fleet has agreed on is looked at between queries: well within any grace of a drain.
+const FOLLOW: Duration = Duration::from_millis(50);
+
 pub struct Node {
     pub clock: Clock,
     pub deployment: Deployment,
@@ -38,8 +43,9 @@
     /// What the operator's file says, where there is one, or what the fleet has agreed on.
     pub operator: RefCell<Option<Arc<Operator>>>,
     pub fleet: Option<Fleet>,
-    /// The terms of the fleet that were taken over last, by their number.
+    /// The terms of the fleet that were taken over last, and the servers let out, by their numbers.
     by: Cell<Option<u64>>,
+    let_out: Cell<u64>,
     /// Where the order to stop waiting goes, by query and execution.
     cancels: RefCell<BTreeMap<(usize, usize), oneshot::Sender<()>>>,
 }
@@ -69,6 +75,7 @@
                 operator: RefCell::default(),
                 fleet,
                 by: Cell::new(None),
+                let_out: Cell::new(0),
                 cancels: RefCell::default(),
             }
         });
@@ -92,6 +99,7 @@
     /// the query has to be rejected, since this process may not know what holds.
     pub fn keep_up(&self) -> bool {
         let Some(fleet) = &self.fleet else { return true };
+        self.keep_up_with_servers(fleet);
         match fleet.by() {
             By::Nothing => false,
             By::Terms(number, _) if self.by.get() == Some(number) => true,
@@ -103,6 +111,36 @@
         }
     }
 
+    fn keep_up_with_servers(&self, fleet: &Fleet) {
+        if let Some((number, keys)) = fleet.let_out(self.let_out.get()) {
+            self.let_out.set(number);
+            self.reducer.borrow_mut().let_out(self.clock.now(), &keys);
+        }
+    }
+
+    /// Between queries too the servers that the fleet lets out are kept up with, since what is in hand may be sent
+    /// again; and the fleet is told how the servers stand here.
+    pub async fn follow_fleet(self: Rc<Self>, accepted: Rc<Accepted>) {
+        let Some(fleet) = &self.fleet else { return };
+        let (terms, zones) = (&self.deployment.terms, &self.deployment.zones);
+        loop {
+            sleep(FOLLOW).await;
+            self.keep_up_with_servers(fleet);
+            if fleet.is_let_out() {
+                accepted.close_idle();
+            }
+            let now = self.clock.now();
+            let place = |entry: &Entry| Seen {
+                key: entry.key,
+                zone: zones.get(entry.zone).cloned().unwrap_or_default(),
+                cell: entry.cell,
+                full: entry.standing == Standing::Ready
+                    && (entry.born == 0 || now >= entry.born + terms.cold_time),
+            };
+            fleet.tell_places(self.reducer.borrow().listed().iter().map(place).collect());
+        }
+    }
+
     /// Told to stop: what is in hand may have more patience left than there is time.
     pub fn end(&self) {
         self.stop.order();
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -204,3 +204,100 @@
     }
     assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
 }
+
+/// A policy under which one balancer and one server may be out.
+const ONE_OUT: &str = "[limits.out]\nbalancers = 1\nservers = 1\n";
+
+fn with_limits(name: &str, members: usize) -> (Stand, Referee) {
+    let (stand, referee) = running(name, members);
+    let told = stand.ask(0, &["propose", &stand.policy_with(11, ONE_OUT)]);
+    assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
+    let all: Vec<usize> = (0..members).collect();
+    decide_by(&stand, &referee, &all, 11);
+    (stand, referee)
+}
+
+fn out(stand: &Stand, at: usize, unit: usize, word: &str, wait: &str) -> i32 {
+    stand.ask(at, &["out", &format!("balancer:{unit}"), "--as", word, "--wait", wait]).code
+}
+
+#[test]
+fn supervisors_that_all_want_to_restart_at_once_take_turns_whatever_else_is_down() {
+    let (stand, _referee) = with_limits("turns", 5);
+    let stand = std::sync::Mutex::new(stand);
+    // Whose answer of yes was out, from when to when; the end is before the process starts again.
+    let turns = std::sync::Mutex::new(Vec::<(usize, Instant, Instant)>::new());
+    std::thread::scope(|scope| {
+        for member in 0..5 {
+            let (stand, turns) = (&stand, &turns);
+            scope.spawn(move || {
+                let lock = || stand.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                // The command runs without the lock, so that all wait at the same time.
+                loop {
+                    let at = (member + 1) % 5;
+                    let unit = format!("balancer:{member}");
+                    let child = lock().begin(at, &["out", &unit, "--as", "roll", "--wait", "20"]);
+                    match Stand::finish(child).code {
+                        0 => break,
+                        // Whom it asked is being restarted, or it is not its turn yet.
+                        2 | 3 => std::thread::sleep(Duration::from_millis(100)),
+                        code => panic!("exit {code}\n{}", lock().logs()),
+                    }
+                }
+                let from = Instant::now();
+                lock().kill(member);
+                std::thread::sleep(Duration::from_millis(500));
+                let to = Instant::now();
+                lock().start(member);
+                turns.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((member, from, to));
+            });
+        }
+    });
+    let stand = stand.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut turns = turns.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    turns.sort_by_key(|(_, from, _)| *from);
+    assert_eq!(turns.len(), 5);
+    for pair in turns.windows(2) {
+        assert!(pair[0].2 <= pair[1].1, "two are out at once: {pair:?}\n{}", stand.logs());
+    }
+    stand.until("all back", || (0..5).all(|member| stand.health(member) == Some(200)));
+    stand.until("none out", || stand.status(0)["out"].as_array().is_some_and(Vec::is_empty));
+    // One that is down without a grant is out too.
+    let mut stand = stand;
+    stand.kill(4);
+    stand.until("member 4 unheard", || {
+        stand.status(0)["members"][4]["heardMsAgo"].as_u64().is_none_or(|ago| ago > 2_500)
+    });
+    assert_eq!(out(&stand, 0, 3, "more", "2"), 3, "{}", stand.logs());
+    stand.start(4);
+    assert_eq!(out(&stand, 0, 3, "more", "60"), 0, "{}", stand.logs());
+}
+
+#[test]
+fn halts_minorities_and_lost_answers() {
+    let (stand, _referee) = with_limits("halts", 5);
+    assert_eq!(out(&stand, 0, 3, "one", "60"), 0, "{}", stand.logs());
+    // It takes itself out, and its answer may be asked for again, but not by another.
+    stand.until("out by its health", || stand.health(3) == Some(503));
+    assert_eq!([out(&stand, 1, 3, "one", "0"), out(&stand, 1, 3, "two", "0")], [0, 2]);
+    assert_eq!(out(&stand, 1, 2, "two", "2"), 3);
+    assert_eq!(stand.ask(4, &["back", "balancer:3"]).code, 0);
+    stand.until("back", || stand.health(3) == Some(200));
+    assert_eq!(out(&stand, 1, 2, "two", "60"), 0, "{}", stand.logs());
+    assert_eq!(stand.ask(2, &["back", "balancer:2"]).code, 0);
+    stand.until("none out", || stand.status(0)["out"].as_array().is_some_and(Vec::is_empty));
+    // After a halt nothing goes, whoever asks, until it is resumed.
+    assert_eq!(stand.ask(4, &["halt", "--why", "errors"]).code, 0, "{}", stand.logs());
+    stand
+        .until("known everywhere", || (0..5).all(|member| stand.status(member)["halted"]["why"] == "errors"));
+    assert!((0..5).all(|member| out(&stand, member, 2, "three", "0") == 1));
+    assert_eq!(stand.ask(1, &["resume"]).code, 0);
+    // A minority grants nothing.
+    stand.relays.cut(&[2, 4], true);
+    assert_eq!(out(&stand, 4, 4, "cut", "4"), 3);
+    stand.relays.cut(&[2, 4], false);
+    assert_eq!(out(&stand, 4, 4, "cut", "60"), 0, "{}", stand.logs());
+    // What no limit is set for, and what nobody knows.
+    assert_eq!(stand.ask(0, &["out", "server:nobody", "--as", "x", "--wait", "0"]).code, 2);
+    assert_eq!(stand.ask(0, &["out", "server:s-1", "--as", "x", "--wait", "60"]).code, 0, "{}", stand.logs());
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 mod read;
 
 use whinspindle::host;
+use whinspindle_release::Limits;
 use whinspindle_routes::{Bounds, Conditions, RouteTable};
 use whinspindle_tables::Fault;
 use whinspindle_terms::{Deployment, index};
@@ -24,6 +25,8 @@
     pub routes: RouteTable,
     /// By what a balancer decides that is cut off from the others of its fleet.
     pub cut_off: CutOff,
+    /// How many units of the fleet may be out at once.
+    pub limits: Limits,
     pub fleet: Option<FleetTerms>,
 }
 
@@ -66,6 +69,7 @@
         Operator {
             routes: RouteTable::new(Vec::new()),
             cut_off: CutOff::Routes(RouteTable::new(Vec::new())),
+            limits: Limits::default(),
             fleet: None,
         }
     }
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -2,6 +2,7 @@
 //! deployment.
 
 use whinspindle::host::Effect;
+use whinspindle_release::Limits;
 use whinspindle_routes::pattern::Pattern;
 use whinspindle_routes::proof::{self, Field};
 use whinspindle_routes::{
@@ -52,7 +53,46 @@
             if rejects { CutOff::Rejects } else { CutOff::Routes(routes) }
         }
     };
-    Operator { routes, cut_off, fleet }
+    let limits = table.table("limits").and_then(|t| t.table("out")).map(|t| limits(&t, deployment, own));
+    Operator { routes, cut_off, limits: limits.unwrap_or_default(), fleet }
+}
+
+/// How many may be out at once: what would let nothing go, or all, or contradicts itself is a fault.
+fn limits(t: &Table, deployment: &Deployment, own: bool) -> Limits {
+    if own {
+        t.fault(
+            &t.place(),
+            "limits are agreed on by the fleet",
+            "in a policy: whinspindle fleet propose FILE",
+        );
+    }
+    let most = |key: &str| t.holds(key).then(|| t.count(key, (1, 100_000), None) as usize);
+    let limits = Limits {
+        balancers: most("balancers"),
+        servers: most("servers"),
+        servers_by_zone: most("servers-by-zone"),
+        servers_by_cell: most("servers-by-pod"),
+        servers_part: t.holds("servers-part").then(|| t.number("servers-part", (0.001, 0.9), None)),
+    };
+    let all = deployment.terms.balancers;
+    if limits.balancers.is_some_and(|most| most >= all) {
+        let way_out = format!("{} at the most", all.saturating_sub(1));
+        t.fault(&t.place_of("balancers"), format!("all {all} balancers could be out at once"), way_out);
+    }
+    for (key, inner) in
+        [("servers-by-zone", limits.servers_by_zone), ("servers-by-pod", limits.servers_by_cell)]
+    {
+        if let (Some(inner), Some(most)) = (inner, limits.servers)
+            && inner > most
+        {
+            let fault = format!("{inner} of one while {most} in all may be out");
+            t.fault(&t.place_of(key), fault, "no more than servers");
+        }
+        if inner.is_some() && limits.servers.is_none() && limits.servers_part.is_none() {
+            t.fault(&t.place_of(key), "nothing says how many in all may be out", "servers, or servers-part");
+        }
+    }
+    limits
 }
 
 fn routes(table: &Table, key: &str, deployment: &Deployment) -> RouteTable {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub use member::{Heard, Laws, Member, Memory, Outside, Terms};
 pub use message::{Message, Objection, Readiness, Right, Want};
-pub use record::{Change, Fate, Hash, LONGEST_TEXT, Past, Policy, Record, Step, Wish};
+pub use record::{Change, Fate, Halt, Hash, LONGEST_TEXT, Out, Past, Policy, Record, Step, Wish};
 pub use texts::PIECE;
 pub use whinspindle_agreement::{AsPublished, Ballot, Voter};
+pub use whinspindle_release::{No, Unit};
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -7,9 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_agreement::{AsPublished, Ballot, Round, Voter, Votes};
+use whinspindle_release::{No, Unit};
 
 use crate::message::{Message, Objection, Readiness, Right, Want};
-use crate::record::{Change, Fate, Hash, Policy, Record, Step, Wish};
+use crate::record::{Change, Fate, Halt, Hash, Out, Policy, Record, Step, Wish};
 use crate::texts::Texts;
 
 /// What an installation sets. Times are microseconds of a monotonic clock.
@@ -84,6 +85,9 @@
     }
 }
 
+/// Wishes that a member holds at once.
+const MOST_WANTS: usize = 64;
+
 /// How often in a pace voters that have not answered are asked again.
 const AGAIN: u64 = 2;
 
@@ -104,6 +108,8 @@
     fn keep(&mut self, memory: &Memory) -> bool;
     /// Proves a policy against the process's own settings; `Member::proved` tells what came of it.
     fn prove(&mut self, policy: Policy, text: Rc<[u8]>);
+    /// Whether the policy in force lets one more unit out, with these balancers away.
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No>;
     /// One line for the log.
     fn tell(&mut self, words: String);
 }
@@ -113,6 +119,7 @@
 pub struct Heard {
     pub at: u64,
     pub birth: u64,
+    pub start: u64,
     pub founding: u64,
     pub version: u64,
     pub right: Right,
@@ -338,9 +345,13 @@
         self.want(now, Want::Withdraw { number }, serial)
     }
 
-    fn want(&mut self, now: u64, want: Want, serial: u64) -> Wish {
+    /// What an operator or a supervisor wants. Asking again with the same serial number is harmless.
+    pub fn want(&mut self, now: u64, want: Want, serial: u64) -> Wish {
         let wish = Wish { by: self.terms.me, serial };
-        self.wants.push(Wanted { want, wish, since: now });
+        match self.wants.iter_mut().find(|wanted| wanted.wish == wish) {
+            Some(wanted) => wanted.since = now,
+            None => self.wants.push(Wanted { want, wish, since: now }),
+        }
         self.pass_on(now);
         self.steward(now);
         wish
@@ -365,6 +376,7 @@
             self.pass_on(now);
         }
         self.ask_again(now);
+        self.come_back(now);
         self.fetch(now);
         self.steward(now);
         self.note_right(now);
@@ -391,8 +403,8 @@
             return;
         }
         match message {
-            Message::Ask { at, birth, founding, version, right, readiness } => {
-                let heard = Heard { at: now, birth, founding, version, right, readiness };
+            Message::Ask { at, birth, start, founding, version, right, readiness } => {
+                let heard = Heard { at: now, birth, start, founding, version, right, readiness };
                 self.answer(now, from, at, heard);
             }
             Message::Grant { at, voter, board, number } => self.granted(now, at, voter, (board, number)),
@@ -411,8 +423,9 @@
                 }
             }
             Message::Wanted { want, wish } => {
-                let known = self.wants.iter().any(|wanted| wanted.wish == wish) || self.record.knows(wish);
-                if !known && self.wants.len() < 16 {
+                let known = self.wants.iter_mut().find(|wanted| wanted.wish == wish);
+                let asked_again = known.map(|wanted| wanted.since = now).is_some();
+                if !asked_again && !self.record.knows(wish) && self.wants.len() < MOST_WANTS {
                     self.wants.push(Wanted { want, wish, since: now });
                     self.steward(now);
                 }
@@ -484,6 +497,7 @@
         Message::Ask {
             at: now,
             birth: self.memory.birth,
+            start: self.start,
             founding: self.record.founding,
             version: self.record.version,
             right: self.right(now),
@@ -493,19 +507,27 @@
 
     /// The wishes made here go to all voters until the record knows them.
     fn pass_on(&mut self, now: u64) {
-        let (record, give_up) = (&self.record, self.terms.give_up);
+        let (record, give_up, pace) = (&self.record, self.terms.give_up, self.terms.pace);
         self.wants.retain(|wanted| {
-            let open = match wanted.want {
-                Want::Propose { .. } => !record.knows(wanted.wish),
-                Want::Withdraw { number } => record.next.is_some_and(|change| change.policy.number == number),
+            let open = match &wanted.want {
+                Want::Propose { .. } => true,
+                Want::Withdraw { number } => {
+                    record.next.is_some_and(|change| change.policy.number == *number)
+                }
+                Want::Out { unit } => record.out_as(*unit).is_none(),
+                Want::Back { unit } => record.out_as(*unit).is_some(),
+                Want::Halt { .. } => record.halted.is_none(),
+                Want::Resume => record.halted.is_some(),
             };
-            open && now < wanted.since + give_up
+            // Guards against a unit let out when its supervisor has long given up: it has to go on asking.
+            let lasts = if matches!(wanted.want, Want::Out { .. }) { 3 * pace } else { give_up };
+            open && !record.knows(wanted.wish) && now < wanted.since + lasts
         });
         let mine: Vec<Wanted> =
             self.wants.iter().filter(|wanted| wanted.wish.by == self.terms.me).cloned().collect();
         for voter in self.voters().into_iter().filter(|voter| *voter != self.terms.me) {
             for Wanted { want, wish, .. } in &mine {
-                self.outside.send(voter, Message::Wanted { want: *want, wish: *wish });
+                self.outside.send(voter, Message::Wanted { want: want.clone(), wish: *wish });
             }
         }
     }
@@ -584,7 +606,20 @@
             ));
             self.next_since = now;
         }
-        if old.board != new.board {
+        for out in new.out.iter().filter(|out| !old.out.contains(out)) {
+            words.push(format!("{:?} is let out, asked for at member {}", out.unit, out.wish.by));
+        }
+        for out in old.out.iter().filter(|out| !new.out.contains(out)) {
+            words.push(format!("{:?} is back", out.unit));
+        }
+        match (&old.halted, &new.halted) {
+            (None, Some(halt)) => {
+                words.push(format!("nothing is let out any more, by member {}: {}", halt.wish.by, halt.why));
+            }
+            (Some(_), None) => words.push("units may be let out again".to_string()),
+            _ => {}
+        }
+        if old.founding == new.founding && old.board != new.board {
             words.push(format!("the voters change, board {}", new.board));
         }
         words.into_iter().for_each(|words| self.outside.tell(words));
@@ -780,6 +815,9 @@
             let birth = self.heard[old.member as usize].as_ref().map_or(0, |heard| heard.birth);
             return Some(Step::Replace { old: *old, new: Voter { member: old.member, birth } });
         }
+        if let Some(step) = self.units(now) {
+            return Some(step);
+        }
         let Some(change) = self.record.next else {
             return self.wants.iter().find_map(|wanted| match wanted.want {
                 Want::Propose { hash, length } if !self.record.knows(wanted.wish) => {
@@ -816,6 +854,61 @@
         (now >= self.next_since + self.terms.give_up).then_some(Step::End { number, fate: Fate::GivenUp })
     }
 
+    /// Balancers that are not in full service, as this steward hears them.
+    fn away(&self, now: u64) -> BTreeSet<u16> {
+        let serves = |member: &u16| match &self.heard[*member as usize] {
+            _ if *member == self.terms.me => matches!(self.right(now), Right::Policy(_)),
+            Some(heard) => self.is_here(now, *member) && matches!(heard.right, Right::Policy(_)),
+            None => false,
+        };
+        (0..self.terms.members).filter(|member| !serves(member)).collect()
+    }
+
+    /// What has to be done about units: a halt goes before all, what is back before what goes.
+    fn units(&self, now: u64) -> Option<Step> {
+        let record = &self.record;
+        let new = || self.wants.iter().filter(|wanted| !record.knows(wanted.wish));
+        let halt = new().find_map(|wanted| match &wanted.want {
+            Want::Halt { why } if record.halted.is_none() => {
+                Some(Step::Halt { halt: Halt { wish: wanted.wish, why: why.clone() } })
+            }
+            Want::Back { unit } if record.out_as(*unit).is_some() => {
+                Some(Step::Back { unit: *unit, wish: wanted.wish })
+            }
+            Want::Resume if record.halted.is_some() => Some(Step::Resume { wish: wanted.wish }),
+            _ => None,
+        });
+        let knows = now >= self.began + self.terms.absent;
+        halt.or_else(|| {
+            let away = self.away(now);
+            new().filter(|_| knows).find_map(|wanted| {
+                let Want::Out { unit } = wanted.want else { return None };
+                let start = match unit {
+                    Unit::Balancer(number) if number == self.terms.me => self.start,
+                    Unit::Balancer(number) => self.heard.get(number as usize)?.as_ref()?.start,
+                    Unit::Server(_) => 0,
+                };
+                let may = record.may_let_out(unit) && self.outside.may_go(record, unit, &away).is_ok();
+                may.then_some(Step::Grant { out: Out { unit, wish: wanted.wish, start } })
+            })
+        })
+    }
+
+    /// Whether this balancer has to go out: it was let out in this start of its process.
+    pub fn is_let_out(&self) -> bool {
+        self.record.out_as(Unit::Balancer(self.terms.me)).is_some_and(|out| out.start == self.start)
+    }
+
+    /// A balancer that was let out and has started since says that it is back, once it serves.
+    fn come_back(&mut self, now: u64) {
+        let unit = Unit::Balancer(self.terms.me);
+        let is_back = self.record.out_as(unit).is_some_and(|out| out.start != self.start);
+        let wants = |wanted: &Wanted| wanted.want == Want::Back { unit };
+        if is_back && matches!(self.right(now), Right::Policy(_)) && !self.wants.iter().any(wants) {
+            self.want(now, Want::Back { unit }, self.start);
+        }
+    }
+
     fn begin(&mut self, now: u64, step: Step) {
         let founds = matches!(step, Step::Found { .. });
         let known = if founds {
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_agreement::{Ballot, Voter};
+use whinspindle_release::Unit;
 
 use crate::record::{Hash, Record, Wish};
 
@@ -41,6 +42,7 @@
     Ask {
         at: u64,
         birth: u64,
+        start: u64,
         founding: u64,
         version: u64,
         right: Right,
@@ -98,8 +100,24 @@
 }
 
 /// What an operator wants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Want {
-    Propose { hash: Hash, length: u32 },
-    Withdraw { number: u64 },
+    Propose {
+        hash: Hash,
+        length: u32,
+    },
+    Withdraw {
+        number: u64,
+    },
+    /// Let a unit out, and take it back.
+    Out {
+        unit: Unit,
+    },
+    Back {
+        unit: Unit,
+    },
+    Halt {
+        why: String,
+    },
+    Resume,
 }
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -4,7 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_agreement::{Agreed, Voter};
+use whinspindle_release::Unit;
 
+/// Wishes about units that are remembered as done.
+const DONE: usize = 32;
+/// Units that may be out by grants at most, whatever the limits say, so that the record stays small.
+const MOST_OUT: usize = 256;
 /// How many ended changes the record keeps.
 const PAST: usize = 8;
 /// After a founding anew numbers go on at the next multiple of this.
@@ -78,6 +83,23 @@
     pub fate: Fate,
 }
 
+/// A unit that was let out and is not back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Out {
+    pub unit: Unit,
+    /// By whose wish; the serial number is the supervisor's own word, so that asking again is harmless.
+    pub wish: Wish,
+    /// Of a balancer: the start of its process then. Another start is one that is back.
+    pub start: u64,
+}
+
+/// Nothing is let out any more.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Halt {
+    pub wish: Wish,
+    pub why: String,
+}
+
 /// One step of the record.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Step {
@@ -97,6 +119,21 @@
         number: u64,
         fate: Fate,
     },
+    /// A unit is let out, and one is back.
+    Grant {
+        out: Out,
+    },
+    Back {
+        unit: Unit,
+        wish: Wish,
+    },
+    /// Grants end, and go on.
+    Halt {
+        halt: Halt,
+    },
+    Resume {
+        wish: Wish,
+    },
     /// One voter makes way for another; both boards vote until `Settle`.
     Replace {
         old: Voter,
@@ -118,6 +155,11 @@
     pub next: Option<Change>,
     /// The last changes that ended, the newest at the end.
     pub past: Vec<Past>,
+    pub out: Vec<Out>,
+    pub halted: Option<Halt>,
+    /// The last wishes about units that were done. Guards against one that is still on its way, or kept by a voter,
+    /// when another has undone it: it must not be done again.
+    pub done: Vec<Wish>,
     /// The highest number that a change ever had.
     pub highest: u64,
 }
@@ -153,10 +195,30 @@
         self.boards.iter().flatten().any(|known| *known == voter)
     }
 
+    /// Whether the record has room for a grant of the unit; the limits are another matter.
+    pub fn may_let_out(&self, unit: Unit) -> bool {
+        self.halted.is_none() && self.out_as(unit).is_none() && self.out.len() < MOST_OUT
+    }
+
+    pub fn out_as(&self, unit: Unit) -> Option<&Out> {
+        self.out.iter().find(|out| out.unit == unit)
+    }
+
     /// Whether this wish has led to a change already.
     pub fn knows(&self, wish: Wish) -> bool {
         let past = self.past.iter().map(|past| past.change);
-        past.chain(self.next).any(|change| change.wish == wish)
+        self.done.contains(&wish) || past.chain(self.next).any(|change| change.wish == wish)
+    }
+
+    /// Whether this wish is new; it is not from now on.
+    fn do_once(&mut self, wish: Wish) -> bool {
+        if self.done.contains(&wish) {
+            return false;
+        }
+        self.done.push(wish);
+        let over = self.done.len().saturating_sub(DONE);
+        self.done.drain(..over);
+        true
     }
 
     /// The record after a step; none where the step has no place in it any more.
@@ -185,6 +247,15 @@
                 let over = next.past.len().saturating_sub(PAST);
                 next.past.drain(..over);
             }
+            Step::Grant { out } if self.may_let_out(out.unit) && next.do_once(out.wish) => next.out.push(out),
+            Step::Back { unit, wish } if next.do_once(wish) => {
+                let place = next.out.iter().position(|out| out.unit == unit)?;
+                next.out.remove(place);
+            }
+            Step::Halt { ref halt } if self.halted.is_none() && next.do_once(halt.wish) => {
+                next.halted = Some(halt.clone());
+            }
+            Step::Resume { wish } if self.halted.is_some() && next.do_once(wish) => next.halted = None,
             Step::Replace { old, new } if self.boards.len() == 1 && !self.is_voter(new) => {
                 let mut board = self.boards[0].clone();
                 let place = board.iter().position(|voter| *voter == old)?;
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -5,11 +5,12 @@
 mod desk;
 mod servers;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use whinspindle::decide::Balancer;
-use whinspindle::host::{Arrival, Conditions, Ending, LoadReport, Outcome};
+use whinspindle::host::{Arrival, Conditions, Ending, Entry, LoadReport, Outcome};
 use whinspindle_messages::answer::{Answer, Served};
 use whinspindle_messages::list::ListNews;
 use whinspindle_messages::query::Forwarded;
@@ -84,6 +85,20 @@
         self.let_go();
     }
 
+    /// The fleet has let these servers out, by their keys: they get nothing new, as if the list had told that they
+    /// drain, until they are not among them any more.
+    pub fn let_out(&mut self, now: u64, keys: &BTreeSet<u64>) {
+        let entries = self.balancer.host.servers.let_out(keys);
+        if !entries.is_empty() {
+            self.balancer.list_changed(now, &entries);
+        }
+    }
+
+    /// The servers as the list told them last.
+    pub fn listed(&self) -> Vec<Entry> {
+        self.balancer.host.servers.listed().copied().collect()
+    }
+
     /// Servers that are gone and that nothing in flight holds any more make way for others.
     fn let_go(&mut self) {
         while let Some(server) = self.balancer.host.servers.let_go() {
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -1,7 +1,7 @@
 //! The servers that the list names, and the small indices that stand for them. One that is gone is forgotten
 //! once nothing in flight holds it, and its index stands for the next new one.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use whinspindle::host::{Entry, Standing};
 use whinspindle_messages::list::{ListNews, ListedServer};
@@ -17,6 +17,8 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     has_list: bool,
+    /// The keys of those that are let out by the fleet: to the decisions they drain, whatever the list says.
+    let_out: BTreeSet<u64>,
 }
 
 #[derive(Default)]
@@ -26,6 +28,8 @@
     born: u64,
     ready: bool,
     gone: bool,
+    /// As the list told it last.
+    entry: Option<Entry>,
     /// Open queries that were sent to it, and probes that are out.
     held: usize,
 }
@@ -40,8 +44,8 @@
 
 impl Servers {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        let (index, known, free) = Default::default();
-        Servers { index, known, free, processes: 0, zones, kinds, has_list: false }
+        let (index, known, free, let_out) = Default::default();
+        Servers { index, known, free, processes: 0, zones, kinds, has_list: false, let_out }
     }
 
     /// Takes the news in and turns it into entries for the decisions.
@@ -58,7 +62,7 @@
             }
             let server = self.index_of(&listed.name);
             self.renew(server, listed);
-            entries.push(Entry {
+            let entry = Entry {
                 server,
                 key: whinspindle_terms::key(listed.name.as_bytes()),
                 zone: index(&mut self.zones, &listed.zone),
@@ -67,11 +71,34 @@
                 standing: listed.standing,
                 size: listed.size,
                 born: listed.born,
-            });
+            };
+            self.known[server].entry = Some(entry);
+            entries.push(self.as_let_out(entry));
         }
         entries
     }
 
+    fn as_let_out(&mut self, entry: Entry) -> Entry {
+        let drains = entry.standing == Standing::Ready && self.let_out.contains(&entry.key);
+        let known = &mut self.known[entry.server];
+        known.ready = entry.standing == Standing::Ready && !drains && known.place.is_some();
+        if drains { Entry { standing: Standing::Draining, ..entry } } else { entry }
+    }
+
+    /// The fleet has let these out; returns what that changes for the decisions.
+    pub fn let_out(&mut self, keys: &BTreeSet<u64>) -> Vec<Entry> {
+        let before = std::mem::replace(&mut self.let_out, keys.clone());
+        let changed = |entry: &Entry| before.contains(&entry.key) != keys.contains(&entry.key);
+        let listed = self.known.iter().filter(|known| !known.gone).filter_map(|known| known.entry);
+        let entries: Vec<Entry> = listed.filter(changed).collect();
+        entries.into_iter().map(|entry| self.as_let_out(entry)).collect()
+    }
+
+    /// Those that the list names, as it told them last.
+    pub fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.known.iter().filter(|known| !known.gone).filter_map(|known| known.entry.as_ref())
+    }
+
     fn index_of(&mut self, name: &str) -> usize {
         if let Some(&server) = self.index.get(name) {
             return server;
--- /dev/null
+++ b/crates/release/tests/release.rs
@@ -0,0 +1,49 @@
+//! Whether one more may go.
+
+use whinspindle_release::{Limits, No, Place, Scene, Unit};
+
+use Unit::{Balancer, Server};
+
+#[test]
+fn no_more_go_than_the_limits_allow_whatever_the_others_are_out_for() {
+    let limits = Limits {
+        balancers: Some(2),
+        servers: Some(3),
+        servers_by_zone: Some(2),
+        servers_by_cell: Some(1),
+        servers_part: Some(0.5),
+    };
+    // Keys 0 to 7: zones a and b by halves, pods of two; 9 is not listed.
+    let place = |key: u64, full| {
+        let zone = if key < 4 { "a" } else { "b" }.to_string();
+        Place { key, zone, cell: key as usize / 2, full }
+    };
+    let full = |what, out, most| Err(No::Full { what, out, most });
+    for (unit, granted, away, cold, may) in [
+        (Balancer(0), &[][..], &[][..], &[][..], Ok(())),
+        (Balancer(0), &[Balancer(1)], &[], &[], Ok(())),
+        (Balancer(0), &[Balancer(1), Server(3)], &[2], &[], full("balancers", 2, 2)),
+        // One that is granted and unheard of counts once, and its own going adds nothing.
+        (Balancer(0), &[Balancer(1)], &[1], &[], Ok(())),
+        (Balancer(0), &[Balancer(1)], &[0], &[], Ok(())),
+        (Balancer(5), &[], &[], &[], Err(No::Unknown)),
+        (Server(0), &[], &[], &[], Ok(())),
+        (Server(9), &[], &[], &[], Err(No::Unknown)),
+        (Server(0), &[Server(1)], &[], &[], full("servers of its pod", 1, 1)),
+        (Server(0), &[], &[], &[1], full("servers of its pod", 1, 1)),
+        (Server(0), &[Server(2)], &[], &[6], Ok(())),
+        (Server(0), &[Server(2), Server(3)], &[], &[], full("servers of its zone", 2, 2)),
+        (Server(0), &[Server(4), Server(6)], &[], &[2], full("servers", 3, 3)),
+        (Server(0), &[Server(4), Server(9)], &[], &[2], full("servers", 3, 3)),
+        (Server(0), &[Server(4), Server(4)], &[], &[4], Ok(())),
+    ] {
+        let away = away.iter().copied().collect();
+        let servers: Vec<Place> = (0..8).map(|key| place(key, !cold.contains(&key))).collect();
+        let scene = Scene { limits: &limits, granted, away: &away, balancers: 3, servers: &servers };
+        assert_eq!(scene.may_go(unit), may, "{unit:?} {granted:?} {away:?} {cold:?}");
+    }
+    let none = Limits::default();
+    let away = Default::default();
+    let scene = Scene { limits: &none, granted: &[], away: &away, balancers: 3, servers: &[] };
+    assert_eq!([scene.may_go(Balancer(0)), scene.may_go(Server(0))], [Err(No::NoLimit), Err(No::NoLimit)]);
+}
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -5,12 +5,15 @@
 
 use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 
 use whinspindle_lab_world::dice::{Concern, Dice};
-use whinspindle_policy::{Laws, Member, Memory, Message, Objection, Outside, Policy, Record, Right, Terms};
+use whinspindle_policy::{
+    Laws, Member, Memory, Message, No, Objection, Outside, Policy, Record, Right, Terms, Unit, Want,
+};
+use whinspindle_release::{Limits, Scene};
 
 /// Steps of true time; in each every member ticks once and all that is due is delivered.
 pub const STEPS: u64 = 30;
@@ -76,6 +79,12 @@
     fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
         self.0.borrow_mut().to_prove.push(policy);
     }
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
+        let limits = Limits { balancers: Some(1), ..Limits::default() };
+        let balancers = usize::from(u16::MAX);
+        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
+    }
     fn tell(&mut self, _: String) {}
 }
 
@@ -118,11 +127,13 @@
     pub objects: Option<u16>,
     /// In steps: one unheard for so long is taken to be away.
     pub absent: u64,
+    /// At which steps member 3 calls for a halt and member 4 for its end.
+    pub halts: Option<[u64; 2]>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { proposed: [3, 4], objects: None, absent: 3 }
+        Plan { proposed: [3, 4], objects: None, absent: 3, halts: None }
     }
 }
 
@@ -228,6 +239,12 @@
             let text: &[u8] = if me == VOTERS { b"a" } else { b"bb" };
             member.propose(now, text, 1000 + u64::from(me));
         }
+        if let Some(halts) = plan.halts.filter(|halts| me >= VOTERS && halts[(me - VOTERS) as usize] == step)
+        {
+            let first = step == halts[0] && me == VOTERS;
+            let want = if first { Want::Halt { why: "no".to_string() } } else { Want::Resume };
+            member.want(now, want, 2000 + u64::from(me));
+        }
         member.tick(now);
         self.settle(me);
     }
@@ -355,6 +372,12 @@
         self.places.iter().map(number).collect()
     }
 
+    /// Whether units may be let out in the end, and how many steps the record has made.
+    pub fn halted(&self) -> Vec<(bool, u64)> {
+        let members = self.places.iter().filter_map(|place| place.member.as_ref());
+        members.map(|member| (member.record().halted.is_some(), member.record().version)).collect()
+    }
+
     /// By what each running member decides in the end.
     pub fn rights(&self) -> Vec<Option<Right>> {
         let right = |(me, place): (usize, &Place<L>)| {
--- a/lab/explore/src/sizes.rs
+++ b/lab/explore/src/sizes.rs
@@ -4,13 +4,16 @@
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 use std::time::Instant;
 
 use whinspindle_lab_world::dice::{Concern, Dice};
 use whinspindle_peers::{DATAGRAM, Peers};
-use whinspindle_policy::{AsPublished, Member, Memory, Message, Outside, Policy, Right, Terms};
+use whinspindle_policy::{
+    AsPublished, Member, Memory, Message, No, Outside, Policy, Record, Right, Terms, Unit,
+};
+use whinspindle_release::{Limits, Scene};
 
 const SECOND: u64 = 1_000_000;
 /// In millionths; clocks are drawn within it.
@@ -94,6 +97,12 @@
     fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
         self.0.borrow_mut().to_prove.push(policy);
     }
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
+        let limits = Limits { balancers: Some(1), ..Limits::default() };
+        let balancers = usize::from(u16::MAX);
+        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
+    }
     fn tell(&mut self, _: String) {}
 }
 
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -18,6 +18,20 @@
     }
 }
 
+#[test]
+fn a_halt_that_was_ended_stays_ended() {
+    // The halt was done again and again: voters kept the wish for it, and the one for its end.
+    for halts in [[3, 4], [3, 5], [3, 3], [4, 8]] {
+        let plan = Plan { proposed: [99, 99], halts: Some(halts), ..Plan::default() };
+        let end = World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken");
+        // Founded, halted, resumed; where the end came first there was nothing to end.
+        assert!(
+            end.halted().iter().all(|(halted, steps)| *steps <= 3 && *halted == (*steps < 3)),
+            "{halts:?}"
+        );
+    }
+}
+
 #[test]
 fn as_published_no_departure_breaks_anything() {
     let searched = search::<AsPublished>(Plan::default(), false, 1, 100_000);
@@ -29,7 +43,7 @@
 }
 
 /// Who is unheard for a step is taken to be away, so that changes follow one another fast.
-const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1 };
+const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1, halts: None };
 
 fn found<L: Laws>(plan: Plan, forgets: bool) {
     let searched = search::<L>(plan, forgets, 1, 50_000);
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -1,7 +1,8 @@
 //! The processes: each with a configuration, an operator's file, a store and a log of its own.
 
 use std::fs::{self, File};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{self, Child, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -166,15 +167,31 @@
 
     /// A policy whose one route takes bodies of so many bytes, as a file.
     pub fn policy(&self, limit: u64) -> String {
+        self.policy_with(limit, "")
+    }
+
+    /// The same with further tables.
+    pub fn policy_with(&self, limit: u64, tables: &str) -> String {
         let file = self.folder.join(format!("policy-{limit}.toml"));
         let text = format!(
             "[[route]]\nname = \"orders\"\ntime = \"50s\"\nlargest-body = \"{limit}B\"\n[cut-off]\nqueries = \
-             \"reject\"\n"
+             \"reject\"\n{tables}"
         );
         fs::write(&file, text).expect("written");
         file.display().to_string()
     }
 
+    /// The status that a member's health answers with; none if it answers nothing.
+    pub fn health(&self, member: usize) -> Option<u16> {
+        let mut stream =
+            TcpStream::connect_timeout(&self.listens[member], Duration::from_millis(500)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+        stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n").ok()?;
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        answer.split(' ').nth(1)?.parse().ok()
+    }
+
     /// Waits until something holds; a minute is for a machine that is busy.
     pub fn until(&self, what: &str, holds: impl Fn() -> bool) {
         let end = Instant::now() + Duration::from_secs(60);
