The list of servers is kept on disk, and believed by its age at a start without one

Need: a balancer that starts while discovery is down serves nothing unless its configuration brings a list.

Change: crates/recall decides without I/O how far a kept list is believed (as told, cold, addresses to try; what drained stays drained), a thread keeps it through crates/store, [keep] in the operator's file.

Result: the program serves by a kept list of 0 s, 2 min and 7 days with discovery nowhere, and stays 503 with a spoilt one or none (a test of the program).

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod fleet_command;
 mod front;
+mod keeper;
 mod node;
 mod placement;
 mod shares;
@@ -34,7 +35,9 @@
 use whinspindle_terms::Deployment;
 
 use crate::accept::Accepted;
+use crate::clock::Clock;
 use crate::fleet::Fleet;
+use crate::keeper::Keeper;
 use crate::node::Node;
 use crate::placement::Placement;
 use crate::shares::Shares;
@@ -76,15 +79,21 @@
     })
 }
 
-async fn run(placement: Placement, operated: Option<(PathBuf, Operator)>) -> Result<(), String> {
+async fn run(mut placement: Placement, operated: Option<(PathBuf, Operator)>) -> Result<(), String> {
     let shares = Shares::of(placement.limits);
     let listener =
         listen(placement.listen).await.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    // What could not be read of the known list is asked for again.
-    let generation = placement.known.as_ref().filter(|known| known.faults.is_empty());
+    let keep = operated.as_ref().and_then(|(_, operator)| operator.keep.clone());
+    let (keeper, recalled) = keep.map_or((None, None), |keep| keeper::open(&keep, Clock::start().now()));
+    let is_recalled = placement.known.is_none() && recalled.is_some();
+    if is_recalled {
+        placement.known = recalled;
+    }
+    // What could not be read of the known list, or was only remembered, is asked for again.
+    let generation = placement.known.as_ref().filter(|known| known.faults.is_empty() && !is_recalled);
     let generation = generation.map(|known| known.generation);
     log_line!("start", "{} at {}, {shares:?}", placement.name, placement.listen);
     let source = Rc::new(Source::new(placement.discovery, generation));
@@ -114,7 +123,7 @@
     }));
     spawn_local(reload(hangup, source, lasting, Rc::clone(&node), file));
     spawn_local(Rc::clone(&node).follow_fleet(Rc::clone(&accepted)));
-    spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted)));
+    spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted), keeper));
     let stopped = Rc::clone(&node);
     spawn_local(async move {
         tokio::select! {
@@ -193,11 +202,14 @@
 }
 
 /// Drops connections that stood idle for long, and tells now and then what has become of the queries.
-async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>) {
+async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>, mut keeper: Option<Keeper>) {
     let mut told = Default::default();
     for second in 1_u64.. {
         sleep(Duration::from_secs(1)).await;
         node.upstreams.sweep();
+        if let Some(keeper) = &mut keeper {
+            keeper.keep(node.reducer.borrow().whole_list(), node.clock.now());
+        }
         let tally = node.reducer.borrow().tally();
         if second % 10 == 0 && tally != told {
             told = tally;
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -492,3 +492,58 @@
     stand.release.send(()).expect("released");
     assert_eq!(answer(&mut held).2, "late");
 }
+
+#[test]
+fn a_list_kept_on_disk_serves_while_discovery_is_down() {
+    let folder = std::env::temp_dir().join(format!("whinspindle-kept-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let keep = format!("[keep]\nfolder = {:?}\nfresh = \"20s\"\n", folder.display().to_string());
+    let file = write_operator(&keep).display().to_string();
+    let arguments = ["run", "--operator", &file];
+    let mut stand = Stand::with_arguments(60_000, &arguments);
+    let kept = || whinspindle_store::Store::open(&folder).ok().and_then(|store| store.read("list"));
+    let is_kept = (0..600).any(|_| {
+        thread::sleep(std::time::Duration::from_millis(100));
+        folder.join("list.a").exists()
+    });
+    assert!(is_kept, "nothing is kept");
+    // It holds the folder for itself; killed, it leaves what it had.
+    assert!(kept().is_none());
+    let _ = stand.program.kill();
+    let _ = stand.program.wait();
+    let saved = kept().expect("a list");
+    let later = |seconds: u64| {
+        let ages = whinspindle_recall::Ages { fresh: 0, old: 1 };
+        let (news, _) = whinspindle_recall::recall(&saved, u64::MAX, &ages).expect("a list");
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+        whinspindle_recall::encode(&news.servers, 0, now.as_micros() as u64 - seconds * 1_000_000)
+    };
+    // Discovery is nowhere and the configuration knows no list: it serves by what is kept, however old.
+    for (bytes, says, health) in [
+        (Some(saved.clone()), "1 servers are remembered, taken as told", "200"),
+        (Some(later(120)), "1 servers are remembered, its servers count as cold", "200"),
+        (Some(later(7 * 24 * 3600)), "1 servers are remembered, old: addresses to try", "200"),
+        (Some(b"no list".to_vec()), "", "503"),
+        (None, "", "503"),
+    ] {
+        std::fs::remove_dir_all(&folder).expect("removed");
+        if let Some(bytes) = bytes {
+            let store = whinspindle_store::Store::open(&folder).expect("a folder");
+            store.write("list", &bytes).expect("written");
+        }
+        let listen = free_address();
+        let mut without = configuration(listen, free_address());
+        without["known"] = Value::Null;
+        let mut program = start_with(&without.to_string(), &arguments);
+        let log = BufReader::new(program.stderr.take().expect("piped"));
+        let mut stand = Stand { listen, program, log, seen: channel().1, release: channel().0 };
+        if !says.is_empty() {
+            stand.log_says(&format!("whinspindle keep: {says}"));
+        }
+        stand.log_says("whinspindle start");
+        let mut client = stand.connect();
+        client.get_mut().write_all(b"GET /healthz HTTP/1.1\r\nhost: n0\r\n\r\n").expect("written");
+        assert_eq!(answer(&mut client).0, health, "{says}");
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod read;
 
+use std::path::PathBuf;
+
 use whinspindle::host;
 use whinspindle_release::Limits;
 use whinspindle_routes::{Bounds, Conditions, RouteTable};
@@ -28,6 +30,15 @@
     /// How many units of the fleet may be out at once.
     pub limits: Limits,
     pub fleet: Option<FleetTerms>,
+    pub keep: Option<Keep>,
+}
+
+/// Where the list of servers is kept over a restart, and how far one of which age is believed, in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keep {
+    pub folder: PathBuf,
+    pub fresh: u64,
+    pub old: u64,
 }
 
 /// For a balancer that may not know which policy is in force.
@@ -71,6 +82,7 @@
             cut_off: CutOff::Routes(RouteTable::new(Vec::new())),
             limits: Limits::default(),
             fleet: None,
+            keep: None,
         }
     }
 }
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -1,6 +1,8 @@
 //! From the tables of the file to routes, with every check that looks at values of the file and the
 //! deployment.
 
+use std::path::PathBuf;
+
 use whinspindle::host::Effect;
 use whinspindle_release::Limits;
 use whinspindle_routes::pattern::Pattern;
@@ -12,7 +14,7 @@
 use whinspindle_tables::{Place, Table, units};
 use whinspindle_terms::{Deployment, index};
 
-use crate::{CutOff, LARGEST_BODY, Operator, bounds};
+use crate::{CutOff, Keep, LARGEST_BODY, Operator, bounds};
 
 /// More routes than this are no file that a person keeps.
 const MOST_ROUTES: usize = 10_000;
@@ -54,7 +56,17 @@
         }
     };
     let limits = table.table("limits").and_then(|t| t.table("out")).map(|t| limits(&t, deployment, own));
-    Operator { routes, cut_off, limits: limits.unwrap_or_default(), fleet }
+    let keep = own.then(|| table.table("keep")).flatten().map(|t| keep(&t));
+    Operator { routes, cut_off, limits: limits.unwrap_or_default(), fleet, keep }
+}
+
+fn keep(t: &Table) -> Keep {
+    let second = 1_000_000;
+    let (fresh, old) = (t.time("fresh", Some(10 * second)), t.time("old", Some(3600 * second)));
+    if fresh >= old {
+        t.fault(&t.place_of("fresh"), "a list would be old before it is fresh no more", "less than old");
+    }
+    Keep { folder: PathBuf::from(t.text("folder", None)), fresh, old }
 }
 
 /// How many may be out at once: what would let nothing go, or all, or contradicts itself is a fault.
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::deployment;
-use whinspindle_operator::{LARGEST_BODY, Operator, draw, read};
+use whinspindle_operator::{CutOff, LARGEST_BODY, Operator, draw, read, read_policy};
 use whinspindle_routes::RepeatAfter;
 use whinspindle_tables::Fault;
 
@@ -152,6 +152,69 @@
     }
 }
 
+/// A fleet's own file, and a policy, that are good; the cases change lines of them.
+const FLEET: &str = "[fleet]\nname = \"f\"\nvoters = [0]\nsocket = \"s\"\nstore = \"d\"\n";
+const LIMITS: &str = "[limits.out]\nbalancers = 1\nservers = 3\nservers-by-zone = 2\n";
+
+#[test]
+fn what_a_fleet_must_not_set_is_refused_at_its_line() {
+    let deployment = deployment();
+    let own = |text: &str| read(text, &deployment);
+    let policy = |text: &str| read_policy(text, &deployment);
+    assert!(own(FLEET).is_ok_and(|own| own.fleet.is_some_and(|fleet| fleet.pace == 2_000_000)));
+    assert!(policy(LIMITS).is_ok_and(|policy| policy.limits.servers_by_zone == Some(2)));
+    let rejects = policy("[cut-off]\nqueries = \"reject\"\n").expect("good");
+    assert!(matches!(rejects.cut_off, CutOff::Rejects));
+    type Read<'a> = &'a dyn Fn(&str) -> Result<Operator, Vec<Fault>>;
+    let cases: [(Read, &str, &str, &str, usize, &str); 22] = [
+        (&own, "", "", "", 1, "the file is empty"),
+        (&policy, "# being written", "", "", 1, "the file is empty"),
+        (&policy, FLEET, "", "", 1, "no such key"),
+        (&own, LIMITS, "", "", 1, "agreed on by the fleet"),
+        (&own, FLEET, "voters = [0]", "voters = [0, 1]", 3, "2 voters"),
+        (&own, FLEET, "voters = [0]", "voters = []", 3, "0 voters"),
+        (&own, FLEET, "voters = [0]", "voters = [0, 0, 1]", 3, "names a balancer twice"),
+        (&own, FLEET, "voters = [0]", "voters = [2]", 3, "no such number"),
+        (&own, FLEET, "voters = [0]", "voters = \"0\"", 3, "is a string"),
+        (&own, FLEET, "name = \"f\"\n", "", 1, "is missing"),
+        (&own, FLEET, "store = \"d\"", "", 1, "is missing"),
+        (&own, FLEET, "store", "right = \"1s\"\npace = \"500ms\"\nstore", 5, "asked for every 500 ms"),
+        (&own, FLEET, "store", "pace = \"1ms\"\nstore", 5, "times a second"),
+        (&own, FLEET, "store", "absent = \"3s\"\nstore", 5, "one question lost"),
+        (&own, FLEET, "store", "drift = 0.5\nstore", 5, "outside"),
+        (&own, FLEET, "store", "datagram = \"64KiB\"\nstore", 5, "65536 bytes"),
+        (
+            &own,
+            FLEET,
+            "store = \"d\"\n",
+            "store = \"d\"\n[[route]]\nname = \"r\"\n",
+            6,
+            "agreed on by the fleet",
+        ),
+        (&policy, LIMITS, "balancers = 1", "balancers = 2", 2, "all 2 balancers"),
+        (&policy, LIMITS, "balancers = 1", "balancers = 0", 2, "outside"),
+        (&policy, LIMITS, "by-zone = 2", "by-zone = 4", 4, "while 3 in all"),
+        (&policy, LIMITS, "servers = 3\n", "", 3, "nothing says how many"),
+        (
+            &policy,
+            "[cut-off]\nqueries = \"reject\"\n[[cut-off.route]]\nname = \"r\"\n",
+            "",
+            "",
+            3,
+            "no query comes",
+        ),
+    ];
+    for (read, good, from, to, line, words) in cases {
+        let text = if from.is_empty() { good.to_string() } else { good.replacen(from, to, 1) };
+        let found = read(&text).err().unwrap_or_default();
+        let told: Vec<String> = found.iter().map(ToString::to_string).collect();
+        assert!(
+            found.iter().any(|f| f.line == line && f.fault.contains(words)),
+            "{text}: {words} in {told:?}"
+        );
+    }
+}
+
 #[test]
 fn all_faults_come_at_once() {
     let text = "[[route]]\nname = \"a\"\ntime = 3\n[[route]]\nname = \"b\"\npath = \"/x\"\nexecutions = 0\n";
--- /dev/null
+++ b/crates/recall/src/lib.rs
@@ -0,0 +1,111 @@
+//! The list of servers as a balancer had it last, and how far it is believed when the process starts again. No I/O
+//! and no clock: bytes and times in, a list out. A list a few seconds old is taken nearly as told; with an older one
+//! every server counts as cold until its answers and discovery say otherwise; what was draining when it was saved
+//! gets nothing from either.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use whinspindle::host::Standing;
+use whinspindle_messages::list::{ListNews, ListedServer};
+
+/// Another number is another form, which is not read.
+const FORM: u8 = 1;
+/// More servers than this are not saved: the bytes are bounded.
+pub const MOST_SERVERS: usize = 20_000;
+
+/// Between which ages, in microseconds, a list is believed how far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ages {
+    /// Up to this age it is taken as told.
+    pub fresh: u64,
+    /// Up to this age its servers are expected to be there, cold; beyond they are addresses to try.
+    pub old: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trust {
+    AsTold,
+    /// All of it counts as cold.
+    Doubted,
+    /// The same, and few of it may be left: nothing is to be concluded from one that does not answer.
+    ToTry,
+}
+
+impl fmt::Display for Trust {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str(match self {
+            Trust::AsTold => "taken as told",
+            Trust::Doubted => "its servers count as cold",
+            Trust::ToTry => "old: addresses to try, cold",
+        })
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Saved {
+    form: u8,
+    /// Unix microseconds.
+    at: u64,
+    generation: u64,
+    servers: Vec<SavedServer>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct SavedServer {
+    name: String,
+    zone: String,
+    kind: String,
+    cell: u64,
+    size: f64,
+    born: u64,
+    draining: bool,
+    address: SocketAddr,
+}
+
+/// What is kept of a list: those with an address that are not gone.
+pub fn encode(servers: &[ListedServer], generation: u64, at: u64) -> Vec<u8> {
+    let kept = servers.iter().filter(|listed| listed.standing != Standing::Gone).take(MOST_SERVERS);
+    let servers = kept.filter_map(|listed| {
+        Some(SavedServer {
+            name: listed.name.clone(),
+            zone: listed.zone.clone(),
+            kind: listed.kind.clone(),
+            cell: listed.cell as u64,
+            size: listed.size,
+            born: listed.born,
+            draining: listed.standing == Standing::Draining,
+            address: listed.address?,
+        })
+    });
+    let saved = Saved { form: FORM, at, generation, servers: servers.collect() };
+    postcard::to_stdvec(&saved).unwrap_or_default()
+}
+
+/// What was saved, as a list to begin with; none if the bytes are no list of this form, or an empty one.
+pub fn recall(bytes: &[u8], now: u64, ages: &Ages) -> Option<(ListNews, Trust)> {
+    let saved: Saved = postcard::from_bytes(bytes).ok()?;
+    if saved.form != FORM || saved.servers.is_empty() || saved.servers.len() > MOST_SERVERS {
+        return None;
+    }
+    // Guards against a clock that was set back: a list of tomorrow has no age that can be known.
+    let trust = match now.checked_sub(saved.at) {
+        Some(age) if age <= ages.fresh => Trust::AsTold,
+        Some(age) if age <= ages.old => Trust::Doubted,
+        _ => Trust::ToTry,
+    };
+    let servers = saved.servers.into_iter().map(|kept| ListedServer {
+        name: kept.name,
+        zone: kept.zone,
+        kind: kept.kind,
+        cell: kept.cell as usize,
+        size: kept.size,
+        born: if trust == Trust::AsTold { kept.born } else { now },
+        standing: if kept.draining { Standing::Draining } else { Standing::Ready },
+        address: Some(kept.address),
+    });
+    let servers = servers.collect();
+    // Discovery is asked for the whole list, whatever generation this one had.
+    Some((ListNews { generation: 0, whole: true, servers, faults: Vec::new() }, trust))
+}
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -12,7 +12,7 @@
 use whinspindle::decide::Balancer;
 use whinspindle::host::{Arrival, Conditions, Ending, Entry, LoadReport, Outcome};
 use whinspindle_messages::answer::{Answer, Served};
-use whinspindle_messages::list::ListNews;
+use whinspindle_messages::list::{ListNews, ListedServer};
 use whinspindle_messages::query::Forwarded;
 use whinspindle_terms::Deployment;
 
@@ -94,6 +94,11 @@
         }
     }
 
+    /// The whole list, to be kept over a restart.
+    pub fn whole_list(&self) -> Vec<ListedServer> {
+        self.balancer.host.servers.whole()
+    }
+
     /// The servers as the list told them last.
     pub fn listed(&self) -> Vec<Entry> {
         self.balancer.host.servers.listed().copied().collect()
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -94,6 +94,25 @@
         entries.into_iter().map(|entry| self.as_let_out(entry)).collect()
     }
 
+    /// The whole list as it was told, to be kept.
+    pub fn whole(&self) -> Vec<ListedServer> {
+        let listed = self.known.iter().filter(|known| !known.gone);
+        let listed = listed.filter_map(|known| {
+            let entry = known.entry?;
+            Some(ListedServer {
+                name: known.name.clone(),
+                zone: self.zones.get(entry.zone)?.clone(),
+                kind: self.kinds.get(entry.kind).cloned().unwrap_or_default(),
+                cell: entry.cell,
+                size: entry.size,
+                born: entry.born,
+                standing: entry.standing,
+                address: known.place.map(|place| place.address),
+            })
+        });
+        listed.collect()
+    }
+
     /// Those that the list names, as it told them last.
     pub fn listed(&self) -> impl Iterator<Item = &Entry> {
         self.known.iter().filter(|known| !known.gone).filter_map(|known| known.entry.as_ref())
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -277,3 +277,38 @@
         assert_eq!(bench.said(), ["client: rejected"]);
     }
 }
+
+#[test]
+fn servers_that_the_fleet_lets_out_drain_whatever_the_list_says() {
+    let key = |port: &str| whinspindle_terms::key(format!("s-{port}").as_bytes());
+    let let_out = |bench: &mut Bench, ports: &[&str]| {
+        bench.reducer.let_out(NOW, &ports.iter().map(|port| key(port)).collect());
+    };
+    let mut bench = Bench::new("safe", &[("1", "ready"), ("2", "ready")]);
+    let goes = |bench: &mut Bench, caller| {
+        let qry = bench.query(caller);
+        let said = bench.said().remove(0);
+        if said.starts_with("execute") {
+            bench.ended(0, 0, Completed);
+            bench.said();
+        }
+        let _ = qry;
+        said
+    };
+    let_out(&mut bench, &["1"]);
+    for caller in ["a", "b", "c", "d", "e", "f"] {
+        assert_eq!(goes(&mut bench, caller), "execute 0.0 at 127.0.0.1:2");
+    }
+    // The list tells of it again, or of another start: it stays out. So does one let out before it is listed.
+    bench.list(false, &[("1", "ready")]);
+    let_out(&mut bench, &["1", "3"]);
+    bench.list(false, &[("2", "draining"), ("3", "ready")]);
+    assert_eq!(goes(&mut bench, "g"), "g: rejected");
+    // Back, it gets what comes; one that drains by the list goes on draining.
+    let_out(&mut bench, &["2"]);
+    bench.list(false, &[("3", "gone")]);
+    assert_eq!(goes(&mut bench, "h"), "execute 0.0 at 127.0.0.1:1");
+    let_out(&mut bench, &[]);
+    bench.list(false, &[("1", "gone")]);
+    assert_eq!(goes(&mut bench, "i"), "i: rejected");
+}
