A step is done only to the record that it was thought of for; grants searched with faults

Need: grants were not in the searches.

Change: the plain schedule of the searches may have two supervisors that want their balancers out where one may be; the judge holds each step against the one before (one out, none after a halt, none twice, none beside one long down). Two more planted faults, both found. Tests of one member alone: a disk that fails, the window, and what the trace of a planted fault showed by the way: a steward that learned of another's step between the beginning of its round and the promises did its own to the new record, though it had asked for the limit in the old one (member.rs, write: the order was compared with what is known then).

Result: a_step_is_done_only_to_the_record_that_it_was_thought_of_for fails before.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -70,6 +70,16 @@
         learned + terms.window()
     }
 
+    /// Under which wish a unit is let out: the one that was asked for, so that it is done once.
+    fn wish_of(wanted: Wish, _agreed: &Record) -> Wish {
+        wanted
+    }
+
+    /// Which balancers count as out without a grant: those that are away.
+    fn out_without(away: BTreeSet<u16>) -> BTreeSet<u16> {
+        away
+    }
+
     /// Whether a voter that starts remembers; one that does not gets a new birth.
     fn is_reborn(memory: &Option<Memory>) -> bool {
         memory.is_none()
@@ -169,6 +179,16 @@
     since: u64,
 }
 
+/// A round that this member has begun.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct UnderWay {
+    round: Round<Record>,
+    step: Step,
+    began: u64,
+    /// The record for which the step was thought of.
+    thought_of: (u64, u64),
+}
+
 #[derive(Clone)]
 pub struct Member<O: Outside, L: Laws = AsPublished> {
     pub outside: O,
@@ -193,7 +213,7 @@
     heard: Vec<Option<Heard>>,
     wants: Vec<Wanted>,
     found: Option<u64>,
-    round: Option<(Round<Record>, Step, u64)>,
+    round: Option<UnderWay>,
     quiet_until: u64,
     highest_round: u64,
     next_ask: u64,
@@ -433,19 +453,19 @@
             Message::Prepare { ballot } => self.prepare(from, ballot),
             Message::Accept { ballot, record } => self.accept(from, ballot, record),
             Message::Promise { ballot, voter, accepted } => {
-                if let Some((round, ..)) = self.round.as_mut().filter(|(round, ..)| round.ballot == ballot) {
-                    round.promised(voter, accepted);
+                if let Some(under_way) = self.round.as_mut().filter(|on| on.round.ballot == ballot) {
+                    under_way.round.promised(voter, accepted);
                     self.write(now);
                 }
             }
             Message::Accepted { ballot, voter } => {
-                if self.round.as_ref().is_some_and(|(round, ..)| round.ballot == ballot) {
+                if self.round.as_ref().is_some_and(|on| on.round.ballot == ballot) {
                     self.voted(now, voter);
                 }
             }
             Message::Refuse { ballot, promised } => {
                 self.highest_round = self.highest_round.max(promised.round);
-                if self.round.take_if(|(round, ..)| round.ballot == ballot).is_some() {
+                if self.round.take_if(|on| on.round.ballot == ballot).is_some() {
                     // Members that push one another out wait for different times.
                     self.quiet_until = now + self.terms.pace * (1 + u64::from(self.terms.me)) / 4;
                 }
@@ -760,7 +780,7 @@
     fn steward(&mut self, now: u64) {
         let founding = self.record.founding;
         self.found.take_if(|wanted| founding >= *wanted || self.record.epoch() + 1 != *wanted >> 48);
-        if let Some((round, _, began)) = &self.round {
+        if let Some(UnderWay { round, began, .. }) = &self.round {
             if now < began + 4 * self.terms.pace {
                 // Prepared or written again for those that may not have heard.
                 let (ballot, me) = (round.ballot, self.terms.me);
@@ -880,7 +900,7 @@
         });
         let knows = now >= self.began + self.terms.absent;
         halt.or_else(|| {
-            let away = self.away(now);
+            let away = L::out_without(self.away(now));
             new().filter(|_| knows).find_map(|wanted| {
                 let Want::Out { unit } = wanted.want else { return None };
                 let start = match unit {
@@ -889,7 +909,7 @@
                     Unit::Server(_) => 0,
                 };
                 let may = record.may_let_out(unit) && self.outside.may_go(record, unit, &away).is_ok();
-                may.then_some(Step::Grant { out: Out { unit, wish: wanted.wish, start } })
+                may.then_some(Step::Grant { out: Out { unit, wish: L::wish_of(wanted.wish, record), start } })
             })
         })
     }
@@ -935,20 +955,20 @@
         for voter in round.unheard::<L>() {
             self.outside.send(voter.member, Message::Prepare { ballot });
         }
-        self.round = Some((round, step, now));
+        self.round = Some(UnderWay { round, step, began: now, thought_of: self.record.order() });
         self.write(now);
     }
 
     /// Once enough have promised, the step is done to what was found, or what was found is brought to its end.
     fn write(&mut self, now: u64) {
-        let Some((round, step, _)) = &mut self.round else { return };
+        let Some(UnderWay { round, step, thought_of, .. }) = &mut self.round else { return };
         if round.is_writing() {
             return;
         }
         let Some(found) = round.found::<L>().cloned() else { return };
-        // What was not known here when the step was thought of is only finished: a step that rests on times
-        // that this member has measured must be done to what it has known since.
-        let is_known = found.order() == self.record.order() || found.founding == 0;
+        // Guards against a step that was thought of for another record: limits and times were looked at in that one.
+        // What has been agreed on or begun since is only brought to its end.
+        let is_known = found.order() == *thought_of || found.founding == 0;
         let next = found.after(step).filter(|_| is_known);
         let Some(record) = next.or((found.order() > self.record.order()).then_some(found)) else {
             self.round = None;
@@ -968,7 +988,7 @@
     }
 
     fn voted(&mut self, now: u64, voter: Voter) {
-        let Some((round, ..)) = &mut self.round else { return };
+        let Some(UnderWay { round, .. }) = &mut self.round else { return };
         let Some(record) = round.voted::<L>(voter).cloned() else { return };
         self.round = None;
         self.learn(now, record);
--- /dev/null
+++ b/crates/policy/tests/member.rs
@@ -0,0 +1,159 @@
+//! One member alone, told what the others would say.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use whinspindle_policy::{
+    Ballot, Member, Memory, Message, No, Out, Outside, Policy, Readiness, Record, Right, Terms, Unit, Voter,
+    Want, Wish,
+};
+
+const SECOND: u64 = 1_000_000;
+
+#[derive(Clone, Default)]
+struct Notes {
+    sent: Rc<RefCell<Vec<(u16, Message)>>>,
+    disk_fails: Rc<RefCell<bool>>,
+}
+
+impl Outside for Notes {
+    fn send(&mut self, to: u16, message: Message) {
+        self.sent.borrow_mut().push((to, message));
+    }
+    fn keep(&mut self, _: &Memory) -> bool {
+        !*self.disk_fails.borrow()
+    }
+    fn prove(&mut self, _: Policy, _: Rc<[u8]>) {}
+    fn may_go(&self, record: &Record, _: Unit, _: &BTreeSet<u16>) -> Result<(), No> {
+        if record.out.is_empty() { Ok(()) } else { Err(No::NoLimit) }
+    }
+    fn tell(&mut self, _: String) {}
+}
+
+fn terms() -> Terms {
+    Terms {
+        me: 0,
+        members: 3,
+        voters: vec![0, 1, 2],
+        right: 10 * SECOND,
+        drift: 10_000,
+        pace: 2 * SECOND,
+        absent: 10 * SECOND,
+        give_up: 60 * SECOND,
+        learn: 2 * SECOND,
+    }
+}
+
+fn founded() -> Record {
+    let voters = (0..3).map(|member| Voter { member, birth: 100 + u64::from(member) }).collect();
+    Record { founding: 1 << 48 | 7, version: 5, boards: vec![voters], ..Record::default() }
+}
+
+/// The first voter of a founded fleet that has run for long, and hears the two others.
+fn steward() -> (Member<Notes>, Notes) {
+    let notes = Notes::default();
+    let memory = Memory { birth: 100, votes: Default::default(), record: founded() };
+    let mut member = Member::new(notes.clone(), terms(), Some(memory), 9, 0);
+    for now in [0, 20 * SECOND] {
+        member.tick(now);
+        for other in [1, 2] {
+            let record = founded();
+            let ask = Message::Ask {
+                at: 1,
+                birth: 100 + u64::from(other),
+                start: 1,
+                founding: record.founding,
+                version: record.version,
+                right: Right::Policy(0),
+                readiness: Readiness::Nothing,
+            };
+            member.heard(now, other, ask);
+            let voter = Voter { member: other, birth: 100 + u64::from(other) };
+            member.heard(now, other, Message::Grant { at: now, voter, board: 0, number: 0 });
+        }
+    }
+    notes.sent.take();
+    (member, notes)
+}
+
+fn accepts(sent: Vec<(u16, Message)>) -> Vec<Record> {
+    let records = sent.into_iter().filter_map(|(_, message)| match message {
+        Message::Accept { record, .. } => Some(record),
+        _ => None,
+    });
+    records.collect()
+}
+
+/// What was decided by one record must not be done to another: between the beginning of a round and its promises
+/// the other steward's step was learned of, and its limit was not asked again.
+#[test]
+fn a_step_is_done_only_to_the_record_that_it_was_thought_of_for() {
+    for other_went_first in [false, true] {
+        let (mut member, notes) = steward();
+        let now = 20 * SECOND + 1;
+        assert_eq!(member.right(now), Right::Policy(0));
+        member.want(now, Want::Out { unit: Unit::Balancer(1) }, 3);
+        let prepared = notes.sent.take().into_iter().find_map(|(_, message)| match message {
+            Message::Prepare { ballot } => Some(ballot),
+            _ => None,
+        });
+        let ballot = prepared.expect("a round");
+        let wish = Wish { by: 2, serial: 4 };
+        let out = vec![Out { unit: Unit::Balancer(2), wish, start: 1 }];
+        let theirs = Record { version: 6, out, done: vec![wish], ..founded() };
+        let earlier = Ballot { round: 0, ..ballot };
+        let accepted = other_went_first.then(|| (earlier, theirs.clone()));
+        if other_went_first {
+            member.heard(now, 1, Message::News { record: theirs });
+        }
+        let voter = Voter { member: 1, birth: 101 };
+        member.heard(now, 1, Message::Promise { ballot, voter, accepted });
+        let written = accepts(notes.sent.take());
+        assert!(written.iter().all(|record| record.out.len() <= 1), "{written:?}");
+        assert_eq!(written.is_empty(), other_went_first);
+    }
+}
+
+#[test]
+fn a_voter_whose_disk_fails_votes_and_grants_nothing_until_it_does_not() {
+    let (mut member, notes) = steward();
+    let now = 20 * SECOND + 1;
+    let ballot = Ballot { epoch: 1, round: 9, member: 1, start: 5 };
+    let ask = Message::Ask {
+        at: 7,
+        birth: 101,
+        start: 1,
+        founding: founded().founding,
+        version: 5,
+        right: Right::Policy(0),
+        readiness: Readiness::Nothing,
+    };
+    let answers = |member: &mut Member<Notes>| {
+        member.heard(now, 1, Message::Prepare { ballot });
+        member.heard(now, 1, Message::Accept { ballot, record: Record { version: 6, ..founded() } });
+        member.heard(now, 1, ask.clone());
+        let told = notes.sent.take().into_iter().filter(|(to, _)| *to == 1);
+        let kinds = told.map(|(_, message)| match message {
+            Message::Promise { .. } => "promise",
+            Message::Accepted { .. } => "vote",
+            Message::Grant { .. } => "grant",
+            _ => "other",
+        });
+        kinds.collect::<Vec<_>>()
+    };
+    *notes.disk_fails.borrow_mut() = true;
+    assert!(answers(&mut member).is_empty());
+    *notes.disk_fails.borrow_mut() = false;
+    assert_eq!(answers(&mut member), ["promise", "vote", "grant"]);
+}
+
+#[test]
+fn the_window_outlasts_the_right_of_the_slowest_clock() {
+    for (right, drift, window) in
+        [(10 * SECOND, 0, 10 * SECOND), (10 * SECOND, 10_000, 10_202_021), (SECOND, 200_000, 1_500_000)]
+    {
+        let terms = Terms { right, drift, ..terms() };
+        assert_eq!(terms.window(), window);
+    }
+}
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -98,6 +98,9 @@
     cut: u64,
     deaf: u64,
     starts: u64,
+    /// Since when it is down, and whether its supervisor has had it out.
+    down_since: u64,
+    released: bool,
 }
 
 #[derive(Clone, Hash, PartialEq, Eq)]
@@ -116,6 +119,44 @@
     /// The highest number that each member has decided by.
     highest: BTreeMap<u16, u64>,
     records: BTreeMap<(u64, u64), Record>,
+    /// The units that were ever let out.
+    let_out: BTreeSet<Unit>,
+}
+
+impl Judge {
+    /// What a step that is seen for the first time lets out: one at most, never after a halt, none twice, and none
+    /// while another has been down for long.
+    fn units<L: Laws>(
+        &mut self,
+        record: &Record,
+        places: &[Place<L>],
+        step: u64,
+        absent: u64,
+    ) -> Result<(), String> {
+        let (founding, version) = record.order();
+        if self.records.contains_key(&(founding, version)) || version == 0 {
+            return Ok(());
+        }
+        let Some(before) = self.records.get(&(founding, version - 1)) else { return Ok(()) };
+        let halted = before.halted.is_some();
+        for out in record.out.iter().filter(|out| !before.out.contains(out)) {
+            let Unit::Balancer(number) = out.unit else { continue };
+            // The steward needs this long to miss one, and what it says to be seen.
+            let missed = |place: &Place<L>| place.down_since.saturating_add(absent + 3) < step;
+            let others = places.iter().enumerate().filter(|(other, _)| *other != number as usize);
+            let down = others.filter(|(_, place)| missed(place)).map(|(other, _)| other).next();
+            if let Some(down) = down {
+                return Err(format!("member {number} is let out while member {down} is down"));
+            }
+            if record.out.len() > 1 || halted {
+                return Err(format!("member {number} is let out as one too many, or after a halt"));
+            }
+            if !self.let_out.insert(out.unit) {
+                return Err(format!("member {number} is let out twice"));
+            }
+        }
+        Ok(())
+    }
 }
 
 /// A schedule of what operators do.
@@ -127,13 +168,15 @@
     pub objects: Option<u16>,
     /// In steps: one unheard for so long is taken to be away.
     pub absent: u64,
+    /// From which steps on members 3 and 4 are wanted out by supervisors, each once, where one may be out.
+    pub outs: Option<[u64; 2]>,
     /// At which steps member 3 calls for a halt and member 4 for its end.
     pub halts: Option<[u64; 2]>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { proposed: [3, 4], objects: None, absent: 3, halts: None }
+        Plan { proposed: [3, 4], objects: None, absent: 3, outs: None, halts: None }
     }
 }
 
@@ -174,7 +217,17 @@
 impl<L: Laws> World<L> {
     /// `forgets`: a lost disk gives the birth back, and no votes.
     pub fn new(plan: Plan, forgets: bool) -> Self {
-        let place = Place { member: None, disk: None, back: 0, stopped: 0, cut: 0, deaf: 0, starts: 0 };
+        let place = Place {
+            member: None,
+            disk: None,
+            back: 0,
+            stopped: 0,
+            cut: 0,
+            deaf: 0,
+            starts: 0,
+            down_since: u64::MAX,
+            released: false,
+        };
         World {
             step: 0,
             turn: 0,
@@ -191,6 +244,7 @@
         let (step, terms) = (self.step, terms(me, self.plan.absent));
         let place = &mut self.places[me as usize];
         place.starts += 1;
+        place.down_since = u64::MAX;
         let start = 100 * u64::from(me + 1) + place.starts;
         place.member = Some(Member::new(Net::default(), terms, place.disk.clone(), start, clock(me, step)));
         self.settle(me);
@@ -245,6 +299,16 @@
             let want = if first { Want::Halt { why: "no".to_string() } } else { Want::Resume };
             member.want(now, want, 2000 + u64::from(me));
         }
+        if plan.outs.is_some_and(|outs| me >= VOTERS && step >= outs[(me - VOTERS) as usize])
+            && !place.released
+        {
+            if member.is_let_out() {
+                // The supervisor ends the process; it starts again two steps later and says itself that it is back.
+                (place.member, place.back, place.released) = (None, step + 2, true);
+                return;
+            }
+            member.want(now, Want::Out { unit: Unit::Balancer(me) }, 3000 + u64::from(me));
+        }
         member.tick(now);
         self.settle(me);
     }
@@ -281,7 +345,7 @@
             }
             Turn::Crash(by) | Turn::LostDisk(by) => {
                 let place = &mut self.places[to];
-                (place.member, place.back) = (None, step + by);
+                (place.member, place.back, place.down_since) = (None, step + by, step);
                 if matches!(turn, Turn::LostDisk(_)) {
                     let birth = place.disk.take().map(|disk| disk.birth);
                     let memory =
@@ -329,6 +393,9 @@
             let me = me as u16;
             let Some(member) = place.member.as_ref().filter(|_| self.step >= place.stopped) else { continue };
             let record = member.record();
+            if let Err(broken) = self.judge.units(record, &self.places, self.step, self.plan.absent) {
+                return Err(broken);
+            }
             let known = self.judge.records.entry(record.order()).or_insert_with(|| record.clone());
             if known != record {
                 return Err(format!("member {me} knows another record of version {}", record.version));
@@ -378,6 +445,11 @@
         members.map(|member| (member.record().halted.is_some(), member.record().version)).collect()
     }
 
+    /// How many supervisors have had their balancers out, and have them back.
+    pub fn released(&self) -> usize {
+        self.places.iter().filter(|place| place.released && place.member.is_some()).count()
+    }
+
     /// By what each running member decides in the end.
     pub fn rights(&self) -> Vec<Option<Right>> {
         let right = |(me, place): (usize, &Place<L>)| {
--- a/lab/explore/src/plants.rs
+++ b/lab/explore/src/plants.rs
@@ -1,7 +1,9 @@
 //! Faults planted in the laws of the core: each is one rule left out, and each must be found.
 
+use std::collections::BTreeSet;
+
 use whinspindle_agreement::{Agreed, Ballot, Laws as Counting, Voter};
-use whinspindle_policy::{Laws, Memory, Terms};
+use whinspindle_policy::{Laws, Memory, Record, Terms, Wish};
 
 macro_rules! plant {
     ($(#[$what:meta])* $name:ident, counting { $($counting:item)* }, member { $($member:item)* }) => {
@@ -85,6 +87,22 @@
         }
     }
 }
+plant! {
+    /// A wish that was done is not known again.
+    WishesForgotten, counting {}, member {
+        fn wish_of(wanted: Wish, agreed: &Record) -> Wish {
+            Wish { serial: wanted.serial + 100_000 * agreed.version, ..wanted }
+        }
+    }
+}
+plant! {
+    /// Only balancers that were let out count as out.
+    AwayNotCounted, counting {}, member {
+        fn out_without(_: BTreeSet<u16>) -> BTreeSet<u16> {
+            BTreeSet::new()
+        }
+    }
+}
 plant! {
     /// A voter that has lost its memory goes by its old birth. Its disk gives the birth back, and no votes.
     VotesForgotten, counting {}, member {
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -11,9 +11,11 @@
         (Plan { objects: Some(2), ..Plan::default() }, 1),
         // Founded, and nothing more: there is a right to number 0. It was granted and not counted once.
         (Plan { proposed: [99, 99], ..Plan::default() }, 0),
+        (OUTS, 0),
     ] {
         let end = World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken");
         assert_eq!(end.in_force(), vec![Some(number); 5], "{plan:?}");
+        assert_eq!(end.released(), if plan.outs.is_some() { 2 } else { 0 }, "{plan:?}");
         assert_eq!(end.rights(), vec![Some(Right::Policy(number)); 5], "{plan:?}");
     }
 }
@@ -37,13 +39,16 @@
     let searched = search::<AsPublished>(Plan::default(), false, 1, 100_000);
     println!("one departure: {} states, {} schedules", searched.states, searched.schedules);
     assert_eq!(searched.broken, None);
-    for plan in [Plan::default(), HASTY] {
+    for plan in [Plan::default(), HASTY, OUTS] {
         assert_eq!(hunt::<AsPublished>(plan, false, 0..300, 6).broken, None, "{plan:?}");
     }
 }
 
 /// Who is unheard for a step is taken to be away, so that changes follow one another fast.
-const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1, halts: None };
+const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1, outs: None, halts: None };
+
+/// Two supervisors want their balancers out at the same time, where one may be.
+const OUTS: Plan = Plan { proposed: [99, 99], objects: None, absent: 3, outs: Some([6, 6]), halts: None };
 
 fn found<L: Laws>(plan: Plan, forgets: bool) {
     let searched = search::<L>(plan, forgets, 1, 50_000);
@@ -63,4 +68,6 @@
     found::<AnyRightWillDo>(plan, false);
     found::<NoWindow>(HASTY, false);
     found::<VotesForgotten>(plan, true);
+    found::<WishesForgotten>(OUTS, false);
+    found::<AwayNotCounted>(OUTS, false);
 }
--- a/lab/tool/src/fleet.rs
+++ b/lab/tool/src/fleet.rs
@@ -95,14 +95,18 @@
     let blocks: Vec<u64> = (0..line.drawn.div_ceil(100)).collect();
     let drawn = |block: &u64| {
         let seeds = block * 100..(block * 100 + 100).min(line.drawn);
-        [Plan::default(), Plan { absent: 1, ..Plan::default() }]
-            .into_iter()
-            .find_map(|plan| hunt::<AsPublished>(plan, false, seeds.clone(), 6).broken)
+        [
+            Plan::default(),
+            Plan { absent: 1, ..Plan::default() },
+            Plan { outs: Some([6, 6]), ..Plan::default() },
+        ]
+        .into_iter()
+        .find_map(|plan| hunt::<AsPublished>(plan, false, seeds.clone(), 6).broken)
     };
     if let Some((what, departures)) = blocks.par_iter().find_map_any(drawn) {
         return broken(format!("{what}, by {departures:?}"));
     }
-    println!("{} drawn schedules of up to six departures, twice: nothing broken", line.drawn);
+    println!("{} drawn schedules of up to six departures, three times: nothing broken", line.drawn);
     match (0..line.schedules).into_par_iter().map(schedule).sum::<Result<u64, String>>() {
         Ok(changes) => {
             println!("{} drawn fleets, {changes} changes in force: nothing broken", line.schedules)
