--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -79,11 +79,6 @@
     fn out_without(away: BTreeSet<u16>) -> BTreeSet<u16> {
         away
     }
-
-    /// Whether a voter that starts remembers; one that does not gets a new birth.
-    fn is_reborn(memory: &Option<Memory>) -> bool {
-        memory.is_none()
-    }
 }
 
 impl Laws for AsPublished {}
@@ -232,15 +227,11 @@
 impl<O: Outside, L: Laws> Member<O, L> {
     /// `start` is drawn anew at each start of the process.
     pub fn new(outside: O, terms: Terms, memory: Option<Memory>, start: u64, now: u64) -> Self {
-        let reborn = L::is_reborn(&memory);
-        let mut memory = memory.unwrap_or_else(|| Memory {
+        let memory = memory.unwrap_or_else(|| Memory {
             birth: start,
             votes: Votes::default(),
             record: Record::default(),
         });
-        if reborn {
-            memory.birth = start;
-        }
         let record = memory.record.clone();
         let mut member = Member {
             outside,
