--- a/lab/scenario/src/lib.rs
+++ b/lab/scenario/src/lib.rs
@@ -32,6 +32,8 @@
     pub route: Option<Route>,
     pub discovery: Discovery,
     pub clients: Clients,
+    /// On sockets the balancers of the first tier are a fleet that agrees on its policy.
+    pub fleet: Option<Fleet>,
     pub loads: Vec<Load>,
     pub troubles: Vec<Trouble>,
     /// What a hunt may change, and within which bounds.
@@ -193,6 +195,22 @@
     pub spread: f64,
 }
 
+/// The balancers of the first tier as one fleet: the first so many vote, and what operators do.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub voters: usize,
+    pub right: u64,
+    pub acts: Vec<Act>,
+}
+
+/// A policy that is proposed at a balancer.
+#[derive(Clone, Debug)]
+pub struct Act {
+    pub at: u64,
+    pub balancer: usize,
+    pub policy: String,
+}
+
 #[derive(Clone, Debug)]
 pub struct Clients {
     /// Further tries of a query after it was rejected or has failed.
--- a/lab/scenario/src/read.rs
+++ b/lab/scenario/src/read.rs
@@ -66,6 +66,7 @@
         route: table.table("route").map(|t| route(&t)),
         discovery: discovery(&table.table_or_defaults("discovery")),
         clients: clients(&table.table_or_defaults("clients")),
+        fleet: fleet(table, tiers[0].balancers, lasts),
         loads: loads(table, lasts, &products, &tenants),
         ranges: ranges(table),
         troubles: Vec::new(),
@@ -353,6 +354,29 @@
     }
 }
 
+fn fleet(table: &Table, balancers: usize, lasts: u64) -> Option<Fleet> {
+    let acts = table.tables("act");
+    let Some(t) = table.table("fleet") else {
+        if let Some(act) = acts.first() {
+            table.fault(&act.place(), "there is no fleet to act on", "a table [fleet]");
+        }
+        return None;
+    };
+    let last = balancers.saturating_sub(1) as u64;
+    let act = |t: &Table| {
+        let at = t.time("at", None);
+        if at >= lasts {
+            t.fault(&t.place_of("at"), "is after the end", "less than `lasts`");
+        }
+        Act { at, balancer: t.count("balancer", (0, last), Some(0)) as usize, policy: t.text("policy", None) }
+    };
+    Some(Fleet {
+        voters: t.count("voters", (1, balancers.min(7) as u64), Some(balancers.min(3) as u64)) as usize,
+        right: t.time("right", Some(2_000_000)),
+        acts: acts.iter().map(act).collect(),
+    })
+}
+
 fn clients(table: &Table) -> Clients {
     Clients {
         retries: table.count("retries", (0, 20), Some(0)) as usize,
--- a/lab/stage/src/lib.rs
+++ b/lab/stage/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 mod discovery;
+mod fleet;
 mod http;
 mod program;
 mod servers;
@@ -45,10 +46,12 @@
     watch(0.0, "balancers start");
     program::start_all(&stage).await?;
     clients::await_ready(&stage, READY_WITHIN).await?;
+    fleet::found(&stage)?;
     stage.begin();
     spawn_local(servers::engine(Rc::clone(&stage)));
     spawn_local(program::guard(Rc::clone(&stage)));
     spawn_local(state::beat(Rc::clone(&stage)));
+    spawn_local(fleet::acts(Rc::clone(&stage)));
     for stream in 0..scenario.loads.len() {
         spawn_local(clients::stream(Rc::clone(&stage), stream));
     }
@@ -62,6 +65,7 @@
         watch(stage.passed() as f64 / end as f64, &stage.words());
         stage.sample();
     }
+    fleet::note(&stage);
     program::end_all(&stage);
     stage.finish(LATE_MOSTLY, LATE_ONCE)
 }
--- a/lab/stage/src/program.rs
+++ b/lab/stage/src/program.rs
@@ -32,10 +32,11 @@
     let count = stage.world.borrow().nodes.len();
     for node in 0..count {
         let listen = free_address()?;
-        stage.world.borrow_mut().nodes[node].listen = listen;
-        start(stage, node)?;
+        let peer_listen = free_address()?;
+        let mut world = stage.world.borrow_mut();
+        (world.nodes[node].listen, world.nodes[node].peer_listen) = (listen, peer_listen);
     }
-    Ok(())
+    (0..count).try_for_each(|node| start(stage, node))
 }
 
 /// Starts the program; its log goes to a file of its own.
@@ -48,7 +49,11 @@
     let log = File::options().create(true).append(true).open(stage.folder.join(format!("n{node}.log")));
     let log = log.map_err(|fault| fault.to_string())?;
     discovery::told(stage, node, &news);
-    let child = Command::new(&stage.program)
+    let mut command = Command::new(&stage.program);
+    if let Some(file) = crate::fleet::operator(stage, node)? {
+        command.args(["run", "--operator"]).arg(file);
+    }
+    let child = command
         .env("ROUTER_CONFIG", &config)
         .env("ROUTER_NAME", format!("n{node}"))
         .stdin(Stdio::null())
@@ -101,10 +106,12 @@
     let allowed = &scenario.allowed;
     let seed =
         scenario.seed.wrapping_mul(1_000_003).wrapping_add(node as u64 + 977 * u64::from(n.incarnation));
+    let of_tier = world.nodes.iter().filter(|other| other.tier == n.tier);
+    let peers: Vec<String> = of_tier.map(|other| other.peer_listen.to_string()).collect();
     let known: Value = serde_json::from_str(known).unwrap_or(Value::Null);
     json!({"name": format!("n{node}"), "listen": n.listen.to_string(), "discovery": n.discovery.to_string(),
         "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-        "peers": [], "known": known,
+        "peers": peers, "peer_listen": n.peer_listen.to_string(), "known": known,
         "settings": {"balancers": scenario.balancers(n.tier), "rank": node, "tier": n.tier,
             "zones": scenario.zones, "locality": n.zone, "kinds": kinds, "membershipMode": "pushed",
             "tickNs": 1_000_000, "products": products, "projects": tenants,
--- a/lab/stage/src/state.rs
+++ b/lab/stage/src/state.rs
@@ -54,6 +54,8 @@
     pub zone: usize,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where datagrams of other balancers arrive, in a fleet.
+    pub peer_listen: SocketAddr,
     pub process: Option<Process>,
     /// It was told to end, or killed, so that its end is no crash.
     pub may_end: bool,
@@ -136,6 +138,7 @@
             zone,
             listen: nowhere,
             discovery: nowhere,
+            peer_listen: nowhere,
             process: None,
             may_end: false,
             dealt: false,
--- a/lab/tool/src/play.rs
+++ b/lab/tool/src/play.rs
@@ -25,9 +25,9 @@
     /// Behind loopback sockets, with the program itself, in real time
     #[arg(long)]
     real: bool,
-    /// The program for --real
-    #[arg(long, default_value = "target/release/whinspindle")]
-    program: PathBuf,
+    /// The program for --real; else the one beside this command, wherever it is called from
+    #[arg(long)]
+    program: Option<PathBuf>,
     /// Keep the figures as JSON and the page with its plots in this folder
     #[arg(long)]
     out: Option<PathBuf>,
@@ -57,7 +57,8 @@
     let scenario = file::parse(&text, &line.file.display().to_string())?;
     let run = if line.real {
         let bar = progress(!line.json);
-        let run = whinspindle_lab_stage::play(&scenario, &line.program, &mut |part, words| {
+        let program = line.program.clone().unwrap_or_else(beside);
+        let run = whinspindle_lab_stage::play(&scenario, &program, &mut |part, words| {
             bar.set_position((part * 1000.0) as u64);
             bar.set_message(words.to_string());
         })?;
@@ -77,6 +78,12 @@
     Ok(end(&run))
 }
 
+/// The program in the folder of this command, where a build puts both.
+fn beside() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    own.with_file_name("whinspindle")
+}
+
 /// What the run says of itself to a script.
 fn end(run: &Run) -> ExitCode {
     match (&run.void, run.verdict.is_clean()) {
