--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -2,7 +2,7 @@
 //! what is longer than a datagram goes in parts. Datagrams come late, twice or never, and nothing here sends one
 //! again: that is for those who know what it is worth. No sockets and no clock: bytes in, messages out.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,9 +19,9 @@
 /// Messages of one sender that are put together at the same time.
 const MOST_PARTLY: usize = 8;
 /// Numbers of datagrams by which one that comes again is known.
-const REMEMBERED: u32 = 4096;
-/// Starts of a sender that are remembered, so that datagrams of those before are known for old.
-const STARTS: usize = 8;
+const REMEMBERED: u32 = 512;
+/// Starts of a sender whose datagrams are told apart.
+const STARTS: usize = 4;
 
 /// What was passed over since the start, by cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -40,14 +40,22 @@
     pub flood: u64,
 }
 
-/// What a sender has sent.
+/// What one start of a sender has sent.
 #[derive(Clone, Debug, Default)]
-struct Sender {
-    start: Option<u32>,
-    earlier: VecDeque<u32>,
+struct Start {
+    start: u32,
     highest: u32,
     seen: BTreeSet<u32>,
-    partly: BTreeMap<u32, Vec<Option<Vec<u8>>>>,
+}
+
+/// What a sender has sent.
+#[derive(Clone, Debug, Default)]
+struct Sender {
+    /// The one heard last at the end. None takes another's place: a datagram of an hour ago, of a start that this
+    /// process has not heard of before, must not lock out the one that lives.
+    starts: Vec<Start>,
+    /// Messages in parts, by start and first number.
+    partly: BTreeMap<(u32, u32), Vec<Option<Vec<u8>>>>,
     second: u64,
     in_second: u32,
 }
@@ -103,6 +111,10 @@
         if parts > MOST_PARTS {
             return Vec::new();
         }
+        // After weeks the numbers are used up, and begin again as those of another start.
+        if self.next > u32::MAX - MOST_PARTS as u32 {
+            (self.start, self.next) = (self.start.wrapping_add(1), 0);
+        }
         let mut datagrams = Vec::with_capacity(parts);
         for part in 0..parts {
             let mut datagram = Vec::with_capacity(self.room + HEAD + MARK);
@@ -115,7 +127,7 @@
             let mark = self.mark(to, &datagram);
             datagram.extend(mark);
             datagrams.push(datagram);
-            self.next = self.next.wrapping_add(1);
+            self.next += 1;
         }
         datagrams
     }
@@ -175,7 +187,7 @@
         let whole = if parts == 1 {
             payload.to_vec()
         } else {
-            let first = serial.wrapping_sub(part as u32);
+            let first = (start, serial.wrapping_sub(part as u32));
             self.senders[from as usize].put(first, part, parts, payload)?
         };
         match postcard::from_bytes(&whole) {
@@ -189,31 +201,26 @@
 }
 
 impl Sender {
-    /// Guards against datagrams that the network brings twice, and those of an hour or a start ago.
+    /// Guards against datagrams that the network brings twice, and those of an hour ago.
     fn is_new(&mut self, start: u32, serial: u32) -> bool {
-        if self.start != Some(start) {
-            if self.earlier.contains(&start) {
-                return false;
-            }
-            if let Some(before) = self.start.replace(start) {
-                self.earlier.push_back(before);
-                if self.earlier.len() > STARTS {
-                    self.earlier.pop_front();
-                }
-            }
-            (self.highest, self.seen, self.partly) = (serial, BTreeSet::new(), BTreeMap::new());
-        }
-        if serial.saturating_add(REMEMBERED) <= self.highest || !self.seen.insert(serial) {
-            return false;
+        let known = self.starts.iter().position(|known| known.start == start);
+        let mut of = match known {
+            Some(place) => self.starts.remove(place),
+            None => Start { start, ..Start::default() },
+        };
+        let is_new = serial.saturating_add(REMEMBERED) > of.highest && of.seen.insert(serial);
+        of.highest = of.highest.max(serial);
+        while of.seen.len() > REMEMBERED as usize {
+            of.seen.pop_first();
         }
-        self.highest = self.highest.max(serial);
-        while self.seen.len() > REMEMBERED as usize {
-            self.seen.pop_first();
+        self.starts.push(of);
+        if self.starts.len() > STARTS {
+            self.starts.remove(0);
         }
-        true
+        is_new
     }
 
-    fn put(&mut self, first: u32, part: usize, parts: usize, bytes: &[u8]) -> Option<Vec<u8>> {
+    fn put(&mut self, first: (u32, u32), part: usize, parts: usize, bytes: &[u8]) -> Option<Vec<u8>> {
         let message = self.partly.entry(first).or_insert_with(|| vec![None; parts]);
         if message.len() != parts {
             return None;
@@ -229,3 +236,20 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_that_are_used_up_begin_again_and_are_heard() {
+        let (mut from, mut to) =
+            (Peers::new(1, 2, "f", "", u32::MAX, DATAGRAM), Peers::new(0, 2, "f", "", 1, DATAGRAM));
+        from.next = u32::MAX - MOST_PARTS as u32 - 3;
+        for second in 0..10 {
+            let datagram = from.datagrams(0, &7u8).remove(0);
+            assert_eq!(to.take::<u8>(second, Some(1), &datagram), Some((1, 7)));
+        }
+        assert_eq!((from.start, from.next), (0, 6));
+    }
+}
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -66,6 +66,11 @@
     assert!(to.take::<Vec<u32>>(4000, Some(1), &next.datagrams(0, &vec![2u32])[0]).is_some());
     assert!(again(&mut to));
     assert_eq!(to.passed_over.repeated, 3 * datagrams.len() as u64);
+    // One of a start that was never heard of does not lock out the one that lives.
+    let old = peers(1, "f", "", 4).datagrams(0, &vec![3u32]).remove(0);
+    assert!(to.take::<Vec<u32>>(4001, Some(1), &old).is_some());
+    assert!(to.take::<Vec<u32>>(4001, Some(1), &next.datagrams(0, &vec![2u32])[0]).is_some());
+    assert!(to.take::<Vec<u32>>(4001, Some(1), &old).is_none());
 }
 
 #[test]
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -418,7 +418,13 @@
                 let heard = Heard { at: now, birth, start, founding, version, right, readiness };
                 self.answer(now, from, at, heard);
             }
-            Message::Grant { at, voter, board, number } => self.granted(now, at, voter, (board, number)),
+            Message::Grant { at, start, voter, board, number } => {
+                // Guards against an answer to a question of an earlier start, which was long under way: that start's
+                // clock began at another moment, and the right would count from a time after its grant.
+                if start == self.start {
+                    self.granted(now, at, voter, (board, number));
+                }
+            }
             Message::News { record } => self.learn(now, record),
             Message::Fetch { hash, piece, wanting } => self.give(from, hash, piece, wanting),
             Message::Piece { hash, piece, bytes, .. } => {
@@ -544,10 +550,6 @@
     }
 
     fn granted(&mut self, now: u64, at: u64, voter: Voter, granted: (u64, u64)) {
-        // Guards against an answer to a question of another start, whose clock said something else.
-        if at > now {
-            return;
-        }
         let until = L::right_until(at, now, &self.terms);
         for held in [Some(&mut self.now_held), self.before_held.as_mut()].into_iter().flatten() {
             let known = held.grants.entry(voter).or_insert((until, granted));
@@ -706,7 +708,7 @@
     // As a voter.
 
     fn answer(&mut self, now: u64, from: u16, at: u64, heard: Heard) {
-        let order = (heard.founding, heard.version);
+        let (order, start) = ((heard.founding, heard.version), heard.start);
         self.heard[from as usize] = Some(heard);
         // One that knows more tells it when it is asked; it may be that no voter does.
         if order > self.record.order() && from != self.terms.me {
@@ -728,7 +730,7 @@
         if from == self.terms.me {
             self.granted(now, at, voter, (board, number));
         } else {
-            self.outside.send(from, Message::Grant { at, voter, board, number });
+            self.outside.send(from, Message::Grant { at, start, voter, board, number });
         }
     }
 
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -48,9 +48,10 @@
         right: Right,
         readiness: Readiness,
     },
-    /// A voter to a follower: as long as a right lasts from `at`, this number is in force.
+    /// A voter to a follower: as long as a right lasts from `at` of that start's clock, this number is in force.
     Grant {
         at: u64,
+        start: u64,
         voter: Voter,
         board: u64,
         number: u64,
--- a/crates/policy/tests/member.rs
+++ b/crates/policy/tests/member.rs
@@ -70,7 +70,7 @@
             };
             member.heard(now, other, ask);
             let voter = Voter { member: other, birth: 100 + u64::from(other) };
-            member.heard(now, other, Message::Grant { at: now, voter, board: 0, number: 0 });
+            member.heard(now, other, Message::Grant { at: now, start: 9, voter, board: 0, number: 0 });
         }
     }
     notes.sent.take();
@@ -115,6 +115,22 @@
     }
 }
 
+/// A grant that was under way while its asker was started anew: the question's time is by the clock of the start
+/// before, and would count from a moment at which nobody had granted anything.
+#[test]
+fn a_grant_to_an_earlier_start_is_no_right() {
+    for (start, right) in [(8, Right::CutOff), (9, Right::Policy(0))] {
+        let (mut member, _) = steward();
+        let now = 31 * SECOND;
+        assert_eq!(member.right(now), Right::CutOff);
+        for other in [1, 2] {
+            let voter = Voter { member: other, birth: 100 + u64::from(other) };
+            member.heard(now, other, Message::Grant { at: 30 * SECOND, start, voter, board: 0, number: 0 });
+        }
+        assert_eq!(member.right(now), right, "{start}");
+    }
+}
+
 #[test]
 fn a_voter_whose_disk_fails_votes_and_grants_nothing_until_it_does_not() {
     let (mut member, notes) = steward();
--- a/lab/explore/src/lib.rs
+++ b/lab/explore/src/lib.rs
@@ -3,6 +3,7 @@
 //! `sizes` plays whole fleets in virtual time; `plants` are the faults that the searches must find.
 
 pub mod members;
+mod net;
 pub mod plants;
 pub mod register;
 pub mod sizes;
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -3,17 +3,14 @@
 //! (delay-bounded scheduling: M. Emmi, S. Qadeer, Z. Rakamaric, "Delay-Bounded Scheduling", 2011). Clocks run at
 //! the rates that the terms allow. The judge sees only by which number each member would decide at each moment.
 
-use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
-use std::rc::Rc;
 
 use whinspindle_lab_world::dice::{Concern, Dice};
-use whinspindle_policy::{
-    Laws, Member, Memory, Message, No, Objection, Outside, Policy, Record, Right, Terms, Unit, Want,
-};
-use whinspindle_release::{Limits, Scene};
+use whinspindle_policy::{Laws, Member, Memory, Message, Objection, Record, Right, Terms, Unit, Want};
+
+use crate::net::Net;
 
 /// Steps of true time; in each every member ticks once and all that is due is delivered.
 pub const STEPS: u64 = 30;
@@ -59,36 +56,6 @@
 /// A departure before this delivery, counted from the beginning.
 pub type Departure = (usize, Turn);
 
-#[derive(Default)]
-struct Out {
-    sent: Vec<(u16, Message)>,
-    kept: Option<Memory>,
-    to_prove: Vec<Policy>,
-}
-
-#[derive(Clone, Default)]
-struct Net(Rc<RefCell<Out>>);
-
-impl Outside for Net {
-    fn send(&mut self, to: u16, message: Message) {
-        self.0.borrow_mut().sent.push((to, message));
-    }
-    fn keep(&mut self, memory: &Memory) -> bool {
-        self.0.borrow_mut().kept = Some(memory.clone());
-        true
-    }
-    fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
-        self.0.borrow_mut().to_prove.push(policy);
-    }
-    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
-        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
-        let limits = Limits { balancers: Some(1), ..Limits::default() };
-        let balancers = usize::from(u16::MAX);
-        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
-    }
-    fn tell(&mut self, _: String) {}
-}
-
 #[derive(Clone)]
 struct Place<L: Laws> {
     member: Option<Member<Net, L>>,
@@ -266,7 +233,7 @@
         loop {
             let place = &mut self.places[me as usize];
             let Some(member) = &mut place.member else { return };
-            let out = std::mem::take(&mut *member.outside.0.borrow_mut());
+            let out = member.outside.take();
             if let Some(memory) = out.kept {
                 if let Some((_, record)) = &memory.votes.accepted {
                     self.judge.written.entry(hash_of(record)).or_insert(self.step);
--- /dev/null
+++ b/lab/explore/src/net.rs
@@ -0,0 +1,44 @@
+//! What a member in a search asks of the world, taken down for the search to carry out.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use whinspindle_policy::{Memory, Message, No, Outside, Policy, Record, Unit};
+use whinspindle_release::{Limits, Scene};
+
+#[derive(Default)]
+pub struct Out {
+    pub sent: Vec<(u16, Message)>,
+    pub kept: Option<Memory>,
+    pub to_prove: Vec<Policy>,
+}
+
+#[derive(Clone, Default)]
+pub struct Net(Rc<RefCell<Out>>);
+
+impl Net {
+    pub fn take(&self) -> Out {
+        std::mem::take(&mut *self.0.borrow_mut())
+    }
+}
+
+impl Outside for Net {
+    fn send(&mut self, to: u16, message: Message) {
+        self.0.borrow_mut().sent.push((to, message));
+    }
+    fn keep(&mut self, memory: &Memory) -> bool {
+        self.0.borrow_mut().kept = Some(memory.clone());
+        true
+    }
+    fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
+        self.0.borrow_mut().to_prove.push(policy);
+    }
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
+        let limits = Limits { balancers: Some(1), ..Limits::default() };
+        let balancers = usize::from(u16::MAX);
+        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
+    }
+    fn tell(&mut self, _: String) {}
+}
--- a/lab/explore/src/sizes.rs
+++ b/lab/explore/src/sizes.rs
@@ -2,18 +2,15 @@
 //! schedules of faults. It measures how long a change takes to reach the last member and what is sent meanwhile, and
 //! its referee holds every member's decisions against the promises.
 
-use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::rc::Rc;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Instant;
 
 use whinspindle_lab_world::dice::{Concern, Dice};
 use whinspindle_peers::{DATAGRAM, Peers};
-use whinspindle_policy::{
-    AsPublished, Member, Memory, Message, No, Outside, Policy, Record, Right, Terms, Unit,
-};
-use whinspindle_release::{Limits, Scene};
+use whinspindle_policy::{AsPublished, Member, Memory, Message, Right, Terms};
+
+use crate::net::Net;
 
 const SECOND: u64 = 1_000_000;
 /// In millionths; clocks are drawn within it.
@@ -76,36 +73,6 @@
     pub cpu: f64,
 }
 
-#[derive(Default)]
-struct Out {
-    sent: Vec<(u16, Message)>,
-    kept: Option<Memory>,
-    to_prove: Vec<Policy>,
-}
-
-#[derive(Clone, Default)]
-struct Net(Rc<RefCell<Out>>);
-
-impl Outside for Net {
-    fn send(&mut self, to: u16, message: Message) {
-        self.0.borrow_mut().sent.push((to, message));
-    }
-    fn keep(&mut self, memory: &Memory) -> bool {
-        self.0.borrow_mut().kept = Some(memory.clone());
-        true
-    }
-    fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
-        self.0.borrow_mut().to_prove.push(policy);
-    }
-    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
-        let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
-        let limits = Limits { balancers: Some(1), ..Limits::default() };
-        let balancers = usize::from(u16::MAX);
-        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
-    }
-    fn tell(&mut self, _: String) {}
-}
-
 struct Place {
     member: Option<Member<Net, AsPublished>>,
     disk: Option<Memory>,
@@ -210,7 +177,7 @@
             let now = self.clock(me);
             let place = &mut self.places[me as usize];
             let Some(member) = &mut place.member else { return };
-            let out = std::mem::take(&mut *member.outside.0.borrow_mut());
+            let out = member.outside.take();
             if out.kept.is_some() {
                 place.disk = out.kept;
             }
