--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -66,6 +66,7 @@
     cut: u64,
     deaf: u64,
     starts: u64,
+    began: u64,
     /// Since when it is down, and whether its supervisor has had it out.
     down_since: u64,
     released: bool,
@@ -184,11 +185,11 @@
     }
 }
 
-/// The member's own clock: the steward's fast, the followers' slow, each with an offset of its own.
-fn clock(me: u16, step: u64) -> u64 {
-    let time = step * STEP;
+/// The member's own clock so many steps after its start: the steward's fast, the followers' slow.
+fn clock(me: u16, steps: u64) -> u64 {
+    let time = steps * STEP;
     let (more, of) = [(5, 4), (1, 1), (1, 1), (3, 4), (3, 4)][me as usize];
-    time * more / of + 1000 * u64::from(me + 1)
+    1 + time * more / of
 }
 
 impl<L: Laws> World<L> {
@@ -202,6 +203,7 @@
             cut: 0,
             deaf: 0,
             starts: 0,
+            began: 0,
             down_since: u64::MAX,
             released: false,
         };
@@ -217,19 +219,24 @@
         }
     }
 
+    /// A member's own clock, which begins with its process.
+    fn clock(&self, me: u16) -> u64 {
+        clock(me, self.step - self.places[me as usize].began)
+    }
+
     fn begin(&mut self, me: u16) {
         let (step, terms) = (self.step, terms(me, self.plan.absent));
         let place = &mut self.places[me as usize];
         place.starts += 1;
-        place.down_since = u64::MAX;
+        (place.down_since, place.began) = (u64::MAX, step);
         let start = 100 * u64::from(me + 1) + place.starts;
-        place.member = Some(Member::new(Net::default(), terms, place.disk.clone(), start, clock(me, step)));
+        place.member = Some(Member::new(Net::default(), terms, place.disk.clone(), start, clock(me, 0)));
         self.settle(me);
     }
 
     /// Carries out what a member has asked for: its disk, its proofs, its mail.
     fn settle(&mut self, me: u16) {
-        let now = clock(me, self.step);
+        let now = self.clock(me);
         loop {
             let place = &mut self.places[me as usize];
             let Some(member) = &mut place.member else { return };
@@ -265,7 +272,7 @@
         }
         let place = &mut self.places[me as usize];
         let Some(member) = place.member.as_mut().filter(|_| step >= place.stopped) else { return };
-        let now = clock(me, step);
+        let now = clock(me, step - place.began);
         if me == 0 && member.record().founding == 0 && step >= 1 {
             member.found(now, 77);
         }
@@ -307,7 +314,7 @@
         if step < from.cut || step < to.cut || step < to.deaf {
             return;
         }
-        let now = clock(mail.to, step);
+        let now = self.clock(mail.to);
         if let Some(member) = &mut self.places[mail.to as usize].member {
             member.heard(now, mail.from, mail.message);
             self.settle(mail.to);
@@ -378,7 +385,7 @@
             if known != record {
                 return Err(format!("member {me} knows another record of version {}", record.version));
             }
-            let Right::Policy(number) = member.right(clock(me, self.step)) else { continue };
+            let Right::Policy(number) = member.right(clock(me, self.step - place.began)) else { continue };
             used.insert(number, me);
             self.judge.first.entry(number).or_insert(time);
             let highest = self.judge.highest.entry(me).or_insert(number);
@@ -431,7 +438,7 @@
     /// By what each running member decides in the end.
     pub fn rights(&self) -> Vec<Option<Right>> {
         let right = |(me, place): (usize, &Place<L>)| {
-            place.member.as_ref().map(|member| member.right(clock(me as u16, self.step)))
+            place.member.as_ref().map(|member| member.right(clock(me as u16, self.step - place.began)))
         };
         self.places.iter().enumerate().map(right).collect()
     }
