A step is looked at again before it is written: a steward may have stood still meanwhile

Cause: the searches let a balancer out while another had long been down (three departures): the steward stood still between the beginning of its round and the promises, and wrote what it had found right before (member.rs, write).

Change: a step is written only if it is still what has to be done.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -954,6 +954,9 @@
 
     /// Once enough have promised, the step is done to what was found, or what was found is brought to its end.
     fn write(&mut self, now: u64) {
+        // Guards against a step whose time is over: between the beginning and the promises the process may have stood
+        // still, and balancers may have gone or objected.
+        let due = self.duty(now);
         let Some(UnderWay { round, step, thought_of, .. }) = &mut self.round else { return };
         if round.is_writing() {
             return;
@@ -962,7 +965,7 @@
         // Guards against a step that was thought of for another record: limits and times were looked at in that one.
         // What has been agreed on or begun since is only brought to its end.
         let is_known = found.order() == *thought_of || found.founding == 0;
-        let next = found.after(step).filter(|_| is_known);
+        let next = found.after(step).filter(|_| is_known && due.as_ref() == Some(step));
         let Some(record) = next.or((found.order() > self.record.order()).then_some(found)) else {
             self.round = None;
             return;
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -1,6 +1,6 @@
 //! Whole members, with departures from the plain schedule at every delivery, and the faults that these find.
 
-use whinspindle_lab_explore::members::{Plan, World, hunt, search};
+use whinspindle_lab_explore::members::{Plan, Turn, World, hunt, search};
 use whinspindle_lab_explore::plants::*;
 use whinspindle_policy::{AsPublished, Laws, Right};
 
@@ -34,6 +34,14 @@
     }
 }
 
+#[test]
+fn a_step_whose_time_is_over_is_not_done() {
+    // The steward stood still between the beginning of its round and the promises; meanwhile a balancer went down.
+    let plan = Plan { outs: Some([6, 6]), ..Plan::default() };
+    let departures = [(251, Turn::Late(4)), (244, Turn::Crash(9)), (279, Turn::Stop(7))];
+    assert_eq!(World::<AsPublished>::new(plan, false).play(&departures).err(), None);
+}
+
 #[test]
 fn as_published_no_departure_breaks_anything() {
     let searched = search::<AsPublished>(Plan::default(), false, 1, 100_000);
