Voters are replaced one by one by an operator's word, over joint majorities

Need: a fleet whose first voters are to be taken away for good had no way to move its votes; only a voter that lost its memory was replaced. Change: `whinspindle fleet voter OLD NEW`; the wish is done once (the record's last wishes), the step is the Replace and Settle that reborn voters take, so both boards vote in between (Raft paper, section 6). Result: five processes, links that lose a tenth, 0 and 1 make way for 3 and 4 and are killed, changes go on; one of them back without memory learns from the voters of its file who votes now.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -50,6 +50,11 @@
         why: String,
     },
     Resume,
+    /// One voter makes way for another member.
+    Voters {
+        old: u16,
+        new: u16,
+    },
 }
 
 /// What was done, or why not.
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -446,6 +446,17 @@
                 self.member.want(now, Want::Resume, serial());
                 Ok(json!({"begun": true}))
             }
+            Request::Voters { old, new } => {
+                let votes = |member: u16| record.boards.iter().flatten().any(|voter| voter.member == member);
+                if !votes(old) {
+                    return Err(format!("member {old} does not vote"));
+                }
+                if votes(new) || new >= self.member.terms().members {
+                    return Err(format!("member {new} votes already, or there is no such member"));
+                }
+                self.member.want(now, Want::Voters { old, new }, serial());
+                Ok(json!({"begun": true}))
+            }
             Request::Withdraw { number } => {
                 if record.next.is_none_or(|change| change.policy.number != number) {
                     return Err(format!("policy {number} is not under way"));
--- a/crates/balancer/src/fleet_command.rs
+++ b/crates/balancer/src/fleet_command.rs
@@ -83,6 +83,14 @@
         #[command(flatten)]
         wait: Wait,
     },
+    /// One voter makes way for another balancer. Exit 0 when both boards have agreed, 3 still under way
+    Voter {
+        old: u16,
+        /// The one that votes in its place
+        new: u16,
+        #[command(flatten)]
+        wait: Wait,
+    },
     /// The last changes and what became of them
     History,
 }
@@ -149,6 +157,15 @@
             ask(&Request::Resume)?;
             waited(wait, ask, |status| status["halted"].is_null().then(|| ("resumed".to_string(), 0)))
         }
+        What::Voter { old, new, wait } => {
+            ask(&Request::Voters { old: *old, new: *new })?;
+            waited(wait, ask, |status| {
+                let voters = status["voters"].as_array()?;
+                let votes = |member: &u16| voters.iter().any(|voter| *voter == *member);
+                // While both boards vote, the old one is still named.
+                (votes(new) && !votes(old)).then(|| (format!("member {new} votes in place of {old}"), 0))
+            })
+        }
         What::Withdraw { number, wait } => {
             ask(&Request::Withdraw { number: *number })?;
             waited(wait, ask, |status| {
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -172,6 +172,35 @@
     assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
 }
 
+#[test]
+fn voters_are_replaced_one_by_one_and_the_old_ones_may_go() {
+    let (mut stand, referee) = running("voters", 5);
+    proposed(&stand, 0, 11, 0);
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 11);
+    assert_eq!(stand.ask(1, &["voter", "0", "2"]).code, 2, "it votes already");
+    assert_eq!(stand.ask(1, &["voter", "4", "3"]).code, 2, "it does not vote");
+    // Over links that lose, with a change right behind the first.
+    stand.relays.all(Way { loss: 0.1, ..Way::default() });
+    let told = stand.ask(2, &["voter", "0", "3"]);
+    assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
+    proposed(&stand, 4, 12, 0);
+    stand.kill(0);
+    let told = stand.ask(4, &["voter", "1", "4"]);
+    assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
+    stand.kill(1);
+    // The old majority is gone for good; the new one goes on.
+    proposed(&stand, 2, 13, 0);
+    decide_by(&stand, &referee, &[2, 3, 4], 13);
+    // One that starts without memory asks those of its file, and hears from them who votes now.
+    std::fs::remove_dir_all(stand.store(0)).expect("removed");
+    stand.start(0);
+    stand.start(1);
+    decide_by(&stand, &referee, &[0, 1, 2, 3, 4], 13);
+    let voters: Vec<String> = (0..5).map(|member| stand.status(member)["voters"].to_string()).collect();
+    assert!(voters.iter().all(|voters| voters == "[2,3,4]"), "{voters:?}");
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
 #[test]
 fn proposers_and_stewards_that_die_at_any_moment_leave_a_change_everywhere_or_nowhere() {
     let (mut stand, referee) = running("dies", 9);
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -535,6 +535,7 @@
                 Want::Back { unit } => record.out_as(*unit).is_some(),
                 Want::Halt { .. } => record.halted.is_none(),
                 Want::Resume => record.halted.is_some(),
+                Want::Voters { old, .. } => record.boards.iter().flatten().any(|voter| voter.member == *old),
             };
             // Guards against a unit let out when its supervisor has long given up: it has to go on asking.
             let lasts = if matches!(wanted.want, Want::Out { .. }) { 3 * pace } else { give_up };
@@ -826,9 +827,9 @@
         };
         if let Some(old) = self.record.boards.iter().flatten().find(reborn) {
             let birth = self.heard[old.member as usize].as_ref().map_or(0, |heard| heard.birth);
-            return Some(Step::Replace { old: *old, new: Voter { member: old.member, birth } });
+            return Some(Step::Replace { old: *old, new: Voter { member: old.member, birth }, wish: None });
         }
-        if let Some(step) = self.units(now) {
+        if let Some(step) = self.exchange(now).or_else(|| self.units(now)) {
             return Some(step);
         }
         let Some(change) = self.record.next else {
@@ -867,6 +868,22 @@
         (now >= self.next_since + self.terms.give_up).then_some(Step::End { number, fate: Fate::GivenUp })
     }
 
+    /// One voter makes way for another, if an operator wants it and the new one is heard. It votes from then on with
+    /// the birth that it has now.
+    fn exchange(&self, now: u64) -> Option<Step> {
+        let voter_of = |member: u16| self.record.boards[0].iter().find(|voter| voter.member == member);
+        self.wants.iter().filter(|wanted| !self.record.knows(wanted.wish)).find_map(|wanted| {
+            let Want::Voters { old, new } = wanted.want else { return None };
+            let birth = match new == self.terms.me {
+                true => self.memory.birth,
+                false => self.heard.get(new as usize)?.as_ref().filter(|_| self.is_here(now, new))?.birth,
+            };
+            let new = Voter { member: new, birth };
+            voter_of(new.member).is_none().then_some(())?;
+            Some(Step::Replace { old: *voter_of(old)?, new, wish: Some(wanted.wish) })
+        })
+    }
+
     /// Balancers that are not in full service, as this steward hears them.
     fn away(&self, now: u64) -> BTreeSet<u16> {
         let serves = |member: &u16| match &self.heard[*member as usize] {
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -121,4 +121,9 @@
         why: String,
     },
     Resume,
+    /// One voter makes way for another member.
+    Voters {
+        old: u16,
+        new: u16,
+    },
 }
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -6,7 +6,7 @@
 use whinspindle_agreement::{Agreed, Voter};
 use whinspindle_release::Unit;
 
-/// Wishes about units that are remembered as done.
+/// Wishes about units and voters that are remembered as done.
 const DONE: usize = 32;
 /// Units that may be out by grants at most, whatever the limits say, so that the record stays small.
 const MOST_OUT: usize = 256;
@@ -134,10 +134,12 @@
     Resume {
         wish: Wish,
     },
-    /// One voter makes way for another; both boards vote until `Settle`.
+    /// One voter makes way for another; both boards vote until `Settle`. By an operator's wish, or of itself where
+    /// one is born anew.
     Replace {
         old: Voter,
         new: Voter,
+        wish: Option<Wish>,
     },
     Settle,
 }
@@ -157,7 +159,7 @@
     pub past: Vec<Past>,
     pub out: Vec<Out>,
     pub halted: Option<Halt>,
-    /// The last wishes about units that were done. Guards against one that is still on its way, or kept by a voter,
+    /// The last wishes about units and voters that were done. Guards against one that is still on its way, or kept by a voter,
     /// when another has undone it: it must not be done again.
     pub done: Vec<Wish>,
     /// The highest number that a change ever had.
@@ -256,7 +258,10 @@
                 next.halted = Some(halt.clone());
             }
             Step::Resume { wish } if self.halted.is_some() && next.do_once(wish) => next.halted = None,
-            Step::Replace { old, new } if self.boards.len() == 1 && !self.is_voter(new) => {
+            Step::Replace { old, new, wish } if self.boards.len() == 1 && !self.is_voter(new) => {
+                if wish.is_some_and(|wish| !next.do_once(wish)) {
+                    return None;
+                }
                 let mut board = self.boards[0].clone();
                 let place = board.iter().position(|voter| *voter == old)?;
                 board[place] = new;
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -150,11 +150,13 @@
     pub outs: Option<[u64; 2]>,
     /// At which steps member 3 calls for a halt and member 4 for its end.
     pub halts: Option<[u64; 2]>,
+    /// At which step member 3 wants voter 2 to make way for member 4.
+    pub moves: Option<u64>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { proposed: [3, 4], objects: None, absent: 3, outs: None, halts: None }
+        Plan { proposed: [3, 4], objects: None, absent: 3, outs: None, halts: None, moves: None }
     }
 }
 
@@ -286,6 +288,9 @@
             let want = if first { Want::Halt { why: "no".to_string() } } else { Want::Resume };
             member.want(now, want, 2000 + u64::from(me));
         }
+        if me == VOTERS && plan.moves == Some(step) {
+            member.want(now, Want::Voters { old: 2, new: 4 }, 4000);
+        }
         if plan.outs.is_some_and(|outs| me >= VOTERS && step >= outs[(me - VOTERS) as usize])
             && !place.released
         {
@@ -430,6 +435,15 @@
         members.map(|member| (member.record().halted.is_some(), member.record().version)).collect()
     }
 
+    /// Who votes in the end, as each running member knows it.
+    pub fn voters(&self) -> Vec<Vec<u16>> {
+        let members = self.places.iter().filter_map(|place| place.member.as_ref());
+        let voters = |member: &Member<Net, L>| {
+            member.record().boards.iter().flatten().map(|voter| voter.member).collect()
+        };
+        members.map(voters).collect()
+    }
+
     /// How many supervisors have had their balancers out, and have them back.
     pub fn released(&self) -> usize {
         self.places.iter().filter(|place| place.released && place.member.is_some()).count()
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -12,6 +12,7 @@
         // Founded, and nothing more: there is a right to number 0. It was granted and not counted once.
         (Plan { proposed: [99, 99], ..Plan::default() }, 0),
         (OUTS, 0),
+        (MOVES, 2),
     ] {
         let end = World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken");
         assert_eq!(end.in_force(), vec![Some(number); 5], "{plan:?}");
@@ -34,6 +35,12 @@
     }
 }
 
+#[test]
+fn a_voter_makes_way_and_the_new_board_goes_on() {
+    let end = World::<AsPublished>::new(MOVES, false).play(&[]).expect("nothing is broken");
+    assert_eq!(end.voters(), vec![vec![0, 1, 4]; 5]);
+}
+
 #[test]
 fn a_step_whose_time_is_over_is_not_done() {
     // The steward stood still between the beginning of its round and the promises; meanwhile a balancer went down.
@@ -47,16 +54,21 @@
     let searched = search::<AsPublished>(Plan::default(), false, 1, 100_000);
     println!("one departure: {} states, {} schedules", searched.states, searched.schedules);
     assert_eq!(searched.broken, None);
-    for plan in [Plan::default(), HASTY, OUTS] {
+    for plan in [Plan::default(), HASTY, OUTS, MOVES] {
         assert_eq!(hunt::<AsPublished>(plan, false, 0..300, 6).broken, None, "{plan:?}");
     }
 }
 
 /// Who is unheard for a step is taken to be away, so that changes follow one another fast.
-const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1, outs: None, halts: None };
+const HASTY: Plan = Plan { proposed: [3, 4], objects: None, absent: 1, outs: None, halts: None, moves: None };
+
+/// A voter makes way for a follower between the two changes.
+const MOVES: Plan =
+    Plan { proposed: [3, 13], objects: None, absent: 2, outs: None, halts: None, moves: Some(9) };
 
 /// Two supervisors want their balancers out at the same time, where one may be.
-const OUTS: Plan = Plan { proposed: [99, 99], objects: None, absent: 3, outs: Some([6, 6]), halts: None };
+const OUTS: Plan =
+    Plan { proposed: [99, 99], objects: None, absent: 3, outs: Some([6, 6]), halts: None, moves: None };
 
 fn found<L: Laws>(plan: Plan, forgets: bool) {
     let searched = search::<L>(plan, forgets, 1, 50_000);
