A release on sockets: the program halts a bad build at its first server, and it goes back

Need: the verdict shown with the program itself. Change: the trouble `release` on the stage: a supervisor a server asks by the documented command, starts it anew under its own name, and says that it is back; halted, an operator's stand-in turns it back. The window of the verdict is a sixteenth of the time that a wave is watched, no longer each pace (0.4 s with a right of 2 s, in which one long queue fell into many windows).

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -209,6 +209,9 @@
 struct Case {
     release: u64,
     evidence: Evidence,
+    /// When the window of now began, and how long it lasts at least.
+    opened: u64,
+    window: u64,
     /// Of each member's start, the last figures that were taken: those that come twice count once.
     taken: BTreeMap<u16, (u64, u32)>,
     /// Why the release has to be halted, and the serial number of that wish.
@@ -498,7 +501,7 @@
                 }
             }
             Message::Figures { release, start, serial, rows } => {
-                self.take_figures(from, release, start, serial, rows);
+                self.take_figures(now, from, release, start, serial, rows);
             }
             Message::Prepare { ballot } => self.prepare(from, ballot),
             Message::Accept { ballot, record } => self.accept(from, ballot, record),
--- a/crates/policy/src/member/releases.rs
+++ b/crates/policy/src/member/releases.rs
@@ -67,25 +67,36 @@
                 }
             }
         }
-        if let Some(case) = &mut self.case
-            && let Some(why) = case.evidence.close()
+        let due = self.case.as_mut().filter(|case| now >= case.opened + case.window);
+        let Some(case) = due else { return };
+        case.opened = now;
+        if let Some(why) = case.evidence.close()
             && case.against.is_none()
         {
             case.against = Some((why, self.start ^ now));
         }
     }
 
-    pub(super) fn take_figures(&mut self, from: u16, release: u64, start: u64, serial: u32, rows: Vec<Row>) {
+    pub(super) fn take_figures(
+        &mut self,
+        now: u64,
+        from: u16,
+        release: u64,
+        start: u64,
+        serial: u32,
+        rows: Vec<Row>,
+    ) {
         let halted = self.record.halted.is_some();
         if Some(release) != self.watched() || !self.is_voter() || halted {
             return;
         }
         if self.case.is_none() {
-            let Some(error) = self.record.release.as_ref().and_then(|on| self.outside.plan(on.hash)) else {
+            let Some(plan) = self.record.release.as_ref().and_then(|on| self.outside.plan(on.hash)) else {
                 return;
             };
-            let evidence = Evidence::new(error.error);
-            self.case = Some(Case { release, evidence, taken: BTreeMap::new(), against: None });
+            let (evidence, window) = (Evidence::new(plan.error), plan.window());
+            let taken = BTreeMap::new();
+            self.case = Some(Case { release, evidence, opened: now, window, taken, against: None });
         }
         let Some(case) = &mut self.case else { return };
         let before = case.taken.insert(from, (start, serial));
--- a/crates/release/src/plan.rs
+++ b/crates/release/src/plan.rs
@@ -118,7 +118,16 @@
     }
 }
 
+/// Windows of the verdict in the time that a wave is watched: a bad build is known after ten or so, and what comes in
+/// one moment must not fall into many.
+const WINDOWS: u64 = 16;
+
 impl Plan {
+    /// How long a window of the verdict lasts.
+    pub fn window(&self) -> u64 {
+        self.watch / WINDOWS
+    }
+
     pub fn place_of(&self, unit: Unit) -> Option<usize> {
         self.units.iter().position(|known| *known == unit)
     }
--- a/lab/fleet/src/release.rs
+++ b/lab/fleet/src/release.rs
@@ -12,9 +12,8 @@
 
 use crate::play::{BEGUN, Event, Fleet, Step};
 
-/// Between two looks of the supervisor, and two windows of the verdict.
+/// Between two looks of the supervisor.
 const LOOK: u64 = 100_000;
-const WINDOW: u64 = 2_000_000;
 
 /// A release under way.
 pub(crate) struct Supervised {
@@ -138,7 +137,7 @@
     }
 
     fn judge(&mut self, on: &mut Supervised) {
-        if self.now < on.window + WINDOW {
+        if self.now < on.window + on.plan.window() {
             return;
         }
         on.window = self.now;
--- a/lab/stage/src/discovery.rs
+++ b/lab/stage/src/discovery.rs
@@ -35,6 +35,11 @@
     Ok(())
 }
 
+/// The name of a server's process in the lists.
+pub fn id(server: usize) -> String {
+    format!("s-{server:06}")
+}
+
 /// News as the protocol words it, with the addresses that this balancer is given.
 pub fn line(stage: &Stage, node: usize, news: &News) -> String {
     let world = stage.world.borrow();
@@ -42,7 +47,7 @@
     let instances = news.listings.iter().map(|listing| {
         let address = world.tiers[tier].hosts[listing.place].addresses.get(&node);
         json!({
-            "instanceId": format!("s-{:06}", listing.server),
+            "instanceId": id(listing.server),
             "hostPort": address.map(ToString::to_string),
             "zone": stage.scenario.zones[listing.zone],
             "machineType": stage.scenario.kinds[listing.kind].name,
--- a/lab/stage/src/fleet.rs
+++ b/lab/stage/src/fleet.rs
@@ -75,7 +75,7 @@
     format!("{policy}\n{route}")
 }
 
-fn command(stage: &Stage, node: usize) -> Command {
+pub fn command(stage: &Stage, node: usize) -> Command {
     let mut command = Command::new(&stage.program);
     command.args(["fleet", "--socket"]).arg(place(stage, node, "sock"));
     command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
--- a/lab/stage/src/lib.rs
+++ b/lab/stage/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod program;
+mod release;
 mod servers;
 mod state;
 mod troubles;
--- a/lab/stage/src/troubles.rs
+++ b/lab/stage/src/troubles.rs
@@ -10,7 +10,7 @@
 use whinspindle_lab_world::machine::Machine;
 
 use crate::state::Stage;
-use crate::{clients, fleet, program};
+use crate::{clients, fleet, program, release};
 
 /// Clients' front notices only after this time that a balancer has died.
 const FRONT_NOTICES: Duration = Duration::from_secs(2);
@@ -98,6 +98,22 @@
     }
 }
 
+/// A server ends and starts again under its own name, cold, at the same addresses.
+pub fn start_in_place(stage: &Rc<Stage>, tier: usize, place: usize) {
+    stop(stage, tier, place);
+    let now = stage.now();
+    let start = now / 1000 * 1000;
+    {
+        let mut world = stage.world.borrow_mut();
+        let host = &mut world.tiers[tier].hosts[place];
+        let server = host.server;
+        host.machine.start(now);
+        host.up.send_replace(Some(server));
+        world.referee.started(now, whinspindle_lab_fleet::server_id(tier, server));
+    }
+    stage.list(tier, place, Standing::Ready, start);
+}
+
 /// Starts a balancer that is down, and deals it clients once it is ready.
 async fn restart(stage: &Stage, node: usize) {
     if let Err(fault) = program::start(stage, node) {
@@ -234,10 +250,7 @@
                 spawn_local(planned(Rc::clone(&stage), node));
             }
         }
-        Ill::Release(_) => {
-            let note = "releases are played in virtual time only".to_string();
-            stage.world.borrow_mut().faults.push(note);
-        }
+        Ill::Release(terms) => release::play(Rc::clone(&stage), tier, places, terms.clone()).await,
         Ill::PeerCut(..)
         | Ill::PeerLoss(_)
         | Ill::PeerRepeat(_)
