Neighbours tell the list to one that returns; time to full service as a figure

Need: a balancer whose disk was lost, while discovery is down, served nothing until discovery was back; and no figure told how long a way back takes. Change: crates/recall/src/neighbours.rs, a core without I/O: a process that discovery has not told asks three members at a time; a list that two tell alike is taken as told, one that a single one tells is doubted, of several the youngest; pieces by datagrams, bounded a second. It goes through the fleet's datagrams as words that the agreement passes by. `[fleet] neighbours = false` turns it off.

--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -12,12 +12,14 @@
 
 use serde_json::{Value, json};
 use whinspindle_logline::log_line;
+use whinspindle_messages::list::{ListNews, ListedServer};
 use whinspindle_operator::{CutOff, FleetTerms, Operator};
 use whinspindle_peers::Peers;
 use whinspindle_policy::{
     Fate, Hash, LONGEST_TEXT, Member, Memory, Message, No, Objection, Outside, Policy, Readiness, Record,
     Right, Terms, Unit, Want,
 };
+use whinspindle_recall::{Ages, Neighbours, Trust};
 use whinspindle_release::{Count, Limits, OF_BALANCERS, Place, Plan, Row, Scene, Way};
 use whinspindle_store::Store;
 use whinspindle_terms::Deployment;
@@ -52,6 +54,10 @@
     /// The servers that are let out, and a number that grows when they change; whether this balancer is.
     let_out: (u64, BTreeSet<u64>),
     is_let_out: bool,
+    /// The list as discovery has told it, to be given to neighbours; what neighbours have given, and the time of this
+    /// process's clock for starts.
+    told_list: Option<Vec<ListedServer>>,
+    given_list: Option<(ListNews, Trust)>,
     /// The servers as this balancer has them listed, for the thread.
     places: Vec<Place>,
     /// What was counted since the thread looked last: of servers, by key and stratum, and of the process itself.
@@ -129,6 +135,16 @@
         published.right != Right::Learning || self.clock.now() >= published.until
     }
 
+    /// The list as discovery has told it here, and still would.
+    pub fn tell_list(&self, servers: Vec<ListedServer>) {
+        held(&self.published).told_list = Some(servers);
+    }
+
+    /// A list that neighbours have given, each once.
+    pub fn given_list(&self) -> Option<(ListNews, Trust)> {
+        held(&self.published).given_list.take()
+    }
+
     /// Starts the thread, and the one that listens on the control socket.
     pub fn start(placement: &Placement, operator: Operator) -> Result<Fleet, String> {
         let Some(terms) = operator.fleet.clone() else { return Err("fleet: no table".to_string()) };
@@ -147,6 +163,8 @@
             cut_off: Arc::clone(&cut_off),
             let_out: (0, BTreeSet::new()),
             is_let_out: false,
+            told_list: None,
+            given_list: None,
             places: Vec::new(),
             counts: BTreeMap::new(),
             own: Count::default(),
@@ -194,6 +212,8 @@
     build: String,
     counts: BTreeMap<(u64, u16), Count>,
     own: Count,
+    /// Words for the list's part of the process.
+    asides: Vec<(u16, Vec<u8>)>,
 }
 
 /// By what plans know a build: the first twelve digits of the BLAKE3 hash of the program's file.
@@ -252,6 +272,10 @@
         }
     }
 
+    fn aside(&mut self, from: u16, bytes: Vec<u8>) {
+        self.asides.push((from, bytes));
+    }
+
     fn is_full(&self, key: u64) -> bool {
         self.places.iter().any(|place| place.key == key && place.full)
     }
@@ -293,8 +317,13 @@
     /// What holds where no policy is known: the file's own word.
     own: Arc<Operator>,
     received: u64,
+    /// The list of servers, from those that stayed up and for those that come back; none where the file says no.
+    neighbours: Option<Neighbours>,
 }
 
+/// How far a list is believed by its age where `[keep]` says nothing.
+const AGES: Ages = Ages { fresh: 10_000_000, old: 3_600_000_000 };
+
 impl Thread {
     #[expect(clippy::too_many_arguments, reason = "each is a part of the process that is handed over once")]
     fn new(
@@ -335,7 +364,10 @@
             build,
             counts: BTreeMap::new(),
             own: Count::default(),
+            asides: Vec::new(),
         };
+        let asks = terms.neighbours;
+        let ages = own.keep.as_ref().map_or(AGES, |keep| Ages { fresh: keep.fresh, old: keep.old });
         let terms = Terms {
             me,
             members,
@@ -351,7 +383,8 @@
         let start = rand::random::<u64>() | 1;
         let mut member = Member::new(wires, terms, memory, start, clock.now());
         texts.iter().for_each(|text| member.hold(text));
-        Thread { member, deployment, clock, published, operators: Vec::new(), own, received: 0 }
+        let neighbours = asks.then(|| Neighbours::new(me, members, ages, start, clock.now()));
+        Thread { member, deployment, clock, published, operators: Vec::new(), own, received: 0, neighbours }
     }
 
     fn run(&mut self, asked: &Receiver<(Request, SyncSender<Answer>)>) {
@@ -375,13 +408,42 @@
             let now = self.clock.now();
             if now >= next_tick {
                 self.member.tick(now);
+                self.ask_neighbours(now);
                 next_tick = now + (self.member.terms().pace / 8).min(100_000);
             }
             self.prove();
+            self.hear_neighbours();
             self.publish();
         }
     }
 
+    fn ask_neighbours(&mut self, now: u64) {
+        let Some(neighbours) = &mut self.neighbours else { return };
+        let told = held(&self.published).told_list.take();
+        if let Some(servers) = told {
+            neighbours.told(now, &servers);
+        }
+        let unix = crate::clock::Clock::start().now();
+        if let Some((news, trust)) = neighbours.take(now, unix) {
+            log_line!("fleet", "neighbours tell {} servers, {trust}", news.servers.len());
+            held(&self.published).given_list = Some((news, trust));
+        }
+        for (to, word) in neighbours.tick(now) {
+            self.member.outside.send(to, Message::Aside { bytes: word.to_bytes() });
+        }
+    }
+
+    fn hear_neighbours(&mut self) {
+        let asides = std::mem::take(&mut self.member.outside.asides);
+        let Some(neighbours) = &mut self.neighbours else { return };
+        let now = self.clock.now();
+        for (from, bytes) in asides {
+            for word in neighbours.heard(now, from, &bytes) {
+                self.member.outside.send(from, Message::Aside { bytes: word.to_bytes() });
+            }
+        }
+    }
+
     fn take(&mut self, datagram: &[u8], from: SocketAddr) {
         let now = self.clock.now();
         self.received += 1;
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -105,6 +105,7 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.node.open.set(self.node.open.get().saturating_sub(1));
         self.node.reducer.borrow_mut().left(self.node.clock.now(), self.ticket);
     }
 }
@@ -139,6 +140,10 @@
         log_line!("query", "rejected: the process is cut off from its fleet");
         return Ok(Answer::Rejected(SHED_RETRY_AFTER).encode());
     }
+    if let Err(wait) = node.may_take() {
+        log_line!("query", "rejected: the process has just started");
+        return Ok(Answer::Rejected(wait).encode());
+    }
     let (route, largest) = route_of(&node, &parts, &head);
     if body.size_hint().lower() > largest {
         log_line!("query", "turned down: body: over the {largest} bytes of its route");
@@ -163,8 +168,12 @@
         log_line!("query", "turned down: {TAKEN}");
         return Ok(TAKEN.encode());
     };
+    node.open.set(node.open.get() + 1);
     let _waiting = Waiting { node: &node, ticket };
     let answer = answer.await.unwrap_or(Answer::Aborted(Because::Failed));
+    if let Some(ramp) = node.ramp.borrow_mut().as_mut().filter(|_| matches!(answer, Answer::Completed(_))) {
+        ramp.completed(node.clock.now() - now);
+    }
     if node.fleet.is_some() {
         let spent = node.clock.now() - now;
         let tardy =
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -89,6 +89,7 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let keep = operated.as_ref().and_then(|(_, operator)| operator.keep.clone());
+    let slowly = operated.as_ref().is_some_and(|(_, operator)| operator.begins_slowly());
     let (keeper, recalled) = keep.map_or((None, None), |keep| keeper::open(&keep, Clock::start().now()));
     let is_recalled = placement.known.is_none() && recalled.is_some();
     if is_recalled {
@@ -105,7 +106,12 @@
         Some(own) if own.fleet.is_some() => (Some(Fleet::start(&placement, own)?), None),
         other => (None, other),
     };
+    let is_told = placement.known.is_some() && !is_recalled;
     let node = Node::new(placement, shares, fleet);
+    node.discovered.set(is_told);
+    if slowly {
+        node.begin_slowly();
+    }
     if let Some(operator) = operator {
         let name = file.as_deref().unwrap_or(Path::new("")).display();
         log_line!("start", "{name} with {} routes", operator.routes.routes().len());
@@ -120,6 +126,7 @@
     spawn_local(unending("list", move || {
         let told = Rc::clone(&told);
         whinspindle_serverlist::follow(Rc::clone(&followed), move |news| {
+            told.discovered.set(true);
             told.reducer.borrow_mut().list(told.clock.now(), &news);
         })
     }));
@@ -212,6 +219,9 @@
         if let Some(keeper) = &mut keeper {
             keeper.keep(node.reducer.borrow().whole_list(), node.clock.now());
         }
+        if let Some(fleet) = node.fleet.as_ref().filter(|_| node.discovered.get()) {
+            fleet.tell_list(node.reducer.borrow().whole_list());
+        }
         let tally = node.reducer.borrow().tally();
         if second % 10 == 0 && tally != told {
             told = tally;
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -17,6 +17,7 @@
 use whinspindle_messages::execution::{self, Reply};
 use whinspindle_messages::query::MOST_BODY;
 use whinspindle_operator::Operator;
+use whinspindle_recall::Ramp;
 use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer};
 use whinspindle_release::{Count, Place as Listed};
 use whinspindle_terms::Deployment;
@@ -47,8 +48,13 @@
     /// The terms of the fleet that were taken over last, and the servers let out, by their numbers.
     by: Cell<Option<u64>>,
     let_out: Cell<u64>,
+    /// Whether the list is discovery's word, or the platform's.
+    pub discovered: Cell<bool>,
     /// What is counted for the fleet, where there is one.
     pub seen: RefCell<Seen>,
+    /// The first seconds after the start, where the operator's file asks for it; queries that clients have open.
+    pub ramp: RefCell<Option<Ramp>>,
+    pub open: Cell<usize>,
     /// Where the order to stop waiting goes, by query and execution.
     cancels: RefCell<BTreeMap<(usize, usize), oneshot::Sender<()>>>,
 }
@@ -79,7 +85,10 @@
                 fleet,
                 by: Cell::new(None),
                 let_out: Cell::new(0),
+                discovered: Cell::new(false),
                 seen: RefCell::default(),
+                ramp: RefCell::default(),
+                open: Cell::new(0),
                 cancels: RefCell::default(),
             }
         });
@@ -93,6 +102,27 @@
         node
     }
 
+    /// Few queries at a time to begin with, as a process that may have come back with all others.
+    pub fn begin_slowly(&self) {
+        let terms = &self.deployment.terms;
+        let slo_time = terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0);
+        let servers = self.reducer.borrow().listed().len();
+        self.ramp.replace(Some(Ramp::new(servers, terms.balancers, slo_time, self.clock.now())));
+    }
+
+    /// Whether one more query may be taken now; if not, when its client had best come back. Once the beginning is over
+    /// it is told, and forgotten.
+    pub fn may_take(&self) -> Result<(), u64> {
+        let mut held = self.ramp.borrow_mut();
+        let Some(ramp) = held.as_mut() else { return Ok(()) };
+        let may = ramp.take(self.clock.now(), self.open.get(), rand::random());
+        if ramp.is_over() {
+            log_line!("start", "all queries are taken from now on, {} were turned away", ramp.turned_away());
+            held.take();
+        }
+        may
+    }
+
     /// Takes an operator's file over: it counts for queries that come from now on.
     pub fn operate(&self, operator: Arc<Operator>) {
         self.reducer.borrow_mut().routes(operator.rows(&self.deployment));
@@ -134,6 +164,10 @@
                 accepted.close_idle();
             }
             let now = self.clock.now();
+            // Until discovery has spoken, neighbours may know better than what was kept.
+            if let Some((news, _)) = fleet.given_list().filter(|_| !self.discovered.get()) {
+                self.reducer.borrow_mut().list(now, &news);
+            }
             let place = |entry: &Entry| Listed {
                 key: entry.key,
                 zone: zones.get(entry.zone).cloned().unwrap_or_default(),
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -428,3 +428,34 @@
     }
     stand.until("done", || stand.ask(1, &["release", "status"]).said.contains("release 2: Done, 3 changed"));
 }
+
+#[test]
+fn one_that_comes_back_without_a_list_has_it_from_those_that_stayed() {
+    let (mut stand, _referee) = running("neighbours", 3);
+    stand.until("all serve", || (0..3).all(|member| stand.health(member) == Some(200)));
+    // Discovery is down all the while, and this one's disk is lost.
+    stand.known = vec![false; 3];
+    let again = |stand: &mut Stand, member: usize| {
+        stand.kill(member);
+        std::fs::remove_dir_all(stand.store(member)).expect("removed");
+        stand.start(member);
+    };
+    stand.relays.all(Way { loss: 0.2, ..Way::default() });
+    again(&mut stand, 2);
+    stand.until("back", || stand.health(2) == Some(200));
+    assert!(stand.log(2).contains("neighbours tell 1 servers, taken as told"), "{}", stand.log(2));
+    // Only one is left that discovery has told: its word alone is doubted, and that of those who had it from others
+    // is none.
+    again(&mut stand, 1);
+    stand.until("back", || stand.health(1) == Some(200));
+    assert!(
+        stand.log(1).contains("neighbours tell 1 servers, its servers count as cold"),
+        "{}",
+        stand.log(1)
+    );
+    // All at once, and nobody knows any: none serves, and none makes one up.
+    (0..3).for_each(|member| stand.kill(member));
+    stand.start_all();
+    std::thread::sleep(Duration::from_secs(3));
+    assert!((0..3).all(|member| stand.health(member) == Some(503)), "{}", stand.logs());
+}
--- a/crates/messages/src/list.rs
+++ b/crates/messages/src/list.rs
@@ -15,7 +15,7 @@
     pub faults: Vec<String>,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ListedServer {
     pub name: String,
     pub zone: String,
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -34,6 +34,10 @@
     pub learn: u64,
     /// In bytes.
     pub datagram: usize,
+    /// Whether the list of servers is asked for at neighbours while discovery has not spoken.
+    pub neighbours: bool,
+    /// Whether few queries are taken at a time when the process starts.
+    pub begin_slowly: bool,
 }
 
 pub fn fleet(table: &Table, deployment: &Deployment) -> Option<FleetTerms> {
@@ -96,5 +100,7 @@
         give_up: t.time("give-up", Some(60 * SECOND)),
         learn: t.time("learn", Some(2 * SECOND)),
         datagram: datagram as usize,
+        neighbours: t.flag("neighbours", true),
+        begin_slowly: t.flag("begin-slowly", true),
     })
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -77,6 +77,11 @@
         self.routes.routes().iter().map(|route| route.conditions.iter().map(row).collect()).collect()
     }
 
+    /// Whether the process takes few queries at a time when it starts.
+    pub fn begins_slowly(&self) -> bool {
+        self.fleet.as_ref().is_some_and(|fleet| fleet.begin_slowly)
+    }
+
     /// No routes: as without a file.
     pub fn none() -> Operator {
         Operator {
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -135,6 +135,8 @@
     fn figures(&mut self, _: &Record) -> Vec<Row> {
         Vec::new()
     }
+    /// A word for another part of the process.
+    fn aside(&mut self, _: u16, _: Vec<u8>) {}
     /// Whether a server is listed as ready, and warm.
     fn is_full(&self, _: u64) -> bool {
         true
@@ -503,6 +505,7 @@
             Message::Figures { release, start, serial, rows } => {
                 self.take_figures(now, from, release, start, serial, rows);
             }
+            Message::Aside { bytes } => self.outside.aside(from, bytes),
             Message::Prepare { ballot } => self.prepare(from, ballot),
             Message::Accept { ballot, record } => self.accept(from, ballot, record),
             Message::Promise { ballot, voter, accepted } => {
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -100,6 +100,10 @@
         serial: u32,
         rows: Vec<Row>,
     },
+    /// A word of another part of the process to the same part of another one; no concern of the member's.
+    Aside {
+        bytes: Vec<u8>,
+    },
     /// Another round has gone further.
     Refuse {
         ballot: Ballot,
--- a/crates/recall/src/lib.rs
+++ b/crates/recall/src/lib.rs
@@ -3,6 +3,9 @@
 //! every server counts as cold until its answers and discovery say otherwise; what was draining when it was saved
 //! gets nothing from either.
 
+mod neighbours;
+mod ramp;
+
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -10,6 +13,9 @@
 use whinspindle::host::Standing;
 use whinspindle_messages::list::{ListNews, ListedServer};
 
+pub use neighbours::{Neighbours, Word};
+pub use ramp::Ramp;
+
 /// Another number is another form, which is not read.
 const FORM: u8 = 1;
 /// More servers than this are not saved: the bytes are bounded.
@@ -85,16 +91,28 @@
 
 /// What was saved, as a list to begin with; none if the bytes are no list of this form, or an empty one.
 pub fn recall(bytes: &[u8], now: u64, ages: &Ages) -> Option<(ListNews, Trust)> {
-    let saved: Saved = postcard::from_bytes(bytes).ok()?;
-    if saved.form != FORM || saved.servers.is_empty() || saved.servers.len() > MOST_SERVERS {
-        return None;
-    }
+    let saved = read(bytes)?;
     // Guards against a clock that was set back: a list of tomorrow has no age that can be known.
     let trust = match now.checked_sub(saved.at) {
         Some(age) if age <= ages.fresh => Trust::AsTold,
         Some(age) if age <= ages.old => Trust::Doubted,
         _ => Trust::ToTry,
     };
+    Some((list(saved, trust, now), trust))
+}
+
+/// What `encode` made, believed so far.
+fn decode(bytes: &[u8], trust: Trust, now: u64) -> Option<ListNews> {
+    Some(list(read(bytes)?, trust, now))
+}
+
+fn read(bytes: &[u8]) -> Option<Saved> {
+    let saved: Saved = postcard::from_bytes(bytes).ok()?;
+    let well = saved.form == FORM && !saved.servers.is_empty() && saved.servers.len() <= MOST_SERVERS;
+    well.then_some(saved)
+}
+
+fn list(saved: Saved, trust: Trust, now: u64) -> ListNews {
     let servers = saved.servers.into_iter().map(|kept| ListedServer {
         name: kept.name,
         zone: kept.zone,
@@ -107,5 +125,5 @@
     });
     let servers = servers.collect();
     // Discovery is asked for the whole list, whatever generation this one had.
-    Some((ListNews { generation: 0, whole: true, servers, faults: Vec::new() }, trust))
+    ListNews { generation: 0, whole: true, servers, faults: Vec::new() }
 }
--- /dev/null
+++ b/crates/recall/src/neighbours.rs
@@ -0,0 +1,275 @@
+//! The list of servers from balancers that stayed up, for one that comes back while discovery does not answer. No I/O
+//! and no clock: messages and times in, messages and a list out.
+//!
+//! Nothing that one neighbour says is believed against better word. Two that tell a list alike serve by it themselves: it
+//! is taken as told while it is not old. What a single one tells is doubted whatever its age. Of several lists that two
+//! tell, the one that discovery has confirmed last is taken, so that those that come back from a cut of ten minutes are
+//! not believed against those that were not away. A process asks only until discovery has spoken.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use whinspindle_messages::list::{ListNews, ListedServer};
+
+use crate::{Ages, Trust, decode, encode};
+
+/// Members asked at a time, and after how much time others are, in microseconds.
+const ASKED: usize = 3;
+const AGAIN: u64 = 200_000;
+/// A single member's word is waited with for so long, since a second may agree.
+const ALONE: u64 = 600_000;
+/// Bytes of a list in one message, and pieces asked for at once.
+const PIECE: usize = 160;
+const AT_ONCE: u16 = 64;
+/// Pieces that a member gives in one second to all together, so that those that return don't push it over.
+const GIVEN: u32 = 4_000;
+/// Longest list that is asked for, in bytes: some 4,000 servers.
+const LONGEST: u32 = 256 * 1024;
+
+/// The first half of a list's BLAKE3 hash.
+type Name = [u8; 16];
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// What list do you have by discovery's word?
+    Ask,
+    /// This one, told so many microseconds ago.
+    Has {
+        name: Name,
+        length: u32,
+        age: u64,
+    },
+    /// Pieces of it, from this one on.
+    Fetch {
+        name: Name,
+        from: u16,
+    },
+    Piece {
+        name: Name,
+        piece: u16,
+        bytes: Vec<u8>,
+    },
+}
+
+impl Word {
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
+
+struct Own {
+    name: Name,
+    bytes: Vec<u8>,
+    servers: Vec<ListedServer>,
+    /// By this member's clock: when discovery told it, or confirmed it by still being there.
+    at: u64,
+}
+
+/// A list that is put together.
+struct Coming {
+    name: Name,
+    pieces: Vec<Option<Vec<u8>>>,
+    /// When pieces were asked for last.
+    asked: u64,
+}
+
+pub struct Neighbours {
+    me: u16,
+    members: u16,
+    ages: Ages,
+    own: Option<Own>,
+    /// Discovery has told this process a list.
+    spoken: bool,
+    began: u64,
+    next: u64,
+    turn: u16,
+    /// What each says that it has: name, length, and when that was told, by this member's clock.
+    has: BTreeMap<u16, (Name, u32, u64)>,
+    coming: Option<Coming>,
+    taken: Option<(Name, Trust)>,
+    /// In this second of the clock so many pieces were given.
+    given: (u64, u32),
+}
+
+fn name_of(bytes: &[u8]) -> Name {
+    let mut name = [0; 16];
+    name.copy_from_slice(&blake3::hash(bytes).as_bytes()[..16]);
+    name
+}
+
+impl Neighbours {
+    /// `seed` spreads whom those that return at once ask first.
+    pub fn new(me: u16, members: u16, ages: Ages, seed: u64, now: u64) -> Neighbours {
+        Neighbours {
+            me,
+            members,
+            ages,
+            own: None,
+            spoken: false,
+            began: now,
+            next: now,
+            turn: (seed % u64::from(members.max(1))) as u16,
+            has: BTreeMap::new(),
+            coming: None,
+            taken: None,
+            given: (0, 0),
+        }
+    }
+
+    /// The list as discovery has told it and still does.
+    pub fn told(&mut self, now: u64, servers: &[ListedServer]) {
+        self.spoken = true;
+        match &mut self.own {
+            Some(own) if own.servers == servers => own.at = now,
+            _ => {
+                let mut sorted = servers.to_vec();
+                sorted.sort_by(|a, b| a.name.cmp(&b.name));
+                // Without its time: members that were told the same at other moments have the same list.
+                let bytes = encode(&sorted, 0, 0);
+                let own = Own { name: name_of(&bytes), bytes, servers: servers.to_vec(), at: now };
+                self.own =
+                    Some(own).filter(|own| !own.servers.is_empty() && own.bytes.len() <= LONGEST as usize);
+            }
+        }
+        self.coming = None;
+    }
+
+    /// Called a few times a second; what is to be sent, and to whom.
+    pub fn tick(&mut self, now: u64) -> Vec<(u16, Word)> {
+        // Discovery has spoken, or two members have: nothing better is to be had here.
+        if self.spoken || matches!(self.taken, Some((_, Trust::AsTold))) || self.members < 2 {
+            return Vec::new();
+        }
+        let mut said = Vec::new();
+        if now >= self.next {
+            self.next = now + AGAIN;
+            for _ in 0..ASKED.min(self.members as usize - 1) {
+                self.turn = (self.turn + 1) % self.members;
+                if self.turn == self.me {
+                    self.turn = (self.turn + 1) % self.members;
+                }
+                said.push((self.turn, Word::Ask));
+            }
+        }
+        said.extend(self.fetch(now));
+        said
+    }
+
+    /// The list that is to be had: what most members tell alike, the youngest of those; with how many tell it.
+    fn best(&self, now: u64) -> Option<(Name, u32, u64, usize)> {
+        let mut alike: BTreeMap<Name, (u32, u64, usize)> = BTreeMap::new();
+        for (name, length, at) in self.has.values() {
+            let known = alike.entry(*name).or_insert((*length, *at, 0));
+            // The age that a second one confirms: the older of the two youngest is what both have seen.
+            (known.1, known.2) = (if known.2 == 0 { *at } else { known.1.min(*at) }, known.2 + 1);
+        }
+        let best = alike.into_iter().max_by_key(|(_, (_, at, count))| ((*count).min(2), *at));
+        let (name, (length, at, count)) = best?;
+        (count > 1 || now >= self.began + ALONE).then_some((name, length, at, count))
+    }
+
+    fn fetch(&mut self, now: u64) -> Option<(u16, Word)> {
+        let (name, length, _, count) = self.best(now)?;
+        if self.taken.is_some_and(|(taken, _)| taken == name && count < 2) {
+            return None;
+        }
+        if self.coming.as_ref().is_none_or(|coming| coming.name != name) {
+            let pieces = vec![None; (length as usize).div_ceil(PIECE)];
+            self.coming = Some(Coming { name, pieces, asked: 0 });
+        }
+        let coming = self.coming.as_mut()?;
+        if now < coming.asked + AGAIN / 4 {
+            return None;
+        }
+        let from = coming.pieces.iter().position(Option::is_none)?;
+        coming.asked = now;
+        // Those that have it in turn, so that one that dies meanwhile holds nothing up.
+        let have: Vec<u16> =
+            self.has.iter().filter(|(_, (of, ..))| *of == name).map(|(member, _)| *member).collect();
+        let of = have.get((now / (AGAIN / 4)) as usize % have.len().max(1))?;
+        Some((*of, Word::Fetch { name, from: from as u16 }))
+    }
+
+    /// A member says something; what is answered.
+    pub fn heard(&mut self, now: u64, from: u16, bytes: &[u8]) -> Vec<Word> {
+        let Ok(word) = postcard::from_bytes::<Word>(bytes) else { return Vec::new() };
+        match word {
+            Word::Ask => {
+                let has = |own: &Own| Word::Has {
+                    name: own.name,
+                    length: own.bytes.len() as u32,
+                    age: now.saturating_sub(own.at),
+                };
+                self.own.iter().map(has).collect()
+            }
+            Word::Has { name, length, age } => {
+                if from != self.me && from < self.members && length > 0 && length <= LONGEST {
+                    self.has.insert(from, (name, length, now.saturating_sub(age)));
+                }
+                Vec::new()
+            }
+            Word::Fetch { name, from: first } => self.give(now, name, first),
+            Word::Piece { name, piece, bytes } => {
+                if let Some(coming) = self.coming.as_mut().filter(|coming| coming.name == name)
+                    && bytes.len() <= PIECE
+                    && let Some(place) = coming.pieces.get_mut(piece as usize)
+                {
+                    *place = Some(bytes);
+                    if coming.pieces.iter().take(piece as usize).all(Option::is_some)
+                        && (piece + 1) % AT_ONCE == 0
+                    {
+                        // The next ones are asked for without a pause.
+                        coming.asked = 0;
+                    }
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn give(&mut self, now: u64, name: Name, first: u16) -> Vec<Word> {
+        let second = now / 1_000_000;
+        if self.given.0 != second {
+            self.given = (second, 0);
+        }
+        let Some(own) = self.own.as_ref().filter(|own| own.name == name) else { return Vec::new() };
+        let left = GIVEN.saturating_sub(self.given.1) as usize;
+        let pieces =
+            own.bytes.chunks(PIECE).enumerate().skip(first as usize).take(usize::from(AT_ONCE).min(left));
+        let given: Vec<Word> = pieces
+            .map(|(piece, bytes)| Word::Piece { name, piece: piece as u16, bytes: bytes.to_vec() })
+            .collect();
+        self.given.1 += given.len() as u32;
+        given
+    }
+
+    /// A list to go by, once one is whole, and how far it is believed; better ones may follow. `unix` is the time by
+    /// which starts are told, in microseconds.
+    pub fn take(&mut self, now: u64, unix: u64) -> Option<(ListNews, Trust)> {
+        let (name, _, at, count) = self.best(now)?;
+        let age = now.saturating_sub(at);
+        let trust = match (count, age) {
+            (2.., age) if age <= self.ages.old => Trust::AsTold,
+            (_, age) if age <= self.ages.old => Trust::Doubted,
+            _ => Trust::ToTry,
+        };
+        if self.spoken || self.taken == Some((name, trust)) {
+            return None;
+        }
+        // One that was taken before is only believed further.
+        if self.taken.is_some_and(|(_, taken)| taken == Trust::AsTold) {
+            return None;
+        }
+        let coming = self.coming.as_ref().filter(|coming| coming.name == name)?;
+        let pieces: Option<Vec<&Vec<u8>>> = coming.pieces.iter().map(Option::as_ref).collect();
+        let bytes: Vec<u8> = pieces?.into_iter().flatten().copied().collect();
+        if name_of(&bytes) != name {
+            // Pieces of another list under its name: they are asked for anew.
+            self.coming = None;
+            return None;
+        }
+        let news = decode(&bytes, trust, unix)?;
+        self.taken = Some((name, trust));
+        Some((news, trust))
+    }
+}
--- a/lab/figures/src/lib.rs
+++ b/lab/figures/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod compare;
 pub mod page;
+pub mod recovery;
 pub mod table;
 mod tally;
 
@@ -112,6 +113,11 @@
     pub executions: Vec<u64>,
     pub held: Vec<u64>,
     pub choked: u64,
+    /// Importance earned, and what all queries that were due were worth.
+    #[serde(default)]
+    pub earned: f64,
+    #[serde(default)]
+    pub offered: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
--- a/lab/figures/src/tally.rs
+++ b/lab/figures/src/tally.rs
@@ -195,6 +195,8 @@
         let latency = now.saturating_sub(due);
         let (tardy, importance, earned) = self.earned(product, latency, told);
         if let Some(moment) = self.moment(due) {
+            moment.second.earned += earned;
+            moment.second.offered += importance;
             match told {
                 Told::Completed => {
                     moment.second.completed += 1;
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -31,6 +31,8 @@
     fleet: String,
     /// Longest body that each member's settings allow a route, so that one may differ; none for all.
     pub statement_timeout_ms: Vec<u64>,
+    /// Whether the platform's configuration tells a member the list of servers; discovery never answers here.
+    pub known: Vec<bool>,
 }
 
 /// Stands made by this process, so that each has addresses of its own.
@@ -62,6 +64,7 @@
             children: (0..members).map(|_| None).collect(),
             fleet: fleet.to_string(),
             statement_timeout_ms: vec![60_000; members],
+            known: vec![true; members],
         }
     }
 
@@ -80,7 +83,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": self.peer_listens[member].to_string(),
             "peers": self.relays.peers_of(member).iter().map(ToString::to_string).collect::<Vec<_>>(),
-            "known": {"generation": 1, "reset": true, "instances": [listed]},
+            "known": self.known[member].then(|| json!({"generation": 1, "reset": true, "instances": [listed]})),
             "settings": {"balancers": self.members(), "rank": member, "tier": 0, "zones": ["a"], "kinds": ["m"],
                 "membershipMode": "pushed", "tickNs": 5_000_000,
                 "products": [{"name": "order", "effect": "keyed", "keyScope": "all", "sloTimeNs": timeout,
--- a/lab/scenario/src/lib.rs
+++ b/lab/scenario/src/lib.rs
@@ -193,6 +193,8 @@
     /// From a change until a balancer hears of it, and the part of it that is drawn for each.
     pub delay: u64,
     pub spread: f64,
+    /// Whether a balancer that starts again on sockets is told the list by the platform.
+    pub known: bool,
 }
 
 /// The balancers of the first tier as one fleet: the first so many vote, and what operators do.
@@ -200,6 +202,10 @@
 pub struct Fleet {
     pub voters: usize,
     pub right: u64,
+    /// Whether each keeps its list on disk, and asks its neighbours for it when it comes back without one.
+    pub keep: bool,
+    pub neighbours: bool,
+    pub begin_slowly: bool,
     pub acts: Vec<Act>,
 }
 
--- a/lab/scenario/src/read.rs
+++ b/lab/scenario/src/read.rs
@@ -351,6 +351,7 @@
     Discovery {
         delay: table.time("delay", Some(100_000)),
         spread: table.number("spread", (0.0, 1.0), Some(0.5)),
+        known: table.flag("known", true),
     }
 }
 
@@ -383,6 +384,9 @@
     Some(Fleet {
         voters: t.count("voters", (1, balancers.min(7) as u64), Some(balancers.min(3) as u64)) as usize,
         right: t.time("right", Some(2_000_000)),
+        keep: t.flag("keep", false),
+        neighbours: t.flag("neighbours", true),
+        begin_slowly: t.flag("begin-slowly", true),
         acts: acts.iter().map(act).collect(),
     })
 }
--- a/lab/stage/src/fleet.rs
+++ b/lab/stage/src/fleet.rs
@@ -42,11 +42,16 @@
         return Ok(None);
     };
     let voters: Vec<usize> = (0..fleet.voters).collect();
+    let list = place(stage, node, "list");
+    let keep = if fleet.keep { format!("[keep]\nfolder = {list:?}\n") } else { String::new() };
     let text = format!(
-        "[fleet]\nname = \"lab\"\nvoters = {voters:?}\nright = \"{}us\"\nsocket = {:?}\nstore = {:?}\n{}",
+        "[fleet]\nname = \"lab\"\nvoters = {voters:?}\nright = \"{}us\"\nsocket = {:?}\nstore = {:?}\nneighbours = {}\nbegin-slowly = {}\n{}{}",
         fleet.right,
         place(stage, node, "sock"),
         place(stage, node, "store"),
+        fleet.neighbours,
+        fleet.begin_slowly,
+        keep,
         cut_off("")
     );
     let file = place(stage, node, "toml");
--- a/lab/stage/src/program.rs
+++ b/lab/stage/src/program.rs
@@ -112,7 +112,8 @@
         Some(between) => between.relays.peers_of(node).iter().map(ToString::to_string).collect(),
         None => of_tier.map(|other| other.peer_listen.to_string()).collect(),
     };
-    let known: Value = serde_json::from_str(known).unwrap_or(Value::Null);
+    let is_told = n.incarnation == 0 || scenario.discovery.known;
+    let known: Value = serde_json::from_str(known).ok().filter(|_| is_told).unwrap_or(Value::Null);
     json!({"name": format!("n{node}"), "listen": n.listen.to_string(), "discovery": n.discovery.to_string(),
         "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "peers": peers, "peer_listen": n.peer_listen.to_string(), "known": known,
--- a/lab/stage/src/servers.rs
+++ b/lab/stage/src/servers.rs
@@ -248,6 +248,8 @@
     let now = stage.now();
     let mut world = stage.world.borrow_mut();
     let world = &mut *world;
+    // What a balancer that was killed meanwhile still had in its sockets is not its sending any more: it is dropped.
+    world.nodes[node].process.as_ref()?;
     // Of earlier executions those whose connection the balancer has closed are over.
     let mut closed = Vec::new();
     if let Some(out) = world.out.get_mut(&id) {
--- a/lab/tool/src/main.rs
+++ b/lab/tool/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod hunt;
 mod play;
+mod recovery;
 mod sweep;
 
 use std::process::ExitCode;
@@ -38,6 +39,8 @@
     Compare(compare::CompareLine),
     /// Search a scenario's ranges for broken rules and the worst loss, and shrink what is found
     Hunt(hunt::HuntLine),
+    /// How long each trouble lasts beyond its end: each is played beside the same run without it
+    Return(recovery::ReturnLine),
     /// Play a kept run again, and say whether it went the same way to the last digit
     Replay(play::ReplayLine),
     /// Make the table and the page of a kept run anew
@@ -56,6 +59,7 @@
         Command::Sweep(line) => sweep::run(&line),
         Command::Compare(line) => compare::run(&line),
         Command::Hunt(line) => hunt::run(&line),
+        Command::Return(line) => recovery::run(&line),
         Command::Replay(line) => play::replay(&line),
         Command::Report(line) => play::report(&line),
         Command::Fleet(line) => fleet::sizes(&line),
--- a/lab/tool/src/play.rs
+++ b/lab/tool/src/play.rs
@@ -79,7 +79,7 @@
 }
 
 /// The program in the folder of this command, where a build puts both.
-fn beside() -> PathBuf {
+pub fn beside() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     own.with_file_name("whinspindle")
 }
