--- a/crates/recall/src/neighbours.rs
+++ b/crates/recall/src/neighbours.rs
@@ -16,8 +16,10 @@
 /// Members asked at a time, and after how much time others are, in microseconds.
 const ASKED: usize = 3;
 const AGAIN: u64 = 200_000;
-/// A single member's word is waited with for so long, since a second may agree.
+/// A single member's word, and an older one that two tell alike, is waited with for so long: better may come. After the
+/// second time nothing more is asked for.
 const ALONE: u64 = 600_000;
+const DONE: u64 = 3_000_000;
 /// Bytes of a list in one message, and pieces asked for at once.
 const PIECE: usize = 160;
 const AT_ONCE: u16 = 64;
@@ -86,7 +88,8 @@
     /// What each says that it has: name, length, and when that was told, by this member's clock.
     has: BTreeMap<u16, (Name, u32, u64)>,
     coming: Option<Coming>,
-    taken: Option<(Name, Trust)>,
+    /// What was taken last, how far it is believed, and when it was told.
+    taken: Option<(Name, Trust, u64)>,
     /// In this second of the clock so many pieces were given.
     given: (u64, u32),
 }
@@ -137,7 +140,8 @@
     /// Called a few times a second; what is to be sent, and to whom.
     pub fn tick(&mut self, now: u64) -> Vec<(u16, Word)> {
         // Discovery has spoken, or two members have: nothing better is to be had here.
-        if self.spoken || matches!(self.taken, Some((_, Trust::AsTold))) || self.members < 2 {
+        let done = matches!(self.taken, Some((_, Trust::AsTold, _))) && now >= self.began + DONE;
+        if self.spoken || done || self.members < 2 {
             return Vec::new();
         }
         let mut said = Vec::new();
@@ -165,12 +169,14 @@
         }
         let best = alike.into_iter().max_by_key(|(_, (_, at, count))| ((*count).min(2), *at));
         let (name, (length, at, count)) = best?;
-        (count > 1 || now >= self.began + ALONE).then_some((name, length, at, count))
+        let surely = count > 1 && now.saturating_sub(at) <= self.ages.fresh;
+        (surely || now >= self.began + ALONE).then_some((name, length, at, count))
     }
 
     fn fetch(&mut self, now: u64) -> Option<(u16, Word)> {
         let (name, length, _, count) = self.best(now)?;
-        if self.taken.is_some_and(|(taken, _)| taken == name && count < 2) {
+        if self.taken.is_some_and(|(taken, trust, _)| taken == name && (count < 2 || trust == Trust::AsTold))
+        {
             return None;
         }
         if self.coming.as_ref().is_none_or(|coming| coming.name != name) {
@@ -253,11 +259,14 @@
             (_, age) if age <= self.ages.old => Trust::Doubted,
             _ => Trust::ToTry,
         };
-        if self.spoken || self.taken == Some((name, trust)) {
-            return None;
-        }
-        // One that was taken before is only believed further.
-        if self.taken.is_some_and(|(_, taken)| taken == Trust::AsTold) {
+        // What was taken before gives way to what is believed further, or was told later and is believed as far.
+        let worse = |(taken, of, told): (Name, Trust, u64)| match (of == trust, trust) {
+            (true, _) => taken != name && at > told,
+            (false, Trust::AsTold) => true,
+            (false, Trust::Doubted) => of == Trust::ToTry,
+            (false, Trust::ToTry) => false,
+        };
+        if self.spoken || !self.taken.is_none_or(worse) {
             return None;
         }
         let coming = self.coming.as_ref().filter(|coming| coming.name == name)?;
@@ -269,7 +278,7 @@
             return None;
         }
         let news = decode(&bytes, trust, unix)?;
-        self.taken = Some((name, trust));
+        self.taken = Some((name, trust, at));
         Some((news, trust))
     }
 }
--- a/lab/tool/src/recovery.rs
+++ b/lab/tool/src/recovery.rs
@@ -22,6 +22,9 @@
     /// Plays of each, with seeds from the scenario's on; medians are shown
     #[arg(long, default_value_t = 3)]
     seeds: u64,
+    /// Only this trouble, by its number from 0
+    #[arg(long)]
+    trouble: Option<usize>,
     /// Behind loopback sockets, with the program itself, one play after the other
     #[arg(long)]
     real: bool,
@@ -51,7 +54,8 @@
     };
     let seeds: Vec<u64> = (0..line.seeds).map(|more| scenario.seed + more).collect();
     let mut broken = false;
-    for number in 0..scenario.troubles.len() {
+    let asked = |number: &usize| line.trouble.is_none_or(|only| only == *number);
+    for number in (0..scenario.troubles.len()).filter(asked) {
         let trouble = &scenario.troubles[number];
         let (begins, ends) = (trouble.at as f64 / 1e6, (trouble.at + trouble.lasts) as f64 / 1e6);
         let one = |seed: &u64| -> Result<(Recovery, bool, Option<String>), String> {
