A process logs when it is whole again; a wish to go out lasts less after its supervisor

Need: how long a return takes nobody could tell from outside the lab. Change: crates/recall/src/whole.rs: with a fleet or a list kept, a process tells once when for three seconds it has discovery's list, a policy, takes everything and completes 98% of what it answers, and how long it waited for each.

--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -135,6 +135,12 @@
         published.right != Right::Learning || self.clock.now() >= published.until
     }
 
+    /// Whether it holds a right to a policy now, be it to none.
+    pub fn decides_by_a_policy(&self) -> bool {
+        let published = held(&self.published);
+        matches!(published.right, Right::Policy(_)) && self.clock.now() < published.until
+    }
+
     /// The list as discovery has told it here, and still would.
     pub fn tell_list(&self, servers: Vec<ListedServer>) {
         held(&self.published).told_list = Some(servers);
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -33,6 +33,7 @@
 use tokio::time::sleep;
 use whinspindle_logline::log_line;
 use whinspindle_operator::Operator;
+use whinspindle_recall::{Second, Whole};
 use whinspindle_serverlist::Source;
 use whinspindle_terms::Deployment;
 
@@ -109,6 +110,9 @@
     let is_told = placement.known.is_some() && !is_recalled;
     let node = Node::new(placement, shares, fleet);
     node.discovered.set(is_told);
+    if let Some(fleet) = node.fleet.as_ref().filter(|_| is_told) {
+        fleet.tell_list(node.reducer.borrow().whole_list());
+    }
     if slowly {
         node.begin_slowly();
     }
@@ -210,11 +214,28 @@
     }
 }
 
+fn how_it_stands(node: &Node) -> Second {
+    let tally = node.reducer.borrow().tally();
+    Second {
+        told: node.discovered.get(),
+        settled: node.fleet.as_ref().is_none_or(Fleet::decides_by_a_policy),
+        takes_all: node.takes_all(),
+        completed: tally.completed,
+        answered: tally.completed + tally.rejected + tally.aborted,
+    }
+}
+
 /// Drops connections that stood idle for long, and tells now and then what has become of the queries.
 async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>, mut keeper: Option<Keeper>) {
     let mut told = Default::default();
+    let mut whole = (keeper.is_some() || node.fleet.is_some()).then(|| Whole::new(node.clock.now()));
     for second in 1_u64.. {
         sleep(Duration::from_secs(1)).await;
+        if let Some(whole) = &mut whole
+            && let Some(words) = whole.second(node.clock.now(), how_it_stands(&node))
+        {
+            log_line!("start", "{words}");
+        }
         node.upstreams.sweep();
         if let Some(keeper) = &mut keeper {
             keeper.keep(node.reducer.borrow().whole_list(), node.clock.now());
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -110,17 +110,25 @@
         self.ramp.replace(Some(Ramp::new(servers, terms.balancers, slo_time, self.clock.now())));
     }
 
-    /// Whether one more query may be taken now; if not, when its client had best come back. Once the beginning is over
-    /// it is told, and forgotten.
-    pub fn may_take(&self) -> Result<(), u64> {
+    /// Whether the slow beginning is over, if there was one; it is told then, and forgotten.
+    pub fn takes_all(&self) -> bool {
         let mut held = self.ramp.borrow_mut();
-        let Some(ramp) = held.as_mut() else { return Ok(()) };
-        let may = ramp.take(self.clock.now(), self.open.get(), rand::random());
+        let Some(ramp) = held.as_mut() else { return true };
+        ramp.look(self.clock.now());
         if ramp.is_over() {
             log_line!("start", "all queries are taken from now on, {} were turned away", ramp.turned_away());
             held.take();
         }
-        may
+        held.is_none()
+    }
+
+    /// Whether one more query may be taken now; if not, when its client had best come back.
+    pub fn may_take(&self) -> Result<(), u64> {
+        if self.takes_all() {
+            return Ok(());
+        }
+        let mut held = self.ramp.borrow_mut();
+        held.as_mut().map_or(Ok(()), |ramp| ramp.take(self.clock.now(), self.open.get(), rand::random()))
     }
 
     /// Takes an operator's file over: it counts for queries that come from now on.
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -394,6 +394,8 @@
     assert_eq!(stand.ask(4, &["release", "back"]).code, 0, "{}", stand.logs());
     assert_eq!(restart(&mut stand, 3, "1", "d", "1"), 2, "it was never changed");
     assert_eq!(restart(&mut stand, 0, "1", "d", "2"), 3, "the last wave goes first");
+    // What a supervisor has asked for lasts for some paces more; this one has given up, and is not there to restart it.
+    std::thread::sleep(Duration::from_secs(4));
     for member in [4, 1, 2, 0] {
         assert_eq!(restart(&mut stand, member, "1", "d", "60"), 0, "{member}\n{}", stand.logs());
     }
@@ -443,7 +445,10 @@
     stand.relays.all(Way { loss: 0.2, ..Way::default() });
     again(&mut stand, 2);
     stand.until("back", || stand.health(2) == Some(200));
-    assert!(stand.log(2).contains("neighbours tell 1 servers, taken as told"), "{}", stand.log(2));
+    stand.until("as told", || stand.log(2).contains("neighbours tell 1 servers, taken as told"));
+    // Those that were told, and hold a right, count themselves whole; one that lives by others' word does not.
+    stand.until("whole", || (0..2).all(|member| stand.log(member).contains("whole after")));
+    assert!(!stand.log(2).contains("whole after"), "{}", stand.log(2));
     // Only one is left that discovery has told: its word alone is doubted, and that of those who had it from others
     // is none.
     again(&mut stand, 1);
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -604,8 +604,11 @@
             let lasts = if matches!(wanted.want, Want::Out { .. }) { 3 * pace } else { give_up };
             open && !record.knows(wanted.wish) && now < wanted.since + lasts
         });
-        let mine: Vec<Wanted> =
-            self.wants.iter().filter(|wanted| wanted.wish.by == self.terms.me).cloned().collect();
+        // Of those that have to be asked for again and again only the ones that just were: what is passed on lasts anew.
+        let fresh =
+            |wanted: &&Wanted| !matches!(wanted.want, Want::Out { .. }) || now < wanted.since + 2 * pace;
+        let mine = self.wants.iter().filter(|wanted| wanted.wish.by == self.terms.me).filter(fresh);
+        let mine: Vec<Wanted> = mine.cloned().collect();
         for voter in self.voters().into_iter().filter(|voter| *voter != self.terms.me) {
             for Wanted { want, wish, .. } in &mine {
                 self.outside.send(voter, Message::Wanted { want: want.clone(), wish: *wish });
--- a/crates/recall/src/lib.rs
+++ b/crates/recall/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod neighbours;
 mod ramp;
+mod whole;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 
 pub use neighbours::{Neighbours, Word};
 pub use ramp::Ramp;
+pub use whole::{Second, Whole};
 
 /// Another number is another form, which is not read.
 const FORM: u8 = 1;
--- a/crates/recall/src/ramp.rs
+++ b/crates/recall/src/ramp.rs
@@ -60,7 +60,7 @@
     /// Whether one more may be taken beside so many open ones; if not, after how many microseconds its client had best
     /// come back. `chance` from 0 to 1 spreads those.
     pub fn take(&mut self, now: u64, open: usize, chance: f64) -> Result<(), u64> {
-        self.pass(now);
+        self.look(now);
         if self.over || (open as f64) < self.allowed {
             return Ok(());
         }
@@ -77,7 +77,8 @@
         self.last.push(spent);
     }
 
-    fn pass(&mut self, now: u64) {
+    /// Time has passed.
+    pub fn look(&mut self, now: u64) {
         while !self.over && now >= self.next {
             self.next += self.step;
             self.steps += 1;
--- a/crates/recall/tests/neighbours.rs
+++ b/crates/recall/tests/neighbours.rs
@@ -4,7 +4,7 @@
 
 use whinspindle::host::Standing;
 use whinspindle_messages::list::ListedServer;
-use whinspindle_recall::{Ages, Neighbours, Ramp, Trust, Word};
+use whinspindle_recall::{Ages, Neighbours, Ramp, Second, Trust, Whole, Word};
 
 const SECOND: u64 = 1_000_000;
 const AGES: Ages = Ages { fresh: 10 * SECOND, old: 100 * SECOND };
@@ -128,3 +128,26 @@
         assert!(most > 0 && ramp.turned_away() > 0);
     }
 }
+
+#[test]
+fn a_process_is_whole_once_and_tells_what_it_waited_for() {
+    let mut whole = Whole::new(0);
+    let mut told = Vec::new();
+    // Four seconds by a kept list, of which two without a policy; then a second in which half is rejected.
+    for second in 1..=12_u64 {
+        let of = Second {
+            told: second > 4,
+            settled: second > 2,
+            takes_all: second > 3,
+            completed: second * 100 - if second >= 6 { 50 } else { 0 },
+            answered: second * 100,
+        };
+        told.extend(whole.second(second * SECOND, of).map(|words| (second, words)));
+    }
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert_eq!(told[0].0, 9);
+    assert!(
+        told[0].1.starts_with("whole after 6 s: 4 s without discovery's list, 2 s without a policy"),
+        "{told:?}"
+    );
+}
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -38,9 +38,14 @@
 /// Stands made by this process, so that each has addresses of its own.
 static STANDS: AtomicU16 = AtomicU16::new(0);
 
+/// The number of a further stand of this process.
+pub fn next_stand() -> u16 {
+    STANDS.fetch_add(1, Ordering::Relaxed)
+}
+
 /// An address of the loopback range that no other process is given: ports of 127.0.0.1 that were free a moment ago
 /// may be another's when a member is started again.
-fn address(stand: u16, member: usize, port: u16) -> SocketAddr {
+pub fn address(stand: u16, member: usize, port: u16) -> SocketAddr {
     let id = process::id();
     let ip = [127, 1 + (id / 250 % 250) as u8, (id % 250) as u8, 1 + member as u8];
     SocketAddr::from((ip, 20_000 + stand * 100 + port))
@@ -52,7 +57,7 @@
         let folder = std::env::temp_dir().join(format!("whinspindle-{name}-{}", process::id()));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).expect("a folder");
-        let stand = STANDS.fetch_add(1, Ordering::Relaxed);
+        let stand = next_stand();
         let listens = (0..members).map(|member| address(stand, member, 0)).collect();
         let peer_listens: Vec<SocketAddr> = (0..members).map(|member| address(stand, member, 1)).collect();
         Stand {
--- a/lab/relays/src/lib.rs
+++ b/lab/relays/src/lib.rs
@@ -6,6 +6,6 @@
 mod referee;
 mod relay;
 
-pub use fleet::{Command, Stand};
+pub use fleet::{Command, Stand, address, next_stand};
 pub use referee::{Question, Referee, Seen, judged};
 pub use relay::{Relays, Way};
