Drawn fleets are held to going on too; a text that no voter has is asked for at others

Change: after all faults are over the fleet has to agree once more and everybody to decide by it, wherever a majority of the voters still counts (where their disks were lost one soon after the other, an operator founds anew). What one of forty members can't prove is refused and decided by nowhere, at three places and 10% loss.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -778,16 +778,22 @@
         let release = self.record.release.as_ref();
         let by = next.map(|change| change.wish.by).into_iter().chain(release.map(|release| release.wish.by));
         let sources: BTreeSet<u16> = self.voters().into_iter().chain(by).collect();
-        let sources: Vec<u16> = sources.into_iter().filter(|source| *source != self.terms.me).collect();
+        let mut sources: Vec<u16> = sources.into_iter().filter(|source| *source != self.terms.me).collect();
+        // Guards against a text that no voter has any more: now and then another member is asked for it.
+        if self.fetches % 4 == 3 && self.source.is_none() {
+            let all = usize::from(self.terms.members);
+            sources = vec![(self.fetches / 4 % all) as u16];
+            sources.retain(|source| *source != self.terms.me);
+        }
         let plan = release.map(|release| (release.hash, release.length));
         let texts: Vec<(Hash, u32)> =
             self.wanted().map(|policy| (policy.hash, policy.length)).chain(plan).collect();
         for (hash, length) in texts {
             let Some((piece, wanting)) = self.texts.wanting(hash, length) else { continue };
+            self.fetches += 1;
             if sources.is_empty() {
                 return;
             }
-            self.fetches += 1;
             let source = self.source.take().unwrap_or(sources[self.fetches % sources.len()]);
             self.next_fetch = now + self.terms.pace / 4;
             self.fetching = Some((hash, piece, wanting));
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -306,7 +306,7 @@
             if out.to_prove.is_empty() {
                 return;
             }
-            for policy in out.to_prove {
+            for (policy, _) in out.to_prove {
                 // The second text is the longer one.
                 let second = policy.length > 1;
                 let no = Objection { line: 1, words: "no".to_string() };
--- a/lab/explore/src/net.rs
+++ b/lab/explore/src/net.rs
@@ -11,7 +11,7 @@
 pub struct Out {
     pub sent: Vec<(u16, Message)>,
     pub kept: Option<Memory>,
-    pub to_prove: Vec<Policy>,
+    pub to_prove: Vec<(Policy, Rc<[u8]>)>,
     plan: Option<(Hash, Rc<Plan>)>,
 }
 
@@ -40,8 +40,8 @@
         self.0.borrow_mut().kept = Some(memory.clone());
         true
     }
-    fn prove(&mut self, policy: Policy, _: Rc<[u8]>) {
-        self.0.borrow_mut().to_prove.push(policy);
+    fn prove(&mut self, policy: Policy, text: Rc<[u8]>) {
+        self.0.borrow_mut().to_prove.push((policy, text));
     }
     fn plan(&self, hash: Hash) -> Option<Rc<Plan>> {
         self.0.borrow().plan.as_ref().filter(|(known, _)| *known == hash).map(|(_, plan)| Rc::clone(plan))
--- a/lab/explore/src/sizes.rs
+++ b/lab/explore/src/sizes.rs
@@ -4,11 +4,12 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
 use std::time::Instant;
 
 use whinspindle_lab_world::dice::{Concern, Dice};
 use whinspindle_peers::{DATAGRAM, Peers};
-use whinspindle_policy::{AsPublished, Member, Memory, Message, Right, Terms};
+use whinspindle_policy::{AsPublished, Fate, Member, Memory, Message, Objection, Right, Terms};
 
 use crate::net::Net;
 
@@ -31,12 +32,24 @@
     /// This part of the members, no voters, is down while the change is made, or cut off.
     pub down: f64,
     pub cut: f64,
+    /// Can't prove any policy.
+    pub objects: Option<u16>,
 }
 
 impl Fleet {
     pub fn plain(members: u16, seed: u64) -> Fleet {
         let voters = if members < 5 { members } else { 3 };
-        Fleet { members, voters, seed, loss: 0.0, delay: 1_000, text: 2_048, down: 0.0, cut: 0.0 }
+        Fleet {
+            members,
+            voters,
+            seed,
+            loss: 0.0,
+            delay: 1_000,
+            text: 2_048,
+            down: 0.0,
+            cut: 0.0,
+            objects: None,
+        }
     }
 
     fn terms(&self, me: u16) -> Terms {
@@ -76,6 +89,7 @@
 struct Place {
     member: Option<Member<Net, AsPublished>>,
     disk: Option<Memory>,
+    texts: Vec<Rc<[u8]>>,
     peers: Peers,
     /// Parts in a million by which the clock is fast, and where it began.
     rate: u64,
@@ -121,6 +135,7 @@
         let place = |me: u16, dice: &mut Dice| Place {
             member: None,
             disk: None,
+            texts: Vec::new(),
             peers: Peers::new(me, fleet.members, "lab", "", 1, DATAGRAM),
             rate: SECOND - DRIFT + dice.below(2 * DRIFT as usize + 1) as u64,
             offset: dice.below(1_000_000_000) as u64,
@@ -169,7 +184,9 @@
         let place = &mut self.places[me as usize];
         place.starts += 1;
         let start = (u64::from(me) + 1) << 20 | place.starts;
-        place.member = Some(Member::new(Net::default(), terms, place.disk.clone(), start, now));
+        let mut member = Member::new(Net::default(), terms, place.disk.clone(), start, now);
+        place.texts.clone().iter().for_each(|text| member.hold(text));
+        place.member = Some(member);
     }
 
     fn settle(&mut self, me: u16) {
@@ -181,8 +198,14 @@
             if out.kept.is_some() {
                 place.disk = out.kept;
             }
-            for policy in &out.to_prove {
-                member.proved(now, policy.number, Ok(()));
+            for (policy, text) in &out.to_prove {
+                // As the program keeps them: the last four.
+                place.texts.push(Rc::clone(text));
+                let over = place.texts.len().saturating_sub(4);
+                place.texts.drain(..over);
+                let no = Objection { line: 3, words: "no".to_string() };
+                let verdict = if self.fleet.objects == Some(me) { Err(no) } else { Ok(()) };
+                member.proved(now, policy.number, verdict);
             }
             let proved = !out.to_prove.is_empty();
             for (to, message) in out.sent {
@@ -309,6 +332,15 @@
         })
     }
 
+    /// Whether a majority of each board that the first member knows still has the births that it counts.
+    fn can_decide(&self) -> bool {
+        let members = || self.places.iter().filter_map(|place| place.member.as_ref());
+        let births: Vec<_> = members().map(Member::voter).collect();
+        let counts =
+            |board: &Vec<_>| 2 * board.iter().filter(|voter| births.contains(voter)).count() > board.len();
+        members().next().is_some_and(|member| member.record().boards.iter().all(counts))
+    }
+
     fn sent(&self) -> [(u64, u64); 2] {
         let (voters, others) = self.places.split_at(self.fleet.voters as usize);
         [voters, others].map(|of| of.iter().fold((0, 0), |sum, p| (sum.0 + p.sent.0, sum.1 + p.sent.1)))
@@ -327,6 +359,24 @@
     }
 }
 
+/// What became of a policy that one member can't prove, as the first voter knows it; an error if anybody ever decides
+/// by it.
+pub fn refused(fleet: &Fleet) -> Result<Option<Fate>, String> {
+    let mut world = World::new(fleet);
+    world.found();
+    world.run(20 * SECOND);
+    world.propose(fleet.members - 1, &vec![b'x'; fleet.text], 5);
+    world.run(100 * SECOND);
+    if let Some(broken) = world.broken {
+        return Err(broken);
+    }
+    if !world.all_decide_by(0) || world.first.contains_key(&1) {
+        return Err("somebody decides by what was refused".to_string());
+    }
+    let record = world.places[0].member.as_ref().map(|member| member.record().clone());
+    Ok(record.and_then(|record| record.past.last().map(|past| past.fate)))
+}
+
 /// A fleet is founded, rests, and one policy is proposed by its last member that is there.
 pub fn measure(fleet: &Fleet) -> Result<Measured, String> {
     let mut world = World::new(fleet);
@@ -380,6 +430,7 @@
                 // Of the voters one disk at a time may be lost, and is made good before the next.
                 if who >= voters as usize || step % 8 == 0 {
                     place.disk = None;
+                    place.texts.clear();
                 }
             }
             1 => (place.down, place.member) = (until, None),
@@ -394,6 +445,28 @@
     }
     world.places.iter_mut().for_each(|place| place.side = 0);
     world.run(world.now + 120 * SECOND);
+    // All faults are over: the fleet agrees on one more, and everybody decides by it. Where it was never founded, since
+    // the member that was asked to died first, its operator asks again.
+    if world
+        .places
+        .iter()
+        .all(|place| place.member.as_ref().is_none_or(|member| member.record().founding == 0))
+    {
+        world.found();
+        world.run(world.now + 60 * SECOND);
+    }
+    world.propose(members - 1, b"the last", 9_999);
+    world.run(world.now + 120 * SECOND);
+    let last = world.places[0].member.as_ref().map_or(0, |member| member.record().policy.number);
+    // Voters that lost their disks one soon after the other are a majority without a memory: for an operator to found anew.
+    if world.broken.is_none() && world.can_decide() && !world.all_decide_by(last) {
+        let by = |me: u16| {
+            let member = world.places[me as usize].member.as_ref();
+            member.map(|member| (member.right(world.clock(me)), member.record().policy.number))
+        };
+        let by: Vec<_> = (0..members).map(by).collect();
+        world.broken = Some(format!("all faults are over, and the members decide by {by:?}"));
+    }
     match &world.broken {
         Some(broken) => Err(format!("seed {seed}: {broken}")),
         None => Ok(world.first.keys().max().copied().unwrap_or(0)),
--- a/lab/explore/tests/sizes.rs
+++ b/lab/explore/tests/sizes.rs
@@ -1,6 +1,7 @@
 //! Whole fleets in virtual time.
 
-use whinspindle_lab_explore::sizes::{Fleet, measure, schedule};
+use whinspindle_lab_explore::sizes::{Fleet, measure, refused, schedule};
+use whinspindle_policy::Fate;
 
 #[test]
 fn a_change_reaches_the_last_member_at_every_size_and_under_loss() {
@@ -23,3 +24,11 @@
     let changes: u64 = (0..40).map(|seed| schedule(seed).expect("no promise is broken")).sum();
     assert!(changes > 80, "{changes} changes");
 }
+
+#[test]
+fn what_one_of_forty_cannot_prove_takes_hold_nowhere() {
+    for (objects, loss) in [(0, 0.0), (17, 0.0), (39, 0.1)] {
+        let fleet = Fleet { objects: Some(objects), loss, ..Fleet::plain(40, 5) };
+        assert_eq!(refused(&fleet), Ok(Some(Fate::Refused(objects))));
+    }
+}
