--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -1,4 +1,5 @@
-//! The control socket: a Unix socket for the owner alone, one request in JSON a connection, one line each way.
+//! The control socket: a Unix socket for the owner alone, one request in JSON a connection, one line each
+//! way.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::fs::PermissionsExt;
@@ -79,8 +80,8 @@
     fault: Option<String>,
 }
 
-/// Listens in a thread of its own. Guards against what a process before it has left at the path: only a socket that
-/// nobody listens on any more is removed.
+/// Listens in a thread of its own. Guards against what a process before it has left at the path: only a
+/// socket that nobody listens on any more is removed.
 pub fn listen(path: &Path, asks: Asks) -> Result<(), String> {
     let told = |fault: std::io::Error| format!("fleet.socket: {}: {fault}", path.display());
     if UnixStream::connect(path).is_ok() {
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The process as a member of its fleet: a thread of its own with the socket for datagrams, the store and the
-//! member's core. Queries only look at what it has published last, so that none waits for the network or the disk.
+//! member's core. Queries only look at what it has published last, so that none waits for the network or the
+//! disk.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
@@ -38,8 +39,8 @@
 
 /// By what queries are decided now.
 pub enum By {
-    /// The operator's file to go by, and a number that is another one for each: what was taken over need not be
-    /// taken over again.
+    /// The operator's file to go by, and a number that is another one for each: what was taken over need not
+    /// be taken over again.
     Terms(u64, Arc<Operator>),
     /// The process may not know what holds, and the policy says that it rejects then.
     Nothing,
@@ -54,13 +55,14 @@
     /// The servers that are let out, and a number that grows when they change; whether this balancer is.
     let_out: (u64, BTreeSet<u64>),
     is_let_out: bool,
-    /// The list as discovery has told it, to be given to neighbours; what neighbours have given, and the time of this
-    /// process's clock for starts.
+    /// The list as discovery has told it, to be given to neighbours; what neighbours have given, and the time
+    /// of this process's clock for starts.
     told_list: Option<Vec<ListedServer>>,
     given_list: Option<(ListNews, Trust)>,
     /// The servers as this balancer has them listed, for the thread.
     places: Vec<Place>,
-    /// What was counted since the thread looked last: of servers, by key and stratum, and of the process itself.
+    /// What was counted since the thread looked last: of servers, by key and stratum, and of the process
+    /// itself.
     counts: BTreeMap<(u64, u16), Count>,
     own: Count,
 }
@@ -89,7 +91,8 @@
 const CUT_OFF: u64 = 1 << 63;
 
 impl Fleet {
-    /// Asked for each query. Guards against a process that was stopped: its right is held against the clock of now.
+    /// Asked for each query. Guards against a process that was stopped: its right is held against the clock
+    /// of now.
     pub fn by(&self) -> By {
         let published = held(&self.published);
         if let (Some((number, operator)), Right::Policy(right)) = (&published.policy, published.right)
@@ -118,8 +121,8 @@
         held(&self.published).is_let_out
     }
 
-    /// The servers as they are listed here, for the decision on who may be let out; what was counted of each since the
-    /// last time, with its stratum, and of the process itself.
+    /// The servers as they are listed here, for the decision on who may be let out; what was counted of each
+    /// since the last time, with its stratum, and of the process itself.
     pub fn tell(&self, places: Vec<Place>, counts: Vec<(u64, u16, Count)>, own: Count) {
         let mut published = held(&self.published);
         published.places = places;
@@ -323,7 +326,8 @@
     /// What holds where no policy is known: the file's own word.
     own: Arc<Operator>,
     received: u64,
-    /// The list of servers, from those that stayed up and for those that come back; none where the file says no.
+    /// The list of servers, from those that stayed up and for those that come back; none where the file says
+    /// no.
     neighbours: Option<Neighbours>,
 }
 
@@ -511,7 +515,8 @@
             && published.policy.as_ref().is_none_or(|(known, _)| *known != number)
             && let Some(operator) = of(number)
         {
-            // Number 0 says nothing of being cut off; the file's own word holds until a policy says something.
+            // Number 0 says nothing of being cut off; the file's own word holds until a policy says
+            // something.
             published.cut_off = Arc::clone(if number == 0 { &self.own } else { &operator });
             published.policy = Some((number, operator));
         }
@@ -712,7 +717,8 @@
                 .collect();
             json!({"number": release.number, "by": release.wish.by, "serial": release.wish.serial,
                 "way": if release.way == Way::Forth { "forth" } else { "back" }, "wave": release.wave + 1,
-                "name": plan.as_ref().map(|plan| plan.name.clone()), "waves": plan.map(|plan| plan.waves.clone()),
+                "name": plan.as_ref().map(|plan| plan.name.clone()),
+                "waves": plan.map(|plan| plan.waves.clone()),
                 "changed": release.changed.count(), "units": units, "watchedMs": self.member.watched_for(now),
                 "seen": self.member.evidence().map(|seen| json!([side(seen.unchanged), side(seen.changed)]))})
         });
--- a/crates/balancer/src/fleet_command.rs
+++ b/crates/balancer/src/fleet_command.rs
@@ -47,7 +47,8 @@
         #[command(flatten)]
         wait: Wait,
     },
-    /// Propose a policy: a file of routes. Exit 0 in force, 1 ended otherwise, 2 not proposed, 3 still under way
+    /// Propose a policy: a file of routes. Exit 0 in force, 1 ended otherwise, 2 not proposed, 3 still under
+    /// way
     Propose {
         #[arg(value_hint = ValueHint::FilePath)]
         file: PathBuf,
@@ -60,14 +61,15 @@
         #[command(flatten)]
         wait: Wait,
     },
-    /// Ask whether a unit may be taken out: balancer:NUMBER or server:ID. Exit 0 it may and is counted as out, 1 no,
-    /// or grants are halted, 3 not yet. Asking again with the same word is harmless
+    /// Ask whether a unit may be taken out: balancer:NUMBER or server:ID. Exit 0 it may and is counted as
+    /// out, 1 no, or grants are halted, 3 not yet. Asking again with the same word is harmless
     Out {
         unit: String,
         /// The supervisor's own word for this wish
         #[arg(long = "as")]
         word: String,
-        /// As a part of the release with this number: it waits for its wave. Says "the new build" or "the old build"
+        /// As a part of the release with this number: it waits for its wave. Says "the new build" or "the old
+        /// build"
         #[arg(long)]
         release: Option<u64>,
         #[command(flatten)]
--- a/crates/balancer/src/keeper.rs
+++ b/crates/balancer/src/keeper.rs
@@ -1,4 +1,5 @@
-//! The list of servers, kept on disk over a restart. A thread of its own writes it, so that nothing waits for the disk.
+//! The list of servers, kept on disk over a restart. A thread of its own writes it, so that nothing waits for
+//! the disk.
 
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
@@ -16,14 +17,14 @@
 
 pub struct Keeper {
     bytes: SyncSender<Vec<u8>>,
-    /// What was handed over last, and when. A list that stays the same is written anew before it is no longer fresh,
-    /// since its age tells how far it is believed.
+    /// What was handed over last, and when. A list that stays the same is written anew before it is no longer
+    /// fresh, since its age tells how far it is believed.
     last: Option<(Vec<ListedServer>, u64)>,
     renewed: u64,
 }
 
-/// Opens the store and reads what was kept, for a process that starts at `now` (Unix microseconds). Without a store
-/// the balancer does without: it is told, and nothing else is lost.
+/// Opens the store and reads what was kept, for a process that starts at `now` (Unix microseconds). Without a
+/// store the balancer does without: it is told, and nothing else is lost.
 pub fn open(keep: &Keep, now: u64) -> (Option<Keeper>, Option<(ListNews, Trust)>) {
     let store = match Store::open(&keep.folder) {
         Ok(store) => store,
@@ -57,8 +58,8 @@
 }
 
 impl Keeper {
-    /// The list as it stands at `now` (Unix microseconds). What comes while the disk is busy is handed over at the
-    /// next call. Guards against a list that was lost: nothing takes the place of what is kept.
+    /// The list as it stands at `now` (Unix microseconds). What comes while the disk is busy is handed over
+    /// at the next call. Guards against a list that was lost: nothing takes the place of what is kept.
     pub fn keep(&mut self, servers: Vec<ListedServer>, now: u64) {
         let known = self.last.as_ref().is_some_and(|(last, at)| *last == servers && now < at + self.renewed);
         if servers.is_empty() || known {
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -54,7 +54,8 @@
     pub trusted: Cell<Option<(Trust, bool)>>,
     /// What is counted for the fleet, where there is one.
     pub seen: RefCell<Seen>,
-    /// The first seconds after the start, where the operator's file asks for it; queries that clients have open.
+    /// The first seconds after the start, where the operator's file asks for it; queries that clients have
+    /// open.
     pub ramp: RefCell<Option<Ramp>>,
     pub open: Cell<usize>,
     /// Where the order to stop waiting goes, by query and execution.
@@ -109,7 +110,8 @@
     pub fn begin_slowly(&self) {
         let terms = &self.deployment.terms;
         let slo_time = terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0);
-        // Guards against products that take minutes: whether servers are jammed is seen sooner than their answers.
+        // Guards against products that take minutes: whether servers are jammed is seen sooner than their
+        // answers.
         let step = (slo_time / 2).min(self.deployment.connect_time_out);
         let servers = self.reducer.borrow().listed().len();
         self.ramp.replace(Some(Ramp::new(servers, terms.balancers, step, self.clock.now())));
@@ -142,8 +144,8 @@
         self.operator.replace(Some(operator));
     }
 
-    /// Before a query is taken: it is decided by what holds for the fleet now, if this is one of a fleet. False if
-    /// the query has to be rejected, since this process may not know what holds.
+    /// Before a query is taken: it is decided by what holds for the fleet now, if this is one of a fleet.
+    /// False if the query has to be rejected, since this process may not know what holds.
     pub fn keep_up(&self) -> bool {
         let Some(fleet) = &self.fleet else { return true };
         self.keep_up_with_servers(fleet);
@@ -165,8 +167,8 @@
         }
     }
 
-    /// Between queries too the servers that the fleet lets out are kept up with, since what is in hand may be sent
-    /// again; and the fleet is told how the servers stand here.
+    /// Between queries too the servers that the fleet lets out are kept up with, since what is in hand may be
+    /// sent again; and the fleet is told how the servers stand here.
     pub async fn follow_fleet(self: Rc<Self>, accepted: Rc<Accepted>) {
         let Some(fleet) = &self.fleet else { return };
         let (terms, zones) = (&self.deployment.terms, &self.deployment.zones);
@@ -177,8 +179,9 @@
                 accepted.close_idle();
             }
             let now = self.clock.now();
-            // Until discovery has spoken, neighbours may know better than what was kept. Guards against one that is doubted
-            // in the place of one that was kept a moment ago: all servers would be cold, and reached anew.
+            // Until discovery has spoken, neighbours may know better than what was kept. Guards against one
+            // that is doubted in the place of one that was kept a moment ago: all servers would be cold, and
+            // reached anew.
             let better = |trust| match self.trusted.get() {
                 Some((of, from_neighbours)) => trust < of || from_neighbours && trust == of,
                 None => true,
--- a/crates/balancer/src/seen.rs
+++ b/crates/balancer/src/seen.rs
@@ -1,5 +1,5 @@
-//! What this process sees of servers, and of itself, while a release is watched: counts that the fleet's thread takes
-//! away a few times a second, so that they never grow with time.
+//! What this process sees of servers, and of itself, while a release is watched: counts that the fleet's
+//! thread takes away a few times a second, so that they never grow with time.
 
 use std::collections::BTreeMap;
 
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Several processes of the program as one fleet, with faults between them. What is judged rests on safety and on
-//! generous bounds, never on how fast the machine is.
+//! Several processes of the program as one fleet, with faults between them. What is judged rests on safety
+//! and on generous bounds, never on how fast the machine is.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -164,7 +164,8 @@
     let waits = stand.begin(1, &["propose", &stand.policy(13), "--wait", "0"]);
     let told = Stand::finish(waits);
     assert_eq!(told.code, 3, "{}", told.said);
-    // Founded anew by an operator's explicit word, once all voters are up, from what the one that remembers knows.
+    // Founded anew by an operator's explicit word, once all voters are up, from what the one that remembers
+    // knows.
     std::fs::remove_dir_all(stand.store(2)).expect("removed");
     stand.start(2);
     assert_eq!(stand.ask(1, &["found"]).code, 2);
@@ -397,7 +398,8 @@
     assert_eq!(stand.ask(4, &["release", "back"]).code, 0, "{}", stand.logs());
     assert_eq!(restart(&mut stand, 3, "1", "d", "1"), 2, "it was never changed");
     assert_eq!(restart(&mut stand, 0, "1", "d", "2"), 3, "the last wave goes first");
-    // What a supervisor has asked for lasts for some paces more; this one has given up, and is not there to restart it.
+    // What a supervisor has asked for lasts for some paces more; this one has given up, and is not there to
+    // restart it.
     std::thread::sleep(Duration::from_secs(4));
     for member in [4, 1, 2, 0] {
         assert_eq!(restart(&mut stand, member, "1", "d", "60"), 0, "{member}\n{}", stand.logs());
@@ -449,8 +451,8 @@
     again(&mut stand, 2);
     stand.until("back", || stand.health(2) == Some(200));
     stand.until("as told", || stand.log(2).contains("neighbours tell 1 servers, taken as told"));
-    // Only one is left that discovery has told: its word alone is doubted, and that of those who had it from others
-    // is none.
+    // Only one is left that discovery has told: its word alone is doubted, and that of those who had it from
+    // others is none.
     again(&mut stand, 1);
     stand.until("back", || stand.health(1) == Some(200));
     assert!(
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -1,5 +1,5 @@
-//! What the file says of the fleet: who votes, how long a right lasts, where state is kept, and how the process is
-//! spoken to. Without the table there is no fleet.
+//! What the file says of the fleet: who votes, how long a right lasts, where state is kept, and how the
+//! process is spoken to. Without the table there is no fleet.
 
 use std::path::PathBuf;
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -35,7 +35,8 @@
     pub keep: Option<Keep>,
 }
 
-/// Where the list of servers is kept over a restart, and how far one of which age is believed, in microseconds.
+/// Where the list of servers is kept over a restart, and how far one of which age is believed, in
+/// microseconds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Keep {
     pub folder: PathBuf,
@@ -99,8 +100,8 @@
     whinspindle_tables::read(text, |table| read::operator(table, deployment, true))
 }
 
-/// Reads and proves the text of a policy, which the whole fleet goes by: routes, and what holds for those that are
-/// cut off, but nothing that is a balancer's own.
+/// Reads and proves the text of a policy, which the whole fleet goes by: routes, and what holds for those
+/// that are cut off, but nothing that is a balancer's own.
 pub fn read_policy(text: &str, deployment: &Deployment) -> Result<Operator, Vec<Fault>> {
     whinspindle_tables::read(text, |table| read::operator(table, deployment, false))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,8 @@
-//! A policy that takes hold everywhere or nowhere. Each process of the fleet has a `Member`: it asks the voters
-//! for the right to decide by the policy in force, proves the one that is to come, and, if it votes, agrees with
-//! the others on each step. No I/O, no clock: one method for each thing that can happen, with the time as the
-//! process's own monotonic clock tells it; it acts through `Outside`. `docs/fleet-design.md` has the promises.
+//! A policy that takes hold everywhere or nowhere. Each process of the fleet has a `Member`: it asks the
+//! voters for the right to decide by the policy in force, proves the one that is to come, and, if it votes,
+//! agrees with the others on each step. No I/O, no clock: one method for each thing that can happen, with the
+//! time as the process's own monotonic clock tells it; it acts through `Outside`. `docs/fleet-design.md` has
+//! the promises.
 
 mod member;
 mod message;
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -1,5 +1,5 @@
-//! One process of the fleet: as a follower it holds a right that runs out, as a voter it grants rights and agrees
-//! on each step.
+//! One process of the fleet: as a follower it holds a right that runs out, as a voter it grants rights and
+//! agrees on each step.
 
 mod releases;
 
@@ -37,8 +37,8 @@
 }
 
 impl Terms {
-    /// After this time of any member's clock no right is left of those granted before it began: the longest that
-    /// a right lasts by the slowest clock, counted by the fastest.
+    /// After this time of any member's clock no right is left of those granted before it began: the longest
+    /// that a right lasts by the slowest clock, counted by the fastest.
     pub fn window(&self) -> u64 {
         let drift = self.drift as u128;
         let right = self.right as u128;
@@ -53,8 +53,8 @@
         asked + terms.right
     }
 
-    /// Whether a voter may grant rights by what it knows to be agreed, when it has voted for `voted`. Guards against
-    /// a voter that makes way for another and lives on: it may never learn of it.
+    /// Whether a voter may grant rights by what it knows to be agreed, when it has voted for `voted`. Guards
+    /// against a voter that makes way for another and lives on: it may never learn of it.
     fn may_grant(agreed: &Record, voted: Option<&Record>) -> bool {
         voted.is_none_or(|voted| {
             voted.version <= agreed.version
@@ -120,8 +120,8 @@
 /// What a member does to the world.
 pub trait Outside {
     fn send(&mut self, to: u16, message: Message);
-    /// Makes it durable. What follows from it is sent only after this returns; where it fails, the member votes and
-    /// grants nothing until it succeeds.
+    /// Makes it durable. What follows from it is sent only after this returns; where it fails, the member
+    /// votes and grants nothing until it succeeds.
     fn keep(&mut self, memory: &Memory) -> bool;
     /// Proves a policy against the process's own settings; `Member::proved` tells what came of it.
     fn prove(&mut self, policy: Policy, text: Rc<[u8]>);
@@ -364,8 +364,8 @@
         self.verdicts.get(&number)
     }
 
-    /// By what a query that is taken now is decided. Asked for each query: a process that was stopped finds its
-    /// right over before it does anything by it.
+    /// By what a query that is taken now is decided. Asked for each query: a process that was stopped finds
+    /// its right over before it does anything by it.
     pub fn right(&self, now: u64) -> Right {
         self.right_until(now).0
     }
@@ -421,10 +421,10 @@
         wish
     }
 
-    /// An operator founds the fleet: the voters of the file begin to agree, each of them, with whatever birth it has
-    /// now. Goes on until it is done. Anew it is for a fleet whose voters have lost their memories: as each voter of
-    /// the file has to promise, those with the births of before can't be a majority of their own any more. What is
-    /// known here of the founding before is taken over.
+    /// An operator founds the fleet: the voters of the file begin to agree, each of them, with whatever birth
+    /// it has now. Goes on until it is done. Anew it is for a fleet whose voters have lost their memories: as
+    /// each voter of the file has to promise, those with the births of before can't be a majority of their
+    /// own any more. What is known here of the founding before is taken over.
     pub fn found(&mut self, now: u64, nonce: u64) {
         self.found = Some(self.record.next_founding(nonce));
         self.steward(now);
@@ -474,8 +474,9 @@
                 self.answer(now, from, at, heard);
             }
             Message::Grant { at, start, voter, board, number } => {
-                // Guards against an answer to a question of an earlier start, which was long under way: that start's
-                // clock began at another moment, and the right would count from a time after its grant.
+                // Guards against an answer to a question of an earlier start, which was long under way: that
+                // start's clock began at another moment, and the right would count from a time after its
+                // grant.
                 if start == self.start {
                     self.granted(now, at, voter, (board, number));
                 }
@@ -542,8 +543,8 @@
         self.ask_those(now, self.voters());
     }
 
-    /// Guards against lost datagrams in large fleets, where the pace is long against the right: a voter that has not
-    /// answered is asked again, so often at most, if those that have are no majority.
+    /// Guards against lost datagrams in large fleets, where the pace is long against the right: a voter that
+    /// has not answered is asked again, so often at most, if those that have are no majority.
     fn ask_again(&mut self, now: u64) {
         let due = self.asked + self.terms.pace / 4 * (self.again + 1);
         if self.again == AGAIN || now < due || self.now_held.until::<L>() >= self.asked + self.terms.right {
@@ -604,7 +605,8 @@
             let lasts = if matches!(wanted.want, Want::Out { .. }) { 3 * pace } else { give_up };
             open && !record.knows(wanted.wish) && now < wanted.since + lasts
         });
-        // Of those that have to be asked for again and again only the ones that just were: what is passed on lasts anew.
+        // Of those that have to be asked for again and again only the ones that just were: what is passed on
+        // lasts anew.
         let fresh =
             |wanted: &&Wanted| !matches!(wanted.want, Want::Out { .. }) || now < wanted.since + 2 * pace;
         let mine = self.wants.iter().filter(|wanted| wanted.wish.by == self.terms.me).filter(fresh);
@@ -769,7 +771,8 @@
         }
     }
 
-    /// Asks for the pieces that are wanting: whoever gave some, else in turn whoever proposed it and the voters.
+    /// Asks for the pieces that are wanting: whoever gave some, else in turn whoever proposed it and the
+    /// voters.
     fn fetch(&mut self, now: u64) {
         if now < self.next_fetch {
             return;
@@ -869,8 +872,8 @@
     }
 
     /// The first of the voters that are heard carries changes on. Two that both take themselves for it do no
-    /// harm: their rounds are told apart. Guards against a voter that lost its memory: it is heard and does not
-    /// count until the others have taken it in, which one of them has to do.
+    /// harm: their rounds are told apart. Guards against a voter that lost its memory: it is heard and does
+    /// not count until the others have taken it in, which one of them has to do.
     fn is_steward(&self, now: u64) -> bool {
         let me = self.voter();
         let counts = |voter: &&Voter| {
@@ -980,8 +983,8 @@
         (now >= self.next_since + self.terms.give_up).then_some(Step::End { number, fate: Fate::GivenUp })
     }
 
-    /// One voter makes way for another, if an operator wants it and the new one is heard. It votes from then on with
-    /// the birth that it has now.
+    /// One voter makes way for another, if an operator wants it and the new one is heard. It votes from then
+    /// on with the birth that it has now.
     fn exchange(&self, now: u64) -> Option<Step> {
         let voter_of = |member: u16| self.record.boards[0].iter().find(|voter| voter.member == member);
         self.wants.iter().filter(|wanted| !self.record.knows(wanted.wish)).find_map(|wanted| {
@@ -1055,8 +1058,8 @@
         self.want(now, Want::Back { unit, done }, self.start);
     }
 
-    /// Whether this process carries the build that it went out for; none while the plan that names it is not here.
-    /// Guards against one that comes back as what it was before: it has to go out again.
+    /// Whether this process carries the build that it went out for; none while the plan that names it is not
+    /// here. Guards against one that comes back as what it was before: it has to go out again.
     fn carries(&self, part: Option<Part>) -> Option<bool> {
         let release = self.record.release.as_ref();
         let Some((part, release)) =
@@ -1099,18 +1102,19 @@
         self.write(now);
     }
 
-    /// Once enough have promised, the step is done to what was found, or what was found is brought to its end.
+    /// Once enough have promised, the step is done to what was found, or what was found is brought to its
+    /// end.
     fn write(&mut self, now: u64) {
-        // Guards against a step whose time is over: between the beginning and the promises the process may have stood
-        // still, and balancers may have gone or objected.
+        // Guards against a step whose time is over: between the beginning and the promises the process may
+        // have stood still, and balancers may have gone or objected.
         let due = self.duty(now);
         let Some(UnderWay { round, step, thought_of, .. }) = &mut self.round else { return };
         if round.is_writing() {
             return;
         }
         let Some(found) = round.found::<L>().cloned() else { return };
-        // Guards against a step that was thought of for another record: limits and times were looked at in that one.
-        // What has been agreed on or begun since is only brought to its end.
+        // Guards against a step that was thought of for another record: limits and times were looked at in
+        // that one. What has been agreed on or begun since is only brought to its end.
         let is_known = found.order() == *thought_of || found.founding == 0;
         let next = found.after(step).filter(|_| is_known && due.as_ref() == Some(step));
         let Some(record) = next.or((found.order() > self.record.order()).then_some(found)) else {
--- a/crates/policy/src/member/releases.rs
+++ b/crates/policy/src/member/releases.rs
@@ -29,8 +29,8 @@
         Some(see(&Progress { plan: &plan, way: release.way, wave, changed, out: &out }))
     }
 
-    /// As what part of the release with this number a unit would go; why not, if it may not. Guards against a wish for
-    /// a release that is over: it must not be granted as one for another cause.
+    /// As what part of the release with this number a unit would go; why not, if it may not. Guards against a
+    /// wish for a release that is over: it must not be granted as one for another cause.
     pub fn part_of(&self, now: u64, unit: Unit, of: Option<u64>) -> Result<Option<Part>, No> {
         let Some(number) = of else { return Ok(None) };
         let release = self.record.release.as_ref().filter(|on| on.number == number).ok_or(No::NoRelease)?;
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -48,7 +48,8 @@
         right: Right,
         readiness: Readiness,
     },
-    /// A voter to a follower: as long as a right lasts from `at` of that start's clock, this number is in force.
+    /// A voter to a follower: as long as a right lasts from `at` of that start's clock, this number is in
+    /// force.
     Grant {
         at: u64,
         start: u64,
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -200,8 +200,8 @@
     Resume {
         wish: Wish,
     },
-    /// One voter makes way for another; both boards vote until `Settle`. By an operator's wish, or of itself where
-    /// one is born anew.
+    /// One voter makes way for another; both boards vote until `Settle`. By an operator's wish, or of itself
+    /// where one is born anew.
     Replace {
         old: Voter,
         new: Voter,
@@ -229,8 +229,8 @@
     /// The number of the last release, and the last that ended.
     pub releases: u64,
     pub past_releases: Vec<PastRelease>,
-    /// The last wishes about units and voters that were done. Guards against one that is still on its way, or kept by a voter,
-    /// when another has undone it: it must not be done again.
+    /// The last wishes about units and voters that were done. Guards against one that is still on its way, or
+    /// kept by a voter, when another has undone it: it must not be done again.
     pub done: Vec<Wish>,
     /// The highest number that a change ever had.
     pub highest: u64,
--- a/crates/policy/tests/member.rs
+++ b/crates/policy/tests/member.rs
@@ -85,8 +85,8 @@
     records.collect()
 }
 
-/// What was decided by one record must not be done to another: between the beginning of a round and its promises
-/// the other steward's step was learned of, and its limit was not asked again.
+/// What was decided by one record must not be done to another: between the beginning of a round and its
+/// promises the other steward's step was learned of, and its limit was not asked again.
 #[test]
 fn a_step_is_done_only_to_the_record_that_it_was_thought_of_for() {
     for other_went_first in [false, true] {
@@ -115,8 +115,8 @@
     }
 }
 
-/// A grant that was under way while its asker was started anew: the question's time is by the clock of the start
-/// before, and would count from a moment at which nobody had granted anything.
+/// A grant that was under way while its asker was started anew: the question's time is by the clock of the
+/// start before, and would count from a moment at which nobody had granted anything.
 #[test]
 fn a_grant_to_an_earlier_start_is_no_right() {
     for (start, right) in [(8, Right::CutOff), (9, Right::Policy(0))] {
--- a/crates/recall/src/lib.rs
+++ b/crates/recall/src/lib.rs
@@ -1,7 +1,7 @@
-//! The list of servers as a balancer had it last, and how far it is believed when the process starts again. No I/O
-//! and no clock: bytes and times in, a list out. A list a few seconds old is taken nearly as told; with an older one
-//! every server counts as cold until its answers and discovery say otherwise; what was draining when it was saved
-//! gets nothing from either.
+//! The list of servers as a balancer had it last, and how far it is believed when the process starts again.
+//! No I/O and no clock: bytes and times in, a list out. A list a few seconds old is taken nearly as told;
+//! with an older one every server counts as cold until its answers and discovery say otherwise; what was
+//! draining when it was saved gets nothing from either.
 
 mod neighbours;
 mod ramp;
--- a/crates/recall/src/neighbours.rs
+++ b/crates/recall/src/neighbours.rs
@@ -1,10 +1,11 @@
-//! The list of servers from balancers that stayed up, for one that comes back while discovery does not answer. No I/O
-//! and no clock: messages and times in, messages and a list out.
+//! The list of servers from balancers that stayed up, for one that comes back while discovery does not
+//! answer. No I/O and no clock: messages and times in, messages and a list out.
 //!
-//! Nothing that one neighbour says is believed against better word. Two that tell a list alike serve by it themselves: it
-//! is taken as told while it is not old. What a single one tells is doubted whatever its age. Of several lists that two
-//! tell, the one that discovery has confirmed last is taken, so that those that come back from a cut of ten minutes are
-//! not believed against those that were not away. A process asks only until discovery has spoken.
+//! Nothing that one neighbour says is believed against better word. Two that tell a list alike serve by it
+//! themselves: it is taken as told while it is not old. What a single one tells is doubted whatever its age.
+//! Of several lists that two tell, the one that discovery has confirmed last is taken, so that those that
+//! come back from a cut of ten minutes are not believed against those that were not away. A process asks only
+//! until discovery has spoken.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +17,8 @@
 /// Members asked at a time, and after how much time others are, in microseconds.
 const ASKED: usize = 3;
 const AGAIN: u64 = 200_000;
-/// A single member's word, and an older one that two tell alike, is waited with for so long: better may come. After the
-/// second time nothing more is asked for.
+/// A single member's word, and an older one that two tell alike, is waited with for so long: better may come.
+/// After the second time nothing more is asked for.
 const ALONE: u64 = 600_000;
 const DONE: u64 = 3_000_000;
 /// Bytes of a list in one message, and pieces asked for at once.
@@ -159,7 +160,8 @@
         said
     }
 
-    /// The list that is to be had: what most members tell alike, the youngest of those; with how many tell it.
+    /// The list that is to be had: what most members tell alike, the youngest of those; with how many tell
+    /// it.
     fn best(&self, now: u64) -> Option<(Name, u32, u64, usize)> {
         let mut alike: BTreeMap<Name, (u32, u64, usize)> = BTreeMap::new();
         for (name, length, at) in self.has.values() {
@@ -249,8 +251,8 @@
         given
     }
 
-    /// A list to go by, once one is whole, and how far it is believed; better ones may follow. `unix` is the time by
-    /// which starts are told, in microseconds.
+    /// A list to go by, once one is whole, and how far it is believed; better ones may follow. `unix` is the
+    /// time by which starts are told, in microseconds.
     pub fn take(&mut self, now: u64, unix: u64) -> Option<(ListNews, Trust)> {
         let (name, _, at, count) = self.best(now)?;
         let age = now.saturating_sub(at);
@@ -259,7 +261,8 @@
             (_, age) if age <= self.ages.old => Trust::Doubted,
             _ => Trust::ToTry,
         };
-        // What was taken before gives way to what is believed further, or was told later and is believed as far.
+        // What was taken before gives way to what is believed further, or was told later and is believed as
+        // far.
         let worse = |(taken, of, told): (Name, Trust, u64)| match (of == trust, trust) {
             (true, _) => taken != name && at > told,
             (false, Trust::AsTold) => true,
--- a/crates/recall/src/ramp.rs
+++ b/crates/recall/src/ramp.rs
@@ -1,6 +1,7 @@
-//! The first seconds of a process that comes back, perhaps with all others: it takes few queries at a time, and more as
-//! long as answers stay as fast as the fastest. Guards against the clients of a whole outage, who all come to the first
-//! that is up, and against servers that are jammed by the sum of all that return. No I/O and no clock.
+//! The first seconds of a process that comes back, perhaps with all others: it takes few queries at a time,
+//! and more as long as answers stay as fast as the fastest. Guards against the clients of a whole outage, who
+//! all come to the first that is up, and against servers that are jammed by the sum of all that return. No
+//! I/O and no clock.
 
 /// Answers by which it is seen whether servers are jammed.
 const LAST: usize = 16;
@@ -57,8 +58,8 @@
         self.turned_away
     }
 
-    /// Whether one more may be taken beside so many open ones; if not, after how many microseconds its client had best
-    /// come back. `chance` from 0 to 1 spreads those.
+    /// Whether one more may be taken beside so many open ones; if not, after how many microseconds its client
+    /// had best come back. `chance` from 0 to 1 spreads those.
     pub fn take(&mut self, now: u64, open: usize, chance: f64) -> Result<(), u64> {
         self.look(now);
         if self.over || (open as f64) < self.allowed {
--- a/crates/recall/src/whole.rs
+++ b/crates/recall/src/whole.rs
@@ -1,5 +1,5 @@
-//! When a process that has started counts itself whole again, so that its log tells how long its return took and what it
-//! went by meanwhile. No I/O and no clock.
+//! When a process that has started counts itself whole again, so that its log tells how long its return took
+//! and what it went by meanwhile. No I/O and no clock.
 
 /// Of the queries answered within a second so many are completed in full service.
 const FULL: f64 = 0.98;
@@ -34,7 +34,8 @@
         Whole { began, before: (0, 0), full: 0, waits: [0; 4], is_whole: false }
     }
 
-    /// Called at the end of each second; tells once that the process is whole, and what it waited for until then.
+    /// Called at the end of each second; tells once that the process is whole, and what it waited for until
+    /// then.
     pub fn second(&mut self, now: u64, of: Second) -> Option<String> {
         if self.is_whole {
             return None;
@@ -55,8 +56,8 @@
         // Whole since the first of the full seconds.
         let after = (now.saturating_sub(self.began) / 1_000_000).saturating_sub(u64::from(SECONDS));
         Some(format!(
-            "whole after {after} s: {told} s without discovery's list, {settled} s without a policy, {takes_all} s of taking \
-             few, {serves} s under {}% completed",
+            "whole after {after} s: {told} s without discovery's list, {settled} s without a policy, {takes_all} s \
+             of taking few, {serves} s under {}% completed",
             FULL * 100.0
         ))
     }
--- a/crates/recall/tests/neighbours.rs
+++ b/crates/recall/tests/neighbours.rs
@@ -25,8 +25,8 @@
     (0..count).map(server).collect()
 }
 
-/// Member 0 comes back; each other was told so many servers so many seconds ago, or knows nothing. Of the messages nearly
-/// a third is lost. What it takes in the end, and how many messages that took.
+/// Member 0 comes back; each other was told so many servers so many seconds ago, or knows nothing. Of the
+/// messages nearly a third is lost. What it takes in the end, and how many messages that took.
 fn back(others: [Option<(usize, u64)>; 4]) -> (Option<(usize, Trust, u64)>, usize) {
     let mut members: Vec<Neighbours> =
         (0..MEMBERS).map(|me| Neighbours::new(me, MEMBERS, AGES, u64::from(me), NOW)).collect();
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -86,8 +86,8 @@
         self.let_go();
     }
 
-    /// The fleet has let these servers out, by their keys: they get nothing new, as if the list had told that they
-    /// drain, until they are not among them any more.
+    /// The fleet has let these servers out, by their keys: they get nothing new, as if the list had told that
+    /// they drain, until they are not among them any more.
     pub fn let_out(&mut self, now: u64, keys: &BTreeSet<u64>) {
         let entries = self.balancer.host.servers.let_out(keys);
         if !entries.is_empty() {
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -1,5 +1,5 @@
-//! How many units may be out at once, and whether one more may go. Out is whatever is not in full service: let out by
-//! a grant, draining, gone, cold, unheard of. No I/O; `docs/fleet-design.md` has the promises.
+//! How many units may be out at once, and whether one more may go. Out is whatever is not in full service:
+//! let out by a grant, draining, gone, cold, unheard of. No I/O; `docs/fleet-design.md` has the promises.
 
 mod plan;
 mod slow;
--- a/crates/release/src/plan.rs
+++ b/crates/release/src/plan.rs
@@ -1,5 +1,5 @@
-//! A release: its units go out and come back in waves, each watched before the next; the way back goes wave by wave
-//! too, the last first.
+//! A release: its units go out and come back in waves, each watched before the next; the way back goes wave
+//! by wave too, the last first.
 
 use serde::{Deserialize, Serialize};
 
@@ -21,7 +21,8 @@
     pub watch: u64,
     /// A build that is as good as the one before is halted with this chance at most, over the whole release.
     pub error: f64,
-    /// The build of balancers that have been changed; one that comes back with another is not. None asks nobody.
+    /// The build of balancers that have been changed; one that comes back with another is not. None asks
+    /// nobody.
     pub build: Option<String>,
 }
 
@@ -118,8 +119,8 @@
     }
 }
 
-/// Windows of the verdict in the time that a wave is watched: a bad build is known after ten or so, and what comes in
-/// one moment must not fall into many.
+/// Windows of the verdict in the time that a wave is watched: a bad build is known after ten or so, and what
+/// comes in one moment must not fall into many.
 const WINDOWS: u64 = 16;
 
 impl Plan {
--- a/crates/release/src/slow.rs
+++ b/crates/release/src/slow.rs
@@ -1,5 +1,6 @@
-//! What counts as slow: longer than nine in ten of the last answers to the same product, whoever gave them. Both sides of
-//! a comparison go by the same line, so that a load that slows all moves the line and not the verdict.
+//! What counts as slow: longer than nine in ten of the last answers to the same product, whoever gave them.
+//! Both sides of a comparison go by the same line, so that a load that slows all moves the line and not the
+//! verdict.
 
 /// Answers that the line is drawn from; it is drawn anew once so many more have come.
 const LAST: usize = 64;
--- a/crates/release/src/verdict.rs
+++ b/crates/release/src/verdict.rs
@@ -1,22 +1,25 @@
-//! Whether the changed units do worse than those not yet changed in the same moments: a sequential test that may be
-//! looked at after every window, as often as one likes, with a stated chance of a false halt.
+//! Whether the changed units do worse than those not yet changed in the same moments: a sequential test that
+//! may be looked at after every window, as often as one likes, with a stated chance of a false halt.
 //!
-//! In each window and stratum (zone and kind) the bad outcomes are counted on both sides. Were the builds alike, each of
-//! them would fall on a changed unit with the chance that this side has in the executions; drawn without replacement,
-//! which is dominated in the convex order by drawing with (W. Hoeffding, 1963, section 6). So the likelihood ratio
-//! against "odds times `FACTORS`" has a mean of one at most, whatever the load or the failures that hit both sides, and
-//! sums of such products that begin at each window with fixed weights stay under `1 / error` for ever with the stated
-//! chance (Ville's inequality; mixtures over the beginning as in Shiryaev and Roberts' detection).
+//! In each window and stratum (zone and kind) the bad outcomes are counted on both sides. Were the builds
+//! alike, each of them would fall on a changed unit with the chance that this side has in the executions;
+//! drawn without replacement, which is dominated in the convex order by drawing with (W. Hoeffding, 1963,
+//! section 6). So the likelihood ratio against "odds times `FACTORS`" has a mean of one at most, whatever the
+//! load or the failures that hit both sides, and sums of such products that begin at each window with fixed
+//! weights stay under `1 / error` for ever with the stated chance (Ville's inequality; mixtures over the
+//! beginning as in Shiryaev and Roberts' detection).
 //!
-//! Bad outcomes don't come one by one: a server whose queue is long makes all of a moment slow. So those of one unit in
-//! one window pass for one: the logarithm of the ratio is divided by the most that any unit has in the window, which
-//! keeps the mean at one or below for clusters up to that size (Jensen: x to a power below one is concave).
+//! Bad outcomes don't come one by one: a server whose queue is long makes all of a moment slow. So those of
+//! one unit in one window pass for one: the logarithm of the ratio is divided by the most that any unit has
+//! in the window, which keeps the mean at one or below for clusters up to that size (Jensen: x to a power
+//! below one is concave).
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-/// How many times worse odds are looked for. What is worse by less than the first of them is not found, by design.
+/// How many times worse odds are looked for. What is worse by less than the first of them is not found, by
+/// design.
 const FACTORS: [f64; 3] = [1.5, 3.0, 9.0];
 /// What can be bad about an execution, each tested with a third of the error.
 pub const SIGNS: [&str; 3] = ["fail", "are slow", "are turned away"];
@@ -66,7 +69,8 @@
     window: u64,
     /// Of this window, by member and stratum: not changed, and changed.
     strata: BTreeMap<(u16, u16), [Count; 2]>,
-    /// By stratum, and changed or not: the most bad outcomes of one unit, as all members together have seen it at most.
+    /// By stratum, and changed or not: the most bad outcomes of one unit, as all members together have seen
+    /// it at most.
     most: BTreeMap<(u16, bool), [u32; 3]>,
     /// For each sign and factor.
     sums: [[f64; 3]; 3],
@@ -88,8 +92,9 @@
         }
     }
 
-    /// What a member tells. Servers are compared within what one member saw of them in one stretch of time, so that
-    /// members with other clients, zones or moments don't pass for other builds; balancers are compared with one another.
+    /// What a member tells. Servers are compared within what one member saw of them in one stretch of time,
+    /// so that members with other clients, zones or moments don't pass for other builds; balancers are
+    /// compared with one another.
     pub fn take(&mut self, from: u16, row: Row) {
         let member = if row.stratum == OF_BALANCERS { u16::MAX } else { from };
         let count = Count { bad: row.count.bad.map(|bad| bad.min(row.count.executions)), ..row.count };
@@ -103,13 +108,14 @@
         self.strata.entry((member, row.stratum)).or_default()[usize::from(row.changed)].add(count);
     }
 
-    /// The window is over: what was taken since the last one counts. Tells which sign is against the build, and by how
-    /// much, if one is.
+    /// The window is over: what was taken since the last one counts. Tells which sign is against the build,
+    /// and by how much, if one is.
     pub fn close(&mut self) -> Option<String> {
         self.window += 1;
         let mut logs = [[0.0; 3]; 3];
-        // Each window is for itself, however few it has. Guards against sides of different moments: held over until
-        // there were enough, the one had the failures of a burst and the other those of the calm before.
+        // Each window is for itself, however few it has. Guards against sides of different moments: held over
+        // until there were enough, the one had the failures of a burst and the other those of the calm
+        // before.
         let most = std::mem::take(&mut self.most);
         for ((_, stratum), [unchanged, changed]) in std::mem::take(&mut self.strata) {
             if unchanged.executions == 0 || changed.executions == 0 {
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -1,7 +1,8 @@
-//! Whole members over a network that the search rules. A plain schedule founds a fleet and makes two changes; the
-//! search departs from it at every delivery, in every way it knows, up to so many departures together
-//! (delay-bounded scheduling: M. Emmi, S. Qadeer, Z. Rakamaric, "Delay-Bounded Scheduling", 2011). Clocks run at
-//! the rates that the terms allow. The judge sees only by which number each member would decide at each moment.
+//! Whole members over a network that the search rules. A plain schedule founds a fleet and makes two changes;
+//! the search departs from it at every delivery, in every way it knows, up to so many departures together
+//! (delay-bounded scheduling: M. Emmi, S. Qadeer, Z. Rakamaric, "Delay-Bounded Scheduling", 2011). Clocks run
+//! at the rates that the terms allow. The judge sees only by which number each member would decide at each
+//! moment.
 
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -108,8 +109,8 @@
 }
 
 impl Judge {
-    /// What a step that is seen for the first time lets out: one at most, never after a halt, none twice, and none
-    /// while another has been down for long.
+    /// What a step that is seen for the first time lets out: one at most, never after a halt, none twice, and
+    /// none while another has been down for long.
     fn units<L: Laws>(
         &mut self,
         record: &Record,
@@ -357,7 +358,8 @@
         let due = plan.outs.is_some_and(|outs| me >= VOTERS && step >= outs[(me - VOTERS) as usize]);
         if due && (place.released == 0 || is_back) {
             if member.is_let_out() {
-                // The supervisor ends the process; it starts again two steps later and says itself that it is back.
+                // The supervisor ends the process; it starts again two steps later and says itself that it is
+                // back.
                 (place.member, place.back, place.released) = (None, step + 2, place.released + 1);
                 return;
             }
@@ -598,8 +600,8 @@
     pub broken: Option<(String, Vec<Departure>)>,
 }
 
-/// Every schedule with up to `most` departures, each at any delivery and in any way. A state that was met before
-/// with as many departures left is not gone on from. `limit` bounds the states.
+/// Every schedule with up to `most` departures, each at any delivery and in any way. A state that was met
+/// before with as many departures left is not gone on from. `limit` bounds the states.
 pub fn search<L: Laws>(plan: Plan, forgets: bool, most: usize, limit: usize) -> Searched {
     let mut searched = Searched::default();
     // Few departures first, so that what is found is the shortest.
@@ -632,7 +634,8 @@
                 return;
             }
         };
-        // At the first delivery of each tick: states in between are as many as the departures that lead there.
+        // At the first delivery of each tick: states in between are as many as the departures that lead
+        // there.
         let print = world.print();
         if met.get(&print).is_some_and(|before| *before >= left) || met.len() >= limit {
             return;
@@ -673,8 +676,8 @@
     }
 }
 
-/// Schedules drawn by seed: from 1 to `most` departures at any place. The first that breaks something, shrunk to
-/// the departures that are needed for it.
+/// Schedules drawn by seed: from 1 to `most` departures at any place. The first that breaks something, shrunk
+/// to the departures that are needed for it.
 pub fn hunt<L: Laws>(plan: Plan, forgets: bool, seeds: std::ops::Range<u64>, most: usize) -> Searched {
     let mut searched = Searched::default();
     let deliveries = World::<L>::new(plan, forgets).play(&[]).map_or(0, |world| world.events);
--- a/lab/explore/src/sizes.rs
+++ b/lab/explore/src/sizes.rs
@@ -1,6 +1,6 @@
-//! Fleets of any size in virtual time: members as they ship, clocks that drift, links that delay and lose, and drawn
-//! schedules of faults. It measures how long a change takes to reach the last member and what is sent meanwhile, and
-//! its referee holds every member's decisions against the promises.
+//! Fleets of any size in virtual time: members as they ship, clocks that drift, links that delay and lose,
+//! and drawn schedules of faults. It measures how long a change takes to reach the last member and what is
+//! sent meanwhile, and its referee holds every member's decisions against the promises.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -359,8 +359,8 @@
     }
 }
 
-/// What became of a policy that one member can't prove, as the first voter knows it; an error if anybody ever decides
-/// by it.
+/// What became of a policy that one member can't prove, as the first voter knows it; an error if anybody ever
+/// decides by it.
 pub fn refused(fleet: &Fleet) -> Result<Option<Fate>, String> {
     let mut world = World::new(fleet);
     world.found();
@@ -407,8 +407,8 @@
     world.broken.map_or(Ok(measured), Err)
 }
 
-/// A drawn schedule: changes every few seconds while members die, stand still, lose disks and are cut off. Returns
-/// how many changes came into force.
+/// A drawn schedule: changes every few seconds while members die, stand still, lose disks and are cut off.
+/// Returns how many changes came into force.
 pub fn schedule(seed: u64) -> Result<u64, String> {
     let mut dice = Dice::new(seed, Concern::Hunt);
     let members = 5 + dice.below(7) as u16;
@@ -445,8 +445,8 @@
     }
     world.places.iter_mut().for_each(|place| place.side = 0);
     world.run(world.now + 120 * SECOND);
-    // All faults are over: the fleet agrees on one more, and everybody decides by it. Where it was never founded, since
-    // the member that was asked to died first, its operator asks again.
+    // All faults are over: the fleet agrees on one more, and everybody decides by it. Where it was never
+    // founded, since the member that was asked to died first, its operator asks again.
     if world
         .places
         .iter()
@@ -458,7 +458,8 @@
     world.propose(members - 1, b"the last", 9_999);
     world.run(world.now + 120 * SECOND);
     let last = world.places[0].member.as_ref().map_or(0, |member| member.record().policy.number);
-    // Voters that lost their disks one soon after the other are a majority without a memory: for an operator to found anew.
+    // Voters that lost their disks one soon after the other are a majority without a memory: for an operator
+    // to found anew.
     if world.broken.is_none() && world.can_decide() && !world.all_decide_by(last) {
         let by = |me: u16| {
             let member = world.places[me as usize].member.as_ref();
--- a/lab/explore/src/verdicts.rs
+++ b/lab/explore/src/verdicts.rs
@@ -1,6 +1,6 @@
-//! Whole releases as the verdict sees them, drawn by seed: units in zones, a load that swings and bursts, failures and
-//! slowness that come and go with it for all, and a build that may be bad. Only the counts are drawn; what is judged is
-//! the evidence as it ships. Simulated.
+//! Whole releases as the verdict sees them, drawn by seed: units in zones, a load that swings and bursts,
+//! failures and slowness that come and go with it for all, and a build that may be bad. Only the counts are
+//! drawn; what is judged is the evidence as it ships. Simulated.
 
 use whinspindle_lab_world::dice::{Concern, Dice};
 use whinspindle_release::{Count, Evidence, Places, Plan, Progress, Unit, Way, rows};
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -51,7 +51,8 @@
 
 #[test]
 fn a_step_whose_time_is_over_is_not_done() {
-    // The steward stood still between the beginning of its round and the promises; meanwhile a balancer went down.
+    // The steward stood still between the beginning of its round and the promises; meanwhile a balancer went
+    // down.
     let plan = Plan { outs: Some([6, 6]), ..Plan::default() };
     let departures = [(251, Turn::Late(4)), (244, Turn::Crash(9)), (279, Turn::Stop(7))];
     assert_eq!(World::<AsPublished>::new(plan, false).play(&departures).err(), None);
@@ -59,7 +60,8 @@
 
 #[test]
 fn after_one_fault_of_any_kind_everything_goes_on() {
-    // The first of the voters lost its disk: nobody was the steward any more, since it was heard and did not count.
+    // The first of the voters lost its disk: nobody was the steward any more, since it was heard and did not
+    // count.
     let plan = Plan { steps: 60, ..Plan::default() };
     let deliveries =
         World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken").deliveries();
@@ -97,7 +99,8 @@
 /// Two supervisors want their balancers out at the same time, where one may be.
 const OUTS: Plan = Plan { outs: Some([6, 6]), ..PLAIN };
 
-/// A release of both followers in two waves, their supervisors waiting from the beginning; and one that turns back.
+/// A release of both followers in two waves, their supervisors waiting from the beginning; and one that turns
+/// back.
 const RELEASE: Plan = Plan { outs: Some([4, 4]), release: Some([4, 99]), steps: 45, ..PLAIN };
 const TURNED: Plan = Plan { release: Some([4, 18]), steps: 60, ..RELEASE };
 
--- a/lab/explore/tests/verdicts.rs
+++ b/lab/explore/tests/verdicts.rs
@@ -18,7 +18,7 @@
             let mut after: Vec<f64> = halted.iter().map(|end| end.after).collect();
             after.sort_by(f64::total_cmp);
             println!(
-                "{} units, {}/s, {build:?}: {} of {plays} halted, units {:?} (worst {:?}), {:?} s after the first",
+                "{} units, {}/s, {build:?}: {} of {plays} halted, units {:?} (worst {:?}), {:?} s after",
                 fleet.units,
                 fleet.rate,
                 halted.len(),
@@ -32,7 +32,8 @@
                 assert!(halted.len() <= most, "{} false halts", halted.len());
                 assert!(ends.iter().any(|end| !end.halted && end.touched == fleet.units));
             } else {
-                // A slow leak outlasts a release of few units: with most of them changed there is little to compare with.
+                // A slow leak outlasts a release of few units: with most of them changed there is little to
+                // compare with.
                 let few = build == Build::Leaks && fleet.units < 20;
                 assert!(halted.len() == plays as usize || few && halted.len() > 5, "{fleet:?}, {build:?}");
                 // What leaks shows when it has leaked; the others at the first unit.
--- a/lab/figures/src/recovery.rs
+++ b/lab/figures/src/recovery.rs
@@ -1,4 +1,5 @@
-//! The way back after a trouble: how long until a run is as good as the same run without it, and what that cost.
+//! The way back after a trouble: how long until a run is as good as the same run without it, and what that
+//! cost.
 
 use serde::Serialize;
 
--- a/lab/fleet/src/play.rs
+++ b/lab/fleet/src/play.rs
@@ -639,7 +639,8 @@
             self.queries.remove(key);
             return;
         }
-        // One that comes after its time, to a balancer that was stopped or over a slow way, is nobody's any more.
+        // One that comes after its time, to a balancer that was stopped or over a slow way, is nobody's any
+        // more.
         if self.now >= deadline {
             return;
         }
--- a/lab/fleet/src/release.rs
+++ b/lab/fleet/src/release.rs
@@ -1,6 +1,6 @@
-//! Releases in virtual time: a supervisor lets servers and balancers go as the trouble says, starts them anew with the
-//! new build, and, where the release is agreed, asks the same core as the program does: waves, limits, the verdict on what
-//! the balancers see, and the way back.
+//! Releases in virtual time: a supervisor lets servers and balancers go as the trouble says, starts them anew
+//! with the new build, and, where the release is agreed, asks the same core as the program does: waves,
+//! limits, the verdict on what the balancers see, and the way back.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -274,7 +274,8 @@
         }
     }
 
-    /// A server that was let out ends, and the next process at its address has the build that it went out for.
+    /// A server that was let out ends, and the next process at its address has the build that it went out
+    /// for.
     pub(crate) fn released(&mut self, place: usize) {
         let Some(mut on) = self.supervised.take() else { return };
         if let Unit::Server(server) = on.plan.units[place] {
--- a/lab/fleet/src/troubles.rs
+++ b/lab/fleet/src/troubles.rs
@@ -7,8 +7,8 @@
 
 use crate::play::{DISCOVERY_NOTICES, Event, Fleet, Host, Step};
 
-/// A balancer that was told to end is killed after the longest statement timeout, of which so much counts, and
-/// the time beyond it; its last answers go out so long before.
+/// A balancer that was told to end is killed after the longest statement timeout, of which so much counts,
+/// and the time beyond it; its last answers go out so long before.
 const MOST_OF_LONGEST: u64 = 3_000_000;
 const BEYOND_LONGEST: u64 = 700_000;
 const LAST_ANSWERS: u64 = 200_000;
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -43,8 +43,8 @@
     STANDS.fetch_add(1, Ordering::Relaxed)
 }
 
-/// An address of the loopback range that no other process is given: ports of 127.0.0.1 that were free a moment ago
-/// may be another's when a member is started again.
+/// An address of the loopback range that no other process is given: ports of 127.0.0.1 that were free a
+/// moment ago may be another's when a member is started again.
 pub fn address(stand: u16, member: usize, port: u16) -> SocketAddr {
     let id = process::id();
     let ip = [127, 1 + (id / 250 % 250) as u8, (id % 250) as u8, 1 + member as u8];
@@ -82,13 +82,15 @@
         let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
         let listed = json!({"instanceId": "s-1", "hostPort": nobody.to_string(), "zone": "a", "machineType": "m",
             "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0});
+        let known = json!({"generation": 1, "reset": true, "instances": [listed]});
+        let known = if self.known[member] { known } else { Value::Null };
         let timeout = self.statement_timeout_ms[member] * 1_000_000;
         json!({"name": format!("n{member}"), "listen": self.listens[member].to_string(),
             "discovery": nobody.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": self.peer_listens[member].to_string(),
             "peers": self.relays.peers_of(member).iter().map(ToString::to_string).collect::<Vec<_>>(),
-            "known": self.known[member].then(|| json!({"generation": 1, "reset": true, "instances": [listed]})),
+            "known": known,
             "settings": {"balancers": self.members(), "rank": member, "tier": 0, "zones": ["a"], "kinds": ["m"],
                 "membershipMode": "pushed", "tickNs": 5_000_000,
                 "products": [{"name": "order", "effect": "keyed", "keyScope": "all", "sloTimeNs": timeout,
@@ -189,7 +191,8 @@
         file.display().to_string()
     }
 
-    /// The numbers of the policies of `policy` that came into force, by their limits, as a member's history tells.
+    /// The numbers of the policies of `policy` that came into force, by their limits, as a member's history
+    /// tells.
     pub fn numbers(&self, member: usize, limits: &[u64]) -> Vec<(u64, u64)> {
         let told = self.ask(member, &["history"]).said;
         let number = |limit: &u64| {
--- a/lab/relays/src/hunt.rs
+++ b/lab/relays/src/hunt.rs
@@ -1,5 +1,6 @@
-//! Schedules of faults, drawn by seed, over several real processes: kills, lost disks, stops, cuts, bad links, changes,
-//! turns, halts and moved voters, all at once. What is broken is shrunk to the fewest events that still break it.
+//! Schedules of faults, drawn by seed, over several real processes: kills, lost disks, stops, cuts, bad
+//! links, changes, turns, halts and moved voters, all at once. What is broken is shrunk to the fewest events
+//! that still break it.
 
 use std::fmt;
 use std::path::Path;
--- a/lab/relays/src/lib.rs
+++ b/lab/relays/src/lib.rs
@@ -1,5 +1,5 @@
-//! Several processes of the program as one fleet on loopback, with relays between them that lose, delay, repeat and
-//! cut, and a referee that asks each process from outside by which policy it decides.
+//! Several processes of the program as one fleet on loopback, with relays between them that lose, delay,
+//! repeat and cut, and a referee that asks each process from outside by which policy it decides.
 
 mod fleet;
 pub mod hunt;
--- a/lab/relays/src/referee.rs
+++ b/lab/relays/src/referee.rs
@@ -1,6 +1,6 @@
-//! The referee asks each process again and again by which policy it decides, by a query whose body is longer than
-//! any route takes: the answer names the limit of the route, and each policy has another one. It knows nothing of
-//! how the processes agree.
+//! The referee asks each process again and again by which policy it decides, by a query whose body is longer
+//! than any route takes: the answer names the limit of the route, and each policy has another one. It knows
+//! nothing of how the processes agree.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -15,8 +15,8 @@
 pub struct Seen {
     pub sent: Instant,
     pub answered: Instant,
-    /// The limit that the answer named; none where no route held, or the query was rejected, or the limit is a single
-    /// byte, by which terms for being cut off are known.
+    /// The limit that the answer named; none where no route held, or the query was rejected, or the limit is
+    /// a single byte, by which terms for being cut off are known.
     pub limit: Option<u64>,
     pub rejected: bool,
 }
@@ -117,15 +117,17 @@
         self.seen().iter().map(|seen| seen.last().copied().filter(|seen| seen.sent > since)).collect()
     }
 
-    /// The same as `judge_by`, where policies have limits in the order of their numbers and all may be in force.
+    /// The same as `judge_by`, where policies have limits in the order of their numbers and all may be in
+    /// force.
     pub fn judge(&self, window: Duration) -> Result<(), String> {
         self.judge_by(window, Some)
     }
 
-    /// Whether an older policy was decided by when the time was over, whether a process went back, whether more than
-    /// two were decided by at once, and whether any was that never came into force. `number` tells the number of the
-    /// policy with a limit, none if it did not come into force. A query's decision falls between its sending and its
-    /// answer, so that what is called broken is broken whatever the machine was doing.
+    /// Whether an older policy was decided by when the time was over, whether a process went back, whether
+    /// more than two were decided by at once, and whether any was that never came into force. `number` tells
+    /// the number of the policy with a limit, none if it did not come into force. A query's decision falls
+    /// between its sending and its answer, so that what is called broken is broken whatever the machine was
+    /// doing.
     pub fn judge_by(&self, window: Duration, number: impl Fn(u64) -> Option<u64>) -> Result<(), String> {
         judged(&self.seen(), window, number)
     }
--- a/lab/relays/src/relay.rs
+++ b/lab/relays/src/relay.rs
@@ -1,4 +1,5 @@
-//! Datagrams from one process to another pass a relay of the pair's own. Each way of a pair has its own faults.
+//! Datagrams from one process to another pass a relay of the pair's own. Each way of a pair has its own
+//! faults.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/lab/scenario/src/lib.rs
+++ b/lab/scenario/src/lib.rs
@@ -85,7 +85,8 @@
     pub name: String,
     /// Copies of the balancer before the first tier; each server of a tier before has one of its own.
     pub balancers: usize,
-    /// The first so many of these have moved: they hear of load by probes alone, and keep to their part of the list.
+    /// The first so many of these have moved: they hear of load by probes alone, and keep to their part of
+    /// the list.
     pub moved: usize,
     pub servers: Vec<Servers>,
     pub connections: Connections,
@@ -313,8 +314,8 @@
     /// Told to end, and started again when it has.
     BalancerRestart(Vec<usize>),
     BalancerReload(Vec<usize>),
-    /// Nothing passes between these balancers of a fleet and the others: both ways, or only what they send, or only
-    /// what they are sent. What clients and servers say is not touched.
+    /// Nothing passes between these balancers of a fleet and the others: both ways, or only what they send,
+    /// or only what they are sent. What clients and servers say is not touched.
     PeerCut(Vec<usize>, Ways),
     /// Parts of the datagrams between balancers that are lost, and that come twice.
     PeerLoss(f64),
--- a/lab/stage/src/clients.rs
+++ b/lab/stage/src/clients.rs
@@ -264,7 +264,8 @@
             Attempt::Lost
         }
         Err(_) => {
-            // Whoever gives up a balancer that stands still has hung up before it could answer: nothing is owed then.
+            // Whoever gives up a balancer that stands still has hung up before it could answer: nothing is
+            // owed then.
             if leaves.is_some() || world.referee.is_halted(asked.node) {
                 world.referee.left(now, id);
             }
--- a/lab/stage/src/fleet.rs
+++ b/lab/stage/src/fleet.rs
@@ -1,5 +1,5 @@
-//! The balancers of the first tier as one fleet: their files, what operators do, the ways between them, and the judge
-//! that asks each from outside by which policy it decides.
+//! The balancers of the first tier as one fleet: their files, what operators do, the ways between them, and
+//! the judge that asks each from outside by which policy it decides.
 
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -35,8 +35,8 @@
     stage.folder.join(format!("n{node}.{what}"))
 }
 
-/// The operator's file of a balancer, if it is one of a fleet. Each balancer reaches each server at an address of its own
-/// here, by which it is known; so lists of neighbours are of no use to it.
+/// The operator's file of a balancer, if it is one of a fleet. Each balancer reaches each server at an
+/// address of its own here, by which it is known; so lists of neighbours are of no use to it.
 pub fn operator(stage: &Stage, node: usize) -> Result<Option<PathBuf>, String> {
     let Some(fleet) = stage.scenario.fleet.as_ref().filter(|_| node < stage.scenario.tiers[0].balancers)
     else {
@@ -46,7 +46,8 @@
     let list = place(stage, node, "list");
     let keep = if fleet.keep { format!("[keep]\nfolder = {list:?}\n") } else { String::new() };
     let text = format!(
-        "[fleet]\nname = \"lab\"\nvoters = {voters:?}\nright = \"{}us\"\nsocket = {:?}\nstore = {:?}\nneighbours = false\nbegin-slowly = {}\n{}{}",
+        "[fleet]\nname = \"lab\"\nvoters = {voters:?}\nright = \"{}us\"\nsocket = {:?}\nstore = {:?}\n\
+         neighbours = false\nbegin-slowly = {}\n{}{}",
         fleet.right,
         place(stage, node, "sock"),
         place(stage, node, "store"),
@@ -237,7 +238,8 @@
     stage.world.borrow_mut().faults.extend(told.lines().map(|line| format!("fleet: {line}")));
     let mut between = stage.between.borrow_mut();
     let Some(judge) = between.as_mut().and_then(|between| between.judge.take()) else { return (None, 0) };
-    // The last changes are told with their hashes and numbers; one that is not among them never came into force.
+    // The last changes are told with their hashes and numbers; one that is not among them never came into
+    // force.
     let mut numbers: HashMap<u64, u64> = HashMap::new();
     for number in 0..=fleet.acts.len() as u64 {
         let Ok(text) = std::fs::read(stage.folder.join(format!("policy-{number}.toml"))) else { continue };
--- a/lab/stage/src/lib.rs
+++ b/lab/stage/src/lib.rs
@@ -1,6 +1,6 @@
-//! The world in real time: its servers, discovery and clients stand behind loopback sockets in this process, and
-//! the real program balances them, one process a balancer. The parts of the world are those of virtual time; only
-//! the clock and the network differ.
+//! The world in real time: its servers, discovery and clients stand behind loopback sockets in this process,
+//! and the real program balances them, one process a balancer. The parts of the world are those of virtual
+//! time; only the clock and the network differ.
 
 mod clients;
 mod discovery;
@@ -30,7 +30,8 @@
 /// And so does one that fires later than this once.
 const LATE_ONCE: u64 = 500_000;
 
-/// Plays the scenario with the program; `watch` is told once a second how far it is, from 0 to 1, and of what.
+/// Plays the scenario with the program; `watch` is told once a second how far it is, from 0 to 1, and of
+/// what.
 pub fn play(scenario: &Scenario, program: &Path, watch: &mut dyn FnMut(f64, &str)) -> Result<Run, String> {
     if !program.is_file() {
         return Err(format!("{}: there is no such program; build it first", program.display()));
--- a/lab/stage/src/program.rs
+++ b/lab/stage/src/program.rs
@@ -30,7 +30,8 @@
 
 pub async fn start_all(stage: &Rc<Stage>) -> Result<(), String> {
     let count = stage.world.borrow().nodes.len();
-    // Datagrams arrive where no other process picks a port: one that is free for connections may be another's for these.
+    // Datagrams arrive where no other process picks a port: one that is free for connections may be another's
+    // for these.
     let stand = whinspindle_lab_relays::next_stand();
     for node in 0..count {
         let listen = free_address()?;
--- a/lab/stage/src/release.rs
+++ b/lab/stage/src/release.rs
@@ -1,5 +1,5 @@
-//! A release on sockets: the program grants and watches, and a stand-in supervisor a server asks it by the documented
-//! command, as a real one would, and starts the server anew.
+//! A release on sockets: the program grants and watches, and a stand-in supervisor a server asks it by the
+//! documented command, as a real one would, and starts the server anew.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,7 +86,8 @@
                 _ => sleep(ASK).await,
             }
         };
-        // The balancers have stopped sending by what the fleet agreed on; what it holds is answered meanwhile.
+        // The balancers have stopped sending by what the fleet agreed on; what it holds is answered
+        // meanwhile.
         sleep(Duration::from_micros(terms.drains)).await;
         troubles::start_in_place(&stage, tier, place);
         if build.contains("new build") {
--- a/lab/stage/src/servers.rs
+++ b/lab/stage/src/servers.rs
@@ -1,5 +1,5 @@
-//! The servers behind their sockets: one listener for each balancer of the tier, so that each execution shows by
-//! its address whose it is. What they make of a query is the machine's doing.
+//! The servers behind their sockets: one listener for each balancer of the tier, so that each execution shows
+//! by its address whose it is. What they make of a query is the machine's doing.
 
 use std::io;
 use std::net::SocketAddr;
@@ -248,7 +248,8 @@
     let now = stage.now();
     let mut world = stage.world.borrow_mut();
     let world = &mut *world;
-    // What a balancer that was killed meanwhile still had in its sockets is not its sending any more: it is dropped.
+    // What a balancer that was killed meanwhile still had in its sockets is not its sending any more: it is
+    // dropped.
     world.nodes[node].process.as_ref()?;
     // Of earlier executions those whose connection the balancer has closed are over.
     let mut closed = Vec::new();
@@ -345,8 +346,8 @@
     }
 }
 
-/// Each machine does what was due up to now, at the times at which it was due: timers are late by a millisecond,
-/// and the work must not be.
+/// Each machine does what was due up to now, at the times at which it was due: timers are late by a
+/// millisecond, and the work must not be.
 pub fn work(stage: &Rc<Stage>) {
     let now = stage.now();
     let mut did = Vec::new();
--- a/lab/stage/src/state.rs
+++ b/lab/stage/src/state.rs
@@ -1,4 +1,5 @@
-//! What stands on the stage: machines, lists, balancers, open executions, and the referee that is told of all.
+//! What stands on the stage: machines, lists, balancers, open executions, and the referee that is told of
+//! all.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/lab/tool/src/recovery.rs
+++ b/lab/tool/src/recovery.rs
@@ -78,7 +78,8 @@
                 let found = serde_json::to_value(found).map_err(|fault| fault.to_string())?;
                 println!(
                     "{}",
-                    serde_json::json!({"trouble": name, "seed": seed, "clean": clean, "void": void, "found": found})
+                    serde_json::json!({"trouble": name, "seed": seed, "clean": clean, "void": void,
+                        "found": found})
                 );
             }
             continue;
@@ -88,8 +89,8 @@
         let full = if full.is_finite() { format!("{full:.0} s") } else { "not before the end".to_string() };
         println!("{name}, from {begins:.1} to {ends:.1} s: full service after {full}");
         println!(
-            "  lost {:.2} s of worth while it lasted, {:.2} s after; rejected {:+.0}, failed {:+.0}, handshakes {:+.0}, \
-             further tries {:+.0}, choked {:+.1} s, crossings {:+.1}%",
+            "  lost {:.2} s of worth while it lasted, {:.2} s after; rejected {:+.0}, failed {:+.0}, \
+             handshakes {:+.0}, further tries {:+.0}, choked {:+.1} s, crossings {:+.1}%",
             of(|found| found.lost_during_s),
             of(|found| found.lost_after_s),
             of(|found| found.rejected as f64),
--- a/lab/tool/tests/command.rs
+++ b/lab/tool/tests/command.rs
@@ -147,8 +147,8 @@
             let rest = text.split(&format!("\"{name}\": ")).nth(1).unwrap_or_default();
             rest.split([',', '\n']).next().and_then(|n| n.parse::<f64>().ok()).unwrap_or(-1.0)
         };
-        // On a machine that is too slow the run says that it does not count: then only the fleet's promises, which
-        // rest on no time but their own, are judged.
+        // On a machine that is too slow the run says that it does not count: then only the fleet's promises,
+        // which rest on no time but their own, are judged.
         let void = ran.status.code() == Some(4);
         assert!(!fleet || (text.contains("\"fleet\": null") && figure("fleet_looked") > 500.0), "{text}");
         if !void {
