Reread: counts that grew, ages that were none, a way back held up, a beginning too early

Need: the change was read once more as a whole. Found and mended: - crates/balancer/src/fleet.rs, publish: counts of servers were kept while no release was watched, and grew with the servers that come and go. Waves and the way back had no table of their own: crates/release/tests.

--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -55,14 +55,14 @@
     /// The servers that are let out, and a number that grows when they change; whether this balancer is.
     let_out: (u64, BTreeSet<u64>),
     is_let_out: bool,
-    /// The list as discovery has told it, to be given to neighbours; what neighbours have given, and the time
-    /// of this process's clock for starts.
-    told_list: Option<Vec<ListedServer>>,
+    /// The list as discovery has told it, to be given to neighbours, and for how many microseconds that has been
+    /// silent; what neighbours have given.
+    told_list: Option<(Vec<ListedServer>, u64)>,
     given_list: Option<(ListNews, Trust)>,
     /// The servers as this balancer has them listed, for the thread.
     places: Vec<Place>,
     /// What was counted since the thread looked last: of servers, by key and stratum, and of the process
-    /// itself.
+    /// itself; nothing while no release is watched, so that it does not grow with the servers that come and go.
     counts: BTreeMap<(u64, u16), Count>,
     own: Count,
 }
@@ -144,9 +144,9 @@
         matches!(published.right, Right::Policy(_)) && self.clock.now() < published.until
     }
 
-    /// The list as discovery has told it here, and still would.
-    pub fn tell_list(&self, servers: Vec<ListedServer>) {
-        held(&self.published).told_list = Some(servers);
+    /// The list as discovery has told it here, and for how many microseconds it has been silent since.
+    pub fn tell_list(&self, servers: Vec<ListedServer>, silent: u64) {
+        held(&self.published).told_list = Some((servers, silent));
     }
 
     /// A list that neighbours have given, each once.
@@ -430,8 +430,8 @@
     fn ask_neighbours(&mut self, now: u64) {
         let Some(neighbours) = &mut self.neighbours else { return };
         let told = held(&self.published).told_list.take();
-        if let Some(servers) = told {
-            neighbours.told(now, &servers);
+        if let Some((servers, silent)) = told {
+            neighbours.told(now.saturating_sub(silent), &servers);
         }
         let unix = crate::clock::Clock::start().now();
         if let Some((news, trust)) = neighbours.take(now, unix) {
@@ -530,12 +530,16 @@
             published.let_out = (published.let_out.0 + 1, servers);
         }
         published.is_let_out = self.member.is_let_out();
+        let watches = self.member.watched().is_some();
         let wires = &mut self.member.outside;
         wires.places.clone_from(&published.places);
-        for (of, count) in std::mem::take(&mut published.counts) {
-            wires.counts.entry(of).or_default().add(count);
+        let (counts, own) = (std::mem::take(&mut published.counts), std::mem::take(&mut published.own));
+        if watches {
+            counts.into_iter().for_each(|(of, count)| wires.counts.entry(of).or_default().add(count));
+            wires.own.add(own);
+        } else {
+            wires.counts.clear();
         }
-        wires.own.add(std::mem::take(&mut published.own));
     }
 
     fn serve(&mut self, request: Request) -> Answer {
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -113,11 +113,9 @@
     node.discovered.set(is_told);
     node.trusted.set(trust.filter(|_| is_recalled).map(|trust| (trust, false)));
     if let Some(fleet) = node.fleet.as_ref().filter(|_| is_told) {
-        fleet.tell_list(node.reducer.borrow().whole_list());
-    }
-    if slowly {
-        node.begin_slowly();
+        fleet.tell_list(node.reducer.borrow().whole_list(), 0);
     }
+    node.begins.set(slowly);
     if let Some(operator) = operator {
         let name = file.as_deref().unwrap_or(Path::new("")).display();
         log_line!("start", "{name} with {} routes", operator.routes.routes().len());
@@ -136,9 +134,9 @@
             told.reducer.borrow_mut().list(told.clock.now(), &news);
         })
     }));
-    spawn_local(reload(hangup, source, lasting, Rc::clone(&node), file));
+    spawn_local(reload(hangup, Rc::clone(&source), lasting, Rc::clone(&node), file));
     spawn_local(Rc::clone(&node).follow_fleet(Rc::clone(&accepted)));
-    spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted), keeper));
+    spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted), keeper, source));
     let stopped = Rc::clone(&node);
     spawn_local(async move {
         tokio::select! {
@@ -228,7 +226,7 @@
 }
 
 /// Drops connections that stood idle for long, and tells now and then what has become of the queries.
-async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>, mut keeper: Option<Keeper>) {
+async fn upkeep(node: Rc<Node>, accepted: Rc<Accepted>, mut keeper: Option<Keeper>, source: Rc<Source>) {
     let mut told = Default::default();
     let mut whole = (keeper.is_some() || node.fleet.is_some()).then(|| Whole::new(node.clock.now()));
     for second in 1_u64.. {
@@ -243,7 +241,8 @@
             keeper.keep(node.reducer.borrow().whole_list(), node.clock.now());
         }
         if let Some(fleet) = node.fleet.as_ref().filter(|_| node.discovered.get()) {
-            fleet.tell_list(node.reducer.borrow().whole_list());
+            let silent = source.silent_for().as_micros() as u64;
+            fleet.tell_list(node.reducer.borrow().whole_list(), silent);
         }
         let tally = node.reducer.borrow().tally();
         if second % 10 == 0 && tally != told {
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -56,6 +56,7 @@
     pub seen: RefCell<Seen>,
     /// The first seconds after the start, where the operator's file asks for it; queries that clients have
     /// open.
+    pub begins: Cell<bool>,
     pub ramp: RefCell<Option<Ramp>>,
     pub open: Cell<usize>,
     /// Where the order to stop waiting goes, by query and execution.
@@ -91,6 +92,7 @@
                 discovered: Cell::new(false),
                 trusted: Cell::new(None),
                 seen: RefCell::default(),
+                begins: Cell::new(false),
                 ramp: RefCell::default(),
                 open: Cell::new(0),
                 cancels: RefCell::default(),
@@ -106,8 +108,10 @@
         node
     }
 
-    /// Few queries at a time to begin with, as a process that may have come back with all others.
-    pub fn begin_slowly(&self) {
+    /// Few queries at a time to begin with, as a process that may have come back with all others. Guards against a
+    /// beginning that is over before there is a list: it counts from the first that there is.
+    fn begin_slowly(&self) {
+        self.begins.set(false);
         let terms = &self.deployment.terms;
         let slo_time = terms.products.iter().map(|row| row.slo_time).min().unwrap_or(0);
         // Guards against products that take minutes: whether servers are jammed is seen sooner than their
@@ -119,8 +123,11 @@
 
     /// Whether the slow beginning is over, if there was one; it is told then, and forgotten.
     pub fn takes_all(&self) -> bool {
+        if self.begins.get() && self.reducer.borrow().has_list() {
+            self.begin_slowly();
+        }
         let mut held = self.ramp.borrow_mut();
-        let Some(ramp) = held.as_mut() else { return true };
+        let Some(ramp) = held.as_mut() else { return !self.begins.get() };
         ramp.look(self.clock.now());
         if ramp.is_over() {
             log_line!("start", "all queries are taken from now on, {} were turned away", ramp.turned_away());
@@ -131,7 +138,8 @@
 
     /// Whether one more query may be taken now; if not, when its client had best come back.
     pub fn may_take(&self) -> Result<(), u64> {
-        if self.takes_all() {
+        // Without a list the decisions reject by themselves.
+        if self.takes_all() || self.begins.get() {
             return Ok(());
         }
         let mut held = self.ramp.borrow_mut();
--- a/crates/policy/src/member/releases.rs
+++ b/crates/policy/src/member/releases.rs
@@ -10,7 +10,7 @@
 
 impl<O: Outside, L: Laws> Member<O, L> {
     /// The release whose units are watched now.
-    pub(super) fn watched(&self) -> Option<u64> {
+    pub fn watched(&self) -> Option<u64> {
         let forth = self.record.release.as_ref().filter(|release| release.way == Way::Forth);
         forth.map(|release| release.number)
     }
@@ -19,9 +19,15 @@
     pub fn progress<T>(&self, now: u64, see: impl FnOnce(&Progress) -> T) -> Option<T> {
         let release = self.record.release.as_ref()?;
         let plan = self.outside.plan(release.hash)?;
-        let mut out: Vec<Unit> = self.record.out.iter().map(|out| out.unit).collect();
+        // On the way back only what this release has let out has to return: a unit that it never touched, and that
+        // is down for a cause of its own, must not hold up the end of a bad build.
+        let forth = release.way == Way::Forth;
+        let mine = |part: Option<Part>| part.is_some_and(|part| part.release == release.number);
+        let out = self.record.out.iter().filter(|out| forth || mine(out.part));
+        let mut out: Vec<Unit> = out.map(|out| out.unit).collect();
         let away = self.away(now);
         out.extend(plan.units.iter().filter(|unit| match unit {
+            _ if !forth => false,
             Unit::Balancer(number) => away.contains(number),
             Unit::Server(key) => !self.outside.is_full(*key),
         }));
--- a/crates/recall/src/neighbours.rs
+++ b/crates/recall/src/neighbours.rs
@@ -64,7 +64,7 @@
     name: Name,
     bytes: Vec<u8>,
     servers: Vec<ListedServer>,
-    /// By this member's clock: when discovery told it, or confirmed it by still being there.
+    /// By this member's clock: when discovery told it, or said anything after that.
     at: u64,
 }
 
@@ -120,17 +120,17 @@
         }
     }
 
-    /// The list as discovery has told it and still does.
-    pub fn told(&mut self, now: u64, servers: &[ListedServer]) {
+    /// The list as discovery has told it; it has confirmed it last at this time.
+    pub fn told(&mut self, at: u64, servers: &[ListedServer]) {
         self.spoken = true;
         match &mut self.own {
-            Some(own) if own.servers == servers => own.at = now,
+            Some(own) if own.servers == servers => own.at = at,
             _ => {
                 let mut sorted = servers.to_vec();
                 sorted.sort_by(|a, b| a.name.cmp(&b.name));
                 // Without its time: members that were told the same at other moments have the same list.
                 let bytes = encode(&sorted, 0, 0);
-                let own = Own { name: name_of(&bytes), bytes, servers: servers.to_vec(), at: now };
+                let own = Own { name: name_of(&bytes), bytes, servers: servers.to_vec(), at };
                 self.own =
                     Some(own).filter(|own| !own.servers.is_empty() && own.bytes.len() <= LONGEST as usize);
             }
@@ -166,7 +166,7 @@
         let mut alike: BTreeMap<Name, (u32, u64, usize)> = BTreeMap::new();
         for (name, length, at) in self.has.values() {
             let known = alike.entry(*name).or_insert((*length, *at, 0));
-            // The age that a second one confirms: the older of the two youngest is what both have seen.
+            // By the oldest word of those that tell it alike: that is what all of them have seen.
             (known.1, known.2) = (if known.2 == 0 { *at } else { known.1.min(*at) }, known.2 + 1);
         }
         let best = alike.into_iter().max_by_key(|(_, (_, at, count))| ((*count).min(2), *at));
--- a/crates/release/tests/release.rs
+++ b/crates/release/tests/release.rs
@@ -1,6 +1,6 @@
 //! Whether one more may go.
 
-use whinspindle_release::{Limits, No, Place, Scene, Unit};
+use whinspindle_release::{Limits, Next, No, Place, Places, Plan, Progress, Scene, Unit, Way};
 
 use Unit::{Balancer, Server};
 
@@ -47,3 +47,45 @@
     let scene = Scene { limits: &none, granted: &[], away: &away, balancers: 3, servers: &[] };
     assert_eq!([scene.may_go(Balancer(0)), scene.may_go(Server(0))], [Err(No::NoLimit), Err(No::NoLimit)]);
 }
+
+#[test]
+fn waves_follow_one_another_and_the_way_back_undoes_the_last_first() {
+    let plan = Plan {
+        name: "p".to_string(),
+        units: (0..4).map(Server).collect(),
+        names: Vec::new(),
+        waves: vec![1, 3, 4],
+        watch: 10,
+        error: 0.01,
+        build: None,
+    };
+    // Way, wave, which are changed, which are out; which may go, what follows when watched too short and long enough.
+    let (forth, back, over) = (Way::Forth, Way::Back, Some(Next::Over));
+    let wave = |number| Some(Next::Wave(number));
+    for (way, at, changed, out, may, early, late) in [
+        (forth, 0, &[][..], &[][..], &[0][..], None, None),
+        (forth, 0, &[0], &[], &[], None, wave(1)),
+        (forth, 0, &[0], &[0], &[], None, None),
+        (forth, 1, &[0, 1], &[], &[2], None, None),
+        (forth, 1, &[0, 1, 2], &[], &[], None, wave(2)),
+        (forth, 2, &[0, 1, 2, 3], &[], &[], None, over),
+        // One that was changed before is cold again: the next wave waits for it.
+        (forth, 2, &[0, 1, 2, 3], &[1], &[], None, None),
+        (back, 1, &[0, 1], &[], &[1], None, None),
+        (back, 1, &[0], &[2], &[], None, None),
+        (back, 1, &[0], &[], &[], wave(0), wave(0)),
+        (back, 0, &[0], &[], &[0], None, None),
+        (back, 0, &[], &[], &[], over, over),
+    ] {
+        let mut places = Places::default();
+        changed.iter().for_each(|place| places.set(*place, true));
+        let out: Vec<Unit> = out.iter().copied().map(Server).collect();
+        let progress = Progress { plan: &plan, way, wave: at, changed: &places, out: &out };
+        let may_go: Vec<usize> = (0..4).filter(|place| progress.may_go(*place).is_ok()).collect();
+        assert_eq!(
+            (may_go.as_slice(), progress.next(9), progress.next(10)),
+            (may, early, late),
+            "{way:?} {at} {changed:?}"
+        );
+    }
+}
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -33,11 +33,23 @@
     discovery: Cell<SocketAddr>,
     generation: Cell<Option<u64>>,
     moved: Notify,
+    /// When discovery said anything last, be it that nothing has changed; the start, if it has not yet.
+    heard: Cell<Instant>,
 }
 
 impl Source {
     pub fn new(discovery: SocketAddr, generation: Option<u64>) -> Self {
-        Source { discovery: Cell::new(discovery), generation: Cell::new(generation), moved: Notify::new() }
+        Source {
+            discovery: Cell::new(discovery),
+            generation: Cell::new(generation),
+            moved: Notify::new(),
+            heard: Cell::new(Instant::now()),
+        }
+    }
+
+    /// For how long discovery has said nothing.
+    pub fn silent_for(&self) -> Duration {
+        self.heard.get().elapsed()
     }
 
     /// The list is followed at this address from now on. One that is new may count otherwise than the one
@@ -54,7 +66,7 @@
 pub async fn follow(source: Rc<Source>, mut told: impl FnMut(ListNews)) {
     loop {
         let watching = async {
-            match watch(source.discovery.get(), &source.generation, &mut told).await {
+            match watch(&source, &mut told).await {
                 Ok(()) => log_line!("list", "the watch ended; it is opened again"),
                 Err(fault) => log_line!("list", "the watch failed: {fault}; it is opened again"),
             }
@@ -68,11 +80,8 @@
     }
 }
 
-async fn watch(
-    discovery: SocketAddr,
-    known: &Cell<Option<u64>>,
-    told: &mut impl FnMut(ListNews),
-) -> Result<(), Box<dyn std::error::Error>> {
+async fn watch(source: &Source, told: &mut impl FnMut(ListNews)) -> Result<(), Box<dyn std::error::Error>> {
+    let (discovery, known) = (source.discovery.get(), &source.generation);
     let socket = timeout(SILENCE, TcpStream::connect(discovery)).await??;
     let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
     let target = match known.get() {
@@ -89,6 +98,7 @@
         let mut lines = Lines::default();
         while let Some(frame) = timeout(SILENCE, body.frame()).await? {
             if let Ok(data) = frame?.into_data() {
+                source.heard.set(Instant::now());
                 lines.take(&data, |line| hear(line, known, told))?;
             }
         }
