One account of what counts as bad, for the program and the lab; one plain plan

Need: what an outcome of an execution means for the verdict stood twice, in the program (crates/balancer/src/seen.rs) and in the lab's releases (lab/fleet/src/release.rs), so that the one could be changed without the other; the plan of a founding and nothing more stood in the searches and in their tests. Change: `Seen` is a part of crates/release, without I/O, and drives both; `PLAIN` is the searches' own.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -10,7 +10,6 @@
 mod keeper;
 mod node;
 mod placement;
-mod seen;
 
 mod shares;
 mod stop;
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -19,7 +19,7 @@
 use whinspindle_operator::Operator;
 use whinspindle_recall::{Ramp, Trust};
 use whinspindle_reducer::{Effects, Ended, Execution, Place, Reducer};
-use whinspindle_release::{Count, Place as Listed};
+use whinspindle_release::{Count, Place as Listed, Seen};
 use whinspindle_terms::Deployment;
 use whinspindle_upstreams::{Connections, Failure, Progress, Room, Terms, Trail, Upstream};
 
@@ -27,7 +27,6 @@
 use crate::clock::Clock;
 use crate::fleet::{By, Fleet};
 use crate::placement::Placement;
-use crate::seen::Seen;
 use crate::shares::Shares;
 use crate::stop::Stop;
 use crate::timers::Timers;
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -2,6 +2,7 @@
 //! let out by a grant, draining, gone, cold, unheard of. No I/O; `docs/fleet-design.md` has the promises.
 
 mod plan;
+mod seen;
 mod slow;
 mod verdict;
 
@@ -11,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use plan::{MOST_UNITS, Next, Places, Plan, Progress, Way};
+pub use seen::Seen;
 pub use slow::Lines;
 pub use verdict::{Count, Evidence, OF_BALANCERS, Row, SIGNS, rows};
 
--- a/crates/balancer/src/seen.rs
+++ b/crates/release/src/seen.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::{Count, Lines, SIGNS};
 use whinspindle::host::Outcome;
-use whinspindle_release::{Count, Lines, SIGNS};
 
 const FAILS: usize = 0;
 const SLOW: usize = 1;
--- a/lab/explore/src/members.rs
+++ b/lab/explore/src/members.rs
@@ -197,18 +197,21 @@
     }
 }
 
+/// Founded, and nothing more.
+pub const PLAIN: Plan = Plan {
+    proposed: [99, 99],
+    objects: None,
+    absent: 3,
+    outs: None,
+    halts: None,
+    moves: None,
+    release: None,
+    steps: STEPS,
+};
+
 impl Default for Plan {
     fn default() -> Self {
-        Plan {
-            proposed: [3, 4],
-            objects: None,
-            absent: 3,
-            outs: None,
-            halts: None,
-            moves: None,
-            release: None,
-            steps: STEPS,
-        }
+        Plan { proposed: [3, 4], ..PLAIN }
     }
 }
 
--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -1,6 +1,6 @@
 //! Whole members, with departures from the plain schedule at every delivery, and the faults that these find.
 
-use whinspindle_lab_explore::members::{Plan, STEPS, Turn, World, hunt, search};
+use whinspindle_lab_explore::members::{PLAIN, Plan, Turn, World, hunt, search};
 use whinspindle_lab_explore::plants::*;
 use whinspindle_policy::{AsPublished, Laws, Right};
 
@@ -104,18 +104,6 @@
 const RELEASE: Plan = Plan { outs: Some([4, 4]), release: Some([4, 99]), steps: 45, ..PLAIN };
 const TURNED: Plan = Plan { release: Some([4, 18]), steps: 60, ..RELEASE };
 
-/// Founded, and nothing more.
-const PLAIN: Plan = Plan {
-    proposed: [99, 99],
-    objects: None,
-    absent: 3,
-    outs: None,
-    halts: None,
-    moves: None,
-    release: None,
-    steps: STEPS,
-};
-
 fn found<L: Laws>(plan: Plan, forgets: bool) {
     let searched = search::<L>(plan, forgets, 1, 50_000);
     let broken = searched.broken.or_else(|| hunt::<L>(plan, forgets, 0..20_000, 6).broken);
--- a/lab/fleet/src/release.rs
+++ b/lab/fleet/src/release.rs
@@ -7,7 +7,7 @@
 use whinspindle::host::Outcome;
 use whinspindle_lab_scenario::{How, Release};
 use whinspindle_release::{
-    Count, Evidence, Limits, Lines, Next, Place, Places, Plan, Progress, SIGNS, Scene, Unit, Way, rows,
+    Count, Evidence, Limits, Next, Place, Places, Plan, Progress, Scene, Seen, Unit, Way, rows,
 };
 
 use crate::play::{BEGUN, Event, Fleet, Step};
@@ -32,9 +32,8 @@
     complete: Option<u64>,
     evidence: Evidence,
     window: u64,
-    /// By balancer, server and sign: what was seen since the window began.
-    seen: BTreeMap<(usize, usize), Count>,
-    lines: Vec<Lines>,
+    /// What each balancer has seen since the window began.
+    seen: Vec<Seen>,
     halted: Option<u64>,
     notes: Vec<String>,
 }
@@ -70,8 +69,7 @@
             complete: None,
             evidence: Evidence::new(0.01),
             window: self.now,
-            seen: BTreeMap::new(),
-            lines: vec![Lines::default(); self.nodes.len()],
+            seen: (0..self.nodes.len()).map(|_| Seen::default()).collect(),
             halted: None,
             notes: Vec::new(),
         });
@@ -88,17 +86,9 @@
         outcome: Outcome,
         spent: u64,
     ) {
-        let Some(on) = self.supervised.as_mut().filter(|on| on.tier == tier && on.halted.is_none()) else {
-            return;
-        };
-        let mut bad = [0; SIGNS.len()];
-        match outcome {
-            Outcome::Completed => bad[1] = u32::from(on.lines[node].is_slow(product, spent)),
-            Outcome::TurnedAway => bad[2] = 1,
-            Outcome::Unfit | Outcome::Stale | Outcome::Cancelled | Outcome::Moot => return,
-            _ => bad[0] = 1,
+        if let Some(on) = self.supervised.as_mut().filter(|on| on.tier == tier && on.halted.is_none()) {
+            on.seen[node].execution(place, product, outcome, spent);
         }
-        on.seen.entry((node, place)).or_default().add(Count { executions: 1, bad });
     }
 
     fn is_full(&self, tier: usize, unit: Unit) -> bool {
@@ -141,12 +131,13 @@
             return;
         }
         on.window = self.now;
-        let seen = std::mem::take(&mut on.seen);
+        let seen: Vec<BTreeMap<usize, Count>> = on.seen.iter_mut().map(|seen| seen.take().0).collect();
         if on.terms.how != How::Agreed || on.way == Way::Back {
             return;
         }
         let mut of: BTreeMap<usize, Vec<(u16, bool, Count)>> = BTreeMap::new();
-        for ((node, place), count) in seen {
+        let seen = seen.into_iter().enumerate();
+        for (node, (place, count)) in seen.flat_map(|(node, of)| of.into_iter().map(move |one| (node, one))) {
             let host = &self.tiers[on.tier].hosts[place];
             let number = on.plan.place_of(Unit::Server(place as u64));
             let is_out = number.is_some_and(|number| on.out.contains_key(&number));
