A watch is found dead and opened again within the 6 s; what can't be read asks anew

Cause: crates/serverlist/src/lib.rs let connecting (4.5 s), the head (4.5 s) and silence (4.5 s) each have its own time, one after the other, with 0.25 s between: a watch that fell silent and one try that hung came to 9.5 s, a change counts as told after 6. Now silence has 3 s, connecting and the head 1 s together, so that a silent watch, a try that hangs and the one that works fit. An object that comes on steadily without an end is given up after 6 s. A line that could not be read was passed over and the count went on with the next, so that a drain in it was lost for good: such a watch, and one whose count falls, asks for the whole list. A list that is indented came as many lines of which none could be read: objects are told by their brackets now (objects.rs, in place of lines.rs).

--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -15,16 +15,21 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 use whinspindle_logline::log_line;
 use whinspindle_messages::list::ListNews;
 
-mod lines;
+mod objects;
 
-use lines::Lines;
+use objects::Objects;
 
-/// While nothing changes an empty line comes every 2 s; silent for longer than two of them, a watch is dead.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// A change counts as told so long after discovery had it and could be reached. A watch that falls silent, a try
+/// that hangs and the one that works, with the pauses between them, have to fit in, not each by itself.
+const TOLD: Duration = Duration::from_secs(6);
+/// While nothing changes an empty line comes every 2 s; silent for one and a half of that, a watch is dead.
+const SILENCE: Duration = TOLD.checked_div(2).expect("not by 0");
+/// Discovery answers at once: what has not connected and told its head by then hangs.
+const ANSWER: Duration = TOLD.checked_div(6).expect("not by 0");
 /// Between two tries to open a watch.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -60,6 +65,20 @@
             self.moved.notify_one();
         }
     }
+
+    /// Takes in one object of a watch; an error if it can't be read, or is older than what is known.
+    fn hear(&self, object: &[u8], told: &mut impl FnMut(ListNews)) -> Result<(), String> {
+        let news = ListNews::decode(object).map_err(|fault| format!("a line that can't be read: {fault}"))?;
+        if let Some(known) = self.generation.get().filter(|&known| !news.whole && news.generation < known) {
+            return Err(format!("changes up to {} after those up to {known}", news.generation));
+        }
+        for fault in &news.faults {
+            log_line!("list", "an entry is passed over: {fault}");
+        }
+        self.generation.set(Some(news.generation));
+        told(news);
+        Ok(())
+    }
 }
 
 /// Follows the list for ever, from the generation that is known already, and keeps that up to date.
@@ -81,25 +100,38 @@
 }
 
 async fn watch(source: &Source, told: &mut impl FnMut(ListNews)) -> Result<(), Box<dyn std::error::Error>> {
-    let (discovery, known) = (source.discovery.get(), &source.generation);
-    let socket = timeout(SILENCE, TcpStream::connect(discovery)).await??;
+    let discovery = source.discovery.get();
+    // Guards against discovery that is down and accepts all the same, or does not even refuse.
+    let answered_by = tokio::time::Instant::now() + ANSWER;
+    let socket = timeout_at(answered_by, TcpStream::connect(discovery)).await??;
+    let _ = socket.set_nodelay(true);
     let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
-    let target = match known.get() {
+    let target = match source.generation.get() {
         Some(generation) => format!("/v1/servers?watch=1&from={generation}"),
         None => "/v1/servers?watch=1".to_string(),
     };
     let request = Request::get(target).header("host", discovery.to_string()).body(Empty::<Bytes>::new())?;
     let reading = async {
-        let response = timeout(SILENCE, sender.send_request(request)).await??;
+        let response = timeout_at(answered_by, sender.send_request(request)).await??;
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()).into());
         }
         let mut body = response.into_body();
-        let mut lines = Lines::default();
-        while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        let mut objects = Objects::default();
+        let mut whole_by = tokio::time::Instant::now() + TOLD;
+        loop {
+            // Guards against an object that goes on without an end, however steadily.
+            if !objects.is_begun() {
+                whole_by = tokio::time::Instant::now() + TOLD;
+            }
+            let Some(frame) = timeout_at(whole_by, timeout(SILENCE, body.frame())).await?? else { break };
             if let Ok(data) = frame?.into_data() {
                 source.heard.set(Instant::now());
-                lines.take(&data, |line| hear(line, known, told))?;
+                // What has lost its place tells nothing any more: the whole list is asked for. Guards against a drain
+                // in what was passed over, which nothing later repeats.
+                objects
+                    .take(&data, |object| source.hear(object, told))
+                    .inspect_err(|_| source.generation.set(None))?;
             }
         }
         Ok(())
@@ -115,16 +147,3 @@
     })
     .await
 }
-
-fn hear(line: &[u8], known: &Cell<Option<u64>>, told: &mut impl FnMut(ListNews)) {
-    match ListNews::decode(line) {
-        Ok(news) => {
-            for fault in &news.faults {
-                log_line!("list", "an entry is passed over: {fault}");
-            }
-            known.set(Some(news.generation));
-            told(news);
-        }
-        Err(fault) => log_line!("list", "a line is passed over: {fault}"),
-    }
-}
