The window for repeats holds at the first byte; a strained home zone sends queries away

Connections come up late there; the log of that second has seven `connect: timed out` and executions that began after. Cause: the window was looked at when the repeat was decided (decide.rs, may_repeat_at), the request went out up to a connect time-out later; node.rs asked again only whether the query was open and the server ready. Ruled out: a library that sends again (hyper does not), an exec counted twice. Now Reducer::may_begin asks the module too. Cause: queries stay home (decide.rs, stays) by a copy's part of the traffic, which reports tell, and that deployment has no reports: every copy took its part for an even one. Ruled out: lack of CPU (log times 26 ms late at most), has_room. Now the weights decide where the latest answers take longer than what rejects a tenant beyond its share, and without reports the part is told by all tenants' shares. Each of the three tests fails without its line.

--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -239,8 +239,9 @@
         let address = order.place.address;
         let until = self.clock.now() + order.time_out;
         let prepare = || {
-            let left = until.saturating_sub(self.clock.now());
-            let wanted = self.reducer.borrow().may_begin(order.qry, order.server);
+            let now = self.clock.now();
+            let left = until.saturating_sub(now);
+            let wanted = self.reducer.borrow_mut().may_begin(now, order.qry, order.exec, order.server);
             wanted.then(|| execution::encode(&order.query, address, left))
         };
         let exchange = self.upstreams.exchange(upstream(order.place), prepare, &trail);
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -163,9 +163,10 @@
     }
 
     /// Whether an execution may still begin: asked again right before its first byte goes out. Guards against
-    /// a query that was answered, and a server that has left the list, while the connection came up.
-    pub fn may_begin(&self, qry: usize, server: usize) -> bool {
-        self.balancer.host.is_open(qry) && self.is_ready(server)
+    /// a query that was answered, a server that has left the list, and a window for repeats that has run out
+    /// while the connection came up.
+    pub fn may_begin(&mut self, now: u64, qry: usize, exec: usize, server: usize) -> bool {
+        self.balancer.host.is_open(qry) && self.is_ready(server) && self.balancer.may_begin(now, qry, exec)
     }
 
     /// Whether the last list has the server ready.
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -234,9 +234,9 @@
         let ticket = bench.query("client");
         bench.list(whole, news);
         assert_eq!(bench.reducer.is_ready(0), wanted, "{whole} {news:?}");
-        assert_eq!(bench.reducer.may_begin(0, 0), wanted, "{whole} {news:?}");
+        assert_eq!(bench.reducer.may_begin(NOW, 0, 0, 0), wanted, "{whole} {news:?}");
         bench.reducer.left(NOW, ticket);
-        assert!(!bench.reducer.may_begin(0, 0));
+        assert!(!bench.reducer.may_begin(NOW, 0, 0, 0));
     }
     assert!(Bench::new("keyed", &[]).reducer.has_list());
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 
 use crate::host::*;
 use crate::pcg::Pcg;
-use crate::samples::{Runs, count_times, fit, mean, note_time, push, ranked, rate};
+use crate::samples::{Runs, count_times, mean, note_time, push, ranked, rate, rising, shares};
 
 // The design's own figures: check period, settling time, change that counts, step, tries, pass-over.
 const CHECK: u64 = 5_000_000;
@@ -287,8 +287,8 @@
         let give_up = give_up.saturating_sub(2 * self.terms.tick);
         let known = product < self.terms.products.len();
         let product = product.min(self.terms.products.len() - 1);
-        let query = Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
-        self.queries[qry] = query;
+        self.queries[qry] =
+            Query { live: true, product, came: now, deadline, give_up, lane, ..Query::default() };
         if !known || self.full(tenant) || !(self.ask(qry) || (!self.terms.load_by_probe && self.place(qry))) {
             return self.finish(qry);
         }
@@ -554,7 +554,7 @@
         let open = q.live && self.now < q.give_up && q.execs.len() < most.min(self.terms.most_executions);
         let alone = self.terms.second_copies || q.execs.iter().all(|e| e.ended.is_some());
         let s = &self.servers[server];
-        if !open || !alone || !s.ready || !self.may_repeat_at(qry, server) || !self.cold_room(server) {
+        if !open || !alone || !s.ready || !self.may_repeat_at(qry, server, None) || !self.cold_room(server) {
             return false;
         }
         let exec = Exec { server, zone: s.zone, cell: s.cell, sent: self.now, ended: None, struck: false };
@@ -574,11 +574,18 @@
         true
     }
 
-    /// Rule 2: whether another execution, on this server, can do no harm.
-    fn may_repeat_at(&self, qry: usize, server: usize) -> bool {
+    /// Asked right before an execution's first byte. Guards against a connection that comes up too late.
+    pub fn may_begin(&mut self, now: u64, qry: usize, exec: usize) -> bool {
+        self.now = now;
+        self.may_repeat_at(qry, self.queries[qry].execs[exec].server, Some(exec))
+    }
+
+    /// Rule 2: whether another execution, or this one, on this server can do no harm after the others.
+    fn may_repeat_at(&self, qry: usize, server: usize, this: Option<usize>) -> bool {
         let (q, s) = (&self.queries[qry], &self.servers[server]);
         let row = &self.terms.products[q.product];
-        let mut ran = q.execs.iter().filter(|e| !e.ended.is_some_and(Outcome::never_ran));
+        let others = q.execs.iter().enumerate().filter(|&(exec, _)| Some(exec) != this).map(|(_, e)| e);
+        let mut ran = others.filter(|e| !e.ended.is_some_and(Outcome::never_ran));
         let within = |group: Group, e: &Exec| match group {
             Group::All => true,
             Group::Zone => e.zone == s.zone,
@@ -637,13 +644,16 @@
     }
 
     /// This copy's part of the traffic: what it lets in, less what chance brings, of the rates that servers
-    /// tell; an even part at the least. Guards against taking favoured copies for ones like the others.
+    /// tell, else of all tenants' shares; an even part at the least. Guards against taking favoured copies for
+    /// ones like the others.
     fn part(&self) -> f64 {
         let even = 1.0 / self.terms.balancers as f64;
         let told = mean(self.listed.iter().filter_map(|&i| self.servers[i].rates.back().copied()));
         let own = self.rate(&self.admitted, CHECK);
         let own = own - (own * 1e6 / CHECK as f64).sqrt();
-        if told > 0.0 { (own / (told * self.listed.len() as f64)).clamp(even, 1.0) } else { even }
+        let quotas = self.terms.tenant_quotas.iter().sum();
+        let all = if told > 0.0 { told * self.listed.len() as f64 } else { quotas };
+        if all > 0.0 { (own / all).clamp(even, 1.0) } else { even }
     }
 
     /// Whether it has let in more of the tenant's queries than its part of the share, and than chance brings.
@@ -667,7 +677,7 @@
             let near = |&first: &usize| self.servers[first].zone == self.servers[server].zone;
             // A cold server gets the part of an even share that it can do.
             let warm = self.warmth(server) >= 1.0 || self.chance.unit() < self.warmth(server);
-            let may = self.fit(server) && self.cold_room(server) && self.may_repeat_at(qry, server);
+            let may = self.fit(server) && self.cold_room(server) && self.may_repeat_at(qry, server, None);
             if may && warm && !tried && asked.first().is_none_or(near) && (!strict || self.has_room(server)) {
                 fit.push(server);
                 let zone = self.servers[server].zone;
@@ -686,8 +696,7 @@
         fit.retain(|&server| self.servers[server].zone == zone);
         let strengths = self.strengths(&fit);
         let own = |server: usize| self.servers[server].own as f64;
-        let loads = fit.iter().zip(&strengths).map(|(&server, strength)| own(server) / strength);
-        let most = PASS_OVER * mean(loads);
+        let most = PASS_OVER * mean(fit.iter().zip(&strengths).map(|(&i, strength)| own(i) / strength));
         // A random draw in proportion to strength: the least of exponential times, each at its server's pace.
         let mut chosen = None;
         for (&server, strength) in fit.iter().zip(&strengths) {
@@ -702,13 +711,16 @@
     }
 
     /// Where crossings cost and zones have two copies, the chance that a query stays home: by its servers'
-    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings
-    /// that a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home.
+    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings that a
+    /// cut or a lost zone fails; of one copy a zone the loss would bring all to another's home. Where answers
+    /// take so long that tenants are rejected, home may have too many clients, and the weights decide.
     fn stays(&self, among: &[usize]) -> f64 {
         let all: f64 = among.iter().map(|&i| self.able(i)).sum();
         let home = among.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
         let home: f64 = home.map(|&i| self.able(i)).sum();
-        if self.terms.cross_zone <= 0.0 || self.terms.balancers < 2 * self.zones.len() || home <= 0.0 {
+        let strained = self.runs.latest() > BEYOND * FULL * self.runs.least();
+        let pays = self.terms.cross_zone > 0.0 && self.terms.balancers >= 2 * self.zones.len();
+        if strained || !pays || home <= 0.0 {
             return 0.0;
         }
         let (zones, part) = (self.zones.len() as f64, self.part());
@@ -884,12 +896,7 @@
         for &i in self.listed.iter().filter(|&&i| self.fit(i)) {
             weights[self.servers[i].zone] += self.zones[self.servers[i].zone].each;
         }
-        let sum: f64 = weights.iter().sum();
-        for weight in weights.iter_mut().filter(|w| **w > 0.0) {
-            *weight = f64::max(*weight / sum, FLOOR_SHARE);
-        }
-        let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        weights.iter().map(|w| w / sum).collect()
+        shares(weights, FLOOR_SHARE)
     }
 
     /// Queries a second on each ready server of the zone: as reported, else this copy's own for all copies.
@@ -908,8 +915,7 @@
         self.draw_reach();
         let changed = |old: f64, new: f64| (new - old).abs() > CHANGE * old;
         let rate = self.rate(&self.arrivals, CHECK);
-        let seen = |zone| (self.ready_count(zone), self.line(zone).2);
-        let seen: Vec<_> = (0..self.zones.len()).map(seen).collect();
+        let seen: Vec<_> = (0..self.zones.len()).map(|z| (self.ready_count(z), self.line(z).2)).collect();
         let mut zones = self.zones.iter().map(|z| z.solved).zip(&seen);
         let moved = zones.any(|(old, new)| changed(old.0, new.0) || changed(old.1, new.1));
         if moved || changed(self.solved_rate, rate) {
@@ -922,11 +928,7 @@
     /// Zone latency as a + b * load per ready server by decayed least squares; its mean, the samples' weight.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
         let counts = |at: u64| 0.5_f64.powf((self.now - at) as f64 / (2 * CHECK) as f64);
-        let samples = self.zones[zone].samples.iter();
-        let (slope, load, latency, w) = fit(samples.map(|s| (counts(s.0), s.1, s.2)));
-        let through_origin = latency / load.max(0.01);
-        let b = slope.clamp(LEAST_SLOPE * through_origin, through_origin);
-        (latency - b * load, b, latency, w)
+        rising(self.zones[zone].samples.iter().map(|s| (counts(s.0), s.1, s.2)), LEAST_SLOPE)
     }
 
     /// Tries a few shifts of weight between two zones and keeps the one with the lowest predicted latency.
@@ -955,8 +957,7 @@
             };
             open.iter().map(latency).sum()
         };
-        let mut best = weights.clone();
-        let mut least = predict(&best);
+        let (mut best, mut least) = (weights.clone(), predict(&weights));
         for _ in 0..CANDIDATES {
             let first = self.chance.below(open.len());
             let second = (first + 1 + self.chance.below(open.len() - 1)) % open.len();
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -59,6 +59,25 @@
     (if spread > 1e-9 * w * x * x { both / spread } else { 0.0 }, x, y, w)
 }
 
+/// The line through samples as `fit` finds it, as its height at 0, its slope, the mean y and the sum of the weights;
+/// the slope is at least this part of that of a line through the origin, and at most that.
+pub fn rising(samples: impl Iterator<Item = (f64, f64, f64)> + Clone, least: f64) -> (f64, f64, f64, f64) {
+    let (slope, x, y, w) = fit(samples);
+    let through_origin = y / x.max(0.01);
+    let slope = slope.clamp(least * through_origin, through_origin);
+    (y - slope * x, slope, y, w)
+}
+
+/// The weights as parts of 1; what is above 0 has at least about the floor.
+pub fn shares(mut weights: Vec<f64>, floor: f64) -> Vec<f64> {
+    let sum: f64 = weights.iter().sum();
+    for weight in weights.iter_mut().filter(|weight| **weight > 0.0) {
+        *weight = f64::max(*weight / sum, floor);
+    }
+    let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    weights.iter().map(|weight| weight / sum).collect()
+}
+
 /// Runs of samples: their means, of which the least is a quiet time's.
 pub struct Runs {
     run: Vec<f64>,
@@ -104,71 +123,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn rings_and_spans_let_go_of_what_is_old() {
-        let (mut ring, mut times) = (VecDeque::new(), VecDeque::new());
-        for (now, kept, counted) in [(10, [10].as_slice(), 1.0), (15, &[10, 15], 2.0), (30, &[15, 30], 1.0)] {
-            push(&mut ring, 2, now);
-            note_time(&mut times, now, 10);
-            assert_eq!((ring.make_contiguous() as &[u64], times.len() as f64), (kept, counted), "{now}");
-        }
-        assert_eq!(count_times(&mut times, 41, 10), 0.0);
-    }
-
-    #[test]
-    fn a_fit_goes_through_its_samples() {
-        for (samples, slope, x, y, w) in [
-            ([].as_slice(), 0.0, 0.0, 0.0, 0.0),
-            (&[(2.0, 3.0, 5.0)], 0.0, 3.0, 5.0, 2.0),
-            (&[(1.0, 1.0, 3.0), (1.0, 3.0, 7.0)], 2.0, 2.0, 5.0, 2.0),
-            // A sample without weight tells nothing.
-            (&[(1.0, 1.0, 3.0), (1.0, 3.0, 7.0), (0.0, 9.0, 0.0)], 2.0, 2.0, 5.0, 2.0),
-        ] {
-            assert_eq!(fit(samples.iter().copied()), (slope, x, y, w), "{samples:?}");
-        }
-    }
-
-    #[test]
-    fn runs_end_when_full_or_old_and_the_least_mean_counts() {
-        let mut runs = Runs::new(0);
-        // The time, how many samples of which length come then, and the least and the latest mean after them.
-        for (now, count, sample, least, latest) in [
-            (1, 63, 9.0, f64::MAX, f64::INFINITY),
-            (2, 1, 9.0, 9.0, 9.0),
-            (3, 7, 5.0, 9.0, 5.5),
-            (40, 1, 5.0, 5.0, 5.0),
-            (41, 64, 7.0, 5.0, 7.0),
-        ] {
-            (0..count).for_each(|_| runs.note(now, sample, 30));
-            assert_eq!((runs.least(), runs.latest()), (least, latest), "{now}");
-        }
-    }
-
-    #[test]
-    fn rates_count_from_then_on() {
-        let times = VecDeque::from([1_000_000, 2_000_000, 3_000_000]);
-        for (since, least, per_second) in
-            [(1_000_000, 1, 1.0), (2_500_000, 1, 2.0 / 3.0), (0, 8_000_000, 0.375)]
-        {
-            assert_eq!(rate(&times, 4_000_000, since, least), per_second, "{since}");
-        }
-    }
-
-    #[test]
-    fn means_and_ranks() {
-        for (values, middle, rank, at) in [
-            ([].as_slice(), 0.0, 0.5, None),
-            (&[7.0], 7.0, 0.5, Some(7.0)),
-            (&[7.0], 7.0, 1.0, None),
-            (&[4.0, 1.0, 3.0, 2.0], 2.5, 0.5, Some(3.0)),
-            (&[4.0, 1.0, 3.0, 2.0], 2.5, 0.9, Some(4.0)),
-            (&[4.0, 1.0, 3.0, 2.0], 2.5, 0.0, Some(1.0)),
-        ] {
-            assert_eq!(mean(values.iter().copied()), middle, "{values:?}");
-            assert_eq!(ranked(values.iter().copied(), rank), at, "{values:?} {rank}");
-        }
-    }
-}
+mod tests;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -250,6 +250,40 @@
     assert!((15..120).contains(&crossed), "{crossed}");
 }
 
+/// The clients of all copies at home may be too many for it while others idle: answers tell, where no report does.
+#[test]
+fn a_home_zone_whose_answers_take_long_sends_some_away() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, server / 3)).collect();
+    for (home, least, most) in [(100, 0, 1), (140, 0, 1), (300, 300, 900)] {
+        let mut b = start(Terms { cross_zone: 0.5, balancers: 4, ..terms(Effect::Idempotent) }, &entries);
+        serve(&mut b, NOON, 450, 6, steady);
+        let took = |server| (if server < 3 { home * MS } else { 100 * MS }, LoadReport::default());
+        let got = serve(&mut b, NOON + 5000 * MS, 1000, 6, took);
+        let crossed = got[3..].iter().sum::<usize>();
+        assert!((least..most).contains(&crossed), "{home}: {got:?}");
+    }
+}
+
+#[test]
+fn where_no_server_tells_its_rate_the_part_of_the_traffic_is_that_of_all_shares() {
+    let entries: Vec<Entry> = (0..6).map(|server| entry(server, server / 3)).collect();
+    // It lets in 100 a second: all tenants' shares, how many of 1,000 queries cross.
+    for (quotas, least, most) in [
+        (vec![], 0, 1),
+        (vec![500.0, 500.0], 0, 1),
+        (vec![100.0, 100.0], 60, 300),
+        (vec![60.0, 50.0], 130, 400),
+    ] {
+        let rules =
+            Terms { cross_zone: 0.5, balancers: 10, tenant_quotas: quotas, ..terms(Effect::Idempotent) };
+        let mut b = start(rules, &entries);
+        serve(&mut b, NOON, 500, 6, steady);
+        let got = serve(&mut b, NOON + 5000 * MS, 1000, 6, steady);
+        let crossed = got[3..].iter().sum::<usize>();
+        assert!((least..most).contains(&crossed), "{got:?}");
+    }
+}
+
 #[test]
 fn copies_that_hear_little_ask_before_they_send() {
     let entries: Vec<Entry> = (0..40).map(|server| entry(server, server % 2)).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -81,6 +81,26 @@
     }
 }
 
+/// A connection may come up when the window for repeats is over: asked again, the execution may not begin.
+#[test]
+fn a_repeat_whose_connection_comes_up_late_does_not_begin() {
+    for (effect, first, later, may) in [
+        (Idempotent, Error, 4000, true),
+        (Deduplicated(Group::All), Error, 1900, true),
+        (Deduplicated(Group::All), Error, 1990, false),
+        (Deduplicated(Group::All), TurnedAway, 1990, true),
+        (NonIdempotent, NotConnected, 4000, true),
+    ] {
+        let mut rules = terms(effect);
+        rules.products[0].memory_span = 2000 * MS;
+        let mut b = start(rules, &[entry(0, 0), entry(1, 0)]);
+        ask(&mut b, NOON, 0);
+        assert!(b.may_begin(NOON + later * MS, 0, 0), "nothing forbids the first");
+        end(&mut b, NOON + MS, 0, 0, ending(first, MS));
+        assert_eq!(b.may_begin(NOON + later * MS, 0, 1), may, "{effect:?} {first:?} {later}");
+    }
+}
+
 #[test]
 fn executions_are_counted() {
     let entries: Vec<Entry> = (0..6).map(|server| entry(server, 0)).collect();
