Closes at the wrong instant lose nothing: begun queries, owed answers, clients that left

It may become whole now, for 2 s at most, in a stop while there is time for answers. - The close followed the answer at once: over unread bytes that is a reset, which takes what the client has not read of it. Ruled out: an idle connection's close over a query nobody has read, which clients send again by the protocol.

--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -4,11 +4,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin::{Pin, pin};
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{self, Connection};
@@ -18,10 +20,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tower::{BoxError, Service};
 use whinspindle_logline::log_line;
-use whinspindle_sockets::{Meter, Metered};
+use whinspindle_sockets::{Ending, Meter, Metered};
 
 use crate::front::{self, Due, Reply, ReplyBody};
 use crate::node::Node;
@@ -45,6 +47,8 @@
     open: RefCell<BTreeMap<u64, Rc<Client>>>,
     /// One has ended, or has become idle.
     eased: Notify,
+    /// Once the program stops: by when the last queries must be whole.
+    last_whole: Cell<Option<Instant>>,
 }
 
 struct Client {
@@ -58,9 +62,20 @@
     closing: Cell<Option<Instant>>,
     close: Notify,
     drop: Notify,
+    /// All is answered, and only its end is waited for.
+    lingers: Cell<bool>,
 }
 
 impl Client {
+    fn is_idle(&self) -> bool {
+        self.idle_since.get().is_some()
+    }
+
+    /// The first bytes of a query have come that is not whole yet.
+    fn has_begun(&self) -> bool {
+        self.is_idle() && self.meter.heard.get().is_some()
+    }
+
     /// Until when the query that has begun, or is due, must be whole.
     fn due(&self) -> Option<Instant> {
         let connected = self.idle_since.get().filter(|_| self.fresh.get());
@@ -86,7 +101,9 @@
         let now = Instant::now();
         for client in self.open.borrow().values() {
             let Some(since) = client.idle_since.get() else { continue };
-            let ends = client.due().into_iter().chain(client.closing.get().map(|at| at + WHOLE)).min();
+            // An answer that was owed when its connection was to close has its time from then on.
+            let closing = client.closing.get().map(|at| at.max(since) + WHOLE);
+            let ends = client.due().into_iter().chain(closing).min();
             if ends.is_some_and(|at| at <= now) {
                 client.drop.notify_one();
             } else if since + idle_time <= now {
@@ -101,14 +118,18 @@
     fn close_longest_idle(&self) {
         let open = self.open.borrow();
         // Should one end slowly, the next one is closed after it.
-        let idle = open.values().filter(|client| client.idle_since.get().is_some());
-        let idle = idle.filter(|client| client.closing.get().is_none());
+        let idle = open.values().filter(|client| client.is_idle());
+        let idle = idle.filter(|client| client.closing.get().is_none() || client.lingers.get());
         let now = Instant::now();
         let silent = |client: &Client| {
             client.fresh.get() && client.idle_since.get().is_some_and(|at| at + LOOK <= now)
         };
-        if let Some(client) = idle.min_by_key(|client| (!silent(client), client.idle_since.get())) {
-            client.close();
+        let order = |client: &&Rc<Client>| (!client.lingers.get(), !silent(client), client.idle_since.get());
+        if let Some(client) = idle.min_by_key(order) {
+            // What lingers ends at once.
+            let stop = if client.lingers.get() { &client.drop } else { &client.close };
+            stop.notify_one();
+            client.closing.set(client.closing.get().or(Some(now)));
         }
     }
 
@@ -174,16 +195,29 @@
             },
         }
     }
-    // What the machine has accepted already counts as taken, so nothing may be left waiting there.
-    while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
+    for socket in end_of(listener) {
         next += 1;
         serve(next, socket, services.clone(), &accepted);
     }
-    drop(listener);
+    accepted.last_whole.set(Some(Instant::now() + node.stop.left().min(WHOLE)));
     accepted.close_idle();
     accepted.all_ended().await;
 }
 
+/// Ends the listener; returns whom the machine has connected already, since what they send counts as taken. Guards
+/// against one that came after the runtime looked last: the socket itself is asked, until it has no more.
+fn end_of(listener: TcpListener) -> Vec<TcpStream> {
+    let accept = |listener: &std::net::TcpListener| -> io::Result<TcpStream> {
+        let (socket, _) = listener.accept()?;
+        socket.set_nonblocking(true)?;
+        TcpStream::from_std(socket)
+    };
+    match listener.into_std() {
+        Ok(listener) => std::iter::from_fn(|| accept(&listener).ok()).collect(),
+        Err(_) => Vec::new(),
+    }
+}
+
 fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
@@ -196,6 +230,7 @@
         closing: Cell::default(),
         close: Notify::new(),
         drop: Notify::new(),
+        lingers: Cell::default(),
     });
     accepted.open.borrow_mut().insert(number, Rc::clone(&client));
     let accepted = Rc::clone(accepted);
@@ -217,145 +252,120 @@
                 reply
             }
         });
-        let connection = http1::Builder::new().max_buf_size(READ_BUFFER).serve_connection(
-            TokioIo::new(Metered::new(socket, Rc::clone(&client.meter))),
-            TowerToHyperService::new(services),
-        );
-        let mut connection = pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = client.close.notified() => finish(connection, &client).await,
-            () = client.drop.notified() => Ok(()),
-        };
-        if let Err(fault) = ended
+        let socket = Metered::new(socket, Rc::clone(&client.meter));
+        let ending = socket.ending();
+        let connection = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .serve_connection(TokioIo::new(socket), TowerToHyperService::new(services));
+        let mut served = Served { connection: Box::pin(connection), ending, client: &client };
+        let ended = served.run(&accepted).await;
+        if let Err(fault) = &ended
             && !fault.is_incomplete_message()
         {
             log_line!("client", "connection {number}: {fault}");
         }
+        served.part().await;
         accepted.open.borrow_mut().remove(&number);
         accepted.eased.notify_one();
     });
 }
 
-/// Lets a connection that is to close come to its end.
-async fn finish<S>(
-    mut connection: Pin<&mut Connection<TokioIo<Metered>, S>>,
-    client: &Client,
-) -> hyper::Result<()>
+/// A client's connection while it is served.
+struct Served<'a, S: HttpService<Incoming>> {
+    connection: Pin<Box<Connection<TokioIo<Metered>, S>>>,
+    ending: Ending,
+    client: &'a Client,
+}
+
+impl<S> Served<'_, S>
 where
     S: HttpService<Incoming, ResBody = ReplyBody, Error: Into<BoxError>>,
 {
-    // A query that has come already is taken: the runtime is let at its sockets, and hyper at what is there.
-    tokio::select! {
-        biased;
-        ended = connection.as_mut() => return ended,
-        () = yield_now() => {}
-    }
-    // Guards against a flood of connections that say nothing, each of which would hold its place for a while.
-    if client.fresh.get() && client.meter.heard.get().is_none() {
-        return Ok(());
-    }
-    connection.as_mut().graceful_shutdown();
-    loop {
-        tokio::select! {
-            ended = connection.as_mut() => return ended,
-            () = client.drop.notified() => return Ok(()),
-            // Guards against a first head that never becomes whole: hyper would wait for the rest of it.
-            () = sleep(QUIET) => if client.fresh.get() {
-                return Ok(());
+    /// Moves the connection until it has ended, or its client has left. Guards against a client that sent more
+    /// behind its query and left: hyper looks for its end only where nothing else has come.
+    async fn ended(&mut self) -> hyper::Result<()> {
+        poll_fn(|cx| {
+            if let Poll::Ready(ended) = self.connection.as_mut().poll(cx) {
+                return Poll::Ready(ended);
             }
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use std::io::{Read, Write};
-
-    use super::*;
-
-    /// A connection as a sweep sees it: what it did so many milliseconds ago.
-    fn client(idle: Option<u64>, fresh: bool, heard: Option<u64>, closing: Option<u64>) -> Rc<Client> {
-        let ago = |ms: Option<u64>| ms.map(|ms| Instant::now() - Duration::from_millis(ms));
-        let meter = Rc::new(Meter::default());
-        meter.heard.set(ago(heard));
-        Rc::new(Client {
-            idle_since: Cell::new(ago(idle)),
-            fresh: Cell::new(fresh),
-            meter,
-            closing: Cell::new(ago(closing)),
-            close: Notify::new(),
-            drop: Notify::new(),
+            if self.client.is_idle() { Poll::Pending } else { self.ending.poll(cx).map(Ok) }
         })
+        .await
     }
 
-    #[test]
-    fn silence_and_queries_without_an_end_have_a_limit() {
-        for (idle, fresh, heard, closing, (closed, dropped)) in [
-            (Some(1_000), true, None, None, (false, false)),
-            (Some(2_000), true, None, None, (false, true)),
-            (Some(2_000), true, Some(10), None, (false, true)),
-            (Some(9_000), false, None, None, (false, false)),
-            (Some(9_000), false, Some(1_000), None, (false, false)),
-            (Some(9_000), false, Some(2_000), None, (false, true)),
-            (Some(10_000), false, None, None, (true, false)),
-            // Told to close, and its answer not read.
-            (Some(10_000), false, None, Some(1_000), (false, false)),
-            (Some(10_000), false, None, Some(2_000), (false, true)),
-            // While a query is in hand its own time counts.
-            (None, false, Some(30_000), Some(30_000), (false, false)),
-        ] {
-            let client = client(idle, fresh, heard, closing);
-            let accepted = Accepted::default();
-            accepted.open.borrow_mut().insert(1, Rc::clone(&client));
-            accepted.sweep(Duration::from_secs(10));
-            let told = (client.close.notified().now_or_never(), client.drop.notified().now_or_never());
-            let told = (told.0.is_some(), told.1.is_some());
-            assert_eq!(told, (closed, dropped), "{idle:?} {fresh} {heard:?} {closing:?}");
+    async fn run(&mut self, accepted: &Accepted) -> hyper::Result<()> {
+        let client = self.client;
+        loop {
+            // What has come goes before what was ordered meanwhile: a query that is in hand by then is served.
+            tokio::select! {
+                biased;
+                ended = self.ended() => return ended,
+                () = client.drop.notified() => if client.is_idle() {
+                    return Ok(());
+                },
+                () = client.close.notified() => return self.finish(accepted).await,
+            }
         }
     }
 
-    #[test]
-    fn at_the_brim_those_that_asked_nothing_make_room_first() {
-        let clients = [
-            client(Some(9_000), false, None, None),
-            client(Some(300), true, None, None),
-            client(Some(900), true, None, None),
-            client(Some(0), true, None, None),
-            client(None, false, None, None),
-        ];
-        // It has only just come, however slow this test is.
-        clients[3].idle_since.set(Some(Instant::now() + Duration::from_secs(3600)));
-        let accepted = Accepted::default();
-        accepted.open.borrow_mut().extend((0..).zip(clients.iter().map(Rc::clone)));
-        for next in [2, 1, 0, 3] {
-            accepted.close_longest_idle();
-            let closing = (0..5).filter(|&i| clients[i].close.notified().now_or_never().is_some());
-            assert_eq!(closing.collect::<Vec<_>>(), [next]);
+    /// Lets a connection that is to close come to its end.
+    async fn finish(&mut self, accepted: &Accepted) -> hyper::Result<()> {
+        let client = self.client;
+        // A query that has come already is taken: the runtime is let at its sockets, and hyper at what is there.
+        tokio::select! {
+            biased;
+            ended = self.ended() => return ended,
+            () = yield_now() => {}
+        }
+        // Guards against a flood of connections that say nothing, each of which would hold its place for a while.
+        if client.fresh.get() && client.meter.heard.get().is_none() {
+            return Ok(());
+        }
+        // Guards against a close in the middle of a query that the client is still writing: hyper would not wait
+        // for the rest of its head.
+        let whole_by = accepted.last_whole.get().unwrap_or_else(|| Instant::now() + WHOLE);
+        while client.has_begun() && Instant::now() < whole_by {
+            tokio::select! {
+                biased;
+                ended = self.ended() => return ended,
+                () = client.drop.notified() => if client.is_idle() {
+                    return Ok(());
+                },
+                () = sleep_until(whole_by.min(Instant::now() + LOOK)) => {}
+            }
+        }
+        self.connection.as_mut().graceful_shutdown();
+        loop {
+            tokio::select! {
+                biased;
+                ended = self.ended() => return ended,
+                () = client.drop.notified() => if client.is_idle() {
+                    return Ok(());
+                },
+                // Guards against a first head that never becomes whole: hyper would wait for the rest of it.
+                () = sleep(QUIET) => if client.fresh.get() {
+                    return Ok(());
+                }
+            }
         }
     }
 
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_query_that_has_come_is_answered_though_its_connection_is_to_close() {
-        for sent in ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n", ""] {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            let mut client = std::net::TcpStream::connect(address).expect("a connection");
-            client.write_all(sent.as_bytes()).expect("written");
-            let accepted = Rc::new(Accepted::default());
-            let services = tower::service_fn(|_| async { Ok(front::rejected_unseen()) });
-            tokio::task::LocalSet::new()
-                .run_until(async {
-                    let (socket, _) = listener.accept().await.expect("a connection");
-                    serve(1, socket, services, &accepted);
-                    accepted.close_idle();
-                    accepted.all_ended().await;
-                })
-                .await;
-            let mut answer = String::new();
-            // What was not whole may be reset.
-            let _ = client.read_to_string(&mut answer);
-            assert_eq!(answer.starts_with("HTTP/1.1 503"), sent.ends_with("\r\n\r\n"), "{sent:?}: {answer}");
+    /// Waits a while for the client to end its side too, so that its last answer reaches it whole. What it sends
+    /// now is no query any more.
+    async fn part(self) {
+        let Served { connection, ending, client } = self;
+        // Hyper is done with the socket, or does not get to it any more.
+        drop(connection);
+        if client.meter.written.get() == 0 {
+            return;
+        }
+        client.lingers.set(true);
+        tokio::select! {
+            _ = timeout(QUIET, ending.part()) => {}
+            () = client.drop.notified() => {}
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balancer/src/accept/tests.rs
@@ -0,0 +1,257 @@
+use std::io::{Read, Write};
+
+use futures_util::FutureExt;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::task::LocalSet;
+use whinspindle_messages::answer::plain;
+
+use super::*;
+
+/// A connection as a sweep sees it: what it did so many milliseconds ago.
+fn client(idle: Option<u64>, fresh: bool, heard: Option<u64>, closing: Option<u64>) -> Rc<Client> {
+    let ago = |ms: Option<u64>| ms.map(|ms| Instant::now() - Duration::from_millis(ms));
+    let meter = Rc::new(Meter::default());
+    meter.heard.set(ago(heard));
+    Rc::new(Client {
+        idle_since: Cell::new(ago(idle)),
+        fresh: Cell::new(fresh),
+        meter,
+        closing: Cell::new(ago(closing)),
+        close: Notify::new(),
+        drop: Notify::new(),
+        lingers: Cell::default(),
+    })
+}
+
+#[test]
+fn silence_and_queries_without_an_end_have_a_limit() {
+    for (idle, fresh, heard, closing, (closed, dropped)) in [
+        (Some(1_000), true, None, None, (false, false)),
+        (Some(2_000), true, None, None, (false, true)),
+        (Some(2_000), true, Some(10), None, (false, true)),
+        (Some(9_000), false, None, None, (false, false)),
+        (Some(9_000), false, Some(1_000), None, (false, false)),
+        (Some(9_000), false, Some(2_000), None, (false, true)),
+        (Some(10_000), false, None, None, (true, false)),
+        // Told to close, and its answer not read.
+        (Some(10_000), false, None, Some(1_000), (false, false)),
+        (Some(10_000), false, None, Some(2_000), (false, true)),
+        // It was told to close long before it got the answer that it was owed.
+        (Some(100), false, None, Some(9_000), (false, false)),
+        // While a query is in hand its own time counts.
+        (None, false, Some(30_000), Some(30_000), (false, false)),
+    ] {
+        let client = client(idle, fresh, heard, closing);
+        let accepted = Accepted::default();
+        accepted.open.borrow_mut().insert(1, Rc::clone(&client));
+        accepted.sweep(Duration::from_secs(10));
+        let told = (client.close.notified().now_or_never(), client.drop.notified().now_or_never());
+        let told = (told.0.is_some(), told.1.is_some());
+        assert_eq!(told, (closed, dropped), "{idle:?} {fresh} {heard:?} {closing:?}");
+    }
+}
+
+#[test]
+fn at_the_brim_those_that_asked_nothing_make_room_first() {
+    let clients = [
+        client(Some(9_000), false, None, None),
+        client(Some(300), true, None, None),
+        client(Some(900), true, None, None),
+        client(Some(0), true, None, None),
+        client(None, false, None, None),
+    ];
+    // It has only just come, however slow this test is.
+    clients[3].idle_since.set(Some(Instant::now() + Duration::from_secs(3600)));
+    let accepted = Accepted::default();
+    accepted.open.borrow_mut().extend((0..).zip(clients.iter().map(Rc::clone)));
+    for next in [2, 1, 0, 3] {
+        accepted.close_longest_idle();
+        let closing = (0..5).filter(|&i| clients[i].close.notified().now_or_never().is_some());
+        assert_eq!(closing.collect::<Vec<_>>(), [next]);
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_query_that_has_come_is_answered_though_its_connection_is_to_close() {
+    for sent in ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n", ""] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut client = std::net::TcpStream::connect(address).expect("a connection");
+        client.write_all(sent.as_bytes()).expect("written");
+        let accepted = Rc::new(Accepted::default());
+        let services = tower::service_fn(|_| async { Ok(front::rejected_unseen()) });
+        LocalSet::new()
+            .run_until(async {
+                let (socket, _) = listener.accept().await.expect("a connection");
+                serve(1, socket, services, &accepted);
+                accepted.close_idle();
+                accepted.all_ended().await;
+            })
+            .await;
+        let mut answer = String::new();
+        // What was not whole may be reset.
+        let _ = client.read_to_string(&mut answer);
+        assert_eq!(answer.starts_with("HTTP/1.1 503"), sent.ends_with("\r\n\r\n"), "{sent:?}: {answer}");
+    }
+}
+
+fn reply(text: &str) -> Reply {
+    plain(StatusCode::OK, text.to_string()).map(|body| body.map_err(Into::into).boxed_unsync())
+}
+
+/// A listener, and a client that is in the middle of connecting: it has not been accepted yet.
+async fn pair() -> (TcpListener, std::net::TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
+    (listener, client.expect("a connection"))
+}
+
+/// Waits until it is so; the bound is for what never comes.
+async fn until(mut is_so: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !is_so() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "it does not come");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Serves one client in the order that the script tells.
+fn play<S, F>(services: S, script: impl FnOnce(std::net::TcpStream, Rc<Accepted>) -> F)
+where
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (listener, client) = pair().await;
+        let accepted = Rc::new(Accepted::default());
+        serve(1, listener.accept().await.expect("accepted").0, services, &accepted);
+        script(client, accepted).await;
+    });
+}
+
+const QUERY: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Tells when it is dropped.
+struct Held(Rc<Cell<u32>>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_is_noticed_whatever_it_sent_behind_its_query() {
+    for behind in [String::new(), "\r\n".into(), "GET".into(), QUERY.repeat(3), "x".repeat(20_000)] {
+        let (held, dropped) = <(Rc<Cell<u32>>, Rc<Cell<u32>>)>::default();
+        let (holds, drops) = (Rc::clone(&held), Rc::clone(&dropped));
+        let services = tower::service_fn(move |_| {
+            holds.set(holds.get() + 1);
+            let query = Held(Rc::clone(&drops));
+            async move {
+                let _query = query;
+                std::future::pending().await
+            }
+        });
+        play(services, |mut client, accepted| async move {
+            client.write_all(QUERY.as_bytes()).expect("written");
+            until(|| held.get() == 1).await;
+            client.write_all(behind.as_bytes()).expect("written");
+            drop(client);
+            until(|| dropped.get() == 1 && accepted.count() == 0).await;
+            assert_eq!(held.get(), 1, "what came behind is begun though its client has left");
+        });
+    }
+}
+
+#[test]
+fn a_query_that_comes_as_its_connection_is_dropped_is_answered() {
+    // The order to drop it, decided before, meets a query that has just been taken.
+    let place: Rc<RefCell<Option<Rc<Accepted>>>> = Rc::default();
+    let orders = Rc::clone(&place);
+    let services = tower::service_fn(move |_| {
+        let accepted = orders.borrow();
+        let open = accepted.as_ref().expect("set").open.borrow();
+        open.values().for_each(|client| client.drop.notify_one());
+        async {
+            sleep(Duration::from_millis(1)).await;
+            Ok(reply("kept"))
+        }
+    });
+    play(services, |mut client, accepted| async move {
+        place.replace(Some(Rc::clone(&accepted)));
+        client.write_all(QUERY.as_bytes()).expect("written");
+        client.set_nonblocking(true).expect("non-blocking");
+        let mut answer = Vec::new();
+        until(|| {
+            let mut piece = [0; 1024];
+            let read = client.read(&mut piece);
+            assert!(!matches!(read, Ok(0)), "the connection ended without an answer");
+            answer.extend_from_slice(&piece[..read.unwrap_or(0)]);
+            answer.ends_with(b"kept\n")
+        })
+        .await;
+        place.take();
+    });
+}
+
+#[test]
+fn a_query_half_read_as_its_connection_is_to_close_is_answered() {
+    for first in [false, true] {
+        let services = tower::service_fn(|_| async { Ok(reply("whole")) });
+        play(services, |mut client, accepted| async move {
+            client.set_nonblocking(true).expect("non-blocking");
+            let mut answer = Vec::new();
+            let mut read_to = |client: &mut std::net::TcpStream, ends: usize| {
+                let mut piece = [0; 1024];
+                let read = client.read(&mut piece).unwrap_or(0);
+                answer.extend_from_slice(&piece[..read]);
+                String::from_utf8_lossy(&answer).matches("whole\n").count() == ends
+            };
+            if !first {
+                client.write_all(QUERY.as_bytes()).expect("written");
+                until(|| read_to(&mut client, 1)).await;
+            }
+            client.write_all(&QUERY.as_bytes()[..20]).expect("written");
+            until(|| accepted.open.borrow().values().all(|client| client.has_begun())).await;
+            accepted.close_idle();
+            // It has seen the order, and all that it does at once.
+            for _ in 0..100 {
+                yield_now().await;
+            }
+            client.write_all(&QUERY.as_bytes()[20..]).expect("the connection is still there");
+            until(|| read_to(&mut client, if first { 1 } else { 2 })).await;
+            until(|| accepted.count() == 0).await;
+        });
+    }
+}
+
+#[test]
+fn the_last_answer_is_whole_though_more_has_come_behind_its_query() {
+    const LONG: usize = 600 * 1024;
+    let services = tower::service_fn(|_| async {
+        let mut reply = reply(&"x".repeat(LONG));
+        reply.headers_mut().insert("connection", http::HeaderValue::from_static("close"));
+        Ok(reply)
+    });
+    play(services, |mut client, accepted| async move {
+        client.write_all((QUERY.to_string() + &"y".repeat(100_000)).as_bytes()).expect("written");
+        // It reads nothing until the connection is done with.
+        until(|| accepted.count() == 0).await;
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).expect("no reset");
+        assert!(answer.len() > LONG, "{} bytes", answer.len());
+    });
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn who_has_connected_as_the_listener_ends_is_served() {
+    let (listener, _first) = pair().await;
+    let address = listener.local_addr().expect("an address");
+    let _second = std::net::TcpStream::connect(address).expect("a connection");
+    // The runtime has not looked at its sockets since they came.
+    assert_eq!(end_of(listener).len(), 2);
+    assert!(std::net::TcpStream::connect(address).is_err(), "nobody listens any more");
+}
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -1,6 +1,7 @@
-//! A socket that notes what has really passed on it, both ways.
+//! A socket that notes what has really passed on it, both ways, and when its other side has ended it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,13 +23,67 @@
 }
 
 pub struct Metered {
-    socket: TcpStream,
+    wire: Rc<RefCell<Wire>>,
     meter: Rc<Meter>,
 }
 
+struct Wire {
+    socket: TcpStream,
+    /// What was read to see whether the other side has ended the connection, and nobody has taken yet.
+    ahead: Vec<u8>,
+    ended: bool,
+}
+
+/// So much is read ahead at most.
+const MOST_AHEAD: usize = 32 * 1024;
+
+/// Sees the end that the other side makes, also behind bytes that nobody reads yet.
+pub struct Ending(Rc<RefCell<Wire>>);
+
+impl Ending {
+    /// Ready once the other side has ended the connection. The task that polls the socket polls this, after it.
+    pub fn poll(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut wire = self.0.borrow_mut();
+        let Wire { socket, ahead, ended } = &mut *wire;
+        while !*ended && ahead.len() < MOST_AHEAD {
+            let mut piece = [0; 1024];
+            let mut buf = ReadBuf::new(&mut piece);
+            match Pin::new(&mut *socket).poll_read(cx, &mut buf) {
+                Poll::Pending => break,
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    ahead.extend_from_slice(buf.filled());
+                    // Who reads may have found nothing a moment ago; and the room for more is soon used up.
+                    cx.waker().wake_by_ref();
+                }
+                Poll::Ready(_) => *ended = true,
+            }
+        }
+        if *ended { Poll::Ready(()) } else { Poll::Pending }
+    }
+
+    /// Says that nothing more comes from here, and reads on until the other side has ended the connection too.
+    /// Guards against a close over unread bytes, which resets the connection and takes with it what the other
+    /// side has not read yet.
+    pub async fn part(self) {
+        if poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().socket).poll_shutdown(cx)).await.is_err() {
+            return;
+        }
+        poll_fn(|cx| {
+            self.0.borrow_mut().ahead.clear();
+            self.poll(cx)
+        })
+        .await;
+    }
+}
+
 impl Metered {
     pub fn new(socket: TcpStream, meter: Rc<Meter>) -> Self {
-        Metered { socket, meter }
+        let wire = Wire { socket, ahead: Vec::new(), ended: false };
+        Metered { wire: Rc::new(RefCell::new(wire)), meter }
+    }
+
+    pub fn ending(&self) -> Ending {
+        Ending(Rc::clone(&self.wire))
     }
 
     fn count(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -40,13 +95,20 @@
 }
 
 impl AsyncRead for Metered {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.socket).poll_read(cx, buf);
+        let mut wire = self.wire.borrow_mut();
+        let Wire { socket, ahead, ended } = &mut *wire;
+        let read = if !ahead.is_empty() {
+            let taken = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..taken]);
+            ahead.drain(..taken);
+            Poll::Ready(Ok(()))
+        } else if *ended {
+            Poll::Ready(Ok(()))
+        } else {
+            Pin::new(socket).poll_read(cx, buf)
+        };
         if buf.filled().len() > before {
             let now = Some(Instant::now());
             self.meter.heard.set(self.meter.heard.get().or(now));
@@ -57,29 +119,29 @@
 }
 
 impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.socket).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.wire.borrow_mut().socket).poll_write(cx, buf);
         self.count(wrote)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        let wrote = Pin::new(&mut self.wire.borrow_mut().socket).poll_write_vectored(cx, bufs);
         self.count(wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        self.wire.borrow().socket.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.wire.borrow_mut().socket).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.wire.borrow_mut().socket).poll_shutdown(cx)
     }
 }
