A process's first moment, its signals, older lists, and answers that come twice

The address is waited for as long as a stop may take and a quarter more, before it was 1 s. - A whole list with a lower number brought back servers that had been told to drain. They drain on, unless they started anew (reducer/servers.rs learn).

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -54,6 +54,7 @@
         let (node, queries) = (Rc::clone(&node), queries.clone());
         async move {
             Ok(if request.uri().path() == "/healthz" {
+                node.settled().await;
                 health(&node).map(boxed)
             } else {
                 queries.oneshot(request).await.map_or_else(shed, |reply| reply.map(boxed))
@@ -160,8 +161,10 @@
         Ok(Err(fault)) => return Ok(plain(StatusCode::BAD_REQUEST, format!("body: {fault}"))),
         Err(_) => return Ok(plain(StatusCode::REQUEST_TIMEOUT, "body: not whole in time".to_string())),
     };
-    let now = node.clock.now();
+    let mut now = node.clock.now();
     let deadline = now + node.stop.within(head.patience);
+    node.settled().await;
+    now = node.clock.now().max(now);
     let arrival = Arrival { product: head.product, tenant: head.tenant, deadline, route };
     let (caller, answer) = oneshot::channel();
     let Some(ticket) = node.reducer.borrow_mut().query(now, arrival, head.with(body), caller) else {
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -29,7 +29,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use whinspindle_logline::log_line;
 use whinspindle_operator::Operator;
 use whinspindle_recall::{Second, Whole};
@@ -57,11 +57,15 @@
 
 /// Balances until it is told to stop, with the operator's file if there is one.
 fn balance(file: Option<PathBuf>) -> ExitCode {
-    let ran = placement::read().and_then(|placement| {
-        let operator = file.as_ref().map(|file| operator(file, &placement.deployment)).transpose()?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(placement, file.zip(operator)))
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ran = runtime.map_err(|e| format!("runtime: {e}")).and_then(|runtime| {
+        LocalSet::new().block_on(&runtime, async {
+            // First of all. Guards against a signal that comes while the program starts: it would end it.
+            let signals = Signals::new()?;
+            let placement = placement::read()?;
+            let operator = file.as_ref().map(|file| operator(file, &placement.deployment)).transpose()?;
+            run(placement, file.zip(operator), signals).await
+        })
     });
     match ran {
         Ok(()) => ExitCode::SUCCESS,
@@ -81,13 +85,42 @@
     })
 }
 
-async fn run(mut placement: Placement, operated: Option<(PathBuf, Operator)>) -> Result<(), String> {
+/// What may be asked of the program by signals.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, String> {
+        let heard = |kind, name: &str| signal(kind).map_err(|e| format!("{name}: {e}"));
+        Ok(Signals {
+            hangup: heard(SignalKind::hangup(), "SIGHUP")?,
+            terminate: heard(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: heard(SignalKind::interrupt(), "SIGINT")?,
+        })
+    }
+}
+
+async fn run(
+    mut placement: Placement,
+    operated: Option<(PathBuf, Operator)>,
+    signals: Signals,
+) -> Result<(), String> {
     let shares = Shares::of(placement.limits);
-    let listener =
-        listen(placement.listen).await.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let Signals { hangup, mut terminate, mut interrupt } = signals;
+    let stopped_early = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    let listener = tokio::select! {
+        listener = listen(placement.listen) => listener,
+        () = stopped_early => return Ok(()),
+    };
+    let listener = listener.map_err(|e| format!("listen: {}: {e}", placement.listen))?;
     let keep = operated.as_ref().and_then(|(_, operator)| operator.keep.clone());
     let slowly = operated.as_ref().is_some_and(|(_, operator)| operator.begins_slowly());
     let (keeper, recalled) = keep.map_or((None, None), |keep| keeper::open(&keep, Clock::start().now()));
@@ -111,9 +144,6 @@
     let node = Node::new(placement, shares, fleet);
     node.discovered.set(is_told);
     node.trusted.set(trust.filter(|_| is_recalled).map(|trust| (trust, false)));
-    if let Some(fleet) = node.fleet.as_ref().filter(|_| is_told) {
-        fleet.tell_list(node.reducer.borrow().whole_list(), 0);
-    }
     node.begins.set(slowly);
     if let Some(operator) = operator {
         let name = file.as_deref().unwrap_or(Path::new("")).display();
@@ -128,11 +158,13 @@
     let followed = Rc::clone(&source);
     spawn_local(unending("list", move || {
         let told = Rc::clone(&told);
-        whinspindle_serverlist::follow(Rc::clone(&followed), move |news| {
-            told.discovered.set(true);
-            told.reducer.borrow_mut().list(told.clock.now(), &news);
-        })
+        whinspindle_serverlist::follow(Rc::clone(&followed), move |news| told.told(&news))
     }));
+    let (waiting, tried) = (Rc::clone(&node), Rc::clone(&source));
+    spawn_local(async move {
+        tried.first_tried().await;
+        waiting.believe_known();
+    });
     spawn_local(reload(hangup, Rc::clone(&source), lasting, Rc::clone(&node), file));
     spawn_local(Rc::clone(&node).follow_fleet(Rc::clone(&accepted)));
     spawn_local(upkeep(Rc::clone(&node), Rc::clone(&accepted), keeper, source));
@@ -193,11 +225,14 @@
     }
 }
 
-/// Guards against a restart that finds the process before it not quite ended: tries again for a second.
+/// Guards against a restart that finds the process before it not quite ended: tries again for as long as a stop may
+/// take, and somewhat more.
 async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    for _ in 0..20 {
+    const PACE: Duration = Duration::from_millis(50);
+    let begun = Instant::now();
+    while begun.elapsed() < stop::LONGEST + stop::LONGEST / 4 {
         match TcpListener::bind(address).await {
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse => sleep(Duration::from_millis(50)).await,
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => sleep(PACE).await,
             bound => return bound,
         }
     }
@@ -239,7 +274,8 @@
         if let Some(keeper) = &mut keeper {
             keeper.keep(node.reducer.borrow().whole_list(), node.clock.now());
         }
-        if let Some(fleet) = node.fleet.as_ref().filter(|_| node.discovered.get()) {
+        let has_list = node.discovered.get() && node.reducer.borrow().has_list();
+        if let Some(fleet) = node.fleet.as_ref().filter(|_| has_list) {
             let silent = source.silent_for().as_micros() as u64;
             fleet.tell_list(node.reducer.borrow().whole_list(), silent);
         }
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use whinspindle::host::{Entry, LoadReport, Outcome, Standing};
 use whinspindle_logline::log_line;
 use whinspindle_messages::answer::Answer;
 use whinspindle_messages::execution::{self, Reply};
+use whinspindle_messages::list::ListNews;
 use whinspindle_messages::query::MOST_BODY;
 use whinspindle_operator::Operator;
 use whinspindle_recall::{Ramp, Trust};
@@ -34,6 +35,9 @@
 /// How often what the fleet has agreed on is looked at between queries: well within any grace of a drain.
 const FOLLOW: Duration = Duration::from_millis(50);
 
+/// A connection rests for this part of the time that connecting may take before it carries the next query.
+const REST_PART: u64 = 10;
+
 pub struct Node {
     pub clock: Clock,
     pub deployment: Deployment,
@@ -47,6 +51,9 @@
     /// The terms of the fleet that were taken over last, and the servers let out, by their numbers.
     by: Cell<Option<u64>>,
     let_out: Cell<u64>,
+    /// The list that is known from the start, until it is believed: discovery may know better.
+    known: RefCell<Option<ListNews>>,
+    first_list: Notify,
     /// Whether the list is discovery's word, or the platform's.
     pub discovered: Cell<bool>,
     /// Else how far the list is believed, and whether neighbours have told it; none if there is no list.
@@ -79,6 +86,7 @@
                     connect_time_out: Duration::from_micros(deployment.connect_time_out),
                     // What a server has begun to write should not pause for longer than it takes to reach it.
                     stall: Duration::from_micros(deployment.connect_time_out),
+                    rest: Duration::from_micros(deployment.connect_time_out / REST_PART),
                     room: Room::new(MOST_BODY, shares.long_answers),
                 }),
                 deployment,
@@ -88,6 +96,8 @@
                 fleet,
                 by: Cell::new(None),
                 let_out: Cell::new(0),
+                known: RefCell::default(),
+                first_list: Notify::new(),
                 discovered: Cell::new(false),
                 trusted: Cell::new(None),
                 seen: RefCell::default(),
@@ -102,11 +112,41 @@
                 log_line!("list", "an entry of the known list is passed over: {fault}");
             }
             known.whole = true;
-            node.reducer.borrow_mut().list(node.clock.now(), &known);
+            node.known.replace(Some(known));
         }
         node
     }
 
+    /// Discovery has told something.
+    pub fn told(&self, news: &ListNews) {
+        if !news.whole {
+            self.believe_known();
+        }
+        self.known.take();
+        self.discovered.set(true);
+        self.reducer.borrow_mut().list(self.clock.now(), news);
+        self.first_list.notify_waiters();
+    }
+
+    /// What is known from the start counts, now that discovery has nothing to say against it, or nothing at all.
+    pub fn believe_known(&self) {
+        if let Some(known) = self.known.take() {
+            self.reducer.borrow_mut().list(self.clock.now(), &known);
+            if let Some(fleet) = self.fleet.as_ref().filter(|_| self.discovered.get()) {
+                fleet.tell_list(self.reducer.borrow().whole_list(), 0);
+            }
+        }
+        self.first_list.notify_waiters();
+    }
+
+    /// Waits while there is a list that may be out of date, and discovery has not been heard yet. Guards against
+    /// sending in the first moment to servers that drain since the list was written.
+    pub async fn settled(&self) {
+        while self.known.borrow().is_some() {
+            self.first_list.notified().await;
+        }
+    }
+
     /// Few queries at a time to begin with, as a process that may have come back with all others. Guards against a
     /// beginning that is over before there is a list: it counts from the first that there is.
     fn begin_slowly(&self) {
--- a/crates/balancer/src/stop.rs
+++ b/crates/balancer/src/stop.rs
@@ -10,6 +10,7 @@
 /// beyond it after the order.
 const MOST_OF_LONGEST: Duration = Duration::from_secs(3);
 const BEYOND_LONGEST: Duration = Duration::from_millis(700);
+pub const LONGEST: Duration = MOST_OF_LONGEST.saturating_add(BEYOND_LONGEST);
 /// What the last answers need to reach their clients.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -17,6 +17,8 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     has_list: bool,
+    /// Up to where discovery has counted.
+    generation: u64,
     /// The keys of those that are let out by the fleet: to the decisions they drain, whatever the list says.
     let_out: BTreeSet<u64>,
 }
@@ -45,11 +47,15 @@
 impl Servers {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
         let (index, known, free, let_out) = Default::default();
-        Servers { index, known, free, processes: 0, zones, kinds, has_list: false, let_out }
+        Servers { index, known, free, processes: 0, zones, kinds, has_list: false, generation: 0, let_out }
     }
 
-    /// Takes the news in and turns it into entries for the decisions.
+    /// Takes the news in and turns it into entries for the decisions. Guards against a list that is older than
+    /// what was told before, as from a discovery that is back from an earlier state: a server that was told to
+    /// drain, and has not started anew, drains on.
     pub fn learn(&mut self, news: &ListNews) -> Vec<Entry> {
+        let is_older = news.generation < self.generation;
+        self.generation = news.generation;
         if news.whole {
             self.has_list = true;
             self.known.iter_mut().for_each(|known| (known.ready, known.gone) = (false, true));
@@ -61,14 +67,21 @@
                 continue;
             }
             let server = self.index_of(&listed.name);
-            self.renew(server, listed);
+            let before = &self.known[server];
+            let drains = before.entry.is_some_and(|entry| entry.standing != Standing::Ready);
+            let drains_on = is_older && drains && before.born == listed.born;
+            let standing = match listed.standing {
+                Standing::Ready if drains_on => Standing::Draining,
+                told => told,
+            };
+            self.renew(server, listed, standing);
             let entry = Entry {
                 server,
                 key: whinspindle_terms::key(listed.name.as_bytes()),
                 zone: index(&mut self.zones, &listed.zone),
                 cell: listed.cell,
                 kind: index(&mut self.kinds, &listed.kind),
-                standing: listed.standing,
+                standing,
                 size: listed.size,
                 born: listed.born,
             };
@@ -131,7 +144,7 @@
         server
     }
 
-    fn renew(&mut self, server: usize, listed: &ListedServer) {
+    fn renew(&mut self, server: usize, listed: &ListedServer, standing: Standing) {
         let known = &mut self.known[server];
         if let Some(address) = listed.address
             && (known.place.is_none_or(|place| place.address != address) || known.born != listed.born)
@@ -140,8 +153,8 @@
             known.place = Some(Place { address, process: self.processes });
         }
         known.born = listed.born;
-        known.gone = listed.standing == Standing::Gone;
-        known.ready = listed.standing == Standing::Ready && known.place.is_some();
+        known.gone = standing == Standing::Gone;
+        known.ready = standing == Standing::Ready && known.place.is_some();
     }
 
     /// Where to reach a server for something that holds it until `release`.
--- a/crates/reducer/tests/reducer.rs
+++ b/crates/reducer/tests/reducer.rs
@@ -76,6 +76,10 @@
     }
 
     fn list(&mut self, whole: bool, servers: &[(&str, &str)]) {
+        self.list_of(1, whole, servers);
+    }
+
+    fn list_of(&mut self, generation: u64, whole: bool, servers: &[(&str, &str)]) {
         let entry = |(port, lifecycle): &(&str, &str)| {
             format!(
                 r#"{{"instanceId": "s-{port}", "hostPort": "127.0.0.1:{port}", "zone": "a", "cell": {port},
@@ -83,7 +87,10 @@
             )
         };
         let entries: Vec<String> = servers.iter().map(entry).collect();
-        let line = format!(r#"{{"generation": 1, "reset": {whole}, "instances": [{}]}}"#, entries.join(","));
+        let line = format!(
+            r#"{{"generation": {generation}, "reset": {whole}, "instances": [{}]}}"#,
+            entries.join(",")
+        );
         self.reducer.list(NOW, &ListNews::decode(line.as_bytes()).expect("a list"));
     }
 
@@ -241,6 +248,26 @@
     assert!(Bench::new("keyed", &[]).reducer.has_list());
 }
 
+#[test]
+fn an_older_list_does_not_bring_back_what_drains() {
+    // What is told with the number 5, then with this one, and whether the server may have queries.
+    for (told, generation, whole, ready) in [
+        ("draining", 4, true, false),
+        ("draining", 4, false, false),
+        ("draining", 5, true, true),
+        ("draining", 6, true, true),
+        ("ready", 4, true, true),
+    ] {
+        let mut bench = Bench::new("keyed", &[("1", "ready"), ("2", "ready")]);
+        bench.list_of(5, false, &[("1", told)]);
+        bench.list_of(generation, whole, &[("1", "ready"), ("2", "ready")]);
+        assert_eq!(bench.reducer.is_ready(0), ready, "{told} {generation} {whole}");
+        // What comes after that counts by its own number again.
+        bench.list_of(generation + 1, false, &[("1", "ready")]);
+        assert!(bench.reducer.is_ready(0), "{told} {generation} {whole}");
+    }
+}
+
 #[test]
 fn an_index_of_a_server_is_used_again_once_nothing_holds_it() {
     let mut bench = Bench::new("keyed", &[("1", "ready")]);
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -38,6 +38,9 @@
     discovery: Cell<SocketAddr>,
     generation: Cell<Option<u64>>,
     moved: Notify,
+    /// Whether discovery has said anything yet, or a try to hear of it has come to nothing.
+    tried: Cell<bool>,
+    first_try: Notify,
     /// When discovery said anything last, be it that nothing has changed; the start, if it has not yet.
     heard: Cell<Instant>,
 }
@@ -48,6 +51,8 @@
             discovery: Cell::new(discovery),
             generation: Cell::new(generation),
             moved: Notify::new(),
+            tried: Cell::new(false),
+            first_try: Notify::new(),
             heard: Cell::new(Instant::now()),
         }
     }
@@ -57,6 +62,18 @@
         self.heard.get().elapsed()
     }
 
+    /// Waits for the first word of discovery, be it that nothing has changed, or for the first try that failed.
+    pub async fn first_tried(&self) {
+        while !self.tried.get() {
+            self.first_try.notified().await;
+        }
+    }
+
+    fn has_tried(&self) {
+        self.tried.set(true);
+        self.first_try.notify_waiters();
+    }
+
     /// The list is followed at this address from now on. One that is new may count otherwise than the one
     /// before, so it is asked for the whole list.
     pub fn move_to(&self, discovery: SocketAddr) {
@@ -89,6 +106,7 @@
                 Ok(()) => log_line!("list", "the watch ended; it is opened again"),
                 Err(fault) => log_line!("list", "the watch failed: {fault}; it is opened again"),
             }
+            source.has_tried();
             sleep(PAUSE).await;
         };
         tokio::select! {
@@ -132,6 +150,7 @@
                 objects
                     .take(&data, |object| source.hear(object, told))
                     .inspect_err(|_| source.generation.set(None))?;
+                source.has_tried();
             }
         }
         Ok(())
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -228,6 +228,7 @@
             idle_time: Duration::from_secs(60),
             connect_time_out: Duration::from_secs(60),
             stall: Duration::from_secs(60),
+            rest: Duration::ZERO,
             room: Room::new(1024, 1024),
         };
         let request = Request::get("/").header("host", "a").body(Full::default()).expect("a request");
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -23,6 +23,8 @@
     pub connect_time_out: Duration,
     /// An answer that has begun and is silent for so long does not end any more.
     pub stall: Duration,
+    /// After an answer a connection carries nothing for so long.
+    pub rest: Duration,
     pub room: Room,
 }
 
@@ -94,10 +96,16 @@
         }
     }
 
-    /// The one used last, so that those that are not needed grow old.
+    /// The one used last, so that those that are not needed grow old; but not right after its answer. Guards against
+    /// a server that answers twice, the second time somewhat late: it would pass for the answer to the next query.
     async fn take_idle(&self, server: Upstream) -> Option<Lease> {
         loop {
-            let mut idle = self.idle.borrow_mut().get_mut(&server)?.pop()?;
+            let mut idle = {
+                let mut all = self.idle.borrow_mut();
+                let lanes = all.get_mut(&server)?;
+                let rested = lanes.partition_point(|idle| idle.since.elapsed() >= self.terms.rest);
+                lanes.remove(rested.checked_sub(1)?)
+            };
             if self.is_fresh(&idle) && idle.lease.lane.is_still_open().await {
                 return Some(idle.lease);
             }
--- a/crates/upstreams/tests/exchange.rs
+++ b/crates/upstreams/tests/exchange.rs
@@ -76,6 +76,7 @@
         idle_time: LONG_IDLE,
         connect_time_out,
         stall: Duration::from_millis(20),
+        rest: Duration::ZERO,
         room: Room::new(64, 0),
     }
 }
@@ -160,6 +161,33 @@
     }
 }
 
+#[test]
+fn a_second_answer_that_comes_late_is_never_that_to_another_request() {
+    const NO: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
+    // The server answers the first request again as soon as another one is on that connection.
+    for (rest, body) in [(LONG_IDLE, "hi"), (Duration::ZERO, "no")] {
+        run(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address");
+            thread::spawn(move || {
+                for socket in listener.incoming() {
+                    let mut socket = socket.expect("a connection");
+                    thread::spawn(move || {
+                        request(&mut socket);
+                        socket.write_all(OK.as_bytes()).expect("written");
+                        request(&mut socket);
+                        let _ = socket.write_all(NO.as_bytes());
+                    });
+                }
+            });
+            let connections = Connections::new(Terms { rest, ..terms() });
+            exchange(&connections, address, true, &Trail::default()).await.expect("a response");
+            let response = exchange(&connections, address, true, &Trail::default()).await;
+            assert_eq!(response.expect("a response").body(), body, "{rest:?}");
+        });
+    }
+}
+
 #[test]
 fn a_kept_connection_that_breaks_under_a_request_tells_nothing_of_its_server() {
     // The second reply: the connection ends without a byte, in the middle of an answer, or at its begin.
