--- a/crates/balancer/tests/races.rs
+++ b/crates/balancer/tests/races.rs
@@ -301,3 +301,75 @@
     drop(queued);
     assert!(heard.try_recv().is_err(), "the repeat is sent outside its window");
 }
+
+#[test]
+fn for_a_client_that_leaves_while_a_connection_is_made_nothing_is_sent() {
+    let (discovery, at_discovery) = listener();
+    let (late, at_late, queued) = full();
+    let listen = free_address();
+    let mut told = configuration(listen, at_late);
+    told["discovery"] = json!(at_discovery.to_string());
+    told["settings"]["limits"]["connectTimeoutNs"] = json!(20_000_000_000u64);
+    let mut stand_in = start(&told.to_string());
+    let mut log = BufReader::new(stand_in.stderr.take().expect("piped"));
+    let _running = Running(stand_in);
+    let mut watch = watch(&discovery);
+    say(&mut watch, 2, false, &[]);
+    let mut client = connect(listen);
+    client.get_mut().write_all(post("/served", "", "").as_bytes()).expect("written");
+    let to = format!("0100007F:{:04X} 02", at_late.port());
+    until("a connection on its way", || {
+        std::fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.contains(&to))
+    });
+    drop(client);
+    // The execution is over before its connection could come up.
+    let mut line = String::new();
+    while !line.contains("called off, request Nothing") {
+        line.clear();
+        assert_ne!(std::io::BufRead::read_line(&mut log, &mut line).expect("log"), 0, "the log ended");
+    }
+    drop(queued);
+    late.set_nonblocking(true).expect("non-blocking");
+    while let Ok((mut socket, _)) = late.accept() {
+        socket.set_nonblocking(true).expect("non-blocking");
+        assert!(!socket.read(&mut [0; 64]).is_ok_and(|read| read > 0), "a request for nobody");
+    }
+}
+
+#[test]
+fn a_query_unsafe_to_repeat_goes_again_only_where_it_surely_never_ran() {
+    // What the first server does with it, and the answer.
+    for (turns_away, status) in [(true, "200"), (false, "502")] {
+        let ((first, at_first), (second, at_second), (discovery, at_discovery)) =
+            (listener(), listener(), listener());
+        let listen = free_address();
+        let mut told = configuration(listen, at_first);
+        told["discovery"] = json!(at_discovery.to_string());
+        told["settings"]["products"][0]["effect"] = json!("unsafe");
+        let _running = Running(start(&told.to_string()));
+        let mut watch = watch(&discovery);
+        say(&mut watch, 2, false, &[]);
+        let mut client = connect(listen);
+        let unsafe_post = post("/served", "", "").replace("idempotency-key: k\r\n", "");
+        client.get_mut().write_all(unsafe_post.as_bytes()).expect("written");
+        let mut socket = BufReader::new(first.accept().expect("the execution").0);
+        message(&mut socket).expect("a request");
+        say(&mut watch, 3, false, &[instance(2, at_second, "ready")]);
+        assert_eq!(health(listen), "200");
+        let (tell, heard) = channel();
+        thread::spawn(move || {
+            let mut socket = BufReader::new(second.accept().expect("the execution").0);
+            message(&mut socket).expect("a request");
+            let _ = tell.send(());
+            socket.get_mut().write_all(SERVED).expect("written");
+        });
+        if turns_away {
+            let reply = b"HTTP/1.1 503 No\r\nx-never-ran: 1\r\ncontent-length: 0\r\n\r\n";
+            socket.get_mut().write_all(reply).expect("written");
+        }
+        // Else it is read whole, and the connection breaks.
+        drop(socket);
+        assert_eq!(answer(&mut client).0, status);
+        assert_eq!(heard.try_recv().is_ok(), turns_away);
+    }
+}
--- a/crates/upstreams/tests/exchange.rs
+++ b/crates/upstreams/tests/exchange.rs
@@ -161,6 +161,32 @@
     }
 }
 
+#[test]
+fn an_answer_without_length_ends_with_its_connection_and_a_reset_is_no_end() {
+    for resets in [false, true] {
+        run(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address");
+            thread::spawn(move || {
+                let (mut socket, _) = listener.accept().expect("a connection");
+                // A close over bytes that nobody has read is a reset.
+                if resets {
+                    socket.read_exact(&mut [0; 8]).expect("some of the request");
+                    while socket.peek(&mut [0; 8]).is_ok_and(|left| left == 0) {}
+                } else {
+                    request(&mut socket);
+                }
+                socket.write_all(b"HTTP/1.1 200 OK\r\n\r\nhi").expect("written");
+            });
+            let response = exchange(&connections(4, LONG_IDLE), address, true, &Trail::default()).await;
+            match response {
+                Ok(response) => assert!(!resets && response.body() == "hi"),
+                Err(failure) => assert!(resets && failure.progress == Progress::Whole, "{failure}"),
+            }
+        });
+    }
+}
+
 #[test]
 fn a_second_answer_that_comes_late_is_never_that_to_another_request() {
     const NO: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -800,10 +800,10 @@
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
         // Half the multiple of what warm servers of like size serve of this copy's. What only came is no
-        // measure in a jam, when callers repeat; it stands in while nothing was served.
+        // measure in a jam, when callers repeat; it stands in while nothing was served, as if over a whole check.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
-        let rate = served.unwrap_or_else(|| self.rate(&self.arrivals, CHECK));
+        let rate = served.unwrap_or(self.arrivals.len() as f64 * 1e6 / CHECK as f64);
         let even = rate * s.size / sizes * self.terms.tip_after as f64 / 1e6;
         spent + 1.0 <= even * warmth * self.terms.fall_multiple / 2.0 + s.luck
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -267,7 +267,7 @@
 #[test]
 fn cold_budgets_hold_for_all_copies_together() {
     // Ten servers take 20 queries a second each, so the cold one may get 20 x 3 x 2 s x a fifth at first: 24.
-    for copies in [1, 10, 200] {
+    for copies in [1, 3, 10, 20, 30, 200] {
         let mut sent = 0;
         for copy in 0..copies as u64 {
             let rules = Terms { tier: 1, balancers: copies, ..terms(Idempotent) };
@@ -289,6 +289,35 @@
     }
 }
 
+/// The sum over processes that have just started and know nothing but the settings, all others' servers draining and
+/// clients repeating at once: beyond the budget of 24 only twice its root and two are put down to chance.
+#[test]
+fn cold_budgets_hold_for_processes_that_know_nothing_yet() {
+    let most = 24.0 + 2.0 * 24.0_f64.sqrt() + 2.0;
+    for copies in [1, 3, 20, 30, 200_u64] {
+        // Of the 200 queries a second that the ten servers take: each copy its part, or the first one a third.
+        for (uneven, tries) in [(false, 1), (true, 1), (false, 3)] {
+            let mut sent = 0;
+            for copy in 0..copies {
+                let rules = Terms { tier: 1, balancers: copies as usize, ..terms(Idempotent) };
+                let mut b = whinspindle::decide::Balancer::new(Notes::default(), rules, copy, NOON);
+                let mut entries: Vec<Entry> = (0..10).map(|server| entry(server, 0)).collect();
+                entries.iter_mut().for_each(|entry| entry.standing = Standing::Draining);
+                entries[3] = Entry { born: NOON, ..entry(3, 0) };
+                b.list_whole(NOON, &entries);
+                let part = if uneven && copy == 0 { copies.div_ceil(3) } else { 1 };
+                let gap = 5000 * copies / tries / part;
+                let queries = 2_000_000 / gap;
+                let at = |qry: u64| NOON + gap * copy / copies + gap * qry;
+                sent += (0..queries)
+                    .filter(|&qry| sent_to(&ask(&mut b, at(qry), qry as usize)).is_some())
+                    .count();
+            }
+            assert!((sent as f64) <= most, "{copies} {uneven} {tries}: {sent}");
+        }
+    }
+}
+
 #[test]
 fn a_silent_server_is_answered_for() {
     // A deduplicated query may be repeated by its own pod alone: one that is far is no other server for it.
