Settings missing or unknown stop the start; only a first tier leaves a strained home

Searched for what of one deployment was left where another's settings lack a field (crates/terms/src/lib.rs): connIdleNs fell back to 15 s, connectTimeoutNs to 250 ms, mustAskInNs to 10 s, which are one customer's figures; a keyScope that is missing or unknown passed for the widest, so that repeats could take effect twice, a missing memorySpanNs for none, an unknown membershipMode for pushed. Now the first two follow from the products (the longest statement timeout, a quarter of the shortest SLO time), the others stop the start with their name. The fixtures of two tests lacked mustAskInNs, and keyScope and memorySpanNs of a keyed product, which the wire always tells; they have them now, and assert what they did. Cause of the service: copies beside the servers left their home too when a cut made answers slow; only a first tier needs it, which alone rejects. Cause of the prices: connections, for which the rest after an answer was a tenth of the connect time-out; a twentieth (12.5 ms here) is still some milliseconds.

--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -95,8 +95,8 @@
         self.open.borrow().len()
     }
 
-    /// Drops what has begun a query and does not end it, or does not read its answer; closes what has been idle
-    /// for too long.
+    /// Drops what has begun a query and does not end it, or does not read its answer; closes what has been
+    /// idle for too long.
     fn sweep(&self, idle_time: Duration) {
         let now = Instant::now();
         for client in self.open.borrow().values() {
@@ -112,9 +112,9 @@
         }
     }
 
-    /// At the brim a connection makes room: the longest idle of those that have asked nothing for a while since
-    /// they came, else of all. Guards against clients that connect by hundreds and say nothing: they can't crowd
-    /// out those that ask, nor those whose first query is on its way.
+    /// At the brim a connection makes room: the longest idle of those that have asked nothing for a while
+    /// since they came, else of all. Guards against clients that connect by hundreds and say nothing: they
+    /// can't crowd out those that ask, nor those whose first query is on its way.
     fn close_longest_idle(&self) {
         let open = self.open.borrow();
         // Should one end slowly, the next one is closed after it.
@@ -204,8 +204,9 @@
     accepted.all_ended().await;
 }
 
-/// Ends the listener; returns whom the machine has connected already, since what they send counts as taken. Guards
-/// against one that came after the runtime looked last: the socket itself is asked, until it has no more.
+/// Ends the listener; returns whom the machine has connected already, since what they send counts as taken.
+/// Guards against one that came after the runtime looked last: the socket itself is asked, until it has no
+/// more.
 fn end_of(listener: TcpListener) -> Vec<TcpStream> {
     let accept = |listener: &std::net::TcpListener| -> io::Result<TcpStream> {
         let (socket, _) = listener.accept()?;
@@ -281,8 +282,8 @@
 where
     S: HttpService<Incoming, ResBody = ReplyBody, Error: Into<BoxError>>,
 {
-    /// Moves the connection until it has ended, or its client has left. Guards against a client that sent more
-    /// behind its query and left: hyper looks for its end only where nothing else has come.
+    /// Moves the connection until it has ended, or its client has left. Guards against a client that sent
+    /// more behind its query and left: hyper looks for its end only where nothing else has come.
     async fn ended(&mut self) -> hyper::Result<()> {
         poll_fn(|cx| {
             if let Poll::Ready(ended) = self.connection.as_mut().poll(cx) {
@@ -296,7 +297,8 @@
     async fn run(&mut self, accepted: &Accepted) -> hyper::Result<()> {
         let client = self.client;
         loop {
-            // What has come goes before what was ordered meanwhile: a query that is in hand by then is served.
+            // What has come goes before what was ordered meanwhile: a query that is in hand by then is
+            // served.
             tokio::select! {
                 biased;
                 ended = self.ended() => return ended,
@@ -311,18 +313,20 @@
     /// Lets a connection that is to close come to its end.
     async fn finish(&mut self, accepted: &Accepted) -> hyper::Result<()> {
         let client = self.client;
-        // A query that has come already is taken: the runtime is let at its sockets, and hyper at what is there.
+        // A query that has come already is taken: the runtime is let at its sockets, and hyper at what is
+        // there.
         tokio::select! {
             biased;
             ended = self.ended() => return ended,
             () = yield_now() => {}
         }
-        // Guards against a flood of connections that say nothing, each of which would hold its place for a while.
+        // Guards against a flood of connections that say nothing, each of which would hold its place for a
+        // while.
         if client.fresh.get() && client.meter.heard.get().is_none() {
             return Ok(());
         }
-        // Guards against a close in the middle of a query that the client is still writing: hyper would not wait
-        // for the rest of its head.
+        // Guards against a close in the middle of a query that the client is still writing: hyper would not
+        // wait for the rest of its head.
         let whole_by = accepted.last_whole.get().unwrap_or_else(|| Instant::now() + WHOLE);
         while client.has_begun() && Instant::now() < whole_by {
             tokio::select! {
@@ -350,8 +354,8 @@
         }
     }
 
-    /// Waits a while for the client to end its side too, so that its last answer reaches it whole. What it sends
-    /// now is no query any more.
+    /// Waits a while for the client to end its side too, so that its last answer reaches it whole. What it
+    /// sends now is no query any more.
     async fn part(self) {
         let Served { connection, ending, client } = self;
         // Hyper is done with the socket, or does not get to it any more.
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -225,8 +225,8 @@
     }
 }
 
-/// Guards against a restart that finds the process before it not quite ended: tries again for as long as a stop may
-/// take, and somewhat more.
+/// Guards against a restart that finds the process before it not quite ended: tries again for as long as a
+/// stop may take, and somewhat more.
 async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     const PACE: Duration = Duration::from_millis(50);
     let begun = Instant::now();
--- a/crates/balancer/src/node.rs
+++ b/crates/balancer/src/node.rs
@@ -36,7 +36,7 @@
 const FOLLOW: Duration = Duration::from_millis(50);
 
 /// A connection rests for this part of the time that connecting may take before it carries the next query.
-const REST_PART: u64 = 10;
+const REST_PART: u64 = 20;
 
 pub struct Node {
     pub clock: Clock,
@@ -128,7 +128,8 @@
         self.first_list.notify_waiters();
     }
 
-    /// What is known from the start counts, now that discovery has nothing to say against it, or nothing at all.
+    /// What is known from the start counts, now that discovery has nothing to say against it, or nothing at
+    /// all.
     pub fn believe_known(&self) {
         if let Some(known) = self.known.take() {
             self.reducer.borrow_mut().list(self.clock.now(), &known);
@@ -139,16 +140,16 @@
         self.first_list.notify_waiters();
     }
 
-    /// Waits while there is a list that may be out of date, and discovery has not been heard yet. Guards against
-    /// sending in the first moment to servers that drain since the list was written.
+    /// Waits while there is a list that may be out of date, and discovery has not been heard yet. Guards
+    /// against sending in the first moment to servers that drain since the list was written.
     pub async fn settled(&self) {
         while self.known.borrow().is_some() {
             self.first_list.notified().await;
         }
     }
 
-    /// Few queries at a time to begin with, as a process that may have come back with all others. Guards against a
-    /// beginning that is over before there is a list: it counts from the first that there is.
+    /// Few queries at a time to begin with, as a process that may have come back with all others. Guards
+    /// against a beginning that is over before there is a list: it counts from the first that there is.
     fn begin_slowly(&self) {
         self.begins.set(false);
         let terms = &self.deployment.terms;
--- a/crates/balancer/src/stop.rs
+++ b/crates/balancer/src/stop.rs
@@ -36,8 +36,9 @@
         self.ordered.get().is_some()
     }
 
-    /// Waits for the order; returns when to part with the clients. Half of the time is for serving them, since
-    /// another balancer may not be back yet from a stop of its own, and half for the answers that are owed then.
+    /// Waits for the order; returns when to part with the clients. Half of the time is for serving them,
+    /// since another balancer may not be back yet from a stop of its own, and half for the answers that are
+    /// owed then.
     pub async fn ordered(&self) -> Instant {
         self.order.notified().await;
         self.ordered.get().unwrap_or_else(Instant::now) + self.allowed / 2
--- a/crates/balancer/tests/program.rs
+++ b/crates/balancer/tests/program.rs
@@ -230,6 +230,12 @@
         (without("/settings", Value::Null), "settings: "),
         (without("/settings/products", json!([])), "settings: products: "),
         (without("/settings/tier", json!(-1)), "settings: "),
+        (without("/settings/products/0/effect", json!("odd")), "settings: products[0].effect: "),
+        (without("/settings/products/0/keyScope", json!("rack")), "settings: products[0].keyScope: "),
+        (without("/settings/products/0/keyScope", Value::Null), "settings: products[0].keyScope: "),
+        (without("/settings/products/0/memorySpanNs", Value::Null), "settings: products[0].memorySpanNs: "),
+        (without("/settings/membershipMode", json!("polled")), "settings: membershipMode: "),
+        (without("/settings/membershipMode", json!("on_request")), "settings: obligations.mustAskInNs: "),
         (shaped(0, "pull", 0), "settings: limits.streamsPerConn: 0: "),
         // Of the shape all faults are told at once.
         (
--- a/crates/balancer/tests/races.rs
+++ b/crates/balancer/tests/races.rs
@@ -249,8 +249,8 @@
     drop(idle);
 }
 
-/// A listener whose queue is full: who connects now is let in only after the queue has been emptied, and no sooner
-/// than a second later, when the system tries again.
+/// A listener whose queue is full: who connects now is let in only after the queue has been emptied, and no
+/// sooner than a second later, when the system tries again.
 fn full() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
     let (listener, address) = listener();
     let brief = Duration::from_millis(100);
--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -9,7 +9,8 @@
     "limits": {"cancel": true, "mostExecutions": 2, "maxRetryAfterNs": 0, "retryAfter": false,
         "secondCopies": false},
     "loadInfo": {"columns": ["throughput", "unheardOf"]},
-    "obligations": {"coldFrom": 0.3, "coldNs": 8000000000, "fallMultiple": 3.0, "tipAfterNs": 3000000000}}"#;
+    "obligations": {"coldFrom": 0.3, "coldNs": 8000000000, "fallMultiple": 3.0, "mustAskInNs": 10000000000,
+        "tipAfterNs": 3000000000}}"#;
 
 const NO_PRODUCTS: &str = r#"{"balancers": 1, "tier": 0, "membershipMode": "pushed", "tickNs": 1,
     "products": [],
--- a/crates/messages/tests/messages.rs
+++ b/crates/messages/tests/messages.rs
@@ -14,7 +14,8 @@
     let settings = r#"{"balancers": 1, "tier": 0, "membershipMode": "pushed", "tickNs": 1,
         "products": [
             {"name": "read", "effect": "safe", "sloTimeNs": 1000000, "statementTimeoutNs": 3000000000},
-            {"name": "order", "effect": "keyed", "sloTimeNs": 1000000, "statementTimeoutNs": 2000000000}],
+            {"name": "order", "effect": "keyed", "keyScope": "all", "memorySpanNs": 2000000000,
+                "sloTimeNs": 1000000, "statementTimeoutNs": 2000000000}],
         "projects": [{"name": "acme"}, {"name": "zenith"}],
         "limits": {"cancel": true, "mostExecutions": 2, "maxRetryAfterNs": 0, "retryAfter": false,
             "secondCopies": true},
--- a/crates/reducer/src/servers.rs
+++ b/crates/reducer/src/servers.rs
@@ -50,9 +50,9 @@
         Servers { index, known, free, processes: 0, zones, kinds, has_list: false, generation: 0, let_out }
     }
 
-    /// Takes the news in and turns it into entries for the decisions. Guards against a list that is older than
-    /// what was told before, as from a discovery that is back from an earlier state: a server that was told to
-    /// drain, and has not started anew, drains on.
+    /// Takes the news in and turns it into entries for the decisions. Guards against a list that is older
+    /// than what was told before, as from a discovery that is back from an earlier state: a server that was
+    /// told to drain, and has not started anew, drains on.
     pub fn learn(&mut self, news: &ListNews) -> Vec<Entry> {
         let is_older = news.generation < self.generation;
         self.generation = news.generation;
--- a/crates/serverlist/src/lib.rs
+++ b/crates/serverlist/src/lib.rs
@@ -1,6 +1,6 @@
 //! The list of servers as discovery tells it: whole at first, then each change as it comes. The watch is
-//! opened again when it ends, and also when it has been silent for longer than discovery ever is. Discovery may
-//! move to another address.
+//! opened again when it ends, and also when it has been silent for longer than discovery ever is. Discovery
+//! may move to another address.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -23,8 +23,8 @@
 
 use objects::Objects;
 
-/// A change counts as told so long after discovery had it and could be reached. A watch that falls silent, a try
-/// that hangs and the one that works, with the pauses between them, have to fit in, not each by itself.
+/// A change counts as told so long after discovery had it and could be reached. A watch that falls silent, a
+/// try that hangs and the one that works, with the pauses between them, have to fit in, not each by itself.
 const TOLD: Duration = Duration::from_secs(6);
 /// While nothing changes an empty line comes every 2 s; silent for one and a half of that, a watch is dead.
 const SILENCE: Duration = TOLD.checked_div(2).expect("not by 0");
@@ -62,7 +62,8 @@
         self.heard.get().elapsed()
     }
 
-    /// Waits for the first word of discovery, be it that nothing has changed, or for the first try that failed.
+    /// Waits for the first word of discovery, be it that nothing has changed, or for the first try that
+    /// failed.
     pub async fn first_tried(&self) {
         while !self.tried.get() {
             self.first_try.notified().await;
@@ -145,8 +146,8 @@
             let Some(frame) = timeout_at(whole_by, timeout(SILENCE, body.frame())).await?? else { break };
             if let Ok(data) = frame?.into_data() {
                 source.heard.set(Instant::now());
-                // What has lost its place tells nothing any more: the whole list is asked for. Guards against a drain
-                // in what was passed over, which nothing later repeats.
+                // What has lost its place tells nothing any more: the whole list is asked for. Guards against
+                // a drain in what was passed over, which nothing later repeats.
                 objects
                     .take(&data, |object| source.hear(object, told))
                     .inspect_err(|_| source.generation.set(None))?;
--- a/crates/serverlist/tests/watch.rs
+++ b/crates/serverlist/tests/watch.rs
@@ -30,7 +30,8 @@
             "/v1/servers?watch=1&from=43",
         ),
         (Some(1), vec![line(2), "{\"gen".to_string()], vec![2], "/v1/servers?watch=1&from=2"),
-        // What can't be read may have told of a drain, which no later line would repeat: all is asked for again.
+        // What can't be read may have told of a drain, which no later line would repeat: all is asked for
+        // again.
         (Some(1), vec![line(2), broken.to_string(), line(10)], vec![2], "/v1/servers?watch=1"),
         (Some(1), vec!["noise".to_string(), line(2)], vec![], "/v1/servers?watch=1"),
         // So may a count that has been lost.
@@ -88,8 +89,8 @@
     }
 }
 
-/// Discovery on the thread of the follower, whose clock stands still but for the steps taken here: what it does is
-/// waited for, and how long it lets pass is counted.
+/// Discovery on the thread of the follower, whose clock stands still but for the steps taken here: what it
+/// does is waited for, and how long it lets pass is counted.
 struct Discovery {
     listener: TcpListener,
     began: Instant,
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -41,7 +41,8 @@
 pub struct Ending(Rc<RefCell<Wire>>);
 
 impl Ending {
-    /// Ready once the other side has ended the connection. The task that polls the socket polls this, after it.
+    /// Ready once the other side has ended the connection. The task that polls the socket polls this, after
+    /// it.
     pub fn poll(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut wire = self.0.borrow_mut();
         let Wire { socket, ahead, ended } = &mut *wire;
@@ -61,9 +62,9 @@
         if *ended { Poll::Ready(()) } else { Poll::Pending }
     }
 
-    /// Says that nothing more comes from here, and reads on until the other side has ended the connection too.
-    /// Guards against a close over unread bytes, which resets the connection and takes with it what the other
-    /// side has not read yet.
+    /// Says that nothing more comes from here, and reads on until the other side has ended the connection
+    /// too. Guards against a close over unread bytes, which resets the connection and takes with it what the
+    /// other side has not read yet.
     pub async fn part(self) {
         if poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().socket).poll_shutdown(cx)).await.is_err() {
             return;
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -132,6 +132,42 @@
     p.statement_timeout_ns.unwrap_or(p.slo_time_ns) / 1000
 }
 
+/// How far a product's effect may be repeated. Guards against a group that is not told, or not known, and
+/// would pass for the widest.
+fn effect(p: &ProductOptions) -> Result<Effect, String> {
+    let group = match p.key_scope.as_deref() {
+        Some("all") => Some(Group::All),
+        Some("zone") => Some(Group::Zone),
+        Some("cell") => Some(Group::Cell),
+        _ => None,
+    };
+    match (p.effect.as_str(), group) {
+        ("safe", _) => Ok(Effect::Idempotent),
+        ("unsafe", _) => Ok(Effect::NonIdempotent),
+        ("keyed", Some(_)) if p.memory_span_ns.is_none() => {
+            Err("memorySpanNs: missing for a keyed product: how long repeats of it are dropped".into())
+        }
+        ("keyed", Some(group)) => Ok(Effect::Deduplicated(group)),
+        ("keyed", None) => Err(format!(
+            "keyScope: {:?}: a keyed product has all, zone or cell",
+            p.key_scope.as_deref().unwrap_or("")
+        )),
+        (other, _) => Err(format!("effect: unknown effect {other:?}: safe, keyed or unsafe")),
+    }
+}
+
+/// In which time the list must be asked for, where it is.
+fn must_ask_in(mode: &str, within: Option<u64>) -> Result<Option<u64>, String> {
+    match (mode, within) {
+        ("pushed", _) => Ok(None),
+        ("on_request", Some(ns)) => Ok(Some(ns / 1000)),
+        ("on_request", None) => {
+            Err("obligations.mustAskInNs: missing where membershipMode is on_request".into())
+        }
+        (other, _) => Err(format!("membershipMode: {other:?}: pushed or on_request")),
+    }
+}
+
 /// What is wrong in the settings that tell a deployment's shape, each with its field, the rule and a way out.
 fn shape_faults(streams: usize, how: &str, rank: usize, balancers: usize) -> Vec<String> {
     let mut faults = Vec::new();
@@ -159,19 +195,9 @@
     let limits = &options.limits;
     let rules = &options.obligations;
     let mut products = Vec::new();
-    for p in &options.products {
-        let group = match p.key_scope.as_deref() {
-            Some("zone") => Group::Zone,
-            Some("cell") => Group::Cell,
-            _ => Group::All,
-        };
+    for (number, p) in options.products.iter().enumerate() {
         products.push(Product {
-            effect: match p.effect.as_str() {
-                "safe" => Effect::Idempotent,
-                "keyed" => Effect::Deduplicated(group),
-                "unsafe" => Effect::NonIdempotent,
-                other => return Err(format!("unknown effect {other:?}")),
-            },
+            effect: effect(p).map_err(|fault| format!("products[{number}].{fault}"))?,
             slo_time: p.slo_time_ns / 1000,
             memory_span: p.memory_span_ns.unwrap_or(0) / 1000,
             tardy_importance: p.tardy_importance.unwrap_or(0.0),
@@ -204,22 +230,28 @@
         probe_dear: 4.0 * options.deductions.probe > options.deductions.late_fail,
         most_retry_after: if limits.retry_after { limits.max_retry_after_ns / 1000 } else { 0 },
         tick: options.tick_ns / 1000,
-        must_ask_in: (options.membership_mode == "on_request")
-            .then(|| rules.must_ask_in_ns.unwrap_or(10_000_000_000) / 1000),
+        must_ask_in: must_ask_in(&options.membership_mode, rules.must_ask_in_ns)?,
         cold_from: rules.cold_from,
         cold_time: rules.cold_ns / 1000,
         fall_multiple: rules.fall_multiple,
         tip_after: rules.tip_after_ns / 1000,
     };
+    let statement_timeouts: Vec<u64> = options.products.iter().map(statement_timeout).collect();
+    // What is not told follows from what is: no query stays longer at a server than its longest time, and to
+    // connect may take a part of the shortest one.
+    let (longest, shortest) =
+        (statement_timeouts.iter().max(), terms.products.iter().map(|p| p.slo_time).min());
+    let idle_time = limits.conn_idle_ns.map(|ns| ns / 1000).or(longest.copied()).unwrap_or(0);
+    let connect_time_out = limits.connect_timeout_ns.map(|ns| ns / 1000).or(shortest.map(|time| time / 4));
     Ok(Deployment {
         terms,
-        statement_timeouts: options.products.iter().map(statement_timeout).collect(),
+        statement_timeouts,
         products: options.products.into_iter().map(|p| p.name).collect(),
         tenants: options.projects.into_iter().map(|p| p.name).collect(),
         zones: options.zones,
         kinds: options.kinds,
         columns: options.load_info.columns,
-        idle_time: limits.conn_idle_ns.map_or(15_000_000, |ns| ns / 1000),
-        connect_time_out: limits.connect_timeout_ns.map_or(250_000, |ns| ns / 1000),
+        idle_time,
+        connect_time_out: connect_time_out.unwrap_or(0),
     })
 }
--- a/crates/upstreams/src/exchange.rs
+++ b/crates/upstreams/src/exchange.rs
@@ -65,7 +65,8 @@
 
 impl Lane {
     pub async fn open(socket: TcpStream) -> Result<Lane, Cause> {
-        // Guards against a system that has the connection and not the option, on which nothing but haste hangs.
+        // Guards against a system that has the connection and not the option, on which nothing but haste
+        // hangs.
         let _ = socket.set_nodelay(true);
         let meter = Rc::new(Meter::default());
         let (sender, connection) = http1::Builder::new()
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -96,8 +96,9 @@
         }
     }
 
-    /// The one used last, so that those that are not needed grow old; but not right after its answer. Guards against
-    /// a server that answers twice, the second time somewhat late: it would pass for the answer to the next query.
+    /// The one used last, so that those that are not needed grow old; but not right after its answer. Guards
+    /// against a server that answers twice, the second time somewhat late: it would pass for the answer to
+    /// the next query.
     async fn take_idle(&self, server: Upstream) -> Option<Lease> {
         loop {
             let mut idle = {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -644,8 +644,8 @@
     }
 
     /// This copy's part of the traffic: what it lets in, less what chance brings, of the rates that servers
-    /// tell, else of all tenants' shares; an even part at the least. Guards against taking favoured copies for
-    /// ones like the others.
+    /// tell, else of all tenants' shares; an even part at the least. Guards against taking favoured copies
+    /// for ones like the others.
     fn part(&self) -> f64 {
         let even = 1.0 / self.terms.balancers as f64;
         let told = mean(self.listed.iter().filter_map(|&i| self.servers[i].rates.back().copied()));
@@ -711,14 +711,14 @@
     }
 
     /// Where crossings cost and zones have two copies, the chance that a query stays home: by its servers'
-    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings that a
-    /// cut or a lost zone fails; of one copy a zone the loss would bring all to another's home. Where answers
-    /// take so long that tenants are rejected, home may have too many clients, and the weights decide.
+    /// part of all, for this copy and an even part of the rest for its others. Guards against crossings that
+    /// a cut or a lost zone fails; of one copy a zone the loss would bring all to another's home. Where a
+    /// first tier's answers take so long that tenants are rejected, home is too small, and weights decide.
     fn stays(&self, among: &[usize]) -> f64 {
         let all: f64 = among.iter().map(|&i| self.able(i)).sum();
         let home = among.iter().filter(|&&i| self.servers[i].zone == self.terms.home);
         let home: f64 = home.map(|&i| self.able(i)).sum();
-        let strained = self.runs.latest() > BEYOND * FULL * self.runs.least();
+        let strained = self.terms.tier == 0 && self.runs.latest() > BEYOND * FULL * self.runs.least();
         let pays = self.terms.cross_zone > 0.0 && self.terms.balancers >= 2 * self.zones.len();
         if strained || !pays || home <= 0.0 {
             return 0.0;
@@ -800,7 +800,7 @@
         let s = &self.servers[server];
         let spent: f64 = s.sent.iter().filter(|sent| sent.0 >= since).map(|sent| sent.1).sum();
         // Half the multiple of what warm servers of like size serve of this copy's. What only came is no
-        // measure in a jam, when callers repeat; it stands in while nothing was served, as if over a whole check.
+        // measure in a jam, when callers repeat; it stands in while nothing was served, over a whole check.
         let sizes: f64 = self.listed.iter().map(|&i| self.servers[i].size).sum();
         let served = Some(self.rate(&self.served, CHECK)).filter(|&rate| rate > 0.0);
         let rate = served.unwrap_or(self.arrivals.len() as f64 * 1e6 / CHECK as f64);
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -59,8 +59,8 @@
     (if spread > 1e-9 * w * x * x { both / spread } else { 0.0 }, x, y, w)
 }
 
-/// The line through samples as `fit` finds it, as its height at 0, its slope, the mean y and the sum of the weights;
-/// the slope is at least this part of that of a line through the origin, and at most that.
+/// The line through samples as `fit` finds it, as its height at 0, its slope, the mean y and the sum of the
+/// weights; the slope is at least this part of that of a line through the origin, and at most that.
 pub fn rising(samples: impl Iterator<Item = (f64, f64, f64)> + Clone, least: f64) -> (f64, f64, f64, f64) {
     let (slope, x, y, w) = fit(samples);
     let through_origin = y / x.max(0.01);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -250,7 +250,8 @@
     assert!((15..120).contains(&crossed), "{crossed}");
 }
 
-/// The clients of all copies at home may be too many for it while others idle: answers tell, where no report does.
+/// The clients of all copies at home may be too many for it while others idle: answers tell, where no report
+/// does.
 #[test]
 fn a_home_zone_whose_answers_take_long_sends_some_away() {
     let entries: Vec<Entry> = (0..6).map(|server| entry(server, server / 3)).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -289,13 +289,15 @@
     }
 }
 
-/// The sum over processes that have just started and know nothing but the settings, all others' servers draining and
-/// clients repeating at once: beyond the budget of 24 only twice its root and two are put down to chance.
+/// The sum over processes that have just started and know nothing but the settings, all others' servers
+/// draining and clients repeating at once: beyond the budget of 24 only twice its root and two are put down
+/// to chance.
 #[test]
 fn cold_budgets_hold_for_processes_that_know_nothing_yet() {
     let most = 24.0 + 2.0 * 24.0_f64.sqrt() + 2.0;
     for copies in [1, 3, 20, 30, 200_u64] {
-        // Of the 200 queries a second that the ten servers take: each copy its part, or the first one a third.
+        // Of the 200 queries a second that the ten servers take: each copy its part, or the first one a
+        // third.
         for (uneven, tries) in [(false, 1), (true, 1), (false, 3)] {
             let mut sent = 0;
             for copy in 0..copies {
