--- /dev/null
+++ b/crates/peers/src/tests.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+#[test]
+fn numbers_that_are_used_up_begin_again_and_are_heard() {
+    let (mut from, mut to) =
+        (Peers::new(1, 2, "f", "", u32::MAX, DATAGRAM), Peers::new(0, 2, "f", "", 1, DATAGRAM));
+    from.next = u32::MAX - MOST_PARTS as u32 - 3;
+    for second in 0..10 {
+        let datagram = from.datagrams(0, &7u8).remove(0);
+        assert_eq!(to.take::<u8>(second, Some(1), &datagram), Some((1, 7)));
+    }
+    assert_eq!((from.start, from.next), (0, 6));
+}
