--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -71,6 +71,17 @@
         self.idle_since.get().is_some()
     }
 
+    /// Waits for an order to drop it that counts. One that meets a query just taken is void: the query is
+    /// served.
+    async fn dropped(&self) {
+        loop {
+            self.drop.notified().await;
+            if self.is_idle() {
+                return;
+            }
+        }
+    }
+
     /// The first bytes of a query have come that is not whole yet.
     fn has_begun(&self) -> bool {
         self.is_idle() && self.meter.heard.get().is_some()
@@ -296,17 +307,12 @@
 
     async fn run(&mut self, accepted: &Accepted) -> hyper::Result<()> {
         let client = self.client;
-        loop {
-            // What has come goes before what was ordered meanwhile: a query that is in hand by then is
-            // served.
-            tokio::select! {
-                biased;
-                ended = self.ended() => return ended,
-                () = client.drop.notified() => if client.is_idle() {
-                    return Ok(());
-                },
-                () = client.close.notified() => return self.finish(accepted).await,
-            }
+        // What has come goes before what was ordered meanwhile: a query that is in hand by then is served.
+        tokio::select! {
+            biased;
+            ended = self.ended() => ended,
+            () = client.dropped() => Ok(()),
+            () = client.close.notified() => self.finish(accepted).await,
         }
     }
 
@@ -332,9 +338,7 @@
             tokio::select! {
                 biased;
                 ended = self.ended() => return ended,
-                () = client.drop.notified() => if client.is_idle() {
-                    return Ok(());
-                },
+                () = client.dropped() => return Ok(()),
                 () = sleep_until(whole_by.min(Instant::now() + LOOK)) => {}
             }
         }
@@ -343,9 +347,7 @@
             tokio::select! {
                 biased;
                 ended = self.ended() => return ended,
-                () = client.drop.notified() => if client.is_idle() {
-                    return Ok(());
-                },
+                () = client.dropped() => return Ok(()),
                 // Guards against a first head that never becomes whole: hyper would wait for the rest of it.
                 () = sleep(QUIET) => if client.fresh.get() {
                     return Ok(());
