--- /dev/null
+++ b/controlplane/configuration/src/lib.rs
@@ -0,0 +1,16 @@
+//! The operator's configuration and the settings of a process: read from JSON, checked, and looked up.
+
+mod configuration;
+mod heartbeat;
+mod json;
+mod number;
+mod raw_configuration;
+mod raw_settings;
+mod settings;
+
+pub use configuration::{
+    Backend, Configuration, ConfigurationError, Engine, Limits, Route, RouteKind, Service,
+};
+pub use heartbeat::{Heartbeat, HeartbeatError, InstanceState};
+pub use json::JsonError;
+pub use settings::{Bounds, Listen, MachineLimits, Settings, SettingsError, Tolerance};
--- /dev/null
+++ b/controlplane/configuration/src/number.rs
@@ -0,0 +1,61 @@
+//! Numbers as they appear in JSON documents.
+
+use std::str::Chars;
+
+use nanoserde::{DeJson, DeJsonErr, DeJsonState, DeJsonTok};
+
+/// A whole number that is not negative. `5.0` is read as 5.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Whole(pub u64);
+
+/// A duration or another amount of which fractions count as a whole unit more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RoundedUp(pub u64);
+
+impl Whole {
+    /// The number, or the highest that fits.
+    pub fn saturated<T: TryFrom<u64> + Bounded>(self) -> T {
+        T::try_from(self.0).unwrap_or(T::HIGHEST)
+    }
+}
+
+/// A type with a highest value.
+pub(crate) trait Bounded {
+    const HIGHEST: Self;
+}
+
+impl Bounded for u8 {
+    const HIGHEST: u8 = u8::MAX;
+}
+
+impl Bounded for u32 {
+    const HIGHEST: u32 = u32::MAX;
+}
+
+impl Bounded for usize {
+    const HIGHEST: usize = usize::MAX;
+}
+
+impl DeJson for Whole {
+    fn de_json(state: &mut DeJsonState, input: &mut Chars) -> Result<Self, DeJsonErr> {
+        let value = match state.tok {
+            DeJsonTok::U64(value) => value,
+            DeJsonTok::F64(value) if value.fract() == 0.0 && value >= 0.0 => value as u64,
+            _ => return Err(state.err_token("a whole number that is not negative")),
+        };
+        state.next_tok(input)?;
+        Ok(Whole(value))
+    }
+}
+
+impl DeJson for RoundedUp {
+    fn de_json(state: &mut DeJsonState, input: &mut Chars) -> Result<Self, DeJsonErr> {
+        let value = match state.tok {
+            DeJsonTok::U64(value) => value,
+            DeJsonTok::F64(value) if value >= 0.0 => value.ceil() as u64,
+            _ => return Err(state.err_token("a number that is not negative")),
+        };
+        state.next_tok(input)?;
+        Ok(RoundedUp(value))
+    }
+}
--- /dev/null
+++ b/controlplane/configuration/tests/settings.rs
@@ -0,0 +1,157 @@
+//! Reading the settings file of a process.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use quickcheck::QuickCheck;
+use whinspindle_configuration::{Bounds, Listen, MachineLimits, Settings, SettingsError, Tolerance};
+
+const EXAMPLE: &str = include_str!("data/settings.json");
+
+fn parse(text: &str) -> Result<Settings, SettingsError> {
+    Settings::parse(text.as_bytes())
+}
+
+fn parse_changed(from: &str, to: &str) -> Result<Settings, SettingsError> {
+    assert_eq!(EXAMPLE.matches(from).count(), 1, "`{from}` isn't unique in the example");
+    parse(&EXAMPLE.replace(from, to))
+}
+
+#[test]
+fn reads_every_field() {
+    let settings = parse(EXAMPLE).expect("the example is valid");
+    assert_eq!(settings.node, "core-hall1-1");
+    assert_eq!(settings.role, "keeper");
+    assert_eq!(settings.ip.to_string(), "10.1.0.12");
+    assert_eq!((settings.zone.as_str(), settings.region.as_str()), ("hall1", "north"));
+    let zones = [("hall1", "north"), ("hall2", "south"), ("hall3", "west")];
+    assert_eq!(
+        settings.zones,
+        BTreeMap::from(zones.map(|(zone, region)| (zone.to_owned(), region.to_owned())))
+    );
+    assert_eq!(
+        settings.listen,
+        Listen {
+            front: None,
+            ready: None,
+            control: Some(([10, 1, 0, 12], 8166).into()),
+            directory: Some(([10, 1, 0, 12], 8164).into()),
+        }
+    );
+    assert_eq!(settings.port_range, (7720, 7735));
+    assert_eq!(settings.seeds, [([10, 1, 0, 12], 8166).into(), ([10, 2, 0, 42], 8166).into()]);
+    assert!(settings.bootstrap);
+    assert_eq!(settings.limits, MachineLimits { memory_mb: 256, max_fds: 4096, disk_mb: 128 });
+    assert_eq!(settings.data_dir, Some(PathBuf::from("/data/keeper")));
+    assert_eq!(settings.heartbeat_ms, 1200);
+    assert_eq!(settings.tolerate, Tolerance { machines: 2, zones: 1, regions: 0 });
+    assert_eq!(
+        settings.bounds,
+        Bounds {
+            seed_lag_ms: 3_100,
+            reuse_after_ms: 2_100,
+            contact_ms: 4_001,
+            ack_ms: 5_001,
+            sync_ms: 4_100,
+            drain_ms: 2_501,
+            grace_ms: 8_100,
+            converge_ms: 2_502,
+            downgrade_ms: 251,
+            retry_ratio: 0.25,
+            retry_window_ms: 10_100,
+            retry_slack: 52.0,
+            cold_overrun: 1.75,
+            cold_slack: 6.0,
+            evac_ms: 5_002,
+            recover_ms: 12_100,
+            pass_ms: 252,
+            again_ms: 10_200,
+            ttl_max_ms: 5_100,
+        }
+    );
+}
+
+#[test]
+fn internal_addresses_follow_from_the_port_range() {
+    let settings = parse(EXAMPLE).expect("the example is valid");
+    assert_eq!(settings.internal_endpoint([10, 2, 0, 42].into()).to_string(), "10.2.0.42:7720");
+    assert_eq!(settings.agent_endpoint().to_string(), "127.0.0.1:7721");
+}
+
+#[test]
+fn absent_keys_have_defaults() {
+    let text = r#"{"node":"n","ip":"10.0.0.1","zone":"z","region":"r","port_range":[1,2],"data_dir":null}"#;
+    let settings = parse(text).expect("only required keys");
+    assert_eq!(settings.zones, BTreeMap::from([("z".to_owned(), "r".to_owned())]));
+    assert_eq!(settings.listen, Listen::default());
+    assert_eq!(settings.limits, MachineLimits::default());
+    assert_eq!(settings.tolerate, Tolerance::default());
+    assert_eq!(settings.bounds, Bounds::default());
+    assert_eq!(settings.data_dir, None);
+    assert!(!settings.bootstrap);
+    assert!(settings.seeds.is_empty());
+}
+
+#[test]
+fn durations_are_taken_in_either_unit() {
+    let seconds = parse_changed(r#""drain_ms": 2501"#, r#""drain_s": 2.5005"#).expect("seconds");
+    assert_eq!(seconds.bounds.drain_ms, 2_501);
+    let milliseconds = parse_changed(r#""sync_s": 4.1"#, r#""sync_ms": 4100"#).expect("milliseconds");
+    assert_eq!(milliseconds.bounds.sync_ms, 4_100);
+}
+
+#[test]
+fn unknown_keys_are_skipped() {
+    let from = r#""bounds": {"#;
+    let to = r#""later": [{"a": {}}], "bounds": {"flag": true, "list": [1, 2], "none": null, "word": "x", "#;
+    assert_eq!(parse_changed(from, to), parse(EXAMPLE));
+}
+
+#[test]
+fn keys_at_fault_are_named() {
+    for (key, from, to) in [
+        ("node", r#""node": "core-hall1-1","#, ""),
+        ("ip", r#""ip": "10.1.0.12""#, r#""ip": "10.1.0""#),
+        ("ip", r#""ip": "10.1.0.12""#, r#""ip": 10"#),
+        ("listen.control", r#""control": "10.1.0.12:8166""#, r#""control": "10.1.0.12""#),
+        ("seeds", r#""10.2.0.42:8166""#, r#""seed.example:8166""#),
+        ("port_range", "[7720, 7735]", "[7720]"),
+        ("port_range", "[7720, 7735]", "[7735, 7720]"),
+        ("port_range", "[7720, 7735]", "[7720, 7720]"),
+        ("port_range", "[7720, 7735]", "[0, 7720]"),
+        ("port_range", "[7720, 7735]", "[7720, 77350]"),
+        ("port_range", "[7720, 7735]", "[7720, 7735, 7736]"),
+        ("heartbeat_ms", r#""heartbeat_ms": 1200"#, r#""heartbeat_ms": 0"#),
+        ("heartbeat_ms", r#""heartbeat_ms": 1200"#, r#""heartbeat_ms": "fast""#),
+        ("bounds.retry_ratio", r#""retry_ratio": 0.25"#, r#""retry_ratio": -0.25"#),
+        ("bounds.retry_ratio", r#""retry_ratio": 0.25"#, r#""retry_ratio": "0.25""#),
+        ("bounds.ack_ms", r#""ack_ms": 5001"#, r#""ack_ms": null"#),
+        ("machines", r#""machines": 2"#, r#""machines": -2"#),
+        ("bootstrap", r#""bootstrap": true"#, r#""bootstrap": "true""#),
+    ] {
+        let error = parse_changed(from, to).expect_err(to);
+        assert!(error.to_string().contains(&format!("`{key}`")), "{to}: {error}");
+    }
+}
+
+#[test]
+fn every_proper_prefix_is_refused() {
+    let document = EXAMPLE.trim_end();
+    for length in 0..document.len() {
+        assert!(parse(&document[..length]).is_err(), "the first {length} bytes were taken");
+    }
+}
+
+#[test]
+fn changed_bytes_never_panic() {
+    fn property(position: usize, byte: u8, other: usize) -> bool {
+        let mut bytes = EXAMPLE.as_bytes().to_vec();
+        let length = bytes.len();
+        bytes[position % length] = byte;
+        let _ = Settings::parse(&bytes);
+        bytes[other % length] = b'}';
+        let _ = Settings::parse(&bytes);
+        true
+    }
+    QuickCheck::new().tests(20_000).quickcheck(property as fn(usize, u8, usize) -> bool);
+}
