Distribution: capnp messages, frames, publisher and holder of versioned sections

Controllers must stream versioned state to the balancers and know what is in force there. Adds the schema with its committed generated code, codecs, bounded frames with batched writes, and the two state machines of a link: the publisher (sent and acknowledged versions of each subscriber, resends with growing waits) and the holder (configuration and evacuations only go forward, a draining instance stays so).

--- /dev/null
+++ b/controlplane/distribution/src/lib.rs
@@ -0,0 +1,25 @@
+//! Versioned updates from the control plane to the balancers over long-lived connections, and what the balancers
+//! report back. One protocol serves both hops: controller to agent, and agent to proxy. The controllers' own links
+//! use the same framing.
+
+mod codec;
+pub mod connect;
+#[allow(clippy::all, clippy::pedantic, dead_code, unused_qualifications)]
+mod distribution_capnp;
+pub mod frame;
+mod gossip;
+mod holder;
+mod message;
+mod publisher;
+
+pub use codec::{
+    DecodeError, decode_gossip, decode_hello, decode_report, decode_to_balancer, encode_gossip, encode_hello,
+    encode_report, encode_to_balancer,
+};
+pub use gossip::{Gossip, GossipInstance, GossipLease};
+pub use holder::Holder;
+pub use message::{
+    Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, Instances, Link, RegionLoad, Report,
+    Role, ServiceRegion, ToBalancer, Update, Versions,
+};
+pub use publisher::{Lag, Publisher, Section, SubscriberId};
