Weight search and decayed fit stand where a second program can call them

The router of the coming data plane needs the same region fit and the same search for better weights as the present module. The search over shifts moved to src/search.rs, the decay of samples to src/samples.rs, and the prediction became a free function of decide.rs; nothing is written twice.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,18 +7,18 @@
 
 use crate::host::*;
 use crate::pcg::Pcg;
-use crate::samples::{Runs, count_times, mean, note_time, push, ranked, rate, rising, shares};
+use crate::samples::{Runs, count_times, decayed, mean, note_time, push, ranked, rate, rising, shares};
+use crate::search::{Moves, least_cost};
 
-// The design's own figures: check period, settling time, change that counts, step, tries, pass-over.
+// The design's own figures: check period, settling time, change that counts, pass-over.
 const CHECK: u64 = 5_000_000;
 const SETTLE: u64 = 3_000_000;
 const CHANGE: f64 = 0.2;
-const STEP: f64 = 0.1;
-const CANDIDATES: usize = 10;
 const PASS_OVER: f64 = 2.0;
-// Left open by the design: the floor share, and the least slope against one through the origin.
-const FLOOR_SHARE: f64 = 0.02;
+// Left open by it: the floor share, the least slope against one through the origin. Then its tries and step.
+pub const FLOOR_SHARE: f64 = 0.02;
 const LEAST_SLOPE: f64 = 0.1;
+const MOVES: Moves = Moves { tries: 10, step: 0.1, floor: FLOOR_SHARE };
 // How many samples are kept: zone latencies, a server's results, its rates, a product's latencies.
 const ZONE_SAMPLES: usize = 64;
 const RESULTS: usize = 8;
@@ -927,53 +927,55 @@
 
     /// Zone latency as a + b * load per ready server by decayed least squares; its mean, the samples' weight.
     fn line(&self, zone: usize) -> (f64, f64, f64, f64) {
-        let counts = |at: u64| 0.5_f64.powf((self.now - at) as f64 / (2 * CHECK) as f64);
-        rising(self.zones[zone].samples.iter().map(|s| (counts(s.0), s.1, s.2)), LEAST_SLOPE)
+        rising(decayed(&self.zones[zone].samples, self.now, 2 * CHECK), LEAST_SLOPE)
     }
 
-    /// Tries a few shifts of weight between two zones and keeps the one with the lowest predicted latency.
     fn solve(&mut self, rate: f64) {
-        let ready: Vec<f64> = (0..self.zones.len()).map(|z| self.ready_count(z)).collect();
-        let open: Vec<usize> = (0..ready.len()).filter(|&z| ready[z] > 0.0).collect();
-        let lines: Vec<_> = (0..ready.len()).map(|z| self.line(z)).collect();
-        let known: f64 = lines.iter().map(|line| line.3).sum();
-        if open.len() < 2 || known <= 0.0 {
-            return;
-        }
-        let loads: Vec<f64> = (0..ready.len()).map(|z| self.load_per_ready(z)).collect();
-        // A fit whose samples have aged away leans on the others' mean.
-        let a = lines.iter().map(|line| line.3 * line.0).sum::<f64>() / known;
-        let b = lines.iter().map(|line| line.3 * line.1).sum::<f64>() / known;
-        let weights = self.weights();
         // A crossing costs as if a query came late by that part of its SLO time.
         let slo_time = mean(self.terms.products.iter().map(|row| row.slo_time as f64));
-        let predict = |shares: &[f64]| -> f64 {
-            let latency = |&z: &usize| {
-                let load = loads[z] + (shares[z] - weights[z]) * rate / ready[z];
-                let trust = lines[z].3.min(1.0);
-                let (a, b) = (trust * lines[z].0 + (1.0 - trust) * a, trust * lines[z].1 + (1.0 - trust) * b);
-                let crossing = if z == self.terms.home { 0.0 } else { self.terms.cross_zone * slo_time };
-                shares[z] * (a + b * load.max(0.0) + crossing)
-            };
-            open.iter().map(latency).sum()
+        let place = |zone: usize| Place {
+            ready: self.ready_count(zone),
+            load: self.load_per_ready(zone),
+            line: self.line(zone),
+            crossing: if zone == self.terms.home { 0.0 } else { self.terms.cross_zone * slo_time },
         };
-        let (mut best, mut least) = (weights.clone(), predict(&weights));
-        for _ in 0..CANDIDATES {
-            let first = self.chance.below(open.len());
-            let second = (first + 1 + self.chance.below(open.len() - 1)) % open.len();
-            let (from, to) = (open[first], open[second]);
-            let step = (STEP * (1.0 - self.chance.unit())).min(weights[from] - FLOOR_SHARE).max(0.0);
-            let mut shares = weights.clone();
-            shares[from] -= step;
-            shares[to] += step;
-            let latency = predict(&shares);
-            if latency < least {
-                (best, least) = (shares, latency);
-            }
-        }
-        let all: f64 = ready.iter().sum();
-        for zone in 0..ready.len() {
-            self.zones[zone].each = if ready[zone] > 0.0 { best[zone] * all / ready[zone] } else { 1.0 };
-        }
+        let (places, weights): (Vec<_>, _) = ((0..self.zones.len()).map(place).collect(), self.weights());
+        let solved = solve(&mut self.chance, &places, &weights, rate).into_iter().flatten();
+        self.zones.iter_mut().zip(solved).for_each(|(zone, each)| zone.each = each);
     }
 }
+
+/// A zone or a region: its ready servers, the load on each, its `line`, and the cost of going there.
+pub struct Place {
+    pub ready: f64,
+    pub load: f64,
+    pub line: (f64, f64, f64, f64),
+    pub crossing: f64,
+}
+
+/// Tries a few shifts of weight between two places and keeps the one with the lowest predicted latency: each
+/// place's weight for a ready server. `rate` is all that the weights divide.
+pub fn solve(chance: &mut Pcg, places: &[Place], weights: &[f64], rate: f64) -> Option<Vec<f64>> {
+    let open: Vec<usize> = (0..places.len()).filter(|&z| places[z].ready > 0.0).collect();
+    let known: f64 = places.iter().map(|place| place.line.3).sum();
+    if open.len() < 2 || known <= 0.0 {
+        return None;
+    }
+    // A fit whose samples have aged away leans on the others' mean.
+    let a = places.iter().map(|place| place.line.3 * place.line.0).sum::<f64>() / known;
+    let b = places.iter().map(|place| place.line.3 * place.line.1).sum::<f64>() / known;
+    let predict = |shares: &[f64]| -> f64 {
+        let latency = |&z: &usize| {
+            let Place { ready, load, line, crossing } = &places[z];
+            let load = load + (shares[z] - weights[z]) * rate / ready;
+            let trust = line.3.min(1.0);
+            let (a, b) = (trust * line.0 + (1.0 - trust) * a, trust * line.1 + (1.0 - trust) * b);
+            shares[z] * (a + b * load.max(0.0) + crossing)
+        };
+        open.iter().map(latency).sum()
+    };
+    let best = least_cost(chance, weights, &open, &MOVES, predict);
+    let all: f64 = places.iter().map(|place| place.ready).sum();
+    let each = |(p, weight): (&Place, f64)| if p.ready > 0.0 { weight * all / p.ready } else { 1.0 };
+    Some(places.iter().zip(best).map(each).collect())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod decide;
 pub mod host;
 pub mod pcg;
-mod samples;
+pub mod samples;
+pub mod search;
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -45,6 +45,16 @@
     recent as f64 * 1e6 / (now - since).max(least) as f64
 }
 
+/// Samples of time, x and y with the time made a weight, which halves in each such span.
+pub fn decayed(
+    samples: &VecDeque<(u64, f64, f64)>,
+    now: u64,
+    half_life: u64,
+) -> impl Iterator<Item = (f64, f64, f64)> + Clone {
+    let weight = move |at: u64| 0.5_f64.powf((now - at) as f64 / half_life as f64);
+    samples.iter().map(move |s| (weight(s.0), s.1, s.2))
+}
+
 /// The line by weighted least squares through samples of weight, x and y: its slope, the mean x and y, and
 /// the sum of the weights. Of samples all at one x the slope is 0.
 pub fn fit(samples: impl Iterator<Item = (f64, f64, f64)> + Clone) -> (f64, f64, f64, f64) {
--- /dev/null
+++ b/src/search.rs
@@ -0,0 +1,35 @@
+//! A search by chance for better shares. What is better, how far and how often it looks is handed in.
+
+use crate::pcg::Pcg;
+
+/// How often and how far a search moves, and the share that it leaves everywhere.
+pub struct Moves {
+    pub tries: usize,
+    pub step: f64,
+    pub floor: f64,
+}
+
+/// Tries shifts of a part between two of the open places, two at the least; the shares of the least cost.
+pub fn least_cost(
+    chance: &mut Pcg,
+    shares: &[f64],
+    open: &[usize],
+    moves: &Moves,
+    cost: impl Fn(&[f64]) -> f64,
+) -> Vec<f64> {
+    let (mut best, mut least) = (shares.to_vec(), cost(shares));
+    for _ in 0..moves.tries {
+        let first = chance.below(open.len());
+        let second = (first + 1 + chance.below(open.len() - 1)) % open.len();
+        let (from, to) = (open[first], open[second]);
+        let step = (moves.step * (1.0 - chance.unit())).min(shares[from] - moves.floor).max(0.0);
+        let mut shifted = shares.to_vec();
+        shifted[from] -= step;
+        shifted[to] += step;
+        let shifted_cost = cost(&shifted);
+        if shifted_cost < least {
+            (best, least) = (shifted, shifted_cost);
+        }
+    }
+    best
+}
