Registry: upstream instances by heartbeats, balancers by leases

The system has to know which upstreams and balancers exist, from whichever controller heard of them last.

--- /dev/null
+++ b/controlplane/registry/src/instances.rs
@@ -0,0 +1,319 @@
+//! The upstream instances that are known by their heartbeats.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use whinspindle_configuration::{Heartbeat, InstanceState};
+
+use crate::retired::{RetiredIds, Retirement};
+
+/// An instance is taken for lost after this many heartbeat intervals without one, in halves.
+const SILENT_HALF_INTERVALS: u64 = 7;
+/// How many instances that leave or have ended are remembered.
+const RETIRED_CAPACITY: usize = 4096;
+/// How many instances are held at once.
+const INSTANCE_CAPACITY: usize = 8192;
+/// A change of the end of the cold time below this is not told to balancers.
+const COLD_TOLERANCE_MS: u64 = 250;
+
+/// The intervals that a registry counts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RegistryTiming {
+    /// Time between two heartbeats of an instance.
+    pub heartbeat_ms: u64,
+}
+
+impl RegistryTiming {
+    /// How long an instance may be silent before it is taken for lost.
+    pub fn silence_ms(&self) -> u64 {
+        self.heartbeat_ms * SILENT_HALF_INTERVALS / 2
+    }
+}
+
+/// What a heartbeat came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatEffect {
+    /// It is the newest; `changed` tells whether balancers see a difference. To be acknowledged.
+    Accepted { changed: bool },
+    /// A later heartbeat of the same instance is known, or the instance has ended. To be acknowledged all the same.
+    Stale,
+    /// The instance leaves and this is not committed yet: to be acknowledged once `InstanceRegistry::drained` was called.
+    StartsDraining,
+    /// More instances than the registry holds. Not to be acknowledged.
+    Overfull,
+}
+
+/// One instance, as controllers tell it to each other and to balancers. Times are relative to the moment of export.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceRecord {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    /// Of the instance's software.
+    pub generation: String,
+    pub slots: u32,
+    /// Of the newest heartbeat.
+    pub sequence: u64,
+    /// Takes no new requests, now or ever again.
+    pub draining: bool,
+    /// For how much longer it is cold.
+    pub cold_ms: u64,
+    /// Time since a controller last heard of it.
+    pub age_ms: u64,
+}
+
+#[derive(Debug)]
+struct Known {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    generation: String,
+    slots: u32,
+    sequence: u64,
+    cold_until: u64,
+    heard_at: u64,
+}
+
+/// Knows the instances from heartbeats sent here and from the records of other controllers.
+#[derive(Debug)]
+pub struct InstanceRegistry {
+    timing: RegistryTiming,
+    known: IndexMap<String, Known>,
+    retired: RetiredIds,
+    /// Instances heard of here since the last `take_changes`.
+    unsent: BTreeSet<String>,
+    isolated: bool,
+    expired_at: Option<u64>,
+    version: u64,
+}
+
+impl InstanceRegistry {
+    pub fn new(timing: RegistryTiming) -> Self {
+        InstanceRegistry {
+            timing,
+            known: IndexMap::new(),
+            retired: RetiredIds::new(RETIRED_CAPACITY),
+            unsent: BTreeSet::new(),
+            isolated: false,
+            expired_at: None,
+            version: 1,
+        }
+    }
+
+    /// Takes a heartbeat that an instance sent to this controller.
+    pub fn heartbeat(&mut self, now: u64, id: &str, heartbeat: &Heartbeat) -> HeartbeatEffect {
+        if self.retired.is_gone(id) {
+            return HeartbeatEffect::Stale;
+        }
+        if !self.known.contains_key(id) && self.known.len() >= INSTANCE_CAPACITY {
+            return HeartbeatEffect::Overfull;
+        }
+        let leaves = heartbeat.state == InstanceState::Draining;
+        let announced = leaves && self.retired.raise(id, Retirement::Announced);
+        let stale = self.known.get(id).is_some_and(|known| known.sequence >= heartbeat.sequence);
+        let changed = if stale { false } else { self.take(id, Known::heard(now, heartbeat)) };
+        if announced || !stale {
+            self.unsent.insert(id.to_owned());
+        }
+        self.bump_if(changed || announced);
+        match self.retired.stage(id) {
+            Some(Retirement::Announced) if leaves => HeartbeatEffect::StartsDraining,
+            _ if stale => HeartbeatEffect::Stale,
+            _ => HeartbeatEffect::Accepted { changed: changed || announced },
+        }
+    }
+
+    /// It is committed that the instance takes no new requests, now or ever again.
+    pub fn drained(&mut self, id: &str) {
+        let begins = self.retired.stage(id).is_none();
+        self.retired.raise(id, Retirement::Draining);
+        self.bump_if(begins && self.known.contains_key(id));
+    }
+
+    /// The instance has ended. Later heartbeats and records of it count for nothing.
+    pub fn gone(&mut self, id: &str) {
+        self.retired.raise(id, Retirement::Gone);
+        self.unsent.remove(id);
+        let removed = self.known.shift_remove(id).is_some();
+        self.bump_if(removed);
+    }
+
+    /// Takes what another controller knows of an instance; answers whether balancers see a difference.
+    pub fn merge(&mut self, now: u64, record: InstanceRecord) -> bool {
+        if self.retired.is_gone(&record.id) {
+            return false;
+        }
+        let announced = record.draining && self.retired.raise(&record.id, Retirement::Announced);
+        let changed = self.merge_known(now, record);
+        self.bump_if(changed || announced);
+        changed || announced
+    }
+
+    /// Records of what was heard here since the last call, for the other controllers.
+    pub fn take_changes(&mut self, now: u64) -> Vec<InstanceRecord> {
+        let unsent = std::mem::take(&mut self.unsent);
+        unsent
+            .iter()
+            .filter_map(|id| self.known.get_key_value(id))
+            .map(|(id, k)| self.record(now, id, k))
+            .collect()
+    }
+
+    /// Whether something waits for `take_changes`.
+    pub fn has_changes(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// All instances that are known and have not ended, those that leave included.
+    pub fn snapshot(&self, now: u64) -> Vec<InstanceRecord> {
+        self.known.iter().map(|(id, known)| self.record(now, id, known)).collect()
+    }
+
+    /// While this controller is cut off from the others no instance is taken for lost, and each gets the whole time
+    /// anew afterwards.
+    pub fn set_isolated(&mut self, now: u64, isolated: bool) {
+        if self.isolated && !isolated {
+            self.known.values_mut().for_each(|known| known.heard_at = now);
+        }
+        self.isolated = isolated;
+    }
+
+    /// Removes instances that have been silent for too long; answers whether there were any. To be called at least
+    /// once a heartbeat interval: after a longer pause the silence is this process's own.
+    pub fn expire(&mut self, now: u64) -> bool {
+        self.excuse_own_pause(now);
+        if self.isolated {
+            return false;
+        }
+        let oldest = now.saturating_sub(self.timing.silence_ms());
+        let count = self.known.len();
+        self.known.retain(|_, known| known.heard_at >= oldest);
+        let expired = self.known.len() < count;
+        self.bump_if(expired);
+        expired
+    }
+
+    /// Rises with each difference that balancers see.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn excuse_own_pause(&mut self, now: u64) {
+        let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
+        if pause > self.timing.heartbeat_ms {
+            self.known.values_mut().for_each(|known| known.heard_at = now.min(known.heard_at + pause));
+        }
+    }
+
+    /// Replaces what is known of an instance; answers whether balancers see a difference.
+    fn take(&mut self, id: &str, known: Known) -> bool {
+        self.release_address(id, known.address);
+        match self.known.get_mut(id) {
+            Some(held) => {
+                let changed = held.looks_other(&known);
+                let heard_at = held.heard_at.max(known.heard_at);
+                *held = Known { heard_at, ..known };
+                changed
+            }
+            None => {
+                self.known.insert(id.to_owned(), known);
+                true
+            }
+        }
+    }
+
+    /// An address belongs to the instance that was heard of last there. One that was pushed out by a mistake (by a late
+    /// heartbeat of one that has ended) comes back with its next heartbeat.
+    fn release_address(&mut self, id: &str, address: SocketAddr) {
+        self.known.retain(|other, known| other == id || known.address != address);
+    }
+
+    fn merge_known(&mut self, now: u64, record: InstanceRecord) -> bool {
+        let heard_at = now.saturating_sub(record.age_ms);
+        if heard_at + self.timing.silence_ms() < now || self.is_address_taken(&record, heard_at) {
+            return false;
+        }
+        let cold_until = now.saturating_add(record.cold_ms);
+        let overfull = self.known.len() >= INSTANCE_CAPACITY;
+        match self.known.get_mut(&record.id) {
+            Some(held) if held.sequence > record.sequence => false,
+            Some(held) if held.sequence == record.sequence => {
+                held.heard_at = held.heard_at.max(heard_at);
+                let colder = cold_until > held.cold_until + COLD_TOLERANCE_MS;
+                held.cold_until = held.cold_until.max(if colder { cold_until } else { 0 });
+                colder
+            }
+            None if overfull => false,
+            _ => {
+                let id = record.id.clone();
+                self.take(&id, Known::recorded(record, heard_at, cold_until))
+            }
+        }
+    }
+
+    fn is_address_taken(&self, record: &InstanceRecord, heard_at: u64) -> bool {
+        let newer = |(id, known): (&String, &Known)| {
+            *id != record.id && known.address == record.address && known.heard_at >= heard_at
+        };
+        self.known.iter().any(newer)
+    }
+
+    fn record(&self, now: u64, id: &str, known: &Known) -> InstanceRecord {
+        InstanceRecord {
+            id: id.to_owned(),
+            service: known.service.clone(),
+            address: known.address,
+            zone: known.zone.clone(),
+            generation: known.generation.clone(),
+            slots: known.slots,
+            sequence: known.sequence,
+            draining: self.retired.stage(id).is_some(),
+            cold_ms: known.cold_until.saturating_sub(now),
+            age_ms: now.saturating_sub(known.heard_at),
+        }
+    }
+
+    fn bump_if(&mut self, changed: bool) {
+        self.version += u64::from(changed);
+    }
+}
+
+impl Known {
+    fn heard(now: u64, heartbeat: &Heartbeat) -> Self {
+        Known {
+            service: heartbeat.backend.clone(),
+            address: heartbeat.address,
+            zone: heartbeat.zone.clone(),
+            generation: heartbeat.generation.clone(),
+            slots: heartbeat.slots,
+            sequence: heartbeat.sequence,
+            cold_until: now.saturating_add(heartbeat.cold_ms),
+            heard_at: now,
+        }
+    }
+
+    fn recorded(record: InstanceRecord, heard_at: u64, cold_until: u64) -> Self {
+        Known {
+            service: record.service,
+            address: record.address,
+            zone: record.zone,
+            generation: record.generation,
+            slots: record.slots,
+            sequence: record.sequence,
+            cold_until,
+            heard_at,
+        }
+    }
+
+    fn looks_other(&self, newer: &Known) -> bool {
+        let cold_moved = self.cold_until.abs_diff(newer.cold_until) > COLD_TOLERANCE_MS;
+        let was_cold = self.cold_until > newer.heard_at || newer.cold_until > newer.heard_at;
+        (cold_moved && was_cold)
+            || self.address != newer.address
+            || self.slots != newer.slots
+            || self.service != newer.service
+            || self.zone != newer.zone
+    }
+}
--- /dev/null
+++ b/controlplane/registry/src/lib.rs
@@ -0,0 +1,9 @@
+//! Upstream instances by heartbeats and balancers by leases, as state machines: the time is handed in as milliseconds
+//! of a steady clock, and what other controllers learned comes in as records.
+
+mod instances;
+mod leases;
+mod retired;
+
+pub use instances::{HeartbeatEffect, InstanceRecord, InstanceRegistry, RegistryTiming};
+pub use leases::{Lease, LeaseRecord, LeaseTable, LeaseTiming, RegionSends};
--- /dev/null
+++ b/controlplane/registry/tests/instances.rs
@@ -0,0 +1,308 @@
+//! The registry of instances: heartbeats, records of other controllers, ends and silence.
+
+use std::net::SocketAddr;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use whinspindle_configuration::{Heartbeat, InstanceState};
+use whinspindle_registry::{HeartbeatEffect, InstanceRecord, InstanceRegistry, RegistryTiming};
+
+const HEARTBEAT_MS: u64 = 1_000;
+const SILENCE_MS: u64 = 3_500;
+
+fn registry() -> InstanceRegistry {
+    InstanceRegistry::new(RegistryTiming { heartbeat_ms: HEARTBEAT_MS })
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 8080))
+}
+
+fn ready(last: u8, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        backend: "model".into(),
+        address: address(last),
+        zone: "z1".into(),
+        generation: "v1".into(),
+        slots: 8,
+        state: InstanceState::Ready,
+        cold_ms: 0,
+        remaining_ms: None,
+        sequence,
+    }
+}
+
+fn draining(last: u8, sequence: u64) -> Heartbeat {
+    Heartbeat { state: InstanceState::Draining, ..ready(last, sequence) }
+}
+
+fn ids(registry: &InstanceRegistry) -> Vec<String> {
+    let mut ids: Vec<String> = registry.snapshot(0).into_iter().map(|record| record.id).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_first_heartbeat_makes_an_instance_known() {
+    let mut registry = registry();
+    let version = registry.version();
+    assert_eq!(registry.heartbeat(0, "a", &ready(1, 1)), HeartbeatEffect::Accepted { changed: true });
+    assert!(registry.version() > version);
+    assert_eq!(ids(&registry), ["a"]);
+}
+
+#[test]
+fn a_repeated_heartbeat_changes_nothing_for_balancers() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    let version = registry.version();
+    assert_eq!(registry.heartbeat(1_000, "a", &ready(1, 2)), HeartbeatEffect::Accepted { changed: false });
+    assert_eq!(registry.version(), version);
+}
+
+#[test]
+fn a_late_heartbeat_is_stale() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &Heartbeat { slots: 9, ..ready(1, 5) });
+    assert_eq!(registry.heartbeat(10, "a", &ready(1, 4)), HeartbeatEffect::Stale);
+    assert_eq!(registry.heartbeat(10, "a", &ready(1, 5)), HeartbeatEffect::Stale);
+    assert_eq!(registry.snapshot(10)[0].slots, 9);
+}
+
+#[test]
+fn a_drain_asks_for_a_commit_until_there_is_one() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    assert_eq!(registry.heartbeat(1, "a", &draining(1, 2)), HeartbeatEffect::StartsDraining);
+    assert!(registry.snapshot(1)[0].draining, "balancers are told before the commit");
+    assert_eq!(registry.heartbeat(2, "a", &draining(1, 3)), HeartbeatEffect::StartsDraining);
+    registry.drained("a");
+    assert_eq!(registry.heartbeat(3, "a", &draining(1, 4)), HeartbeatEffect::Accepted { changed: false });
+}
+
+#[test]
+fn a_late_word_of_a_drain_counts_too() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 9));
+    assert_eq!(registry.heartbeat(1, "a", &draining(1, 8)), HeartbeatEffect::StartsDraining);
+    assert!(registry.snapshot(1)[0].draining);
+}
+
+#[test]
+fn a_draining_instance_never_becomes_ready_again() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &draining(1, 1));
+    registry.heartbeat(1, "a", &ready(1, 2));
+    assert!(registry.snapshot(1)[0].draining);
+    registry.expire(100_000);
+    registry.heartbeat(100_001, "a", &ready(1, 3));
+    assert!(registry.snapshot(100_001)[0].draining, "also after it was lost in between");
+}
+
+#[test]
+fn a_committed_drain_holds_for_an_instance_heard_of_later() {
+    let mut registry = registry();
+    registry.drained("a");
+    registry.heartbeat(0, "a", &ready(1, 1));
+    assert!(registry.snapshot(0)[0].draining);
+}
+
+#[test]
+fn an_ended_instance_stays_away() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    let mut record = registry.snapshot(0).remove(0);
+    registry.gone("a");
+    assert!(ids(&registry).is_empty());
+    assert_eq!(registry.heartbeat(1, "a", &ready(1, 2)), HeartbeatEffect::Stale);
+    record.sequence = 7;
+    assert!(!registry.merge(2, record));
+    assert!(ids(&registry).is_empty());
+}
+
+#[test]
+fn a_newer_incarnation_takes_the_address() {
+    let mut registry = registry();
+    registry.heartbeat(0, "old", &ready(1, 40));
+    registry.heartbeat(2_000, "new", &ready(1, 1));
+    assert_eq!(ids(&registry), ["new"]);
+}
+
+#[test]
+fn an_older_record_does_not_take_the_address_back() {
+    let mut registry = registry();
+    registry.heartbeat(0, "old", &ready(1, 40));
+    let record = registry.snapshot(1_500).remove(0);
+    registry.heartbeat(1_000, "new", &ready(1, 1));
+    assert!(!registry.merge(1_500, record));
+    assert_eq!(ids(&registry), ["new"]);
+}
+
+#[test]
+fn an_instance_pushed_out_by_a_late_heartbeat_comes_back() {
+    let mut registry = registry();
+    registry.heartbeat(0, "new", &ready(1, 3));
+    registry.heartbeat(10, "old", &ready(1, 40));
+    registry.heartbeat(1_000, "new", &ready(1, 4));
+    assert_eq!(ids(&registry), ["new"]);
+}
+
+#[test]
+fn silence_ends_an_instance() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    for now in (0..=SILENCE_MS).step_by(500) {
+        assert!(!registry.expire(now));
+    }
+    assert!(registry.expire(SILENCE_MS + 1));
+    assert!(ids(&registry).is_empty());
+}
+
+#[test]
+fn the_newest_evidence_of_any_controller_counts_against_silence() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    let mut record = registry.snapshot(0).remove(0);
+    record.sequence = 3;
+    record.age_ms = 200;
+    registry.merge(2_200, record);
+    for now in (0..=2_000 + SILENCE_MS).step_by(500) {
+        assert!(!registry.expire(now));
+    }
+    assert!(registry.expire(2_000 + SILENCE_MS + 1));
+}
+
+#[test]
+fn a_record_older_than_the_silence_is_dropped() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    let record = InstanceRecord {
+        id: "b".into(),
+        address: address(2),
+        age_ms: SILENCE_MS + 1,
+        ..registry.snapshot(0).remove(0)
+    };
+    assert!(!registry.merge(10_000, record));
+    assert_eq!(ids(&registry), ["a"]);
+}
+
+#[test]
+fn an_isolated_controller_loses_no_instance() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    registry.set_isolated(100, true);
+    for now in (0..20_000).step_by(500) {
+        assert!(!registry.expire(now));
+    }
+    registry.set_isolated(20_000, false);
+    assert!(!registry.expire(20_500));
+    for now in (20_500..=20_000 + SILENCE_MS).step_by(500) {
+        assert!(!registry.expire(now));
+    }
+    assert!(registry.expire(20_000 + SILENCE_MS + 1));
+}
+
+#[test]
+fn a_pause_of_the_controller_itself_is_no_silence_of_instances() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    registry.expire(500);
+    assert!(!registry.expire(30_500));
+    assert_eq!(ids(&registry), ["a"]);
+}
+
+#[test]
+fn the_cold_time_is_told_as_what_remains() {
+    let mut registry = registry();
+    registry.heartbeat(1_000, "a", &Heartbeat { cold_ms: 3_000, ..ready(1, 1) });
+    assert_eq!(registry.snapshot(1_500)[0].cold_ms, 2_500);
+    let version = registry.version();
+    registry.heartbeat(2_000, "a", &Heartbeat { cold_ms: 2_010, ..ready(1, 2) });
+    assert_eq!(registry.version(), version, "it runs down as was told");
+    registry.heartbeat(3_000, "a", &Heartbeat { cold_ms: 3_000, ..ready(1, 3) });
+    assert!(registry.version() > version, "it has turned cold again");
+    assert_eq!(registry.snapshot(3_000)[0].cold_ms, 3_000);
+}
+
+#[test]
+fn changes_hold_what_was_heard_here_once() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 1));
+    registry.heartbeat(0, "a", &ready(1, 2));
+    let record = InstanceRecord { id: "b".into(), address: address(2), ..registry.snapshot(0).remove(0) };
+    registry.merge(0, record);
+    let changes = registry.take_changes(5);
+    assert_eq!(changes.len(), 1);
+    assert_eq!((changes[0].id.as_str(), changes[0].sequence, changes[0].age_ms), ("a", 2, 5));
+    assert!(registry.take_changes(6).is_empty());
+}
+
+/// A few heartbeats of a few instances.
+#[derive(Clone, Debug)]
+struct Beat {
+    instance: u8,
+    sequence: u64,
+    draining: bool,
+    cold_ms: u64,
+}
+
+impl Arbitrary for Beat {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Beat {
+            instance: u8::arbitrary(g) % 4,
+            sequence: u64::arbitrary(g) % 16,
+            draining: u8::arbitrary(g) % 8 == 0,
+            cold_ms: u64::arbitrary(g) % 3 * 1_000,
+        }
+    }
+}
+
+fn play(registry: &mut InstanceRegistry, now: u64, beat: &Beat) {
+    let state = if beat.draining { InstanceState::Draining } else { InstanceState::Ready };
+    let heartbeat = Heartbeat { state, cold_ms: beat.cold_ms, ..ready(beat.instance, beat.sequence) };
+    registry.heartbeat(now, &format!("i{}", beat.instance), &heartbeat);
+}
+
+fn sorted(registry: &InstanceRegistry, now: u64) -> Vec<InstanceRecord> {
+    let mut records = registry.snapshot(now);
+    records.sort_by(|a, b| a.id.cmp(&b.id));
+    records
+}
+
+quickcheck! {
+    fn merging_twice_is_merging_once(beats: Vec<Beat>) -> bool {
+        let (mut source, mut copy) = (registry(), registry());
+        beats.iter().for_each(|beat| play(&mut source, 100, beat));
+        let records = source.snapshot(100);
+        for record in &records {
+            copy.merge(100, record.clone());
+        }
+        let once = sorted(&copy, 100);
+        let again = records.into_iter().any(|record| copy.merge(100, record));
+        !again && once == sorted(&copy, 100) && once == sorted(&source, 100)
+    }
+
+    fn controllers_that_exchange_all_agree_on_sequences_and_drains(first: Vec<Beat>, second: Vec<Beat>) -> bool {
+        let (mut a, mut b) = (registry(), registry());
+        first.iter().for_each(|beat| play(&mut a, 100, beat));
+        second.iter().for_each(|beat| play(&mut b, 100, beat));
+        let (from_a, from_b) = (a.take_changes(100), b.take_changes(100));
+        from_a.into_iter().for_each(|record| { b.merge(100, record); });
+        from_b.into_iter().for_each(|record| { a.merge(100, record); });
+        let seen = |registry: &InstanceRegistry| -> Vec<(String, u64, bool)> {
+            sorted(registry, 100).into_iter().map(|r| (r.id, r.sequence, r.draining)).collect()
+        };
+        seen(&a) == seen(&b)
+    }
+
+    fn a_drain_is_never_taken_back(beats: Vec<Beat>) -> bool {
+        let mut registry = registry();
+        let mut drained = std::collections::BTreeSet::new();
+        beats.iter().all(|beat| {
+            play(&mut registry, 100, beat);
+            if beat.draining {
+                drained.insert(format!("i{}", beat.instance));
+            }
+            registry.snapshot(100).iter().all(|record| record.draining == drained.contains(&record.id))
+        })
+    }
+}
--- /dev/null
+++ b/controlplane/registry/tests/leases.rs
@@ -0,0 +1,149 @@
+//! The leases of balancers.
+
+use std::net::SocketAddr;
+
+use quickcheck::quickcheck;
+use whinspindle_registry::{Lease, LeaseRecord, LeaseTable, LeaseTiming, RegionSends};
+
+const LEASE_MS: u64 = 2_000;
+const HOLD_MS: u64 = 30_000;
+
+fn table() -> LeaseTable {
+    LeaseTable::new(LeaseTiming { lease_ms: LEASE_MS, hold_ms: HOLD_MS })
+}
+
+fn front(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 8000))
+}
+
+fn lease(last: u8, zone: &str, region: &str) -> Lease {
+    Lease {
+        node: format!("edge-{last}"),
+        incarnation: 1,
+        zone: zone.into(),
+        region: region.into(),
+        front: front(last),
+        ready: true,
+        leaving: false,
+        sends: vec![RegionSends { service: "model".into(), region: "north".into(), requests_per_s: 2.5 }],
+    }
+}
+
+#[test]
+fn a_lease_ends_without_renewal_but_its_balancer_still_counts() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    assert_eq!(table.live(LEASE_MS).count(), 1);
+    assert_eq!(table.live(LEASE_MS + 1).count(), 0);
+    assert!(table.expire(LEASE_MS + 1));
+    assert!(!table.expire(LEASE_MS + 2), "told once");
+    assert_eq!(table.balancers(LEASE_MS + HOLD_MS), 1);
+    assert_eq!(table.balancers(LEASE_MS + HOLD_MS + 1), 0);
+    assert!(table.expire(LEASE_MS + HOLD_MS + 1));
+}
+
+#[test]
+fn a_balancer_started_anew_counts_once() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    assert!(table.renew(5_000, Lease { incarnation: 2, ..lease(1, "z1", "r1") }));
+    assert_eq!(table.balancers(5_000), 1);
+}
+
+#[test]
+fn an_isolated_controller_keeps_counting() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    table.set_isolated(true);
+    table.expire(100_000);
+    assert_eq!(table.balancers(100_000), 1);
+    assert_eq!(table.live(100_000).count(), 0);
+    table.set_isolated(false);
+    table.expire(100_001);
+    assert_eq!(table.balancers(100_001), 0);
+}
+
+#[test]
+fn leaving_holds_for_the_rest_of_an_incarnation() {
+    let mut table = table();
+    table.renew(100, Lease { leaving: true, ..lease(1, "z1", "r1") });
+    table.merge(105, LeaseRecord { lease: lease(1, "z1", "r1"), age_ms: 0 });
+    assert!(table.live(105).all(|lease| lease.leaving));
+    table.renew(200, Lease { incarnation: 2, ..lease(1, "z1", "r1") });
+    assert!(table.live(200).all(|lease| !lease.leaving));
+}
+
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut table = table();
+    table.renew(1_000, Lease { incarnation: 2, ..lease(1, "z1", "r1") });
+    assert!(!table.merge(1_100, LeaseRecord { lease: lease(1, "z1", "r1"), age_ms: 500 }));
+    assert!(table.live(1_100).all(|lease| lease.incarnation == 2));
+}
+
+#[test]
+fn new_rates_alone_are_no_change() {
+    let mut table = table();
+    assert!(table.renew(0, lease(1, "z1", "r1")));
+    let version = table.version();
+    assert!(!table.renew(250, Lease { sends: vec![], ..lease(1, "z1", "r1") }));
+    assert_eq!(table.version(), version);
+    assert!(table.renew(500, Lease { ready: false, ..lease(1, "z1", "r1") }));
+}
+
+#[test]
+fn loads_are_sums_over_live_leases() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    table.renew(3_000, lease(2, "z1", "r1"));
+    table.renew(3_000, lease(3, "z2", "r2"));
+    assert_eq!(
+        table.loads(3_000),
+        [RegionSends { service: "model".into(), region: "north".into(), requests_per_s: 5.0 }]
+    );
+}
+
+#[test]
+fn clients_get_the_fronts_of_their_region_with_their_zone_first() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    table.renew(0, lease(2, "z2", "r1"));
+    table.renew(0, lease(3, "z3", "r2"));
+    assert_eq!(table.fronts_for("z2", "r1", 0), [front(2), front(1)]);
+}
+
+#[test]
+fn clients_are_not_sent_to_balancers_that_leave_or_are_not_ready() {
+    let mut table = table();
+    table.renew(0, Lease { leaving: true, ..lease(1, "z1", "r1") });
+    table.renew(0, Lease { ready: false, ..lease(2, "z1", "r1") });
+    table.renew(0, lease(3, "z2", "r2"));
+    assert_eq!(table.fronts_for("z1", "r1", 0), [front(3)], "those of other regions stand in");
+}
+
+#[test]
+fn changes_hold_renewals_made_here_once() {
+    let mut table = table();
+    table.renew(0, lease(1, "z1", "r1"));
+    table.merge(0, LeaseRecord { lease: lease(2, "z1", "r1"), age_ms: 0 });
+    let changes = table.take_changes(40);
+    assert_eq!(changes, [LeaseRecord { lease: lease(1, "z1", "r1"), age_ms: 40 }]);
+    assert!(table.take_changes(41).is_empty());
+}
+
+quickcheck! {
+    fn merging_twice_is_merging_once(nodes: Vec<(u8, u16)>) -> bool {
+        let (mut source, mut copy) = (table(), table());
+        let mut renewals = nodes;
+        renewals.sort_by_key(|&(_, at)| at);
+        for &(node, at) in &renewals {
+            source.renew(u64::from(at), lease(node, "z1", "r1"));
+        }
+        let now = 70_000;
+        let records = source.snapshot(now);
+        records.iter().for_each(|record| { copy.merge(now, record.clone()); });
+        let once = copy.snapshot(now);
+        let again = records.into_iter().any(|record| copy.merge(now, record));
+        !again && once == copy.snapshot(now) && copy.balancers(now) == source.balancers(now)
+    }
+}
