Storage: two checkpoint slots written in turn and a short log between

Controllers have to keep acknowledged state through losses of power, ended processes and disks that refuse writes, without renames. Fixed files, hashes bound to generation and position, and a clean tail before each write after a failure do that.

--- /dev/null
+++ b/coordination/storage/src/checkpoint.rs
@@ -0,0 +1,56 @@
+//! The form of a checkpoint in its slot.
+//!
+//! | bytes | content                                                   |
+//! |-------|-----------------------------------------------------------|
+//! | 32    | hash of everything behind it                              |
+//! | 8     | generation                                                |
+//! | 8     | number of records of the preceding log that it covers     |
+//! | 8     | length of the state                                       |
+//! | ...   | the state; older bytes may follow                         |
+
+const HASH_BYTES: usize = blake3::OUT_LEN;
+const FIELD_BYTES: usize = 8;
+const HEADER_BYTES: usize = HASH_BYTES + 3 * FIELD_BYTES;
+
+/// A checkpoint that was read back whole.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Checkpoint {
+    /// Rises by one with each checkpoint, from 1 on.
+    pub generation: u64,
+    /// The records of the log before this checkpoint that its state covers. Further records of that log came after a
+    /// checkpoint that seemed to have failed.
+    pub covered_records: u64,
+    pub state: Vec<u8>,
+}
+
+/// The bytes of a slot.
+pub fn encode(generation: u64, covered_records: u64, state: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + state.len());
+    bytes.extend_from_slice(&[0; HASH_BYTES]);
+    bytes.extend_from_slice(&generation.to_le_bytes());
+    bytes.extend_from_slice(&covered_records.to_le_bytes());
+    bytes.extend_from_slice(&(state.len() as u64).to_le_bytes());
+    bytes.extend_from_slice(state);
+    let hash = blake3::hash(&bytes[HASH_BYTES..]);
+    bytes[..HASH_BYTES].copy_from_slice(hash.as_bytes());
+    bytes
+}
+
+/// The checkpoint in a slot, if it is whole.
+pub fn decode(slot: &[u8]) -> Option<Checkpoint> {
+    let generation = field(slot, 0).filter(|&generation| generation > 0)?;
+    let covered_records = field(slot, 1)?;
+    let state_bytes = usize::try_from(field(slot, 2)?).ok()?;
+    let end = HEADER_BYTES.checked_add(state_bytes)?;
+    let hashed = slot.get(HASH_BYTES..end)?;
+    if blake3::hash(hashed) != slot[..HASH_BYTES] {
+        return None;
+    }
+    Some(Checkpoint { generation, covered_records, state: slot[HEADER_BYTES..end].to_vec() })
+}
+
+fn field(slot: &[u8], index: usize) -> Option<u64> {
+    let start = HASH_BYTES + index * FIELD_BYTES;
+    let bytes = slot.get(start..start + FIELD_BYTES)?;
+    Some(u64::from_le_bytes(bytes.try_into().ok()?))
+}
--- /dev/null
+++ b/coordination/storage/src/folder.rs
@@ -0,0 +1,104 @@
+//! A folder of the file system.
+
+use std::collections::HashMap;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, ErrorKind, Read, Seek, SeekFrom};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use snafu::ResultExt;
+
+use crate::directory::{Directory, DirectoryError, FullSnafu, IoSnafu, TakenSnafu};
+
+const LOCK_FILE: &str = "lock";
+
+/// A folder that one process uses. Files are opened once and kept open.
+#[derive(Debug)]
+pub struct FolderDirectory {
+    path: PathBuf,
+    files: HashMap<String, File>,
+    /// Holds the lock of the folder as long as it is open.
+    _lock: File,
+}
+
+impl FolderDirectory {
+    /// Takes a folder, which is created where it is missing.
+    pub fn open(path: &Path) -> Result<Self, DirectoryError> {
+        let name = path.display().to_string();
+        fs::create_dir_all(path).context(IoSnafu { name: &name })?;
+        let lock = open_file(&path.join(LOCK_FILE), true).context(IoSnafu { name: LOCK_FILE })?;
+        match lock.try_lock() {
+            Err(TryLockError::WouldBlock) => return TakenSnafu { name }.fail(),
+            // File systems without locks are used without.
+            Ok(()) | Err(TryLockError::Error(_)) => {}
+        }
+        Ok(FolderDirectory { path: path.to_owned(), files: HashMap::new(), _lock: lock })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if !self.files.contains_key(name) {
+            let file = open_file(&self.path.join(name), true)?;
+            self.files.insert(name.to_owned(), file);
+        }
+        self.files.get_mut(name).ok_or_else(|| ErrorKind::NotFound.into())
+    }
+
+    fn existing_file(&mut self, name: &str) -> io::Result<Option<&mut File>> {
+        if !self.files.contains_key(name) {
+            let file = match open_file(&self.path.join(name), false) {
+                Ok(file) => file,
+                Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+                Err(error) => return Err(error),
+            };
+            self.files.insert(name.to_owned(), file);
+        }
+        Ok(self.files.get_mut(name))
+    }
+
+    fn read_existing(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        let Some(file) = self.existing_file(name)? else { return Ok(None) };
+        let mut content = Vec::new();
+        file.seek(SeekFrom::Start(0))?;
+        file.read_to_end(&mut content)?;
+        Ok(Some(content))
+    }
+}
+
+impl Directory for FolderDirectory {
+    fn read(&mut self, name: &str) -> Result<Option<Vec<u8>>, DirectoryError> {
+        self.read_existing(name).map_err(|error| classify(name, error))
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> Result<(), DirectoryError> {
+        let result = self.file(name).and_then(|file| file.write_all_at(bytes, offset));
+        result.map_err(|error| classify(name, error))
+    }
+
+    fn set_length(&mut self, name: &str, length: u64) -> Result<(), DirectoryError> {
+        let result = self.file(name).and_then(|file| file.set_len(length));
+        result.map_err(|error| classify(name, error))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), DirectoryError> {
+        let result = self.file(name).and_then(|file| file.sync_data());
+        result.map_err(|error| classify(name, error))
+    }
+
+    fn sync_directory(&mut self) -> Result<(), DirectoryError> {
+        let result = File::open(&self.path).and_then(|folder| folder.sync_all());
+        result.with_context(|_| IoSnafu { name: self.path.display().to_string() })
+    }
+}
+
+fn open_file(path: &Path, create: bool) -> io::Result<File> {
+    OpenOptions::new().read(true).write(true).create(create).truncate(false).open(path)
+}
+
+fn classify(name: &str, error: io::Error) -> DirectoryError {
+    match error.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+            FullSnafu { name }.build()
+        }
+        _ => DirectoryError::Io { name: name.to_owned(), source: error },
+    }
+}
--- /dev/null
+++ b/coordination/storage/src/journal.rs
@@ -0,0 +1,166 @@
+//! The journal: what is written when, and what a new start reads back.
+
+use snafu::ensure;
+
+use crate::checkpoint::{self, Checkpoint};
+use crate::directory::Directory;
+use crate::error::{DamagedSnafu, StorageError};
+use crate::log::{self, Scan};
+
+/// Checkpoints and logs of odd and even generations take turns.
+const SLOT_FILES: [&str; 2] = ["slot-a", "slot-b"];
+const LOG_FILES: [&str; 2] = ["log-a", "log-b"];
+
+/// Durable records behind a durable checkpoint.
+///
+/// An operation that fails leaves everything that was durable before in place, and may be tried again. Whether its
+/// own records are there after a new start is not known, until a later operation succeeds: then they are gone.
+#[derive(Debug)]
+pub struct Journal<D> {
+    directory: D,
+    /// Of the newest checkpoint; 0 while there is none.
+    generation: u64,
+    log_end: u64,
+    log_records: u64,
+    /// Bytes of unknown content may follow the end of the log.
+    tail_is_dirty: bool,
+}
+
+/// What a new start finds.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    pub checkpoint: Option<Vec<u8>>,
+    /// The records appended after the checkpoint, oldest first.
+    pub log: Vec<Vec<u8>>,
+}
+
+impl<D: Directory> Journal<D> {
+    /// Creates the files where they are missing and reads back what was durable. All that is returned is durable.
+    pub fn open(mut directory: D) -> Result<(Self, Recovered), StorageError> {
+        settle_files(&mut directory)?;
+        let checkpoint = read_newest_checkpoint(&mut directory)?;
+        let generation = checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.generation);
+        let mut log = match &checkpoint {
+            Some(checkpoint) => read_uncovered_records(&mut directory, checkpoint)?,
+            None => Vec::new(),
+        };
+        let scan = read_log(&mut directory, generation)?;
+        let journal = Journal {
+            directory,
+            generation,
+            log_end: scan.end,
+            log_records: scan.records.len() as u64,
+            tail_is_dirty: scan.has_more,
+        };
+        log.extend(scan.records);
+        Ok((journal, Recovered { checkpoint: checkpoint.map(|checkpoint| checkpoint.state), log }))
+    }
+
+    /// Appends records by one write and one sync. They are durable when this returns.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        let mut buffer = Vec::new();
+        for (index, record) in (self.log_records..).zip(records) {
+            log::encode(self.generation, index, record, &mut buffer)?;
+        }
+        if buffer.is_empty() {
+            return Ok(());
+        }
+        self.clean_tail()?;
+        self.tail_is_dirty = true;
+        self.directory.write_at(log_file(self.generation), self.log_end, &buffer)?;
+        self.directory.sync(log_file(self.generation))?;
+        self.tail_is_dirty = false;
+        self.log_end += buffer.len() as u64;
+        self.log_records += records.len() as u64;
+        Ok(())
+    }
+
+    /// Makes a state durable that covers every record appended before. The log starts anew behind it.
+    pub fn checkpoint(&mut self, state: &[u8]) -> Result<(), StorageError> {
+        self.clean_tail()?;
+        let generation = self.generation + 1;
+        let slot = checkpoint::encode(generation, self.log_records, state);
+        let name = slot_file(generation);
+        self.directory.write_at(name, 0, &slot)?;
+        self.directory.set_length(name, slot.len() as u64)?;
+        self.directory.sync(name)?;
+        self.generation = generation;
+        self.log_end = 0;
+        self.log_records = 0;
+        Ok(())
+    }
+
+    /// The bytes appended since the last checkpoint.
+    pub fn log_bytes(&self) -> usize {
+        usize::try_from(self.log_end).unwrap_or(usize::MAX)
+    }
+
+    /// Removes what a failed write may have left, before anything is written in its place: otherwise a record of the
+    /// failed write could follow a new one.
+    fn clean_tail(&mut self) -> Result<(), StorageError> {
+        if !self.tail_is_dirty {
+            return Ok(());
+        }
+        let name = log_file(self.generation);
+        self.directory.set_length(name, self.log_end)?;
+        self.directory.sync(name)?;
+        self.tail_is_dirty = false;
+        Ok(())
+    }
+}
+
+fn slot_file(generation: u64) -> &'static str {
+    SLOT_FILES[usize::from(!generation.is_multiple_of(2))]
+}
+
+fn log_file(generation: u64) -> &'static str {
+    LOG_FILES[usize::from(!generation.is_multiple_of(2))]
+}
+
+/// Creates the files that are missing. A process that ended without a loss of power may have left the others unsynced:
+/// from now on they last as they are read.
+fn settle_files<D: Directory>(directory: &mut D) -> Result<(), StorageError> {
+    let mut created = false;
+    for name in SLOT_FILES.into_iter().chain(LOG_FILES) {
+        if directory.read(name)?.is_some() {
+            directory.sync(name)?;
+        } else {
+            directory.set_length(name, 0)?;
+            created = true;
+        }
+    }
+    if created {
+        directory.sync_directory()?;
+    }
+    Ok(())
+}
+
+fn read_newest_checkpoint<D: Directory>(directory: &mut D) -> Result<Option<Checkpoint>, StorageError> {
+    let mut newest: Option<Checkpoint> = None;
+    let mut has_first_slot = false;
+    for name in SLOT_FILES {
+        let slot = directory.read(name)?.unwrap_or_default();
+        has_first_slot |= name == SLOT_FILES[0] && !slot.is_empty();
+        let checkpoint = checkpoint::decode(&slot);
+        newest = newest.into_iter().chain(checkpoint).max_by_key(|checkpoint| checkpoint.generation);
+    }
+    // Generation 1 lies in the second slot, and was durable before the first slot was ever written.
+    ensure!(newest.is_some() || !has_first_slot, DamagedSnafu { name: SLOT_FILES[0] });
+    Ok(newest)
+}
+
+/// The records that were appended to the preceding log after the state of the checkpoint was taken: its write was
+/// reported as failed, but has reached the disk.
+fn read_uncovered_records<D: Directory>(
+    directory: &mut D,
+    checkpoint: &Checkpoint,
+) -> Result<Vec<Vec<u8>>, StorageError> {
+    let scan = read_log(directory, checkpoint.generation - 1)?;
+    let covered = usize::try_from(checkpoint.covered_records).unwrap_or(usize::MAX);
+    Ok(scan.records.into_iter().skip(covered).collect())
+}
+
+fn read_log<D: Directory>(directory: &mut D, generation: u64) -> Result<Scan, StorageError> {
+    let file = directory.read(log_file(generation))?.unwrap_or_default();
+    Ok(log::scan(generation, &file))
+}
--- /dev/null
+++ b/coordination/storage/tests/folder.rs
@@ -0,0 +1,62 @@
+//! The journal in a folder of the file system.
+
+use std::path::{Path, PathBuf};
+use std::{env, fs, process};
+
+use whinspindle_storage::{DirectoryError, FolderDirectory, Journal, Recovered};
+
+/// A folder that is removed at the end of the test.
+struct TemporaryFolder(PathBuf);
+
+impl TemporaryFolder {
+    fn new(name: &str) -> Self {
+        TemporaryFolder(env::temp_dir().join(format!("whinspindle-storage-{name}-{}", process::id())))
+    }
+}
+
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn open(path: &Path) -> (Journal<FolderDirectory>, Recovered) {
+    let directory = FolderDirectory::open(path).expect("the folder can be used");
+    Journal::open(directory).expect("the journal can be read")
+}
+
+#[test]
+fn a_new_process_reads_what_the_last_one_wrote() {
+    let folder = TemporaryFolder::new("reopen");
+    let path = folder.0.join("new").join("folders");
+    for round in 0..5_u8 {
+        let (mut journal, recovered) = open(&path);
+        let expected = match round {
+            0 => Recovered::default(),
+            _ => Recovered { checkpoint: Some(vec![round - 1; 100]), log: vec![vec![round - 1; 10], vec![]] },
+        };
+        assert_eq!(recovered, expected);
+        journal.append(&[vec![round; 1000]]).expect("the folder can be written");
+        journal.checkpoint(&[round; 100]).expect("the folder can be written");
+        journal.append(&[vec![round; 10], vec![]]).expect("the folder can be written");
+    }
+}
+
+#[test]
+fn a_folder_serves_one_process_at_a_time() {
+    let folder = TemporaryFolder::new("taken");
+    let first = FolderDirectory::open(&folder.0).expect("the folder can be used");
+    let error = FolderDirectory::open(&folder.0).expect_err("the folder is taken");
+    assert!(matches!(error, DirectoryError::Taken { .. }), "{error}");
+    drop(first);
+    FolderDirectory::open(&folder.0).expect("the folder is free again");
+}
+
+#[test]
+fn a_file_in_place_of_the_folder_is_reported() {
+    let folder = TemporaryFolder::new("file");
+    fs::write(&folder.0, "no folder").expect("the file can be written");
+    let error = FolderDirectory::open(&folder.0).expect_err("there is a file");
+    assert!(matches!(error, DirectoryError::Io { .. }), "{error}");
+    fs::remove_file(&folder.0).expect("the file can be removed");
+}
--- /dev/null
+++ b/coordination/storage/tests/simulation/mod.rs
@@ -0,0 +1,288 @@
+//! A simulated folder that loses power, with every outcome of the writes that were not synced.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+use whinspindle_storage::{Directory, DirectoryError};
+
+/// A change of a file that is not durable yet.
+#[derive(Clone, Debug)]
+pub enum Change {
+    Write { offset: usize, bytes: Vec<u8> },
+    SetLength(usize),
+}
+
+/// What a loss of power makes of one change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Kept,
+    Missing,
+    /// Of a write, only the bytes of this range (in eighths) are there.
+    Torn(usize, usize),
+}
+
+const FATES_OF_A_WRITE: [Fate; 6] =
+    [Fate::Kept, Fate::Missing, Fate::Torn(0, 4), Fate::Torn(4, 8), Fate::Torn(1, 7), Fate::Torn(0, 1)];
+const FATES_OF_A_LENGTH: [Fate; 2] = [Fate::Kept, Fate::Missing];
+
+/// Outcomes beyond this number are left out, as evenly as possible.
+const MAX_OUTCOMES: usize = 432;
+
+#[derive(Clone, Debug, Default)]
+struct File {
+    /// The name lasts through a loss of power.
+    is_durable: bool,
+    durable: Vec<u8>,
+    pending: Vec<Change>,
+}
+
+/// The files of a folder.
+#[derive(Clone, Debug, Default)]
+pub struct Files(BTreeMap<String, File>);
+
+impl Change {
+    fn apply(&self, content: &mut Vec<u8>, fate: Fate) {
+        match (self, fate) {
+            (_, Fate::Missing) => {}
+            (Change::SetLength(length), _) => content.resize(*length, 0),
+            (Change::Write { offset, bytes }, Fate::Kept) => write(content, *offset, bytes),
+            (Change::Write { offset, bytes }, Fate::Torn(from, to)) => {
+                let (start, end) = (bytes.len() * from / 8, bytes.len() * to / 8);
+                write(content, offset + start, &bytes[start..end]);
+            }
+        }
+    }
+
+    fn fates(&self) -> &'static [Fate] {
+        match self {
+            Change::Write { .. } => &FATES_OF_A_WRITE,
+            Change::SetLength(_) => &FATES_OF_A_LENGTH,
+        }
+    }
+}
+
+fn write(content: &mut Vec<u8>, offset: usize, bytes: &[u8]) {
+    let end = offset + bytes.len();
+    if !bytes.is_empty() && content.len() < end {
+        content.resize(end, 0);
+    }
+    content[offset.min(end - bytes.len())..][..bytes.len()].copy_from_slice(bytes);
+}
+
+impl File {
+    fn content(&self) -> Vec<u8> {
+        let mut content = self.durable.clone();
+        for change in &self.pending {
+            change.apply(&mut content, Fate::Kept);
+        }
+        content
+    }
+}
+
+impl Files {
+    /// The number of outcomes of a loss of power that differ.
+    pub fn outcomes(&self) -> usize {
+        self.choices().product()
+    }
+
+    /// For each thing that may go one way or another, the number of its ways.
+    fn choices(&self) -> impl Iterator<Item = usize> {
+        self.0.values().flat_map(|file| {
+            let name = if file.is_durable { 1 } else { 2 };
+            std::iter::once(name).chain(file.pending.iter().map(|change| change.fates().len()))
+        })
+    }
+
+    /// The files after a loss of power, by the number of the outcome.
+    pub fn after_power_loss(&self, outcome: usize) -> Files {
+        let mut rest = outcome;
+        let mut choose = |ways: usize| {
+            let way = rest % ways;
+            rest /= ways;
+            way
+        };
+        let mut files = BTreeMap::new();
+        for (name, file) in &self.0 {
+            let name_is_lost = !file.is_durable && choose(2) == 1;
+            let mut content = file.durable.clone();
+            for change in &file.pending {
+                let fates = change.fates();
+                change.apply(&mut content, fates[choose(fates.len())]);
+            }
+            if !name_is_lost {
+                files.insert(name.clone(), File { is_durable: true, durable: content, pending: Vec::new() });
+            }
+        }
+        Files(files)
+    }
+
+    /// All outcomes of a loss of power, or an even part of them where there are very many.
+    pub fn all_after_power_loss(&self) -> impl Iterator<Item = Files> {
+        let outcomes = self.outcomes();
+        let step = outcomes.div_ceil(MAX_OUTCOMES);
+        // A step that shares no factor with the numbers of ways meets every way of every choice.
+        let step = (step..).find(|step| step % 2 != 0 && (*step == 1 || step % 3 != 0)).unwrap_or(1);
+        (0..outcomes).step_by(step).map(|outcome| self.after_power_loss(outcome))
+    }
+
+    pub fn total_bytes(&self) -> usize {
+        self.0.values().map(|file| file.content().len()).sum()
+    }
+
+    /// Changes one byte of a file.
+    pub fn damage(&mut self, name: &str, position: usize) {
+        let file = self.0.get_mut(name).expect("the file exists");
+        file.durable[position] ^= 1;
+    }
+}
+
+/// How operations that change files fail.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    /// Operations that succeed before.
+    pub after: usize,
+    pub operations: usize,
+    pub is_full: bool,
+    /// A failing operation has taken effect all the same, a write by half.
+    pub takes_effect: bool,
+}
+
+#[derive(Debug, Default)]
+struct Disk {
+    files: Files,
+    fault: Option<Fault>,
+    /// The files after each operation, if they are being recorded.
+    history: Option<Vec<Files>>,
+    syncs: usize,
+}
+
+/// Handles share one disk.
+#[derive(Clone, Debug, Default)]
+pub struct SimulatedDirectory(Rc<RefCell<Disk>>);
+
+impl SimulatedDirectory {
+    pub fn with_files(files: Files) -> Self {
+        let directory = SimulatedDirectory::default();
+        directory.0.borrow_mut().files = files;
+        directory
+    }
+
+    pub fn files(&self) -> Files {
+        self.0.borrow().files.clone()
+    }
+
+    pub fn syncs(&self) -> usize {
+        self.0.borrow().syncs
+    }
+
+    pub fn set_fault(&self, fault: Option<Fault>) {
+        self.0.borrow_mut().fault = fault;
+    }
+
+    /// Loses power, and has it again.
+    pub fn lose_power(&self, outcome: usize) {
+        let mut disk = self.0.borrow_mut();
+        disk.files = disk.files.after_power_loss(outcome % disk.files.outcomes());
+    }
+
+    pub fn start_recording(&self) {
+        self.0.borrow_mut().history = Some(Vec::new());
+    }
+
+    /// The files after each operation since the last call.
+    pub fn take_recorded(&self) -> Vec<Files> {
+        self.0.borrow_mut().history.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+}
+
+impl Disk {
+    /// Counts an operation; `Some` if it is to fail.
+    fn next_fault(&mut self) -> Option<Fault> {
+        let fault = self.fault.as_mut()?;
+        if fault.after > 0 {
+            fault.after -= 1;
+            return None;
+        }
+        if fault.operations == 0 {
+            self.fault = None;
+            return None;
+        }
+        fault.operations -= 1;
+        Some(*fault)
+    }
+
+    fn change(&mut self, name: &str, change: Change) -> Result<(), DirectoryError> {
+        let fault = self.next_fault();
+        let change = match (change, fault) {
+            (change, None) => Some(change),
+            (_, Some(Fault { takes_effect: false, .. })) => None,
+            (Change::Write { offset, mut bytes }, Some(_)) => {
+                bytes.truncate(bytes.len() / 2);
+                Some(Change::Write { offset, bytes })
+            }
+            (change, Some(_)) => Some(change),
+        };
+        if let Some(change) = change {
+            self.files.0.entry(name.to_owned()).or_default().pending.push(change);
+        }
+        self.record();
+        fault.map_or(Ok(()), |fault| Err(fault_error(name, fault)))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), DirectoryError> {
+        let fault = self.next_fault();
+        self.syncs += 1;
+        if fault.is_none_or(|fault| fault.takes_effect) {
+            let file = self.files.0.get_mut(name).expect("only files that exist are synced");
+            *file = File { is_durable: true, durable: file.content(), pending: Vec::new() };
+        }
+        self.record();
+        fault.map_or(Ok(()), |fault| Err(fault_error(name, fault)))
+    }
+
+    fn record(&mut self) {
+        if let Some(history) = &mut self.history {
+            history.push(self.files.clone());
+        }
+    }
+}
+
+fn fault_error(name: &str, fault: Fault) -> DirectoryError {
+    let name = name.to_owned();
+    if fault.is_full {
+        DirectoryError::Full { name }
+    } else {
+        DirectoryError::Io { name, source: io::Error::other("refused") }
+    }
+}
+
+impl Directory for SimulatedDirectory {
+    fn read(&mut self, name: &str) -> Result<Option<Vec<u8>>, DirectoryError> {
+        Ok(self.0.borrow().files.0.get(name).map(File::content))
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> Result<(), DirectoryError> {
+        let offset = usize::try_from(offset).expect("files are small");
+        self.0.borrow_mut().change(name, Change::Write { offset, bytes: bytes.to_vec() })
+    }
+
+    fn set_length(&mut self, name: &str, length: u64) -> Result<(), DirectoryError> {
+        let length = usize::try_from(length).expect("files are small");
+        self.0.borrow_mut().change(name, Change::SetLength(length))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), DirectoryError> {
+        self.0.borrow_mut().sync(name)
+    }
+
+    fn sync_directory(&mut self) -> Result<(), DirectoryError> {
+        let mut disk = self.0.borrow_mut();
+        for file in disk.files.0.values_mut() {
+            file.is_durable = true;
+        }
+        disk.record();
+        Ok(())
+    }
+}
