Agent: keeps a link to a controller, feeds its proxy and passes its reports on

Each proxy needs the control plane's state though controllers come and go. Adds the selector of the link (own zone first, candidates in parallel, make before break), the guarded sections (a controller that has just started or has no quorum takes no instances away), the reports with the proxy's own versions, and the program around them.

--- /dev/null
+++ b/dataplane/agent/src/lib.rs
@@ -0,0 +1,18 @@
+//! The agent beside each proxy: link to the control plane, feeds the proxy over loopback.
+//!
+//! The state machines [`LinkSelector`] (which controller) and [`Agent`] (what goes where) have no clock, socket or
+//! chance of their own; [`run`] is the program around them.
+
+mod agent;
+mod catalog;
+mod connection;
+mod report;
+mod sections;
+mod selector;
+mod shell;
+
+pub use agent::{Agent, AgentSettings, Input, Notice, Output};
+pub use catalog::{ControllerCatalog, Rank};
+pub use connection::ConnectionId;
+pub use selector::{LinkEvent, LinkSelector, LossReason};
+pub use shell::{AgentError, run};
--- /dev/null
+++ b/dataplane/agent/src/selector.rs
@@ -0,0 +1,287 @@
+//! Which controller the agent is linked to. A new link is made before the old one is broken, wherever the old one
+//! still speaks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use whinspindle_distribution::Link;
+
+use crate::catalog::ControllerCatalog;
+use crate::connection::{Connection, ConnectionId};
+
+/// The most attempts at once.
+const MAXIMUM_ATTEMPTS: usize = 3;
+/// The least time between the starts of two attempts, unless one has failed.
+const ATTEMPT_SPACING_MS: u64 = 150;
+/// How often nearer controllers are tried while the link is fit.
+const IMPROVEMENT_MS: u64 = 5_000;
+
+/// Why a link ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    Closed,
+    Silent,
+}
+
+/// What the selector wants done, and what it tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkEvent {
+    Connect {
+        connection: ConnectionId,
+        endpoint: SocketAddr,
+    },
+    Close {
+        connection: ConnectionId,
+    },
+    /// From now on this connection is the link.
+    Adopted {
+        connection: ConnectionId,
+        endpoint: SocketAddr,
+        in_quorum: bool,
+    },
+    /// The link has ended, and no other one is there.
+    Lost {
+        endpoint: SocketAddr,
+        reason: LossReason,
+    },
+}
+
+/// Chooses and keeps the link.
+#[derive(Clone, Debug)]
+pub struct LinkSelector {
+    catalog: ControllerCatalog,
+    connections: BTreeMap<ConnectionId, Connection>,
+    current: Option<ConnectionId>,
+    last_connection: u64,
+    next_attempt_at: u64,
+    next_improvement_at: u64,
+}
+
+impl LinkSelector {
+    pub fn new(catalog: ControllerCatalog) -> Self {
+        LinkSelector {
+            catalog,
+            connections: BTreeMap::new(),
+            current: None,
+            last_connection: 0,
+            next_attempt_at: 0,
+            next_improvement_at: 0,
+        }
+    }
+
+    /// The connection that is the link now.
+    pub fn current(&self) -> Option<ConnectionId> {
+        self.current
+    }
+
+    /// Whether the link stands and its controller has a quorum.
+    pub fn has_quorum(&self) -> bool {
+        self.current_connection().is_some_and(Connection::has_quorum)
+    }
+
+    /// Replaces the controllers of the settings.
+    pub fn set_seeds(&mut self, now: u64, seeds: &[SocketAddr]) -> Vec<LinkEvent> {
+        self.catalog.set_seeds(now, seeds);
+        self.tick(now)
+    }
+
+    /// The connection stands.
+    pub fn connected(&mut self, now: u64, id: ConnectionId) -> Vec<LinkEvent> {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.connected(now);
+        }
+        self.tick(now)
+    }
+
+    /// The connection has ended, or could not be made.
+    pub fn closed(&mut self, now: u64, id: ConnectionId) -> Vec<LinkEvent> {
+        let mut events = Vec::new();
+        self.drop_connection(now, id, LossReason::Closed, &mut events);
+        events.extend(self.tick(now));
+        events
+    }
+
+    /// Something other than the controller's state arrived.
+    pub fn heard(&mut self, now: u64, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.heard(now);
+        }
+    }
+
+    /// A controller told of its state.
+    pub fn told(&mut self, now: u64, id: ConnectionId, link: &Link) -> Vec<LinkEvent> {
+        let Some(connection) = self.connections.get_mut(&id) else { return Vec::new() };
+        connection.told(now, link);
+        self.catalog.learn(now, &link.controllers);
+        let mut events = Vec::new();
+        if self.current != Some(id) {
+            self.judge(now, id, &mut events);
+        }
+        events.extend(self.tick(now));
+        events
+    }
+
+    /// Gives up what is silent, and starts the attempts that are due.
+    pub fn tick(&mut self, now: u64) -> Vec<LinkEvent> {
+        let mut events = Vec::new();
+        self.give_up_silent(now, &mut events);
+        self.search(now, &mut events);
+        self.improve(now, &mut events);
+        events
+    }
+
+    /// When `tick` is to be called at the latest if nothing happens before.
+    pub fn next_wake(&self, now: u64) -> u64 {
+        let give_up = self.connections.values().map(Connection::gives_up_at).min();
+        let search = match self.current_connection() {
+            Some(current) if current.unfit_from() > now => Some(current.unfit_from()),
+            _ => self.next_search_at(),
+        };
+        let improvement =
+            self.improvement().filter(|_| self.may_improve(now)).map(|_| self.next_improvement_at);
+        let wakes = [give_up, search, improvement];
+        wakes.into_iter().flatten().min().unwrap_or(now + IMPROVEMENT_MS)
+    }
+
+    fn current_connection(&self) -> Option<&Connection> {
+        self.current.and_then(|id| self.connections.get(&id))
+    }
+
+    fn is_fit(&self, now: u64) -> bool {
+        self.current_connection().is_some_and(|current| now < current.unfit_from())
+    }
+
+    fn attempts(&self) -> usize {
+        self.connections.len() - usize::from(self.current.is_some())
+    }
+
+    fn is_connected(&self, endpoint: SocketAddr) -> bool {
+        self.connections.values().any(|connection| connection.endpoint == endpoint)
+    }
+
+    /// Takes a candidate as the link, or closes it.
+    fn judge(&mut self, now: u64, id: ConnectionId, events: &mut Vec<LinkEvent>) {
+        let Some(candidate) = self.connections.get(&id) else { return };
+        let endpoint = candidate.endpoint;
+        let better = match self.current_connection() {
+            None => !candidate.is_leaving(),
+            Some(current) => {
+                let nearer = self.catalog.rank(endpoint) < self.catalog.rank(current.endpoint);
+                candidate.is_usable() && (nearer || !self.is_fit(now))
+            }
+        };
+        if better {
+            self.adopt(now, id, events);
+            return;
+        }
+        if !candidate.is_usable() {
+            self.catalog.rejected(now, endpoint);
+        }
+        self.close(id, events);
+    }
+
+    fn adopt(&mut self, now: u64, id: ConnectionId, events: &mut Vec<LinkEvent>) {
+        let Some(adopted) = self.connections.get(&id) else { return };
+        let (endpoint, in_quorum) = (adopted.endpoint, adopted.has_quorum());
+        let previous = self.current.replace(id);
+        self.catalog.succeeded(endpoint);
+        self.next_improvement_at = now + IMPROVEMENT_MS;
+        events.push(LinkEvent::Adopted { connection: id, endpoint, in_quorum });
+        if let Some(previous) = previous {
+            self.close(previous, events);
+        }
+        if in_quorum {
+            self.close_attempts(events);
+        }
+    }
+
+    fn close_attempts(&mut self, events: &mut Vec<LinkEvent>) {
+        let attempts: Vec<_> =
+            self.connections.keys().copied().filter(|&id| self.current != Some(id)).collect();
+        for id in attempts {
+            self.close(id, events);
+        }
+    }
+
+    fn close(&mut self, id: ConnectionId, events: &mut Vec<LinkEvent>) {
+        if self.connections.remove(&id).is_some() {
+            events.push(LinkEvent::Close { connection: id });
+        }
+    }
+
+    fn give_up_silent(&mut self, now: u64, events: &mut Vec<LinkEvent>) {
+        let silent: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.gives_up_at() <= now)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in silent {
+            self.drop_connection(now, id, LossReason::Silent, events);
+            events.push(LinkEvent::Close { connection: id });
+        }
+    }
+
+    fn drop_connection(
+        &mut self,
+        now: u64,
+        id: ConnectionId,
+        reason: LossReason,
+        events: &mut Vec<LinkEvent>,
+    ) {
+        let Some(connection) = self.connections.remove(&id) else { return };
+        self.catalog.failed(now, connection.endpoint);
+        self.next_attempt_at = now;
+        if self.current == Some(id) {
+            self.current = None;
+            events.push(LinkEvent::Lost { endpoint: connection.endpoint, reason });
+        }
+    }
+
+    /// Starts an attempt if the link is missing or unfit.
+    fn search(&mut self, now: u64, events: &mut Vec<LinkEvent>) {
+        if self.is_fit(now) || now < self.next_attempt_at || self.attempts() >= MAXIMUM_ATTEMPTS {
+            return;
+        }
+        if let Some(endpoint) = self.catalog.next(now, |endpoint| self.is_connected(endpoint)) {
+            self.attempt(now, endpoint, events);
+        }
+    }
+
+    fn next_search_at(&self) -> Option<u64> {
+        if self.attempts() >= MAXIMUM_ATTEMPTS {
+            return None;
+        }
+        let eligible_at = self.catalog.next_at(|endpoint| self.is_connected(endpoint))?;
+        Some(eligible_at.max(self.next_attempt_at))
+    }
+
+    /// Tries a nearer controller now and then while the link is fit.
+    fn improve(&mut self, now: u64, events: &mut Vec<LinkEvent>) {
+        if now < self.next_improvement_at || !self.may_improve(now) {
+            return;
+        }
+        if let Some(endpoint) = self.improvement() {
+            self.next_improvement_at = now + IMPROVEMENT_MS;
+            self.attempt(now, endpoint, events);
+        }
+    }
+
+    fn may_improve(&self, now: u64) -> bool {
+        self.is_fit(now) && self.attempts() == 0
+    }
+
+    fn improvement(&self) -> Option<SocketAddr> {
+        let rank = self.catalog.rank(self.current_connection()?.endpoint);
+        self.catalog.nearer_than(rank)
+    }
+
+    fn attempt(&mut self, now: u64, endpoint: SocketAddr, events: &mut Vec<LinkEvent>) {
+        self.last_connection += 1;
+        let connection = ConnectionId(self.last_connection);
+        self.connections.insert(connection, Connection::connecting(now, endpoint));
+        self.catalog.attempted(now, endpoint);
+        self.next_attempt_at = now + ATTEMPT_SPACING_MS;
+        events.push(LinkEvent::Connect { connection, endpoint });
+    }
+}
--- /dev/null
+++ b/dataplane/agent/src/shell.rs
@@ -0,0 +1,260 @@
+//! The program around the state machine: sockets, clock, signals, settings file and log.
+
+mod channel;
+mod notices;
+mod settings_file;
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+use whinspindle_configuration::Settings;
+use whinspindle_distribution::frame::{Frame, FrameKind};
+use whinspindle_distribution::{
+    DecodeError, Hello, Role, decode_report, decode_to_balancer, encode_hello, encode_report,
+    encode_to_balancer,
+};
+
+use crate::agent::{Agent, AgentSettings, Input, Output};
+use crate::connection::ConnectionId;
+use channel::{Channel, Event, Happening, Source};
+
+/// Events that wait for the state machine; connections that have more are not read meanwhile.
+const WAITING_EVENTS: usize = 64;
+/// Time for the last frames to leave before the process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+/// Pause after a failed accept, such as with too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What keeps the agent from running.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    #[snafu(display("listening for the proxy on {endpoint}: {source}"))]
+    Listen { endpoint: SocketAddr, source: std::io::Error },
+    #[snafu(display("waiting for signals: {source}"))]
+    Signals { source: std::io::Error },
+}
+
+/// Runs the agent until it is told to stop. Its tasks need a `LocalSet` around it.
+pub async fn run(settings: Settings) -> Result<(), AgentError> {
+    let endpoint = settings.agent_endpoint();
+    let listener = TcpListener::bind(endpoint).await.context(ListenSnafu { endpoint })?;
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let (events, mut waiting) = mpsc::channel(WAITING_EVENTS);
+    spawn_local(accept(listener, events.clone()));
+    let mut shell = Shell::new(&settings, events);
+    shell.handle(Input::Tick);
+    while !shell.exiting {
+        let input = next_input(&mut shell, &mut waiting, &mut terminate, &mut hangup).await;
+        if let Some(input) = input {
+            shell.handle(input);
+        }
+    }
+    shell.flush().await;
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, events: mpsc::Sender<Event>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if events.send(Event::Accepted(stream)).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn next_input(
+    shell: &mut Shell,
+    waiting: &mut mpsc::Receiver<Event>,
+    terminate: &mut Signal,
+    hangup: &mut Signal,
+) -> Option<Input> {
+    let wake = shell.next_wake();
+    tokio::select! {
+        biased;
+        Some(event) = waiting.recv() => shell.input_of(event),
+        _ = terminate.recv() => Some(Input::Terminate),
+        _ = hangup.recv() => settings_file::seeds().map(Input::Seeds),
+        () = sleep_until(wake.into()) => Some(Input::Tick),
+    }
+}
+
+/// The state machine with its connections.
+struct Shell {
+    agent: Agent,
+    started: Instant,
+    hello: Bytes,
+    events: mpsc::Sender<Event>,
+    controllers: HashMap<ConnectionId, Channel>,
+    proxy: Option<Channel>,
+    /// Proxies that have connected; the last one counts.
+    proxies: u64,
+    exiting: bool,
+}
+
+impl Shell {
+    fn new(settings: &Settings, events: mpsc::Sender<Event>) -> Self {
+        let own = SocketAddr::new(settings.ip, settings.agent_endpoint().port());
+        let hello = encode_hello(&Hello { role: Role::Balancer, endpoint: own });
+        let agent_settings = AgentSettings {
+            node: settings.node.clone(),
+            machine: settings.ip,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            seeds: settings_file::internal_endpoints(settings),
+            grace_ms: settings.bounds.grace_ms,
+            incarnation: RandomState::new().build_hasher().finish(),
+        };
+        Shell {
+            agent: Agent::new(0, agent_settings),
+            started: Instant::now(),
+            hello: Bytes::from(hello),
+            events,
+            controllers: HashMap::new(),
+            proxy: None,
+            proxies: 0,
+            exiting: false,
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn next_wake(&self) -> Instant {
+        self.started + Duration::from_millis(self.agent.next_wake(self.now()))
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.now();
+        for output in self.agent.handle(now, input) {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Connect { connection, endpoint } => {
+                let channel = Channel::connect(connection, endpoint, self.events.clone());
+                self.controllers.insert(connection, channel);
+            }
+            Output::Close(connection) => {
+                self.controllers.remove(&connection);
+            }
+            Output::Greet(connection) => self.send(connection, FrameKind::Hello, self.hello.clone()),
+            Output::Report(connection, report) => {
+                self.send(connection, FrameKind::Report, encode_report(&report).into());
+            }
+            Output::ToProxy(message) => {
+                if let Some(proxy) = &mut self.proxy {
+                    proxy.send(Frame {
+                        kind: FrameKind::ToBalancer,
+                        payload: encode_to_balancer(&message).into(),
+                    });
+                }
+            }
+            Output::ReadSettings => {
+                if let Some(seeds) = settings_file::seeds() {
+                    self.handle(Input::Seeds(seeds));
+                }
+            }
+            Output::Exit => self.exiting = true,
+            Output::Log(notice) => notices::log(notice),
+        }
+    }
+
+    fn send(&mut self, connection: ConnectionId, kind: FrameKind, payload: Bytes) {
+        if let Some(channel) = self.controllers.get_mut(&connection) {
+            channel.send(Frame { kind, payload });
+        }
+    }
+
+    fn input_of(&mut self, event: Event) -> Option<Input> {
+        match event {
+            Event::Accepted(stream) => Some(self.accepted(stream)),
+            Event::Channel(Source::Controller(connection), happening) => self
+                .controllers
+                .contains_key(&connection)
+                .then(|| self.controller_input(connection, happening))?,
+            Event::Channel(Source::Proxy(number), happening) => {
+                (number == self.proxies && self.proxy.is_some()).then(|| self.proxy_input(happening))?
+            }
+        }
+    }
+
+    fn accepted(&mut self, stream: TcpStream) -> Input {
+        self.proxies += 1;
+        self.proxy = Some(Channel::accepted(self.proxies, stream, self.events.clone()));
+        Input::ProxyConnected
+    }
+
+    fn controller_input(&mut self, connection: ConnectionId, happening: Happening) -> Option<Input> {
+        match happening {
+            Happening::Connected => Some(Input::Connected(connection)),
+            Happening::Received(frame) if frame.kind == FrameKind::ToBalancer => {
+                match decode_to_balancer(&frame.payload) {
+                    Ok(message) => Some(Input::FromController(connection, message)),
+                    Err(error) => Some(self.controller_failed(connection, &error)),
+                }
+            }
+            Happening::Received(_) => None,
+            Happening::Closed => {
+                self.controllers.remove(&connection);
+                Some(Input::Closed(connection))
+            }
+        }
+    }
+
+    fn controller_failed(&mut self, connection: ConnectionId, error: &DecodeError) -> Input {
+        spdlog::warn!("a controller sent what cannot be read: {error}");
+        self.controllers.remove(&connection);
+        Input::Closed(connection)
+    }
+
+    fn proxy_input(&mut self, happening: Happening) -> Option<Input> {
+        match happening {
+            Happening::Received(frame) if frame.kind == FrameKind::Report => {
+                match decode_report(&frame.payload) {
+                    Ok(report) => Some(Input::FromProxy(report)),
+                    Err(error) => {
+                        spdlog::warn!("the proxy sent what cannot be read: {error}");
+                        Some(self.proxy_closed())
+                    }
+                }
+            }
+            Happening::Connected | Happening::Received(_) => None,
+            Happening::Closed => Some(self.proxy_closed()),
+        }
+    }
+
+    fn proxy_closed(&mut self) -> Input {
+        self.proxy = None;
+        Input::ProxyClosed
+    }
+
+    /// Lets the last frames go out.
+    async fn flush(self) {
+        let channels = self.controllers.into_values().chain(self.proxy);
+        let ends: Vec<_> = channels.filter_map(Channel::finish).collect();
+        // What has not left by then never will: the peer does not read.
+        let _ = tokio::time::timeout(FLUSH_LIMIT, async {
+            for end in ends {
+                let _ = end.await;
+            }
+        })
+        .await;
+    }
+}
