Proxy: feed, front, exchanges, streams and shutdown in a first form

Adds the link to the agent, the pool of upstream connections, the table of what may follow a send, the splitter of events, resumption inside one answer and the stop; the metered socket now takes any stream.

--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -22,13 +22,13 @@
     pub heard_last: Cell<Option<Instant>>,
 }
 
-pub struct Metered {
-    wire: Rc<RefCell<Wire>>,
+pub struct Metered<S = TcpStream> {
+    wire: Rc<RefCell<Wire<S>>>,
     meter: Rc<Meter>,
 }
 
-struct Wire {
-    socket: TcpStream,
+struct Wire<S> {
+    socket: S,
     /// What was read to see whether the other side has ended the connection, and nobody has taken yet.
     ahead: Vec<u8>,
     ended: bool,
@@ -38,9 +38,9 @@
 const MOST_AHEAD: usize = 32 * 1024;
 
 /// Sees the end that the other side makes, also behind bytes that nobody reads yet.
-pub struct Ending(Rc<RefCell<Wire>>);
+pub struct Ending<S = TcpStream>(Rc<RefCell<Wire<S>>>);
 
-impl Ending {
+impl<S: AsyncRead + AsyncWrite + Unpin> Ending<S> {
     /// Ready once the other side has ended the connection. The task that polls the socket polls this, after
     /// it.
     pub fn poll(&self, cx: &mut Context<'_>) -> Poll<()> {
@@ -77,13 +77,13 @@
     }
 }
 
-impl Metered {
-    pub fn new(socket: TcpStream, meter: Rc<Meter>) -> Self {
+impl<S> Metered<S> {
+    pub fn new(socket: S, meter: Rc<Meter>) -> Self {
         let wire = Wire { socket, ahead: Vec::new(), ended: false };
         Metered { wire: Rc::new(RefCell::new(wire)), meter }
     }
 
-    pub fn ending(&self) -> Ending {
+    pub fn ending(&self) -> Ending<S> {
         Ending(Rc::clone(&self.wire))
     }
 
@@ -95,7 +95,7 @@
     }
 }
 
-impl AsyncRead for Metered {
+impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let mut wire = self.wire.borrow_mut();
@@ -119,7 +119,7 @@
     }
 }
 
-impl AsyncWrite for Metered {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let wrote = Pin::new(&mut self.wire.borrow_mut().socket).poll_write(cx, buf);
         self.count(wrote)
--- /dev/null
+++ b/dataplane/proxy/src/lane.rs
@@ -0,0 +1,103 @@
+//! One connection to an upstream. It carries one request at a time and has no task of its own: it moves while an
+//! exchange is polled, and closes when it is dropped.
+
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use whinspindle_sockets::{Meter, Metered};
+
+use crate::connect::BoxedSocket;
+
+/// More than the longest head of an answer, and enough for what comes between two reads.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+type Wire = TokioIo<Metered<BoxedSocket>>;
+
+/// A connection and how much it has carried.
+pub struct Lane {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Pin<Box<Connection<Wire, Full<Bytes>>>>,
+    ended: bool,
+    meter: Rc<Meter>,
+    answers: u64,
+}
+
+impl Lane {
+    /// Makes a connected socket ready for requests.
+    pub async fn open(socket: BoxedSocket) -> hyper::Result<Lane> {
+        let meter = Rc::new(Meter::default());
+        let wire = TokioIo::new(Metered::new(socket, Rc::clone(&meter)));
+        let (sender, connection) = Builder::new().max_buf_size(BUFFER_BYTES).handshake(wire).await?;
+        Ok(Lane { sender, connection: Box::pin(connection), ended: false, meter, answers: 0 })
+    }
+
+    /// Whether no answer has come on it before the one that is under way.
+    pub fn is_fresh(&self) -> bool {
+        self.answers == 0
+    }
+
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.meter.written.get()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        let mut sending = pin!(self.sender.send_request(request));
+        poll_fn(|cx| {
+            if let Poll::Ready(answer) = sending.as_mut().poll(cx) {
+                return Poll::Ready(answer);
+            }
+            advance(&mut self.connection, &mut self.ended, cx);
+            sending.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// The next piece of an answer's body.
+    pub fn poll_body(
+        &mut self,
+        body: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        let mut body = Pin::new(body);
+        if let Poll::Ready(frame) = body.as_mut().poll_frame(cx) {
+            return Poll::Ready(frame);
+        }
+        advance(&mut self.connection, &mut self.ended, cx);
+        body.poll_frame(cx)
+    }
+
+    /// Notes a whole answer; tells whether the connection may carry another request. Bytes behind the answer rule
+    /// that out.
+    pub fn is_reusable(&mut self, cx: &mut Context<'_>) -> bool {
+        self.answers += 1;
+        self.is_open(cx) && self.sender.is_ready()
+    }
+
+    /// Whether a connection that stood idle is still there. The runtime is let at its sockets first, since it may not
+    /// have looked at them for a while.
+    pub async fn is_still_open(&mut self) -> bool {
+        tokio::task::yield_now().await;
+        poll_fn(|cx| Poll::Ready(self.is_open(cx))).await
+    }
+
+    fn is_open(&mut self, cx: &mut Context<'_>) -> bool {
+        advance(&mut self.connection, &mut self.ended, cx);
+        !self.ended && !self.sender.is_closed()
+    }
+}
+
+fn advance(connection: &mut Pin<Box<Connection<Wire, Full<Bytes>>>>, ended: &mut bool, cx: &mut Context<'_>) {
+    if !*ended && connection.as_mut().poll(cx).is_ready() {
+        *ended = true;
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/src/lib.rs
@@ -0,0 +1,129 @@
+//! The proxy: takes requests, sends each to an upstream, carries answers and streams back.
+
+pub mod answers;
+pub mod clients;
+pub mod clock;
+pub mod connect;
+pub mod events;
+pub mod exchange;
+pub mod feed;
+pub mod front;
+pub mod headers;
+pub mod lane;
+pub mod limits;
+pub mod node;
+pub mod pool;
+pub mod ready;
+pub mod request;
+pub mod retry;
+pub mod stop;
+pub mod stream;
+pub mod verdict;
+
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval};
+use whinspindle_configuration::Settings;
+
+use crate::clients::Clients;
+use crate::connect::TcpConnect;
+use crate::feed::Identity;
+use crate::node::Node;
+
+/// How often times that are over are looked for.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Why the proxy could not start.
+#[derive(Debug, Snafu)]
+pub enum ProxyError {
+    #[snafu(display("the settings name no `listen.{name}`"))]
+    NoAddress { name: &'static str },
+    #[snafu(display("cannot listen on {address}"))]
+    Listen { address: SocketAddr, source: std::io::Error },
+    #[snafu(display("cannot wait for signals"))]
+    Signals { source: std::io::Error },
+}
+
+/// Runs the proxy until it is told to stop and its clients have their answers. Wants a runtime of one thread.
+pub async fn run(settings: Settings) -> Result<(), ProxyError> {
+    LocalSet::new().run_until(serve(settings)).await
+}
+
+async fn serve(settings: Settings) -> Result<(), ProxyError> {
+    let signals = Signals::catch().context(SignalsSnafu)?;
+    let front = settings.listen.front.context(NoAddressSnafu { name: "front" })?;
+    let ready = settings.listen.ready.context(NoAddressSnafu { name: "ready" })?;
+    let front_listener = listen(front).await?;
+    let ready_listener = listen(ready).await?;
+    let node = Rc::new(Node::new(settings, Box::new(TcpConnect), random_number()));
+    let clients = Rc::new(Clients::default());
+    spawn_local(signals.follow(Rc::clone(&node)));
+    spawn_local(ready::run(ready_listener, Rc::clone(&node)));
+    spawn_local(feed::run(Rc::clone(&node), Identity { front, incarnation: random_number() }));
+    spawn_local(tick(Rc::clone(&node), Rc::clone(&clients)));
+    tokio::select! {
+        () = clients::run(front_listener, Rc::clone(&node), clients) => {}
+        () = node.stop.answering_ends() => spdlog::warn!("stopping with answers under way"),
+    }
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ProxyError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+async fn tick(node: Rc<Node>, clients: Rc<Clients>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        node.tick();
+        clients.sweep(&node);
+    }
+}
+
+/// Differs for each start of the process.
+fn random_number() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
+/// The signals that the platform sends.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn catch() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+
+    async fn follow(mut self, node: Rc<Node>) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => stop(&node),
+                _ = self.interrupt.recv() => stop(&node),
+                // All that the proxy follows at run time comes by its agent.
+                _ = self.hang_up.recv() => spdlog::info!("settings may have changed"),
+            }
+        }
+    }
+}
+
+fn stop(node: &Node) {
+    spdlog::info!("stopping");
+    node.stop.order();
+    node.report_due.notify_one();
+}
--- /dev/null
+++ b/dataplane/proxy/src/node.rs
@@ -0,0 +1,114 @@
+//! What the parts of the proxy share.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+use whinspindle_configuration::{Configuration, ConfigurationError, Settings};
+use whinspindle_distribution::{Holder, Update};
+use whinspindle_routing::{Router, RouterSettings};
+
+use crate::clock::Clock;
+use crate::connect::Connect;
+use crate::limits::{Budget, LimitsInForce, Shares};
+use crate::pool::{Pool, PoolLimits};
+use crate::stop::{Stop, StopTimes};
+
+/// The part of an upstream's connections that all balancers together use.
+const CONNECTIONS_PART: f64 = 0.9;
+
+/// The state of the process. One thread uses it; nothing is borrowed over a wait.
+pub struct Node {
+    pub settings: Settings,
+    pub clock: Clock,
+    pub shares: Shares,
+    pub router: RefCell<Router>,
+    pub limits: RefCell<LimitsInForce>,
+    pub pool: Pool,
+    pub bodies: Budget,
+    pub stop: Stop,
+    /// Something has changed that the control plane wants to know at once.
+    pub report_due: Notify,
+    pub holder: RefCell<Holder>,
+    configuration: RefCell<Option<Arc<Configuration>>>,
+    balancers: Cell<u32>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, connect: Box<dyn Connect>, seed: u64) -> Self {
+        let clock = Clock::starting_now();
+        let shares = Shares::of(&settings.limits);
+        let router_settings = RouterSettings {
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            zones: settings.zones.clone(),
+            bounds: settings.bounds.clone(),
+            heartbeat_ms: settings.heartbeat_ms,
+            seed,
+        };
+        let grace = std::time::Duration::from_millis(settings.bounds.grace_ms);
+        Node {
+            clock,
+            shares,
+            router: RefCell::new(Router::new(router_settings, clock.now_ms())),
+            limits: RefCell::default(),
+            pool: Pool::new(connect, PoolLimits { total: shares.upstreams }),
+            bodies: Budget::new(shares.body_bytes),
+            stop: Stop::new(StopTimes::of(grace)),
+            report_due: Notify::new(),
+            holder: RefCell::default(),
+            configuration: RefCell::default(),
+            balancers: Cell::new(1),
+            settings,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// A configuration and the instances are known, and the process is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.configuration.borrow().is_some() && self.holder.borrow().instances().is_some();
+        knows && !self.stop.is_ordered()
+    }
+
+    /// The most connections that this process may have to one upstream of a service.
+    pub fn most_connections(&self, max_conns: u32) -> usize {
+        let share = f64::from(max_conns) * CONNECTIONS_PART / f64::from(self.balancers.get().max(1));
+        (share as usize).max(1)
+    }
+
+    /// Puts what is new in an update in force.
+    pub fn apply(&self, update: Update) -> Result<(), ConfigurationError> {
+        let now = self.clock.now_ms();
+        let news = self.holder.borrow_mut().apply(now, update);
+        let mut router = self.router.borrow_mut();
+        if let Some(fleet) = &news.fleet {
+            self.balancers.set(fleet.balancers);
+            router.fleet(now, fleet);
+        }
+        if let Some(evacuations) = &news.evacuations {
+            router.evacuations(now, &evacuations.zones);
+        }
+        let configured = news.configured.map(|configured| Configuration::parse(&configured.body));
+        if let Some(Ok(configuration)) = &configured {
+            let configuration = Arc::new(configuration.clone());
+            router.configure(now, &configuration);
+            self.limits.borrow_mut().replace(&configuration.limits);
+            *self.configuration.borrow_mut() = Some(configuration);
+        }
+        if let Some(instances) = &news.instances {
+            router.instances(now, instances);
+        }
+        configured.transpose().map(|_| ())
+    }
+
+    /// Does what is due by time alone.
+    pub fn tick(&self) {
+        self.router.borrow_mut().tick(self.clock.now_ms());
+        let router = self.router.borrow();
+        self.pool.sweep(|instance| router.target(instance).is_some());
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/src/pool.rs
@@ -0,0 +1,175 @@
+//! Connections to upstreams: those that stand idle, and how many may be open.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, timeout};
+use whinspindle_routing::InstanceKey;
+
+use crate::connect::Connect;
+use crate::lane::Lane;
+
+/// After an answer a connection carries nothing for so long: a surplus answer shows itself meanwhile.
+const REST: Duration = Duration::from_millis(20);
+/// A connection is dropped at this part of the time after which the upstream closes it.
+const IDLE_PART: f64 = 0.7;
+/// For how long an upstream keeps an idle connection if its answers give no time, which is less than a second.
+const UNTOLD_IDLE: Duration = Duration::from_millis(500);
+/// Longer than a round trip between regions.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Why there is no connection.
+#[derive(Debug, Snafu)]
+pub enum NoLane {
+    #[snafu(display("all connections that may be open to the upstream are in use"))]
+    Full,
+    #[snafu(display("the upstream did not take the connection in time"))]
+    Silent,
+    #[snafu(display("the upstream did not take the connection"))]
+    Refused { source: std::io::Error },
+    #[snafu(display("the connection can't be made ready"))]
+    Handshake { source: hyper::Error },
+}
+
+/// How many connections may be open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// To all upstreams together.
+    pub total: usize,
+}
+
+/// The connections to all upstreams.
+pub struct Pool {
+    connect: Box<dyn Connect>,
+    limits: PoolLimits,
+    total: Rc<Cell<usize>>,
+    instances: RefCell<HashMap<InstanceKey, Lanes>>,
+}
+
+#[derive(Default)]
+struct Lanes {
+    open: Rc<Cell<usize>>,
+    /// The one used last stands last.
+    idle: Vec<Idle>,
+}
+
+struct Idle {
+    since: Instant,
+    until: Instant,
+    leased: Leased,
+}
+
+/// A connection in use; it counts among the open ones until it is dropped.
+pub struct Leased {
+    pub lane: Lane,
+    /// For how long the upstream keeps it once it is idle, as far as its answers tell.
+    pub keeps: Option<Duration>,
+    instance: InstanceKey,
+    _place: Place,
+}
+
+struct Place {
+    total: Rc<Cell<usize>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Place {
+    fn take(total: &Rc<Cell<usize>>, open: &Rc<Cell<usize>>) -> Place {
+        total.set(total.get() + 1);
+        open.set(open.get() + 1);
+        Place { total: Rc::clone(total), open: Rc::clone(open) }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - 1);
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+impl Pool {
+    pub fn new(connect: Box<dyn Connect>, limits: PoolLimits) -> Self {
+        Pool { connect, limits, total: Rc::default(), instances: RefCell::default() }
+    }
+
+    /// A connection to the instance: an idle one, or a new one if no more than `most` are open.
+    pub async fn lease(
+        &self,
+        instance: InstanceKey,
+        address: SocketAddr,
+        most: usize,
+    ) -> Result<Leased, NoLane> {
+        while let Some(mut leased) = self.take_idle(instance) {
+            if leased.lane.is_still_open().await {
+                return Ok(leased);
+            }
+        }
+        let place = self.take_place(instance, most)?;
+        let socket = timeout(CONNECT_LIMIT, self.connect.connect(address)).await;
+        let socket = socket.map_err(|_| NoLane::Silent)?.context(RefusedSnafu)?;
+        let lane = Lane::open(socket).await.context(HandshakeSnafu)?;
+        Ok(Leased { lane, keeps: None, instance, _place: place })
+    }
+
+    /// Puts back a connection that may carry another request.
+    pub fn give_back(&self, leased: Leased) {
+        let since = Instant::now();
+        let until = since + leased.keeps.unwrap_or(UNTOLD_IDLE).mul_f64(IDLE_PART);
+        let mut instances = self.instances.borrow_mut();
+        let lanes = instances.entry(leased.instance).or_default();
+        lanes.idle.push(Idle { since, until, leased });
+    }
+
+    /// Drops idle connections whose time is over, and those to instances that are gone.
+    pub fn sweep(&self, is_known: impl Fn(InstanceKey) -> bool) {
+        let now = Instant::now();
+        self.instances.borrow_mut().retain(|&instance, lanes| {
+            lanes.idle.retain(|idle| idle.until > now);
+            let known = is_known(instance);
+            if !known {
+                lanes.idle.clear();
+            }
+            known || lanes.open.get() > 0
+        });
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.total.get()
+    }
+
+    /// The idle connection that was used last, so that those that are not needed grow old.
+    fn take_idle(&self, instance: InstanceKey) -> Option<Leased> {
+        let now = Instant::now();
+        let mut instances = self.instances.borrow_mut();
+        let lanes = instances.get_mut(&instance)?;
+        lanes.idle.retain(|idle| idle.until > now);
+        let rested = lanes.idle.iter().rposition(|idle| idle.since + REST <= now)?;
+        Some(lanes.idle.remove(rested).leased)
+    }
+
+    fn take_place(&self, instance: InstanceKey, most: usize) -> Result<Place, NoLane> {
+        if self.total.get() >= self.limits.total && !self.drop_oldest_idle() {
+            return FullSnafu.fail();
+        }
+        let mut instances = self.instances.borrow_mut();
+        let lanes = instances.entry(instance).or_default();
+        if lanes.open.get() >= most {
+            return FullSnafu.fail();
+        }
+        Ok(Place::take(&self.total, &lanes.open))
+    }
+
+    fn drop_oldest_idle(&self) -> bool {
+        let mut instances = self.instances.borrow_mut();
+        let oldest = instances.values_mut().filter(|lanes| !lanes.idle.is_empty());
+        let Some(lanes) = oldest.min_by_key(|lanes| lanes.idle[0].since) else { return false };
+        lanes.idle.remove(0);
+        true
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/src/stop.rs
@@ -0,0 +1,73 @@
+//! The order to stop: how long clients are still taken, and by when all answers must be out.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+/// Clients learn from new answers to their look-ups that this machine leaves, and are served meanwhile.
+const STILL_ACCEPTING: Duration = Duration::from_secs(2);
+/// What the last answers need to reach their clients.
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+
+/// When things end after the order to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTimes {
+    /// From the order to the end of the listener.
+    pub accepting: Duration,
+    /// From the order to the end of the process.
+    pub answering: Duration,
+}
+
+impl StopTimes {
+    /// The process is killed `grace` after the order.
+    pub fn of(grace: Duration) -> Self {
+        StopTimes { accepting: STILL_ACCEPTING.min(grace / 4), answering: grace.saturating_sub(LAST_ANSWERS) }
+    }
+}
+
+/// Whether and when the process was told to stop.
+pub struct Stop {
+    times: StopTimes,
+    ordered: Cell<Option<Instant>>,
+    order: Notify,
+}
+
+impl Stop {
+    pub fn new(times: StopTimes) -> Self {
+        Stop { times, ordered: Cell::new(None), order: Notify::new() }
+    }
+
+    /// Gives the order. Further orders change nothing.
+    pub fn order(&self) {
+        if self.ordered.get().is_none() {
+            self.ordered.set(Some(Instant::now()));
+            self.order.notify_waiters();
+        }
+    }
+
+    pub fn is_ordered(&self) -> bool {
+        self.ordered.get().is_some()
+    }
+
+    /// Waits for the order, and then until no more clients are to be taken.
+    pub async fn accepting_ends(&self) {
+        sleep_until(self.ordered().await + self.times.accepting).await;
+    }
+
+    /// Waits for the order, and then until the process has to end.
+    pub async fn answering_ends(&self) {
+        sleep_until(self.ordered().await + self.times.answering).await;
+    }
+
+    async fn ordered(&self) -> Instant {
+        loop {
+            let order = self.order.notified();
+            if let Some(at) = self.ordered.get() {
+                return at;
+            }
+            order.await;
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/src/stream.rs
@@ -0,0 +1,275 @@
+//! The body of a streaming answer: whole events go on as they come, and a resumable stream that breaks goes on at
+//! another upstream inside the same answer.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderValue, response};
+use tokio::time::{Instant, Sleep, sleep_until};
+use whinspindle_configuration::Route;
+use whinspindle_routing::Outcome;
+
+use crate::answers::StreamCut;
+use crate::events::Position;
+use crate::exchange::{Chosen, Exchange, GivenUp, OpenStream, Opened, Run, versions_of};
+use crate::request::ResumePoint;
+
+/// So many bytes of events go on at once at most.
+const MOST_AT_ONCE: usize = 64 * 1024;
+/// Clients give a stream up after the longest of this silence, so many objectives and so many pauses.
+const CLIENT_SILENCE: Duration = Duration::from_secs(2);
+const CLIENT_OBJECTIVES: u64 = 4;
+const CLIENT_PAUSES: u64 = 8;
+/// The part of a client's patience after which a silent stream moves to another upstream.
+const SILENCE_PART: f64 = 0.6;
+
+/// For how long a stream may be silent before it moves to another upstream.
+pub fn silence_limit(route: &Route) -> Duration {
+    let objectives = Duration::from_millis(route.target_ms.saturating_mul(CLIENT_OBJECTIVES));
+    let pauses = Duration::from_millis(route.gap_aim_ms.unwrap_or(0).saturating_mul(CLIENT_PAUSES));
+    CLIENT_SILENCE.max(objectives).max(pauses).mul_f64(SILENCE_PART)
+}
+
+type Resumed = (Exchange, Result<Opened, GivenUp>);
+
+enum State {
+    Flowing(Box<Flow>),
+    Resuming(Pin<Box<dyn Future<Output = Resumed>>>),
+    /// The client's connection is to be cut.
+    Cut,
+    Ended,
+}
+
+/// A run under way, and the request it answers.
+struct Flow {
+    exchange: Exchange,
+    run: Run,
+}
+
+/// A streaming answer under way.
+pub struct StreamAnswer {
+    state: State,
+    /// Whole events that have not gone on yet.
+    ready: Bytes,
+    /// Events have been passed on up to here.
+    position: Position,
+    versions: Option<HeaderValue>,
+    due: Pin<Box<Sleep>>,
+    /// Ends when the stream has been silent for too long; only where it may move.
+    silence: Option<Silence>,
+}
+
+struct Silence {
+    limit: Duration,
+    last_event: Instant,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Silence {
+    fn new(limit: Duration) -> Self {
+        let now = Instant::now();
+        Silence { limit, last_event: now, timer: Box::pin(sleep_until(now + limit)) }
+    }
+
+    /// Ready once nothing has come for the whole limit. The timer is not moved with each event.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            ready!(self.timer.as_mut().poll(cx));
+            let end = self.last_event + self.limit;
+            if end <= Instant::now() {
+                return Poll::Ready(());
+            }
+            self.timer.as_mut().reset(end);
+        }
+    }
+
+    fn restart(&mut self) {
+        self.last_event = Instant::now();
+        self.timer.as_mut().reset(self.last_event + self.limit);
+    }
+}
+
+impl StreamAnswer {
+    /// The answer for a stream that has begun.
+    pub fn begin(exchange: Exchange, open: OpenStream) -> (response::Parts, Self) {
+        let route = exchange.matched().route();
+        let silence = exchange.may_resume().then(|| Silence::new(silence_limit(route)));
+        let due = Box::pin(sleep_until(exchange.due()));
+        let versions = versions_of(&open.head);
+        let position = open.run.as_ref().map(|run| run.splitter.position()).unwrap_or_default();
+        let state = match open.run {
+            Some(run) => State::Flowing(Box::new(Flow { exchange, run })),
+            None => State::Ended,
+        };
+        (open.head, StreamAnswer { state, ready: open.first, position, versions, due, silence })
+    }
+
+    /// Nothing more follows.
+    pub fn is_ended(&self) -> bool {
+        self.ready.is_empty() && matches!(self.state, State::Ended)
+    }
+
+    /// The next whole events; none once the stream is complete.
+    pub fn poll_events(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamCut>>> {
+        if !self.ready.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.ready))));
+        }
+        if !matches!(self.state, State::Ended) && self.due.as_mut().poll(cx).is_ready() {
+            self.state = State::Ended;
+            return Poll::Ready(Some(Err(StreamCut::TimeOver)));
+        }
+        loop {
+            let events = match std::mem::replace(&mut self.state, State::Ended) {
+                State::Ended => return Poll::Ready(None),
+                State::Cut => return Poll::Ready(Some(Err(StreamCut::Broken))),
+                State::Flowing(flow) => ready!(self.poll_flow(flow, cx)),
+                State::Resuming(resuming) => ready!(self.poll_resuming(resuming, cx)),
+            };
+            if !events.is_empty() {
+                return Poll::Ready(Some(Ok(events)));
+            }
+        }
+    }
+
+    /// Moves a run on. Ready with whole events, or with none if the state has changed.
+    fn poll_flow(&mut self, mut flow: Box<Flow>, cx: &mut Context<'_>) -> Poll<Bytes> {
+        let mut events = Events::default();
+        let broke = loop {
+            if events.length >= MOST_AT_ONCE {
+                break false;
+            }
+            let run = &mut flow.run;
+            let data = match run.leased.lane.poll_body(&mut run.body, cx) {
+                Poll::Pending => break false,
+                Poll::Ready(None) => {
+                    events.add(run.splitter.finish());
+                    let Flow { exchange, run } = *flow;
+                    run.complete(&exchange.node, cx);
+                    return Poll::Ready(events.take());
+                }
+                Poll::Ready(Some(Err(_))) => break true,
+                Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            match run.splitter.push(data) {
+                Ok(whole) => events.add(whole),
+                Err(_) => break true,
+            }
+        };
+        if events.length > 0 {
+            self.position = flow.run.splitter.position();
+            self.note_events();
+        }
+        if broke {
+            self.resume_or_cut(flow);
+        } else if events.length > 0 {
+            self.state = State::Flowing(flow);
+        } else {
+            return self.wait(flow, cx);
+        }
+        Poll::Ready(events.take())
+    }
+
+    /// Nothing is here for now. A stream that has been silent for too long moves on, if another upstream takes it.
+    fn wait(&mut self, mut flow: Box<Flow>, cx: &mut Context<'_>) -> Poll<Bytes> {
+        if let Some(silence) = &mut self.silence
+            && silence.poll(cx).is_ready()
+        {
+            if self.position.last_id.is_some()
+                && flow.exchange.may_resume()
+                && let Ok(chosen) = flow.exchange.choose()
+            {
+                self.move_on(flow, Some(chosen));
+                return Poll::Ready(Bytes::new());
+            }
+            silence.restart();
+            let _ = silence.poll(cx);
+        }
+        self.state = State::Flowing(flow);
+        Poll::Pending
+    }
+
+    fn poll_resuming(
+        &mut self,
+        mut resuming: Pin<Box<dyn Future<Output = Resumed>>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Bytes> {
+        let Poll::Ready((exchange, resumed)) = resuming.as_mut().poll(cx) else {
+            self.state = State::Resuming(resuming);
+            return Poll::Pending;
+        };
+        let Ok(Opened::Stream(open)) = resumed else {
+            self.state = State::Cut;
+            return Poll::Ready(Bytes::new());
+        };
+        self.note_events();
+        if let Some(run) = open.run {
+            self.position = run.splitter.position();
+            self.state = State::Flowing(Box::new(Flow { exchange, run }));
+        }
+        Poll::Ready(open.first)
+    }
+
+    fn note_events(&mut self) {
+        if let Some(silence) = &mut self.silence {
+            silence.last_event = Instant::now();
+        }
+    }
+
+    /// What comes after a run that broke.
+    fn resume_or_cut(&mut self, flow: Box<Flow>) {
+        if self.position.last_id.is_some() && flow.exchange.may_resume() {
+            self.move_on(flow, None);
+            return;
+        }
+        let mut flow = flow;
+        flow.run.sent.finish(Outcome::Broken);
+        self.state = State::Cut;
+    }
+
+    /// Ends a run and asks another upstream for what follows.
+    fn move_on(&mut self, flow: Box<Flow>, chosen: Option<Chosen>) {
+        let Flow { mut exchange, mut run } = *flow;
+        run.sent.finish(Outcome::Broken);
+        // The old run must not go on beside the new one.
+        drop(run);
+        exchange.resume_after(ResumePoint { position: self.position, versions: self.versions.clone() });
+        self.state = State::Resuming(Box::pin(async move {
+            let resumed = exchange.open(chosen).await;
+            (exchange, resumed)
+        }));
+    }
+}
+
+/// Whole events that go on together.
+#[derive(Default)]
+struct Events {
+    first: Bytes,
+    more: BytesMut,
+    length: usize,
+}
+
+impl Events {
+    fn add(&mut self, events: Bytes) {
+        self.length += events.len();
+        if self.first.is_empty() {
+            self.first = events;
+        } else {
+            self.more.extend_from_slice(&events);
+        }
+    }
+
+    fn take(&mut self) -> Bytes {
+        self.length = 0;
+        let first = std::mem::take(&mut self.first);
+        if self.more.is_empty() {
+            return first;
+        }
+        let mut whole = BytesMut::with_capacity(first.len() + self.more.len());
+        whole.extend_from_slice(&first);
+        whole.extend_from_slice(&std::mem::take(&mut self.more));
+        whole.freeze()
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/tests/events.rs
@@ -0,0 +1,127 @@
+//! The splitter of event streams: whole events whatever the pieces, and ids that rise.
+
+use bytes::Bytes;
+use quickcheck::{TestResult, quickcheck};
+use whinspindle_proxy::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES, Position};
+
+fn push(splitter: &mut EventSplitter, piece: &str) -> Result<String, EventError> {
+    let events = splitter.push(Bytes::copy_from_slice(piece.as_bytes()))?;
+    Ok(String::from_utf8(events.to_vec()).expect("events are text"))
+}
+
+fn event(id: u64, text: &str) -> String {
+    format!("id: {id}\ndata: {text}\n\n")
+}
+
+#[test]
+fn whole_events_pass_at_once() {
+    let mut splitter = EventSplitter::new();
+    let two = event(1, "a") + &event(2, "b");
+    assert_eq!(push(&mut splitter, &two), Ok(two));
+    assert_eq!(splitter.position(), Position { last_id: Some(2), largest_step: Some(1) });
+    assert!(splitter.finish().is_empty());
+}
+
+#[test]
+fn a_partial_event_is_held_back() {
+    let mut splitter = EventSplitter::new();
+    assert_eq!(push(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda"), Ok(event(1, "a")));
+    assert_eq!(splitter.position().last_id, Some(1));
+    assert_eq!(push(&mut splitter, "ta: b\n"), Ok(String::new()));
+    assert_eq!(push(&mut splitter, "\nid"), Ok(event(2, "b")));
+    assert_eq!(splitter.position().last_id, Some(2));
+    assert_eq!(splitter.finish(), "id");
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns() {
+    let mut splitter = EventSplitter::new();
+    let events = "versions: 3\r\nid: 7\r\ndata: a\r\n\r\n";
+    assert_eq!(push(&mut splitter, events), Ok(events.to_owned()));
+    assert_eq!(splitter.position().last_id, Some(7));
+}
+
+#[test]
+fn ids_must_rise() {
+    for (first, second) in [(5, 5), (5, 4)] {
+        let mut splitter = EventSplitter::new();
+        let events = event(first, "a") + &event(second, "b");
+        assert_eq!(push(&mut splitter, &events), Err(EventError::NotRising { last: first, id: second }));
+    }
+}
+
+#[test]
+fn a_resumed_run_goes_on_where_the_first_stopped() {
+    let position = Position { last_id: Some(12), largest_step: Some(4) };
+    let cases = [
+        (13, Ok(())),
+        (16, Ok(())),
+        (12, Err(EventError::NotRising { last: 12, id: 12 })),
+        (4, Err(EventError::NotRising { last: 12, id: 4 })),
+        (17, Err(EventError::Gap { last: 12, id: 17 })),
+    ];
+    for (id, expected) in cases {
+        let mut splitter = EventSplitter::resuming(position);
+        assert_eq!(push(&mut splitter, &event(id, "x")).map(|_| ()), expected, "id {id}");
+    }
+}
+
+#[test]
+fn only_the_first_event_of_a_resumed_run_is_held_against_the_step() {
+    let mut splitter = EventSplitter::resuming(Position { last_id: Some(12), largest_step: Some(1) });
+    let events = event(13, "a") + &event(20, "b");
+    assert_eq!(push(&mut splitter, &events), Ok(events));
+    assert_eq!(splitter.position(), Position { last_id: Some(20), largest_step: Some(7) });
+}
+
+#[test]
+fn events_without_ids_pass() {
+    let mut splitter = EventSplitter::new();
+    let events = ": still there\n\ndata: a\n\n";
+    assert_eq!(push(&mut splitter, events), Ok(events.to_owned()));
+    assert_eq!(splitter.position(), Position::default());
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut splitter = EventSplitter::new();
+    let half = "x".repeat(MAXIMUM_EVENT_BYTES / 2 + 1);
+    assert_eq!(push(&mut splitter, &half), Ok(String::new()));
+    assert_eq!(push(&mut splitter, &half), Err(EventError::TooLong));
+}
+
+/// Splits the text at the places that the cuts name.
+fn pieces(text: &str, cuts: &[usize]) -> Vec<String> {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (text.len() + 1)).collect();
+    places.extend([0, text.len()]);
+    places.sort_unstable();
+    places.windows(2).map(|pair| text[pair[0]..pair[1]].to_owned()).collect()
+}
+
+quickcheck! {
+    fn pieces_change_nothing(steps: Vec<u8>, cuts: Vec<usize>, tail: bool) -> TestResult {
+        let mut id = 0;
+        let mut text = String::new();
+        for step in &steps {
+            id += u64::from(*step) + 1;
+            text += &event(id, &"t".repeat(usize::from(*step) % 7));
+        }
+        let whole = text.clone();
+        if tail {
+            text += "id: 9999999\ndata: cut";
+        }
+        let mut splitter = EventSplitter::new();
+        let mut passed = String::new();
+        for piece in pieces(&text, &cuts) {
+            let Ok(events) = push(&mut splitter, &piece) else { return TestResult::failed() };
+            if !events.is_empty() && !events.ends_with("\n\n") {
+                return TestResult::failed();
+            }
+            passed += &events;
+        }
+        let last = (id > 0).then_some(id);
+        let rest = splitter.finish();
+        let kept = rest == text.as_bytes()[whole.len()..];
+        TestResult::from_bool(passed == whole && splitter.position().last_id == last && kept)
+    }
+}
