--- /dev/null
+++ b/dataplane/routing/src/health.rs
@@ -0,0 +1,47 @@
+//! Whether an instance answers, as seen by this balancer's own sends alone.
+
+/// An instance rests after so many sends in a row that came to nothing.
+const STRIKES: u32 = 2;
+const FIRST_REST_MS: u64 = 300;
+/// A rest doubles so many times at most.
+const DOUBLINGS: u32 = 4;
+
+/// Counts sends that came to nothing, and rests the instance for a while: first shortly, then longer each time that
+/// the trial after a rest fails too.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    strikes: u32,
+    rests: u32,
+    resting_until: u64,
+    last_answer: u64,
+}
+
+impl Health {
+    /// Any answer ends the doubt.
+    pub(crate) fn answered(&mut self, now: u64) {
+        *self = Health { last_answer: now, ..Health::default() };
+    }
+
+    pub(crate) fn last_answer(&self) -> u64 {
+        self.last_answer
+    }
+
+    /// A send came to nothing; answers whether a rest is due.
+    pub(crate) fn failed(&mut self) -> bool {
+        self.strikes += 1;
+        self.strikes >= STRIKES
+    }
+
+    pub(crate) fn rest(&mut self, now: u64) {
+        if now < self.resting_until {
+            return;
+        }
+        self.resting_until = now + (FIRST_REST_MS << self.rests.min(DOUBLINGS));
+        self.rests += 1;
+    }
+
+    /// Whether it rests, or is on trial and its one send is not answered yet.
+    pub(crate) fn is_resting(&self, now: u64, unanswered: u32) -> bool {
+        now < self.resting_until || (self.rests > 0 && unanswered > 0)
+    }
+}
--- /dev/null
+++ b/dataplane/routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! Which upstream a request goes to. A state machine: times are handed in, nothing is read from a clock or a
+//! socket, and chance comes from a seeded generator.
+//!
+//! The ordinary path is the design's: a region drawn by weights that are solved for from measured latency and exchanged
+//! load, a random pick inside it that passes over the crowded. `docs/system-design.md` tells when an exception acts.
+
+mod affinity;
+mod balancer_count;
+mod budget;
+mod catalogue;
+mod cold;
+mod health;
+mod home;
+mod instance;
+mod rate;
+mod region;
+mod request;
+mod router;
+mod service;
+
+pub use request::{Attempt, Choice, InstanceKey, Outcome, PromptPart, Refusal, RefusalReason, RequestFacts};
+pub use router::{InstanceTarget, Router, RouterSettings};
--- /dev/null
+++ b/dataplane/routing/src/router.rs
@@ -0,0 +1,522 @@
+//! The state machine that decides where a request goes.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use whinspindle::pcg::Pcg;
+use whinspindle_configuration::{Bounds, Configuration};
+use whinspindle_distribution::{Fleet, Instance, Instances, RegionLoad, ServiceRegion};
+
+use crate::affinity::shared_prefix;
+use crate::balancer_count::BalancerCount;
+use crate::catalogue::{Catalogue, RegionId, RoutePlan, ServiceId};
+use crate::cold::ColdPace;
+use crate::instance::InstanceState;
+use crate::region::CHECK_MS;
+use crate::service::{Place, Service};
+use crate::{Attempt, Choice, InstanceKey, Outcome, Refusal, RefusalReason, RequestFacts};
+
+/// How often silent instances are looked for while sends are out.
+const LOOK_MS: u64 = 500;
+/// How many ids of instances that take no new requests are remembered.
+const RETIRED_CAPACITY: usize = 4096;
+/// How many sends may be out at once, and for how long one is remembered.
+const ATTEMPT_CAPACITY: usize = 1 << 16;
+const ATTEMPT_MS: u64 = 900_000;
+/// The instances of a zone that is taken back may be cold for this many heartbeat intervals, in halves.
+const SUSPECT_HALF_INTERVALS: u64 = 3;
+const SUSPECT_MARGIN_MS: u64 = 500;
+/// A client heeds a pause of a third of its time; this leaves it some.
+const MOST_OF_TIME_LEFT: f64 = 0.3;
+const LEAST_RETRY_AFTER_MS: f64 = 20.0;
+/// A pause is this part of the route's objective where nothing tells more.
+const RETRY_AFTER_PART: f64 = 0.25;
+const NO_UPSTREAM_RETRY_AFTER_MS: f64 = 500.0;
+
+/// What a router is told of its place and of the figures that bound it.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    pub zone: String,
+    pub region: String,
+    /// Region of each zone.
+    pub zones: BTreeMap<String, String>,
+    pub bounds: Bounds,
+    /// Time between two heartbeats of an instance.
+    pub heartbeat_ms: u64,
+    pub seed: u64,
+}
+
+/// Where an instance is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceTarget {
+    pub address: SocketAddr,
+    pub id: String,
+    pub zone: String,
+    pub region: String,
+}
+
+/// One send that is out.
+#[derive(Debug)]
+struct Send {
+    service: ServiceId,
+    instance: InstanceKey,
+    region: RegionId,
+    sent_at: u64,
+    load_per_ready: f64,
+    streaming: bool,
+    answered: bool,
+    /// It was counted against its instance for its silence.
+    struck: bool,
+}
+
+/// Decides where requests go. All times are milliseconds of one steady clock.
+pub struct Router {
+    settings: RouterSettings,
+    home: RegionId,
+    regions_with_balancers: usize,
+    chance: Pcg,
+    catalogue: Catalogue,
+    services: Vec<Service>,
+    /// The newest key for each id, and the service of each key.
+    keys: HashMap<String, InstanceKey>,
+    service_of: HashMap<InstanceKey, ServiceId>,
+    next_key: u64,
+    /// Ids of instances that take no new requests ever again.
+    retired: IndexSet<String>,
+    evacuated: BTreeSet<String>,
+    balancers: BalancerCount,
+    sends: HashMap<Attempt, Send>,
+    next_attempt: u64,
+    next_check: u64,
+}
+
+impl Router {
+    pub fn new(settings: RouterSettings, now: u64) -> Self {
+        let mut catalogue = Catalogue::default();
+        let home = catalogue.region(&settings.region);
+        let regions: BTreeSet<&String> = settings.zones.values().collect();
+        let regions_with_balancers = regions.len().max(1);
+        regions.into_iter().for_each(|name| _ = catalogue.region(name));
+        Router {
+            chance: Pcg::new(settings.seed),
+            settings,
+            home,
+            regions_with_balancers,
+            catalogue,
+            services: Vec::new(),
+            keys: HashMap::new(),
+            service_of: HashMap::new(),
+            next_key: 0,
+            retired: IndexSet::new(),
+            evacuated: BTreeSet::new(),
+            balancers: BalancerCount::default(),
+            sends: HashMap::new(),
+            next_attempt: 0,
+            next_check: now + CHECK_MS,
+        }
+    }
+
+    /// Puts a configuration in force. Requests matched under an older one are still understood by its generation.
+    pub fn configure(&mut self, now: u64, configuration: &Arc<Configuration>) {
+        self.catalogue.remember(configuration);
+        self.grow(now);
+        for told in &configuration.services {
+            let id = self.catalogue.service(&told.name);
+            self.services[id].cold_per_s = if told.cold_per_s > 0.0 { told.cold_per_s } else { 0.0 };
+        }
+        self.average_targets();
+        self.set_paces(now);
+    }
+
+    /// Replaces the instances that are known.
+    pub fn instances(&mut self, now: u64, instances: &Instances) {
+        self.refresh(now);
+        let listed: BTreeSet<&str> = instances.list.iter().map(|instance| instance.id.as_str()).collect();
+        for instance in self.services.iter_mut().flat_map(|service| service.instances.values_mut()) {
+            if !listed.contains(instance.target.id.as_str()) {
+                instance.unlisted_since.get_or_insert(now);
+            }
+        }
+        for told in &instances.list {
+            self.take_instance(now, told);
+        }
+        self.refresh(now);
+        self.check(now);
+    }
+
+    /// Replaces the zones that are evacuated.
+    pub fn evacuations(&mut self, now: u64, zones: &[String]) {
+        let evacuated: BTreeSet<String> = zones.iter().cloned().collect();
+        let suspect_ms = self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS;
+        for instance in self.services.iter_mut().flat_map(|service| service.instances.values_mut()) {
+            let was_evacuated = instance.evacuated;
+            instance.evacuated = evacuated.contains(&instance.target.zone);
+            if was_evacuated && !instance.evacuated {
+                instance.suspect_cold(now + suspect_ms);
+            }
+        }
+        self.evacuated = evacuated;
+        self.refresh(now);
+        self.check(now);
+    }
+
+    /// Replaces what is known of the fleet of balancers.
+    pub fn fleet(&mut self, now: u64, fleet: &Fleet) {
+        self.balancers.told(now, fleet.balancers);
+        let target = |load: &RegionLoad| {
+            let service = self.catalogue.service(&load.target.service);
+            (service, self.catalogue.region(&load.target.region), load.requests_per_s)
+        };
+        let loads: Vec<_> = fleet.loads.iter().map(target).collect();
+        self.grow(now);
+        for (id, service) in self.services.iter_mut().enumerate() {
+            let own = loads.iter().filter(|load| load.0 == id).map(|load| (load.1, load.2));
+            service.tell_loads(now, self.home, own);
+        }
+        self.set_paces(now);
+    }
+
+    /// Draws the service of a request by the route's weights: an index into the services of the newest configuration.
+    /// A service without any instance that may be sent to is left out while there is another.
+    pub fn draw_service(&mut self, route: usize) -> usize {
+        let Some(plan) = self.catalogue.newest_route(route) else { return 0 };
+        if let [(index, _, _)] = plan.backends.as_slice() {
+            return *index;
+        }
+        let has_instances = |id: ServiceId| self.services.get(id).is_some_and(Service::has_instances);
+        let able = |&(_, id, weight): &(usize, ServiceId, f64)| if has_instances(id) { weight } else { 0.0 };
+        let able: Vec<f64> = plan.backends.iter().map(able).collect();
+        let all: Vec<f64> = plan.backends.iter().map(|backend| backend.2).collect();
+        let drawn = self.chance.pick(&able).or_else(|| self.chance.pick(&all)).unwrap_or(0);
+        plan.backends.get(drawn).map_or(0, |backend| backend.0)
+    }
+
+    /// Chooses the instance for a first or a repeated send; `tried` are those that the request was sent to before.
+    pub fn choose(&mut self, now: u64, facts: &RequestFacts, tried: &[InstanceKey]) -> Choice {
+        let place = Place {
+            now,
+            home: self.home,
+            balancers: self.balancers.get(),
+            regions: self.regions_with_balancers,
+            bounds: &self.settings.bounds,
+        };
+        let resolved = self.catalogue.resolve(facts);
+        let Some((route, id, service)) =
+            resolved.and_then(|(r, id)| Some((r, id, self.services.get_mut(id)?)))
+        else {
+            return refuse(RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS, facts, &mut self.chance);
+        };
+        if tried.is_empty() {
+            service.note_arrival(now, place.bounds);
+        }
+        let result = if !tried.is_empty() && !service.budget.has_token() {
+            Err(RefusalReason::RetryBudget)
+        } else if self.sends.len() >= ATTEMPT_CAPACITY {
+            Err(RefusalReason::Full)
+        } else {
+            let prefix = if route.sticky { shared_prefix(&facts.prompt) } else { None };
+            service.choose(&place, route, prefix, tried, &mut self.chance)
+        };
+        let instance = match result {
+            Ok(instance) => instance,
+            Err(reason) => {
+                let wait_ms = retry_after_ms(reason, now, route, service);
+                return refuse(reason, wait_ms, facts, &mut self.chance);
+            }
+        };
+        if !tried.is_empty() {
+            service.budget.take();
+        }
+        let send = begin_send(service, &place, id, instance, route.streaming);
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt += 1;
+        self.sends.insert(attempt, send);
+        Choice::Send { attempt, instance }
+    }
+
+    /// Whether the instance may still be sent to; asked right before the first byte.
+    pub fn may_still_send(&self, instance: InstanceKey) -> bool {
+        self.instance(instance).is_some_and(InstanceState::may_be_sent_to)
+    }
+
+    /// The first event, or the head of an answer, has come.
+    pub fn first_event(&mut self, now: u64, attempt: Attempt) {
+        let Some(send) = self.sends.get_mut(&attempt).filter(|send| !send.answered) else { return };
+        send.answered = true;
+        let service = &mut self.services[send.service];
+        if let Some(instance) = service.instances.get_mut(&send.instance) {
+            instance.unanswered = instance.unanswered.saturating_sub(1);
+            instance.health.answered(now);
+        }
+        if send.streaming {
+            note_latency(service, now, send);
+        }
+    }
+
+    /// The send has ended. Each attempt is to be ended once.
+    pub fn finished(&mut self, now: u64, attempt: Attempt, outcome: Outcome) {
+        let Some(send) = self.sends.remove(&attempt) else { return };
+        let service = &mut self.services[send.service];
+        if let Some(instance) = service.instances.get_mut(&send.instance) {
+            instance.in_flight = instance.in_flight.saturating_sub(1);
+            instance.unanswered = instance.unanswered.saturating_sub(u32::from(!send.answered));
+        }
+        match outcome {
+            Outcome::Served => {
+                if !send.streaming {
+                    note_latency(service, now, &send);
+                }
+                self.note_answer(now, &send);
+            }
+            Outcome::Rejected => {
+                service.note_rejected(now, send.instance);
+                self.note_answer(now, &send);
+            }
+            Outcome::Misdirected => self.retire(send.service, send.instance),
+            Outcome::Unreachable => {
+                service.budget.give_back(&self.settings.bounds);
+                service.note_failure(now, send.instance);
+            }
+            Outcome::Failed | Outcome::Broken if !send.struck => service.note_failure(now, send.instance),
+            Outcome::Cancelled if is_silent(service, now, &send) => service.note_failure(now, send.instance),
+            Outcome::Failed | Outcome::Broken | Outcome::Cancelled => {}
+        }
+    }
+
+    /// Does what is due by time alone; answers when to call again at the latest.
+    pub fn tick(&mut self, now: u64) -> u64 {
+        self.strike_silent(now);
+        if now >= self.next_check {
+            self.next_check = now + CHECK_MS;
+            self.sends.retain(|_, send| send.sent_at + ATTEMPT_MS > now);
+            if self.balancers.pass_time(now) {
+                self.set_paces(now);
+            }
+            self.forget(now);
+            self.refresh(now);
+            self.check(now);
+        }
+        if self.sends.is_empty() { self.next_check } else { self.next_check.min(now + LOOK_MS) }
+    }
+
+    /// Requests a second that this balancer sends, by service and region.
+    pub fn sends(&self, now: u64) -> Vec<RegionLoad> {
+        let mut loads = Vec::new();
+        for (id, service) in self.services.iter().enumerate() {
+            for (region, model) in service.regions.iter().enumerate() {
+                let requests_per_s = model.sends.per_second(now);
+                if requests_per_s > 0.0 {
+                    let service = self.catalogue.service_name(id).to_owned();
+                    let region = self.catalogue.region_name(region).to_owned();
+                    loads.push(RegionLoad { target: ServiceRegion { service, region }, requests_per_s });
+                }
+            }
+        }
+        loads
+    }
+
+    /// Where the instance is reached, while it is known.
+    pub fn target(&self, instance: InstanceKey) -> Option<&InstanceTarget> {
+        self.instance(instance).map(|instance| &instance.target)
+    }
+
+    fn instance(&self, key: InstanceKey) -> Option<&InstanceState> {
+        self.services.get(*self.service_of.get(&key)?)?.instances.get(&key)
+    }
+
+    fn grow(&mut self, now: u64) {
+        let regions = self.catalogue.region_count();
+        while self.services.len() < self.catalogue.service_count() {
+            let mut service = Service::new(now);
+            service.budget.share_among(self.balancers.get(), &self.settings.bounds);
+            self.services.push(service);
+        }
+        self.services.iter_mut().for_each(|service| service.grow_regions(now, regions));
+    }
+
+    fn take_instance(&mut self, now: u64, told: &Instance) {
+        let service = self.catalogue.service(&told.service);
+        let region_name = self.settings.zones.get(&told.zone).cloned().unwrap_or_default();
+        let region = self.catalogue.region(&region_name);
+        self.grow(now);
+        if told.draining {
+            self.remember_retired(&told.id);
+        }
+        let key = self.key_for(service, told);
+        let target = || InstanceTarget {
+            address: told.address,
+            id: told.id.clone(),
+            zone: told.zone.clone(),
+            region: region_name,
+        };
+        let instances = &mut self.services[service].instances;
+        let instance = instances.entry(key).or_insert_with(|| InstanceState::new(target(), region));
+        instance.update(now, told);
+        instance.retired |= self.retired.contains(&told.id);
+        instance.evacuated = self.evacuated.contains(&told.zone);
+    }
+
+    /// The key of an instance; a new one where it is not known under this id, service, address and zone.
+    fn key_for(&mut self, service: ServiceId, told: &Instance) -> InstanceKey {
+        if let Some(&key) = self.keys.get(&told.id) {
+            let held = self.instance(key).map(|instance| &instance.target);
+            let same = held.is_some_and(|target| target.address == told.address && target.zone == told.zone);
+            if same && self.service_of.get(&key) == Some(&service) {
+                return key;
+            }
+            if let Some(instance) = self.instance_mut(key) {
+                instance.retired = true;
+            }
+        }
+        let key = InstanceKey(self.next_key);
+        self.next_key += 1;
+        self.keys.insert(told.id.clone(), key);
+        self.service_of.insert(key, service);
+        key
+    }
+
+    fn instance_mut(&mut self, key: InstanceKey) -> Option<&mut InstanceState> {
+        self.services.get_mut(*self.service_of.get(&key)?)?.instances.get_mut(&key)
+    }
+
+    fn retire(&mut self, service: ServiceId, key: InstanceKey) {
+        let Some(instance) = self.services[service].instances.get_mut(&key) else { return };
+        instance.retired = true;
+        let id = instance.target.id.clone();
+        self.remember_retired(&id);
+    }
+
+    fn remember_retired(&mut self, id: &str) {
+        if self.retired.contains(id) {
+            return;
+        }
+        if self.retired.len() >= RETIRED_CAPACITY {
+            self.retired.shift_remove_index(0);
+        }
+        self.retired.insert(id.to_owned());
+    }
+
+    fn note_answer(&mut self, now: u64, send: &Send) {
+        if let Some(instance) = self.services[send.service].instances.get_mut(&send.instance) {
+            instance.health.answered(now);
+        }
+    }
+
+    fn average_targets(&mut self) {
+        let mut sums = vec![(0.0, 0.0); self.services.len()];
+        for route in self.catalogue.newest_routes() {
+            for &(_, service, _) in &route.backends {
+                sums[service].0 += route.target_ms as f64;
+                sums[service].1 += 1.0;
+            }
+        }
+        for (service, (sum, count)) in self.services.iter_mut().zip(sums) {
+            service.target_ms = if count > 0.0 { sum / count } else { service.target_ms };
+        }
+    }
+
+    /// Shares out the bounds among the balancers that there are.
+    fn set_paces(&mut self, now: u64) {
+        let (balancers, bounds) = (self.balancers.get(), &self.settings.bounds);
+        for service in &mut self.services {
+            service.budget.share_among(balancers, bounds);
+            let bounded = service.cold_per_s > 0.0;
+            service.pace = if bounded { ColdPace::new(service.cold_per_s, balancers, bounds) } else { None };
+        }
+        self.refresh(now);
+    }
+
+    fn refresh(&mut self, now: u64) {
+        self.services.iter_mut().for_each(|service| service.refresh(now, &mut self.chance));
+    }
+
+    fn check(&mut self, now: u64) {
+        let place = Place {
+            now,
+            home: self.home,
+            balancers: self.balancers.get(),
+            regions: self.regions_with_balancers,
+            bounds: &self.settings.bounds,
+        };
+        self.services.iter_mut().for_each(|service| service.check(&place, &mut self.chance));
+    }
+
+    fn forget(&mut self, now: u64) {
+        self.services.iter_mut().for_each(|service| service.forget(now));
+        let services = &self.services;
+        self.service_of.retain(|key, service| services[*service].instances.contains_key(key));
+        let known = &self.service_of;
+        self.keys.retain(|_, key| known.contains_key(key));
+    }
+
+    /// Counts sends against instances that have answered nobody since.
+    fn strike_silent(&mut self, now: u64) {
+        for send in self.sends.values_mut() {
+            let service = &mut self.services[send.service];
+            if is_silent(service, now, send) {
+                send.struck = true;
+                service.note_failure(now, send.instance);
+            }
+        }
+    }
+}
+
+/// Whether a send has been out for too long at an instance that has answered nobody since.
+fn is_silent(service: &Service, now: u64, send: &Send) -> bool {
+    let instance = service.instances.get(&send.instance);
+    let since_answer = instance.is_some_and(|instance| instance.health.last_answer() < send.sent_at);
+    !send.answered && !send.struck && since_answer && send.sent_at + service.patience_ms() <= now
+}
+
+fn begin_send(
+    service: &mut Service,
+    place: &Place,
+    id: ServiceId,
+    key: InstanceKey,
+    streaming: bool,
+) -> Send {
+    let pace = service.pace;
+    let instance = &mut service.instances[&key];
+    instance.in_flight += 1;
+    instance.unanswered += 1;
+    if let Some(pace) = pace.filter(|_| instance.is_cold(place.now)) {
+        instance.cold_share.note_send(place.now, &pace);
+    }
+    let region = instance.region;
+    service.regions[region].sends.note(place.now);
+    Send {
+        service: id,
+        instance: key,
+        region,
+        sent_at: place.now,
+        load_per_ready: service.load_per_ready(region, place.now, place.balancers),
+        streaming,
+        answered: false,
+        struck: false,
+    }
+}
+
+fn note_latency(service: &mut Service, now: u64, send: &Send) {
+    let latency_ms = now.saturating_sub(send.sent_at) as f64;
+    service.note_latency(now, send.region, send.load_per_ready, latency_ms);
+}
+
+/// When another try makes sense, before what the client's time allows.
+fn retry_after_ms(reason: RefusalReason, now: u64, route: &RoutePlan, service: &Service) -> f64 {
+    let part_of_target = RETRY_AFTER_PART * route.target_ms as f64;
+    match reason {
+        RefusalReason::Full | RefusalReason::RetryBudget => part_of_target,
+        RefusalReason::Cold => service.cold_wait_ms(now).map_or(part_of_target, |wait| wait as f64),
+        RefusalReason::NoUpstream => NO_UPSTREAM_RETRY_AFTER_MS,
+    }
+}
+
+/// A refusal with the pause spread by chance, so that clients don't come back all at once.
+fn refuse(reason: RefusalReason, wait_ms: f64, facts: &RequestFacts, chance: &mut Pcg) -> Choice {
+    let most = (MOST_OF_TIME_LEFT * facts.time_left_ms as f64).max(LEAST_RETRY_AFTER_MS);
+    let spread = wait_ms * (0.75 + 0.5 * chance.unit());
+    let retry_after_ms = spread.clamp(LEAST_RETRY_AFTER_MS, most) as u64;
+    Choice::Refuse(Refusal { reason, retry_after_ms })
+}
--- /dev/null
+++ b/dataplane/routing/src/service.rs
@@ -0,0 +1,349 @@
+//! One service: its instances, its regions and what bounds the sends to it.
+
+use indexmap::IndexMap;
+use whinspindle::pcg::Pcg;
+use whinspindle_configuration::Bounds;
+
+use crate::affinity::{Crowd, SharedPrefix, rank};
+use crate::budget::RetryBudget;
+use crate::catalogue::{RegionId, RoutePlan};
+use crate::cold::ColdPace;
+use crate::home::{HomePreference, Traffic};
+use crate::instance::{InstanceState, Standing};
+use crate::rate::RateCounter;
+use crate::region::{self, Conditions, RegionModel, Solved};
+use crate::{InstanceKey, RefusalReason};
+
+/// What the balancers tell of their sends counts so long after it came.
+const TOLD_LOADS_MS: u64 = 15_000;
+/// Ready instances are counted anew after this time: rests and cold times end by themselves.
+const COUNT_MS: u64 = 50;
+/// An instance is passed over above this many times the mean in flight; the first send is never too many.
+const PASS_OVER: f64 = 2.0;
+const LEAST_PASSED_OVER: f64 = 1.0;
+/// So much of the latency objective is what a crossing to another region costs.
+pub(crate) const CROSSING_PART: f64 = 0.1;
+/// An instance that answers nobody for this many times the usual time is taken for silent.
+const SILENT: f64 = 4.0;
+const LEAST_SILENCE_MS: f64 = 1_000.0;
+/// An instance that turned a request away is full for this part of the usual time, within these bounds.
+const FULL_PART: f64 = 0.125;
+const FULL_MS: (f64, f64) = (10.0, 250.0);
+/// The usual latency moves by this part of the difference with each answer.
+const USUAL_STEP: f64 = 0.03;
+/// At least this part of the instances, and one, don't rest: beyond it the fault is not theirs.
+const AWAKE_PART: usize = 5;
+/// An unlisted instance is forgotten after this time.
+const FORGET_MS: u64 = 60_000;
+
+/// What sends from this balancer are drawn under.
+pub(crate) struct Place<'a> {
+    pub(crate) now: u64,
+    pub(crate) home: RegionId,
+    pub(crate) balancers: u32,
+    /// Regions that have balancers.
+    pub(crate) regions: usize,
+    pub(crate) bounds: &'a Bounds,
+}
+
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) instances: IndexMap<InstanceKey, InstanceState>,
+    pub(crate) regions: Vec<RegionModel>,
+    pub(crate) budget: RetryBudget,
+    /// Requests a second that a cold instance bears; 0 for no bound.
+    pub(crate) cold_per_s: f64,
+    /// Mean latency objective of the routes.
+    pub(crate) target_ms: f64,
+    pub(crate) pace: Option<ColdPace>,
+    arrivals: RateCounter,
+    home: HomePreference,
+    told_loads_at: Option<u64>,
+    solved: Solved,
+    usual_ms: f64,
+    counted_at: u64,
+    /// Scratch of `choose`: the candidates of the best standing, by index, and each region's weight.
+    candidates: Vec<usize>,
+    weights: Vec<f64>,
+}
+
+impl Service {
+    pub(crate) fn new(now: u64) -> Self {
+        Service {
+            instances: IndexMap::new(),
+            regions: Vec::new(),
+            budget: RetryBudget::default(),
+            cold_per_s: 0.0,
+            target_ms: 0.0,
+            pace: None,
+            arrivals: RateCounter::new(now),
+            home: HomePreference::new(now),
+            told_loads_at: None,
+            solved: Solved::default(),
+            usual_ms: 0.0,
+            counted_at: 0,
+            candidates: Vec::new(),
+            weights: Vec::new(),
+        }
+    }
+
+    pub(crate) fn grow_regions(&mut self, now: u64, count: usize) {
+        while self.regions.len() < count {
+            self.regions.push(RegionModel::new(now));
+        }
+    }
+
+    /// Whether some instance may be sent to at all.
+    pub(crate) fn has_instances(&self) -> bool {
+        self.instances.values().any(InstanceState::may_be_sent_to)
+    }
+
+    /// A request for the service has come.
+    pub(crate) fn note_arrival(&mut self, now: u64, bounds: &Bounds) {
+        self.arrivals.note(now);
+        self.budget.earn(bounds);
+    }
+
+    /// Begins and ends this balancer's shares of cold instances, and counts ready ones.
+    pub(crate) fn refresh(&mut self, now: u64, chance: &mut Pcg) {
+        for instance in self.instances.values_mut() {
+            if !instance.is_cold(now) {
+                instance.cold_share.end();
+            } else if let Some(pace) = &self.pace
+                && !instance.cold_share.is_begun()
+            {
+                instance.cold_share.begin(now, pace, chance.unit());
+            }
+        }
+        self.count_ready(now);
+    }
+
+    /// Forgets instances that have long been unlisted and hold no send.
+    pub(crate) fn forget(&mut self, now: u64) {
+        let kept = |instance: &InstanceState| {
+            instance.in_flight > 0 || instance.unlisted_since.is_none_or(|since| since + FORGET_MS > now)
+        };
+        self.instances.retain(|_, instance| kept(instance));
+    }
+
+    /// What all balancers send, by region.
+    pub(crate) fn tell_loads(
+        &mut self,
+        now: u64,
+        home: RegionId,
+        loads: impl Iterator<Item = (RegionId, f64)>,
+    ) {
+        self.regions.iter_mut().for_each(|region| region.told_load = 0.0);
+        self.told_loads_at = None;
+        for (region, load) in loads {
+            self.told_loads_at = Some(now);
+            self.regions[region].told_load += load;
+        }
+        if self.told_loads_at.is_some() {
+            self.home.correct(now, &self.regions, home);
+        }
+    }
+
+    /// Checks the weights of regions.
+    pub(crate) fn check(&mut self, place: &Place, chance: &mut Pcg) {
+        self.count_ready(place.now);
+        let conditions = Conditions {
+            now: place.now,
+            home: place.home,
+            rate: self.arrivals.per_second(place.now) * f64::from(place.balancers.max(1)),
+            crossing_ms: CROSSING_PART * self.target_ms,
+        };
+        let told = self.has_told_loads(place.now);
+        let (now, balancers) = (place.now, place.balancers);
+        let load = |region: &RegionModel| region_load(region, told, now, balancers);
+        region::check(&mut self.regions, &mut self.solved, &conditions, load, chance);
+    }
+
+    /// Load for each ready instance of a region.
+    pub(crate) fn load_per_ready(&self, region: RegionId, now: u64, balancers: u32) -> f64 {
+        let model = &self.regions[region];
+        region_load(model, self.has_told_loads(now), now, balancers) / model.ready.max(1.0)
+    }
+
+    /// How long an instance may be silent.
+    pub(crate) fn patience_ms(&self) -> u64 {
+        (SILENT * self.usual_ms).max(LEAST_SILENCE_MS) as u64
+    }
+
+    pub(crate) fn note_latency(&mut self, now: u64, region: RegionId, load_per_ready: f64, latency_ms: f64) {
+        self.regions[region].note_latency(now, load_per_ready, latency_ms);
+        let step = if self.usual_ms > 0.0 { USUAL_STEP } else { 1.0 };
+        self.usual_ms += step * (latency_ms - self.usual_ms);
+    }
+
+    /// A send came to nothing; the instance may rest, unless most others do so already.
+    pub(crate) fn note_failure(&mut self, now: u64, key: InstanceKey) {
+        let listed = self.instances.values().filter(|instance| instance.may_be_sent_to()).count();
+        let ready = self.instances.values().filter(|instance| instance.is_ready(now)).count();
+        let Some(instance) = self.instances.get_mut(&key) else { return };
+        if instance.health.failed() && ready > (listed / AWAKE_PART).max(1) {
+            instance.health.rest(now);
+            self.counted_at = 0;
+        }
+    }
+
+    pub(crate) fn note_rejected(&mut self, now: u64, key: InstanceKey) {
+        let full_ms = (FULL_PART * self.usual_ms).clamp(FULL_MS.0, FULL_MS.1) as u64;
+        if let Some(instance) = self.instances.get_mut(&key) {
+            instance.rejected(now + full_ms);
+        }
+    }
+
+    /// Chooses an instance for a request of this route, other than those tried.
+    pub(crate) fn choose(
+        &mut self,
+        place: &Place,
+        route: &RoutePlan,
+        prefix: Option<SharedPrefix>,
+        tried: &[InstanceKey],
+        chance: &mut Pcg,
+    ) -> Result<InstanceKey, RefusalReason> {
+        if place.now >= self.counted_at + COUNT_MS {
+            self.count_ready(place.now);
+        }
+        self.find_candidates(place.now, route, tried)?;
+        let region = self.draw_region(place, chance).ok_or(RefusalReason::NoUpstream)?;
+        let instances = &self.instances;
+        self.candidates.retain(|&index| instances[index].region == region);
+        let index = match prefix {
+            Some(prefix) => self.holder(prefix, chance),
+            None => self.pick(chance),
+        };
+        let (&key, _) = index.and_then(|i| self.instances.get_index(i)).ok_or(RefusalReason::NoUpstream)?;
+        Ok(key)
+    }
+
+    /// Milliseconds until a cold instance may have room for this balancer.
+    pub(crate) fn cold_wait_ms(&self, now: u64) -> Option<u64> {
+        let wait = |instance: &InstanceState| {
+            let share =
+                self.pace.as_ref().map_or(f64::INFINITY, |pace| instance.cold_share.wait_ms(now, pace));
+            instance.cold_for_ms(now).min(share as u64)
+        };
+        let cold =
+            self.instances.values().filter(|instance| instance.may_be_sent_to() && instance.is_cold(now));
+        cold.map(wait).min()
+    }
+
+    fn has_told_loads(&self, now: u64) -> bool {
+        self.told_loads_at.is_some_and(|at| at + TOLD_LOADS_MS >= now)
+    }
+
+    fn count_ready(&mut self, now: u64) {
+        self.counted_at = now;
+        let bounded = self.cold_per_s > 0.0;
+        let warm = |instance: &InstanceState| !(bounded && instance.is_cold(now));
+        let any_warm = self.instances.values().any(|instance| instance.is_ready(now) && warm(instance));
+        self.regions.iter_mut().for_each(|region| region.ready = 0.0);
+        for instance in self.instances.values() {
+            if instance.is_ready(now) && (!any_warm || warm(instance)) {
+                self.regions[instance.region].ready += 1.0;
+            }
+        }
+        region::set_shares(&mut self.regions);
+    }
+
+    /// Keeps the instances of the best standing that there is, in `candidates`.
+    fn find_candidates(
+        &mut self,
+        now: u64,
+        route: &RoutePlan,
+        tried: &[InstanceKey],
+    ) -> Result<(), RefusalReason> {
+        self.candidates.clear();
+        let mut best = Standing::Closed;
+        for (index, (key, instance)) in self.instances.iter().enumerate() {
+            if !route.allows(instance.region) || tried.contains(key) {
+                continue;
+            }
+            let standing = instance.standing(now, self.cold_per_s, self.pace.as_ref());
+            if standing < best {
+                self.candidates.clear();
+                best = standing;
+            }
+            if standing == best {
+                self.candidates.push(index);
+            }
+        }
+        match best {
+            Standing::Open | Standing::ColdOpen | Standing::Resting => Ok(()),
+            Standing::Full => Err(RefusalReason::Full),
+            Standing::ColdSpent => Err(RefusalReason::Cold),
+            Standing::Closed => Err(RefusalReason::NoUpstream),
+        }
+    }
+
+    /// Draws a region by weight among those that have candidates; the own region first, while it can serve them.
+    fn draw_region(&mut self, place: &Place, chance: &mut Pcg) -> Option<RegionId> {
+        self.weights.clear();
+        self.weights.resize(self.regions.len(), 0.0);
+        for &index in &self.candidates {
+            let region = self.instances[index].region;
+            self.weights[region] = self.regions[region].share.max(f64::MIN_POSITIVE);
+        }
+        let home_is_open = self.weights.get(place.home).is_some_and(|&weight| weight > 0.0);
+        if home_is_open && chance.unit() < self.stay_chance(place) {
+            return Some(place.home);
+        }
+        chance.pick(&self.weights)
+    }
+
+    fn stay_chance(&self, place: &Place) -> f64 {
+        let open = |(region, weight): (&RegionModel, &f64)| if *weight > 0.0 { region.ready } else { 0.0 };
+        let all: f64 = self.regions.iter().zip(&self.weights).map(open).sum();
+        if all <= 0.0 {
+            return 1.0;
+        }
+        let told = self.has_told_loads(place.now);
+        let traffic = Traffic {
+            own: self.arrivals.per_second(place.now),
+            all: if told { self.regions.iter().map(|region| region.told_load).sum() } else { 0.0 },
+            balancers: place.balancers,
+            regions: place.regions,
+        };
+        self.home.chance(self.regions[place.home].ready / all, &traffic)
+    }
+
+    fn mean_in_flight(&self) -> f64 {
+        let sum: u32 = self.candidates.iter().map(|&index| self.instances[index].in_flight).sum();
+        f64::from(sum) / self.candidates.len().max(1) as f64
+    }
+
+    /// A random candidate, passing over those far above the mean in flight; if all are, the fewest in flight wins.
+    fn pick(&self, chance: &mut Pcg) -> Option<usize> {
+        let most = (PASS_OVER * self.mean_in_flight()).max(LEAST_PASSED_OVER);
+        let mut chosen: Option<(u32, usize)> = None;
+        let mut ties = 0;
+        for &index in &self.candidates {
+            let in_flight = self.instances[index].in_flight;
+            let crowding = if f64::from(in_flight + 1) > most { in_flight } else { 0 };
+            let least = chosen.map_or(u32::MAX, |(least, _)| least);
+            if crowding > least {
+                continue;
+            }
+            ties = if crowding < least { 1 } else { ties + 1 };
+            if chance.below(ties) == 0 {
+                chosen = Some((crowding, index));
+            }
+        }
+        chosen.map(|(_, index)| index)
+    }
+
+    /// The candidate that ranks highest for the prefix, passing over the crowded ones.
+    fn holder(&self, prefix: SharedPrefix, chance: &mut Pcg) -> Option<usize> {
+        let crowd = Crowd::of(prefix, self.candidates.iter().map(|&index| &self.instances[index]));
+        let free = |&&index: &&usize| crowd.has_room(&self.instances[index]);
+        let highest = |&&index: &&usize| rank(prefix, self.instances[index].hash);
+        let holder = self.candidates.iter().filter(free).max_by_key(highest).copied();
+        holder.or_else(|| self.pick(chance))
+    }
+}
+
+fn region_load(region: &RegionModel, told: bool, now: u64, balancers: u32) -> f64 {
+    if told { region.told_load } else { region.sends.per_second(now) * f64::from(balancers.max(1)) }
+}
--- /dev/null
+++ b/dataplane/routing/tests/budget.rs
@@ -0,0 +1,130 @@
+//! The budget of repeated sends, summed over all balancers.
+
+mod common;
+
+use common::*;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use whinspindle_configuration::RouteKind;
+use whinspindle_routing::{Choice, Outcome, RefusalReason, Router};
+
+fn plain(seed: u64, balancers: u32) -> Router {
+    let mut router = router(seed, route("r", RouteKind::Safe), spread([4, 4, 4]));
+    router.fleet(0, &fleet(balancers, vec![]));
+    router
+}
+
+/// Sends once and again; whether the second send was allowed.
+fn repeats(router: &mut Router, now: u64, first: Outcome) -> Option<bool> {
+    let (attempt, key) = send(router, now, &facts())?;
+    router.finished(now, attempt, first);
+    match router.choose(now, &facts(), &[key]) {
+        Choice::Send { attempt, .. } => {
+            router.finished(now, attempt, Outcome::Served);
+            Some(true)
+        }
+        Choice::Refuse(refused) => {
+            assert_eq!(refused.reason, RefusalReason::RetryBudget);
+            Some(false)
+        }
+    }
+}
+
+#[test]
+fn repeats_are_a_part_of_the_requests_in_the_long_run() {
+    let mut router = plain(1, 6);
+    let allowed =
+        (0..10_000).filter(|&now| repeats(&mut router, now, Outcome::Rejected) == Some(true)).count();
+    assert!(allowed > 500 && allowed < 1_500, "{allowed}");
+}
+
+#[test]
+fn a_send_that_never_arrived_is_no_reason_to_spend() {
+    let mut router = plain(1, 6);
+    let allowed =
+        (0..500).filter(|&now| repeats(&mut router, now * 100, Outcome::Unreachable) == Some(true)).count();
+    assert!(allowed > 450, "{allowed}");
+}
+
+#[test]
+fn a_first_send_needs_no_budget() {
+    let mut router = plain(1, 6);
+    while repeats(&mut router, 0, Outcome::Rejected) == Some(true) {}
+    assert!(send(&mut router, 300, &facts()).is_some());
+}
+
+#[test]
+fn an_unknown_number_of_balancers_leaves_little() {
+    let mut router = Router::new(settings("a", 1), 0);
+    router.configure(
+        0,
+        &configuration(GENERATION, vec![route("r", RouteKind::Safe)], vec![service(SERVICE, 0.0)]),
+    );
+    router.instances(0, &list(spread([4, 0, 0])));
+    assert_eq!(repeats(&mut router, 0, Outcome::Rejected), Some(false));
+    router.fleet(1, &fleet(6, vec![]));
+    assert_eq!(repeats(&mut router, 300, Outcome::Rejected), Some(true));
+}
+
+/// Requests that reach balancers, and how their sends end.
+#[derive(Clone, Debug)]
+struct Request {
+    pause: u16,
+    balancer: u8,
+    repeats: u8,
+    unreachable: bool,
+}
+
+impl Arbitrary for Request {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Request {
+            pause: u16::arbitrary(g) % 400 * u16::from(u8::arbitrary(g) % 4 == 0),
+            balancer: u8::arbitrary(g),
+            repeats: u8::arbitrary(g) % 4,
+            unreachable: u8::arbitrary(g) % 4 == 0,
+        }
+    }
+}
+
+/// Whether in each window arrivals beyond the first of each request stay within the rule.
+fn within_the_rule(arrivals: &[(u64, bool)], requests: &[u64]) -> bool {
+    let bounds = bounds();
+    let window = bounds.retry_window_ms;
+    requests.iter().all(|&end| {
+        let inside = |at: u64| at <= end && at + window >= end;
+        let surplus = arrivals.iter().filter(|&&(at, surplus)| surplus && inside(at)).count() as f64;
+        let count = requests.iter().filter(|&&at| inside(at)).count() as f64;
+        surplus <= bounds.retry_ratio * count + bounds.retry_slack
+    })
+}
+
+fn play(balancers: u8, requests: &[Request]) -> bool {
+    let count = u32::from(balancers % 8 + 1);
+    let mut routers: Vec<Router> = (0..count).map(|index| plain(u64::from(index), count)).collect();
+    let (mut now, mut arrivals, mut times) = (0, Vec::new(), Vec::new());
+    for request in requests {
+        now += u64::from(request.pause);
+        times.push(now);
+        let router = &mut routers[usize::from(request.balancer) % count as usize];
+        let (mut tried, mut arrived) = (Vec::new(), false);
+        for send in 0..=request.repeats {
+            let Choice::Send { attempt, instance } = router.choose(now, &facts(), &tried) else { break };
+            tried.push(instance);
+            if send == 0 && request.unreachable {
+                router.finished(now, attempt, Outcome::Unreachable);
+                continue;
+            }
+            router.finished(now, attempt, Outcome::Broken);
+            arrivals.push((now, arrived));
+            arrived = true;
+        }
+    }
+    within_the_rule(&arrivals, &times)
+}
+
+quickcheck! {
+    fn the_sum_of_repeats_keeps_the_rule(balancers: u8, requests: Vec<Request>) -> bool {
+        // Long rows of requests use the budget up.
+        let requests: Vec<Request> = requests.iter().cycle().take(requests.len() * 8).cloned().collect();
+        play(balancers, &requests)
+    }
+}
--- /dev/null
+++ b/dataplane/routing/tests/cold.rs
@@ -0,0 +1,192 @@
+//! Cold instances: all balancers together stay within the bound, in any second.
+
+mod common;
+
+use common::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use whinspindle_configuration::{Bounds, RouteKind};
+use whinspindle_distribution::Instance;
+use whinspindle_routing::{Choice, Outcome, RefusalReason, Router, RouterSettings};
+
+const BEARS: f64 = 9.9;
+
+fn cold(number: u8, zone: &str, cold_ms: u64) -> Instance {
+    Instance { cold_ms, ..instance(number, zone) }
+}
+
+fn router_of(settings: RouterSettings, bears: f64, balancers: u32, instances: Vec<Instance>) -> Router {
+    let mut router = Router::new(settings, 0);
+    router.configure(
+        0,
+        &configuration(GENERATION, vec![route("r", RouteKind::Unsafe)], vec![service(SERVICE, bears)]),
+    );
+    router.instances(0, &list(instances));
+    if balancers > 0 {
+        router.fleet(0, &fleet(balancers, vec![]));
+    }
+    router
+}
+
+fn send_and_serve(router: &mut Router, now: u64) -> Option<String> {
+    served_by(router, now, &facts())
+}
+
+#[test]
+fn warm_instances_are_preferred() {
+    let mut router = router_of(settings("a", 1), BEARS, 6, vec![cold(1, "za", 3_000), instance(2, "zb")]);
+    assert!((0..2_900).all(|now| send_and_serve(&mut router, now).as_deref() == Some("i2")));
+}
+
+#[test]
+fn a_cold_instance_serves_its_share_where_there_is_no_other() {
+    let mut router = router_of(settings("a", 1), BEARS, 6, vec![cold(1, "za", 3_000)]);
+    let sent = (0..3_000).filter(|&now| send_and_serve(&mut router, now).is_some()).count();
+    assert!((3..=5).contains(&sent), "{sent}");
+    let refused = (0..100).find_map(|_| match router.choose(3_001, &facts(), &[]) {
+        Choice::Refuse(refused) => Some(refused),
+        Choice::Send { .. } => None,
+    });
+    assert_eq!(refused.map(|refused| refused.reason), Some(RefusalReason::Cold));
+}
+
+#[test]
+fn nothing_goes_to_a_cold_instance_while_the_number_of_balancers_is_unknown() {
+    let mut router = router_of(settings("a", 1), BEARS, 0, vec![cold(1, "za", 3_000)]);
+    assert!((0..3_000).all(|now| send_and_serve(&mut router, now).is_none()));
+    router.fleet(3_000, &fleet(1, vec![]));
+    assert!((3_000..3_250).any(|now| send_and_serve(&mut router, now).is_some()));
+}
+
+#[test]
+fn a_service_without_a_bound_knows_no_cold() {
+    let mut router = router_of(settings("a", 1), 0.0, 0, vec![cold(1, "za", 3_000)]);
+    assert!((0..100).all(|now| send_and_serve(&mut router, now).is_some()));
+}
+
+#[test]
+fn an_instance_counts_as_cold_a_little_longer_than_it_said() {
+    let mut router = router_of(settings("a", 1), BEARS, 0, vec![cold(1, "za", 1_000)]);
+    assert!(send_and_serve(&mut router, 1_200).is_none());
+    assert!(send_and_serve(&mut router, 1_300).is_some());
+}
+
+#[test]
+fn a_zone_that_is_taken_back_may_be_cold() {
+    let mut router = router_of(settings("a", 1), BEARS, 6, vec![instance(1, "za")]);
+    router.evacuations(0, &["za".to_owned()]);
+    router.evacuations(10_000, &[]);
+    let early = (10_000..11_000).filter(|&now| send_and_serve(&mut router, now).is_some()).count();
+    assert!(early <= 2, "{early}");
+    assert!((12_100..12_200).all(|now| send_and_serve(&mut router, now).is_some()));
+}
+
+#[test]
+fn a_refusal_tells_when_there_is_room() {
+    let mut router = router_of(settings("a", 1), BEARS, 1, vec![cold(1, "za", 3_000)]);
+    let first = (0..3_000).find(|&now| send_and_serve(&mut router, now).is_some()).expect("a send");
+    let refused = refusal(router.choose(first + 1, &facts(), &[]));
+    assert!((70..=160).contains(&refused.retry_after_ms), "{refused:?}");
+}
+
+#[test]
+fn a_lower_number_of_balancers_is_not_believed_at_once() {
+    let mut router = router_of(settings("a", 1), BEARS, 12, vec![cold(1, "za", 30_000)]);
+    router.fleet(10, &fleet(1, vec![]));
+    let sent = (10..5_010).filter(|&now| send_and_serve(&mut router, now).is_some()).count();
+    assert!(sent <= 5, "{sent}");
+}
+
+/// When requests reach which balancer.
+#[derive(Clone, Debug)]
+struct Arrivals {
+    balancers: u8,
+    bears: f64,
+    seed: u64,
+    /// Pause before it, the balancer, how many at once.
+    bursts: Vec<(u16, u8, u8)>,
+}
+
+impl Arbitrary for Arrivals {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let bursts =
+            (0..200).map(|_| (u16::arbitrary(g) % 60, u8::arbitrary(g), u8::arbitrary(g) % 4)).collect();
+        Arrivals {
+            balancers: u8::arbitrary(g) % 12 + 1,
+            bears: f64::from(u8::arbitrary(g) % 40 + 1) / 2.0,
+            seed: u64::arbitrary(g),
+            bursts,
+        }
+    }
+}
+
+fn bound(bears: f64, bounds: &Bounds) -> f64 {
+    bears * bounds.cold_overrun + bounds.cold_slack
+}
+
+/// The most sends of all balancers within a second.
+fn most_in_a_second(times: &[u64]) -> usize {
+    let within =
+        |(first, begin): (usize, &u64)| times[first..].iter().take_while(|&at| at - begin <= 1_000).count();
+    times.iter().enumerate().map(within).max().unwrap_or(0)
+}
+
+fn play(arrivals: Arrivals) -> bool {
+    let count = u32::from(arrivals.balancers);
+    let router = |index: u32| {
+        router_of(
+            settings("a", arrivals.seed.wrapping_add(u64::from(index))),
+            arrivals.bears,
+            count,
+            vec![cold(1, "za", 60_000)],
+        )
+    };
+    let mut routers: Vec<Router> = (0..count).map(router).collect();
+    let (mut now, mut times) = (0, Vec::new());
+    for &(pause, balancer, at_once) in &arrivals.bursts {
+        now += u64::from(pause);
+        for offset in 0..at_once {
+            let index = usize::from(balancer.wrapping_add(offset)) % routers.len();
+            if let Some((attempt, _)) = send(&mut routers[index], now, &facts()) {
+                times.push(now);
+                routers[index].finished(now, attempt, Outcome::Served);
+            }
+        }
+    }
+    most_in_a_second(&times) as f64 <= bound(arrivals.bears, &bounds())
+}
+
+#[test]
+fn the_sum_over_few_balancers_stays_within_the_bound_whatever_comes() {
+    QuickCheck::new().tests(300).quickcheck(play as fn(Arrivals) -> bool);
+}
+
+#[test]
+fn the_sum_over_many_balancers_stays_within_the_bound_when_all_are_pressed() {
+    for (seed, count, bears) in [(1u64, 60u64, BEARS), (2, 300, BEARS), (3, 300, 2.0), (4, 1_000, 20.0)] {
+        let router = |index| {
+            router_of(settings("a", seed * 10_000 + index), bears, count as u32, vec![cold(1, "za", 60_000)])
+        };
+        let mut routers: Vec<Router> = (0..count).map(router).collect();
+        let mut times = Vec::new();
+        for now in (0..20_000).step_by(20) {
+            for router in &mut routers {
+                if let Some((attempt, _)) = send(router, now, &facts()) {
+                    times.push(now);
+                    router.finished(now, attempt, Outcome::Served);
+                }
+            }
+        }
+        assert!(!times.is_empty(), "{count}: a cold instance is used at all");
+        assert!(most_in_a_second(&times) as f64 <= bound(bears, &bounds()), "{count}");
+    }
+}
+
+#[test]
+fn many_balancers_that_were_idle_do_not_send_all_at_once() {
+    let count = 300u64;
+    let router =
+        |index| router_of(settings("a", 77_000 + index), BEARS, count as u32, vec![cold(1, "za", 600_000)]);
+    let mut routers: Vec<Router> = (0..count).map(router).collect();
+    let sent = routers.iter_mut().filter_map(|router| send(router, 200_000, &facts())).count();
+    assert!(sent as f64 <= bound(BEARS, &bounds()), "{sent}");
+}
--- /dev/null
+++ b/dataplane/routing/tests/common/mod.rs
@@ -0,0 +1,163 @@
+//! Routers over small made-up deployments.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use whinspindle_configuration::{Backend, Bounds, Configuration, Limits, Route, RouteKind, Service};
+use whinspindle_distribution::{Fleet, Instance, Instances, RegionLoad, ServiceRegion};
+use whinspindle_routing::{
+    Attempt, Choice, InstanceKey, Outcome, PromptPart, Refusal, RequestFacts, Router, RouterSettings,
+};
+
+pub const SERVICE: &str = "model";
+pub const GENERATION: u64 = 1;
+pub const HEARTBEAT_MS: u64 = 1_000;
+
+/// One zone for each of the regions a, b and c.
+pub fn zones() -> BTreeMap<String, String> {
+    ["a", "b", "c"].into_iter().map(|region| (format!("z{region}"), region.to_owned())).collect()
+}
+
+pub fn bounds() -> Bounds {
+    Bounds {
+        contact_ms: 4_000,
+        ack_ms: 5_000,
+        sync_ms: 4_000,
+        drain_ms: 2_500,
+        grace_ms: 8_000,
+        converge_ms: 2_500,
+        downgrade_ms: 250,
+        retry_ratio: 0.2,
+        retry_window_ms: 10_000,
+        retry_slack: 52.0,
+        cold_overrun: 1.5,
+        cold_slack: 5.0,
+        evac_ms: 5_000,
+        recover_ms: 12_000,
+        pass_ms: 250,
+        again_ms: 10_000,
+        ttl_max_ms: 5_000,
+        seed_lag_ms: 3_000,
+        reuse_after_ms: 2_000,
+    }
+}
+
+pub fn settings(region: &str, seed: u64) -> RouterSettings {
+    RouterSettings {
+        zone: format!("z{region}"),
+        region: region.to_owned(),
+        zones: zones(),
+        bounds: bounds(),
+        heartbeat_ms: HEARTBEAT_MS,
+        seed,
+    }
+}
+
+pub fn route(name: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 6_000,
+        target_ms: 400,
+        priority: 0,
+        backends: vec![Backend { service: 0, weight: 1.0 }],
+        retries: 2,
+        sticky: false,
+        resumable: false,
+        gap_aim_ms: None,
+        home_regions: vec![],
+    }
+}
+
+pub fn service(name: &str, cold_per_s: f64) -> Service {
+    Service { name: name.to_owned(), cold_per_s, cold_s: 3.0, max_conns: 100, ..Service::default() }
+}
+
+pub fn configuration(generation: u64, routes: Vec<Route>, services: Vec<Service>) -> Arc<Configuration> {
+    Arc::new(
+        Configuration::new(generation, routes, services, Limits::default()).expect("a valid configuration"),
+    )
+}
+
+/// An instance of `SERVICE`; its address follows from its number.
+pub fn instance(number: u8, zone: &str) -> Instance {
+    Instance {
+        id: format!("i{number}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        zone: zone.to_owned(),
+        slots: 16,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+pub fn list(list: Vec<Instance>) -> Instances {
+    Instances { version: 1, list }
+}
+
+/// So many instances in each of the regions a, b and c.
+pub fn spread(counts: [u8; 3]) -> Vec<Instance> {
+    let zone = |index: usize| ["za", "zb", "zc"][index];
+    let places = (0..3).flat_map(|index| std::iter::repeat_n(zone(index), usize::from(counts[index])));
+    places.enumerate().map(|(number, zone)| instance(number as u8 + 1, zone)).collect()
+}
+
+pub fn load(region: &str, requests_per_s: f64) -> RegionLoad {
+    let target = ServiceRegion { service: SERVICE.to_owned(), region: region.to_owned() };
+    RegionLoad { target, requests_per_s }
+}
+
+pub fn fleet(balancers: u32, loads: Vec<RegionLoad>) -> Fleet {
+    Fleet { version: 1, balancers, loads }
+}
+
+/// A router in region a with one route of `SERVICE`, which knows of six balancers.
+pub fn router(seed: u64, route: Route, instances: Vec<Instance>) -> Router {
+    let mut router = Router::new(settings("a", seed), 0);
+    router.configure(0, &configuration(GENERATION, vec![route], vec![service(SERVICE, 0.0)]));
+    router.instances(0, &list(instances));
+    router.fleet(0, &fleet(6, vec![]));
+    router
+}
+
+pub fn facts() -> RequestFacts {
+    RequestFacts { generation: GENERATION, time_left_ms: 6_000, ..RequestFacts::default() }
+}
+
+pub fn prompt(parts: &[(u64, u32)]) -> RequestFacts {
+    let prompt = parts.iter().map(|&(id, tokens)| PromptPart { id, tokens }).collect();
+    RequestFacts { prompt, ..facts() }
+}
+
+/// Where a first send of this request goes.
+pub fn send(router: &mut Router, now: u64, facts: &RequestFacts) -> Option<(Attempt, InstanceKey)> {
+    match router.choose(now, facts, &[]) {
+        Choice::Send { attempt, instance } => Some((attempt, instance)),
+        Choice::Refuse(_) => None,
+    }
+}
+
+pub fn refusal(choice: Choice) -> Refusal {
+    match choice {
+        Choice::Refuse(refusal) => refusal,
+        Choice::Send { .. } => panic!("sent where a refusal was due"),
+    }
+}
+
+/// The id of the instance that a first send goes to; the send is served at once.
+pub fn served_by(router: &mut Router, now: u64, facts: &RequestFacts) -> Option<String> {
+    let (attempt, key) = send(router, now, facts)?;
+    let id = router.target(key)?.id.clone();
+    router.finished(now, attempt, Outcome::Served);
+    Some(id)
+}
+
+pub fn region_of(router: &Router, key: InstanceKey) -> String {
+    router.target(key).expect("a known instance").region.clone()
+}
--- /dev/null
+++ b/dataplane/routing/tests/health.rs
@@ -0,0 +1,150 @@
+//! Rests of instances that don't answer, and refusals where nothing has room.
+
+mod common;
+
+use common::*;
+use whinspindle_configuration::RouteKind;
+use whinspindle_routing::{Choice, Outcome, RefusalReason, Router};
+
+fn plain(instances: Vec<whinspindle_distribution::Instance>) -> Router {
+    router(1, route("r", RouteKind::Unsafe), instances)
+}
+
+/// Ends sends to the instance so, and all others well, until it had so many.
+fn end_at(router: &mut Router, now: u64, id: &str, outcome: Outcome, count: u32) {
+    let mut ended = 0;
+    while ended < count {
+        let (attempt, key) = send(router, now, &facts()).expect("an instance");
+        let hit = router.target(key).expect("a known instance").id == id;
+        router.finished(now, attempt, if hit { outcome } else { Outcome::Served });
+        ended += u32::from(hit);
+    }
+}
+
+fn gets_any(router: &mut Router, now: u64, id: &str) -> bool {
+    (0..200).any(|_| served_by(router, now, &facts()).as_deref() == Some(id))
+}
+
+#[test]
+fn an_instance_rests_after_two_failures_in_a_row_and_comes_back() {
+    for outcome in [Outcome::Unreachable, Outcome::Broken, Outcome::Failed] {
+        let mut router = plain(spread([4, 0, 0]));
+        end_at(&mut router, 100, "i2", outcome, 2);
+        assert!(!gets_any(&mut router, 101, "i2"), "{outcome:?}");
+        assert!(gets_any(&mut router, 500, "i2"), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_answer_between_two_failures_ends_the_doubt() {
+    let mut router = plain(spread([4, 0, 0]));
+    end_at(&mut router, 100, "i2", Outcome::Unreachable, 1);
+    end_at(&mut router, 100, "i2", Outcome::Served, 1);
+    end_at(&mut router, 100, "i2", Outcome::Unreachable, 1);
+    assert!(gets_any(&mut router, 101, "i2"));
+}
+
+#[test]
+fn a_rest_doubles_while_the_trial_after_it_fails() {
+    let mut router = plain(spread([4, 0, 0]));
+    end_at(&mut router, 0, "i2", Outcome::Unreachable, 2);
+    end_at(&mut router, 300, "i2", Outcome::Unreachable, 1);
+    assert!(!gets_any(&mut router, 700, "i2"));
+    assert!(gets_any(&mut router, 900, "i2"));
+}
+
+#[test]
+fn a_trial_is_one_send() {
+    let mut router = plain(spread([4, 0, 0]));
+    end_at(&mut router, 0, "i2", Outcome::Unreachable, 2);
+    let trial = loop {
+        let (attempt, key) = send(&mut router, 400, &facts()).expect("an instance");
+        if router.target(key).expect("a known instance").id == "i2" {
+            break attempt;
+        }
+        router.finished(400, attempt, Outcome::Served);
+    };
+    assert!(!gets_any(&mut router, 401, "i2"));
+    router.finished(410, trial, Outcome::Served);
+    assert!(gets_any(&mut router, 411, "i2"));
+}
+
+#[test]
+fn some_instances_stay_awake_whatever_fails() {
+    let mut router = plain(spread([4, 0, 0]));
+    for _ in 0..100 {
+        let (attempt, _) = send(&mut router, 0, &facts()).expect("an instance");
+        router.finished(0, attempt, Outcome::Broken);
+    }
+    assert!(send(&mut router, 1, &facts()).is_some());
+}
+
+#[test]
+fn requests_that_clients_give_up_early_blame_nobody() {
+    let mut router = plain(spread([4, 0, 0]));
+    end_at(&mut router, 100, "i2", Outcome::Cancelled, 20);
+    assert!(gets_any(&mut router, 101, "i2"));
+}
+
+#[test]
+fn an_instance_that_answers_nobody_rests_while_its_requests_are_out() {
+    let mut router = plain(spread([4, 0, 0]));
+    let mut out = 0;
+    for now in 0..400 {
+        let (attempt, key) = send(&mut router, now, &facts()).expect("an instance");
+        if router.target(key).expect("a known instance").id == "i2" && out < 2 {
+            out += 1;
+        } else {
+            router.finished(now, attempt, Outcome::Served);
+        }
+    }
+    router.tick(3_000);
+    assert!(!gets_any(&mut router, 3_001, "i2"));
+}
+
+#[test]
+fn an_instance_that_says_it_is_full_is_left_alone_for_a_moment() {
+    let mut router = plain(spread([2, 0, 0]));
+    end_at(&mut router, 1_000, "i2", Outcome::Rejected, 1);
+    assert!(!gets_any(&mut router, 1_001, "i2"));
+    assert!(gets_any(&mut router, 1_300, "i2"));
+}
+
+#[test]
+fn where_all_said_that_they_are_full_the_request_is_refused() {
+    let mut router = plain(spread([2, 2, 0]));
+    let refused = loop {
+        match router.choose(1_000, &facts(), &[]) {
+            Choice::Send { attempt, .. } => router.finished(1_000, attempt, Outcome::Rejected),
+            Choice::Refuse(refused) => break refused,
+        }
+    };
+    assert_eq!(refused.reason, RefusalReason::Full);
+    assert!(refused.retry_after_ms < facts().time_left_ms / 3);
+    assert!(send(&mut router, 1_300, &facts()).is_some(), "not for long");
+}
+
+#[test]
+fn a_full_region_does_not_hold_its_requests() {
+    let mut router = plain(spread([1, 1, 0]));
+    end_at(&mut router, 1_000, "i1", Outcome::Rejected, 1);
+    assert_eq!(served_by(&mut router, 1_001, &facts()).as_deref(), Some("i2"));
+}
+
+#[test]
+fn what_this_balancer_alone_has_out_can_fill_an_instance() {
+    let mut router = plain(spread([1, 0, 0]));
+    let slots = instance(1, "za").slots;
+    let sent = (0..200).take_while(|_| send(&mut router, 0, &facts()).is_some()).count();
+    assert!(sent >= slots as usize, "never refused while there is room: {sent}");
+    assert!(sent <= 2 * slots as usize, "{sent}");
+    assert_eq!(refusal(router.choose(0, &facts(), &[])).reason, RefusalReason::Full);
+}
+
+#[test]
+fn without_any_instance_the_request_is_refused_at_once() {
+    let mut router = plain(vec![]);
+    let refused = refusal(router.choose(0, &facts(), &[]));
+    assert_eq!(refused.reason, RefusalReason::NoUpstream);
+    assert!(refused.retry_after_ms < facts().time_left_ms / 3);
+}
--- /dev/null
+++ b/dataplane/routing/tests/ordinary_path.rs
@@ -0,0 +1,250 @@
+//! The design on the ordinary path: weights of regions, the draw, the pick and the pass-over.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use whinspindle_configuration::{Backend, RouteKind};
+use whinspindle_routing::{Choice, Outcome, RequestFacts, Router};
+
+/// Parts of sends by region; each is answered after the time that its region takes.
+fn play(
+    router: &mut Router,
+    begin: u64,
+    count: u64,
+    gap_ms: u64,
+    latency_ms: impl Fn(&str) -> u64,
+) -> BTreeMap<String, f64> {
+    let mut parts = BTreeMap::new();
+    let mut out = Vec::new();
+    for number in 0..count {
+        let now = begin + number * gap_ms;
+        router.tick(now);
+        out.retain(|&(due, attempt)| {
+            if due <= now {
+                router.finished(due, attempt, Outcome::Served);
+            }
+            due > now
+        });
+        let (attempt, key) = send(router, now, &facts()).expect("an instance");
+        let region = region_of(router, key);
+        out.push((now + latency_ms(&region), attempt));
+        *parts.entry(region).or_insert(0.0) += 1.0 / count as f64;
+    }
+    for (due, attempt) in out {
+        router.finished(due, attempt, Outcome::Served);
+    }
+    parts
+}
+
+/// A router whose own region has no instances, so that the weights alone decide.
+fn abroad(instances: Vec<whinspindle_distribution::Instance>) -> Router {
+    let mut instances = instances;
+    instances.retain(|instance| instance.zone != "za");
+    router(7, route("r", RouteKind::Unsafe), instances)
+}
+
+#[test]
+fn weights_start_by_ready_instances() {
+    let mut router = abroad(spread([0, 6, 2]));
+    let parts = play(&mut router, 0, 400, 1, |_| 1);
+    assert!((parts["b"] - 0.75).abs() < 0.08, "{parts:?}");
+}
+
+#[test]
+fn weights_move_away_from_a_region_whose_latency_rises() {
+    let mut router = abroad(spread([0, 4, 4]));
+    let slow = |region: &str| if region == "b" { 400 } else { 20 };
+    play(&mut router, 0, 3_000, 20, slow);
+    let parts = play(&mut router, 60_000, 500, 20, slow);
+    assert!(parts["b"] < 0.25, "{parts:?}");
+}
+
+#[test]
+fn each_region_with_ready_instances_keeps_a_floor_share() {
+    let mut router = abroad(spread([0, 4, 4]));
+    let slow = |region: &str| if region == "b" { 3_000 } else { 5 };
+    play(&mut router, 0, 8_000, 25, slow);
+    let parts = play(&mut router, 200_000, 2_000, 25, slow);
+    let b = parts.get("b").copied().unwrap_or(0.0);
+    assert!(b > 0.005 && b < 0.1, "{parts:?}");
+}
+
+#[test]
+fn a_region_that_loses_instances_loses_its_share_at_once() {
+    let mut router = abroad(spread([0, 4, 4]));
+    let mut left = spread([0, 4, 4]);
+    left.retain(|instance| instance.zone == "zc" || instance.id == "i1");
+    router.instances(10, &list(left));
+    let parts = play(&mut router, 20, 500, 1, |_| 1);
+    assert!((parts["b"] - 0.2).abs() < 0.07, "{parts:?}");
+}
+
+#[test]
+fn a_region_whose_balancers_bring_what_it_can_serve_keeps_its_requests() {
+    let mut router = router(3, route("r", RouteKind::Unsafe), spread([4, 4, 4]));
+    let even = ["a", "b", "c"].map(|region| load(region, 200.0)).to_vec();
+    router.fleet(0, &fleet(6, even));
+    let parts = play(&mut router, 0, 500, 10, |_| 5);
+    assert!(parts["a"] > 0.99, "{parts:?}");
+}
+
+#[test]
+fn a_region_with_few_instances_sends_the_rest_elsewhere() {
+    let mut router = router(3, route("r", RouteKind::Unsafe), spread([1, 6, 6]));
+    let loads = vec![load("a", 200.0), load("b", 200.0), load("c", 200.0)];
+    router.fleet(0, &fleet(6, loads));
+    let parts = play(&mut router, 0, 1_000, 10, |_| 5);
+    assert!(parts["a"] < 0.5, "{parts:?}");
+}
+
+#[test]
+fn told_loads_beyond_the_margin_lower_the_part_that_stays() {
+    let mut router = router(3, route("r", RouteKind::Unsafe), spread([4, 4, 4]));
+    for second in 0..20 {
+        let loads = vec![load("a", 500.0), load("b", 50.0), load("c", 50.0)];
+        router.fleet(second * 1_100, &fleet(6, loads));
+    }
+    let parts = play(&mut router, 22_000, 500, 10, |_| 5);
+    assert!(parts["a"] < 0.6, "{parts:?}");
+}
+
+#[test]
+fn the_pick_inside_a_region_is_even_among_idle_instances() {
+    let mut router = router(5, route("r", RouteKind::Unsafe), spread([4, 0, 0]));
+    let mut counts = BTreeMap::new();
+    for now in 0..2_000 {
+        let id = served_by(&mut router, now, &facts()).expect("an instance");
+        *counts.entry(id).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 4);
+    assert!(counts.values().all(|&count| (420..580).contains(&count)), "{counts:?}");
+}
+
+#[test]
+fn an_instance_above_twice_the_mean_is_passed_over() {
+    let mut router = router(5, route("r", RouteKind::Unsafe), spread([4, 0, 0]));
+    let mut in_flight: BTreeMap<_, f64> = BTreeMap::new();
+    for now in 0..60 {
+        let mean = in_flight.values().sum::<f64>() / 4.0;
+        let (_, key) = send(&mut router, now, &facts()).expect("an instance");
+        let own = in_flight.entry(key).or_insert(0.0);
+        *own += 1.0;
+        let fewest_wins = *own <= 2.0;
+        assert!(*own <= f64::max(2.0 * mean, 1.0) || fewest_wins, "{own} of a mean of {mean}");
+    }
+    let (least, most) =
+        in_flight.values().fold((f64::MAX, 0.0), |(l, m), &v| (f64::min(l, v), f64::max(m, v)));
+    assert!(most <= 2.0 * 15.0 && least > 4.0, "{in_flight:?}");
+}
+
+#[test]
+fn where_all_are_above_it_the_fewest_in_flight_wins() {
+    let mut router = router(5, route("r", RouteKind::Unsafe), spread([2, 0, 0]));
+    let (first, _) = send(&mut router, 0, &facts()).expect("an instance");
+    let (_, second) = send(&mut router, 0, &facts()).expect("the other instance");
+    router.finished(1, first, Outcome::Served);
+    let (_, third) = send(&mut router, 2, &facts()).expect("an instance");
+    assert_ne!(second, third, "the idle one is taken");
+}
+
+#[test]
+fn failed_refused_and_timed_out_requests_stay_out_of_the_fit() {
+    let outcomes = [Outcome::Failed, Outcome::Rejected, Outcome::Cancelled, Outcome::Broken];
+    let slow = |region: &str| if region == "b" { 400 } else { 20 };
+    let mut with = abroad(spread([0, 4, 4]));
+    let mut without = abroad(spread([0, 4, 4]));
+    for outcome in outcomes {
+        let (attempt, _) = send(&mut with, 0, &facts()).expect("an instance");
+        with.finished(900, attempt, outcome);
+        let (attempt, _) = send(&mut without, 0, &facts()).expect("an instance");
+        without.finished(0, attempt, Outcome::Served);
+    }
+    // One that took long and failed tells nothing: the region that is slow is still found.
+    play(&mut with, 10_000, 3_000, 20, slow);
+    let parts = play(&mut with, 70_000, 500, 20, slow);
+    assert!(parts["b"] < 0.25, "{parts:?}");
+}
+
+#[test]
+fn streams_are_fitted_by_their_first_event() {
+    let mut instances = spread([0, 4, 4]);
+    instances.retain(|instance| instance.zone != "za");
+    let mut router = router(7, route("r", RouteKind::Streaming), instances);
+    for number in 0..3_000 {
+        let now = number * 20;
+        router.tick(now);
+        let (attempt, key) = send(&mut router, now, &facts()).expect("an instance");
+        let first = if region_of(&router, key) == "b" { 400 } else { 20 };
+        router.first_event(now + first, attempt);
+        // Whole streams take alike everywhere.
+        router.finished(now + 1_000, attempt, Outcome::Served);
+    }
+    let count = 400;
+    let b = (0..count).filter(|number| {
+        let (attempt, key) = send(&mut router, 60_000 + number, &facts()).expect("an instance");
+        router.finished(60_000 + number, attempt, Outcome::Cancelled);
+        region_of(&router, key) == "b"
+    });
+    assert!(b.count() < 100);
+}
+
+#[test]
+fn sends_are_told_by_service_and_region() {
+    let mut router = abroad(spread([0, 1, 0]));
+    for number in 0..100 {
+        served_by(&mut router, number * 40, &facts());
+    }
+    let sends = router.sends(4_000);
+    assert_eq!(sends.len(), 1);
+    assert_eq!((sends[0].target.service.as_str(), sends[0].target.region.as_str()), (SERVICE, "b"));
+    assert!((sends[0].requests_per_s - 25.0).abs() < 4.0, "{sends:?}");
+    assert!(router.sends(10_000).is_empty(), "rates fade when nothing is sent");
+}
+
+#[test]
+fn a_route_that_is_split_sends_by_its_weights() {
+    let mut split = route("r", RouteKind::Unsafe);
+    split.backends = vec![Backend { service: 0, weight: 90.0 }, Backend { service: 1, weight: 10.0 }];
+    let mut router = Router::new(settings("a", 1), 0);
+    router.configure(0, &configuration(1, vec![split], vec![service("one", 0.0), service("two", 0.0)]));
+    let of = |number, name: &str| whinspindle_distribution::Instance {
+        service: name.into(),
+        ..instance(number, "za")
+    };
+    router.instances(0, &list(vec![of(1, "one"), of(2, "two")]));
+    let second = (0..2_000).filter(|_| router.draw_service(0) == 1).count();
+    assert!((140..260).contains(&second), "{second}");
+    router.instances(1, &list(vec![of(1, "one")]));
+    assert!((0..200).all(|_| router.draw_service(0) == 0), "a service without instances is left out");
+}
+
+#[test]
+fn a_request_keeps_its_service_when_a_new_configuration_comes() {
+    let old = configuration(1, vec![route("r", RouteKind::Unsafe)], vec![service("old", 0.0)]);
+    let new =
+        configuration(2, vec![route("r", RouteKind::Unsafe)], vec![service("new", 0.0), service("old", 0.0)]);
+    let mut router = Router::new(settings("a", 1), 0);
+    router.configure(0, &old);
+    let of = |number, name: &str| whinspindle_distribution::Instance {
+        service: name.into(),
+        ..instance(number, "za")
+    };
+    router.instances(0, &list(vec![of(1, "old"), of(2, "new")]));
+    router.configure(1, &new);
+    assert_eq!(served_by(&mut router, 2, &RequestFacts { generation: 1, ..facts() }).as_deref(), Some("i1"));
+    assert_eq!(served_by(&mut router, 2, &RequestFacts { generation: 2, ..facts() }).as_deref(), Some("i2"));
+}
+
+#[test]
+fn a_request_of_an_unknown_configuration_or_route_is_refused() {
+    let mut router = router(1, route("r", RouteKind::Unsafe), spread([1, 0, 0]));
+    for facts in [
+        RequestFacts { generation: 9, ..facts() },
+        RequestFacts { route: 5, ..facts() },
+        RequestFacts { service: 5, ..facts() },
+    ] {
+        assert!(matches!(router.choose(0, &facts, &[]), Choice::Refuse(_)));
+    }
+}
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -51,7 +51,7 @@
     now: u64,
     half_life: u64,
 ) -> impl Iterator<Item = (f64, f64, f64)> + Clone {
-    let weight = move |at: u64| 0.5_f64.powf((now - at) as f64 / half_life as f64);
+    let weight = move |at: u64| 0.5_f64.powf(now.saturating_sub(at) as f64 / half_life as f64);
     samples.iter().map(move |s| (weight(s.0), s.1, s.2))
 }
 
