Agent: keep-alives to the proxy at its reports; leaving alone spares the proxy's life

It now repeats the link at a report once a second, with no timer of its own. A lease stays leaving for the rest of an incarnation, so an agent that stops alone reports so under its own one.

--- a/controlplane/distribution/src/message.rs
+++ b/controlplane/distribution/src/message.rs
@@ -28,7 +28,7 @@
     Link(Link),
 }
 
-/// The state of the sender; sent several times a second, so that a silent link is known to be dead.
+/// The state of the sender; the answer to the first report, then sent several times a second, so that a silent link is known to be dead.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Link {
     /// The sender is in a chain of the newest view that it knows and hears a majority of the voters.
@@ -135,8 +135,8 @@
     pub fleet: u64,
 }
 
-/// From a balancer towards the control plane: renews the balancer's lease and acknowledges updates. The first
-/// message on a connection, then several times a second and at once when a section was applied.
+/// From a balancer towards the control plane: renews the balancer's lease and acknowledges updates. Sent right after
+/// the hello, then several times a second and at once when a section was applied.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     pub node: String,
--- a/dataplane/agent/src/agent.rs
+++ b/dataplane/agent/src/agent.rs
@@ -12,6 +12,8 @@
 
 /// How often the agent reports while no proxy does.
 const REPORT_MS: u64 = 500;
+/// How often the proxy hears of the link at least, at its reports: a silent agent is given up.
+const KEEP_ALIVE_MS: u64 = 1_000;
 /// How often the settings are read again while no controller is reached.
 const SETTINGS_MS: u64 = 2_000;
 /// Time kept of the grace for the end itself.
@@ -102,6 +104,9 @@
     proxy: ProxyState,
     /// What the proxy was told of the link last.
     link: Link,
+    link_told_at: u64,
+    /// What the log says of the quorum of the link's controller.
+    logged_quorum: bool,
     grace_ms: u64,
     exit_at: Option<u64>,
     exited: bool,
@@ -120,6 +125,8 @@
             sections: GuardedSections::default(),
             proxy: ProxyState::absent(node, zone, region, machine, incarnation),
             link: Link::default(),
+            link_told_at: now,
+            logged_quorum: false,
             grace_ms,
             exit_at: None,
             exited: false,
@@ -221,22 +228,27 @@
         }
         let news = self.sections.set_quorum(now, in_quorum);
         self.took_sections(now, news, outputs);
-        if self.link.in_quorum != in_quorum {
+        if std::mem::replace(&mut self.logged_quorum, in_quorum) != in_quorum {
             outputs.push(Output::Log(Notice::QuorumChanged { in_quorum }));
         }
-        self.tell_proxy_of_link(in_quorum, outputs);
+        self.set_link_quorum(now, in_quorum, outputs);
     }
 
-    fn tell_proxy_of_link(&mut self, in_quorum: bool, outputs: &mut Vec<Output>) {
+    fn set_link_quorum(&mut self, now: u64, in_quorum: bool, outputs: &mut Vec<Output>) {
         if self.link.in_quorum == in_quorum {
             return;
         }
         self.link.in_quorum = in_quorum;
         if self.proxy.is_connected() {
-            outputs.push(Output::ToProxy(ToBalancer::Link(self.link.clone())));
+            self.tell_proxy_of_link(now, outputs);
         }
     }
 
+    fn tell_proxy_of_link(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        self.link_told_at = now;
+        outputs.push(Output::ToProxy(ToBalancer::Link(self.link.clone())));
+    }
+
     /// Passes news on to the proxy. What the proxy has applied already is acknowledged at once.
     fn took_sections(&mut self, now: u64, news: Update, outputs: &mut Vec<Output>) {
         self.pass_on(news, outputs);
@@ -254,7 +266,7 @@
     fn proxy_connected(&mut self, now: u64, outputs: &mut Vec<Output>) {
         self.proxy.connected(now);
         outputs.push(Output::Log(Notice::ProxyConnected));
-        outputs.push(Output::ToProxy(ToBalancer::Link(self.link.clone())));
+        self.tell_proxy_of_link(now, outputs);
         self.pass_on(self.sections.snapshot(now), outputs);
     }
 
@@ -271,6 +283,9 @@
         let before = self.applied;
         self.proxy.reported(now, report);
         self.report(now, outputs);
+        if now >= self.link_told_at + KEEP_ALIVE_MS {
+            self.tell_proxy_of_link(now, outputs);
+        }
         let (configured, evacuations) = (self.applied.configured, self.applied.evacuations);
         if configured > before.configured || evacuations > before.evacuations {
             outputs.push(Output::Log(Notice::Applied { configured, evacuations }));
@@ -318,12 +333,13 @@
                 LinkEvent::Close { connection } => outputs.push(Output::Close(connection)),
                 LinkEvent::Adopted { endpoint, in_quorum, .. } => {
                     self.sections.linked(now);
+                    self.logged_quorum = in_quorum;
                     outputs.push(Output::Log(Notice::Linked { endpoint, in_quorum }));
                 }
                 LinkEvent::Lost { endpoint, reason } => {
                     self.sections.set_quorum(now, false);
                     outputs.push(Output::Log(Notice::LinkLost { endpoint, reason }));
-                    self.tell_proxy_of_link(false, outputs);
+                    self.set_link_quorum(now, false, outputs);
                 }
             }
         }
--- a/dataplane/agent/src/report.rs
+++ b/dataplane/agent/src/report.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ProxyState {
     connected: bool,
+    /// Of the agent itself.
+    incarnation: u64,
     reported_at: u64,
     /// The newest report, or one that stands in for it until the first.
     report: Report,
@@ -36,7 +38,7 @@
             applied: Versions::default(),
             sends: Vec::new(),
         };
-        ProxyState { connected: false, reported_at: 0, report }
+        ProxyState { connected: false, incarnation, reported_at: 0, report }
     }
 
     pub fn is_connected(&self) -> bool {
@@ -70,10 +72,14 @@
         self.reported_at + PROXY_SILENCE_MS
     }
 
-    /// The report to send. What the agent does not hold itself is not acknowledged: the next proxy would lack it.
+    /// The report to send. An agent that leaves alone does so in a life of its own: a proxy that lives on is not left
+    /// out once the next agent reports it. What the agent does not hold itself is not acknowledged: the next proxy would lack it.
     pub fn upward(&self, now: u64, held: Versions, leaving: bool) -> Report {
         let mut report = self.report.clone();
-        report.leaving |= leaving;
+        if leaving && !report.leaving {
+            report.leaving = true;
+            report.incarnation = self.incarnation;
+        }
         report.applied = acknowledged(report.applied, held);
         if !self.speaks(now) {
             report.ready = false;
