--- a/controlplane/distribution/src/message.rs
+++ b/controlplane/distribution/src/message.rs
@@ -28,7 +28,8 @@
     Link(Link),
 }
 
-/// The state of the sender; the answer to the first report, then sent several times a second, so that a silent link is known to be dead.
+/// The state of the sender; the answer to the first report, then sent several times a second, so that a silent link
+/// is known to be dead.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Link {
     /// The sender is in a chain of the newest view that it knows and hears a majority of the voters.
