Chain replication as a state machine, with a simulated cluster for its tests

The control state needs replicas that outlive lost machines. Writes enter at the head and are answered at the tail; an agreed view reconfigures the chain. The lab's cluster simulates network, clock and disk.

--- /dev/null
+++ b/coordination/replica/src/chain.rs
@@ -0,0 +1,340 @@
+//! The chain of one view: entries and reads pass from the head to the tail, acknowledgements come back.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use whinspindle_agreement::Voter;
+
+use crate::application::{Answer, Application};
+use crate::disk::Afterwards;
+use crate::durable::DurableRecord;
+use crate::entry::{Entry, Origin, Read};
+use crate::message::Message;
+use crate::replica::{Output, Replica};
+use crate::session::{Predecessor, Session, Successor};
+
+/// The head takes no more commands while so many entries are not committed.
+const MOST_PENDING: usize = 1_024;
+/// A message holds entries up to about this many bytes.
+const MESSAGE_BYTES: usize = 256 * 1024;
+/// How much longer a member that is still being brought up to date may owe an acknowledgement.
+const JOINING_PATIENCE: u64 = 3;
+
+impl<A: Application> Replica<A> {
+    /// Takes this replica's place in the view that was adopted or recovered.
+    pub(crate) fn begin_session(&mut self, now: u64) {
+        let view = &self.state.decided.view;
+        let link = self.me().and_then(|me| view.link(me).copied());
+        let is_recorded = link.is_some_and(|link| self.state.complete >= link.since);
+        if !is_recorded {
+            self.forget_pending();
+        }
+        let view = &self.state.decided.view;
+        let Some(link) = link else {
+            self.session = None;
+            return;
+        };
+        let endpoint = |voter: Option<Voter>| voter.and_then(|voter| view.endpoint(voter));
+        let predecessor = endpoint(view.predecessor(link.voter));
+        let successor = endpoint(view.successor(link.voter));
+        let is_head = view.head() == Some(link.voter);
+        self.session = Some(Session {
+            view: view.number,
+            since: link.since,
+            predecessor: predecessor.map(Predecessor::new),
+            successor: successor.map(|endpoint| Successor::new(endpoint, now)),
+            is_complete: is_recorded && self.durable_complete >= link.since,
+            newest: None,
+            reads: VecDeque::new(),
+        });
+        if is_head {
+            self.build_newest();
+        }
+        self.resume(now);
+    }
+
+    /// Entries that are not committed are void for a replica without a place in the chain.
+    fn forget_pending(&mut self) {
+        if !self.state.log.is_empty() {
+            self.record(DurableRecord::Reset, false);
+        }
+        self.disk.forget_entries();
+        self.durable_last = self.state.committed;
+    }
+
+    fn build_newest(&mut self) {
+        let mut newest = self.state.records.clone();
+        for entry in &self.state.log {
+            newest.apply(entry.sequence, &entry.writes);
+        }
+        if let Some(session) = &mut self.session {
+            session.newest = Some(newest);
+        }
+    }
+
+    /// The session of this view, if no vote binds this replica to a newer one.
+    fn active(&mut self, view: u64) -> Option<&mut Session> {
+        if self.state.is_sealed() {
+            return None;
+        }
+        self.session.as_mut().filter(|session| session.view == view)
+    }
+
+    fn active_now(&mut self) -> Option<&mut Session> {
+        let view = self.state.decided.view.number;
+        self.active(view)
+    }
+
+    /// Whether this is the head of a chain that takes writes.
+    fn is_taking_commands(&self) -> bool {
+        let view = &self.state.decided.view;
+        let is_head = self.me().is_some() && view.head() == self.me();
+        let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
+        is_head && is_complete && !self.state.is_sealed() && view.takes_writes(self.settings.tolerated_losses)
+    }
+
+    pub(crate) fn on_submit(&mut self, origin: Origin, command: &[u8]) {
+        if !self.is_taking_commands() || self.state.is_pending(origin) {
+            return;
+        }
+        if let Some(outcome) = self.state.outcome(origin) {
+            let (sequence, answer) = (outcome.sequence, outcome.answer.clone());
+            self.reply(origin, sequence, &answer);
+            return;
+        }
+        if self.state.log.len() >= MOST_PENDING {
+            return;
+        }
+        let last = self.state.last();
+        let view = self.state.decided.view.number;
+        let Some(session) = &mut self.session else { return };
+        let Some(newest) = &mut session.newest else { return };
+        let evaluation = self.application.evaluate(newest, command);
+        if evaluation.writes.is_empty() {
+            session.reads.push_back(Read { after: last, answer: evaluation.answer, origin });
+            return;
+        }
+        let sequence = last + 1;
+        newest.apply(sequence, &evaluation.writes);
+        let (writes, answer) = (evaluation.writes, evaluation.answer);
+        self.add_entry(Entry { sequence, view, writes, answer, origin });
+    }
+
+    /// Adds an entry to the log, and goes on with it once it is durable.
+    pub(crate) fn add_entry(&mut self, entry: Entry) {
+        let sequence = entry.sequence;
+        self.record(DurableRecord::Entry(entry), true);
+        self.disk.afterwards(Afterwards::Entry(sequence));
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        now: u64,
+        from: SocketAddr,
+        view: u64,
+        entries: Vec<Entry>,
+        reads: Vec<Read>,
+    ) {
+        let Some(session) = self.active(view) else { return };
+        let Some(predecessor) = &mut session.predecessor else { return };
+        if predecessor.endpoint != from {
+            return;
+        }
+        predecessor.has_answered = true;
+        if !session.is_complete {
+            return;
+        }
+        let before = self.state.last();
+        let is_repeated = !entries.is_empty();
+        for entry in entries {
+            if entry.sequence == self.state.last() + 1 {
+                self.add_entry(entry);
+            } else if entry.sequence > self.state.last() + 1 {
+                self.resume(now);
+                break;
+            }
+        }
+        self.owes_acknowledgement |= is_repeated && self.state.last() == before;
+        self.pass_reads(reads);
+    }
+
+    /// Reads pass at once; at the tail they wait until what they saw is committed.
+    fn pass_reads(&mut self, reads: Vec<Read>) {
+        if reads.is_empty() {
+            return;
+        }
+        let Some(session) = &mut self.session else { return };
+        let view = session.view;
+        match session.successor {
+            None => session.reads.extend(reads),
+            Some(successor) if successor.is_ready => {
+                let message = Message::Append { view, entries: Vec::new(), reads };
+                self.send(successor.endpoint, message);
+            }
+            Some(_) => {}
+        }
+    }
+
+    pub(crate) fn on_acknowledge(
+        &mut self,
+        now: u64,
+        from: SocketAddr,
+        view: u64,
+        last: u64,
+        committed: u64,
+    ) {
+        let Some(session) = self.active(view) else { return };
+        let Some(successor) = &mut session.successor else { return };
+        if successor.endpoint != from {
+            return;
+        }
+        successor.acknowledge(now, last);
+        if session.is_complete {
+            self.commit_up_to(committed);
+        }
+    }
+
+    /// Whether the next member in the chain is this voter and has not acknowledged for too long.
+    pub(crate) fn owes_too_long(&self, now: u64, voter: Voter) -> bool {
+        let view = &self.state.decided.view;
+        let Some(session) = &self.session else { return false };
+        let Some(successor) = &session.successor else { return false };
+        if view.endpoint(voter) != Some(successor.endpoint) {
+            return false;
+        }
+        let stall = self.settings.timing.chain_stall;
+        let patience = if successor.is_ready { stall } else { JOINING_PATIENCE * stall };
+        successor.owes_since.is_some_and(|since| now > since + patience)
+    }
+
+    /// Does whatever has become possible: passes on, commits, answers, acknowledges.
+    pub(crate) fn pump(&mut self, now: u64) {
+        if self.state.is_sealed() || !self.session.as_ref().is_some_and(|session| session.is_complete) {
+            return;
+        }
+        let is_tail = self.session.as_ref().is_some_and(|session| session.successor.is_none());
+        if is_tail {
+            self.commit_at_tail();
+            self.answer_reads();
+        } else {
+            self.pass_on(now);
+        }
+        self.acknowledge();
+    }
+
+    fn commit_at_tail(&mut self) {
+        if self.state.decided.view.takes_writes(self.settings.tolerated_losses) {
+            self.commit_up_to(self.durable_last);
+        }
+    }
+
+    /// Sends the successor the durable entries that it has not been sent, and reads that saw nothing beyond.
+    fn pass_on(&mut self, now: u64) {
+        let durable = self.durable_last;
+        let resend = self.settings.timing.resend;
+        let Some(session) = &mut self.session else { return };
+        let view = session.view;
+        let Some(successor) = &mut session.successor else { return };
+        if !successor.is_ready {
+            return;
+        }
+        successor.go_back(now, resend);
+        let to = successor.endpoint;
+        let from = successor.sent;
+        successor.send(now, durable);
+        let ready = session.reads.iter().take_while(|read| read.after <= durable).count();
+        let reads: Vec<Read> = session.reads.drain(..ready).collect();
+        let entries: Vec<Entry> = self.state.entries(from, durable).cloned().collect();
+        for entries in batches(entries) {
+            self.send(to, Message::Append { view, entries, reads: Vec::new() });
+        }
+        if !reads.is_empty() {
+            self.send(to, Message::Append { view, entries: Vec::new(), reads });
+        }
+    }
+
+    /// Commits entries that are durable at all members of the chain.
+    pub(crate) fn commit_up_to(&mut self, sequence: u64) {
+        let sequence = sequence.min(self.durable_last);
+        if sequence <= self.state.committed {
+            return;
+        }
+        let entries: Vec<Entry> = self.state.entries(self.state.committed, sequence).cloned().collect();
+        let is_tail = self.session.as_ref().is_some_and(|session| session.successor.is_none());
+        for entry in &entries {
+            self.state.apply(DurableRecord::Committed(entry.sequence));
+            if is_tail {
+                self.reply(entry.origin, entry.sequence, &entry.answer);
+            }
+        }
+        self.record(DurableRecord::Committed(sequence), false);
+        self.owes_acknowledgement = true;
+        if is_tail {
+            self.teach(&entries);
+        }
+        for entry in entries {
+            self.announce(entry);
+        }
+    }
+
+    /// Tells the embedding program of a committed entry, and keeps it for those that lag.
+    pub(crate) fn announce(&mut self, entry: Entry) {
+        let Entry { sequence, ref writes, .. } = entry;
+        self.outputs.push(Output::Committed { sequence, writes: writes.clone() });
+        self.recent.add(entry);
+    }
+
+    fn answer_reads(&mut self) {
+        let committed = self.state.committed;
+        let Some(session) = &mut self.session else { return };
+        let (ready, waiting): (VecDeque<Read>, VecDeque<Read>) =
+            session.reads.drain(..).partition(|read| read.after <= committed);
+        session.reads = waiting;
+        for read in ready {
+            self.reply(read.origin, committed, &read.answer);
+        }
+    }
+
+    fn reply(&mut self, origin: Origin, sequence: u64, answer: &Answer) {
+        let answer = match answer {
+            Answer::Value(value) => value.clone(),
+            Answer::Record(key) => {
+                let record = self.state.records.get(key);
+                record.map(|record| record.value.to_vec()).unwrap_or_default()
+            }
+        };
+        let Origin { endpoint, start, ticket } = origin;
+        self.send(endpoint, Message::Replied { start, ticket, sequence, answer });
+    }
+
+    /// Tells the predecessor what is durable and committed here, if that has changed.
+    fn acknowledge(&mut self) {
+        if !std::mem::take(&mut self.owes_acknowledgement) {
+            return;
+        }
+        let (last, committed) = (self.durable_last, self.state.committed);
+        let Some(session) = self.active_now() else { return };
+        let Some(predecessor) = session.predecessor else { return };
+        let view = session.view;
+        self.send(predecessor.endpoint, Message::Acknowledge { view, last, committed });
+    }
+}
+
+/// Splits entries into messages of a moderate size.
+fn batches(entries: Vec<Entry>) -> Vec<Vec<Entry>> {
+    let mut batches = Vec::new();
+    let mut batch = Vec::new();
+    let mut bytes = 0;
+    for entry in entries {
+        bytes += entry.size();
+        batch.push(entry);
+        if bytes > MESSAGE_BYTES {
+            batches.push(std::mem::take(&mut batch));
+            bytes = 0;
+        }
+    }
+    if !batch.is_empty() {
+        batches.push(batch);
+    }
+    batches
+}
--- /dev/null
+++ b/coordination/replica/src/lib.rs
@@ -0,0 +1,42 @@
+//! Chain replication reconfigured by an agreed membership view, as a state machine.
+//!
+//! The members of the chain keep the same records. Writes enter at the head, pass every member and are
+//! committed and answered at the tail; reads pass the chain too, so that a member that was cut off never answers
+//! (R. van Renesse and F. Schneider, "Chain Replication for Supporting High Throughput and Availability", 2004).
+//! Who is in the chain is a [`View`], the value of a register that a majority of voters agrees on. A voter that
+//! has promised to vote for a newer view takes no part in the chain of the present one any more.
+//!
+//! The state machine has no clock, socket, disk or chance of its own: [`Replica::handle`] is given the time and
+//! what happened, and returns what to send, to make durable and to answer.
+
+mod application;
+mod chain;
+mod chance;
+mod change;
+mod codec;
+mod disk;
+mod durable;
+mod entry;
+mod message;
+mod peers;
+mod plan;
+mod recent;
+mod records;
+mod replica;
+#[allow(clippy::all, clippy::pedantic, dead_code, unused_qualifications)]
+mod replica_capnp;
+mod session;
+mod settings;
+mod submissions;
+mod synchronize;
+mod transfer;
+mod view;
+
+pub use application::{Answer, Application, Evaluation, RecordWrite};
+pub use durable::{DurableWrite, RecoverError};
+pub use message::{DecodeError, Message};
+pub use records::{Record, Records};
+pub use replica::{Input, Output, Replica, Reply, SubmitError};
+pub use settings::{ReplicaSettings, Timing};
+pub use view::{ChainLink, Member, View};
+pub use whinspindle_agreement::Voter;
--- /dev/null
+++ b/coordination/replica/src/peers.rs
@@ -0,0 +1,128 @@
+//! Failure detection: who was heard when, and what was said of others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use whinspindle_agreement::Voter;
+
+use crate::message::Heartbeat;
+use crate::settings::Timing;
+use crate::view::{Member, View};
+
+/// A peer that was silent this many times the suspicion is forgotten.
+const FORGOTTEN_AFTER: u64 = 10;
+
+/// One peer as it is known here.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub heartbeat: Heartbeat,
+    pub heard_at: u64,
+    /// Since when it was heard without a pause.
+    pub steady_since: u64,
+    /// When it last said that it hears this replica.
+    hears_us_at: Option<u64>,
+}
+
+/// All that were heard.
+#[derive(Debug)]
+pub struct Peers {
+    endpoint: SocketAddr,
+    timing: Timing,
+    /// Silence counts from here at the earliest.
+    since: u64,
+    known: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    pub fn new(endpoint: SocketAddr, timing: Timing, now: u64) -> Peers {
+        Peers { endpoint, timing, since: now, known: BTreeMap::new() }
+    }
+
+    /// Returns whether the peer has started anew, or is heard for the first time.
+    pub fn heard(&mut self, now: u64, from: SocketAddr, heartbeat: Heartbeat) -> bool {
+        let hears_us = heartbeat.heard.contains(&self.endpoint);
+        let before = self.known.get(&from);
+        let is_new = before.is_none_or(|peer| peer.heartbeat.start != heartbeat.start);
+        let pause = before.map_or(u64::MAX, |peer| now.saturating_sub(peer.heard_at));
+        let is_steady = !is_new && pause <= self.timing.suspicion;
+        let steady_since = before.filter(|_| is_steady).map_or(now, |peer| peer.steady_since);
+        let heard_us_before = before.filter(|_| !is_new).and_then(|peer| peer.hears_us_at);
+        let hears_us_at = if hears_us { Some(now) } else { heard_us_before };
+        self.known.insert(from, Peer { heartbeat, heard_at: now, steady_since, hears_us_at });
+        is_new
+    }
+
+    pub fn forget_silent(&mut self, now: u64) {
+        let longest = FORGOTTEN_AFTER * self.timing.suspicion;
+        self.known.retain(|_, peer| now <= peer.heard_at + longest);
+    }
+
+    pub fn get(&self, endpoint: SocketAddr) -> Option<&Peer> {
+        self.known.get(&endpoint)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.known.iter()
+    }
+
+    /// How long nothing was heard.
+    pub fn silence(&self, now: u64, endpoint: SocketAddr) -> u64 {
+        let heard_at = self.get(endpoint).map_or(self.since, |peer| peer.heard_at.max(self.since));
+        now.saturating_sub(heard_at)
+    }
+
+    pub fn is_heard(&self, now: u64, endpoint: SocketAddr) -> bool {
+        self.get(endpoint).is_some() && self.silence(now, endpoint) <= self.timing.suspicion
+    }
+
+    /// Heard, and says that it hears this replica.
+    pub fn is_in_touch(&self, now: u64, endpoint: SocketAddr) -> bool {
+        let hears_us_at = self.get(endpoint).and_then(|peer| peer.hears_us_at);
+        self.is_heard(now, endpoint) && hears_us_at.is_some_and(|at| now <= at + self.timing.suspicion)
+    }
+
+    /// Silent for too long, or does not hear this replica.
+    pub fn is_suspected(&self, now: u64, endpoint: SocketAddr) -> bool {
+        if self.silence(now, endpoint) > self.timing.suspicion {
+            return true;
+        }
+        let Some(peer) = self.get(endpoint) else { return false };
+        let waits_since = peer.hears_us_at.unwrap_or(peer.steady_since.max(self.since));
+        now > waits_since + self.timing.suspicion
+    }
+
+    /// Endpoints that were heard lately.
+    pub fn heard_lately(&self, now: u64) -> Vec<SocketAddr> {
+        self.known.keys().copied().filter(|endpoint| self.is_heard(now, *endpoint)).collect()
+    }
+
+    /// Whether another that is in touch says that it hears this endpoint.
+    pub fn is_heard_by_another(&self, now: u64, endpoint: SocketAddr) -> bool {
+        let hears = |(other, peer): (&SocketAddr, &Peer)| {
+            *other != endpoint && self.is_in_touch(now, *other) && peer.heartbeat.heard.contains(&endpoint)
+        };
+        self.known.iter().any(hears)
+    }
+
+    /// Whether both say that they hear each other.
+    pub fn hear_each_other(&self, one: SocketAddr, other: SocketAddr) -> bool {
+        let hears = |from: SocketAddr, to: SocketAddr| {
+            self.get(from).is_some_and(|peer| peer.heartbeat.heard.contains(&to))
+        };
+        hears(one, other) && hears(other, one)
+    }
+
+    /// The member's memory is gone: its endpoint is in use by one of another birth.
+    pub fn is_reborn(&self, member: &Member) -> bool {
+        let peer = self.get(member.endpoint);
+        peer.is_some_and(|peer| peer.heartbeat.birth != member.voter.birth)
+    }
+
+    /// The last heartbeat of a voter that is in touch and well.
+    pub fn well(&self, now: u64, view: &View, voter: Voter) -> Option<&Heartbeat> {
+        let member = view.member(voter)?;
+        let heartbeat = &self.get(member.endpoint)?.heartbeat;
+        let is_well = self.is_in_touch(now, member.endpoint) && !self.is_reborn(member);
+        (is_well && !heartbeat.is_stalled).then_some(heartbeat)
+    }
+}
--- /dev/null
+++ b/coordination/replica/src/records.rs
@@ -0,0 +1,83 @@
+//! The replicated records: a sorted map, each value with the position in the history that wrote it.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map;
+use std::ops::Bound;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use whinspindle_digests::Content;
+
+use crate::application::RecordWrite;
+
+/// A value and the position in the history of the write that made it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    pub sequence: u64,
+    pub value: Arc<Vec<u8>>,
+}
+
+impl Content for Record {
+    fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    fn value(&self) -> &[u8] {
+        &self.value
+    }
+}
+
+/// All records by their keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    by_key: BTreeMap<String, Record>,
+}
+
+impl Records {
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.by_key.get(key)
+    }
+
+    /// The records whose keys begin with the prefix, in the order of their keys.
+    pub fn range<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a Record)> {
+        let from = (Bound::Included(prefix), Bound::Unbounded);
+        let matching = self.by_key.range::<str, _>(from).take_while(move |(key, _)| key.starts_with(prefix));
+        matching.map(|(key, record)| (key.as_str(), record))
+    }
+
+    pub fn iter(&self) -> btree_map::Iter<'_, String, Record> {
+        self.by_key.iter()
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
+    /// Carries out one command's writes.
+    pub fn apply(&mut self, sequence: u64, writes: &[RecordWrite]) {
+        for write in writes {
+            match &write.value {
+                Some(value) => {
+                    let record = Record { sequence, value: Arc::new(value.clone()) };
+                    self.by_key.insert(write.key.clone(), record);
+                }
+                None => {
+                    self.by_key.remove(&write.key);
+                }
+            }
+        }
+    }
+
+    /// The sorted map itself, for range digests.
+    pub(crate) fn by_key(&self) -> &BTreeMap<String, Record> {
+        &self.by_key
+    }
+
+    pub(crate) fn by_key_mut(&mut self) -> &mut BTreeMap<String, Record> {
+        &mut self.by_key
+    }
+}
--- /dev/null
+++ b/coordination/replica/src/replica.rs
@@ -0,0 +1,426 @@
+//! The state machine: inputs in, outputs out.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+use whinspindle_agreement::Voter;
+
+use crate::application::{Application, RecordWrite};
+use crate::chance::Chance;
+use crate::change::ViewChange;
+use crate::disk::{Afterwards, Disk};
+use crate::durable::{DurableRecord, DurableState, DurableWrite, RecoverError};
+use crate::entry::Origin;
+use crate::message::{Heartbeat, Message, Report};
+use crate::peers::Peers;
+use crate::recent::Recent;
+use crate::records::Records;
+use crate::session::Session;
+use crate::settings::ReplicaSettings;
+use crate::submissions::Submissions;
+use crate::synchronize::Pull;
+use crate::view::View;
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Time has passed; wanted at least every 50 ms.
+    Tick,
+    Message {
+        from: SocketAddr,
+        message: Message,
+    },
+    /// A command of a local caller.
+    Submit {
+        ticket: u64,
+        command: Vec<u8>,
+    },
+    /// The write with this token is durable.
+    Persisted {
+        token: u64,
+    },
+    /// The write with this token failed, or it is unknown whether it is durable.
+    PersistFailed {
+        token: u64,
+    },
+    /// The process is about to stop.
+    Leave,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    /// Writes are to be carried out in this order.
+    Persist {
+        token: u64,
+        write: DurableWrite,
+    },
+    Reply {
+        ticket: u64,
+        result: Result<Reply, SubmitError>,
+    },
+    /// [`Replica::committed`] has moved on by one command.
+    Committed {
+        sequence: u64,
+        writes: Vec<RecordWrite>,
+    },
+    /// [`Replica::committed`] was replaced as a whole.
+    Replaced,
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Position in the history: of the write, or as of which was read.
+    pub sequence: u64,
+    pub answer: Vec<u8>,
+}
+
+/// Why a command got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum SubmitError {
+    #[snafu(display("there was no chain to take the command; it has no effect"))]
+    NoQuorum,
+    #[snafu(display("no answer came in time; the command may have an effect"))]
+    Unknown,
+}
+
+/// A replica is out of the quorum once it was behind the others for this long, in milliseconds.
+const BEHIND: u64 = 500;
+
+/// One replica.
+pub struct Replica<A> {
+    pub(crate) application: A,
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) state: DurableState,
+    pub(crate) disk: Disk,
+    /// The last entry that is durable.
+    pub(crate) durable_last: u64,
+    /// The last view in which the log is durably complete.
+    pub(crate) durable_complete: u64,
+    pub(crate) peers: Peers,
+    pub(crate) session: Option<Session>,
+    /// What is durable or committed here has changed, which the predecessor has to be told.
+    pub(crate) owes_acknowledgement: bool,
+    pub(crate) recent: Recent,
+    pub(crate) pull: Pull,
+    pub(crate) change: ViewChange,
+    pub(crate) chance: Chance,
+    pub(crate) is_leaving: bool,
+    pub(crate) heartbeat_due: u64,
+    pub(crate) outputs: Vec<Output>,
+    submissions: Submissions,
+    /// Messages to this replica itself.
+    inbox: VecDeque<Message>,
+    /// The identity is on the disk.
+    is_started: bool,
+    was_stalled: bool,
+    behind_since: Option<u64>,
+}
+
+impl<A: Application> Replica<A> {
+    /// Starts with what was found on the disk: the checkpoint and the log after it.
+    pub fn new(
+        settings: ReplicaSettings,
+        application: A,
+        recovered: (Option<Vec<u8>>, Vec<Vec<u8>>),
+        now: u64,
+    ) -> Result<(Self, Vec<Output>), RecoverError> {
+        let (checkpoint, log) = recovered;
+        let state = DurableState::recover(&settings, checkpoint.as_deref(), &log)?;
+        let log_bytes = log.iter().map(Vec::len).sum();
+        let mut replica = Replica {
+            application,
+            disk: Disk::new(log_bytes, checkpoint.as_ref().map_or(0, Vec::len)),
+            durable_last: state.last(),
+            durable_complete: state.complete,
+            peers: Peers::new(settings.endpoint, settings.timing, now),
+            session: None,
+            owes_acknowledgement: false,
+            recent: Recent::default(),
+            pull: Pull::default(),
+            change: ViewChange::default(),
+            chance: Chance::new(settings.start),
+            is_leaving: false,
+            heartbeat_due: now,
+            outputs: Vec::new(),
+            submissions: Submissions::default(),
+            inbox: VecDeque::new(),
+            is_started: checkpoint.is_some(),
+            was_stalled: false,
+            behind_since: None,
+            state,
+            settings,
+        };
+        if replica.is_started {
+            replica.start(now);
+        }
+        replica.settle(now);
+        let outputs = std::mem::take(&mut replica.outputs);
+        Ok((replica, outputs))
+    }
+
+    /// Takes part, now that the identity is durable.
+    fn start(&mut self, now: u64) {
+        self.is_started = true;
+        self.begin_session(now);
+        self.send_heartbeats(now);
+    }
+
+    /// Takes in what has happened, and returns what is to be done, in this order.
+    pub fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Message { from, message } => self.receive(now, from, message),
+            Input::Submit { ticket, command } => {
+                self.submissions.add(now, ticket, command);
+                self.send_submissions(now);
+            }
+            Input::Persisted { token } => self.persisted(now, token),
+            Input::PersistFailed { token } => self.disk.failed(now, token),
+            Input::Leave => {
+                self.is_leaving = true;
+                self.send_heartbeats(now);
+            }
+        }
+        self.settle(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The committed records.
+    pub fn committed(&self) -> &Records {
+        &self.state.records
+    }
+
+    pub fn committed_sequence(&self) -> u64 {
+        self.state.committed
+    }
+
+    /// Whether this replica is up to date and in touch with a majority.
+    pub fn is_in_quorum(&self, now: u64) -> bool {
+        let view = self.view();
+        let me = self.me();
+        let is_agreed = |voter: Voter| {
+            let heartbeat = self.peers.well(now, view, voter);
+            me == Some(voter) || heartbeat.is_some_and(|heartbeat| heartbeat.view == view.number)
+        };
+        let is_behind = self.behind_since.is_some_and(|since| now > since + BEHIND);
+        let is_synchronized = self.session.as_ref().is_none_or(|session| session.is_complete);
+        view.is_known() && view.has_majority(is_agreed) && is_synchronized && !is_behind
+    }
+
+    /// The newest view that is known here.
+    pub fn view(&self) -> &View {
+        &self.state.decided.view
+    }
+
+    /// The endpoints that messages may go to.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let members = self.view().members.iter().map(|member| member.endpoint);
+        let heard = self.peers.iter().map(|(endpoint, _)| *endpoint);
+        let known = members.chain(heard).chain(self.settings.seeds.iter().copied());
+        let endpoints: BTreeSet<SocketAddr> =
+            known.filter(|known| *known != self.settings.endpoint).collect();
+        endpoints.into_iter().collect()
+    }
+
+    /// The whole state, if the log is so long that a checkpoint should replace it.
+    ///
+    /// The replica orders checkpoints itself ([`DurableWrite::Checkpoint`]); this is for a shell whose log has
+    /// grown by more than the replica's records.
+    pub fn checkpoint_due(&self, log_bytes: usize) -> Option<Vec<u8>> {
+        let longest = LONGEST_LOG.max(4 * self.disk.checkpoint_bytes());
+        (log_bytes > longest && self.disk.is_idle()).then(|| self.state.encode())
+    }
+
+    /// This replica as a voter of the view.
+    pub(crate) fn me(&self) -> Option<Voter> {
+        let member = self.view().member_at(self.settings.endpoint)?;
+        (member.voter.birth == self.state.birth).then_some(member.voter)
+    }
+
+    pub(crate) fn report(&self) -> Report {
+        Report { complete: self.state.complete, committed: self.state.committed }
+    }
+
+    pub(crate) fn is_disk_stalled(&self, now: u64) -> bool {
+        self.disk.is_stalled(now, self.settings.timing.disk_stall)
+    }
+
+    /// Takes a step of the durable state. One that is not urgent is written with the next that is.
+    pub(crate) fn record(&mut self, record: DurableRecord, urgent: bool) {
+        self.disk.append(record.encode(), urgent);
+        self.state.apply(record);
+    }
+
+    /// Does something once all steps so far are durable.
+    pub(crate) fn afterwards(&mut self, what: Afterwards) {
+        if self.disk.is_idle() {
+            self.is_durable(what);
+        } else {
+            self.disk.afterwards(what);
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
+        if to == self.settings.endpoint {
+            self.inbox.push_back(message);
+        } else {
+            self.outputs.push(Output::Send { to, message });
+        }
+    }
+
+    fn persisted(&mut self, now: u64, token: u64) {
+        for what in self.disk.persisted(token) {
+            self.is_durable(what);
+        }
+        if !self.is_started {
+            self.start(now);
+        }
+    }
+
+    fn is_durable(&mut self, what: Afterwards) {
+        match what {
+            Afterwards::Send { to, message } => self.send(to, message),
+            Afterwards::Entry(sequence) => {
+                self.durable_last = self.durable_last.max(sequence);
+                self.owes_acknowledgement = true;
+            }
+            Afterwards::Complete(view) => self.on_complete(view),
+        }
+    }
+
+    /// Goes on until nothing more follows from what has happened.
+    fn settle(&mut self, now: u64) {
+        if self.is_started {
+            self.pump(now);
+            while let Some(message) = self.inbox.pop_front() {
+                self.receive(now, self.settings.endpoint, message);
+                self.pump(now);
+            }
+        }
+        let state = &self.state;
+        if let Some((token, write)) = self.disk.next_write(now, || state.encode()) {
+            self.outputs.push(Output::Persist { token, write });
+        }
+    }
+
+    fn tick(&mut self, now: u64) {
+        for (ticket, error) in self.submissions.expired(now, &self.settings.timing) {
+            self.outputs.push(Output::Reply { ticket, result: Err(error) });
+        }
+        if !self.is_started {
+            return;
+        }
+        let is_stalled = self.is_disk_stalled(now);
+        let has_news = is_stalled != self.was_stalled;
+        self.was_stalled = is_stalled;
+        if has_news || now >= self.heartbeat_due {
+            self.send_heartbeats(now);
+        }
+        self.peers.forget_silent(now);
+        self.note_lag(now);
+        self.tick_resume(now);
+        self.tick_pull(now);
+        self.tick_change(now);
+        self.send_submissions(now);
+    }
+
+    fn note_lag(&mut self, now: u64) {
+        let ahead = |peer: &crate::peers::Peer| peer.heartbeat.report.committed > self.state.committed;
+        let is_behind = self.peers.iter().any(|(_, peer)| ahead(peer));
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+    }
+
+    fn send_heartbeats(&mut self, now: u64) {
+        self.heartbeat_due = now + self.settings.timing.heartbeat;
+        let heartbeat = Heartbeat {
+            birth: self.state.birth,
+            start: self.settings.start,
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            view: self.view().number,
+            report: self.report(),
+            heard: self.peers.heard_lately(now),
+            is_sealed: self.state.is_sealed(),
+            is_stalled: self.is_disk_stalled(now),
+            is_leaving: self.is_leaving,
+        };
+        for to in self.peers() {
+            self.send(to, Message::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// Sends the commands that wait here to the head.
+    fn send_submissions(&mut self, now: u64) {
+        let view = self.view();
+        let Some(head) = view.head().and_then(|head| view.endpoint(head)) else { return };
+        if !self.is_started {
+            return;
+        }
+        let (endpoint, start) = (self.settings.endpoint, self.settings.start);
+        let number = view.number;
+        for (ticket, command) in self.submissions.due(now, number, &self.settings.timing) {
+            let origin = Origin { endpoint, start, ticket };
+            self.send(head, Message::Submit { origin, command });
+        }
+    }
+
+    fn receive(&mut self, now: u64, from: SocketAddr, message: Message) {
+        if !self.is_started {
+            return;
+        }
+        match message {
+            Message::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat),
+            Message::Prepare { voter, ballot, known } => self.on_prepare(from, voter, ballot, known),
+            Message::Promise { voter, ballot, accepted, report } => {
+                self.on_promise(now, voter, ballot, accepted, report);
+            }
+            Message::Accept { voter, ballot, view } => self.on_accept(from, voter, ballot, view),
+            Message::Accepted { voter, ballot } => self.on_accepted(now, voter, ballot),
+            Message::Rejected { ballot, promised } => self.on_rejected(now, ballot, promised),
+            Message::Decided(decided) => {
+                self.adopt(now, decided);
+                self.send_submissions(now);
+            }
+            Message::Submit { origin, command } => self.on_submit(origin, &command),
+            Message::Replied { start, ticket, sequence, answer } => {
+                self.on_replied(start, ticket, Reply { sequence, answer });
+            }
+            Message::Append { view, entries, reads } => self.on_append(now, from, view, entries, reads),
+            Message::Acknowledge { view, last, committed } => {
+                self.on_acknowledge(now, from, view, last, committed);
+            }
+            Message::Resume { view, standing } => self.on_resume(now, from, view, &standing),
+            Message::Synchronize { view, transfer } => self.on_synchronize(from, view, transfer),
+            Message::Pull { committed, digests } => self.on_pull(from, committed, &digests),
+            Message::Learn(transfer) => self.on_learn(transfer),
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: u64, from: SocketAddr, heartbeat: Heartbeat) {
+        let knows_less = heartbeat.view < self.view().number;
+        let has_started = self.peers.heard(now, from, heartbeat);
+        if knows_less {
+            let decided = self.state.decided.clone();
+            self.send(from, Message::Decided(decided));
+        }
+        if has_started {
+            self.on_restart(now, from);
+        }
+    }
+
+    fn on_replied(&mut self, start: u64, ticket: u64, reply: Reply) {
+        if start == self.settings.start && self.submissions.answered(ticket) {
+            self.outputs.push(Output::Reply { ticket, result: Ok(reply) });
+        }
+    }
+}
+
+/// A log longer than this is worth a checkpoint even if the replica has not ordered one.
+const LONGEST_LOG: usize = 256 * 1024;
--- /dev/null
+++ b/coordination/replica/src/settings.rs
@@ -0,0 +1,59 @@
+//! What a replica is told when it starts.
+
+use std::net::SocketAddr;
+
+/// Settings of one replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaSettings {
+    /// Where the other replicas reach this one.
+    pub endpoint: SocketAddr,
+    pub zone: String,
+    pub region: String,
+    /// Endpoints of the founding members, or, later, of some replicas to ask.
+    pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Drawn at random: the identity taken with an empty disk, unless this is a founding member.
+    pub birth: u64,
+    /// Drawn at random at each start of the process; also the seed of the jitter.
+    pub start: u64,
+    /// How many replicas may be lost at once.
+    pub tolerated_losses: usize,
+    pub timing: Timing,
+}
+
+/// Spans of time, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Between two heartbeats to the same peer.
+    pub heartbeat: u64,
+    /// Silence after which a peer is suspected.
+    pub suspicion: u64,
+    /// How long a write to the disk may last before the disk counts as stalled.
+    pub disk_stall: u64,
+    /// How long entries may wait for a neighbour in the chain before it is suspected.
+    pub chain_stall: u64,
+    /// Silence after which a voter may be replaced by a candidate.
+    pub replacement: u64,
+    /// How long a promise or a vote is waited for before a round is given up.
+    pub round: u64,
+    /// How long a submitted command may stay without an answer.
+    pub submit: u64,
+    /// After this an unanswered message of the chain, of a submission or of a synchronisation is sent again.
+    pub resend: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            heartbeat: 200,
+            suspicion: 900,
+            disk_stall: 800,
+            chain_stall: 1_000,
+            replacement: 2_000,
+            round: 600,
+            submit: 4_000,
+            resend: 400,
+        }
+    }
+}
--- /dev/null
+++ b/coordination/replica/src/synchronize.rs
@@ -0,0 +1,267 @@
+//! Synchronisation: a member of the chain says where it stands, one that joins is brought up to date, and replicas
+//! outside of the chain follow what is committed.
+
+use std::net::SocketAddr;
+
+use whinspindle_digests::{RangeDigest, differing, partition};
+
+use crate::application::Application;
+use crate::disk::Afterwards;
+use crate::durable::DurableRecord;
+use crate::entry::Entry;
+use crate::message::{ChainStanding, Message};
+use crate::records::Records;
+use crate::replica::{Output, Replica};
+use crate::transfer::{RangeContents, Transfer};
+
+/// Between two questions to the predecessor, in milliseconds.
+const RESUME_AGAIN: u64 = 150;
+/// How long a replica outside of the chain waits for what it lacks before it asks, in milliseconds.
+const PULL_DELAY: u64 = 150;
+
+/// Ranges that the records are divided into where two replicas are compared.
+const RANGES: usize = 64;
+
+fn range_digests(records: &Records) -> Vec<RangeDigest> {
+    partition(records.by_key(), RANGES)
+}
+
+/// The contents here of all ranges for which the other replica has another digest.
+fn differing_ranges(records: &Records, digests: &[RangeDigest]) -> Vec<RangeContents> {
+    let differing = differing(records.by_key(), digests);
+    differing.into_iter().map(|range| RangeContents::copy(records, range)).collect()
+}
+
+/// What a replica outside of the chain waits for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pull {
+    pub behind_since: Option<u64>,
+    pub asked_at: Option<u64>,
+}
+
+impl<A: Application> Replica<A> {
+    /// Tells the predecessor where this member stands.
+    pub(crate) fn resume(&mut self, now: u64) {
+        let (last, committed) = (self.durable_last, self.state.committed);
+        let is_sealed = self.state.is_sealed();
+        let Some(session) = &mut self.session else { return };
+        let Some(predecessor) = &mut session.predecessor else { return };
+        if is_sealed {
+            return;
+        }
+        predecessor.has_answered = false;
+        predecessor.asked_at = now;
+        let (view, complete, to) = (session.view, session.is_complete, predecessor.endpoint);
+        let is_recorded = self.state.complete >= session.since;
+        if !complete && is_recorded {
+            // Only the disk is waited for.
+            return;
+        }
+        let digests = if complete { Vec::new() } else { range_digests(&self.state.records) };
+        let standing = ChainStanding { is_complete: complete, last, committed, digests };
+        self.send(to, Message::Resume { view, standing });
+    }
+
+    pub(crate) fn tick_resume(&mut self, now: u64) {
+        let Some(session) = &self.session else { return };
+        let Some(predecessor) = &session.predecessor else { return };
+        if !predecessor.has_answered && now >= predecessor.asked_at + RESUME_AGAIN {
+            self.resume(now);
+        }
+    }
+
+    /// A neighbour in the chain has started anew and knows nothing of this view's traffic.
+    pub(crate) fn on_restart(&mut self, now: u64, endpoint: SocketAddr) {
+        let Some(session) = &mut self.session else { return };
+        if let Some(successor) = session.successor.as_mut().filter(|successor| successor.endpoint == endpoint)
+        {
+            successor.is_ready = false;
+            successor.owes_since = Some(now);
+        }
+        if session.predecessor.is_some_and(|predecessor| predecessor.endpoint == endpoint) {
+            self.resume(now);
+        }
+    }
+
+    pub(crate) fn on_resume(&mut self, now: u64, from: SocketAddr, view: u64, standing: &ChainStanding) {
+        if self.state.is_sealed() {
+            return;
+        }
+        let Some(session) = self.session.as_mut().filter(|session| session.view == view) else { return };
+        if !session.is_complete {
+            return;
+        }
+        let Some(successor) = session.successor.as_mut().filter(|successor| successor.endpoint == from)
+        else {
+            return;
+        };
+        if standing.is_complete {
+            successor.stands_at(standing.last);
+            self.commit_up_to(standing.committed);
+            self.send(from, Message::Append { view, entries: Vec::new(), reads: Vec::new() });
+        } else {
+            successor.is_ready = false;
+            successor.owes_since.get_or_insert(now);
+            let transfer = self.transfer(standing.committed, &standing.digests, true);
+            self.send(from, Message::Synchronize { view, transfer });
+        }
+    }
+
+    /// What leads from a position to the one here; `pending` includes entries that are not committed.
+    fn transfer(&self, base: u64, digests: &[RangeDigest], pending: bool) -> Transfer {
+        let committed = self.state.committed;
+        let up_to = if pending { self.durable_last } else { committed };
+        let mut transfer = Transfer { base, position: base, committed, ..Transfer::default() };
+        match self.recent.after(base, committed) {
+            Some(entries) => transfer.entries = entries,
+            None => {
+                transfer.ranges = differing_ranges(&self.state.records, digests);
+                transfer.position = committed;
+                transfer.outcomes = self.state.outcomes.iter().cloned().collect();
+            }
+        }
+        let after = base.max(committed);
+        transfer.entries.extend(self.state.entries(after, up_to).cloned());
+        transfer
+    }
+
+    /// The predecessor has sent what this member lacks.
+    pub(crate) fn on_synchronize(&mut self, from: SocketAddr, view: u64, transfer: Transfer) {
+        if self.state.is_sealed() {
+            return;
+        }
+        let Some(session) = self.session.as_mut().filter(|session| session.view == view) else { return };
+        let is_recorded = self.state.complete >= session.since;
+        let Some(predecessor) = &mut session.predecessor else { return };
+        if predecessor.endpoint != from || is_recorded || transfer.base != self.state.committed {
+            return;
+        }
+        predecessor.has_answered = true;
+        self.replace_ranges(&transfer);
+        let committed = transfer.committed;
+        for entry in transfer.entries {
+            self.add_entry(entry);
+        }
+        self.learn_committed(committed);
+        self.record(DurableRecord::Complete(view), true);
+        self.disk.afterwards(Afterwards::Complete(view));
+    }
+
+    /// The log is durably complete as of this view.
+    pub(crate) fn on_complete(&mut self, view: u64) {
+        self.durable_complete = self.durable_complete.max(view);
+        let Some(session) = &mut self.session else { return };
+        if self.durable_complete >= session.since && !session.is_complete {
+            session.is_complete = true;
+            self.owes_acknowledgement = true;
+        }
+    }
+
+    fn replace_ranges(&mut self, transfer: &Transfer) {
+        if transfer.position == transfer.base {
+            return;
+        }
+        let Transfer { position, ranges, outcomes, .. } = transfer.clone();
+        self.disk.forget_entries();
+        self.recent.clear();
+        self.record(DurableRecord::Replace { position, ranges, outcomes }, true);
+        self.durable_last = position;
+        self.outputs.push(Output::Replaced);
+    }
+
+    /// Commits entries that are known to be committed elsewhere, durable here or not.
+    fn learn_committed(&mut self, committed: u64) {
+        let entries: Vec<Entry> = self.state.entries(self.state.committed, committed).cloned().collect();
+        if entries.is_empty() {
+            return;
+        }
+        let last = self.state.committed + entries.len() as u64;
+        self.record(DurableRecord::Committed(last), true);
+        for entry in entries {
+            self.announce(entry);
+        }
+    }
+
+    /// At the tail: sends what was just committed to the replicas outside of the chain.
+    pub(crate) fn teach(&mut self, entries: &[Entry]) {
+        let Some(first) = entries.first() else { return };
+        let base = first.sequence - 1;
+        let transfer = Transfer {
+            base,
+            position: base,
+            entries: entries.to_vec(),
+            committed: self.state.committed,
+            ..Transfer::default()
+        };
+        for learner in self.learners() {
+            self.send(learner, Message::Learn(transfer.clone()));
+        }
+    }
+
+    fn learners(&self) -> Vec<SocketAddr> {
+        let view = self.view();
+        let is_in_chain = |endpoint: SocketAddr| {
+            view.member_at(endpoint).is_some_and(|member| view.position(member.voter).is_some())
+        };
+        self.peers.iter().map(|(endpoint, _)| *endpoint).filter(|endpoint| !is_in_chain(*endpoint)).collect()
+    }
+
+    pub(crate) fn on_pull(&mut self, from: SocketAddr, committed: u64, digests: &[RangeDigest]) {
+        if committed < self.state.committed {
+            let transfer = self.transfer(committed, digests, false);
+            self.send(from, Message::Learn(transfer));
+        }
+    }
+
+    pub(crate) fn on_learn(&mut self, transfer: Transfer) {
+        if self.session.is_some() {
+            return;
+        }
+        let committed = self.state.committed;
+        let is_known = transfer.committed <= committed;
+        if is_known
+            || transfer.base > committed
+            || (transfer.position > transfer.base && transfer.base != committed)
+        {
+            return;
+        }
+        self.replace_ranges(&transfer);
+        for entry in transfer.entries {
+            self.record(DurableRecord::Entry(entry), true);
+        }
+        self.learn_committed(transfer.committed);
+        self.durable_last = self.state.committed;
+        self.pull.asked_at = None;
+    }
+
+    /// Outside of the chain: asks the most advanced member of the chain for what is lacking.
+    pub(crate) fn tick_pull(&mut self, now: u64) {
+        if self.session.is_some() {
+            return;
+        }
+        let Some((source, committed)) = self.most_advanced(now) else { return };
+        if committed <= self.state.committed {
+            self.pull.behind_since = None;
+            return;
+        }
+        let since = *self.pull.behind_since.get_or_insert(now);
+        let is_asked = self.pull.asked_at.is_some_and(|at| now < at + self.settings.timing.resend);
+        let is_new = self.state.committed == 0;
+        if !is_asked && (is_new || now >= since + PULL_DELAY) {
+            self.pull.asked_at = Some(now);
+            let digests = range_digests(&self.state.records);
+            let committed = self.state.committed;
+            self.send(source, Message::Pull { committed, digests });
+        }
+    }
+
+    fn most_advanced(&self, now: u64) -> Option<(SocketAddr, u64)> {
+        let view = self.view();
+        let members = view.chain.iter().filter_map(|link| view.member(link.voter));
+        let well = members.filter_map(|member| {
+            let heartbeat = self.peers.well(now, view, member.voter)?;
+            Some((member.endpoint, heartbeat.report.committed))
+        });
+        well.max_by_key(|(_, committed)| *committed)
+    }
+}
--- /dev/null
+++ b/coordination/replica/tests/common/mod.rs
@@ -0,0 +1,6 @@
+//! Clusters of replicas in a simulated network, their clients, and the judge of what the clients saw.
+#![allow(dead_code)]
+
+pub mod clients;
+pub mod history;
+pub mod node;
--- /dev/null
+++ b/coordination/replica/tests/common/node.rs
@@ -0,0 +1,149 @@
+//! A replica as a simulated process, with registers of text as its application.
+
+use std::net::SocketAddr;
+
+use whinspindle_lab_cluster::{Cluster, DiskTiming, Effect, Event, NetworkTiming, Process, Start};
+use whinspindle_replica::{
+    Answer, Application, DurableWrite, Evaluation, Input, Message, Output, RecordWrite, Records, Replica,
+    ReplicaSettings, Reply, SubmitError, Timing,
+};
+
+/// Registers: `put KEY VALUE`, `swap KEY OLD NEW` and `get KEY`. An empty register is `-`.
+#[derive(Clone, Debug)]
+pub struct Registers;
+
+impl Application for Registers {
+    fn evaluate(&self, records: &Records, command: &[u8]) -> Evaluation {
+        let text = String::from_utf8_lossy(command);
+        let words: Vec<&str> = text.split(' ').collect();
+        let value = |key: &str| {
+            let record = records.get(key);
+            record.map_or("-".to_string(), |record| String::from_utf8_lossy(&record.value).to_string())
+        };
+        let write = |key: &str, value: &str| {
+            vec![RecordWrite { key: key.to_string(), value: Some(value.as_bytes().to_vec()) }]
+        };
+        let answer = |text: &str| Answer::Value(text.as_bytes().to_vec());
+        match words.as_slice() {
+            ["put", key, new] => Evaluation { writes: write(key, new), answer: answer("done") },
+            ["swap", key, old, new] if value(key) == *old => {
+                Evaluation { writes: write(key, new), answer: answer("done") }
+            }
+            ["swap", ..] => Evaluation { writes: Vec::new(), answer: answer("refused") },
+            ["get", key] if records.get(key).is_some() => {
+                Evaluation { writes: Vec::new(), answer: Answer::Record(key.to_string()) }
+            }
+            _ => Evaluation { writes: Vec::new(), answer: answer("-") },
+        }
+    }
+}
+
+/// What a client asks a replica.
+#[derive(Clone, Debug)]
+pub enum Command {
+    Submit { ticket: u64, command: String },
+    Leave,
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    pub ticket: u64,
+    pub result: Result<Reply, SubmitError>,
+}
+
+/// A replica, and what an observer of its outputs knows of its records.
+pub struct Node {
+    pub replica: Replica<Registers>,
+    /// None after a replacement.
+    committed: Option<u64>,
+}
+
+impl Node {
+    pub fn start(settings: ReplicaSettings, start: Start) -> (Node, Vec<Effect<Node>>) {
+        let (replica, outputs) =
+            Replica::new(settings, Registers, start.recovered, start.now).expect("the disk is readable");
+        let mut node = Node { committed: Some(replica.committed_sequence()), replica };
+        let effects = node.effects(outputs);
+        (node, effects)
+    }
+
+    fn effects(&mut self, outputs: Vec<Output>) -> Vec<Effect<Node>> {
+        let mut effects = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    let bytes = message.encode();
+                    let message = Message::decode(&bytes).expect("what was encoded can be decoded");
+                    effects.push(Effect::Send { to, message });
+                }
+                Output::Persist { token, write: DurableWrite::Append(records) } => {
+                    effects.push(Effect::Append { token, records });
+                }
+                Output::Persist { token, write: DurableWrite::Checkpoint(state) } => {
+                    effects.push(Effect::Checkpoint { token, state });
+                }
+                Output::Reply { ticket, result } => effects.push(Effect::Answer(Told { ticket, result })),
+                Output::Committed { sequence, .. } => {
+                    let follows = self.committed.is_none_or(|committed| sequence == committed + 1);
+                    assert!(follows, "commits are told one by one");
+                    self.committed = Some(sequence);
+                }
+                Output::Replaced => self.committed = None,
+            }
+        }
+        self.committed.get_or_insert(self.replica.committed_sequence());
+        effects
+    }
+}
+
+impl Process for Node {
+    type Message = Message;
+    type Command = Command;
+    type Answer = Told;
+
+    fn handle(&mut self, now: u64, event: Event<Self>) -> Vec<Effect<Self>> {
+        let input = match event {
+            Event::Tick => Input::Tick,
+            Event::Message { from, message } => Input::Message { from, message },
+            Event::Command(Command::Submit { ticket, command }) => {
+                Input::Submit { ticket, command: command.into_bytes() }
+            }
+            Event::Command(Command::Leave) => Input::Leave,
+            Event::Persisted { token } => Input::Persisted { token },
+            Event::PersistFailed { token } => Input::PersistFailed { token },
+        };
+        let outputs = self.replica.handle(now, input);
+        self.effects(outputs)
+    }
+}
+
+pub fn endpoint(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_700))
+}
+
+/// A cluster of this many founding replicas, three of which at most are seeds; all are started.
+pub fn cluster(seed: u64, count: usize, tolerated_losses: usize, network: NetworkTiming) -> Cluster<Node> {
+    let seeds: Vec<SocketAddr> = (0..count.min(3)).map(endpoint).collect();
+    let starter = move |start: Start| {
+        let zone = format!("zone-{}", start.endpoint.ip());
+        let settings = ReplicaSettings {
+            endpoint: start.endpoint,
+            region: format!("region-{zone}"),
+            zone,
+            seeds: seeds.clone(),
+            bootstrap: start.is_founding,
+            birth: start.chance >> 1 | 1,
+            start: start.chance,
+            tolerated_losses,
+            timing: Timing::default(),
+        };
+        Node::start(settings, start)
+    };
+    let mut cluster = Cluster::new(seed, network, DiskTiming::default(), starter);
+    for number in 0..count {
+        cluster.add(endpoint(number), true);
+        cluster.start(endpoint(number));
+    }
+    cluster
+}
