Policy member split by concern: lease, voter, leader, rounds, requests, texts, restarts

crates/policy/src/member.rs held the whole member in 1165 lines under private words. It is now 235 lines that dispatch, and modules of 33 to 184 lines with one job each; private names are those of the field (lease in place of holding, leader in place of steward, pending request in place of wanted). Moves, renames and the extraction of a few functions; messages, stored bytes and decisions are unmoved.

--- /dev/null
+++ b/crates/policy/src/member/acceptor.rs
@@ -0,0 +1,71 @@
+//! A voter's answers: leases granted to followers, and votes in the rounds of others.
+
+use whinspindle_agreement::Ballot;
+
+use super::{Laws, Member, Outside};
+use crate::message::{Message, Readiness, Right};
+use crate::record::Record;
+
+/// What a voter last heard of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Heard {
+    pub at: u64,
+    pub birth: u64,
+    pub start: u64,
+    pub founding: u64,
+    pub version: u64,
+    pub right: Right,
+    pub readiness: Readiness,
+}
+
+impl<O: Outside, L: Laws> Member<O, L> {
+    pub(super) fn answer(&mut self, now: u64, from: u16, at: u64, heard: Heard) {
+        let (order, start) = ((heard.founding, heard.version), heard.start);
+        self.heard[from as usize] = Some(heard);
+        // One that knows more tells it when it is asked; it may be that no voter does.
+        if order > self.record.order() && from != self.terms.me {
+            let ask = self.question(now);
+            self.outside.send(from, ask);
+        }
+        if order < self.record.order() {
+            if from != self.terms.me {
+                self.outside.send(from, Message::News { record: self.record.clone() });
+            }
+            return;
+        }
+        let voted = self.memory.votes.accepted.as_ref().map(|(_, record)| record);
+        if order > self.record.order() || !self.kept || !self.is_voter() || !L::may_grant(&self.record, voted)
+        {
+            return;
+        }
+        let (voter, board, number) = (self.voter(), self.record.board, self.record.policy.number);
+        if from == self.terms.me {
+            self.granted(now, at, voter, (board, number));
+        } else {
+            self.outside.send(from, Message::Grant { at, start, voter, board, number });
+        }
+    }
+
+    pub(super) fn prepare(&mut self, from: u16, ballot: Ballot) {
+        let before = self.memory.votes.promised;
+        let answer = match self.memory.votes.prepare(ballot) {
+            Ok(()) => {
+                if (before != ballot || !self.kept) && !self.persist() {
+                    return;
+                }
+                Message::Promise { ballot, voter: self.voter(), accepted: self.memory.votes.accepted.clone() }
+            }
+            Err(promised) => Message::Refuse { ballot, promised },
+        };
+        self.outside.send(from, answer);
+    }
+
+    pub(super) fn accept(&mut self, from: u16, ballot: Ballot, record: Record) {
+        let answer = match self.memory.votes.accept::<L>(ballot, record) {
+            Ok(()) if !self.persist() => return,
+            Ok(()) => Message::Accepted { ballot, voter: self.voter() },
+            Err(promised) => Message::Refuse { ballot, promised },
+        };
+        self.outside.send(from, answer);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/member/lease.rs
@@ -0,0 +1,164 @@
+//! The lease by which a follower decides: asked for at the voters again and again, granted by majorities, and
+//! over by the follower's own clock when it is not renewed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use whinspindle_agreement::Voter;
+
+use super::{Laws, Member, Outside};
+use crate::message::{Message, Right};
+use crate::record::Record;
+
+/// How often in a pace voters that have not answered are asked again.
+const RETRIES: u64 = 2;
+
+/// The grants of the voters for one policy by one board: a lease once a majority of each board has granted it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Lease {
+    pub(super) number: u64,
+    pub(super) board: u64,
+    pub(super) boards: Vec<Vec<Voter>>,
+    /// Until when, and for which board and number.
+    pub(super) grants: BTreeMap<Voter, (u64, (u64, u64))>,
+}
+
+impl Lease {
+    pub(super) fn of(record: &Record) -> Lease {
+        Lease {
+            number: record.policy.number,
+            board: record.board,
+            boards: record.boards.clone(),
+            grants: BTreeMap::new(),
+        }
+    }
+
+    /// Until when there is a right: as long as a majority of each board grants it.
+    pub(super) fn until<L: Laws>(&self) -> u64 {
+        let grant = |voter: &Voter| {
+            let (until, granted) = self.grants.get(voter)?;
+            L::is_for(*granted, self.board, self.number).then_some(*until)
+        };
+        let of_board = |board: &Vec<Voter>| {
+            let mut ends: Vec<u64> = board.iter().filter_map(grant).collect();
+            ends.sort_unstable();
+            let needed = (0..=board.len()).find(|votes| L::is_majority(*votes, board.len()));
+            needed.and_then(|needed| ends.len().checked_sub(needed)).map_or(0, |place| ends[place])
+        };
+        self.boards.iter().map(of_board).min().unwrap_or(0)
+    }
+}
+
+impl<O: Outside, L: Laws> Member<O, L> {
+    /// By what a query that is taken now is decided. Asked for each query: a process that was stopped finds
+    /// its right over before it does anything by it.
+    pub fn right(&self, now: u64) -> Right {
+        self.right_until(now).0
+    }
+
+    /// The same, and until when it holds if nothing more is heard.
+    pub fn right_until(&self, now: u64) -> (Right, u64) {
+        let proved = |number: u64| number == 0 || matches!(self.verdicts.get(&number), Some(Ok(())));
+        let held = [Some(&self.lease), self.previous_lease.as_ref()];
+        let usable = held.into_iter().flatten().find(|h| proved(h.number) && now < h.until::<L>());
+        let learned = self.began + self.terms.learn;
+        match usable {
+            Some(holding) => (Right::Policy(holding.number), holding.until::<L>()),
+            None if !self.had_lease && now < learned => (Right::Learning, learned),
+            None => (Right::CutOff, u64::MAX),
+        }
+    }
+
+    pub(super) fn voters(&self) -> BTreeSet<u16> {
+        let agreed = self.record.boards.iter().flatten().map(|voter| voter.member);
+        if self.record.founding == 0 { self.terms.voters.iter().copied().collect() } else { agreed.collect() }
+    }
+
+    pub(super) fn ask(&mut self, now: u64) {
+        self.next_ask = now + self.terms.pace;
+        (self.asked, self.again) = (now, 0);
+        self.ask_those(now, self.voters());
+    }
+
+    /// Guards against lost datagrams in large fleets, where the pace is long against the right: a voter that
+    /// has not answered is asked again, so often at most, if those that have are no majority.
+    pub(super) fn retry_ask(&mut self, now: u64) {
+        let due = self.asked + self.terms.pace / 4 * (self.again + 1);
+        if self.again == RETRIES || now < due || self.lease.until::<L>() >= self.asked + self.terms.right {
+            return;
+        }
+        self.again += 1;
+        let answered = |voter: &u16| {
+            let grants = self.lease.grants.iter().filter(|(of, _)| of.member == *voter);
+            grants.into_iter().any(|(_, (until, _))| *until >= self.asked + self.terms.right)
+        };
+        let silent = self.voters().into_iter().filter(|voter| !answered(voter)).collect();
+        self.ask_those(now, silent);
+    }
+
+    pub(super) fn ask_those(&mut self, now: u64, voters: BTreeSet<u16>) {
+        for voter in voters {
+            let question = self.question(now);
+            if voter == self.terms.me {
+                self.heard(now, voter, question);
+            } else {
+                self.outside.send(voter, question);
+            }
+        }
+    }
+
+    pub(super) fn question(&self, now: u64) -> Message {
+        Message::Ask {
+            at: now,
+            birth: self.memory.birth,
+            start: self.start,
+            founding: self.record.founding,
+            version: self.record.version,
+            right: self.right(now),
+            readiness: self.readiness(),
+        }
+    }
+
+    pub(super) fn granted(&mut self, now: u64, at: u64, voter: Voter, granted: (u64, u64)) {
+        let until = L::right_until(at, now, &self.terms);
+        for held in [Some(&mut self.lease), self.previous_lease.as_mut()].into_iter().flatten() {
+            let known = held.grants.entry(voter).or_insert((until, granted));
+            if until > known.0 {
+                *known = (until, granted);
+            }
+        }
+        self.note_lease(now);
+    }
+
+    /// Once there is a right for what is known, what was before is never gone back to.
+    pub(super) fn note_lease(&mut self, now: u64) {
+        let right = self.right(now);
+        if right == Right::Policy(self.lease.number) {
+            self.previous_lease = None;
+        }
+        self.had_lease |= matches!(right, Right::Policy(_));
+        if right != self.told {
+            let words = match right {
+                Right::Learning => "learns what holds".to_string(),
+                Right::Policy(number) => format!("decides by policy {number}"),
+                Right::CutOff => format!("is cut off: {}", self.why_cut_off(now)),
+            };
+            self.outside.tell(words);
+            self.told = right;
+        }
+    }
+
+    /// Why it holds no lease, in words for the log and for operators.
+    pub fn why_cut_off(&self, now: u64) -> String {
+        let number = self.lease.number;
+        if self.record.founding == 0 {
+            return "the fleet is not founded, or no voter answers".to_string();
+        }
+        if now >= self.lease.until::<L>() {
+            return format!("no majority of the voters grants policy {number}");
+        }
+        match self.verdicts.get(&number) {
+            Some(Err(no)) => format!("policy {number} can't be proved here: line {}: {}", no.line, no.words),
+            _ => format!("the text of policy {number} is not whole yet"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/member/proposer.rs
@@ -0,0 +1,149 @@
+//! The rounds that this member begins: a step is prepared, written and counted until a majority of each board
+//! has voted for it.
+
+use std::collections::BTreeSet;
+
+use whinspindle_agreement::{Ballot, Round, Voter};
+
+use super::{Laws, Member, Outside};
+use crate::message::Message;
+use crate::record::{Record, Step};
+
+/// A round that this member has begun.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct OngoingRound {
+    pub(super) round: Round<Record>,
+    pub(super) step: Step,
+    pub(super) began: u64,
+    /// The record for which the step was thought of.
+    pub(super) thought_of: (u64, u64),
+}
+
+impl<O: Outside, L: Laws> Member<O, L> {
+    pub(super) fn begin(&mut self, now: u64, step: Step) {
+        let founds = matches!(step, Step::Found { .. });
+        let known = if founds {
+            let birth = |member: &u16| {
+                let heard = self.heard.get(*member as usize)?.as_ref();
+                let own = (*member == self.terms.me).then_some(self.memory.birth);
+                Some(Voter { member: *member, birth: own.or(heard.map(|heard| heard.birth))? })
+            };
+            // Founding needs every voter of the file.
+            let voters: Option<Vec<Voter>> = self.terms.voters.iter().map(birth).collect();
+            let Some(voters) = voters else { return };
+            Record::unfounded(voters)
+        } else {
+            self.record.clone()
+        };
+        self.highest_round = self.highest_round.max(self.memory.votes.promised.round) + 1;
+        let epoch = self.record.epoch() + u64::from(founds);
+        let ballot = Ballot { epoch, round: self.highest_round, member: self.terms.me, start: self.start };
+        let mut round = Round::new(ballot, known);
+        if self.memory.votes.prepare(ballot).is_err() || !self.persist() {
+            return;
+        }
+        round.promised(self.voter(), self.memory.votes.accepted.clone());
+        for voter in round.unheard::<L>() {
+            self.outside.send(voter.member, Message::Prepare { ballot });
+        }
+        self.round = Some(OngoingRound { round, step, began: now, thought_of: self.record.order() });
+        self.write(now);
+    }
+
+    /// Prepared or written again for those that may not have heard.
+    pub(super) fn repeat_round(&mut self) {
+        let Some(OngoingRound { round, .. }) = &self.round else { return };
+        let ballot = round.ballot;
+        let again: Vec<(u16, Message)> = match round.unvoted() {
+            Some((record, voters)) => {
+                let accept =
+                    |voter: Voter| (voter.member, Message::Accept { ballot, record: record.clone() });
+                voters.into_iter().map(accept).collect()
+            }
+            None => {
+                let prepare = |voter: Voter| (voter.member, Message::Prepare { ballot });
+                round.unheard::<L>().into_iter().map(prepare).collect()
+            }
+        };
+        let me = self.terms.me;
+        for (to, message) in again.into_iter().filter(|(to, _)| *to != me) {
+            self.outside.send(to, message);
+        }
+    }
+
+    /// Once enough have promised, the step is done to what was found, or what was found is brought to its
+    /// end.
+    pub(super) fn write(&mut self, now: u64) {
+        // Guards against a step whose time is over: between the beginning and the promises the process may
+        // have stood still, and balancers may have gone or objected.
+        let due = self.next_step(now);
+        let Some(OngoingRound { round, step, thought_of, .. }) = &mut self.round else { return };
+        if round.is_writing() {
+            return;
+        }
+        let Some(found) = round.found::<L>().cloned() else { return };
+        // Guards against a step that was thought of for another record: limits and times were looked at in
+        // that one. What has been agreed on or begun since is only brought to its end.
+        let is_known = found.order() == *thought_of || found.founding == 0;
+        let next = found.after(step).filter(|_| is_known && due.as_ref() == Some(step));
+        let Some(record) = next.or((found.order() > self.record.order()).then_some(found)) else {
+            self.round = None;
+            return;
+        };
+        let ballot = round.ballot;
+        let voters = round.write::<L>(record.clone());
+        let me = self.voter();
+        if self.memory.votes.accept::<L>(ballot, record.clone()).is_err() || !self.persist() {
+            self.round = None;
+            return;
+        }
+        for voter in voters.into_iter().filter(|voter| *voter != me) {
+            self.outside.send(voter.member, Message::Accept { ballot, record: record.clone() });
+        }
+        self.voted(now, me);
+    }
+
+    pub(super) fn voted(&mut self, now: u64, voter: Voter) {
+        let Some(OngoingRound { round, .. }) = &mut self.round else { return };
+        let Some(record) = round.voted::<L>(voter).cloned() else { return };
+        self.round = None;
+        self.learn(now, record);
+        // The others would learn it by their next question.
+        let members = self.heard.iter().enumerate().filter(|(_, heard)| heard.is_some());
+        let members: BTreeSet<u16> = members.map(|(member, _)| member as u16).collect();
+        for member in members.into_iter().chain(self.voters()).collect::<BTreeSet<u16>>() {
+            if member != self.terms.me {
+                self.outside.send(member, Message::News { record: self.record.clone() });
+            }
+        }
+        self.lead(now);
+    }
+
+    pub(super) fn promised(
+        &mut self,
+        now: u64,
+        ballot: Ballot,
+        voter: Voter,
+        accepted: Option<(Ballot, Record)>,
+    ) {
+        if let Some(ongoing) = self.round.as_mut().filter(|on| on.round.ballot == ballot) {
+            ongoing.round.promised(voter, accepted);
+            self.write(now);
+        }
+    }
+
+    pub(super) fn accepted(&mut self, now: u64, ballot: Ballot, voter: Voter) {
+        if self.round.as_ref().is_some_and(|on| on.round.ballot == ballot) {
+            self.voted(now, voter);
+        }
+    }
+
+    /// A voter has promised a higher ballot than that of this member's round.
+    pub(super) fn refused(&mut self, now: u64, ballot: Ballot, promised: Ballot) {
+        self.highest_round = self.highest_round.max(promised.round);
+        if self.round.take_if(|on| on.round.ballot == ballot).is_some() {
+            // Members that push one another out wait for different times.
+            self.quiet_until = now + self.terms.pace * (1 + u64::from(self.terms.me)) / 4;
+        }
+    }
+}
--- a/crates/policy/src/member/releases.rs
+++ b/crates/policy/src/member/releases.rs
@@ -4,10 +4,24 @@
 
 use whinspindle_release::{Evidence, Next, No, Progress, Row, Unit, Way};
 
-use super::{Case, Laws, Member, Outside};
+use super::{Laws, Member, Outside};
 use crate::message::{Message, Want};
 use crate::record::{Close, Halt, Part, Step, Wish};
 
+/// What a voter knows against the build of a release.
+#[derive(Clone, Debug)]
+pub(super) struct Case {
+    pub(super) release: u64,
+    pub(super) evidence: Evidence,
+    /// When the window of now began, and how long it lasts at least.
+    pub(super) opened: u64,
+    pub(super) window: u64,
+    /// Of each member's start, the last figures that were taken: those that come twice count once.
+    pub(super) taken: BTreeMap<u16, (u64, u32)>,
+    /// Why the release has to be halted, and the serial number of that wish.
+    pub(super) against: Option<(String, u64)>,
+}
+
 impl<O: Outside, L: Laws> Member<O, L> {
     /// The release whose units are watched now.
     pub fn watched(&self) -> Option<u64> {
@@ -133,7 +147,7 @@
 
     /// What has to be done about a release: an operator's word goes before its next wave.
     pub(super) fn release(&self, now: u64) -> Option<Step> {
-        let new = || self.wants.iter().filter(|wanted| !self.record.knows(wanted.wish));
+        let new = || self.requests.iter().filter(|wanted| !self.record.knows(wanted.wish));
         let Some(release) = &self.record.release else {
             return new().find_map(|wanted| match wanted.want {
                 Want::Release { hash, length } => Some(Step::Release { hash, length, wish: wanted.wish }),
@@ -152,7 +166,7 @@
         });
         // A halt stands: the next wave begins after it is resumed. The way back has no halt of its own.
         let stands = self.record.halted.is_some();
-        // Whoever is away has been unheard for `absent`; a steward that has just started can't know it.
+        // Whoever is away has been unheard for `absent`; a leader that has just started can't know it.
         let knows = now >= self.began + self.terms.absent;
         word.or_else(|| {
             let (_, _, _, since) = self.complete.filter(|known| {
--- /dev/null
+++ b/crates/policy/src/member/texts.rs
@@ -0,0 +1,135 @@
+//! The texts of policies and plans: fetched in pieces from other members, given to them, and handed to the
+//! process to be proved.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use super::{Laws, Member, Outside};
+use crate::message::{Message, Objection, Readiness};
+use crate::record::{Hash, Policy};
+
+/// Verdicts that are remembered, those of the newest policies.
+const MOST_VERDICTS: usize = 8;
+
+impl<O: Outside, L: Laws> Member<O, L> {
+    /// The text of a policy or plan, once it is whole here.
+    pub fn text(&self, hash: Hash) -> Option<Rc<[u8]>> {
+        self.texts.get(hash)
+    }
+
+    /// What came of proving a policy here; none while it is not proved.
+    pub fn verdict(&self, number: u64) -> Option<&Result<(), Objection>> {
+        self.verdicts.get(&number)
+    }
+
+    /// How far this member is with the change under way.
+    pub fn readiness(&self) -> Readiness {
+        let Some(change) = self.record.next else { return Readiness::Nothing };
+        let number = change.policy.number;
+        match self.verdicts.get(&number) {
+            Some(Ok(())) => Readiness::Ready(number),
+            Some(Err(objection)) => Readiness::Objects(number, objection.clone()),
+            None => Readiness::Lacks(self.texts.lacks(change.policy.hash)),
+        }
+    }
+
+    /// A text that the process has from its own disk.
+    pub fn hold(&mut self, text: &[u8]) {
+        self.texts.put(text);
+        self.prove();
+    }
+
+    /// The process has proved a policy, or found why it can't be.
+    pub fn proved(&mut self, now: u64, number: u64, verdict: Result<(), Objection>) {
+        self.proving.remove(&number);
+        match &verdict {
+            Ok(()) => self.outside.tell(format!("policy {number} is proved")),
+            Err(no) => {
+                self.outside.tell(format!("policy {number} can't be proved: line {}: {}", no.line, no.words));
+            }
+        }
+        self.verdicts.insert(number, verdict);
+        while self.verdicts.len() > MOST_VERDICTS {
+            self.verdicts.pop_first();
+        }
+        self.ask(now);
+        self.lead(now);
+    }
+
+    /// The policies of which a verdict is wanted.
+    pub(super) fn policies_to_prove(&self) -> impl Iterator<Item = Policy> + use<O, L> {
+        let next = self.record.next.map(|change| change.policy);
+        let wanted = [Some(self.record.policy), next].into_iter().flatten();
+        wanted.filter(|policy| policy.number > 0).collect::<Vec<_>>().into_iter()
+    }
+
+    pub(super) fn prove(&mut self) {
+        for policy in self.policies_to_prove() {
+            let Some(text) = self.texts.get(policy.hash) else { continue };
+            if !self.verdicts.contains_key(&policy.number) && self.proving.insert(policy.number) {
+                self.outside.prove(policy, text);
+            }
+        }
+        let Some(hash) = self.record.release.as_ref().map(|release| release.hash) else { return };
+        if let Some(text) = self.texts.get(hash).filter(|_| self.outside.plan(hash).is_none()) {
+            self.outside.plan_came(hash, text);
+        }
+    }
+
+    /// Asks for the pieces that are wanting: whoever gave some, else in turn whoever proposed it and the
+    /// voters.
+    pub(super) fn fetch(&mut self, now: u64) {
+        if now < self.next_fetch {
+            return;
+        }
+        let next = self.record.next;
+        let release = self.record.release.as_ref();
+        let by = next.map(|change| change.wish.by).into_iter().chain(release.map(|release| release.wish.by));
+        let sources: BTreeSet<u16> = self.voters().into_iter().chain(by).collect();
+        let mut sources: Vec<u16> = sources.into_iter().filter(|source| *source != self.terms.me).collect();
+        // Guards against a text that no voter has any more: now and then another member is asked for it.
+        if self.fetches % 4 == 3 && self.source.is_none() {
+            let all = usize::from(self.terms.members);
+            sources = vec![(self.fetches / 4 % all) as u16];
+            sources.retain(|source| *source != self.terms.me);
+        }
+        let plan = release.map(|release| (release.hash, release.length));
+        let texts: Vec<(Hash, u32)> =
+            self.policies_to_prove().map(|policy| (policy.hash, policy.length)).chain(plan).collect();
+        for (hash, length) in texts {
+            let Some((piece, wanting)) = self.texts.wanting(hash, length) else { continue };
+            self.fetches += 1;
+            if sources.is_empty() {
+                return;
+            }
+            let source = self.source.take().unwrap_or(sources[self.fetches % sources.len()]);
+            self.next_fetch = now + self.terms.pace / 4;
+            self.fetching = Some((hash, piece, wanting));
+            self.outside.send(source, Message::Fetch { hash, piece, wanting });
+            return;
+        }
+        self.fetching = None;
+    }
+
+    pub(super) fn give(&mut self, to: u16, hash: Hash, piece: u16, wanting: u64) {
+        for at in (0..64).filter(|at| wanting >> at & 1 == 1) {
+            let piece = piece.saturating_add(at);
+            let Some((length, bytes)) = self.texts.piece(hash, piece) else { return };
+            self.outside.send(to, Message::Piece { hash, piece, length, bytes });
+        }
+    }
+
+    /// A piece of a text has come; the next ones are asked for once all of the last question are here.
+    pub(super) fn take_piece(&mut self, now: u64, from: u16, hash: Hash, piece: u16, bytes: Vec<u8>) {
+        self.source = Some(from);
+        if self.texts.take(hash, piece, bytes) {
+            self.prove();
+        } else if let Some((asked, piece, wanting)) = self.fetching
+            && !self.texts.is_wanting(asked, piece, wanting)
+        {
+            // All that was asked for is here: the next ones are asked for without a pause.
+            self.next_fetch = now;
+            self.fetch(now);
+        }
+    }
+}
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -247,6 +247,11 @@
 }
 
 impl Record {
+    /// What is known later is larger.
+    pub fn order(&self) -> (u64, u64) {
+        (self.founding, self.version)
+    }
+
     /// What stands before the first agreement of these voters.
     pub fn unfounded(mut voters: Vec<Voter>) -> Record {
         voters.sort_unstable();
