--- a/lab/explore/tests/members.rs
+++ b/lab/explore/tests/members.rs
@@ -1,6 +1,6 @@
 //! Whole members, with departures from the plain schedule at every delivery, and the faults that these find.
 
-use whinspindle_lab_explore::members::{PLAIN, Plan, Turn, World, hunt, search};
+use whinspindle_lab_explore::members::{Fault, PLAIN, Plan, World, hunt, search};
 use whinspindle_lab_explore::plants::*;
 use whinspindle_policy::{AsPublished, Laws, Right};
 
@@ -51,31 +51,31 @@
 
 #[test]
 fn a_step_whose_time_is_over_is_not_done() {
-    // The steward stood still between the beginning of its round and the promises; meanwhile a balancer went
+    // The leader stood still between the beginning of its round and the promises; meanwhile a balancer went
     // down.
     let plan = Plan { outs: Some([6, 6]), ..Plan::default() };
-    let departures = [(251, Turn::Late(4)), (244, Turn::Crash(9)), (279, Turn::Stop(7))];
+    let departures = [(251, Fault::Late(4)), (244, Fault::Crash(9)), (279, Fault::Stop(7))];
     assert_eq!(World::<AsPublished>::new(plan, false).play(&departures).err(), None);
 }
 
 #[test]
 fn after_one_fault_of_any_kind_everything_goes_on() {
-    // The first of the voters lost its disk: nobody was the steward any more, since it was heard and did not
+    // The first of the voters lost its disk: nobody was the leader any more, since it was heard and did not
     // count.
     let plan = Plan { steps: 60, ..Plan::default() };
     let deliveries =
         World::<AsPublished>::new(plan, false).play(&[]).expect("nothing is broken").deliveries();
     for at in 1..deliveries.min(400) {
-        for turn in [Turn::LostDisk(2), Turn::Crash(9), Turn::Deaf(9), Turn::Cut(9), Turn::Stop(7)] {
-            let end = World::<AsPublished>::new(plan, false).play(&[(at, turn)]).expect("nothing is broken");
+        for fault in [Fault::LostDisk(2), Fault::Crash(9), Fault::Deaf(9), Fault::Cut(9), Fault::Stop(7)] {
+            let end = World::<AsPublished>::new(plan, false).play(&[(at, fault)]).expect("nothing is broken");
             // A proposer that dies before its wish is heard takes it with it.
             let rights = end.rights();
             let same =
                 rights.iter().all(|right| *right == rights[0] && matches!(right, Some(Right::Policy(_))));
-            assert!(same, "{turn:?} at {at}: {rights:?}");
+            assert!(same, "{fault:?} at {at}: {rights:?}");
             let voters = end.voters();
-            assert!(voters.iter().all(|voters| *voters == [0, 1, 2]), "{turn:?} at {at}: {voters:?}");
-            assert!(end.births_agree(), "{turn:?} at {at}");
+            assert!(voters.iter().all(|voters| *voters == [0, 1, 2]), "{fault:?} at {at}: {voters:?}");
+            assert!(end.births_agree(), "{fault:?} at {at}");
         }
     }
 }
