--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -124,7 +124,8 @@
 }
 
 impl<A: Application> Replica<A> {
-    /// Starts with what was found on the disk: the checkpoint and the log after it.
+    /// Starts with what was found on the disk: the checkpoint and the log after it. What is committed by then is in
+    /// [`Replica::committed`], and is not told by [`Output::Committed`].
     pub fn new(
         settings: ReplicaSettings,
         application: A,
@@ -161,7 +162,8 @@
             replica.start(now);
         }
         replica.settle(now);
-        let outputs = std::mem::take(&mut replica.outputs);
+        let mut outputs = std::mem::take(&mut replica.outputs);
+        outputs.retain(|output| !matches!(output, Output::Committed { .. }));
         Ok((replica, outputs))
     }
 
--- a/coordination/replica/src/synchronize.rs
+++ b/coordination/replica/src/synchronize.rs
@@ -70,15 +70,10 @@
         }
     }
 
-    /// A neighbour in the chain has started anew and knows nothing of this view's traffic.
+    /// A predecessor that has started anew does not know where this member stands.
     pub(crate) fn on_restart(&mut self, now: u64, endpoint: SocketAddr) {
-        let Some(session) = &mut self.session else { return };
-        if let Some(successor) = session.successor.as_mut().filter(|successor| successor.endpoint == endpoint)
-        {
-            successor.is_ready = false;
-            successor.owes_since = Some(now);
-        }
-        if session.predecessor.is_some_and(|predecessor| predecessor.endpoint == endpoint) {
+        let predecessor = self.session.as_ref().and_then(|session| session.predecessor);
+        if predecessor.is_some_and(|predecessor| predecessor.endpoint == endpoint) {
             self.resume(now);
         }
     }
--- a/coordination/replica/tests/common/node.rs
+++ b/coordination/replica/tests/common/node.rs
@@ -147,3 +147,20 @@
     }
     cluster
 }
+
+impl Node {
+    /// One line for the message of a failed test.
+    pub fn describe(&self, now: u64) -> String {
+        let view = self.replica.view();
+        let chain: Vec<String> =
+            view.chain.iter().map(|link| format!("{}/{}", link.voter.member, link.since)).collect();
+        let boards: Vec<Vec<u16>> =
+            view.boards.iter().map(|board| board.iter().map(|voter| voter.member).collect()).collect();
+        let committed = self.replica.committed_sequence();
+        let in_quorum = self.replica.is_in_quorum(now);
+        format!(
+            "view {} chain {chain:?} boards {boards:?} committed {committed} in quorum {in_quorum}",
+            view.number
+        )
+    }
+}
--- /dev/null
+++ b/coordination/replica/tests/faults.rs
@@ -0,0 +1,271 @@
+//! Single faults: how soon a write is acknowledged again, and that nothing acknowledged is lost.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::clients::Clients;
+use common::history::{Asked, check};
+use common::node::{Command, Node, cluster, endpoint};
+use whinspindle_lab_cluster::{Cluster, NetworkTiming};
+
+/// A write must be acknowledged within this, in milliseconds.
+const ACKNOWLEDGED: u64 = 2_500;
+
+/// The links of a deployment over three regions.
+fn wide() -> NetworkTiming {
+    NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() }
+}
+
+fn settled(seed: u64, count: usize, tolerated_losses: usize) -> (Cluster<Node>, Clients) {
+    let mut cluster = cluster(seed, count, tolerated_losses, wide());
+    let mut clients = Clients::default();
+    clients.run_until(&mut cluster, 4_000);
+    for number in 0..count {
+        let took = clients.write_within(&mut cluster, endpoint(number), 1_000);
+        assert!(took.is_some_and(|took| took < 400), "before the fault: {took:?}\n{}", describe(&cluster));
+    }
+    (cluster, clients)
+}
+
+/// Writes at every running replica but these, and judges the history.
+fn serves(cluster: &mut Cluster<Node>, clients: &mut Clients, but: &[SocketAddr], name: &str) -> u64 {
+    let mut longest = 0;
+    for at in cluster.endpoints() {
+        if but.contains(&at) || !cluster.is_running(at) {
+            continue;
+        }
+        let took = clients.write_within(cluster, at, 6_000);
+        let took = took.unwrap_or_else(|| panic!("{name}: no write at {at}\n{}", describe(cluster)));
+        longest = longest.max(took);
+        clients.begin(cluster, at, "register-0", Asked::Get);
+    }
+    let until = cluster.now() + 1_000;
+    clients.run_until(cluster, until);
+    check(&clients.history()).unwrap_or_else(|fault| panic!("{name}: {fault}"));
+    assert!(longest < ACKNOWLEDGED, "{name}: {longest} ms\n{}", describe(cluster));
+    longest
+}
+
+fn describe(cluster: &Cluster<Node>) -> String {
+    let line = |at: SocketAddr| match cluster.process(at) {
+        Some(node) => format!("{at}: {}", node.describe(cluster.now())),
+        None => format!("{at}: down"),
+    };
+    cluster.endpoints().into_iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Lets the cluster settle and checks that all running replicas are alike and the chain has this length.
+fn converges(cluster: &mut Cluster<Node>, clients: &mut Clients, length: usize, name: &str) {
+    let until = cluster.now() + 6_000;
+    clients.run_until(cluster, until);
+    let running: Vec<&Node> = cluster.endpoints().iter().filter_map(|at| cluster.process(*at)).collect();
+    for node in &running {
+        let replica = &node.replica;
+        assert_eq!(replica.view().chain.len(), length, "{name}\n{}", describe(cluster));
+        assert_eq!(replica.view().boards.len(), 1, "{name}\n{}", describe(cluster));
+        assert_eq!(replica.committed(), running[0].replica.committed(), "{name}\n{}", describe(cluster));
+        assert!(replica.is_in_quorum(cluster.now()), "{name}\n{}", describe(cluster));
+    }
+}
+
+#[test]
+fn a_killed_member_is_left_out_and_taken_in_again() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        cluster.stop(endpoint(victim));
+        let took = serves(&mut cluster, &mut clients, &[], "killed");
+        println!("member {victim} killed: {took} ms");
+        let until = cluster.now() + 2_000;
+        clients.run_until(&mut cluster, until);
+        cluster.start(endpoint(victim));
+        serves(&mut cluster, &mut clients, &[], "back");
+        converges(&mut cluster, &mut clients, 3, "back");
+    }
+}
+
+#[test]
+fn a_member_that_restarts_at_once_resumes() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        cluster.stop(endpoint(victim));
+        let until = cluster.now() + 300;
+        clients.run_until(&mut cluster, until);
+        cluster.start(endpoint(victim));
+        let took = serves(&mut cluster, &mut clients, &[], "restarted");
+        println!("member {victim} restarted: {took} ms");
+        converges(&mut cluster, &mut clients, 3, "restarted");
+    }
+}
+
+#[test]
+fn a_stalled_disk_is_left_out() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        let until = cluster.now() + 8_000;
+        cluster.disk(endpoint(victim)).unwrap().stall(until);
+        let took = serves(&mut cluster, &mut clients, &[], "stalled");
+        println!("disk {victim} stalled: {took} ms");
+        clients.run_until(&mut cluster, until);
+        converges(&mut cluster, &mut clients, 3, "stalled");
+    }
+}
+
+#[test]
+fn a_disk_that_refuses_writes_is_left_out() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        let until = cluster.now() + 8_000;
+        cluster.disk(endpoint(victim)).unwrap().fail(until);
+        let took = serves(&mut cluster, &mut clients, &[], "failing");
+        println!("disk {victim} failing: {took} ms");
+        clients.run_until(&mut cluster, until);
+        converges(&mut cluster, &mut clients, 3, "failing");
+    }
+}
+
+#[test]
+fn a_frozen_member_is_left_out() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        let until = cluster.now() + 10_000;
+        cluster.freeze(endpoint(victim), until);
+        let took = serves(&mut cluster, &mut clients, &[endpoint(victim)], "frozen");
+        println!("member {victim} frozen: {took} ms");
+        clients.run_until(&mut cluster, until);
+        converges(&mut cluster, &mut clients, 3, "frozen");
+    }
+}
+
+#[test]
+fn a_member_cut_off_is_left_out() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        for other in (0..3).filter(|other| *other != victim) {
+            cluster.cut(endpoint(victim), endpoint(other));
+            cluster.cut(endpoint(other), endpoint(victim));
+        }
+        let took = serves(&mut cluster, &mut clients, &[endpoint(victim)], "cut off");
+        println!("member {victim} cut off: {took} ms");
+        assert!(!cluster.process(endpoint(victim)).unwrap().replica.is_in_quorum(cluster.now()));
+        cluster.heal_all();
+        serves(&mut cluster, &mut clients, &[], "joined again");
+        converges(&mut cluster, &mut clients, 3, "joined again");
+    }
+}
+
+#[test]
+fn one_link_cut_in_one_direction_or_both_stops_no_writes() {
+    for (one, other) in [(0, 1), (0, 2), (1, 2), (1, 0), (2, 0), (2, 1)] {
+        for both in [false, true] {
+            let (mut cluster, mut clients) = settled(5, 3, 1);
+            cluster.cut(endpoint(one), endpoint(other));
+            if both {
+                cluster.cut(endpoint(other), endpoint(one));
+            }
+            let name = format!("link {one} to {other} cut, both directions: {both}");
+            // Those without a way to the head can't submit.
+            let but: Vec<SocketAddr> = [one, other].map(endpoint).to_vec();
+            let took = serves(&mut cluster, &mut clients, &but, &name);
+            println!("{name}: {took} ms");
+            cluster.heal_all();
+            converges(&mut cluster, &mut clients, 3, &name);
+        }
+    }
+}
+
+#[test]
+fn a_member_that_leaves_by_plan_is_hardly_noticed() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        cluster.command(endpoint(victim), Command::Leave);
+        let until = cluster.now() + 1_000;
+        clients.run_until(&mut cluster, until);
+        cluster.stop(endpoint(victim));
+        let took = serves(&mut cluster, &mut clients, &[], "left");
+        println!("member {victim} left: {took} ms");
+        assert!(took < 400, "{took}");
+        cluster.start(endpoint(victim));
+        serves(&mut cluster, &mut clients, &[], "back");
+        converges(&mut cluster, &mut clients, 3, "back");
+    }
+}
+
+#[test]
+fn after_a_loss_of_all_power_everything_acknowledged_is_there() {
+    let (mut cluster, mut clients) = settled(7, 3, 1);
+    for number in 0..3 {
+        cluster.stop(endpoint(number));
+    }
+    let until = cluster.now() + 3_000;
+    clients.run_until(&mut cluster, until);
+    for number in 0..3 {
+        cluster.start(endpoint(number));
+    }
+    let took = serves(&mut cluster, &mut clients, &[], "power");
+    println!("power lost by all: {took} ms");
+    assert!(took < 2_000);
+    converges(&mut cluster, &mut clients, 3, "power");
+}
+
+#[test]
+fn one_disk_lost_while_all_others_lose_power_loses_nothing() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        for number in 0..3 {
+            cluster.stop(endpoint(number));
+        }
+        cluster.wipe(endpoint(victim));
+        let until = cluster.now() + 3_000;
+        clients.run_until(&mut cluster, until);
+        for number in 0..3 {
+            cluster.start(endpoint(number));
+        }
+        let took = serves(&mut cluster, &mut clients, &[], "wiped");
+        println!("disk {victim} lost with all power: {took} ms");
+        converges(&mut cluster, &mut clients, 3, "wiped");
+    }
+}
+
+#[test]
+fn an_empty_machine_at_another_address_replaces_a_member() {
+    for victim in 0..3 {
+        let (mut cluster, mut clients) = settled(victim as u64, 3, 1);
+        cluster.remove(endpoint(victim));
+        cluster.add(endpoint(3), false);
+        cluster.start(endpoint(3));
+        let took = serves(&mut cluster, &mut clients, &[], "replaced");
+        println!("member {victim} replaced: {took} ms");
+        let until = cluster.now() + 4_000;
+        clients.run_until(&mut cluster, until);
+        converges(&mut cluster, &mut clients, 3, "replaced");
+        // The successor counts: another may be lost now.
+        cluster.stop(endpoint((victim + 1) % 3));
+        serves(&mut cluster, &mut clients, &[], "replaced and another lost");
+    }
+}
+
+#[test]
+fn five_replicas_with_three_seeds_all_become_voters_and_bear_two_losses() {
+    let (mut cluster, mut clients) = settled(3, 5, 2);
+    converges(&mut cluster, &mut clients, 5, "grown");
+    cluster.stop(endpoint(0));
+    cluster.stop(endpoint(3));
+    let took = serves(&mut cluster, &mut clients, &[], "two lost");
+    println!("two of five lost: {took} ms");
+    cluster.wipe(endpoint(0));
+    cluster.start(endpoint(0));
+    cluster.start(endpoint(3));
+    serves(&mut cluster, &mut clients, &[], "two back");
+    converges(&mut cluster, &mut clients, 5, "two back");
+}
+
+#[test]
+fn replicas_beyond_the_wanted_voters_follow_and_forward() {
+    let (mut cluster, mut clients) = settled(4, 5, 1);
+    converges(&mut cluster, &mut clients, 3, "learners");
+    cluster.stop(endpoint(1));
+    let took = serves(&mut cluster, &mut clients, &[], "a learner takes over");
+    println!("one of three lost, two learners: {took} ms");
+    converges(&mut cluster, &mut clients, 3, "a learner has taken over");
+}
