Repeats budget: only a repeat that was paid for and never arrived is given back

A search over drawn requests broke the bound: an unreachable first send gave a token back although it had taken none, and requests without a repeat piled such tokens up for others.

--- a/dataplane/routing/tests/sticky.rs
+++ b/dataplane/routing/tests/sticky.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use whinspindle_configuration::{Route, RouteKind};
-use whinspindle_routing::{Outcome, Router};
+use whinspindle_routing::{Outcome, RequestFacts, Router};
 
 fn sticky() -> Route {
     Route { sticky: true, ..route("r", RouteKind::Streaming) }
@@ -112,6 +112,7 @@
     let facts = prompt(&[(7, 6_000), (8, 500)]);
     let (attempt, first) = send(&mut router, 0, &facts).expect("an instance");
     router.finished(1, attempt, Outcome::Unreachable);
+    let facts = RequestFacts { unreached: 1, ..facts };
     let again = (0..5).map(|now| match router.choose(now, &facts, &[first]) {
         whinspindle_routing::Choice::Send { attempt, instance } => {
             router.finished(now, attempt, Outcome::Served);
