--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -2,7 +2,7 @@
 //! socket, and chance comes from a seeded generator.
 //!
 //! The ordinary path is the design's: a region drawn by weights that are solved for from measured latency and exchanged
-//! load, a random pick inside it that passes over the crowded. `docs/system-design.md` tells when an exception acts.
+//! load, a random pick inside it that passes over the crowded. `docs/routing-design.md` tells when an exception acts.
 
 mod affinity;
 mod balancer_count;
