Proxy: tests of the link to the agent

The link that brings configuration and instances had no test. It now runs over any stream, and five scenes on a simulated clock check that news are put in force and acknowledged at once, that an older configuration changes nothing and that a silent agent is left.

--- a/dataplane/proxy/src/feed.rs
+++ b/dataplane/proxy/src/feed.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
-use tokio::io::AsyncWrite;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use whinspindle_distribution::connect::{ConnectError, connect};
 use whinspindle_distribution::frame::{Frame, FrameBuffer, FrameError, FrameKind, FrameReader};
@@ -26,7 +26,7 @@
 
 /// Why a link to the agent ended.
 #[derive(Debug, Snafu)]
-enum LinkError {
+pub enum LinkError {
     #[snafu(display("{source}"))]
     NoConnection { source: ConnectError },
     #[snafu(display("{source}"))]
@@ -59,7 +59,21 @@
 async fn link(node: &Node, identity: Identity) -> Result<Infallible, LinkError> {
     let agent = node.settings.agent_endpoint();
     let stream = connect(agent, CONNECT_LIMIT).await.context(NoConnectionSnafu)?;
-    let (reader, mut writer) = stream.into_split();
+    let (reader, writer) = stream.into_split();
+    converse(node, identity, reader, writer).await
+}
+
+/// Follows the agent at the other side of a connection until the connection ends or falls silent.
+pub async fn converse<R, W>(
+    node: &Node,
+    identity: Identity,
+    reader: R,
+    mut writer: W,
+) -> Result<Infallible, LinkError>
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
     let mut reader = FrameReader::new(reader);
     let mut frames = FrameBuffer::default();
     let hello = Hello { role: Role::Balancer, endpoint: identity.front };
@@ -72,11 +86,7 @@
             frame = reader.next() => {
                 heard = Instant::now();
                 let frame = frame.context(FrameSnafu)?.ok_or(LinkError::Ended)?;
-                let mut news = take(node, frame)?;
-                while let Some(frame) = reader.buffered().context(FrameSnafu)? {
-                    news |= take(node, frame)?;
-                }
-                if !news {
+                if !take_all(node, frame, &mut reader)? {
                     continue;
                 }
             }
@@ -92,6 +102,19 @@
     }
 }
 
+/// Puts a message and those that have come with it in force; tells whether there was news to acknowledge.
+fn take_all<R: AsyncRead + Unpin>(
+    node: &Node,
+    frame: Frame,
+    reader: &mut FrameReader<R>,
+) -> Result<bool, LinkError> {
+    let mut news = take(node, frame)?;
+    while let Some(frame) = reader.buffered().context(FrameSnafu)? {
+        news |= take(node, frame)?;
+    }
+    Ok(news)
+}
+
 /// Puts a message in force; tells whether it holds news to acknowledge.
 fn take(node: &Node, frame: Frame) -> Result<bool, LinkError> {
     if frame.kind != FrameKind::ToBalancer {
--- /dev/null
+++ b/dataplane/proxy/tests/feed.rs
@@ -0,0 +1,142 @@
+//! The link to the agent: what it brings is put in force and acknowledged.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{CONFIGURATION, MOMENT, World, play};
+use tokio::io::{AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, duplex, split};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use whinspindle_distribution::frame::{FrameBuffer, FrameKind, FrameReader};
+use whinspindle_distribution::{
+    Configured, Evacuations, Instances, Link, Report, Role, ToBalancer, Update, decode_hello, decode_report,
+    encode_to_balancer,
+};
+use whinspindle_proxy::feed::{Identity, LinkError, converse};
+
+/// The agent's side of a link.
+struct Agent {
+    reader: FrameReader<ReadHalf<DuplexStream>>,
+    writer: WriteHalf<DuplexStream>,
+    link: JoinHandle<LinkError>,
+}
+
+impl Agent {
+    fn connect(world: &World) -> Agent {
+        let (near, far) = duplex(1 << 20);
+        let node = Rc::clone(&world.node);
+        let identity = Identity { front: SocketAddr::from(([10, 0, 0, 9], 8161)), incarnation: 77 };
+        let link = spawn_local(async move {
+            let (reader, writer) = split(far);
+            let Err(fault) = converse(&node, identity, reader, writer).await;
+            fault
+        });
+        let (reader, writer) = split(near);
+        Agent { reader: FrameReader::new(reader), writer, link }
+    }
+
+    async fn report(&mut self) -> Report {
+        let frame = self.reader.next().await.expect("a frame").expect("no end");
+        assert_eq!(frame.kind, FrameKind::Report);
+        decode_report(&frame.payload).expect("a report")
+    }
+
+    async fn hello(&mut self) {
+        let frame = self.reader.next().await.expect("a frame").expect("no end");
+        assert_eq!(frame.kind, FrameKind::Hello);
+        assert_eq!(decode_hello(&frame.payload).expect("a greeting").role, Role::Balancer);
+    }
+
+    async fn tell(&mut self, message: ToBalancer) {
+        let mut frames = FrameBuffer::default();
+        frames.push(FrameKind::ToBalancer, &encode_to_balancer(&message)).expect("a short message");
+        frames.write_to(&mut self.writer).await.expect("the proxy reads");
+    }
+}
+
+fn configured(sequence: u64) -> Update {
+    let body = Bytes::from_static(CONFIGURATION.as_bytes());
+    Update { configured: Some(Configured { sequence, body }), ..Update::default() }
+}
+
+#[test]
+fn news_are_put_in_force_and_acknowledged_at_once() {
+    play(async {
+        let world = World::empty();
+        let mut agent = Agent::connect(&world);
+        agent.hello().await;
+        let first = agent.report().await;
+        assert!(!first.ready && !first.leaving);
+        assert_eq!((first.node.as_str(), first.incarnation, first.zone.as_str()), ("edge-1", 77, "z1"));
+        let mut update = configured(5);
+        update.instances = Some(Instances { version: 3, list: Vec::new() });
+        update.evacuations = Some(Evacuations { sequence: 4, zones: vec!["z2".to_owned()] });
+        agent.tell(ToBalancer::Update(update)).await;
+        let report = timeout(MOMENT, agent.report()).await.expect("at once");
+        assert!(report.ready);
+        let applied = (report.applied.configured, report.applied.instances, report.applied.evacuations);
+        assert_eq!(applied, (5, 3, 4));
+        assert_eq!(world.node.configuration().map(|held| held.generation), Some(7));
+    });
+}
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    play(async {
+        let world = World::empty();
+        let mut agent = Agent::connect(&world);
+        agent.hello().await;
+        agent.report().await;
+        agent.tell(ToBalancer::Update(configured(5))).await;
+        let mut older = configured(4);
+        older.configured.as_mut().expect("a section").body = Bytes::from_static(b"{}");
+        agent.tell(ToBalancer::Update(older)).await;
+        sleep(MOMENT).await;
+        assert_eq!(world.node.configuration().map(|held| held.generation), Some(7));
+    });
+}
+
+#[test]
+fn reports_come_regularly_and_at_once_when_the_proxy_leaves() {
+    play(async {
+        let world = World::empty();
+        let mut agent = Agent::connect(&world);
+        agent.hello().await;
+        agent.report().await;
+        timeout(Duration::from_millis(600), agent.report()).await.expect("a regular report");
+        world.node.stop.order();
+        world.node.report_due.notify_one();
+        let report = timeout(MOMENT, agent.report()).await.expect("at once");
+        assert!(report.leaving && !report.ready);
+    });
+}
+
+#[test]
+fn a_silent_agent_is_left() {
+    play(async {
+        let world = World::empty();
+        let mut agent = Agent::connect(&world);
+        for _ in 0..20 {
+            sleep(Duration::from_millis(250)).await;
+            agent.tell(ToBalancer::Link(Link::default())).await;
+        }
+        assert!(!agent.link.is_finished());
+        sleep(Duration::from_secs(4)).await;
+        assert!(matches!(agent.link.await, Ok(LinkError::Silent)));
+    });
+}
+
+#[test]
+fn what_is_no_message_ends_the_link() {
+    play(async {
+        let world = World::empty();
+        let mut agent = Agent::connect(&world);
+        agent.writer.write_all(&[0, 0, 0, 1, 99, 0]).await.expect("written");
+        assert!(matches!(agent.link.await, Ok(LinkError::Frame { .. })));
+    });
+}
