Router: say which earlier sends make a later one no repeat

The proxy also gives sends up before a byte is written without the address being unreachable, as when its connections are all taken. The field's comment named one outcome alone; it now names the fact that counts for the budget.

--- a/dataplane/routing/src/request.rs
+++ b/dataplane/routing/src/request.rs
@@ -26,7 +26,7 @@
     pub most_output_tokens: u32,
     /// Time left for the request, in milliseconds.
     pub time_left_ms: u64,
-    /// How many of its sends so far ended as `Outcome::Unreachable`: one that follows only such is no repeat.
+    /// How many of its sends so far were given up before a byte was written: one that follows only such is no repeat.
     pub unreached: usize,
 }
 
