Controllers outside the view gossip with each other too; fleets of controllers in tests

Two controllers that are neither seeds nor members never learned of each other, so one of them did not know the balancers and upstreams that the other heard. The endpoints that replica heartbeats mention now get gossip as well.

--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -15,6 +15,7 @@
 };
 use whinspindle_replica::{DurableWrite, Input, Message, Output, RecordWrite, Replica, Reply, SubmitError};
 
+use crate::acquaintances::Acquaintances;
 use crate::api::{Call, Refusal, Response};
 use crate::directory::{self, Place};
 use crate::exchange;
@@ -134,6 +135,7 @@
     publisher: Publisher,
     fleet: FleetState,
     pending: PendingOrders,
+    acquaintances: Acquaintances,
     started_at: u64,
     /// When the replica was last seen in a quorum.
     quorum_at: Option<u64>,
@@ -169,6 +171,7 @@
             publisher: Publisher::new(),
             fleet: FleetState::default(),
             pending: PendingOrders::default(),
+            acquaintances: Acquaintances::default(),
             started_at: now,
             quorum_at: None,
             learning_ms,
@@ -194,7 +197,7 @@
             Event::Call { id, call } => self.call(now, id, call),
             Event::CallDropped { id } => self.pending.forget(id),
             Event::PeerConnected { peer } => self.send_snapshot(now, peer),
-            Event::ReplicaMessage { from, message } => self.step(now, Input::Message { from, message }),
+            Event::ReplicaMessage { from, message } => self.receive(now, from, message),
             Event::GossipReceived { payload } => self.take_gossip(now, &payload),
             Event::Report { subscriber, report } => self.take_report(now, subscriber, &report),
             Event::SubscriberClosed { subscriber } => self.publisher.unsubscribe(subscriber),
@@ -208,7 +211,9 @@
 
     /// The other controllers that are known.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        self.replica.peers()
+        let mut peers = self.replica.peers();
+        peers.extend(self.acquaintances.beyond(self.settings.address.endpoint, &peers));
+        peers
     }
 
     /// Whether it is committed, as far as known here, that an instance leaves or has left.
@@ -265,6 +270,7 @@
         self.expiry_at = now + EXPIRY_MS;
         self.registry.expire(now);
         self.leases.expire(now);
+        self.acquaintances.forget_old(now);
     }
 
     // Calls.
@@ -418,6 +424,13 @@
         self.take_outputs(now, outputs);
     }
 
+    fn receive(&mut self, now: u64, from: SocketAddr, message: Message) {
+        if let Message::Heartbeat(heartbeat) = &message {
+            self.acquaintances.mentioned(now, &heartbeat.heard);
+        }
+        self.step(now, Input::Message { from, message });
+    }
+
     fn take_outputs(&mut self, now: u64, outputs: Vec<Output>) {
         for output in outputs {
             match output {
@@ -487,14 +500,17 @@
         self.publish(now);
     }
 
+    /// Tells all other controllers what was heard here. Those to which the replica sends nothing get an empty message
+    /// too, so that the connection is known to stand.
     fn send_changes(&mut self, now: u64) {
         self.gossip_at = now + GOSSIP_REFRESH_MS;
-        if !self.registry.has_changes() && !self.leases.has_changes() {
-            return;
-        }
+        let is_empty = !self.registry.has_changes() && !self.leases.has_changes();
         let gossip = exchange::changes(now, &mut self.registry, &mut self.leases);
         let payload = Bytes::from(encode_gossip(&gossip));
-        for to in self.replica.peers() {
+        let known = self.replica.peers();
+        let beyond = self.acquaintances.beyond(self.settings.address.endpoint, &known);
+        let known = known.into_iter().filter(|_| !is_empty);
+        for to in known.chain(beyond) {
             self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload: payload.clone() });
         }
     }
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Controller`] is a state machine over the replica, the registry and the publisher: it is given the time and what
 //! happened and returns what to answer, to send and to write. [`run`] is the process around it.
 
+mod acquaintances;
 pub mod api;
 mod controller;
 mod directory;
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -21,6 +21,8 @@
 
 /// A balancer that doesn't read gets a new connection once so many bytes wait for it.
 const MAX_BALANCER_BYTES: usize = 32 * 1024 * 1024;
+/// Interval at which the connections to other controllers are looked at.
+const LINK_CHECK_MS: u64 = 300;
 
 /// The node as the tasks of the process share it. It is never borrowed across a wait.
 pub type SharedNode = Rc<RefCell<Node>>;
@@ -35,6 +37,7 @@
     last_subscriber: u64,
     peers: PeerLinks,
     disk: Disk,
+    links_checked_at: u64,
     was_in_quorum: bool,
 }
 
@@ -49,6 +52,7 @@
             last_subscriber: 0,
             peers,
             disk,
+            links_checked_at: 0,
             was_in_quorum: false,
         }
     }
@@ -77,8 +81,11 @@
     pub fn tick(&mut self) {
         self.handle(Event::Tick);
         let now = self.clock.now();
-        self.peers.renew_silent(now);
-        self.peers.end_unused(now, &self.controller.peers());
+        if now >= self.links_checked_at + LINK_CHECK_MS {
+            self.links_checked_at = now;
+            self.peers.renew_silent(now);
+            self.peers.end_unused(now, &self.controller.peers());
+        }
         let in_quorum = self.controller.is_in_quorum(now);
         if in_quorum != self.was_in_quorum {
             self.was_in_quorum = in_quorum;
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -200,10 +200,7 @@
             self.send_waiting();
             let answers = self.cluster.run_until((self.cluster.now() + 20).min(end));
             for occurrence in answers {
-                match occurrence.answer {
-                    Answer::Response { id, response } => self.answered(occurrence.at, id, response),
-                    Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
-                }
+                self.take(occurrence.at, occurrence.answer);
             }
         }
     }
@@ -224,16 +221,16 @@
         let id = self.next_call();
         self.cluster.command(at, Command::Call { id, call });
         let end = self.cluster.now() + PATIENCE_MS;
-        while self.cluster.now() < end {
+        let mut clear = None;
+        while clear.is_none() && self.cluster.now() < end {
             for occurrence in self.cluster.run_until(self.cluster.now() + 20) {
                 match occurrence.answer {
-                    Answer::Response { id: answered, response } if answered == id => return Some(response),
-                    Answer::Response { id, response } => self.answered(occurrence.at, id, response),
-                    Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
+                    Answer::Response { id: answered, response } if answered == id => clear = Some(response),
+                    other => self.take(occurrence.at, other),
                 }
             }
         }
-        None
+        clear
     }
 
     pub fn report(&mut self, at: SocketAddr, subscriber: u64, report: Report) {
@@ -275,6 +272,13 @@
         }
     }
 
+    fn take(&mut self, at: u64, answer: Answer) {
+        match answer {
+            Answer::Response { id, response } => self.answered(at, id, response),
+            Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
+        }
+    }
+
     fn answered(&mut self, at: u64, id: CallId, response: Response) {
         let waits = |attempt: &&mut Attempt| attempt.waiting.is_some_and(|(waiting, _)| waiting == id);
         let Some(attempt) = self.attempts.iter_mut().find(waits) else { return };
