--- /dev/null
+++ b/lab/fleet/src/play/discovery.rs
@@ -0,0 +1,90 @@
+//! Discovery: the list of each tier's servers, and how balancers hear of it.
+
+use std::collections::BTreeSet;
+
+use whinspindle::host::{Entry, Standing};
+use whinspindle_lab_referee::Listed;
+use whinspindle_lab_scenario::Scenario;
+use whinspindle_lab_world::registry::{Listing, News, Site};
+
+use super::Fleet;
+use super::event::Event;
+use super::state::Host;
+use crate::rules;
+
+/// Discovery notices after this time that a process has gone without a word.
+pub(crate) const DISCOVERY_NOTICES: u64 = 2_000_000;
+
+impl Fleet<'_> {
+    pub(crate) fn tell(&mut self, node: usize, news: News) {
+        let (scenario, tier) = (self.scenario, self.nodes[node].tier);
+        let id = |listing: &Listing| rules::server_id(tier, listing.server);
+        let mut entries = Vec::with_capacity(news.listings.len());
+        if news.whole {
+            let listed: BTreeSet<usize> = news.listings.iter().map(id).collect();
+            self.referee.told_whole(self.now, node, &listed);
+        }
+        for listing in &news.listings {
+            let listed = match listing.standing {
+                Standing::Ready => Listed::Ready,
+                Standing::Draining => Listed::Draining,
+                Standing::Gone => Listed::Gone,
+            };
+            self.referee.told(self.now, node, id(listing), listed, listing.zone, listing.cell);
+            entries.push(Entry {
+                server: listing.server,
+                key: listing.server as u64,
+                zone: listing.zone,
+                cell: listing.cell,
+                kind: listing.kind,
+                standing: listing.standing,
+                size: scenario.kinds[listing.kind].listed,
+                born: listing.born,
+            });
+            if listing.standing == Standing::Gone {
+                self.nodes[node].kept.remove(&listing.server);
+            }
+        }
+        self.note(7, node as u64, news.generation);
+        let n = &mut self.nodes[node];
+        n.generation = news.generation;
+        if let Some(decider) = &mut n.decider {
+            decider.list(self.now, news.whole, &entries);
+        }
+    }
+
+    /// The list of a tier has changed: each of its balancers hears of it in its own time.
+    pub(crate) fn spread_news(&mut self, tier: usize) {
+        let registry = &self.tiers[tier].registry;
+        if registry.silent {
+            return;
+        }
+        let (late, discovery) = (registry.late, &self.scenario.discovery);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].tier == tier && self.nodes[node].up {
+                let delay = self.discovery.spread(discovery.delay, discovery.spread) + late;
+                let incarnation = self.nodes[node].incarnation;
+                self.queue.put(self.now + delay, Event::Told(node, incarnation));
+            }
+        }
+    }
+
+    pub(crate) fn list(&mut self, tier: usize, place: usize, standing: Standing, born: u64) {
+        let host = &self.tiers[tier].hosts[place];
+        let listing = listing(self.scenario, host, place, standing, born);
+        self.tiers[tier].registry.set(self.now, listing);
+        self.spread_news(tier);
+    }
+}
+
+/// How discovery lists a machine's process.
+pub(crate) fn listing(
+    scenario: &Scenario,
+    host: &Host,
+    place: usize,
+    standing: Standing,
+    born: u64,
+) -> Listing {
+    let Host { zone, kind, cell, server, .. } = *host;
+    Listing::new(scenario, Site { place, zone, kind, cell }, server, standing, born)
+}
