Balancer's fleet split: handle, worker thread, environment, requests, status

crates/balancer/src/fleet.rs held the handle for queries, the thread, the member's outside, the operators' requests and their status in 813 lines. The check that a text came whole, and the cutting of words for others, stood twice and stand once.

--- /dev/null
+++ b/crates/balancer/src/fleet/requests.rs
@@ -0,0 +1,179 @@
+//! What operators and supervisors ask for on the control socket.
+
+use std::collections::BTreeSet;
+
+use serde_json::json;
+use whinspindle_policy::{Hash, LONGEST_TEXT, No, Outside, Right, Unit, Want};
+use whinspindle_release::Way;
+
+use super::worker::{Worker, shortened};
+use crate::control::{Answer, Request};
+
+impl Worker {
+    /// Answers one request; what it begins goes on in the member.
+    pub(super) fn serve(&mut self, request: Request) -> Answer {
+        let now = self.clock.now();
+        let serial = || rand::random::<u64>();
+        let record = self.member.record();
+        match request {
+            Request::Status => Ok(self.status(now)),
+            Request::Found { anew: false, .. } if record.founding != 0 => {
+                Err("the fleet is founded already".to_string())
+            }
+            Request::Found { anew: true, .. } if record.founding == 0 => {
+                Err("nothing is known here of a founding before; ask at a member that remembers".to_string())
+            }
+            Request::Found { anew: true, .. } if matches!(self.member.right(now), Right::Policy(_)) => {
+                Err("a majority of the voters answers: nothing is to be founded anew".to_string())
+            }
+            Request::Found { anew: true, sure: false } => {
+                Ok(json!({"begun": false, "known": self.status(now)}))
+            }
+            Request::Found { .. } => {
+                let epoch = record.epoch();
+                self.member.found(now, serial());
+                Ok(json!({"begun": true, "epoch": epoch}))
+            }
+            Request::Propose { .. } | Request::Withdraw { .. } if record.founding == 0 => {
+                Err("the fleet is not founded: whinspindle fleet found".to_string())
+            }
+            Request::Propose { text, length, hash } => {
+                if !is_whole(&text, length, &hash) {
+                    return Err("the text did not come whole".to_string());
+                }
+                if text.len() > LONGEST_TEXT {
+                    return Err(format!("{} bytes; a policy has {LONGEST_TEXT} at most", text.len()));
+                }
+                // What can't be proved here is not proposed to others.
+                if let Err(faults) = whinspindle_operator::read_policy(&text, &self.deployment) {
+                    let drawn = whinspindle_operator::draw("the policy", &text, &faults);
+                    return Err(format!("{} faults\n{drawn}", faults.len()));
+                }
+                if let Some(change) = record.next {
+                    return Err(format!("policy {} is under way; withdraw it or wait", change.policy.number));
+                }
+                let wish = self.member.propose(now, text.as_bytes(), serial());
+                Ok(json!({"by": wish.by, "serial": wish.serial}))
+            }
+            Request::Out { unit, serial, release } => self.ask_out(now, unit, serial, release),
+            Request::Back { unit, .. } if record.out_as(unit).is_none() => {
+                Err("it is not let out".to_string())
+            }
+            Request::Back { unit, done } => {
+                self.member.want(now, Want::Back { unit, done }, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Release { text, length, hash } => self.begin_release(now, &text, length, &hash),
+            Request::Turn | Request::Leave => {
+                let Some(release) = &record.release else {
+                    return Err("no release is under way".to_string());
+                };
+                let number = release.number;
+                let turn = matches!(request, Request::Turn);
+                if turn && release.way == Way::Back {
+                    return Err(format!("release {number} is on its way back already"));
+                }
+                let want = if turn { Want::Turn { number } } else { Want::Leave { number } };
+                self.member.want(now, want, serial());
+                Ok(json!({"number": number}))
+            }
+            Request::Halt { why } => {
+                self.member.want(now, Want::Halt { why: shortened(why) }, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Resume => {
+                self.member.want(now, Want::Resume, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Voters { old, new } => {
+                let votes = |member: u16| record.boards.iter().flatten().any(|voter| voter.member == member);
+                if !votes(old) {
+                    return Err(format!("member {old} does not vote"));
+                }
+                if votes(new) || new >= self.member.terms().members {
+                    return Err(format!("member {new} votes already, or there is no such member"));
+                }
+                self.member.want(now, Want::Voters { old, new }, serial());
+                Ok(json!({"begun": true}))
+            }
+            Request::Withdraw { number } => {
+                if record.next.is_none_or(|change| change.policy.number != number) {
+                    return Err(format!("policy {number} is not under way"));
+                }
+                let wish = self.member.withdraw(now, number, serial());
+                Ok(json!({"by": wish.by, "serial": wish.serial}))
+            }
+        }
+    }
+
+    /// A supervisor asks whether it may take a unit out; the answer may have been lost, so it may ask again.
+    fn ask_out(&mut self, now: u64, unit: Unit, serial: u64, release: Option<u64>) -> Answer {
+        let record = self.member.record();
+        if let Some(out) = record.out_as(unit) {
+            let way = out.part.map(|part| if part.way == Way::Forth { "forth" } else { "back" });
+            return match out.wish.serial == serial {
+                true => Ok(json!({"granted": true, "way": way})),
+                false => Err("it is let out already, by another's wish".to_string()),
+            };
+        }
+        // By whichever member it was asked.
+        if record.done.iter().any(|wish| wish.serial == serial) {
+            return Err("this wish was granted, and its unit is back: ask with another word".to_string());
+        }
+        if let Some(halt) = &record.halted {
+            return Ok(json!({"granted": false, "halted": halt.why}));
+        }
+        if let Err(no) = self.member.part_of(now, unit, release) {
+            return match no {
+                No::Later { .. } | No::NoPlan => {
+                    self.member.want(now, Want::Out { unit, release }, serial);
+                    Ok(json!({"granted": false, "waits": no.to_string()}))
+                }
+                _ => Err(no.to_string()),
+            };
+        }
+        // The leader decides; what this balancer sees is told as the likely reason.
+        let waits = match self.member.outside.may_go(record, unit, &BTreeSet::new()) {
+            Err(no @ (No::NoLimit | No::Unknown)) => return Err(no.to_string()),
+            Err(no) => no.to_string(),
+            Ok(()) => "the voters have not said so yet".to_string(),
+        };
+        self.member.want(now, Want::Out { unit, release }, serial);
+        Ok(json!({"granted": false, "waits": waits}))
+    }
+
+    fn begin_release(&mut self, now: u64, text: &str, length: usize, hash: &str) -> Answer {
+        let record = self.member.record();
+        if record.founding == 0 {
+            return Err("the fleet is not founded: whinspindle fleet found".to_string());
+        }
+        if !is_whole(text, length, hash) || length > LONGEST_TEXT {
+            return Err(format!("the text did not come whole, or is longer than {LONGEST_TEXT} bytes"));
+        }
+        if let Some(release) = &record.release {
+            return Err(format!("release {} is under way; leave it, or wait", release.number));
+        }
+        let members = self.member.terms().members as usize;
+        let plan = whinspindle_operator::read_plan(text, Some(members)).map_err(|faults| {
+            format!("{} faults\n{}", faults.len(), whinspindle_operator::draw("the plan", text, &faults))
+        })?;
+        // A release that could never begin is refused now, not found out later.
+        for unit in &plan.units {
+            if let Err(no @ (No::NoLimit | No::Unknown)) =
+                self.member.outside.may_go(record, *unit, &BTreeSet::new())
+            {
+                let name = plan.place_of(*unit).map_or("", |place| plan.names[place].as_str());
+                return Err(format!("{name}: {no}"));
+            }
+        }
+        self.member.hold(text.as_bytes());
+        let want = Want::Release { hash: Hash::of(text.as_bytes()), length: length as u32 };
+        let wish = self.member.want(now, want, rand::random());
+        Ok(json!({"serial": wish.serial}))
+    }
+}
+
+/// Whether a text has come as it was sent.
+fn is_whole(text: &str, length: usize, hash: &str) -> bool {
+    text.len() == length && Hash::of(text.as_bytes()).to_string() == hash
+}
--- /dev/null
+++ b/crates/balancer/src/fleet/status.rs
@@ -0,0 +1,112 @@
+//! What `whinspindle fleet status` and its like are told.
+
+use serde_json::{Value, json};
+use whinspindle_policy::{Fate, Outside, Policy, Readiness, Right, Unit};
+use whinspindle_release::{Count, Way};
+
+use super::worker::Worker;
+
+impl Worker {
+    fn release_status(&self, now: u64) -> Value {
+        let record = self.member.record();
+        let side = |count: Count| json!({"executions": count.executions, "bad": count.bad});
+        let release = record.release.as_ref().map(|release| {
+            let plan = self.member.outside.plan(release.hash);
+            let places = plan.iter().flat_map(|plan| plan.names.iter().enumerate());
+            let units: Vec<Value> = places
+                .map(|(place, name)| {
+                    let unit = plan.as_ref().and_then(|plan| plan.units.get(place)).copied();
+                    let out = unit.is_some_and(|unit| record.out_as(unit).is_some());
+                    json!({"unit": name, "changed": release.changed.has(place), "out": out})
+                })
+                .collect();
+            json!({"number": release.number, "by": release.wish.by, "serial": release.wish.serial,
+                "way": if release.way == Way::Forth { "forth" } else { "back" }, "wave": release.wave + 1,
+                "name": plan.as_ref().map(|plan| plan.name.clone()),
+                "waves": plan.map(|plan| plan.waves.clone()),
+                "changed": release.changed.count(), "units": units, "watchedMs": self.member.watched_for(now),
+                "seen": self.member.evidence().map(|seen| json!([side(seen.unchanged), side(seen.changed)]))})
+        });
+        let past: Vec<Value> = record
+            .past_releases
+            .iter()
+            .map(|past| {
+                json!({"number": past.number, "serial": past.wish.serial, "changed": past.changed,
+                    "end": format!("{:?}", past.close)})
+            })
+            .collect();
+        json!({"now": release, "past": past})
+    }
+
+    /// What this member knows of its fleet, for operators.
+    pub(super) fn status(&self, now: u64) -> Value {
+        let member = &self.member;
+        let record = member.record();
+        let change = |policy: Policy, by: u16, serial: u64| {
+            json!({"number": policy.number, "hash": policy.hash.to_string(), "bytes": policy.length, "by": by,
+                "serial": serial})
+        };
+        let past: Vec<Value> = record
+            .past
+            .iter()
+            .map(|past| {
+                let mut told = change(past.change.policy, past.change.wish.by, past.change.wish.serial);
+                told["fate"] = match past.fate {
+                    Fate::InForce => json!("in force"),
+                    Fate::Withdrawn => json!("withdrawn"),
+                    Fate::Refused(member) => json!(format!("refused by member {member}")),
+                    Fate::GivenUp => json!("given up"),
+                };
+                told
+            })
+            .collect();
+        let members: Vec<Value> = member
+            .heard_of()
+            .iter()
+            .enumerate()
+            .map(|(number, heard)| {
+                let Some(heard) = heard else { return json!({"member": number, "heard": null}) };
+                let mut told = json!({"member": number, "heardMsAgo": now.saturating_sub(heard.at) / 1000,
+                "version": heard.version, "right": right_words(heard.right)});
+                if let Readiness::Objects(number, no) = &heard.readiness {
+                    told["objects"] = json!({"number": number, "line": no.line, "words": no.words});
+                }
+                told["ready"] = match heard.readiness {
+                    Readiness::Ready(number) => json!(number),
+                    _ => Value::Null,
+                };
+                if let Readiness::Lacks(pieces) = heard.readiness {
+                    told["lacks"] = json!(pieces);
+                }
+                told
+            })
+            .collect();
+        let out: Vec<Value> = record
+            .out
+            .iter()
+            .map(|out| match out.unit {
+                Unit::Balancer(number) => json!({"balancer": number, "by": out.wish.by}),
+                Unit::Server(key) => json!({"server": format!("{key:016x}"), "by": out.wish.by}),
+            })
+            .collect();
+        let voters: Vec<u16> = record.boards.iter().flatten().map(|voter| voter.member).collect();
+        json!({"me": member.terms().me, "founded": record.founding != 0, "epoch": record.epoch(), "version": record.version,
+            "voters": voters, "isVoter": member.is_voter(), "right": right_words(member.right(now)),
+            "why": if member.right(now) == Right::CutOff { member.why_cut_off(now) } else { String::new() },
+            "policy": {"number": record.policy.number, "hash": record.policy.hash.to_string()},
+            "next": record.next.map(|next| change(next.policy, next.wish.by, next.wish.serial)),
+            "past": past, "members": members, "out": out, "release": self.release_status(now),
+            "build": member.outside.build,
+            "halted": record.halted.as_ref().map(|halt| json!({"by": halt.wish.by, "why": halt.why})),
+            "datagrams": {"sent": member.outside.sent, "received": self.received,
+                "passedOver": member.outside.peers.passed_over}})
+    }
+}
+
+fn right_words(right: Right) -> String {
+    match right {
+        Right::Learning => "learning".to_string(),
+        Right::Policy(number) => format!("policy {number}"),
+        Right::CutOff => "cut off".to_string(),
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/fleet/worker.rs
@@ -0,0 +1,272 @@
+//! The fleet's thread: takes datagrams and requests, lets the member's core go on, and publishes what queries
+//! are decided by.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, SyncSender};
+use std::sync::{Arc, Mutex};
+
+use whinspindle_logline::log_line;
+use whinspindle_operator::{FleetTerms, Operator};
+use whinspindle_peers::Peers;
+use whinspindle_policy::{Member, Memory, Message, Objection, Outside, Right, Terms, Unit};
+use whinspindle_recall::{Ages, Neighbours};
+use whinspindle_release::Count;
+use whinspindle_store::Store;
+use whinspindle_terms::Deployment;
+
+use super::environment::Environment;
+use super::published::{FleetClock, Published, held};
+use crate::control::{Answer, Request};
+
+/// Datagrams taken before the clock is looked at again.
+const AT_ONCE: usize = 256;
+/// Texts kept on disk, by their number.
+const TEXTS: u64 = 4;
+/// Longest words of an objection that are told to others, in bytes.
+const LONGEST_WORDS: usize = 120;
+
+/// How far a list is believed by its age where `[keep]` says nothing.
+const AGES: Ages = Ages { fresh: 10_000_000, old: 3_600_000_000 };
+
+/// The state of the thread: the member and what is kept beside it.
+pub(super) struct Worker {
+    pub(super) member: Member<Environment>,
+    pub(super) deployment: Deployment,
+    pub(super) clock: FleetClock,
+    published: Arc<Mutex<Published>>,
+    operators: Vec<(u64, Arc<Operator>)>,
+    /// What holds where no policy is known: the file's own word.
+    own: Arc<Operator>,
+    pub(super) received: u64,
+    /// The list of servers, from those that stayed up and for those that come back; none where the file says
+    /// no.
+    neighbours: Option<Neighbours>,
+}
+
+impl Worker {
+    /// Takes over what the store remembers; a new memory begins where it has none.
+    #[expect(clippy::too_many_arguments, reason = "each is a part of the process that is handed over once")]
+    pub(super) fn new(
+        terms: FleetTerms,
+        socket: UdpSocket,
+        addresses: Vec<SocketAddr>,
+        store: Store,
+        deployment: Deployment,
+        clock: FleetClock,
+        published: Arc<Mutex<Published>>,
+        own: Arc<Operator>,
+        build: String,
+    ) -> Worker {
+        let FleetTerms { me, members, ref name, ref secret, datagram, .. } = terms;
+        let peers = Peers::new(me, members, name, secret, rand::random(), datagram);
+        let store = Rc::new(store);
+        let memory = store.read("votes").and_then(|bytes| postcard::from_bytes::<Memory>(&bytes).ok());
+        let texts = (0..TEXTS).filter_map(|number| store.read(&format!("text-{number}")));
+        let texts = texts.chain(store.read("plan"));
+        let texts: Vec<Vec<u8>> = texts.collect();
+        match &memory {
+            Some(memory) => {
+                log_line!("fleet", "member {me}: remembers policy {}", memory.record.policy.number)
+            }
+            None => log_line!("fleet", "member {me}: remembers nothing"),
+        }
+        let environment = Environment {
+            me,
+            socket,
+            peers,
+            addresses,
+            store,
+            to_prove: Vec::new(),
+            sent: 0,
+            limits: Vec::new(),
+            places: Vec::new(),
+            plan: None,
+            build,
+            counts: BTreeMap::new(),
+            own: Count::default(),
+            asides: Vec::new(),
+        };
+        let asks = terms.neighbours;
+        let ages = own.keep.as_ref().map_or(AGES, |keep| Ages { fresh: keep.fresh, old: keep.old });
+        let terms = Terms {
+            me,
+            members,
+            voters: terms.voters,
+            right: terms.right,
+            drift: terms.drift,
+            pace: terms.pace,
+            absent: terms.absent,
+            give_up: terms.give_up,
+            learn: terms.learn,
+        };
+        // A birth of 0 would pass for none.
+        let start = rand::random::<u64>() | 1;
+        let mut member = Member::new(environment, terms, memory, start, clock.now());
+        texts.iter().for_each(|text| member.hold(text));
+        let neighbours = asks.then(|| Neighbours::new(me, members, ages, start, clock.now()));
+        Worker { member, deployment, clock, published, operators: Vec::new(), own, received: 0, neighbours }
+    }
+
+    /// Runs until the process ends.
+    pub(super) fn run(&mut self, asked: &Receiver<(Request, SyncSender<Answer>)>) {
+        let mut buffer = [0; 2048];
+        let mut next_tick = 0;
+        loop {
+            for _ in 0..AT_ONCE {
+                match self.member.outside.socket.recv_from(&mut buffer) {
+                    Ok((length, from)) => self.take(&buffer[..length], from),
+                    // A peer that is down is told of here; there is nothing to read.
+                    Err(fault) if fault.kind() == ErrorKind::ConnectionRefused => {}
+                    Err(_) => break,
+                }
+                if self.clock.now() >= next_tick {
+                    break;
+                }
+            }
+            while let Ok((request, answer)) = asked.try_recv() {
+                let _ = answer.try_send(self.serve(request));
+            }
+            let now = self.clock.now();
+            if now >= next_tick {
+                self.member.tick(now);
+                self.ask_neighbours(now);
+                next_tick = now + (self.member.terms().pace / 8).min(100_000);
+            }
+            self.prove();
+            self.hear_neighbours();
+            self.publish();
+        }
+    }
+
+    fn ask_neighbours(&mut self, now: u64) {
+        let Some(neighbours) = &mut self.neighbours else { return };
+        let told = held(&self.published).told_list.take();
+        if let Some((servers, silent)) = told {
+            neighbours.told(now.saturating_sub(silent), &servers);
+        }
+        let unix = crate::clock::Clock::start().now();
+        if let Some((news, trust)) = neighbours.take(now, unix) {
+            log_line!("fleet", "neighbours tell {} servers, {trust}", news.servers.len());
+            held(&self.published).given_list = Some((news, trust));
+        }
+        for (to, word) in neighbours.tick(now) {
+            self.member.outside.send(to, Message::Aside { bytes: word.to_bytes() });
+        }
+    }
+
+    fn hear_neighbours(&mut self) {
+        let asides = std::mem::take(&mut self.member.outside.asides);
+        let Some(neighbours) = &mut self.neighbours else { return };
+        let now = self.clock.now();
+        for (from, bytes) in asides {
+            for word in neighbours.heard(now, from, &bytes) {
+                self.member.outside.send(from, Message::Aside { bytes: word.to_bytes() });
+            }
+        }
+    }
+
+    fn take(&mut self, datagram: &[u8], from: SocketAddr) {
+        let now = self.clock.now();
+        self.received += 1;
+        let environment = &mut self.member.outside;
+        let said = Peers::sender(datagram);
+        let known = said.filter(|said| environment.addresses.get(*said as usize) == Some(&from));
+        let before = environment.peers.passed_over;
+        match environment.peers.take::<Message>(now / 1_000_000, known, datagram) {
+            Some((from, message)) => self.member.heard(now, from, message),
+            None if environment.peers.passed_over != before => {
+                log_line!(
+                    "peers",
+                    "a datagram from {from} is passed over: {:?}",
+                    environment.peers.passed_over
+                );
+            }
+            None => {}
+        }
+    }
+
+    fn prove(&mut self) {
+        for (policy, text) in std::mem::take(&mut self.member.outside.to_prove) {
+            let verdict = self.verdict_on(&text);
+            if let Err(fault) =
+                self.member.outside.store.write(&format!("text-{}", policy.number % TEXTS), &text)
+            {
+                log_line!("store", "{fault}");
+            }
+            let verdict = verdict.map(|operator| {
+                self.member.outside.limits.push((policy.number, operator.limits));
+                let over = self.member.outside.limits.len().saturating_sub(TEXTS as usize);
+                self.member.outside.limits.drain(..over);
+                self.operators.push((policy.number, Arc::new(operator)));
+                let over = self.operators.len().saturating_sub(TEXTS as usize);
+                self.operators.drain(..over);
+            });
+            self.member.proved(self.clock.now(), policy.number, verdict);
+        }
+    }
+
+    /// Proves the text of a policy against this process's own settings.
+    fn verdict_on(&self, text: &[u8]) -> Result<Operator, Objection> {
+        let Ok(text) = std::str::from_utf8(text) else {
+            return Err(Objection { line: 0, words: "is not UTF-8 text".to_string() });
+        };
+        whinspindle_operator::read_policy(text, &self.deployment).map_err(|faults| {
+            let first = faults.first();
+            let words = first.map_or(String::new(), |fault| {
+                format!("{}: {} ({} faults)", fault.field, fault.fault, faults.len())
+            });
+            Objection { line: first.map_or(0, |fault| fault.line as u32), words: shortened(words) }
+        })
+    }
+
+    fn publish(&mut self) {
+        let (right, until) = self.member.right_until(self.clock.now());
+        let of = |number: u64| match number {
+            0 => Some(Arc::new(Operator::none())),
+            _ => {
+                self.operators.iter().find(|(known, _)| *known == number).map(|(_, known)| Arc::clone(known))
+            }
+        };
+        let mut published = held(&self.published);
+        if let Right::Policy(number) = right
+            && published.policy.as_ref().is_none_or(|(known, _)| *known != number)
+            && let Some(operator) = of(number)
+        {
+            // Number 0 says nothing of being cut off; the file's own word holds until a policy says
+            // something.
+            published.cut_off = Arc::clone(if number == 0 { &self.own } else { &operator });
+            published.policy = Some((number, operator));
+        }
+        (published.right, published.until) = (right, until);
+        let servers = self.member.record().out.iter().filter_map(|out| match out.unit {
+            Unit::Server(key) => Some(key),
+            Unit::Balancer(_) => None,
+        });
+        let servers: BTreeSet<u64> = servers.collect();
+        if servers != published.let_out.1 {
+            published.let_out = (published.let_out.0 + 1, servers);
+        }
+        published.is_let_out = self.member.is_let_out();
+        let watches = self.member.watched().is_some();
+        let environment = &mut self.member.outside;
+        environment.places.clone_from(&published.places);
+        let (counts, own) = (std::mem::take(&mut published.counts), std::mem::take(&mut published.own));
+        if watches {
+            counts.into_iter().for_each(|(of, count)| environment.counts.entry(of).or_default().add(count));
+            environment.own.add(own);
+        } else {
+            environment.counts.clear();
+        }
+    }
+}
+
+/// Words for others, no longer than they may be.
+pub(super) fn shortened(mut words: String) -> String {
+    while words.len() > LONGEST_WORDS {
+        words.pop();
+    }
+    words
+}
