Proxy: other versions of weights, kept idle times, counts for the log

An upstream that answers 421 because of its weights' version was taken for another instance and given up for good; its id now tells the two apart. Resumed streams ask for the version of the events so far. How long an upstream keeps connections is remembered per instance, and one line each ten seconds counts how requests ended.

--- a/dataplane/proxy/src/answers.rs
+++ b/dataplane/proxy/src/answers.rs
@@ -12,6 +12,7 @@
 use crate::clients::Busy;
 use crate::retry::OwnFailure;
 use crate::stream::StreamAnswer;
+use crate::tally::Event;
 
 /// When to come back if nothing tells more.
 pub const RETRY_AFTER_MS: u64 = 250;
@@ -131,6 +132,16 @@
         }
     }
 
+    /// How it is counted.
+    pub fn event(self) -> Event {
+        match self {
+            OwnAnswer::Refused { .. } => Event::Refused,
+            OwnAnswer::BadGateway => Event::BadGateway,
+            OwnAnswer::TimedOut => Event::TimedOut,
+            _ => Event::TurnedDown,
+        }
+    }
+
     /// The answer as it goes to the client.
     pub fn into_answer(self) -> Answer {
         let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
--- a/dataplane/proxy/src/events.rs
+++ b/dataplane/proxy/src/events.rs
@@ -8,6 +8,7 @@
 pub const MAXIMUM_EVENT_BYTES: usize = 1024 * 1024;
 
 const ID_FIELD: &[u8] = b"id:";
+const VERSIONS_FIELD: &[u8] = b"versions:";
 
 /// Where a stream stands: what a resumed run has to go on from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -16,6 +17,8 @@
     pub last_id: Option<u64>,
     /// The largest distance between the ids of two events in a row.
     pub largest_step: Option<u64>,
+    /// The version of the weights that made the last event.
+    pub versions: Option<u64>,
 }
 
 /// Why a body is not a stream that may be passed on.
@@ -36,17 +39,19 @@
     partial: BytesMut,
     /// How many of them are whole lines that have been looked at.
     scanned: usize,
-    /// The id in the lines that have been looked at.
+    /// The id in the lines that have been looked at, and the version.
     partial_id: Option<u64>,
+    partial_versions: Option<u64>,
     position: Position,
     /// The next id follows one of another run.
     joins: bool,
 }
 
 impl EventSplitter {
-    /// A splitter for a run that begins with the first event.
-    pub fn new() -> Self {
-        EventSplitter::default()
+    /// A splitter for a run of which the head names this version.
+    pub fn new(versions: Option<u64>) -> Self {
+        let position = Position { versions, ..Position::default() };
+        EventSplitter { position, ..EventSplitter::default() }
     }
 
     /// A splitter for a run that goes on after events of another run.
@@ -94,13 +99,16 @@
                 self.end_event()?;
                 event_end = self.scanned;
             } else if let Some(value) = line.strip_prefix(ID_FIELD) {
-                self.partial_id = parse_id(value);
+                self.partial_id = parse_number(value);
+            } else if let Some(value) = line.strip_prefix(VERSIONS_FIELD) {
+                self.partial_versions = parse_number(value);
             }
         }
         Ok(event_end)
     }
 
     fn end_event(&mut self) -> Result<(), EventError> {
+        self.position.versions = self.partial_versions.take().or(self.position.versions);
         let Some(id) = self.partial_id.take() else { return Ok(()) };
         let joins = std::mem::take(&mut self.joins);
         if let Some(last) = self.position.last_id {
@@ -115,6 +123,6 @@
     }
 }
 
-fn parse_id(value: &[u8]) -> Option<u64> {
+fn parse_number(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -12,14 +12,15 @@
 use whinspindle_routing::{Attempt, Choice, InstanceKey, InstanceTarget, Outcome};
 
 use crate::answers::RETRY_AFTER_MS;
-use crate::events::EventSplitter;
-use crate::headers::{VERSIONS, keep_alive_ms, retry_after_ms, strip_hop_by_hop};
+use crate::events::{EventSplitter, Position};
+use crate::headers::{EXPECT_VERSION, VERSIONS, keep_alive_ms, number, retry_after_ms, strip_hop_by_hop};
 use crate::limits::BudgetShare;
 use crate::node::Node;
 use crate::pool::{Leased, NoLane};
-use crate::request::{ClientRequest, MatchedRoute, ResumePoint};
+use crate::request::{ClientRequest, MatchedRoute};
 use crate::retry::{self, History, Next, OwnFailure, SendEnd};
-use crate::verdict::{Verdict, judge};
+use crate::tally::Event;
+use crate::verdict::{Asked, Verdict, judge};
 
 /// With less time left nothing is sent any more.
 const LEAST_TIME: Duration = Duration::from_millis(15);
@@ -131,7 +132,7 @@
     /// A send is under way, of which bytes may have been written.
     in_flight: bool,
     retry_after_ms: u64,
-    resume: Option<ResumePoint>,
+    resume: Option<Position>,
     /// The last failure of an upstream, to be passed back if no other serves.
     failure: Option<Response<Bytes>>,
     /// Room for the request's body, and for the answer while it is read.
@@ -179,8 +180,8 @@
     }
 
     /// From now on sends ask for what follows the events that were passed on.
-    pub fn resume_after(&mut self, resume: ResumePoint) {
-        self.resume = Some(resume);
+    pub fn resume_after(&mut self, position: Position) {
+        self.resume = Some(position);
         self.failure = None;
     }
 
@@ -240,6 +241,7 @@
             self.in_flight = false;
             self.tried.push(chosen.instance);
             self.history.note(missed);
+            self.node.tally.note(event_of(missed));
             match retry::next(self.matched.permission(), self.history, missed) {
                 Next::SendAgain => {}
                 Next::PassBack => return self.failure_or(OwnFailure::BadGateway),
@@ -254,9 +256,10 @@
         let Some(target) = target else { return Err(Missed::not_sent(Outcome::Cancelled)) };
         let most = self.node.most_connections(self.matched.service().max_conns);
         let leased = self.node.pool.lease(instance, target.address, most).await;
-        let mut leased = leased.map_err(|fault| match fault {
-            NoLane::Full => Missed::not_sent(Outcome::Cancelled),
-            _ => Missed::not_sent(Outcome::Unreachable),
+        let mut leased = leased.map_err(|fault| {
+            spdlog::debug!("{}: {fault}", target.id);
+            let full = matches!(fault, NoLane::Full);
+            Missed::not_sent(if full { Outcome::Cancelled } else { Outcome::Unreachable })
         })?;
         // The connect may have taken a while.
         let wanted = self.node.router.borrow().may_still_send(instance);
@@ -266,9 +269,19 @@
         }
         let answer = self.write(&mut leased, &target).await?;
         let (head, body) = answer.into_parts();
-        let id = self.request.id.as_ref();
-        match judge(id, head.status, &head.headers, leased.lane.is_fresh()) {
-            Verdict::Unusable => Err(Missed::broken()),
+        let names_version = self.request.headers.contains_key(EXPECT_VERSION)
+            || self.resume.is_some_and(|position| position.versions.is_some());
+        let asked = Asked {
+            id: self.request.id.as_ref(),
+            instance: &target.id,
+            names_version,
+            fresh: leased.lane.is_fresh(),
+        };
+        match judge(&asked, head.status, &head.headers) {
+            Verdict::Unusable => {
+                spdlog::debug!("{}: {} is no answer to {:?}", target.id, head.status, asked.id);
+                Err(Missed::broken())
+            }
             verdict => Ok(Answered { verdict, head, body, leased }),
         }
     }
@@ -278,13 +291,14 @@
         leased: &mut Leased,
         target: &InstanceTarget,
     ) -> Result<Response<Incoming>, Missed> {
-        let request = self.request.to_upstream(target, &self.matched, self.due, self.resume.as_ref());
+        let request = self.request.to_upstream(target, &self.matched, self.due, self.resume);
         let before = leased.lane.written();
         self.in_flight = true;
         let answer = leased.lane.send(request).await;
-        answer.map_err(|_| match leased.lane.written() > before {
-            true => Missed::broken(),
-            false => Missed::not_sent(Outcome::Unreachable),
+        answer.map_err(|fault| {
+            let written = leased.lane.written() - before;
+            spdlog::debug!("{}: {fault}, {written} bytes written", target.id);
+            if written > 0 { Missed::broken() } else { Missed::not_sent(Outcome::Unreachable) }
         })
     }
 
@@ -297,7 +311,8 @@
             sent.finish(Outcome::Broken);
             return Err(SendEnd::Broken);
         }
-        leased.keeps = keep_alive_ms(&head.headers).map(Duration::from_millis);
+        let keeps = keep_alive_ms(&head.headers).map(Duration::from_millis);
+        leased.keeps = keeps.or(leased.keeps);
         if verdict == Verdict::Success && is_event_stream(&head.headers) {
             return self.read_first_events(head, body, leased, sent).await;
         }
@@ -387,9 +402,9 @@
         mut leased: Leased,
         mut sent: Sent,
     ) -> Result<Opened, SendEnd> {
-        let mut splitter = match &self.resume {
-            Some(resume) => EventSplitter::resuming(resume.position),
-            None => EventSplitter::new(),
+        let mut splitter = match self.resume {
+            Some(position) => EventSplitter::resuming(position),
+            None => EventSplitter::new(number(&head.headers, &VERSIONS)),
         };
         loop {
             let frame = match poll_fn(|cx| leased.lane.poll_body(&mut body, cx)).await {
@@ -477,9 +492,14 @@
     leased: Leased,
 }
 
-/// The version of the weights that an answer names.
-pub fn versions_of(head: &response::Parts) -> Option<http::HeaderValue> {
-    head.headers.get(VERSIONS).cloned()
+/// How a send that gave no answer is counted.
+fn event_of(end: SendEnd) -> Event {
+    match end {
+        SendEnd::NotSent => Event::SendUnsent,
+        SendEnd::Misdirected => Event::SendMisdirected,
+        SendEnd::Rejected => Event::SendRejected,
+        SendEnd::Failed | SendEnd::Broken => Event::SendBroken,
+    }
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -18,6 +18,7 @@
 use crate::node::Node;
 use crate::request::{ClientRequest, MatchedRoute};
 use crate::stream::StreamAnswer;
+use crate::tally::Event;
 
 /// A body must be whole after so long if the client gives no time.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
@@ -27,6 +28,10 @@
 /// Answers a request.
 pub async fn answer(node: &Rc<Node>, request: Request<Incoming>, busy: &Busy) -> Answer {
     let taken = take(node, request, busy).await;
+    node.tally.note(match &taken {
+        Ok(_) => Event::Answered,
+        Err(own) => own.event(),
+    });
     let mut answer = taken.unwrap_or_else(OwnAnswer::into_answer);
     if node.stop.is_ordered() {
         close_after(&mut answer);
--- a/dataplane/proxy/src/headers.rs
+++ b/dataplane/proxy/src/headers.rs
@@ -9,6 +9,7 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("whinspindle-not-run");
 pub const DEADLINE: HeaderName = HeaderName::from_static("whinspindle-deadline-ms");
 pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("whinspindle-expect-instance");
+pub const INSTANCE_ID: HeaderName = HeaderName::from_static("whinspindle-instance-id");
 pub const TOKEN_COUNT: HeaderName = HeaderName::from_static("whinspindle-token-count");
 pub const PREFIX_HASH: HeaderName = HeaderName::from_static("whinspindle-prefix-hash");
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
--- a/dataplane/proxy/src/lib.rs
+++ b/dataplane/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod stop;
 pub mod stream;
+pub mod tally;
 pub mod verdict;
 
 use std::hash::{BuildHasher, Hasher, RandomState};
--- a/dataplane/proxy/src/node.rs
+++ b/dataplane/proxy/src/node.rs
@@ -13,6 +13,7 @@
 use crate::limits::{Budget, LimitsInForce, Shares};
 use crate::pool::{Pool, PoolLimits};
 use crate::stop::{Stop, StopTimes};
+use crate::tally::Tally;
 
 /// The part of an upstream's connections that all balancers together use.
 const CONNECTIONS_PART: f64 = 0.9;
@@ -30,6 +31,7 @@
     /// Something has changed that the control plane wants to know at once.
     pub report_due: Notify,
     pub holder: RefCell<Holder>,
+    pub tally: Tally,
     configuration: RefCell<Option<Arc<Configuration>>>,
     balancers: Cell<u32>,
 }
@@ -57,6 +59,7 @@
             stop: Stop::new(StopTimes::of(grace)),
             report_due: Notify::new(),
             holder: RefCell::default(),
+            tally: Tally::default(),
             configuration: RefCell::default(),
             balancers: Cell::new(1),
             settings,
@@ -112,5 +115,8 @@
         self.router.borrow_mut().tick(self.clock.now_ms());
         let router = self.router.borrow();
         self.pool.sweep(|instance| router.target(instance).is_some());
+        if let Some(counts) = self.tally.look() {
+            spdlog::info!("requests: {counts}; {} connections to upstreams", self.pool.open());
+        }
     }
 }
--- a/dataplane/proxy/src/pool.rs
+++ b/dataplane/proxy/src/pool.rs
@@ -53,6 +53,8 @@
 #[derive(Default)]
 struct Lanes {
     open: Rc<Cell<usize>>,
+    /// For how long the upstream keeps idle connections, as it last told on any of them.
+    keeps: Option<Duration>,
     /// The one used last stands last.
     idle: Vec<Idle>,
 }
@@ -118,10 +120,11 @@
 
     /// Puts back a connection that may carry another request.
     pub fn give_back(&self, leased: Leased) {
-        let since = Instant::now();
-        let until = since + leased.keeps.unwrap_or(UNTOLD_IDLE).mul_f64(IDLE_PART);
         let mut instances = self.instances.borrow_mut();
         let lanes = instances.entry(leased.instance).or_default();
+        lanes.keeps = leased.keeps.or(lanes.keeps);
+        let since = Instant::now();
+        let until = since + lanes.keeps.unwrap_or(UNTOLD_IDLE).mul_f64(IDLE_PART);
         lanes.idle.push(Idle { since, until, leased });
     }
 
--- a/dataplane/proxy/src/request.rs
+++ b/dataplane/proxy/src/request.rs
@@ -43,14 +43,6 @@
     pub facts: RequestFacts,
 }
 
-/// What a resumed run has to go on from.
-#[derive(Clone, Debug)]
-pub struct ResumePoint {
-    pub position: Position,
-    /// The version of the weights that made the events so far.
-    pub versions: Option<HeaderValue>,
-}
-
 impl ClientRequest {
     /// Takes a request apart. `received` is when its first bytes came.
     pub fn new(parts: Parts, body: Bytes, received: Instant) -> Self {
@@ -89,7 +81,7 @@
         target: &InstanceTarget,
         matched: &MatchedRoute,
         due: Instant,
-        resume: Option<&ResumePoint>,
+        resume: Option<Position>,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -122,12 +114,12 @@
     }
 }
 
-fn set_resume(headers: &mut HeaderMap, resume: &ResumePoint) {
-    if let Some(id) = resume.position.last_id {
+fn set_resume(headers: &mut HeaderMap, resume: Position) {
+    if let Some(id) = resume.last_id {
         headers.insert(LAST_EVENT_ID, number_value(id));
     }
-    if let Some(versions) = &resume.versions {
-        headers.insert(EXPECT_VERSION, versions.clone());
+    if let Some(versions) = resume.versions {
+        headers.insert(EXPECT_VERSION, number_value(versions));
     }
 }
 
--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -3,19 +3,21 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, response};
+use http::response;
 use tokio::time::{Instant, Sleep, sleep_until};
 use whinspindle_configuration::Route;
 use whinspindle_routing::Outcome;
 
 use crate::answers::StreamCut;
 use crate::events::Position;
-use crate::exchange::{Chosen, Exchange, GivenUp, OpenStream, Opened, Run, versions_of};
-use crate::request::ResumePoint;
+use crate::exchange::{Chosen, Exchange, GivenUp, OpenStream, Opened, Run};
+use crate::node::Node;
+use crate::tally::Event;
 
 /// So many bytes of events go on at once at most.
 const MOST_AT_ONCE: usize = 64 * 1024;
@@ -52,12 +54,12 @@
 
 /// A streaming answer under way.
 pub struct StreamAnswer {
+    node: Rc<Node>,
     state: State,
     /// Whole events that have not gone on yet.
     ready: Bytes,
     /// Events have been passed on up to here.
     position: Position,
-    versions: Option<HeaderValue>,
     due: Pin<Box<Sleep>>,
     /// Ends when the stream has been silent for too long; only where it may move.
     silence: Option<Silence>,
@@ -96,16 +98,16 @@
 impl StreamAnswer {
     /// The answer for a stream that has begun.
     pub fn begin(exchange: Exchange, open: OpenStream) -> (response::Parts, Self) {
+        let node = Rc::clone(&exchange.node);
         let route = exchange.matched().route();
         let silence = exchange.may_resume().then(|| Silence::new(silence_limit(route)));
         let due = Box::pin(sleep_until(exchange.due()));
-        let versions = versions_of(&open.head);
         let position = open.run.as_ref().map(|run| run.splitter.position()).unwrap_or_default();
         let state = match open.run {
             Some(run) => State::Flowing(Box::new(Flow { exchange, run })),
             None => State::Ended,
         };
-        (open.head, StreamAnswer { state, ready: open.first, position, versions, due, silence })
+        (open.head, StreamAnswer { node, state, ready: open.first, position, due, silence })
     }
 
     /// Nothing more follows.
@@ -120,6 +122,7 @@
         }
         if !matches!(self.state, State::Ended) && self.due.as_mut().poll(cx).is_ready() {
             self.state = State::Ended;
+            self.node.tally.note(Event::StreamCut);
             return Poll::Ready(Some(Err(StreamCut::TimeOver)));
         }
         loop {
@@ -153,6 +156,7 @@
                 Poll::Ready(None) => {
                     events.add(run.splitter.finish());
                     let Flow { exchange, run } = *flow;
+                    self.node.tally.note(Event::StreamComplete);
                     run.complete(&exchange.node, cx);
                     return Poll::Ready(events.take());
                 }
@@ -207,9 +211,11 @@
             return Poll::Pending;
         };
         let Ok(Opened::Stream(open)) = resumed else {
+            self.node.tally.note(Event::StreamCut);
             self.state = State::Flushing;
             return Poll::Ready(Bytes::new());
         };
+        self.node.tally.note(Event::StreamResumed);
         self.note_events();
         if let Some(run) = open.run {
             self.position = run.splitter.position();
@@ -231,6 +237,7 @@
             return;
         }
         flow.run.sent.finish(Outcome::Broken);
+        self.node.tally.note(Event::StreamCut);
         self.state = State::Flushing;
     }
 
@@ -240,7 +247,7 @@
         run.sent.finish(Outcome::Broken);
         // The old run must not go on beside the new one.
         drop(run);
-        exchange.resume_after(ResumePoint { position: self.position, versions: self.versions.clone() });
+        exchange.resume_after(self.position);
         self.state = State::Resuming(Box::pin(async move {
             let resumed = exchange.open(chosen).await;
             (exchange, resumed)
--- a/dataplane/proxy/src/verdict.rs
+++ b/dataplane/proxy/src/verdict.rs
@@ -3,7 +3,7 @@
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
-use crate::headers::{NOT_RUN, REQUEST_ID, SERVER_STAMP};
+use crate::headers::{INSTANCE_ID, NOT_RUN, REQUEST_ID, SERVER_STAMP};
 
 /// What an answer's head says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,7 +12,8 @@
     Success,
     /// A failure that goes back as it is.
     Failure,
-    /// The request did not run: the upstream is full, or the request was late in its queue.
+    /// The request did not run: the upstream is full, the request was late in its queue, or the upstream's weights
+    /// have another version than the one asked for.
     Rejected,
     /// The address belongs to another instance; the request did not run.
     Misdirected,
@@ -20,17 +21,29 @@
     Unusable,
 }
 
-/// Judges a head. `fresh` says that the connection has carried no answer before, so that this one cannot belong to
-/// another request.
-pub fn judge(id: Option<&HeaderValue>, status: StatusCode, headers: &HeaderMap, fresh: bool) -> Verdict {
+/// What the answer is held against.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// The request's id, if it has one.
+    pub id: Option<&'a HeaderValue>,
+    /// The id of the instance that was meant.
+    pub instance: &'a str,
+    /// The request asks for one version of the weights.
+    pub names_version: bool,
+    /// The connection has carried no answer before, so that this one cannot belong to another request.
+    pub fresh: bool,
+}
+
+/// Judges a head.
+pub fn judge(asked: &Asked, status: StatusCode, headers: &HeaderMap) -> Verdict {
     let not_run = headers.contains_key(NOT_RUN);
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-    let may_lack_id = fresh && (not_run || misdirected);
-    if !belongs(id, headers, may_lack_id) {
+    let may_lack_id = asked.fresh && (not_run || misdirected);
+    if !belongs(asked.id, headers, may_lack_id) {
         return Verdict::Unusable;
     }
     if misdirected {
-        return Verdict::Misdirected;
+        return if is_other_version(asked, headers) { Verdict::Rejected } else { Verdict::Misdirected };
     }
     if not_run && promises_not_run(status) {
         return Verdict::Rejected;
@@ -54,6 +67,12 @@
     }
 }
 
+/// Whether it is the instance that was meant, with other weights than asked for.
+fn is_other_version(asked: &Asked, headers: &HeaderMap) -> bool {
+    let answered = headers.get(INSTANCE_ID);
+    answered.map_or(asked.names_version, |id| id.as_bytes() == asked.instance.as_bytes())
+}
+
 /// Statuses by which a client knows that its request has not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/dataplane/proxy/tests/events.rs
+++ b/dataplane/proxy/tests/events.rs
@@ -15,16 +15,16 @@
 
 #[test]
 fn whole_events_pass_at_once() {
-    let mut splitter = EventSplitter::new();
+    let mut splitter = EventSplitter::new(None);
     let two = event(1, "a") + &event(2, "b");
     assert_eq!(push(&mut splitter, &two), Ok(two));
-    assert_eq!(splitter.position(), Position { last_id: Some(2), largest_step: Some(1) });
+    assert_eq!(splitter.position(), Position { last_id: Some(2), largest_step: Some(1), versions: None });
     assert!(splitter.finish().is_empty());
 }
 
 #[test]
 fn a_partial_event_is_held_back() {
-    let mut splitter = EventSplitter::new();
+    let mut splitter = EventSplitter::new(None);
     assert_eq!(push(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda"), Ok(event(1, "a")));
     assert_eq!(splitter.position().last_id, Some(1));
     assert_eq!(push(&mut splitter, "ta: b\n"), Ok(String::new()));
@@ -35,16 +35,29 @@
 
 #[test]
 fn lines_may_end_with_carriage_returns() {
-    let mut splitter = EventSplitter::new();
+    let mut splitter = EventSplitter::new(None);
     let events = "versions: 3\r\nid: 7\r\ndata: a\r\n\r\n";
     assert_eq!(push(&mut splitter, events), Ok(events.to_owned()));
     assert_eq!(splitter.position().last_id, Some(7));
 }
 
+#[test]
+fn a_change_of_versions_is_followed() {
+    let mut splitter = EventSplitter::new(Some(3));
+    assert_eq!(push(&mut splitter, &event(1, "a")), Ok(event(1, "a")));
+    assert_eq!(splitter.position().versions, Some(3));
+    let changed = "versions: 4\n".to_owned() + &event(2, "b");
+    assert_eq!(push(&mut splitter, &changed), Ok(changed));
+    assert_eq!(splitter.position().versions, Some(4));
+    // A version counts once its event is whole.
+    assert_eq!(push(&mut splitter, "versions: 5\nid: 3\n"), Ok(String::new()));
+    assert_eq!(splitter.position().versions, Some(4));
+}
+
 #[test]
 fn ids_must_rise() {
     for (first, second) in [(5, 5), (5, 4)] {
-        let mut splitter = EventSplitter::new();
+        let mut splitter = EventSplitter::new(None);
         let events = event(first, "a") + &event(second, "b");
         assert_eq!(push(&mut splitter, &events), Err(EventError::NotRising { last: first, id: second }));
     }
@@ -52,7 +65,7 @@
 
 #[test]
 fn a_resumed_run_goes_on_where_the_first_stopped() {
-    let position = Position { last_id: Some(12), largest_step: Some(4) };
+    let position = Position { last_id: Some(12), largest_step: Some(4), versions: None };
     let cases = [
         (13, Ok(())),
         (16, Ok(())),
@@ -68,15 +81,16 @@
 
 #[test]
 fn only_the_first_event_of_a_resumed_run_is_held_against_the_step() {
-    let mut splitter = EventSplitter::resuming(Position { last_id: Some(12), largest_step: Some(1) });
+    let mut splitter =
+        EventSplitter::resuming(Position { last_id: Some(12), largest_step: Some(1), versions: None });
     let events = event(13, "a") + &event(20, "b");
     assert_eq!(push(&mut splitter, &events), Ok(events));
-    assert_eq!(splitter.position(), Position { last_id: Some(20), largest_step: Some(7) });
+    assert_eq!(splitter.position(), Position { last_id: Some(20), largest_step: Some(7), versions: None });
 }
 
 #[test]
 fn events_without_ids_pass() {
-    let mut splitter = EventSplitter::new();
+    let mut splitter = EventSplitter::new(None);
     let events = ": still there\n\ndata: a\n\n";
     assert_eq!(push(&mut splitter, events), Ok(events.to_owned()));
     assert_eq!(splitter.position(), Position::default());
@@ -84,7 +98,7 @@
 
 #[test]
 fn an_endless_event_is_refused() {
-    let mut splitter = EventSplitter::new();
+    let mut splitter = EventSplitter::new(None);
     let half = "x".repeat(MAXIMUM_EVENT_BYTES / 2 + 1);
     assert_eq!(push(&mut splitter, &half), Ok(String::new()));
     assert_eq!(push(&mut splitter, &half), Err(EventError::TooLong));
@@ -110,7 +124,7 @@
         if tail {
             text += "id: 9999999\ndata: cut";
         }
-        let mut splitter = EventSplitter::new();
+        let mut splitter = EventSplitter::new(None);
         let mut passed = String::new();
         for piece in pieces(&text, &cuts) {
             let Ok(events) = push(&mut splitter, &piece) else { return TestResult::failed() };
--- a/dataplane/proxy/tests/verdict.rs
+++ b/dataplane/proxy/tests/verdict.rs
@@ -1,7 +1,7 @@
 //! What the heads of answers mean.
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use whinspindle_proxy::verdict::{Verdict, judge};
+use whinspindle_proxy::verdict::{Asked, Verdict, judge};
 
 const ID: (&str, &str) = ("whinspindle-request-id", "a1");
 const OTHER_ID: (&str, &str) = ("whinspindle-request-id", "b2");
@@ -13,7 +13,8 @@
 
 fn verdict(status: u16, headers: Headers, fresh: bool) -> Verdict {
     let id = HeaderValue::from_static("a1");
-    judge(Some(&id), StatusCode::from_u16(status).expect("a status"), &map(headers), fresh)
+    let asked = Asked { id: Some(&id), instance: "i-1", names_version: false, fresh };
+    judge(&asked, StatusCode::from_u16(status).expect("a status"), &map(headers))
 }
 
 fn map(headers: Headers) -> HeaderMap {
@@ -66,7 +67,27 @@
 
 #[test]
 fn a_request_without_an_id_wants_an_answer_without_one() {
-    let judged = |headers| judge(None, StatusCode::BAD_REQUEST, &map(headers), false);
+    let asked = Asked { id: None, instance: "i-1", names_version: false, fresh: false };
+    let judged = |headers| judge(&asked, StatusCode::BAD_REQUEST, &map(headers));
     assert_eq!(judged(&[NOT_RUN]), Verdict::Failure);
     assert_eq!(judged(&[ID, NOT_RUN]), Verdict::Unusable);
 }
+
+#[test]
+fn an_instance_with_other_weights_is_not_taken_for_another_instance() {
+    let id = HeaderValue::from_static("a1");
+    const SAME: (&str, &str) = ("whinspindle-instance-id", "i-1");
+    const OTHER: (&str, &str) = ("whinspindle-instance-id", "i-2");
+    let cases: &[(Headers, bool, Verdict)] = &[
+        (&[ID, SAME], true, Verdict::Rejected),
+        (&[ID, OTHER], true, Verdict::Misdirected),
+        (&[ID, OTHER], false, Verdict::Misdirected),
+        (&[ID], true, Verdict::Rejected),
+        (&[ID], false, Verdict::Misdirected),
+    ];
+    for &(headers, names_version, expected) in cases {
+        let asked = Asked { id: Some(&id), instance: "i-1", names_version, fresh: false };
+        let judged = judge(&asked, StatusCode::MISDIRECTED_REQUEST, &map(headers));
+        assert_eq!(judged, expected, "{headers:?} {names_version}");
+    }
+}
