Proxy: heads with two kinds of length are refused; connects are given up after 250 ms

The HTTP library drops one of two kinds of length silently, so that a second request could hide behind the first; the bytes of each head are now looked at as they are read. Streams that can't move give up their request's body, and connects in vain no longer hold a short request for most of its time.

--- a/dataplane/proxy/src/answers.rs
+++ b/dataplane/proxy/src/answers.rs
@@ -100,6 +100,8 @@
     HeadTooLong,
     #[snafu(display("the body is too long"))]
     BodyTooLong,
+    #[snafu(display("the head names two kinds of length"))]
+    TwoLengths,
     #[snafu(display("the body broke off"))]
     BrokenBody,
     #[snafu(display("the body was not whole in time"))]
@@ -126,7 +128,7 @@
             OwnAnswer::NoRoute => StatusCode::NOT_FOUND,
             OwnAnswer::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             OwnAnswer::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            OwnAnswer::BrokenBody => StatusCode::BAD_REQUEST,
+            OwnAnswer::TwoLengths | OwnAnswer::BrokenBody => StatusCode::BAD_REQUEST,
             OwnAnswer::LateBody => StatusCode::REQUEST_TIMEOUT,
             OwnAnswer::OldVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
         }
--- a/dataplane/proxy/src/clients.rs
+++ b/dataplane/proxy/src/clients.rs
@@ -25,6 +25,7 @@
 use crate::answers::{Answer, AnswerBody};
 use crate::connect::{BoxedSocket, accepted};
 use crate::front;
+use crate::head_watch::{HeadWatch, Watched};
 use crate::node::Node;
 
 /// How long a connection's end is waited for once its last answer is out, so that the answer reaches the client whole;
@@ -67,6 +68,7 @@
     idle_timeout: Cell<Duration>,
     /// Heard, if the first bytes of a request have come that is not answered yet.
     meter: Rc<Meter>,
+    head: Rc<RefCell<HeadWatch>>,
     /// When it was told to come to its end.
     closing: Cell<Option<Instant>>,
     close: Notify,
@@ -93,6 +95,11 @@
         self.client.meter.heard.get().unwrap_or_else(Instant::now)
     }
 
+    /// The request's head names two kinds of length.
+    pub fn is_ambiguous(&self) -> bool {
+        self.client.head.borrow().is_ambiguous()
+    }
+
     /// Tells by when the answer has to be out.
     pub fn set_answer_due(&self, due: Instant) {
         self.client.answer_due.set(Some(due));
@@ -104,6 +111,7 @@
         self.client.idle_since.set(Some(Instant::now()));
         self.client.answer_due.set(None);
         self.client.meter.heard.set(None);
+        self.client.head.borrow_mut().restart();
         self.clients.eased.notify_one();
     }
 }
@@ -116,6 +124,7 @@
             answer_due: Cell::default(),
             idle_timeout: Cell::new(idle_timeout),
             meter: Rc::default(),
+            head: Rc::default(),
             closing: Cell::default(),
             close: Notify::new(),
             drop: Notify::new(),
@@ -305,6 +314,7 @@
     let socket = Metered::new(socket, Rc::clone(&client.meter));
     let ending = socket.ending();
     let header_bytes = node.limits.borrow().header_bytes();
+    let socket = Watched::new(socket, Rc::clone(&client.head));
     let connection = Builder::new()
         .auto_date_header(false)
         .max_buf_size(header_bytes * 2 + BODY_BUFFER)
@@ -319,9 +329,11 @@
     Ok(answer.map(|body| body.holding(busy)))
 }
 
+type Wire = TokioIo<Watched<Metered<BoxedSocket>>>;
+
 /// A client's connection while it is served.
 struct Served<'a, S: HttpService<Incoming>> {
-    connection: Pin<Box<Connection<TokioIo<Metered<BoxedSocket>>, S>>>,
+    connection: Pin<Box<Connection<Wire, S>>>,
     ending: Ending<BoxedSocket>,
     client: &'a Client,
 }
--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -185,6 +185,14 @@
         self.failure = None;
     }
 
+    /// Gives up what only another send would need, where there won't be any.
+    pub fn release(&mut self) {
+        if !self.may_resume() {
+            self.request.release();
+            self._request_room = self.node.bodies.share();
+        }
+    }
+
     /// Asks the router for another upstream.
     pub fn choose(&mut self) -> Result<Chosen, GivenUp> {
         self.follow_configuration()?;
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -33,7 +33,7 @@
         Err(own) => own.event(),
     });
     let mut answer = taken.unwrap_or_else(OwnAnswer::into_answer);
-    if node.stop.is_ordered() {
+    if node.stop.is_ordered() || busy.is_ambiguous() {
         close_after(&mut answer);
     }
     answer
@@ -45,6 +45,9 @@
     if header_bytes(&parts.headers) > node.limits.borrow().header_bytes() {
         return Err(OwnAnswer::HeadTooLong);
     }
+    if busy.is_ambiguous() {
+        return Err(OwnAnswer::TwoLengths);
+    }
     let patience = number(&parts.headers, &DEADLINE).map_or(BODY_LIMIT, Duration::from_millis);
     busy.set_answer_due(received + patience);
     let mut room = node.bodies.share();
--- a/dataplane/proxy/src/lib.rs
+++ b/dataplane/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod front;
+pub mod head_watch;
 pub mod headers;
 pub mod lane;
 pub mod limits;
--- a/dataplane/proxy/src/pool.rs
+++ b/dataplane/proxy/src/pool.rs
@@ -20,7 +20,7 @@
 /// For how long an upstream keeps an idle connection if its answers give no time, which is less than a second.
 const UNTOLD_IDLE: Duration = Duration::from_millis(500);
 /// Longer than a round trip between regions.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// Why there is no connection.
 #[derive(Debug, Snafu)]
--- a/dataplane/proxy/src/request.rs
+++ b/dataplane/proxy/src/request.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Gives up what only another send would need.
+    pub fn release(&mut self) {
+        self.body = Bytes::new();
+        self.headers = HeaderMap::new();
+        self.facts = RequestFacts::default();
+    }
+
     /// When the request is to be answered at the latest on a route with this time-out.
     pub fn due(&self, timeout: Duration) -> Instant {
         let patience = self.patience.map(|patience| patience.saturating_sub(ANSWER_MARGIN));
--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -97,7 +97,8 @@
 
 impl StreamAnswer {
     /// The answer for a stream that has begun.
-    pub fn begin(exchange: Exchange, open: OpenStream) -> (response::Parts, Self) {
+    pub fn begin(mut exchange: Exchange, open: OpenStream) -> (response::Parts, Self) {
+        exchange.release();
         let node = Rc::clone(&exchange.node);
         let route = exchange.matched().route();
         let silence = exchange.may_resume().then(|| Silence::new(silence_limit(route)));
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -51,6 +51,24 @@
     });
 }
 
+#[test]
+fn a_request_that_names_two_lengths_is_turned_down_with_what_follows() {
+    play(async {
+        let world = World::new();
+        world.upstreams.script(served("no"));
+        let hidden = post("/unsafe/hidden");
+        let request = format!(
+            "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len() + 5
+        );
+        let got = world.ask(&request).await;
+        assert_eq!(status(&got), 400);
+        sleep(REST).await;
+        assert_eq!(world.upstreams.requests().len(), 0);
+    });
+}
+
 #[test]
 fn the_priority_of_a_route_is_told_to_engines() {
     play(async {
--- /dev/null
+++ b/dataplane/proxy/tests/head_watch.rs
@@ -0,0 +1,45 @@
+//! Heads that name two kinds of length are found, however their bytes come.
+
+use quickcheck::quickcheck;
+use whinspindle_proxy::head_watch::HeadWatch;
+
+fn is_ambiguous(pieces: &[&[u8]]) -> bool {
+    let mut watch = HeadWatch::default();
+    pieces.iter().for_each(|piece| watch.push(piece));
+    watch.is_ambiguous()
+}
+
+#[test]
+fn only_heads_with_both_lengths_are_ambiguous() {
+    let cases = [
+        ("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", false),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", false),
+        ("POST / HTTP/1.1\r\nCONTENT-LENGTH: 5\r\nHost: a\r\ntransfer-encoding: chunked\r\n\r\n", true),
+        ("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\ntransfer-encoding: chunked\r\n\r\n", false),
+        ("POST / HTTP/1.1\r\nX: content-length\r\nTransfer-Encoding: chunked\r\n\r\n", false),
+    ];
+    for (head, expected) in cases {
+        assert_eq!(is_ambiguous(&[head.as_bytes()]), expected, "{head}");
+    }
+}
+
+#[test]
+fn each_request_is_watched_anew() {
+    let mut watch = HeadWatch::default();
+    watch.push(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    watch.restart();
+    watch.push(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assert!(!watch.is_ambiguous());
+}
+
+quickcheck! {
+    fn pieces_change_nothing(cuts: Vec<usize>, both: bool) -> bool {
+        let more = if both { "Content-Length: 5\r\n" } else { "" };
+        let text = format!("POST / HTTP/1.1\r\n{more}Host: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (text.len() + 1)).collect();
+        places.extend([0, text.len()]);
+        places.sort_unstable();
+        let pieces: Vec<&[u8]> = places.windows(2).map(|pair| &text.as_bytes()[pair[0]..pair[1]]).collect();
+        is_ambiguous(&pieces) == both
+    }
+}
--- /dev/null
+++ b/dataplane/proxy/tests/limits.rs
@@ -0,0 +1,60 @@
+//! How much is held, and what clients may count on.
+
+use std::time::Duration;
+
+use whinspindle_configuration::{Limits, MachineLimits};
+use whinspindle_proxy::limits::{Budget, LimitsInForce, Shares};
+use whinspindle_proxy::stop::StopTimes;
+
+#[test]
+fn sockets_stay_within_the_descriptors() {
+    for max_fds in [0, 300, 1024, 4100, 65_536] {
+        let shares = Shares::of(&MachineLimits { memory_mb: 260, max_fds, disk_mb: 0 });
+        let allowed = if max_fds == 0 { 1024 } else { max_fds };
+        let sockets = (shares.clients + shares.upstreams) as u64;
+        assert!(sockets + 200 <= allowed, "{max_fds}: {shares:?}");
+        assert!(shares.body_bytes < 100 << 20, "{shares:?}");
+    }
+}
+
+#[test]
+fn a_budget_is_never_overdrawn() {
+    let budget = Budget::new(100);
+    let mut first = budget.share();
+    let mut second = budget.share();
+    assert!(first.grow_to(60));
+    assert!(first.grow_to(50), "less than it holds");
+    assert!(!second.grow_to(41));
+    assert!(second.grow_to(40));
+    assert!(!first.grow_to(61));
+    drop(second);
+    assert!(first.grow_to(100));
+}
+
+#[test]
+fn clients_may_count_on_the_wider_of_the_newest_two_limits() {
+    let limits = |idle_timeout_ms, max_body_bytes| Limits {
+        max_header_bytes: 1000,
+        max_body_bytes,
+        header_timeout_ms: 3000,
+        idle_timeout_ms,
+    };
+    let mut in_force = LimitsInForce::default();
+    in_force.replace(&limits(5000, 10));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (5000, 10));
+    in_force.replace(&limits(2000, 20));
+    in_force.replace(&limits(2000, 20));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (5000, 20));
+    in_force.replace(&limits(1000, 15));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (2000, 20));
+}
+
+#[test]
+fn a_stop_leaves_time_for_answers() {
+    for grace_ms in [1000, 4000, 8000, 30_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let times = StopTimes::of(grace);
+        assert!(times.accepting < grace / 2);
+        assert!(times.answering < grace && times.answering > times.accepting);
+    }
+}
