Proxy: sends of which nothing was written are no repeats

The router spends its budget of repeats on every further send unless told that the earlier ones never left; the proxy did not tell it, so that refused connects used the budget up. It now counts them. Measured: the new test fails without the line and passes with it; 74 tests pass.

--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -200,6 +200,7 @@
         facts.generation = self.matched.configuration.generation;
         facts.route = self.matched.route;
         facts.service = self.matched.service;
+        facts.unreached = self.history.unsent as usize;
         facts.time_left_ms = self.due.saturating_duration_since(Instant::now()).as_millis() as u64;
         let now = self.node.clock.now_ms();
         let choice = self.node.router.borrow_mut().choose(now, facts, &self.tried);
--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -255,7 +255,21 @@
 impl World {
     /// A proxy that knows nothing yet.
     pub fn empty() -> World {
-        let settings = Settings::parse(SETTINGS.as_bytes()).expect("settings");
+        World::with_settings(SETTINGS)
+    }
+
+    /// A proxy with a configuration and upstreams that may not repeat a request at all.
+    pub fn without_repeats() -> World {
+        let settings = SETTINGS
+            .replace(r#""retry_ratio": 0.2"#, r#""retry_ratio": 0.0"#)
+            .replace(r#""retry_slack": 52"#, r#""retry_slack": 0"#);
+        let world = World::with_settings(&settings);
+        world.furnish();
+        world
+    }
+
+    fn with_settings(settings: &str) -> World {
+        let settings = Settings::parse(settings.as_bytes()).expect("settings");
         let upstreams = Rc::new(Upstreams::default());
         let node = Node::new(settings, Box::new(ScriptedConnect(Rc::clone(&upstreams))), 7);
         World { node: Rc::new(node), clients: Rc::default(), upstreams }
@@ -264,13 +278,17 @@
     /// A proxy with a configuration and three upstreams of each service.
     pub fn new() -> World {
         let world = World::empty();
-        world.configure(1, CONFIGURATION);
-        world.instances(1, &[]);
-        let fleet = Fleet { version: 1, balancers: 1, loads: Vec::new() };
-        world.apply(Update { fleet: Some(fleet), ..Update::default() });
+        world.furnish();
         world
     }
 
+    fn furnish(&self) {
+        self.configure(1, CONFIGURATION);
+        self.instances(1, &[]);
+        let fleet = Fleet { version: 1, balancers: 1, loads: Vec::new() };
+        self.apply(Update { fleet: Some(fleet), ..Update::default() });
+    }
+
     pub fn apply(&self, update: Update) {
         self.node.apply(update).expect("a good update");
     }
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -235,6 +235,21 @@
     });
 }
 
+#[test]
+fn only_what_may_have_arrived_counts_as_a_repeat() {
+    play(async {
+        let world = World::without_repeats();
+        world.upstreams.refusals.set(1);
+        world.upstreams.script(served("second"));
+        let got = world.ask(&post("/unsafe/x")).await;
+        assert_eq!((status(&got), body(&got)), (200, "second"));
+        world.upstreams.script(rejected());
+        world.upstreams.script(served("third"));
+        assert_eq!(status(&world.ask(&post("/unsafe/x")).await), 503);
+        assert_eq!(world.upstreams.requests().len(), 2);
+    });
+}
+
 #[test]
 fn a_connect_in_vain_is_given_up_early() {
     play(async {
