--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -7,8 +7,8 @@
 use http::StatusCode;
 use whinspindle_distribution::frame::FrameKind;
 use whinspindle_distribution::{
-    Configured, ControllerAddress, Evacuations, Gossip, Instance, Instances, Link, Publisher, Report,
-    SubscriberId, ToBalancer, decode_gossip, encode_gossip,
+    Configured, ControllerAddress, Evacuations, Gossip, GossipScope, Instance, Instances, Link, Publisher,
+    Report, SubscriberId, ToBalancer, decode_gossip, encode_gossip,
 };
 use whinspindle_registry::{
     HeartbeatEffect, InstanceRecord, InstanceRegistry, LeaseTable, LeaseTiming, RegistryTiming,
@@ -20,6 +20,7 @@
 use crate::directory::{self, Place};
 use crate::exchange;
 use crate::fleet::FleetState;
+use crate::memory::Memory;
 use crate::orders::{self, Departure, Orders, Outcome};
 use crate::pending::{CallId, PendingOrder, PendingOrders, Request};
 use crate::status;
@@ -96,6 +97,12 @@
     },
     /// A checkpoint that shortens the log has ended, well or not.
     Compacted,
+    /// The disk holds what an earlier process remembered.
+    Recalled {
+        memory: Bytes,
+    },
+    /// A write of `Action::Remember` has ended, well or not.
+    Remembered,
     /// The process is about to stop.
     Leave,
 }
@@ -124,6 +131,10 @@
     Compact {
         state: Vec<u8>,
     },
+    /// Write what a restarted process is to recall; not urgent.
+    Remember {
+        memory: Vec<u8>,
+    },
 }
 
 /// One controller.
@@ -141,6 +152,11 @@
     quorum_at: Option<u64>,
     /// How long a controller that has just started learns before it tells what it knows.
     learning_ms: u64,
+    /// Another controller has told all that lives.
+    is_taught: bool,
+    /// What an earlier process knew has been found, here or by another controller.
+    has_recalled: bool,
+    memory: Memory,
     leaving: bool,
     compacting: bool,
     gossip_at: u64,
@@ -175,6 +191,9 @@
             started_at: now,
             quorum_at: None,
             learning_ms,
+            is_taught: false,
+            has_recalled: false,
+            memory: Memory::default(),
             leaving: false,
             compacting: false,
             gossip_at: now,
@@ -204,6 +223,8 @@
             Event::Persisted { token, log_bytes } => self.persisted(now, token, log_bytes),
             Event::PersistFailed { token } => self.step(now, Input::PersistFailed { token }),
             Event::Compacted => self.compacting = false,
+            Event::Recalled { memory } => self.recall(now, &memory),
+            Event::Remembered => self.memory.written(),
             Event::Leave => self.leave(now),
         }
         std::mem::take(&mut self.actions)
@@ -245,6 +266,7 @@
         if self.is_gossip_due(now) {
             self.send_changes(now);
         }
+        self.remember(now);
         if now >= self.link_at {
             self.send_links(now);
             self.publish(now);
@@ -328,7 +350,7 @@
         let region = self.settings.zones.get(zone).map_or(region, String::as_str);
         let addresses = directory::addresses_for(&self.leases, now, Place { region, zone });
         let response = match directory::answer(&addresses) {
-            Some(body) if self.has_heard_all(now) => Response::ok(body),
+            Some(body) if self.may_tell(now) => Response::ok(body),
             _ => Response::unavailable("no balancer is known yet"),
         };
         self.answer(id, response);
@@ -516,25 +538,82 @@
     }
 
     fn send_snapshot(&mut self, now: u64, to: SocketAddr) {
-        let gossip = exchange::snapshot(now, &self.registry, &self.leases);
+        let scope = if self.has_heard_all(now) { GossipScope::Complete } else { GossipScope::Heard };
+        let gossip = exchange::heard(now, scope, &self.registry, &self.leases);
+        let payload = Bytes::from(encode_gossip(&gossip));
+        self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload });
+        self.send_recalled(now, to);
+    }
+
+    /// Of use to a controller that has started at about the same time and found its disk empty.
+    fn send_recalled(&mut self, now: u64, to: SocketAddr) {
+        if !self.has_recalled || self.has_heard_all(now) {
+            return;
+        }
+        let gossip = exchange::recalled(now, &self.registry, &self.leases);
         let payload = Bytes::from(encode_gossip(&gossip));
         self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload });
     }
 
     fn take_gossip(&mut self, now: u64, payload: &[u8]) {
-        let Ok(Gossip { instances, leases }) = decode_gossip(payload) else { return };
+        let Ok(gossip) = decode_gossip(payload) else { return };
+        if gossip.scope == GossipScope::Recalled {
+            self.take_recalled(now, gossip);
+            return;
+        }
         let mut changed = false;
-        for instance in instances {
+        for instance in gossip.instances {
             changed |= self.registry.merge(now, exchange::instance_record(instance));
         }
-        for lease in leases {
+        for lease in gossip.leases {
             changed |= self.leases.merge(now, exchange::lease_record(lease));
         }
+        if gossip.scope == GossipScope::Complete && !self.has_heard_all(now) {
+            self.is_taught = true;
+            self.registry.drop_recalled();
+            self.leases.drop_recalled();
+            changed = true;
+        }
         if changed {
             self.publish(now);
         }
     }
 
+    // What outlives the process without being replicated.
+
+    fn recall(&mut self, now: u64, memory: &[u8]) {
+        let Ok(gossip) = decode_gossip(memory) else { return };
+        self.take_recalled(now, gossip);
+        for peer in self.peers() {
+            self.send_recalled(now, peer);
+        }
+    }
+
+    /// What was known before a start stands in for what is not heard of yet.
+    fn take_recalled(&mut self, now: u64, gossip: Gossip) {
+        if self.has_heard_all(now) {
+            return;
+        }
+        for instance in gossip.instances {
+            self.has_recalled |= self.registry.recall(now, exchange::instance_record(instance));
+        }
+        for lease in gossip.leases {
+            self.has_recalled |= self.leases.recall(now, exchange::lease_record(lease));
+        }
+        self.publish(now);
+    }
+
+    fn remember(&mut self, now: u64) {
+        let versions = (self.registry.version(), self.leases.version());
+        if !self.has_heard_all(now) || !self.memory.is_due(now, versions) {
+            return;
+        }
+        let gossip = exchange::memory(now, &self.registry, &self.leases);
+        let cold_ms = gossip.instances.iter().map(|instance| instance.cold_ms).max();
+        self.memory.writing(now, versions, cold_ms.unwrap_or(0));
+        self.actions.push(Action::Remember { memory: encode_gossip(&gossip) });
+    }
+
     // Balancers.
 
     fn take_report(&mut self, now: u64, subscriber: SubscriberId, report: &Report) {
@@ -571,7 +650,7 @@
     /// Sends each balancer what it lacks of the newest state.
     fn publish(&mut self, now: u64) {
         self.refresh_replicated(now);
-        if self.has_heard_all(now) {
+        if self.may_tell(now) {
             self.refresh_instances(now);
             self.refresh_fleet(now);
         }
@@ -585,8 +664,7 @@
 
     /// A replica that has just started may hold old records; they are told only if a quorum doesn't come about soon.
     fn refresh_replicated(&mut self, now: u64) {
-        let settled = self.quorum_at.is_some() || now >= self.started_at + LONE_START_MS;
-        if !settled && !self.replica.is_in_quorum(now) {
+        if !self.may_tell_records(now) {
             return;
         }
         let records = self.replica.committed();
@@ -603,10 +681,21 @@
         }
     }
 
+    fn may_tell_records(&self, now: u64) -> bool {
+        let waited = self.quorum_at.is_some() || now >= self.started_at + LONE_START_MS;
+        waited || self.replica.is_in_quorum(now)
+    }
+
     /// Whether all upstreams and balancers that live have had the time to be known here, directly or by the other
-    /// controllers. Before, less than balancers may know already is not told.
+    /// controllers.
     fn has_heard_all(&self, now: u64) -> bool {
-        now >= self.started_at + self.learning_ms
+        self.is_taught || now >= self.started_at + self.learning_ms
+    }
+
+    /// Whether what is known of upstreams and balancers is worth telling: before, it would be less than balancers may
+    /// know already. What an earlier process knew stands in, once it is known who has departed since.
+    fn may_tell(&self, now: u64) -> bool {
+        self.has_heard_all(now) || (self.has_recalled && self.may_tell_records(now))
     }
 
     fn refresh_instances(&mut self, now: u64) {
--- a/controlplane/controller/src/exchange.rs
+++ b/controlplane/controller/src/exchange.rs
@@ -1,16 +1,30 @@
 //! What controllers tell each other of upstreams and balancers: records of the registry as gossip and back.
 
-use whinspindle_distribution::{Gossip, GossipInstance, GossipLease, RegionLoad, Report, ServiceRegion};
+use whinspindle_distribution::{
+    Gossip, GossipInstance, GossipLease, GossipScope, RegionLoad, Report, ServiceRegion,
+};
 use whinspindle_registry::{InstanceRecord, InstanceRegistry, Lease, LeaseRecord, LeaseTable, RegionSends};
 
 /// What was heard here since the last call.
 pub fn changes(now: u64, registry: &mut InstanceRegistry, leases: &mut LeaseTable) -> Gossip {
-    gossip(registry.take_changes(now), leases.take_changes(now))
+    gossip(GossipScope::Changes, registry.take_changes(now), leases.take_changes(now))
 }
 
-/// Everything that is known, for a controller that may know nothing yet.
-pub fn snapshot(now: u64, registry: &InstanceRegistry, leases: &LeaseTable) -> Gossip {
-    gossip(registry.snapshot(now), leases.snapshot(now))
+/// Everything that was heard of, for a controller that may know nothing yet.
+pub fn heard(now: u64, scope: GossipScope, registry: &InstanceRegistry, leases: &LeaseTable) -> Gossip {
+    gossip(scope, registry.heard(now), leases.heard(now))
+}
+
+/// What is known from before the start alone, for a controller that lost its own memory.
+pub fn recalled(now: u64, registry: &InstanceRegistry, leases: &LeaseTable) -> Gossip {
+    gossip(GossipScope::Recalled, registry.recalled(now), leases.recalled(now))
+}
+
+/// What is worth knowing after a restart. Rates of sends are not: they change all the time.
+pub fn memory(now: u64, registry: &InstanceRegistry, leases: &LeaseTable) -> Gossip {
+    let mut leases = leases.snapshot(now);
+    leases.iter_mut().for_each(|record| record.lease.sends.clear());
+    gossip(GossipScope::Recalled, registry.snapshot(now), leases)
 }
 
 /// A record of the registry.
@@ -75,8 +89,9 @@
     }
 }
 
-fn gossip(instances: Vec<InstanceRecord>, leases: Vec<LeaseRecord>) -> Gossip {
+fn gossip(scope: GossipScope, instances: Vec<InstanceRecord>, leases: Vec<LeaseRecord>) -> Gossip {
     Gossip {
+        scope,
         instances: instances.into_iter().map(gossip_instance).collect(),
         leases: leases.into_iter().map(gossip_lease).collect(),
     }
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod exchange;
 mod fleet;
+mod memory;
 pub mod orders;
 mod pending;
 mod shell;
--- a/controlplane/controller/src/shell/disk.rs
+++ b/controlplane/controller/src/shell/disk.rs
@@ -13,8 +13,12 @@
 use whinspindle_replica::DurableWrite;
 use whinspindle_storage::{FolderDirectory, Journal, Recovered, StorageError};
 
+use super::shared_folder::SharedFolder;
+
 /// A disk that can't be read at the start is tried again after this time.
 const REOPEN_PAUSE: Duration = Duration::from_millis(200);
+/// The names of the files of the memory begin with this.
+const MEMORY_PREFIX: &str = "memory-";
 
 #[derive(Debug, Snafu)]
 pub enum DiskError {
@@ -32,14 +36,25 @@
 /// What the thread has done.
 #[derive(Debug, PartialEq, Eq)]
 pub enum DiskReport {
-    Persisted { tokens: Vec<u64>, log_bytes: usize },
-    PersistFailed { tokens: Vec<u64> },
+    Persisted {
+        tokens: Vec<u64>,
+        log_bytes: usize,
+    },
+    PersistFailed {
+        tokens: Vec<u64>,
+    },
     Compacted,
+    /// What an earlier process remembered.
+    Recalled {
+        memory: Vec<u8>,
+    },
+    Remembered,
 }
 
 enum Job {
     Persist { token: u64, write: DurableWrite },
     Compact { state: Vec<u8> },
+    Remember { memory: Vec<u8> },
 }
 
 /// A disk that was opened.
@@ -59,7 +74,8 @@
     let work = move || {
         let found = open_journal(&folder);
         if opened_sender.send((found.recovered, found.was_damaged)).is_ok() {
-            Worker { journal: found.journal, jobs: job_receiver, reports: report_sender }.run();
+            let Found { files, journal, .. } = found;
+            Worker { folder, files, journal, memory: None, jobs: job_receiver, reports: report_sender }.run();
         }
     };
     thread::Builder::new().name("disk".to_owned()).spawn(work).context(ThreadSnafu)?;
@@ -78,6 +94,11 @@
         self.send(Job::Compact { state });
     }
 
+    /// Writes what a restarted process is to recall, in place of what was written before.
+    pub fn remember(&self, memory: Vec<u8>) {
+        self.send(Job::Remember { memory });
+    }
+
     fn send(&self, job: Job) {
         // The thread ends only with the process.
         let _ = self.jobs.send(job);
@@ -85,7 +106,8 @@
 }
 
 struct Found {
-    journal: Journal<FolderDirectory>,
+    files: SharedFolder,
+    journal: Journal<SharedFolder>,
     recovered: Recovered,
     was_damaged: bool,
 }
@@ -96,28 +118,35 @@
     let mut warned = false;
     loop {
         let failure = match try_open(folder) {
-            Ok((journal, recovered)) => return Found { journal, recovered, was_damaged },
+            Ok((files, journal, recovered)) => {
+                return Found { files, journal, recovered, was_damaged };
+            }
             Err(failure) => failure,
         };
         if !warned {
             warn!("the disk can't be used yet: {failure}");
             warned = true;
         }
-        if matches!(failure, StorageError::Damaged { .. }) && empty_files(folder).is_ok() {
+        if matches!(failure, StorageError::Damaged { .. }) && empty_files(folder, "").is_ok() {
             was_damaged = true;
         }
         thread::sleep(REOPEN_PAUSE);
     }
 }
 
-fn try_open(folder: &Path) -> Result<(Journal<FolderDirectory>, Recovered), StorageError> {
-    let directory = FolderDirectory::open(folder)?;
-    Journal::open(directory)
+fn try_open(folder: &Path) -> Result<(SharedFolder, Journal<SharedFolder>, Recovered), StorageError> {
+    let files = SharedFolder::new(FolderDirectory::open(folder)?);
+    let (journal, recovered) = Journal::open(files.clone())?;
+    Ok((files, journal, recovered))
 }
 
-fn empty_files(folder: &Path) -> io::Result<()> {
+fn empty_files(folder: &Path, prefix: &str) -> io::Result<()> {
     for entry in fs::read_dir(folder)? {
-        let file = File::options().write(true).open(entry?.path())?;
+        let entry = entry?;
+        if !entry.file_name().to_string_lossy().starts_with(prefix) {
+            continue;
+        }
+        let file = File::options().write(true).open(entry.path())?;
         file.set_len(0)?;
         file.sync_all()?;
     }
@@ -125,7 +154,11 @@
 }
 
 struct Worker {
-    journal: Journal<FolderDirectory>,
+    folder: PathBuf,
+    files: SharedFolder,
+    journal: Journal<SharedFolder>,
+    /// None while its files can't be used.
+    memory: Option<Journal<SharedFolder>>,
     jobs: mpsc::Receiver<Job>,
     reports: reports::UnboundedSender<DiskReport>,
 }
@@ -139,6 +172,7 @@
 
 impl Worker {
     fn run(mut self) {
+        self.recall();
         while let Ok(first) = self.jobs.recv() {
             let mut batch = Batch::default();
             let waiting: Vec<Job> = std::iter::once(first).chain(self.jobs.try_iter()).collect();
@@ -167,7 +201,43 @@
                 }
                 self.send(DiskReport::Compacted);
             }
+            Job::Remember { memory } => {
+                self.append(batch);
+                if let Err(failure) = self.remember(&memory) {
+                    warn!("what a restart is to recall was not written: {failure}");
+                }
+                self.send(DiskReport::Remembered);
+            }
+        }
+    }
+
+    fn recall(&mut self) {
+        match self.open_memory() {
+            Ok(Some(memory)) => self.send(DiskReport::Recalled { memory }),
+            Ok(None) => {}
+            Err(failure) => warn!("what an earlier process remembered can't be read: {failure}"),
+        }
+    }
+
+    /// Answers what an earlier process remembered. Damaged files are emptied: they are a help, not a promise.
+    fn open_memory(&mut self) -> Result<Option<Vec<u8>>, StorageError> {
+        let files = self.files.with_prefix(MEMORY_PREFIX);
+        let opened = match Journal::open(files.clone()) {
+            Err(StorageError::Damaged { .. }) if empty_files(&self.folder, MEMORY_PREFIX).is_ok() => {
+                Journal::open(files)
+            }
+            opened => opened,
+        };
+        let (journal, recovered) = opened?;
+        self.memory = Some(journal);
+        Ok(recovered.checkpoint)
+    }
+
+    fn remember(&mut self, memory: &[u8]) -> Result<(), StorageError> {
+        if self.memory.is_none() {
+            self.open_memory()?;
         }
+        self.memory.as_mut().map_or(Ok(()), |journal| journal.checkpoint(memory))
     }
 
     fn append(&mut self, batch: &mut Batch) {
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -73,6 +73,7 @@
                 Action::SendBalancer { to, message } => self.send_balancer(now, to, &message),
                 Action::Persist { token, write } => self.disk.persist(token, write),
                 Action::Compact { state } => self.disk.compact(state),
+                Action::Remember { memory } => self.disk.remember(memory),
             }
         }
     }
@@ -155,6 +156,8 @@
                 }
             }
             DiskReport::Compacted => self.handle(Event::Compacted),
+            DiskReport::Recalled { memory } => self.handle(Event::Recalled { memory: memory.into() }),
+            DiskReport::Remembered => self.handle(Event::Remembered),
         }
     }
 
--- /dev/null
+++ b/controlplane/controller/src/shell/shared_folder.rs
@@ -0,0 +1,51 @@
+//! One folder for several journals, whose files have names of their own.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use whinspindle_storage::{Directory, DirectoryError, FolderDirectory};
+
+/// The files of a folder whose names begin with a prefix.
+#[derive(Clone, Debug)]
+pub struct SharedFolder {
+    folder: Rc<RefCell<FolderDirectory>>,
+    prefix: &'static str,
+}
+
+impl SharedFolder {
+    /// All files of the folder.
+    pub fn new(folder: FolderDirectory) -> SharedFolder {
+        SharedFolder { folder: Rc::new(RefCell::new(folder)), prefix: "" }
+    }
+
+    /// The files of the same folder whose names begin with a prefix.
+    pub fn with_prefix(&self, prefix: &'static str) -> SharedFolder {
+        SharedFolder { folder: Rc::clone(&self.folder), prefix }
+    }
+
+    fn name(&self, name: &str) -> String {
+        format!("{}{name}", self.prefix)
+    }
+}
+
+impl Directory for SharedFolder {
+    fn read(&mut self, name: &str) -> Result<Option<Vec<u8>>, DirectoryError> {
+        self.folder.borrow_mut().read(&self.name(name))
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> Result<(), DirectoryError> {
+        self.folder.borrow_mut().write_at(&self.name(name), offset, bytes)
+    }
+
+    fn set_length(&mut self, name: &str, length: u64) -> Result<(), DirectoryError> {
+        self.folder.borrow_mut().set_length(&self.name(name), length)
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), DirectoryError> {
+        self.folder.borrow_mut().sync(&self.name(name))
+    }
+
+    fn sync_directory(&mut self) -> Result<(), DirectoryError> {
+        self.folder.borrow_mut().sync_directory()
+    }
+}
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -1,7 +1,9 @@
 //! Several controllers on a simulated network with simulated disks, and callers that try one after the other.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -43,9 +45,14 @@
     Update { subscriber: SubscriberId, update: Update },
 }
 
+/// What each controller remembers on its disk, beside the journal of the cluster.
+type Memories = Rc<RefCell<HashMap<SocketAddr, Vec<u8>>>>;
+
 /// One controller of the fleet.
 pub struct Node {
     pub controller: Controller,
+    endpoint: SocketAddr,
+    memories: Memories,
     life: u64,
     lives: HashMap<SocketAddr, u64>,
 }
@@ -57,7 +64,11 @@
 
     fn handle(&mut self, now: u64, event: Happening<Self>) -> Vec<Effect<Self>> {
         let actions = match event {
-            Happening::Tick => self.controller.handle(now, Event::Tick),
+            Happening::Tick => {
+                let mut actions = self.controller.handle(now, Event::Remembered);
+                actions.extend(self.controller.handle(now, Event::Tick));
+                actions
+            }
             Happening::Message { from, message } => self.receive(now, from, message),
             Happening::Command(Command::Call { id, call }) => {
                 self.controller.handle(now, Event::Call { id, call })
@@ -117,6 +128,10 @@
                 Effect::Checkpoint { token, state }
             }
             Action::Compact { state } => Effect::Checkpoint { token: COMPACTION, state },
+            Action::Remember { memory } => {
+                self.memories.borrow_mut().insert(self.endpoint, memory);
+                return None;
+            }
         })
     }
 }
@@ -125,7 +140,7 @@
     SocketAddr::from(([10, 0, 0, number], 7700))
 }
 
-fn start_node(start: Start) -> (Node, Vec<Effect<Node>>) {
+fn start_node(start: Start, memories: Memories) -> (Node, Vec<Effect<Node>>) {
     let zones: BTreeMap<String, String> = zones();
     let (zone, region) = zones.iter().nth(start.endpoint.port() as usize % zones.len()).unwrap();
     let replica_settings = ReplicaSettings {
@@ -144,8 +159,13 @@
     let address = ControllerAddress { endpoint: start.endpoint, zone: zone.clone(), region: region.clone() };
     let node = start.endpoint.to_string();
     let settings = ControllerSettings { node, address, zones, heartbeat_ms: HEARTBEAT_MS };
-    let (controller, actions) = Controller::new(settings, replica, outputs, start.now);
-    let node = Node { controller, life: start.chance, lives: HashMap::new() };
+    let (mut controller, mut actions) = Controller::new(settings, replica, outputs, start.now);
+    let memory = memories.borrow().get(&start.endpoint).cloned();
+    if let Some(memory) = memory {
+        actions.extend(controller.handle(start.now, Event::Recalled { memory: memory.into() }));
+    }
+    let (endpoint, life) = (start.endpoint, start.chance);
+    let node = Node { controller, endpoint, memories, life, lives: HashMap::new() };
     let effects = node.effects(actions);
     (node, effects)
 }
@@ -164,13 +184,17 @@
     pub chance: Pcg,
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
+    memories: Memories,
     last_call: u64,
 }
 
 impl Fleet {
     /// Controllers that have found each other.
     pub fn start(seed: u64, count: u8) -> Fleet {
-        let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), start_node);
+        let memories = Memories::default();
+        let recalled = Rc::clone(&memories);
+        let starter = move |start| start_node(start, Rc::clone(&recalled));
+        let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), starter);
         for number in 1..=count {
             cluster.add(endpoint(number), true);
             cluster.start(endpoint(number));
@@ -180,6 +204,7 @@
             chance: Pcg::new(seed ^ 0x5eed),
             attempts: Vec::new(),
             updates: Vec::new(),
+            memories,
             last_call: 0,
         };
         fleet.pass(4_000);
@@ -242,6 +267,12 @@
         self.cluster.start(at);
     }
 
+    /// The disk of a stopped controller is lost.
+    pub fn wipe(&mut self, at: SocketAddr) {
+        self.cluster.wipe(at);
+        self.memories.borrow_mut().remove(&at);
+    }
+
     /// Cuts a controller off from all others, or joins it again.
     pub fn set_cut_off(&mut self, at: SocketAddr, cut_off: bool) {
         for other in self.cluster.endpoints().into_iter().filter(|other| *other != at) {
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -29,6 +29,8 @@
     pub answers: HashMap<CallId, Response>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
+    /// What the controller has written to recall after a restart, oldest first.
+    pub memories: Vec<Vec<u8>>,
     last_call: u64,
 }
 
@@ -64,6 +66,7 @@
             answers: HashMap::new(),
             updates: Vec::new(),
             links: Vec::new(),
+            memories: Vec::new(),
             last_call: 0,
         };
         single.take(actions);
@@ -88,11 +91,15 @@
     }
 
     pub fn handle(&mut self, event: Event) {
+        let written = self.memories.len();
         let actions = self.controller.handle(self.now, event);
         self.take(actions);
         if self.disk_works {
             self.finish_writes();
         }
+        if self.disk_works && self.memories.len() > written {
+            self.handle(Event::Remembered);
+        }
     }
 
     /// Makes durable what waits for the disk.
@@ -136,6 +143,7 @@
                 }
                 Action::SendBalancer { to, message: ToBalancer::Link(link) } => self.links.push((to, link)),
                 Action::Persist { token, .. } => self.held_writes.push_back(token),
+                Action::Remember { memory } => self.memories.push(memory),
                 Action::SendPeer { .. } | Action::Compact { .. } => {}
             }
         }
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -193,6 +193,76 @@
     assert_eq!(instances_sent(&single), [("i-1".to_owned(), false)]);
 }
 
+#[test]
+fn a_controller_that_recalls_tells_instances_and_addresses_once_it_is_in_a_quorum() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    single.call(heartbeat("i-1", 1, Ready));
+    single.pass(1_100);
+    let memory = single.memories.pop().expect("a memory was written");
+    let mut single = Single::start();
+    single.handle(Event::Recalled { memory: memory.into() });
+    single.report(1, report(1, "zone-a"));
+    single.pass(200);
+    assert!(single.controller.is_in_quorum(single.now));
+    assert_eq!(instances_sent(&single), [("i-1".to_owned(), false)]);
+    assert_eq!(addresses(&mut single, "north", "zone-a"), ["10.1.0.1:8161"]);
+}
+
+#[test]
+fn memory_that_can_not_be_read_is_as_none() {
+    let mut single = Single::start();
+    single.handle(Event::Recalled { memory: Bytes::from_static(b"no memory") });
+    single.pass(500);
+    assert!(addresses(&mut single, "north", "zone-a").is_empty());
+}
+
+#[test]
+fn memory_is_written_on_changes_alone_and_not_too_often() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    single.call(heartbeat("i-1", 1, Ready));
+    single.pass(1_100);
+    let written = single.memories.len();
+    for beat in 2..6 {
+        single.report(1, report(1, "zone-a"));
+        single.call(heartbeat("i-1", beat, Ready));
+        single.pass(400);
+    }
+    assert_eq!(single.memories.len(), written, "nothing has changed");
+    for number in 2..5 {
+        single.report(number, report(number as u8, "zone-a"));
+        single.pass(100);
+    }
+    assert_eq!(single.memories.len(), written + 1);
+    single.pass(900);
+    assert_eq!(single.memories.len(), written + 2, "the later changes together");
+}
+
+#[test]
+fn a_stalled_write_of_the_memory_is_not_followed_by_others() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    single.pass(1_100);
+    single.disk_works = false;
+    let written = single.memories.len();
+    for number in 2..5 {
+        single.report(u64::from(number), report(number, "zone-a"));
+        single.pass(1_100);
+    }
+    assert_eq!(single.memories.len(), written + 1);
+}
+
+#[test]
+fn memory_is_written_again_once_a_cold_time_in_it_has_passed() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    let Call::Heartbeat { instance, heartbeat } = heartbeat("i-1", 1, Ready) else { unreachable!() };
+    let heartbeat = whinspindle_configuration::Heartbeat { cold_ms: 1_500, ..heartbeat };
+    single.call(Call::Heartbeat { instance, heartbeat });
+    single.pass(1_200);
+    let written = single.memories.len();
+    single.report(1, report(1, "zone-a"));
+    single.pass(500);
+    assert_eq!(single.memories.len(), written + 1);
+}
+
 #[test]
 fn clients_are_sent_to_balancers_near_them() {
     let fleet = [(1, "zone-a"), (2, "zone-a"), (3, "zone-b"), (4, "zone-c")];
--- a/controlplane/controller/tests/fleet.rs
+++ b/controlplane/controller/tests/fleet.rs
@@ -15,6 +15,8 @@
 
 /// While the core is calm an order is acknowledged within this time, wherever it goes.
 const CALM_ORDER_MS: u64 = 400;
+/// After a start of all controllers balancers are told what was known within this time.
+const RECALL_MS: u64 = 1_000;
 /// An order is acknowledged within this time after a trouble.
 const TROUBLED_ORDER_MS: u64 = 15_000;
 
@@ -109,6 +111,91 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
+/// Instances and fronts are known everywhere; then all controllers lose power at once, and some their disks.
+fn after_loss_of_power(seed: u64, wiped: &[u8]) -> Fleet {
+    let mut fleet = Fleet::start(seed, 3);
+    fleet.complete(replace(0, 1), CALM_ORDER_MS);
+    fleet.ask(endpoint(1), heartbeat("i-1", 1, Ready));
+    fleet.ask(endpoint(2), heartbeat("i-2", 1, Ready));
+    fleet.ask(endpoint(2), heartbeat("i-3", 1, Draining));
+    fleet.report(endpoint(3), 1, report(1, "zone-a"));
+    fleet.pass(1_500);
+    (1..=3).for_each(|number| fleet.cluster.stop(endpoint(number)));
+    wiped.iter().for_each(|number| fleet.wipe(endpoint(*number)));
+    (1..=3).for_each(|number| fleet.cluster.start(endpoint(number)));
+    fleet
+}
+
+#[test]
+fn after_a_loss_of_power_balancers_are_told_what_was_known_with_the_configuration() {
+    for wiped in [&[][..], &[1], &[3]] {
+        let mut fleet = after_loss_of_power(8, wiped);
+        for number in 1..=3 {
+            fleet.report(endpoint(number), 10 + u64::from(number), report(number, "zone-a"));
+        }
+        fleet.pass(RECALL_MS);
+        for number in 1..=3 {
+            let subscriber = SubscriberId(10 + number);
+            let draining = |id| newest_instance(&fleet, subscriber, id).map(|instance| instance.draining);
+            assert_eq!(draining("i-1"), Some(false), "controller {number}, {wiped:?} wiped");
+            assert_eq!(draining("i-2"), Some(false), "controller {number}, {wiped:?} wiped");
+            assert_ne!(draining("i-3"), Some(false), "controller {number}, {wiped:?} wiped");
+            let configured =
+                fleet.updates.iter().any(|(to, update)| *to == subscriber && update.configured.is_some());
+            assert!(configured, "controller {number}, {wiped:?} wiped");
+        }
+    }
+}
+
+#[test]
+fn after_a_loss_of_power_clients_are_told_where_balancers_were() {
+    let mut fleet = after_loss_of_power(9, &[2]);
+    fleet.pass(RECALL_MS);
+    for number in 1..=3 {
+        let answer = fleet.ask(endpoint(number), resolve("north", "zone-a")).expect("an answer");
+        assert_eq!(answer.body, r#"{"addrs":["10.1.0.1:8161"],"ttl_s":2}"#, "controller {number}");
+    }
+}
+
+#[test]
+fn what_does_not_come_back_after_a_loss_of_power_is_dropped() {
+    let mut fleet = after_loss_of_power(10, &[]);
+    fleet.report(endpoint(1), 11, report(1, "zone-a"));
+    for beat in 2..8 {
+        fleet.pass(1_000);
+        fleet.ask(endpoint(2), heartbeat("i-1", beat, Ready));
+        fleet.report(endpoint(1), 11, report(1, "zone-a"));
+    }
+    assert!(newest_instance(&fleet, SubscriberId(11), "i-1").is_some());
+    assert!(newest_instance(&fleet, SubscriberId(11), "i-2").is_none(), "it was lost with the power");
+}
+
+#[test]
+fn a_single_restart_brings_no_lost_instance_back() {
+    let mut fleet = Fleet::start(11, 3);
+    fleet.ask(endpoint(2), heartbeat("i-1", 1, Ready));
+    fleet.ask(endpoint(2), heartbeat("i-2", 1, Ready));
+    fleet.pass(1_500);
+    fleet.cluster.stop(endpoint(1));
+    for beat in 2..8 {
+        fleet.pass(1_000);
+        fleet.ask(endpoint(2), heartbeat("i-1", beat, Ready));
+    }
+    fleet.report(endpoint(2), 12, report(2, "zone-a"));
+    fleet.cluster.start(endpoint(1));
+    fleet.report(endpoint(1), 11, report(1, "zone-a"));
+    fleet.updates.clear();
+    fleet.pass(RECALL_MS);
+    fleet.report(endpoint(1), 11, report(1, "zone-a"));
+    fleet.ask(endpoint(1), heartbeat("i-1", 8, Ready));
+    fleet.pass(100);
+    for subscriber in [SubscriberId(11), SubscriberId(12)] {
+        let told = newest_instance(&fleet, subscriber, "i-2");
+        assert!(told.is_none(), "{subscriber:?}");
+    }
+    assert!(newest_instance(&fleet, SubscriberId(11), "i-1").is_some());
+}
+
 #[test]
 fn a_controller_that_is_cut_off_acknowledges_no_order() {
     let mut fleet = Fleet::start(5, 3);
@@ -188,7 +275,7 @@
             1 => self.fleet.set_cut_off(endpoint(number), true),
             2 => {
                 self.fleet.cluster.stop(endpoint(number));
-                self.fleet.cluster.wipe(endpoint(number));
+                self.fleet.wipe(endpoint(number));
             }
             3 => (1..=5).for_each(|number| self.fleet.restart(endpoint(number))),
             _ => {}
--- a/controlplane/distribution/schema/distribution.capnp
+++ b/controlplane/distribution/schema/distribution.capnp
@@ -107,6 +107,14 @@
 struct Gossip {
   instances @0 :List(GossipInstance);
   leases @1 :List(GossipLease);
+  scope @2 :GossipScope;
+}
+
+enum GossipScope {
+  changes @0;
+  heard @1;
+  complete @2;
+  recalled @3;
 }
 
 struct GossipInstance {
--- a/controlplane/distribution/src/codec/gossip.rs
+++ b/controlplane/distribution/src/codec/gossip.rs
@@ -4,12 +4,13 @@
 
 use super::parts::{read_endpoint, read_loads, write_endpoint, write_loads};
 use super::{DecodeError, new_message, read_message};
-use crate::distribution_capnp::{gossip, gossip_instance, gossip_lease};
-use crate::{Gossip, GossipInstance, GossipLease};
+use crate::distribution_capnp::{self, gossip, gossip_instance, gossip_lease};
+use crate::{Gossip, GossipInstance, GossipLease, GossipScope};
 
 pub fn encode_gossip(gossip: &Gossip) -> Vec<u8> {
     let mut message = new_message();
     let mut builder = message.init_root::<gossip::Builder<'_>>();
+    builder.set_scope(scope_to_wire(gossip.scope));
     let mut instances = builder.reborrow().init_instances(gossip.instances.len() as u32);
     for (index, instance) in (0..).zip(&gossip.instances) {
         write_instance(instances.reborrow().get(index), instance);
@@ -26,7 +27,25 @@
     let reader = message.get_root::<gossip::Reader<'_>>()?;
     let instances = reader.get_instances()?.iter().map(read_instance).collect::<Result<_, _>>()?;
     let leases = reader.get_leases()?.iter().map(read_lease).collect::<Result<_, _>>()?;
-    Ok(Gossip { instances, leases })
+    Ok(Gossip { scope: scope_from_wire(reader.get_scope()?), instances, leases })
+}
+
+fn scope_to_wire(scope: GossipScope) -> distribution_capnp::GossipScope {
+    match scope {
+        GossipScope::Changes => distribution_capnp::GossipScope::Changes,
+        GossipScope::Heard => distribution_capnp::GossipScope::Heard,
+        GossipScope::Complete => distribution_capnp::GossipScope::Complete,
+        GossipScope::Recalled => distribution_capnp::GossipScope::Recalled,
+    }
+}
+
+fn scope_from_wire(scope: distribution_capnp::GossipScope) -> GossipScope {
+    match scope {
+        distribution_capnp::GossipScope::Changes => GossipScope::Changes,
+        distribution_capnp::GossipScope::Heard => GossipScope::Heard,
+        distribution_capnp::GossipScope::Complete => GossipScope::Complete,
+        distribution_capnp::GossipScope::Recalled => GossipScope::Recalled,
+    }
 }
 
 fn write_instance(mut builder: gossip_instance::Builder<'_>, instance: &GossipInstance) {
--- a/controlplane/distribution/src/distribution_capnp.rs
+++ b/controlplane/distribution/src/distribution_capnp.rs
@@ -5672,6 +5672,12 @@
         pub fn has_leases(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_scope(
+            self,
+        ) -> ::core::result::Result<crate::distribution_capnp::GossipScope, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+        }
     }
 
     pub struct Builder<'a> {
@@ -5679,7 +5685,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5813,6 +5819,16 @@
         pub fn has_leases(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_scope(
+            self,
+        ) -> ::core::result::Result<crate::distribution_capnp::GossipScope, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn set_scope(&mut self, value: crate::distribution_capnp::GossipScope) {
+            self.builder.set_data_field::<u16>(0, value as u16);
+        }
     }
 
     pub struct Pipeline {
@@ -5825,17 +5841,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(208, 50, 206, 1, 64, 67, 149, 152),
-            ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
@@ -5843,21 +5859,28 @@
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -5883,11 +5906,20 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(94, 145, 50, 255, 203, 212, 9, 199),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::struct_list::Owned<crate::distribution_capnp::gossip_instance::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::distribution_capnp::gossip_lease::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::distribution_capnp::GossipScope as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5906,13 +5938,110 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
         pub(crate) const TYPE_ID: u64 = 0x9895_4340_01ce_32d0;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GossipScope {
+    Changes = 0,
+    Heard = 1,
+    Complete = 2,
+    Recalled = 3,
+}
+
+impl ::capnp::introspect::Introspect for GossipScope {
+    fn introspect() -> ::capnp::introspect::Type {
+        ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
+            &gossip_scope::ARENA,
+            gossip_scope::get_annotation_types,
+        ))
+        .into()
+    }
+}
+impl ::core::convert::From<GossipScope> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: GossipScope) -> Self {
+        ::capnp::dynamic_value::Enum::new(
+            e.into(),
+            ::capnp::introspect::RawEnumSchema::new(&gossip_scope::ARENA, gossip_scope::get_annotation_types)
+                .into(),
+        )
+        .into()
+    }
+}
+impl ::core::convert::TryFrom<u16> for GossipScope {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(
+        value: u16,
+    ) -> ::core::result::Result<Self, <GossipScope as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Changes),
+            1 => ::core::result::Result::Ok(Self::Heard),
+            2 => ::core::result::Result::Ok(Self::Complete),
+            3 => ::core::result::Result::Ok(Self::Recalled),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<GossipScope> for u16 {
+    #[inline]
+    fn from(x: GossipScope) -> u16 {
+        x as u16
+    }
+}
+impl ::capnp::traits::HasTypeId for GossipScope {
+    const TYPE_ID: u64 = 0xc709_d4cb_ff32_915eu64;
+}
+mod gossip_scope {
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(94, 145, 50, 255, 203, 212, 9, 199),
+        ::capnp::word(19, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 103, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
+        ::capnp::word(116, 105, 111, 110, 46, 99, 97, 112),
+        ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
+        ::capnp::word(112, 83, 99, 111, 112, 101, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+        ::capnp::word(104, 101, 97, 114, 100, 0, 0, 0),
+        ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(114, 101, 99, 97, 108, 108, 101, 100),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ];
+    pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+    }
+    pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+        ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod gossip_instance {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/controlplane/distribution/src/gossip.rs
+++ b/controlplane/distribution/src/gossip.rs
@@ -8,10 +8,25 @@
 /// Changes since the last gossip on a connection, or everything on a new one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Gossip {
+    pub scope: GossipScope,
     pub instances: Vec<GossipInstance>,
     pub leases: Vec<GossipLease>,
 }
 
+/// What a gossip covers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum GossipScope {
+    /// What the sender heard since its last gossip.
+    #[default]
+    Changes,
+    /// All that the sender has heard since it started, a short while ago.
+    Heard,
+    /// All that lives: the sender has had the time to hear of it.
+    Complete,
+    /// What the sender found on its disk when it started and has not heard of since.
+    Recalled,
+}
+
 /// The newest heartbeat of an upstream that the sender knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GossipInstance {
--- a/controlplane/distribution/src/lib.rs
+++ b/controlplane/distribution/src/lib.rs
@@ -16,7 +16,7 @@
     DecodeError, decode_gossip, decode_hello, decode_report, decode_to_balancer, encode_gossip, encode_hello,
     encode_report, encode_to_balancer,
 };
-pub use gossip::{Gossip, GossipInstance, GossipLease};
+pub use gossip::{Gossip, GossipInstance, GossipLease, GossipScope};
 pub use holder::Holder;
 pub use message::{
     Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, Instances, Link, RegionLoad, Report,
--- a/controlplane/distribution/tests/common/mod.rs
+++ b/controlplane/distribution/tests/common/mod.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen};
 use whinspindle_distribution::{
-    Configured, ControllerAddress, Evacuations, Fleet, Gossip, GossipInstance, GossipLease, Hello, Instance,
-    Instances, Link, RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
+    Configured, ControllerAddress, Evacuations, Fleet, Gossip, GossipInstance, GossipLease, GossipScope,
+    Hello, Instance, Instances, Link, RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
 };
 
 /// A value that quickcheck draws.
@@ -138,7 +138,12 @@
 
 impl Draw for Gossip {
     fn draw(source: &mut Gen) -> Self {
-        Gossip { instances: several(source, gossip_instance), leases: several(source, gossip_lease) }
+        let scopes = [GossipScope::Changes, GossipScope::Heard, GossipScope::Complete, GossipScope::Recalled];
+        Gossip {
+            scope: *source.choose(&scopes).unwrap_or(&GossipScope::Changes),
+            instances: several(source, gossip_instance),
+            leases: several(source, gossip_lease),
+        }
     }
 }
 
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -74,6 +74,8 @@
     sequence: u64,
     cold_until: u64,
     heard_at: u64,
+    /// Known from before the start of this controller alone.
+    recalled: bool,
 }
 
 /// Knows the instances from heartbeats sent here and from the records of other controllers.
@@ -151,6 +153,31 @@
         changed || announced
     }
 
+    /// Takes what was known before this controller started, as if the instance had just been heard of. Anything that is
+    /// heard takes its place. Answers whether balancers see a difference.
+    pub fn recall(&mut self, now: u64, record: InstanceRecord) -> bool {
+        let is_known = self.known.contains_key(&record.id) || self.retired.is_gone(&record.id);
+        let is_taken = self.known.values().any(|known| known.address == record.address);
+        if is_known || is_taken || self.known.len() >= INSTANCE_CAPACITY {
+            return false;
+        }
+        if record.draining {
+            self.retired.raise(&record.id, Retirement::Announced);
+        }
+        let cold_until = now.saturating_add(record.cold_ms);
+        let id = record.id.clone();
+        self.known.insert(id, Known { recalled: true, ..Known::recorded(record, now, cold_until) });
+        self.version += 1;
+        true
+    }
+
+    /// All that lives has been heard of: what is known from before the start alone has ended.
+    pub fn drop_recalled(&mut self) {
+        let count = self.known.len();
+        self.known.retain(|_, known| !known.recalled);
+        self.bump_if(self.known.len() < count);
+    }
+
     /// Records of what was heard here since the last call, for the other controllers.
     pub fn take_changes(&mut self, now: u64) -> Vec<InstanceRecord> {
         let unsent = std::mem::take(&mut self.unsent);
@@ -171,6 +198,18 @@
         self.known.iter().map(|(id, known)| self.record(now, id, known)).collect()
     }
 
+    /// Those of `snapshot` that were heard of since this controller started.
+    pub fn heard(&self, now: u64) -> Vec<InstanceRecord> {
+        let heard = self.known.iter().filter(|(_, known)| !known.recalled);
+        heard.map(|(id, known)| self.record(now, id, known)).collect()
+    }
+
+    /// Those of `snapshot` that are known from before the start alone.
+    pub fn recalled(&self, now: u64) -> Vec<InstanceRecord> {
+        let recalled = self.known.iter().filter(|(_, known)| known.recalled);
+        recalled.map(|(id, known)| self.record(now, id, known)).collect()
+    }
+
     /// While this controller is cut off from the others no instance is taken for lost, and each gets the whole time
     /// anew afterwards.
     pub fn set_isolated(&mut self, now: u64, isolated: bool) {
@@ -213,7 +252,7 @@
         match self.known.get_mut(id) {
             Some(held) => {
                 let changed = held.looks_other(&known);
-                let heard_at = held.heard_at.max(known.heard_at);
+                let heard_at = if held.recalled { known.heard_at } else { held.heard_at.max(known.heard_at) };
                 *held = Known { heard_at, ..known };
                 changed
             }
@@ -240,7 +279,8 @@
         match self.known.get_mut(&record.id) {
             Some(held) if held.sequence > record.sequence => false,
             Some(held) if held.sequence == record.sequence => {
-                held.heard_at = held.heard_at.max(heard_at);
+                let was_recalled = std::mem::take(&mut held.recalled);
+                held.heard_at = if was_recalled { heard_at } else { held.heard_at.max(heard_at) };
                 let colder = cold_until > held.cold_until + COLD_TOLERANCE_MS;
                 held.cold_until = held.cold_until.max(if colder { cold_until } else { 0 });
                 colder
@@ -255,7 +295,8 @@
 
     fn is_address_taken(&self, record: &InstanceRecord, heard_at: u64) -> bool {
         let newer = |(id, known): (&String, &Known)| {
-            *id != record.id && known.address == record.address && known.heard_at >= heard_at
+            let holds = *id != record.id && known.address == record.address && !known.recalled;
+            holds && known.heard_at >= heard_at
         };
         self.known.iter().any(newer)
     }
@@ -291,6 +332,7 @@
             sequence: heartbeat.sequence,
             cold_until: now.saturating_add(heartbeat.cold_ms),
             heard_at: now,
+            recalled: false,
         }
     }
 
@@ -304,6 +346,7 @@
             sequence: record.sequence,
             cold_until,
             heard_at,
+            recalled: false,
         }
     }
 
--- a/controlplane/registry/src/leases.rs
+++ b/controlplane/registry/src/leases.rs
@@ -60,6 +60,8 @@
     lease: Lease,
     renewed_at: u64,
     lost: bool,
+    /// Known from before the start of this controller alone.
+    recalled: bool,
 }
 
 /// Knows the balancers from their renewals here and from the records of other controllers.
@@ -87,11 +89,33 @@
     /// Takes what another controller knows of a balancer; answers as `renew`.
     pub fn merge(&mut self, now: u64, record: LeaseRecord) -> bool {
         let renewed_at = now.saturating_sub(record.age_ms);
-        let newer = self.held.get(&record.lease.node).is_none_or(|held| renewed_at > held.renewed_at);
+        let held = self.held.get(&record.lease.node);
+        let newer = held.is_none_or(|held| held.recalled || renewed_at > held.renewed_at);
         let remembered = renewed_at + self.timing.lease_ms + self.timing.hold_ms >= now;
         newer && remembered && self.take(record.lease, renewed_at)
     }
 
+    /// Takes what was known before this controller started; a lease that held then is as good as renewed now. Anything
+    /// that is heard takes its place. Answers whether the balancer was unknown.
+    pub fn recall(&mut self, now: u64, record: LeaseRecord) -> bool {
+        if self.held.contains_key(&record.lease.node) || self.held.len() >= LEASE_CAPACITY {
+            return false;
+        }
+        let held_then = record.age_ms <= self.timing.lease_ms;
+        let renewed_at = if held_then { now } else { now.saturating_sub(record.age_ms) };
+        let node = record.lease.node.clone();
+        self.held.insert(node, Held { lease: record.lease, renewed_at, lost: !held_then, recalled: true });
+        self.version += 1;
+        true
+    }
+
+    /// All balancers have been heard of: those known from before the start alone have ended.
+    pub fn drop_recalled(&mut self) {
+        let count = self.held.len();
+        self.held.retain(|_, held| !held.recalled);
+        self.version += (count - self.held.len()) as u64;
+    }
+
     /// Records of the renewals since the last call, for the other controllers.
     pub fn take_changes(&mut self, now: u64) -> Vec<LeaseRecord> {
         let unsent = std::mem::take(&mut self.unsent);
@@ -108,6 +132,16 @@
         self.held.values().map(|held| held.record(now)).collect()
     }
 
+    /// Those of `snapshot` that were heard of since this controller started.
+    pub fn heard(&self, now: u64) -> Vec<LeaseRecord> {
+        self.held.values().filter(|held| !held.recalled).map(|held| held.record(now)).collect()
+    }
+
+    /// Those of `snapshot` that are known from before the start alone.
+    pub fn recalled(&self, now: u64) -> Vec<LeaseRecord> {
+        self.held.values().filter(|held| held.recalled).map(|held| held.record(now)).collect()
+    }
+
     /// While this controller is cut off from the others it keeps counting the balancers that it can't hear.
     pub fn set_isolated(&mut self, isolated: bool) {
         self.isolated = isolated;
@@ -181,7 +215,7 @@
         if held.is_none() && self.held.len() >= LEASE_CAPACITY {
             return false;
         }
-        self.held.insert(lease.node.clone(), Held { lease, renewed_at, lost: false });
+        self.held.insert(lease.node.clone(), Held { lease, renewed_at, lost: false, recalled: false });
         self.version += u64::from(changed);
         changed
     }
--- a/controlplane/registry/tests/instances.rs
+++ b/controlplane/registry/tests/instances.rs
@@ -306,3 +306,83 @@
         })
     }
 }
+
+/// A record as of a moment before the start.
+fn record(last: u8, id: &str, sequence: u64) -> InstanceRecord {
+    InstanceRecord {
+        id: id.into(),
+        service: "model".into(),
+        address: address(last),
+        zone: "z1".into(),
+        generation: "v1".into(),
+        slots: 8,
+        sequence,
+        draining: false,
+        cold_ms: 0,
+        age_ms: 0,
+    }
+}
+
+#[test]
+fn what_is_recalled_counts_like_heard_until_it_has_been_silent() {
+    let mut registry = registry();
+    assert!(registry.recall(0, record(1, "a", 3)));
+    assert_eq!(ids(&registry), ["a"]);
+    assert!(registry.heard(0).is_empty());
+    assert_eq!(registry.recalled(0).len(), 1);
+    registry.expire(1_000);
+    registry.expire(2_000);
+    registry.expire(SILENCE_MS);
+    assert_eq!(ids(&registry), ["a"]);
+    registry.expire(SILENCE_MS + 1);
+    assert!(ids(&registry).is_empty());
+}
+
+#[test]
+fn a_heartbeat_confirms_what_was_recalled() {
+    let mut registry = registry();
+    registry.recall(0, record(1, "a", 3));
+    registry.recall(0, record(2, "b", 3));
+    registry.heartbeat(100, "a", &ready(1, 4));
+    assert_eq!(registry.heard(100).len(), 1);
+    registry.drop_recalled();
+    assert_eq!(ids(&registry), ["a"]);
+}
+
+#[test]
+fn a_record_of_another_controller_confirms_what_was_recalled_at_its_age() {
+    let mut registry = registry();
+    registry.recall(5_000, record(1, "a", 3));
+    registry.merge(5_000, InstanceRecord { age_ms: 3_000, ..record(1, "a", 3) });
+    registry.drop_recalled();
+    registry.expire(5_400);
+    assert_eq!(ids(&registry), ["a"]);
+    registry.expire(5_600);
+    assert!(ids(&registry).is_empty(), "it was last heard of long before the recall");
+}
+
+#[test]
+fn a_recalled_instance_gives_way_to_another_one_at_its_address() {
+    let mut registry = registry();
+    registry.recall(5_000, record(1, "a", 3));
+    registry.merge(5_000, InstanceRecord { age_ms: 1_000, ..record(1, "b", 1) });
+    assert_eq!(ids(&registry), ["b"]);
+    assert!(!registry.recall(5_000, record(1, "a", 3)), "what was heard stands");
+}
+
+#[test]
+fn what_has_departed_is_not_recalled_as_ready() {
+    let mut registry = registry();
+    registry.gone("a");
+    registry.drained("b");
+    assert!(!registry.recall(0, record(1, "a", 3)));
+    assert!(registry.recall(0, record(2, "b", 3)));
+    assert!(registry.snapshot(0)[0].draining);
+}
+
+#[test]
+fn a_recalled_cold_time_counts_from_the_recall() {
+    let mut registry = registry();
+    registry.recall(1_000, InstanceRecord { cold_ms: 2_000, ..record(1, "a", 3) });
+    assert_eq!(registry.snapshot(1_500)[0].cold_ms, 1_500);
+}
--- a/controlplane/registry/tests/leases.rs
+++ b/controlplane/registry/tests/leases.rs
@@ -147,3 +147,34 @@
         !again && once == copy.snapshot(now) && copy.balancers(now) == source.balancers(now)
     }
 }
+
+#[test]
+fn a_recalled_lease_holds_for_a_whole_term() {
+    let mut table = table();
+    let lease = lease(1, "z1", "r1");
+    assert!(table.recall(10_000, LeaseRecord { lease: lease.clone(), age_ms: 1_500 }));
+    assert_eq!(table.live(10_000 + LEASE_MS).count(), 1);
+    assert!(table.heard(10_000).is_empty());
+    assert!(!table.recall(10_000, LeaseRecord { lease, age_ms: 0 }), "it is known");
+    table.expire(10_001 + LEASE_MS);
+    assert_eq!((table.live(10_001 + LEASE_MS).count(), table.balancers(10_001 + LEASE_MS)), (0, 1));
+}
+
+#[test]
+fn a_recalled_lease_that_was_lost_before_only_counts() {
+    let mut table = table();
+    table.recall(40_000, LeaseRecord { lease: lease(1, "z1", "r1"), age_ms: LEASE_MS + 1 });
+    assert_eq!((table.live(40_000).count(), table.balancers(40_000)), (0, 1));
+}
+
+#[test]
+fn what_another_controller_heard_takes_the_place_of_a_recalled_lease() {
+    let mut table = table();
+    table.recall(10_000, LeaseRecord { lease: lease(1, "z1", "r1"), age_ms: 0 });
+    table.recall(10_000, LeaseRecord { lease: lease(2, "z1", "r1"), age_ms: 0 });
+    let leaving = Lease { leaving: true, ..lease(1, "z1", "r1") };
+    assert!(table.merge(10_100, LeaseRecord { lease: leaving, age_ms: 1_000 }));
+    assert!(table.live(10_100).any(|lease| lease.leaving));
+    table.drop_recalled();
+    assert_eq!(table.balancers(10_100), 1);
+}
