--- a/programs/serving/src/lib.rs
+++ b/programs/serving/src/lib.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod logging;
 mod operator;
+pub mod status;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
--- a/programs/serving/src/operator.rs
+++ b/programs/serving/src/operator.rs
@@ -12,6 +12,7 @@
 use crate::FAILURE_STATUS;
 use crate::command_line::OperatorCommand;
 use crate::control_client::{self, Answer, Call, CallError};
+use crate::status::{Status, StatusError};
 
 /// Why a command was not carried out.
 #[derive(Debug, Snafu)]
@@ -22,6 +23,8 @@
     Invalid { path: PathBuf, source: ConfigurationError },
     #[snafu(display("the configuration in force: {source}"))]
     InForce { source: ConfigurationError },
+    #[snafu(display("the controller's status: {source}"))]
+    Status { source: StatusError },
     #[snafu(display("{source}"))]
     Call { source: CallError },
     #[snafu(display("refused with {}: {}", answer.status, String::from_utf8_lossy(&answer.body)))]
@@ -51,7 +54,7 @@
 fn answer(command: &OperatorCommand) -> Result<String, OperatorError> {
     match command {
         OperatorCommand::Status { control } => ask(*control, Call::get("/status")),
-        OperatorCommand::Members { control } => ask(*control, Call::get("/members")),
+        OperatorCommand::Members { control } => members(*control),
         OperatorCommand::ConfigCheck { file } => check(file),
         OperatorCommand::ConfigFetch { control } => ask(*control, Call::get("/Config.Fetch")),
         OperatorCommand::ConfigReplace { control, file, base } => replace(*control, file, *base),
@@ -73,6 +76,12 @@
     Ok(String::from_utf8_lossy(&answer.body).into_owned())
 }
 
+fn members(control: SocketAddr) -> Result<String, OperatorError> {
+    let status = ask(control, Call::get("/status"))?;
+    let status = Status::parse(&status).context(StatusSnafu)?;
+    Ok(status.members())
+}
+
 fn read(file: &Path) -> Result<(Vec<u8>, Configuration), OperatorError> {
     let text = std::fs::read(file).context(ReadSnafu { path: file })?;
     let configuration = Configuration::parse(&text).context(InvalidSnafu { path: file })?;
