Tests' fleets are founded only once all that run know it; flaky start mended

changes_take_hold_everywhere... failed now and then under load. Cause: the command that founds ends as soon as member 0 knows; the test then makes the links lossy and proposes at once at member 3, which may not have heard yet and rightly answers 'the fleet is not founded'. Neither the program nor a bound of the verdict was at fault. The stand now waits until all that run know of the founding; a test of its own holds the program to the clear refusal and to taking the change afterwards.

The twelve tests that were there and the new one pass.

--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -60,6 +60,24 @@
         .until("whole", || (0..5).all(|member| stand.log(member).matches("start: whole after").count() == 1));
 }
 
+#[test]
+fn one_that_has_not_heard_of_the_founding_refuses_a_change_until_it_has() {
+    let mut stand = stand("unheard", 4);
+    (0..3).for_each(|member| stand.start(member));
+    let referee = Referee::new(&stand.listens);
+    stand.found();
+    stand.relays.cut(&[3], true);
+    stand.start(3);
+    stand.until("a control socket", || stand.ask(3, &["status"]).code == 0);
+    assert_eq!(stand.status(3)["founded"], false);
+    assert!(proposed(&stand, 3, 11, 2).contains("the fleet is not founded"));
+    stand.relays.cut(&[3], false);
+    stand.until("the founding known", || stand.status(3)["founded"] == true);
+    proposed(&stand, 3, 11, 0);
+    decide_by(&stand, &referee, &[0, 1, 2, 3], 11);
+    assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
+}
+
 #[test]
 fn those_that_were_down_come_back_with_the_old_on_disk_and_never_decide_by_it() {
     let (mut stand, referee) = running("down", 5);
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -239,11 +239,16 @@
         (0..self.members()).map(last).collect()
     }
 
-    /// All that run found the fleet.
+    /// All that run found the fleet, and know that it is founded when this returns: the command ends as soon as
+    /// the member that it asked knows, and the others hear of it by datagrams.
     pub fn found(&self) {
         self.until("a control socket", || self.ask(0, &["status"]).code == 0);
         let told = self.ask(0, &["found", "--wait", "60"]);
         assert_eq!(told.code, 0, "{}\n{}", told.said, self.logs());
+        let running = || (0..self.members()).filter(|member| self.children[*member].is_some());
+        self.until("the founding known to all", || {
+            running().all(|member| self.status(member)["founded"] == true)
+        });
     }
 }
 
