Requests in a process's first moment are answered by the policy it remembers

Seen while the fleet tests ran beside load: a member that has just started answered a supervisor with 'the policy in force sets no limit for this kind of unit', a refusal for good, since requests were served before the first proof of the remembered policy (up to 20 ms after the start). The thread proves what it holds before it serves.

--- a/crates/balancer/src/fleet/worker.rs
+++ b/crates/balancer/src/fleet/worker.rs
@@ -114,6 +114,9 @@
     pub(super) fn run(&mut self, asked: &Receiver<(Request, SyncSender<Answer>)>) {
         let mut buffer = [0; 2048];
         let mut next_tick = 0;
+        // Guards against requests that come in the first moment: they are answered by the policy that is
+        // remembered, not as if it set no limits.
+        self.prove();
         loop {
             for _ in 0..AT_ONCE {
                 match self.member.outside.socket.recv_from(&mut buffer) {
--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -446,6 +446,12 @@
     assert_eq!(told.code, 0, "{}", told.said);
     (0..3).for_each(|member| stand.kill(member));
     stand.start_all();
+    // The first answer of one that has just started goes by the policy that it remembers.
+    stand.until("an answer", || {
+        let told = stand.ask(1, &["out", "balancer:0", "--as", "c", "--release", "2", "--wait", "0"]);
+        assert!(!told.said.contains("sets no limit"), "{}\n{}", told.said, stand.logs());
+        told.code != 2
+    });
     // It is back, once, and the release goes on from what was agreed.
     stand.until("one changed", || changed(&stand, 0) == 1);
     for member in [0, 1] {
