Logic that stood twice stands once: a listener's end, the referee's list, texts with hash

The draining of a listener moves from the balancer to crates/sockets, where the proxy, which has a copy, can take it from; the referee hears a list by one function in virtual and in real time; a command sends a text with its length and hash by one function.

--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -23,7 +22,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tower::{BoxError, Service};
 use whinspindle_logline::log_line;
-use whinspindle_sockets::{Ending, Meter, Metered};
+use whinspindle_sockets::{Ending, Meter, Metered, drain};
 
 use crate::front::{self, Due, Reply, ReplyBody};
 use crate::node::Node;
@@ -206,7 +205,7 @@
             },
         }
     }
-    for socket in end_of(listener) {
+    for socket in drain(listener) {
         next += 1;
         serve(next, socket, services.clone(), &accepted);
     }
@@ -215,21 +214,6 @@
     accepted.all_ended().await;
 }
 
-/// Ends the listener; returns whom the machine has connected already, since what they send counts as taken.
-/// Guards against one that came after the runtime looked last: the socket itself is asked, until it has no
-/// more.
-fn end_of(listener: TcpListener) -> Vec<TcpStream> {
-    let accept = |listener: &std::net::TcpListener| -> io::Result<TcpStream> {
-        let (socket, _) = listener.accept()?;
-        socket.set_nonblocking(true)?;
-        TcpStream::from_std(socket)
-    };
-    match listener.into_std() {
-        Ok(listener) => std::iter::from_fn(|| accept(&listener).ok()).collect(),
-        Err(_) => Vec::new(),
-    }
-}
-
 fn serve<S>(number: u64, socket: TcpStream, services: S, accepted: &Rc<Accepted>)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
--- a/crates/balancer/src/accept/tests.rs
+++ b/crates/balancer/src/accept/tests.rs
@@ -252,6 +252,6 @@
     let address = listener.local_addr().expect("an address");
     let _second = std::net::TcpStream::connect(address).expect("a connection");
     // The runtime has not looked at its sockets since they came.
-    assert_eq!(end_of(listener).len(), 2);
+    assert_eq!(drain(listener).len(), 2);
     assert!(std::net::TcpStream::connect(address).is_err(), "nobody listens any more");
 }
--- a/crates/balancer/src/fleet_command.rs
+++ b/crates/balancer/src/fleet_command.rs
@@ -1,7 +1,7 @@
 //! `whinspindle fleet`: speaks to a running balancer over its control socket.
 
 use std::io::{IsTerminal, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -185,9 +185,8 @@
             })
         }
         What::Propose { file, wait } => {
-            let text = command::text(file)?;
-            let hash = Hash::of(text.as_bytes()).to_string();
-            let wish = ask(&Request::Propose { length: text.len(), hash, text })?;
+            let (text, length, hash) = with_hash(file)?;
+            let wish = ask(&Request::Propose { text, length, hash })?;
             waited(wait, ask, |status| {
                 let past = status["past"].as_array()?;
                 let past = past.iter().find(|past| past["serial"] == wish["serial"])?;
@@ -228,6 +227,13 @@
     }
 }
 
+/// A file's text, with its length and hash by which the balancer tells whether it came whole.
+fn with_hash(file: &Path) -> Result<(String, usize, String), String> {
+    let text = command::text(file)?;
+    let (length, hash) = (text.len(), Hash::of(text.as_bytes()).to_string());
+    Ok((text, length, hash))
+}
+
 fn unit(text: &str) -> Result<Unit, String> {
     whinspindle_operator::unit(text)
         .ok_or_else(|| format!("{text:?} is no unit: balancer:NUMBER or server:ID"))
@@ -288,9 +294,8 @@
             Ok(ExitCode::SUCCESS)
         }
         ReleaseWhat::Start { file, wait } => {
-            let text = command::text(file)?;
-            let hash = Hash::of(text.as_bytes()).to_string();
-            let wish = ask(&Request::Release { length: text.len(), hash, text })?;
+            let (text, length, hash) = with_hash(file)?;
+            let wish = ask(&Request::Release { text, length, hash })?;
             waited(wait, ask, |status| {
                 let now = &status["release"]["now"];
                 (now["serial"] == wish["serial"]).then(|| (format!("release {}", now["number"]), 0))
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -1,4 +1,7 @@
-//! A socket that notes what has really passed on it, both ways, and when its other side has ended it.
+//! A socket that notes what has really passed on it, both ways, and when its other side has ended it; and the
+//! end of a listener.
+
+mod listener;
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -11,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+pub use listener::drain;
+
 /// What has passed; shared by the socket and by who watches it.
 #[derive(Default)]
 pub struct Meter {
--- a/lab/fleet/src/lib.rs
+++ b/lab/fleet/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use decider::Policy;
 pub use play::{Fleet, Progress};
-pub use rules::{demands, server_id, terms};
+pub use rules::{demands, server_id, tell_referee, terms};
--- a/lab/fleet/src/play/discovery.rs
+++ b/lab/fleet/src/play/discovery.rs
@@ -1,9 +1,6 @@
 //! Discovery: the list of each tier's servers, and how balancers hear of it.
 
-use std::collections::BTreeSet;
-
 use whinspindle::host::{Entry, Standing};
-use whinspindle_lab_referee::Listed;
 use whinspindle_lab_scenario::Scenario;
 use whinspindle_lab_world::registry::{Listing, News, Site};
 
@@ -18,19 +15,9 @@
 impl Fleet<'_> {
     pub(crate) fn tell(&mut self, node: usize, news: News) {
         let (scenario, tier) = (self.scenario, self.nodes[node].tier);
-        let id = |listing: &Listing| rules::server_id(tier, listing.server);
+        rules::tell_referee(&mut self.referee, self.now, node, tier, &news);
         let mut entries = Vec::with_capacity(news.listings.len());
-        if news.whole {
-            let listed: BTreeSet<usize> = news.listings.iter().map(id).collect();
-            self.referee.told_whole(self.now, node, &listed);
-        }
         for listing in &news.listings {
-            let listed = match listing.standing {
-                Standing::Ready => Listed::Ready,
-                Standing::Draining => Listed::Draining,
-                Standing::Gone => Listed::Gone,
-            };
-            self.referee.told(self.now, node, id(listing), listed, listing.zone, listing.cell);
             entries.push(Entry {
                 server: listing.server,
                 key: listing.server as u64,
--- a/lab/fleet/src/rules.rs
+++ b/lab/fleet/src/rules.rs
@@ -1,8 +1,11 @@
 //! What a scenario means as terms for the decisions, and as demands for the referee.
 
-use whinspindle::host::{Conditions, Effect, Group, Product, RepeatAfter, SecondCopy, Terms};
-use whinspindle_lab_referee::{Demands, Repeats, Scope};
+use std::collections::BTreeSet;
+
+use whinspindle::host::{Conditions, Effect, Group, Product, RepeatAfter, SecondCopy, Standing, Terms};
+use whinspindle_lab_referee::{Demands, Listed, Referee, Repeats, Scope};
 use whinspindle_lab_scenario::Scenario;
+use whinspindle_lab_world::registry::{Listing, News};
 
 /// The shortest step of the clock that the decisions are told of.
 const TICK: u64 = 1_000;
@@ -97,3 +100,20 @@
         tip_after: cold(|cold| cold.tip_after),
     }
 }
+
+/// The referee hears what list a balancer is told.
+pub fn tell_referee(referee: &mut Referee, now: u64, node: usize, tier: usize, news: &News) {
+    let id = |listing: &Listing| server_id(tier, listing.server);
+    if news.whole {
+        let listed: BTreeSet<usize> = news.listings.iter().map(id).collect();
+        referee.told_whole(now, node, &listed);
+    }
+    for listing in &news.listings {
+        let listed = match listing.standing {
+            Standing::Ready => Listed::Ready,
+            Standing::Draining => Listed::Draining,
+            Standing::Gone => Listed::Gone,
+        };
+        referee.told(now, node, id(listing), listed, listing.zone, listing.cell);
+    }
+}
--- a/lab/stage/src/discovery.rs
+++ b/lab/stage/src/discovery.rs
@@ -1,6 +1,5 @@
 //! Discovery: an agent for each balancer, which tells it the list of its tier.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,8 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use whinspindle::host::Standing;
-use whinspindle_lab_fleet::server_id;
-use whinspindle_lab_referee::Listed;
+use whinspindle_lab_fleet::tell_referee;
 use whinspindle_lab_world::registry::News;
 
 use crate::http::{self, Reader};
@@ -70,19 +68,7 @@
     let now = stage.now();
     let mut world = stage.world.borrow_mut();
     let tier = world.nodes[node].tier;
-    if news.whole {
-        let listed: BTreeSet<usize> =
-            news.listings.iter().map(|listing| server_id(tier, listing.server)).collect();
-        world.referee.told_whole(now, node, &listed);
-    }
-    for listing in &news.listings {
-        let listed = match listing.standing {
-            Standing::Ready => Listed::Ready,
-            Standing::Draining => Listed::Draining,
-            Standing::Gone => Listed::Gone,
-        };
-        world.referee.told(now, node, server_id(tier, listing.server), listed, listing.zone, listing.cell);
-    }
+    tell_referee(&mut world.referee, now, node, tier, news);
 }
 
 async fn serve(stage: Rc<Stage>, node: usize, socket: TcpStream) {
