--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -72,6 +72,7 @@
     generation: String,
     slots: u32,
     sequence: u64,
+    /// 0 for one that is warm.
     cold_until: u64,
     heard_at: u64,
     /// Known from before the start of this controller alone.
@@ -274,7 +275,7 @@
         if heard_at + self.timing.silence_ms() < now || self.is_address_taken(&record, heard_at) {
             return false;
         }
-        let cold_until = now.saturating_add(record.cold_ms);
+        let cold_until = cold_end(now, record.cold_ms);
         let overfull = self.known.len() >= INSTANCE_CAPACITY;
         match self.known.get_mut(&record.id) {
             Some(held) if held.sequence > record.sequence => false,
@@ -321,6 +322,12 @@
     }
 }
 
+/// When an instance ceases to be cold. A warm one has no such time: a record that arrives late would else say that it
+/// was cold until then.
+fn cold_end(now: u64, cold_ms: u64) -> u64 {
+    if cold_ms == 0 { 0 } else { now.saturating_add(cold_ms) }
+}
+
 impl Known {
     fn heard(now: u64, heartbeat: &Heartbeat) -> Self {
         Known {
@@ -330,7 +337,7 @@
             generation: heartbeat.generation.clone(),
             slots: heartbeat.slots,
             sequence: heartbeat.sequence,
-            cold_until: now.saturating_add(heartbeat.cold_ms),
+            cold_until: cold_end(now, heartbeat.cold_ms),
             heard_at: now,
             recalled: false,
         }
--- a/controlplane/registry/tests/instances.rs
+++ b/controlplane/registry/tests/instances.rs
@@ -68,6 +68,32 @@
     assert_eq!(registry.snapshot(10)[0].slots, 9);
 }
 
+#[test]
+fn the_same_heartbeat_heard_again_by_gossip_changes_nothing() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 5));
+    let record = registry.snapshot(0).remove(0);
+    let version = registry.version();
+    for now in [400, 800, 1_200] {
+        assert!(!registry.merge(now, record.clone()), "balancers see no difference");
+    }
+    assert_eq!(registry.version(), version);
+}
+
+#[test]
+fn heartbeats_that_gossip_brings_late_change_nothing() {
+    let mut registry = registry();
+    registry.heartbeat(0, "a", &ready(1, 5));
+    let mut record = registry.snapshot(0).remove(0);
+    let version = registry.version();
+    for heard_at in [1_000, 2_000, 3_000] {
+        record.sequence += 1;
+        record.age_ms = 300;
+        assert!(!registry.merge(heard_at + record.age_ms, record.clone()), "it was warm and still is");
+    }
+    assert_eq!(registry.version(), version);
+}
+
 #[test]
 fn a_drain_asks_for_a_commit_until_there_is_one() {
     let mut registry = registry();
