Router: a large shared prefix has one holder in all regions, by tokens that wait

Change: prefixes of 1,000 tokens and more go to the highest in rank of all regions that the route allows; a holder is passed over by prompt tokens that wait there and by the mean of its own region. The tests' prompts now say their tokens.

--- a/dataplane/routing/src/affinity.rs
+++ b/dataplane/routing/src/affinity.rs
@@ -3,14 +3,15 @@
 use crate::PromptPart;
 use crate::instance::InstanceState;
 
-/// The instance that keeps a prefix may hold this many times the mean of this balancer's sends ...
-const MOST_LOAD: f64 = 1.25;
+/// The instance that keeps a prefix may hold this many times the mean of this balancer's sends to its region ...
+const MOST_LOAD: f64 = 2.0;
 /// ... or one above it, and one more for each so many tokens, if that is more.
 const TOKENS_IN_FLIGHT: u32 = 2_000;
 const MOST_IN_FLIGHT: u32 = 3;
-/// The same of sends that wait for their first event: their prompts are read one after the other.
-const TOKENS_WAITING: u32 = 4_000;
-const MOST_WAITING: u32 = 1;
+/// Prompts that wait there to be read may have so many tokens above the mean as reading the prefix so often would take.
+const READS_WAITED: f64 = 1.0;
+/// From so many shared tokens on, reading them anew takes longer, and costs more, than a crossing between regions.
+const LARGE_TOKENS: u32 = 1_000;
 
 /// The chain of shared parts that begins a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +20,13 @@
     pub(crate) tokens: u32,
 }
 
+impl SharedPrefix {
+    /// Whether it is kept by one instance of all regions rather than by one in each.
+    pub(crate) fn is_large(self) -> bool {
+        self.tokens >= LARGE_TOKENS
+    }
+}
+
 /// All parts but the last, which is the request's or session's own; the own one where it is the only one.
 pub(crate) fn shared_prefix(prompt: &[PromptPart]) -> Option<SharedPrefix> {
     let (own, shared) = prompt.split_last()?;
@@ -49,31 +57,39 @@
 }
 
 /// How much an instance may hold before a prefix goes on to the next one in rank.
+#[derive(Debug, Default)]
 pub(crate) struct Crowd {
-    most_in_flight: f64,
-    most_waiting: f64,
+    /// For each region: candidates and this balancer's sends in flight there.
+    regions: Vec<(f64, f64)>,
+    extra_in_flight: f64,
+    most_unread: f64,
 }
 
 impl Crowd {
     pub(crate) fn of<'a>(prefix: SharedPrefix, candidates: impl Iterator<Item = &'a InstanceState>) -> Self {
-        let (mut count, mut in_flight, mut waiting) = (0.0, 0.0, 0.0);
+        let mut regions = Vec::new();
+        let (mut count, mut unread) = (0.0, 0.0);
         for instance in candidates {
+            if regions.len() <= instance.region {
+                regions.resize(instance.region + 1, (0.0, 0.0));
+            }
+            let region: &mut (f64, f64) = &mut regions[instance.region];
+            region.0 += 1.0;
+            region.1 += f64::from(instance.in_flight);
             count += 1.0;
-            in_flight += f64::from(instance.in_flight);
-            waiting += f64::from(instance.unanswered);
+            unread += instance.unread_tokens as f64;
         }
-        let most = |sum: f64, extra: u32| {
-            let mean = sum / f64::max(count, 1.0);
-            (MOST_LOAD * mean).max(mean + 1.0 + f64::from(extra))
-        };
         Crowd {
-            most_in_flight: most(in_flight, (prefix.tokens / TOKENS_IN_FLIGHT).min(MOST_IN_FLIGHT)),
-            most_waiting: most(waiting, (prefix.tokens / TOKENS_WAITING).min(MOST_WAITING)),
+            regions,
+            extra_in_flight: 1.0 + f64::from((prefix.tokens / TOKENS_IN_FLIGHT).min(MOST_IN_FLIGHT)),
+            most_unread: unread / f64::max(count, 1.0) + READS_WAITED * f64::from(prefix.tokens),
         }
     }
 
     pub(crate) fn has_room(&self, instance: &InstanceState) -> bool {
-        f64::from(instance.in_flight + 1) <= self.most_in_flight
-            && f64::from(instance.unanswered + 1) <= self.most_waiting
+        let (count, in_flight) = self.regions[instance.region];
+        let mean = in_flight / f64::max(count, 1.0);
+        let most = (MOST_LOAD * mean).max(mean + self.extra_in_flight);
+        f64::from(instance.in_flight + 1) <= most && instance.unread_tokens as f64 <= self.most_unread
     }
 }
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -39,6 +39,8 @@
     pub(crate) in_flight: u32,
     /// Of those in flight: sends without a first event or answer.
     pub(crate) unanswered: u32,
+    /// Tokens of the prompts of those.
+    pub(crate) unread_tokens: u64,
     pub(crate) health: Health,
     pub(crate) cold_share: ColdShare,
     pub(crate) evacuated: bool,
@@ -61,6 +63,7 @@
             slots: 0,
             in_flight: 0,
             unanswered: 0,
+            unread_tokens: 0,
             health: Health::default(),
             cold_share: ColdShare::default(),
             evacuated: false,
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -66,6 +66,8 @@
     sent_at: u64,
     load_per_ready: f64,
     streaming: bool,
+    /// Tokens of its prompt.
+    prompt_tokens: u32,
     /// It was paid for from the budget of repeats.
     is_repeat: bool,
     answered: bool,
@@ -232,7 +234,8 @@
         if is_repeat {
             service.budget.take();
         }
-        let send = Send { is_repeat, ..begin_send(service, &place, id, instance, route.streaming) };
+        let send = begin_send(service, &place, id, instance, facts);
+        let send = Send { is_repeat, streaming: route.streaming, ..send };
         let attempt = Attempt(self.next_attempt);
         self.next_attempt += 1;
         self.sends.insert(attempt, send);
@@ -251,6 +254,7 @@
         let service = &mut self.services[send.service];
         if let Some(instance) = service.instances.get_mut(&send.instance) {
             instance.unanswered = instance.unanswered.saturating_sub(1);
+            instance.unread_tokens -= u64::from(send.prompt_tokens);
             instance.health.answered(now);
         }
         if send.streaming {
@@ -264,7 +268,10 @@
         let service = &mut self.services[send.service];
         if let Some(instance) = service.instances.get_mut(&send.instance) {
             instance.in_flight = instance.in_flight.saturating_sub(1);
-            instance.unanswered = instance.unanswered.saturating_sub(u32::from(!send.answered));
+            if !send.answered {
+                instance.unanswered = instance.unanswered.saturating_sub(1);
+                instance.unread_tokens -= u64::from(send.prompt_tokens);
+            }
         }
         match outcome {
             Outcome::Served => {
@@ -480,12 +487,13 @@
     place: &Place,
     id: ServiceId,
     key: InstanceKey,
-    streaming: bool,
+    facts: &RequestFacts,
 ) -> Send {
     let pace = service.pace;
     let instance = &mut service.instances[&key];
     instance.in_flight += 1;
     instance.unanswered += 1;
+    instance.unread_tokens += u64::from(facts.prompt_tokens);
     if let Some(pace) = pace.filter(|_| instance.is_cold(place.now)) {
         instance.cold_share.note_send(place.now, &pace);
     }
@@ -497,7 +505,8 @@
         region,
         sent_at: place.now,
         load_per_ready: service.load_per_ready(region, place.now, place.balancers),
-        streaming,
+        streaming: false,
+        prompt_tokens: facts.prompt_tokens,
         is_repeat: false,
         answered: false,
         struck: false,
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -207,12 +207,15 @@
             self.count_ready(place.now);
         }
         self.find_candidates(place.now, route, tried)?;
-        let region = self.draw_region(place, chance).ok_or(RefusalReason::NoUpstream)?;
-        let instances = &self.instances;
-        self.candidates.retain(|&index| instances[index].region == region);
         let index = match prefix {
-            Some(prefix) => self.holder(prefix, chance),
-            None => self.pick(chance),
+            Some(prefix) if prefix.is_large() => self.holder(prefix, chance),
+            _ => {
+                self.keep_drawn_region(place, chance)?;
+                match prefix {
+                    Some(prefix) => self.holder(prefix, chance),
+                    None => self.pick(chance),
+                }
+            }
         };
         let (&key, _) = index.and_then(|i| self.instances.get_index(i)).ok_or(RefusalReason::NoUpstream)?;
         Ok(key)
@@ -278,6 +281,14 @@
         }
     }
 
+    /// Draws a region and keeps its candidates alone.
+    fn keep_drawn_region(&mut self, place: &Place, chance: &mut Pcg) -> Result<(), RefusalReason> {
+        let region = self.draw_region(place, chance).ok_or(RefusalReason::NoUpstream)?;
+        let instances = &self.instances;
+        self.candidates.retain(|&index| instances[index].region == region);
+        Ok(())
+    }
+
     /// Draws a region by weight among those that have candidates; the own region first, while it can serve them.
     fn draw_region(&mut self, place: &Place, chance: &mut Pcg) -> Option<RegionId> {
         self.weights.clear();
--- a/dataplane/routing/tests/common/mod.rs
+++ b/dataplane/routing/tests/common/mod.rs
@@ -132,7 +132,8 @@
 
 pub fn prompt(parts: &[(u64, u32)]) -> RequestFacts {
     let prompt = parts.iter().map(|&(id, tokens)| PromptPart { id, tokens }).collect();
-    RequestFacts { prompt, ..facts() }
+    let prompt_tokens = parts.iter().map(|part| part.1).sum();
+    RequestFacts { prompt, prompt_tokens, ..facts() }
 }
 
 /// Where a first send of this request goes.
--- a/dataplane/routing/tests/sticky.rs
+++ b/dataplane/routing/tests/sticky.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
 use whinspindle_configuration::{Route, RouteKind};
+use whinspindle_distribution::Instance;
 use whinspindle_routing::{Outcome, RequestFacts, Router};
 
 fn sticky() -> Route {
@@ -123,3 +124,105 @@
     let again: BTreeSet<_> = again.collect();
     assert!(again.len() == 1 && !again.contains(&first));
 }
+
+/// Routers in each of the regions, of one fleet.
+fn routers_everywhere(route: &Route, instances: &[Instance]) -> Vec<Router> {
+    let in_region = |region: &str| {
+        let mut router = Router::new(settings(region, 7), 0);
+        router.configure(0, &configuration(GENERATION, vec![route.clone()], vec![service(SERVICE, 0.0)]));
+        router.instances(0, &list(instances.to_vec()));
+        router.fleet(0, &fleet(6, vec![]));
+        router
+    };
+    ["a", "b", "c"].map(in_region).into()
+}
+
+#[test]
+fn balancers_of_all_regions_send_a_large_prefix_to_one_instance() {
+    let mut routers = routers_everywhere(&sticky(), &spread([4, 3, 2]));
+    for shared in 0..60 {
+        let facts = prompt(&[(7, 2_000), (shared, 4_000), (99, 500)]);
+        let ids: BTreeSet<_> = routers
+            .iter_mut()
+            .map(|router| served_by(router, shared, &facts).expect("an instance"))
+            .collect();
+        assert_eq!(ids.len(), 1, "{ids:?}");
+    }
+}
+
+#[test]
+fn large_prefixes_are_spread_over_the_regions_by_their_instances() {
+    let mut router = router(1, sticky(), spread([6, 3, 3]));
+    let mut counts = BTreeMap::new();
+    for shared in 0..1_200 {
+        let (attempt, key) = send(&mut router, 0, &prompt(&[(shared, 6_000), (9, 9)])).expect("an instance");
+        *counts.entry(region_of(&router, key)).or_insert(0) += 1;
+        router.finished(0, attempt, Outcome::Served);
+    }
+    assert!((counts["a"] - 600i32).abs() < 80, "{counts:?}");
+    assert!((counts["b"] - 300i32).abs() < 80, "{counts:?}");
+}
+
+#[test]
+fn a_small_prefix_stays_in_its_balancers_region() {
+    let mut router = router(1, sticky(), spread([4, 4, 4]));
+    let even = ["a", "b", "c"].map(|region| load(region, 200.0)).to_vec();
+    router.fleet(0, &fleet(6, even));
+    for shared in 0..100 {
+        let facts = prompt(&[(shared, 200), (99, 500)]);
+        let (attempt, key) = send(&mut router, shared * 10, &facts).expect("an instance");
+        assert_eq!(region_of(&router, key), "a");
+        router.finished(shared * 10, attempt, Outcome::Served);
+    }
+}
+
+#[test]
+fn homes_bind_a_large_prefix() {
+    let route = Route { home_regions: vec!["b".to_owned()], ..sticky() };
+    for mut router in routers_everywhere(&route, &spread([6, 2, 6])) {
+        for shared in 0..60 {
+            let facts = prompt(&[(shared, 6_000), (99, 500)]);
+            let (attempt, key) = send(&mut router, shared, &facts).expect("an instance");
+            assert_eq!(region_of(&router, key), "b");
+            router.finished(shared, attempt, Outcome::Served);
+        }
+    }
+}
+
+#[test]
+fn a_large_prefix_leaves_an_evacuated_holder_and_comes_back() {
+    let mut router = router(1, sticky(), spread([3, 3, 3]));
+    let facts = prompt(&[(7, 6_000), (99, 500)]);
+    let holder = served_by(&mut router, 0, &facts);
+    let zone = spread([3, 3, 3])
+        .into_iter()
+        .find(|instance| Some(&instance.id) == holder.as_ref())
+        .map(|instance| instance.zone)
+        .expect("a zone");
+    router.evacuations(1, std::slice::from_ref(&zone));
+    let (attempt, key) = send(&mut router, 2, &facts).expect("an instance");
+    assert_ne!(router.target(key).expect("known").zone, zone);
+    router.finished(2, attempt, Outcome::Served);
+    router.evacuations(3, &[]);
+    assert_eq!(served_by(&mut router, 4, &facts), holder);
+}
+
+#[test]
+fn sends_of_another_kind_in_the_own_region_dont_drive_a_prefix_from_its_holder() {
+    let mut router = router(1, sticky(), spread([3, 3, 3]));
+    let large = |own: u64| (0..).map(move |shared| prompt(&[(shared, 6_000), (own, 500)]));
+    let at_home = large(1)
+        .find(|facts| {
+            let (attempt, key) = send(&mut router, 0, facts).expect("an instance");
+            router.finished(0, attempt, Outcome::Served);
+            region_of(&router, key) == "a"
+        })
+        .expect("a prefix kept in region a");
+    let holder = served_by(&mut router, 0, &at_home);
+    for number in 0..30 {
+        if let Some((attempt, _)) = send(&mut router, 1, &prompt(&[(1_000 + number, 100), (9, 50)])) {
+            router.first_event(2, attempt);
+        }
+    }
+    assert_eq!(served_by(&mut router, 3, &at_home), holder);
+}
