--- /dev/null
+++ b/controlplane/distribution/examples/publish.rs
@@ -0,0 +1,25 @@
+//! A publisher hands sections to a subscriber, which acknowledges what it applies.
+
+use bytes::Bytes;
+use whinspindle_distribution::{Configured, Evacuations, Holder, Publisher, SubscriberId, Versions};
+
+fn main() {
+    let subscriber = SubscriberId(1);
+    let (mut publisher, mut holder) = (Publisher::new(), Holder::new());
+    publisher.configure(Configured { sequence: 1, body: Bytes::from_static(b"{}") });
+    publisher.subscribe(subscriber, Versions::default());
+    for now in [0, 10, 20] {
+        if now == 20 {
+            publisher.evacuate(Evacuations { sequence: 2, zones: vec!["zone-a".to_owned()] });
+        }
+        match publisher.update_for(now, subscriber) {
+            Some(update) => {
+                let news = holder.apply(now, update);
+                println!("at {now} ms: {news:?}");
+                publisher.acknowledge(now, subscriber, holder.versions());
+            }
+            None => println!("at {now} ms: nothing new"),
+        }
+    }
+    println!("lagging: {:?}", publisher.lagging(2_000).len());
+}
--- a/coordination/replica/src/chain.rs
+++ b/coordination/replica/src/chain.rs
@@ -9,6 +9,7 @@
 use crate::disk::Afterwards;
 use crate::durable::DurableRecord;
 use crate::entry::{Entry, Origin, Read};
+use crate::laws::Laws;
 use crate::message::Message;
 use crate::replica::{Output, Replica};
 use crate::session::{Predecessor, Session, Successor};
@@ -20,12 +21,12 @@
 /// How much longer a member that is still being brought up to date may owe an acknowledgement.
 const JOINING_PATIENCE: u64 = 3;
 
-impl<A: Application> Replica<A> {
+impl<A: Application, L: Laws> Replica<A, L> {
     /// Takes this replica's place in the view that was adopted or recovered.
     pub(crate) fn begin_session(&mut self, now: u64) {
         let view = &self.state.decided.view;
         let link = self.me().and_then(|me| view.link(me).copied());
-        let is_recorded = link.is_some_and(|link| self.state.complete >= link.since);
+        let is_recorded = link.is_some_and(|link| L::is_complete(self.state.complete, link.since));
         if !is_recorded {
             self.forget_pending();
         }
@@ -43,7 +44,7 @@
             since: link.since,
             predecessor: predecessor.map(Predecessor::new),
             successor: successor.map(|endpoint| Successor::new(endpoint, now)),
-            is_complete: is_recorded && self.durable_complete >= link.since,
+            is_complete: is_recorded && L::is_complete(self.durable_complete, link.since),
             newest: None,
             reads: VecDeque::new(),
         });
@@ -74,7 +75,7 @@
 
     /// The session of this view, if no vote binds this replica to a newer one.
     fn active(&mut self, view: u64) -> Option<&mut Session> {
-        if self.state.is_sealed() {
+        if !self.takes_part() {
             return None;
         }
         self.session.as_mut().filter(|session| session.view == view)
@@ -85,12 +86,22 @@
         self.active(view)
     }
 
+    /// Whether the chain of the present view goes on here.
+    pub(crate) fn takes_part(&self) -> bool {
+        L::takes_part(self.state.is_sealed())
+    }
+
+    /// Up to which entry the log may be acknowledged, passed on and committed.
+    fn settled(&self) -> u64 {
+        L::settled(self.durable_last, self.state.last())
+    }
+
     /// Whether this is the head of a chain that takes writes.
     fn is_taking_commands(&self) -> bool {
         let view = &self.state.decided.view;
         let is_head = self.me().is_some() && view.head() == self.me();
         let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
-        is_head && is_complete && !self.state.is_sealed() && view.takes_writes(self.settings.tolerated_losses)
+        is_head && is_complete && self.takes_part() && view.takes_writes(self.settings.tolerated_losses)
     }
 
     pub(crate) fn on_submit(&mut self, origin: Origin, command: &[u8]) {
@@ -105,11 +116,19 @@
         if self.state.log.len() >= MOST_PENDING {
             return;
         }
+        self.take_command(origin, command);
+    }
+
+    fn take_command(&mut self, origin: Origin, command: &[u8]) {
         let last = self.state.last();
         let view = self.state.decided.view.number;
         let Some(session) = &mut self.session else { return };
         let Some(newest) = &mut session.newest else { return };
         let evaluation = self.application.evaluate(newest, command);
+        if evaluation.writes.is_empty() && L::head_answers_reads() {
+            self.reply(origin, last, &evaluation.answer);
+            return;
+        }
         if evaluation.writes.is_empty() {
             session.reads.push_back(Read { after: last, answer: evaluation.answer, origin });
             return;
@@ -210,7 +229,7 @@
 
     /// Does whatever has become possible: passes on, commits, answers, acknowledges.
     pub(crate) fn pump(&mut self, now: u64) {
-        if self.state.is_sealed() || !self.session.as_ref().is_some_and(|session| session.is_complete) {
+        if !self.takes_part() || !self.session.as_ref().is_some_and(|session| session.is_complete) {
             return;
         }
         let is_tail = self.session.as_ref().is_some_and(|session| session.successor.is_none());
@@ -225,13 +244,13 @@
 
     fn commit_at_tail(&mut self) {
         if self.state.decided.view.takes_writes(self.settings.tolerated_losses) {
-            self.commit_up_to(self.durable_last);
+            self.commit_up_to(self.settled());
         }
     }
 
     /// Sends the successor the durable entries that it has not been sent, and reads that saw nothing beyond.
     fn pass_on(&mut self, now: u64) {
-        let durable = self.durable_last;
+        let durable = self.settled();
         let resend = self.settings.timing.resend;
         let Some(session) = &mut self.session else { return };
         let view = session.view;
@@ -256,7 +275,7 @@
 
     /// Commits entries that are durable at all members of the chain.
     pub(crate) fn commit_up_to(&mut self, sequence: u64) {
-        let sequence = sequence.min(self.durable_last);
+        let sequence = sequence.min(self.settled());
         if sequence <= self.state.committed {
             return;
         }
@@ -313,7 +332,7 @@
         if !std::mem::take(&mut self.owes_acknowledgement) {
             return;
         }
-        let (last, committed) = (self.durable_last, self.state.committed);
+        let (last, committed) = (self.settled(), self.state.committed);
         let Some(session) = self.active_now() else { return };
         let Some(predecessor) = session.predecessor else { return };
         let view = session.view;
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -8,6 +8,7 @@
 use crate::application::Application;
 use crate::disk::Afterwards;
 use crate::durable::{Decided, DurableRecord};
+use crate::laws::Laws;
 use crate::message::{Message, Report};
 use crate::plan::{Candidate, Situation, Standing, next_view};
 use crate::replica::Replica;
@@ -20,7 +21,7 @@
 /// Delay of a change that nothing waits for.
 const PLANNED_DELAY: u64 = 200;
 /// Delay after a vote for a newer view that did not come about.
-const SEALED_DELAY: u64 = 500;
+const SEALED_DELAY: u64 = 400;
 /// Jitter is below this.
 const JITTER: u64 = 60;
 /// How long the promises of others are waited for once a majority has promised.
@@ -64,7 +65,7 @@
     }
 }
 
-impl<A: Application> Replica<A> {
+impl<A: Application, L: Laws> Replica<A, L> {
     pub(crate) fn tick_change(&mut self, now: u64) {
         if self.change.proposal.is_some() {
             self.continue_proposal(now);
@@ -91,9 +92,9 @@
         }
         let rank = RANK_DELAY * self.rank(now, me);
         if self.state.is_sealed() {
-            return Some(SEALED_DELAY + rank);
+            return Some(if self.is_sealed_by_itself(me) { rank } else { SEALED_DELAY + rank });
         }
-        let next = next_view(view, &self.expected_situation(now, me))?;
+        let next = next_view::<L>(view, &self.expected_situation(now, me))?;
         if self.is_leaving || next.is_alike(view) {
             return None;
         }
@@ -101,6 +102,12 @@
         Some(if loses_one { rank } else { PLANNED_DELAY + rank })
     }
 
+    /// Whether what it has voted for is a round of its own, which nobody else will end.
+    fn is_sealed_by_itself(&self, me: Voter) -> bool {
+        let promised = self.state.votes.promised;
+        promised.member == me.member && promised.start == self.settings.start
+    }
+
     /// How many voters that are well come before this one.
     fn rank(&self, now: u64, me: Voter) -> u64 {
         let view = self.view();
@@ -308,7 +315,7 @@
             Some((*voter, standing))
         });
         let situation = self.situation(now, &found, present.collect());
-        let Some(next) = next_view(&found, &situation) else { return };
+        let Some(next) = next_view::<L>(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
         proposal.round.write::<AsPublished>(next);
         proposal.asked_at = now;
@@ -351,6 +358,10 @@
         match votes.prepare(ballot) {
             Err(promised) => self.send(from, Message::Rejected { ballot, promised }),
             Ok(()) => {
+                if from != self.settings.endpoint {
+                    // Let the other's round come to its end first.
+                    self.change.wanted = None;
+                }
                 let accepted = votes.accepted.clone();
                 self.record_votes(votes);
                 let report = self.report();
--- a/coordination/replica/src/durable.rs
+++ b/coordination/replica/src/durable.rs
@@ -85,11 +85,11 @@
 
 impl DurableState {
     /// The state of a replica with an empty disk.
-    pub fn fresh(settings: &ReplicaSettings) -> DurableState {
+    pub fn fresh(settings: &ReplicaSettings, birth: u64) -> DurableState {
         let founds = settings.bootstrap && settings.seeds.contains(&settings.endpoint);
         let view = if settings.bootstrap { View::founding(&settings.seeds) } else { View::default() };
         DurableState {
-            birth: if founds { 0 } else { settings.birth },
+            birth,
             votes: Votes::default(),
             decided: Decided { ballot: Ballot::default(), view },
             complete: if founds { FOUNDING_VIEW } else { 0 },
@@ -103,12 +103,13 @@
     /// The state that a checkpoint and the log after it tell of.
     pub fn recover(
         settings: &ReplicaSettings,
+        birth: u64,
         checkpoint: Option<&[u8]>,
         log: &[Vec<u8>],
     ) -> Result<DurableState, RecoverError> {
         let mut state = match checkpoint {
             Some(bytes) => postcard::from_bytes(bytes).context(CheckpointSnafu)?,
-            None => DurableState::fresh(settings),
+            None => DurableState::fresh(settings, birth),
         };
         for (index, bytes) in log.iter().enumerate() {
             let record: DurableRecord = postcard::from_bytes(bytes).context(LogSnafu { index })?;
--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -17,6 +17,7 @@
 mod disk;
 mod durable;
 mod entry;
+mod laws;
 mod message;
 mod peers;
 mod plan;
@@ -34,6 +35,7 @@
 
 pub use application::{Answer, Application, Evaluation, RecordWrite};
 pub use durable::{DurableWrite, RecoverError};
+pub use laws::{AsDesigned, Laws};
 pub use message::{DecodeError, Message};
 pub use records::{Record, Records};
 pub use replica::{Input, Output, Replica, Reply, SubmitError};
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -1,6 +1,7 @@
 //! The state machine: inputs in, outputs out.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 use snafu::Snafu;
@@ -12,6 +13,7 @@
 use crate::disk::{Afterwards, Disk};
 use crate::durable::{DurableRecord, DurableState, DurableWrite, RecoverError};
 use crate::entry::Origin;
+use crate::laws::{AsDesigned, Laws};
 use crate::message::{Heartbeat, Message, Report};
 use crate::peers::Peers;
 use crate::recent::Recent;
@@ -94,8 +96,9 @@
 const BEHIND: u64 = 500;
 
 /// One replica.
-pub struct Replica<A> {
+pub struct Replica<A, L = AsDesigned> {
     pub(crate) application: A,
+    laws: PhantomData<L>,
     pub(crate) settings: ReplicaSettings,
     pub(crate) state: DurableState,
     pub(crate) disk: Disk,
@@ -131,12 +134,25 @@
         application: A,
         recovered: (Option<Vec<u8>>, Vec<Vec<u8>>),
         now: u64,
+    ) -> Result<(Self, Vec<Output>), RecoverError> {
+        Replica::with_laws(settings, application, recovered, now)
+    }
+}
+
+impl<A: Application, L: Laws> Replica<A, L> {
+    /// Like [`Replica::new`], under laws of the caller's choice.
+    pub fn with_laws(
+        settings: ReplicaSettings,
+        application: A,
+        recovered: (Option<Vec<u8>>, Vec<Vec<u8>>),
+        now: u64,
     ) -> Result<(Self, Vec<Output>), RecoverError> {
         let (checkpoint, log) = recovered;
-        let state = DurableState::recover(&settings, checkpoint.as_deref(), &log)?;
+        let state = DurableState::recover(&settings, L::birth(&settings), checkpoint.as_deref(), &log)?;
         let log_bytes = log.iter().map(Vec::len).sum();
         let mut replica = Replica {
             application,
+            laws: PhantomData,
             disk: Disk::new(log_bytes, checkpoint.as_ref().map_or(0, Vec::len)),
             durable_last: state.last(),
             durable_complete: state.complete,
--- a/coordination/replica/src/synchronize.rs
+++ b/coordination/replica/src/synchronize.rs
@@ -9,6 +9,7 @@
 use crate::disk::Afterwards;
 use crate::durable::DurableRecord;
 use crate::entry::Entry;
+use crate::laws::Laws;
 use crate::message::{ChainStanding, Message};
 use crate::records::Records;
 use crate::replica::{Output, Replica};
@@ -39,20 +40,20 @@
     pub asked_at: Option<u64>,
 }
 
-impl<A: Application> Replica<A> {
+impl<A: Application, L: Laws> Replica<A, L> {
     /// Tells the predecessor where this member stands.
     pub(crate) fn resume(&mut self, now: u64) {
         let (last, committed) = (self.durable_last, self.state.committed);
-        let is_sealed = self.state.is_sealed();
+        let takes_part = self.takes_part();
         let Some(session) = &mut self.session else { return };
         let Some(predecessor) = &mut session.predecessor else { return };
-        if is_sealed {
+        if !takes_part {
             return;
         }
         predecessor.has_answered = false;
         predecessor.asked_at = now;
         let (view, complete, to) = (session.view, session.is_complete, predecessor.endpoint);
-        let is_recorded = self.state.complete >= session.since;
+        let is_recorded = L::is_complete(self.state.complete, session.since);
         if !complete && is_recorded {
             // Only the disk is waited for.
             return;
@@ -79,7 +80,7 @@
     }
 
     pub(crate) fn on_resume(&mut self, now: u64, from: SocketAddr, view: u64, standing: &ChainStanding) {
-        if self.state.is_sealed() {
+        if !self.takes_part() {
             return;
         }
         let Some(session) = self.session.as_mut().filter(|session| session.view == view) else { return };
@@ -122,11 +123,11 @@
 
     /// The predecessor has sent what this member lacks.
     pub(crate) fn on_synchronize(&mut self, from: SocketAddr, view: u64, transfer: Transfer) {
-        if self.state.is_sealed() {
+        if !self.takes_part() {
             return;
         }
         let Some(session) = self.session.as_mut().filter(|session| session.view == view) else { return };
-        let is_recorded = self.state.complete >= session.since;
+        let is_recorded = L::is_complete(self.state.complete, session.since);
         let Some(predecessor) = &mut session.predecessor else { return };
         if predecessor.endpoint != from || is_recorded || transfer.base != self.state.committed {
             return;
@@ -146,7 +147,7 @@
     pub(crate) fn on_complete(&mut self, now: u64, view: u64) {
         self.durable_complete = self.durable_complete.max(view);
         let Some(session) = &mut self.session else { return };
-        if self.durable_complete < session.since || session.is_complete {
+        if !L::is_complete(self.durable_complete, session.since) || session.is_complete {
             return;
         }
         session.is_complete = true;
--- a/coordination/replica/tests/common/clients.rs
+++ b/coordination/replica/tests/common/clients.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use whinspindle_lab_cluster::{Cluster, Occurrence, Pcg};
-use whinspindle_replica::SubmitError;
+use whinspindle_replica::{Laws, SubmitError};
 
 use super::history::{Answered, Asked, Operation};
 use super::node::{Command, Node, Told};
@@ -23,9 +23,9 @@
 
 impl Clients {
     /// Begins an operation at a replica; returns its ticket.
-    pub fn begin(
+    pub fn begin<L: Laws>(
         &mut self,
-        cluster: &mut Cluster<Node>,
+        cluster: &mut Cluster<Node<L>>,
         at: SocketAddr,
         register: &str,
         asked: Asked,
@@ -46,9 +46,9 @@
     }
 
     /// Begins an operation drawn at random, also one that guesses the present value.
-    pub fn begin_any(
+    pub fn begin_any<L: Laws>(
         &mut self,
-        cluster: &mut Cluster<Node>,
+        cluster: &mut Cluster<Node<L>>,
         chance: &mut Pcg,
         at: SocketAddr,
         registers: usize,
@@ -65,7 +65,7 @@
     }
 
     /// Lets time pass and writes down the answers.
-    pub fn run_until(&mut self, cluster: &mut Cluster<Node>, until: u64) {
+    pub fn run_until<L: Laws>(&mut self, cluster: &mut Cluster<Node<L>>, until: u64) {
         for occurrence in cluster.run_until(until) {
             self.note(occurrence);
         }
@@ -112,7 +112,12 @@
     }
 
     /// Asks one replica until it answers a write; returns how long that took, at most `longest`.
-    pub fn write_within(&mut self, cluster: &mut Cluster<Node>, at: SocketAddr, longest: u64) -> Option<u64> {
+    pub fn write_within<L: Laws>(
+        &mut self,
+        cluster: &mut Cluster<Node<L>>,
+        at: SocketAddr,
+        longest: u64,
+    ) -> Option<u64> {
         let begun = cluster.now();
         let new = format!("v{}", self.operations.len() + 1);
         let index = self.operations.len();
--- a/coordination/replica/tests/common/node.rs
+++ b/coordination/replica/tests/common/node.rs
@@ -4,8 +4,8 @@
 
 use whinspindle_lab_cluster::{Cluster, DiskTiming, Effect, Event, NetworkTiming, Process, Start};
 use whinspindle_replica::{
-    Answer, Application, DurableWrite, Evaluation, Input, Message, Output, RecordWrite, Records, Replica,
-    ReplicaSettings, Reply, SubmitError, Timing,
+    Answer, Application, AsDesigned, DurableWrite, Evaluation, Input, Laws, Message, Output, RecordWrite,
+    Records, Replica, ReplicaSettings, Reply, SubmitError, Timing,
 };
 
 /// Registers: `put KEY VALUE`, `swap KEY OLD NEW` and `get KEY`. An empty register is `-`. A swap of another value
@@ -54,22 +54,23 @@
 }
 
 /// A replica, and what an observer of its outputs knows of its records.
-pub struct Node {
-    pub replica: Replica<Registers>,
+pub struct Node<L = AsDesigned> {
+    pub replica: Replica<Registers, L>,
     /// None after a replacement.
     committed: Option<u64>,
+    at: SocketAddr, //DBG
 }
 
-impl Node {
-    pub fn start(settings: ReplicaSettings, start: Start) -> (Node, Vec<Effect<Node>>) {
-        let (replica, outputs) =
-            Replica::new(settings, Registers, start.recovered, start.now).expect("the disk is readable");
-        let mut node = Node { committed: Some(replica.committed_sequence()), replica };
+impl<L: Laws> Node<L> {
+    pub fn start(settings: ReplicaSettings, start: Start) -> (Self, Vec<Effect<Self>>) {
+        let (replica, outputs) = Replica::with_laws(settings, Registers, start.recovered, start.now)
+            .expect("the disk is readable");
+        let mut node = Node { at: start.endpoint, committed: Some(replica.committed_sequence()), replica };
         let effects = node.effects(outputs);
         (node, effects)
     }
 
-    fn effects(&mut self, outputs: Vec<Output>) -> Vec<Effect<Node>> {
+    fn effects(&mut self, outputs: Vec<Output>) -> Vec<Effect<Self>> {
         let mut effects = Vec::new();
         for output in outputs {
             match output {
@@ -98,7 +99,7 @@
     }
 }
 
-impl Process for Node {
+impl<L: Laws> Process for Node<L> {
     type Message = Message;
     type Command = Command;
     type Answer = Told;
@@ -114,7 +115,11 @@
             Event::Persisted { token } => Input::Persisted { token },
             Event::PersistFailed { token } => Input::PersistFailed { token },
         };
+        let show = std::env::var("TRACE").is_ok_and(|from| now >= from.parse().unwrap()); //DBG
+        let view = self.replica.view().number; //DBG
+        if show && !matches!(input, Input::Tick) { let t = format!("{input:?}"); if !t.contains("Heartbeat") { eprintln!("{now} {} v{view} < {}", self.at, &t[..t.len().min(300)]); } } //DBG
         let outputs = self.replica.handle(now, input);
+        if show { for o in &outputs { let t = format!("{o:?}"); if !t.contains("Heartbeat") { eprintln!("{now} {} v{} > {}", self.at, self.replica.view().number, &t[..t.len().min(300)]); } } } //DBG
         self.effects(outputs)
     }
 }
@@ -127,7 +132,12 @@
 const SEEDS: usize = 3;
 
 /// A cluster of this many founding replicas, three of which at most are seeds; all are started.
-pub fn cluster(seed: u64, count: usize, tolerated_losses: usize, network: NetworkTiming) -> Cluster<Node> {
+pub fn cluster<L: Laws + 'static>(
+    seed: u64,
+    count: usize,
+    tolerated_losses: usize,
+    network: NetworkTiming,
+) -> Cluster<Node<L>> {
     let founding: Vec<SocketAddr> = (0..count.min(SEEDS)).map(endpoint).collect();
     let starter = move |start: Start| {
         let zone = format!("zone-{}", start.endpoint.ip());
@@ -156,9 +166,10 @@
     cluster
 }
 
-impl Node {
+impl<L: Laws> Node<L> {
     /// One line for the message of a failed test.
     pub fn describe(&self, now: u64) -> String {
+        if std::env::var("REC").is_ok() { let records: Vec<String> = self.replica.committed().iter().map(|(k, r)| format!("{k}={}@{}", String::from_utf8_lossy(&r.value), r.sequence)).collect(); eprintln!("REC {} {records:?}", self.at); } //DBG
         let view = self.replica.view();
         let chain: Vec<String> =
             view.chain.iter().map(|link| format!("{}/{}", link.voter.member, link.since)).collect();
--- a/coordination/replica/tests/common/schedule.rs
+++ b/coordination/replica/tests/common/schedule.rs
@@ -5,6 +5,8 @@
 use quickcheck::{Arbitrary, Gen};
 use whinspindle_lab_cluster::{Cluster, NetworkTiming, Pcg};
 
+use whinspindle_replica::Laws;
+
 use super::clients::Clients;
 use super::history::check;
 use super::node::{Command, Node, cluster, endpoint};
@@ -139,8 +141,8 @@
     pub recovered_after: Option<u64>,
 }
 
-struct Play {
-    cluster: Cluster<Node>,
+struct Play<L: Laws> {
+    cluster: Cluster<Node<L>>,
     clients: Clients,
     chance: Pcg,
     /// Disks that may still be lost at any time; none: they are lost only after a calm.
@@ -151,14 +153,18 @@
 }
 
 /// Plays a schedule; says what went wrong.
-pub fn play(schedule: &Schedule, count: usize, tolerated_losses: usize) -> Result<Played, String> {
+pub fn play<L: Laws + 'static>(
+    schedule: &Schedule,
+    count: usize,
+    tolerated_losses: usize,
+) -> Result<Played, String> {
     let network = NetworkTiming {
         longest: schedule.longest_delay,
         loss: schedule.loss as f64 / 100.0,
         repetition: 0.02,
         ..NetworkTiming::default()
     };
-    let mut play = Play {
+    let mut play = Play::<L> {
         cluster: cluster(schedule.seed, count, tolerated_losses, network),
         clients: Clients::default(),
         chance: Pcg::new(schedule.seed ^ 1),
@@ -175,7 +181,7 @@
     play.end().map_err(|fault| format!("{fault}\n{schedule:?}"))
 }
 
-impl Play {
+impl<L: Laws> Play<L> {
     /// Lets time pass while clients ask.
     fn pass(&mut self, span: u64) {
         let until = self.cluster.now() + span;
@@ -352,7 +358,7 @@
 
     fn is_converged(&self) -> Result<(), String> {
         let endpoints = self.cluster.endpoints();
-        let nodes: Vec<&Node> = endpoints.iter().filter_map(|at| self.cluster.process(*at)).collect();
+        let nodes: Vec<&Node<L>> = endpoints.iter().filter_map(|at| self.cluster.process(*at)).collect();
         let first = &nodes[0].replica;
         let are_alike = nodes.iter().all(|node| node.replica.committed() == first.committed());
         let is_full =
--- a/coordination/replica/tests/search.rs
+++ b/coordination/replica/tests/search.rs
@@ -5,6 +5,7 @@
 
 use common::schedule::{Schedule, play};
 use quickcheck::{Gen, QuickCheck, TestResult};
+use whinspindle_replica::AsDesigned;
 
 /// Schedules in an ordinary run; more are drawn if this variable says so.
 const ORDINARY: u64 = 1_000;
@@ -18,7 +19,7 @@
 }
 
 fn holds(schedule: Schedule, count: usize, tolerated_losses: usize) -> TestResult {
-    match play(&schedule, count, tolerated_losses) {
+    match play::<AsDesigned>(&schedule, count, tolerated_losses) {
         Ok(_) => TestResult::passed(),
         Err(fault) => TestResult::error(fault),
     }
