Controllers: instances told together; balancers told of controllers outside of the view

Lists now go at most every 300 ms; what drains, has drained or has ended goes at once. Balancers also learned members of the view alone, five of six controllers there, so that a zone's ten agents kept links into another zone though their own has a controller; now all that are heard are told, with their places.

--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -39,6 +39,8 @@
 const GOSSIP_PATIENCE_MS: u64 = 200;
 /// Interval of the messages that show balancers that this controller is alive.
 const LINK_MS: u64 = 300;
+/// Instances that come, or are cold for another time, are told at most this often: many do so together.
+const INSTANCES_INTERVAL_MS: u64 = 300;
 /// Interval at which silent instances and balancers are looked for.
 const EXPIRY_MS: u64 = 300;
 /// After a start all upstreams and balancers have been heard of within this time, and within so many heartbeats.
@@ -164,6 +166,9 @@
     expiry_at: u64,
     /// The registry's version that the publisher holds.
     published_instances: u64,
+    /// The registry's count of withdrawals that the publisher holds.
+    published_withdrawals: u64,
+    instances_published_at: Option<u64>,
     /// The list of controllers that subscribers were told last.
     told_controllers: Vec<ControllerAddress>,
     actions: Vec<Action>,
@@ -200,6 +205,8 @@
             link_at: now,
             expiry_at: now,
             published_instances: 0,
+            published_withdrawals: 0,
+            instances_published_at: None,
             told_controllers: Vec::new(),
             actions: Vec::new(),
         };
@@ -267,8 +274,11 @@
             self.send_changes(now);
         }
         self.remember(now);
-        if now >= self.link_at {
+        let links_are_due = now >= self.link_at;
+        if links_are_due {
             self.send_links(now);
+        }
+        if links_are_due || self.are_instances_due(now) {
             self.publish(now);
         }
     }
@@ -621,7 +631,7 @@
         self.publisher.reported(now, subscriber, report);
         let changed = self.leases.renew(now, exchange::lease_of(report));
         if is_new {
-            let message = ToBalancer::Link(self.link(now, self.controllers()));
+            let message = ToBalancer::Link(self.link(now, self.controllers(now)));
             self.actions.push(Action::SendBalancer { to: subscriber, message });
         }
         if changed {
@@ -634,7 +644,7 @@
 
     fn send_links(&mut self, now: u64) {
         self.link_at = now + LINK_MS;
-        let controllers = self.controllers();
+        let controllers = self.controllers(now);
         let told = if controllers == self.told_controllers { Vec::new() } else { controllers.clone() };
         self.told_controllers = controllers;
         let link = self.link(now, told);
@@ -698,12 +708,20 @@
         self.has_heard_all(now) || (self.has_recalled && self.may_tell_records(now))
     }
 
+    fn are_instances_due(&self, now: u64) -> bool {
+        let has_rested = self.instances_published_at.is_none_or(|at| now >= at + INSTANCES_INTERVAL_MS);
+        let is_urgent = self.registry.withdrawals() != self.published_withdrawals;
+        self.registry.version() != self.published_instances && (has_rested || is_urgent)
+    }
+
     fn refresh_instances(&mut self, now: u64) {
-        let version = self.registry.version();
-        if version == self.published_instances {
+        if !self.are_instances_due(now) {
             return;
         }
+        let version = self.registry.version();
         self.published_instances = version;
+        self.published_withdrawals = self.registry.withdrawals();
+        self.instances_published_at = Some(now);
         let list = self.registry.snapshot(now).into_iter().map(instance).collect();
         self.publisher.set_instances(now, Instances { version, list });
     }
@@ -715,17 +733,17 @@
         }
     }
 
-    /// All controllers that are known, this one included.
-    fn controllers(&self) -> Vec<ControllerAddress> {
-        let own = &self.settings.address;
+    /// All controllers that are known, this one included: members of the view, and others that are heard.
+    fn controllers(&self, now: u64) -> Vec<ControllerAddress> {
         let members = self.replica.view().members.iter();
-        let others =
-            members.filter(|member| member.endpoint != own.endpoint).map(|member| ControllerAddress {
-                endpoint: member.endpoint,
-                zone: member.zone.clone(),
-                region: member.region.clone(),
-            });
-        std::iter::once(own.clone()).chain(others).collect()
+        let members = members.map(|member| (member.endpoint, member.zone.as_str(), member.region.as_str()));
+        let mut controllers = BTreeMap::new();
+        for (endpoint, zone, region) in members.chain(self.replica.heard(now)) {
+            let (zone, region) = (zone.to_owned(), region.to_owned());
+            controllers.insert(endpoint, ControllerAddress { endpoint, zone, region });
+        }
+        controllers.insert(self.settings.address.endpoint, self.settings.address.clone());
+        controllers.into_values().collect()
     }
 }
 
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -11,7 +11,7 @@
 use whinspindle_controller::orders::Orders;
 use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
 use whinspindle_distribution::frame::FrameKind;
-use whinspindle_distribution::{ControllerAddress, Report, SubscriberId, ToBalancer, Update};
+use whinspindle_distribution::{ControllerAddress, Link, Report, SubscriberId, ToBalancer, Update};
 use whinspindle_lab_cluster::{
     Cluster, DiskTiming, Effect, Event as Happening, NetworkTiming, Pcg, Process, Start,
 };
@@ -43,6 +43,7 @@
 pub enum Answer {
     Response { id: CallId, response: Response },
     Update { subscriber: SubscriberId, update: Update },
+    Link { subscriber: SubscriberId, link: Link },
 }
 
 /// What each controller remembers on its disk, beside the journal of the cluster.
@@ -120,7 +121,9 @@
             Action::SendBalancer { to, message: ToBalancer::Update(update) } => {
                 Effect::Answer(Answer::Update { subscriber: to, update })
             }
-            Action::SendBalancer { message: ToBalancer::Link(_), .. } => return None,
+            Action::SendBalancer { to, message: ToBalancer::Link(link) } => {
+                Effect::Answer(Answer::Link { subscriber: to, link })
+            }
             Action::Persist { token, write: DurableWrite::Append(records) } => {
                 Effect::Append { token, records }
             }
@@ -184,6 +187,7 @@
     pub chance: Pcg,
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
+    pub links: Vec<(SubscriberId, Link)>,
     memories: Memories,
     last_call: u64,
 }
@@ -204,6 +208,7 @@
             chance: Pcg::new(seed ^ 0x5eed),
             attempts: Vec::new(),
             updates: Vec::new(),
+            links: Vec::new(),
             memories,
             last_call: 0,
         };
@@ -307,6 +312,7 @@
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
             Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
+            Answer::Link { subscriber, link } => self.links.push((subscriber, link)),
         }
     }
 
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -130,6 +130,29 @@
     assert_eq!(single.status(heartbeat("i-1", 3, Ready)), StatusCode::OK, "it stays drained");
 }
 
+#[test]
+fn instances_that_come_together_are_told_together() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    single.updates.clear();
+    for number in 1..=19 {
+        single.status(heartbeat(&format!("i-{number}"), 1, Ready));
+    }
+    single.pass(400);
+    let lists = single.updates.iter().filter(|(_, update)| update.instances.is_some()).count();
+    assert!(lists <= 2, "{lists} lists");
+    assert_eq!(instances_sent(&single).len(), 19);
+}
+
+#[test]
+fn a_withdrawn_instance_does_not_wait_for_others() {
+    let mut single = settled_with_balancers(&[(1, "zone-a")]);
+    single.status(heartbeat("i-1", 1, Ready));
+    single.pass(400);
+    single.status(heartbeat("i-2", 1, Ready));
+    single.status(heartbeat("i-1", 2, Draining));
+    assert!(instances_sent(&single).contains(&("i-1".to_owned(), true)));
+}
+
 #[test]
 fn an_instance_that_has_ended_is_told_to_balancers() {
     let mut single = settled_with_balancers(&[(1, "zone-a")]);
--- a/controlplane/controller/tests/fleet.rs
+++ b/controlplane/controller/tests/fleet.rs
@@ -58,6 +58,18 @@
     }
 }
 
+#[test]
+fn balancers_hear_of_controllers_outside_of_the_view_too() {
+    // Only three of five are voters, where one loss is tolerated.
+    let mut fleet = Fleet::start(2, 5);
+    fleet.report(endpoint(1), 1, report(1, "zone-a"));
+    fleet.pass(100);
+    let (_, link) = fleet.links.last().expect("the first report is answered");
+    let told: Vec<_> = link.controllers.iter().map(|controller| controller.endpoint).collect();
+    assert_eq!(told, (1..=5).map(endpoint).collect::<Vec<_>>());
+    assert!(link.controllers.iter().all(|controller| !controller.zone.is_empty()));
+}
+
 #[test]
 fn what_one_controller_hears_all_balancers_are_told() {
     let mut fleet = Fleet::start(2, 5);
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -90,6 +90,7 @@
     isolated: bool,
     expired_at: Option<u64>,
     version: u64,
+    withdrawals: u64,
 }
 
 impl InstanceRegistry {
@@ -102,6 +103,7 @@
             isolated: false,
             expired_at: None,
             version: 1,
+            withdrawals: 0,
         }
     }
 
@@ -121,6 +123,7 @@
             self.unsent.insert(id.to_owned());
         }
         self.bump_if(changed || announced);
+        self.withdrawals += u64::from(announced);
         match self.retired.stage(id) {
             Some(Retirement::Announced) if leaves => HeartbeatEffect::StartsDraining,
             _ if stale => HeartbeatEffect::Stale,
@@ -133,6 +136,7 @@
         let begins = self.retired.stage(id).is_none();
         self.retired.raise(id, Retirement::Draining);
         self.bump_if(begins && self.known.contains_key(id));
+        self.withdrawals += u64::from(begins);
     }
 
     /// The instance has ended. Later heartbeats and records of it count for nothing.
@@ -141,6 +145,7 @@
         self.unsent.remove(id);
         let removed = self.known.shift_remove(id).is_some();
         self.bump_if(removed);
+        self.withdrawals += u64::from(removed);
     }
 
     /// Takes what another controller knows of an instance; answers whether balancers see a difference.
@@ -151,6 +156,7 @@
         let announced = record.draining && self.retired.raise(&record.id, Retirement::Announced);
         let changed = self.merge_known(now, record);
         self.bump_if(changed || announced);
+        self.withdrawals += u64::from(announced);
         changed || announced
     }
 
@@ -165,7 +171,7 @@
         if record.draining {
             self.retired.raise(&record.id, Retirement::Announced);
         }
-        let cold_until = now.saturating_add(record.cold_ms);
+        let cold_until = cold_end(now, record.cold_ms);
         let id = record.id.clone();
         self.known.insert(id, Known { recalled: true, ..Known::recorded(record, now, cold_until) });
         self.version += 1;
@@ -240,6 +246,11 @@
         self.version
     }
 
+    /// Rises with each instance that takes no new requests any more: balancers are to hear of it at once.
+    pub fn withdrawals(&self) -> u64 {
+        self.withdrawals
+    }
+
     fn excuse_own_pause(&mut self, now: u64) {
         let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
         if pause > self.timing.heartbeat_ms {
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -237,6 +237,13 @@
         &self.state.decided.view
     }
 
+    /// Replicas that are heard, with their zone and region; members of the view or not.
+    pub fn heard(&self, now: u64) -> impl Iterator<Item = (SocketAddr, &str, &str)> {
+        let heard = self.peers.iter().filter(move |(endpoint, _)| self.peers.is_heard(now, **endpoint));
+        heard
+            .map(|(endpoint, peer)| (*endpoint, peer.heartbeat.zone.as_str(), peer.heartbeat.region.as_str()))
+    }
+
     /// The endpoints that messages may go to.
     pub fn peers(&self) -> Vec<SocketAddr> {
         let members = self.view().members.iter().map(|member| member.endpoint);
