Router: a zone keeps what it can serve, as a region does

Inside the own region a request now stays in the balancer's zone by the chance that regions have, the zones' number in place of the regions'; large prefixes stay with their one holder. Regions of a single zone, as on the small sites, are not touched by it.

--- a/dataplane/routing/src/home.rs
+++ b/dataplane/routing/src/home.rs
@@ -1,8 +1,8 @@
-//! When a request stays in its balancer's region though the weights would send it elsewhere.
+//! When a request stays in its balancer's region, and there in its zone, though the weights would send it elsewhere.
 //!
-//! Bytes between regions have a price and each crossing takes time, so that a region keeps what it can serve: the load
-//! for each of its instances may be above the mean of all by a margin. What the region's balancers bring is estimated
-//! from this balancer's own part; what the balancers tell of their sends corrects the estimate.
+//! Bytes between regions and zones have a price and each crossing takes time, so that a region or zone keeps what it
+//! can serve: the load for each of its instances may be above the mean of all by a margin. What its balancers bring is
+//! estimated from this balancer's own part; what the balancers tell of their sends corrects the estimate.
 
 use crate::region::RegionModel;
 
@@ -24,19 +24,19 @@
     pub(crate) all: f64,
     /// 0 if not known.
     pub(crate) balancers: u32,
-    /// Regions that have balancers.
-    pub(crate) regions: usize,
+    /// Places (regions, or zones) that have balancers.
+    pub(crate) places: usize,
 }
 
 impl Traffic {
-    /// The part of all requests that the balancers of the own region bring: this one's, and an even part of the rest
+    /// The part of all requests that the balancers of the own place bring: this one's, and an even part of the rest
     /// for each other one.
-    fn brought_by_region(&self) -> f64 {
+    fn brought_by_place(&self) -> f64 {
         let balancers = f64::from(self.balancers.max(1));
         let even = 1.0 / balancers;
         let own = self.own - self.own.sqrt();
         let part = if self.all >= LEAST_RATE { (own / self.all).clamp(even, 1.0) } else { even };
-        let neighbours = (balancers / self.regions.max(1) as f64 - 1.0).max(0.0);
+        let neighbours = (balancers / self.places.max(1) as f64 - 1.0).max(0.0);
         part + (1.0 - part) * neighbours / (balancers - 1.0).max(1.0)
     }
 }
@@ -53,9 +53,9 @@
         HomePreference { correction: 1.0, corrected_at: now }
     }
 
-    /// The chance that a request stays, where home has this part of the ready instances that may serve it.
-    pub(crate) fn chance(&self, home_part: f64, traffic: &Traffic) -> f64 {
-        (self.correction * (MARGIN * home_part / traffic.brought_by_region()).min(1.0)).min(1.0)
+    /// The chance that a request stays, where the own place has this part of the ready instances that may serve it.
+    pub(crate) fn chance(&self, own_part: f64, traffic: &Traffic) -> f64 {
+        (self.correction * (MARGIN * own_part / traffic.brought_by_place()).min(1.0)).min(1.0)
     }
 
     /// Lowers the chance while the home region is loaded beyond the margin, and raises it again afterwards.
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -44,6 +44,8 @@
     pub(crate) health: Health,
     pub(crate) cold_share: ColdShare,
     pub(crate) evacuated: bool,
+    /// It stands in the balancer's zone.
+    pub(crate) in_own_zone: bool,
     /// It takes no new requests, now or ever again.
     pub(crate) retired: bool,
     /// Since when the control plane doesn't know it, if so.
@@ -67,6 +69,7 @@
             health: Health::default(),
             cold_share: ColdShare::default(),
             evacuated: false,
+            in_own_zone: false,
             retired: false,
             unlisted_since: None,
             cold_until: 0,
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -204,6 +204,7 @@
             home: self.home,
             balancers: self.balancers.get(),
             regions: self.regions_with_balancers,
+            zones: self.settings.zones.len().max(1),
             bounds: &self.settings.bounds,
         };
         let resolved = self.catalogue.resolve(facts);
@@ -368,6 +369,7 @@
         instance.update(now, told);
         instance.retired |= self.retired.contains(&told.id);
         instance.evacuated = self.evacuated.contains(&told.zone);
+        instance.in_own_zone = told.zone == self.settings.zone;
     }
 
     /// The key of an instance; a new one where it is not known under this id, service, address and zone.
@@ -450,6 +452,7 @@
             home: self.home,
             balancers: self.balancers.get(),
             regions: self.regions_with_balancers,
+            zones: self.settings.zones.len().max(1),
             bounds: &self.settings.bounds,
         };
         self.services.iter_mut().for_each(|service| service.check(&place, &mut self.chance));
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -43,6 +43,8 @@
     pub(crate) balancers: u32,
     /// Regions that have balancers.
     pub(crate) regions: usize,
+    /// Zones that have balancers.
+    pub(crate) zones: usize,
     pub(crate) bounds: &'a Bounds,
 }
 
@@ -58,6 +60,8 @@
     pub(crate) pace: Option<ColdPace>,
     arrivals: RateCounter,
     home: HomePreference,
+    /// Ready instances in the balancer's zone.
+    zone_ready: f64,
     told_loads_at: Option<u64>,
     solved: Solved,
     usual_ms: f64,
@@ -78,6 +82,7 @@
             pace: None,
             arrivals: RateCounter::new(now),
             home: HomePreference::new(now),
+            zone_ready: 0.0,
             told_loads_at: None,
             solved: Solved::default(),
             usual_ms: 0.0,
@@ -243,9 +248,11 @@
         let warm = |instance: &InstanceState| !(bounded && instance.is_cold(now));
         let any_warm = self.instances.values().any(|instance| instance.is_ready(now) && warm(instance));
         self.regions.iter_mut().for_each(|region| region.ready = 0.0);
+        self.zone_ready = 0.0;
         for instance in self.instances.values() {
             if instance.is_ready(now) && (!any_warm || warm(instance)) {
                 self.regions[instance.region].ready += 1.0;
+                self.zone_ready += if instance.in_own_zone { 1.0 } else { 0.0 };
             }
         }
         region::set_shares(&mut self.regions);
@@ -286,9 +293,26 @@
         let region = self.draw_region(place, chance).ok_or(RefusalReason::NoUpstream)?;
         let instances = &self.instances;
         self.candidates.retain(|&index| instances[index].region == region);
+        if region == place.home {
+            self.prefer_own_zone(place, chance);
+        }
         Ok(())
     }
 
+    /// Of the candidates in the own region keeps those of the own zone as often as the zone can serve that, else the others.
+    fn prefer_own_zone(&mut self, place: &Place, chance: &mut Pcg) {
+        let instances = &self.instances;
+        let near = self.candidates.iter().filter(|&&index| instances[index].in_own_zone).count();
+        if near == 0 || near == self.candidates.len() {
+            return;
+        }
+        let stays_in_region = self.stay_chance(place, self.regions[place.home].ready, place.regions);
+        let stays_in_zone = self.stay_chance(place, self.zone_ready, place.zones);
+        let stays = chance.unit() * stays_in_region < stays_in_zone;
+        let instances = &self.instances;
+        self.candidates.retain(|&index| instances[index].in_own_zone == stays);
+    }
+
     /// Draws a region by weight among those that have candidates; the own region first, while it can serve them.
     fn draw_region(&mut self, place: &Place, chance: &mut Pcg) -> Option<RegionId> {
         self.weights.clear();
@@ -298,13 +322,18 @@
             self.weights[region] = self.regions[region].share.max(f64::MIN_POSITIVE);
         }
         let home_is_open = self.weights.get(place.home).is_some_and(|&weight| weight > 0.0);
-        if home_is_open && chance.unit() < self.stay_chance(place) {
-            return Some(place.home);
+        if home_is_open {
+            let ready = self.regions[place.home].ready;
+            if chance.unit() < self.stay_chance(place, ready, place.regions) {
+                return Some(place.home);
+            }
         }
         chance.pick(&self.weights)
     }
 
-    fn stay_chance(&self, place: &Place) -> f64 {
+    /// The chance that a request stays in the own place, a region or a zone, which has so many ready instances and is one
+    /// of so many.
+    fn stay_chance(&self, place: &Place, ready: f64, places: usize) -> f64 {
         let open = |(region, weight): (&RegionModel, &f64)| if *weight > 0.0 { region.ready } else { 0.0 };
         let all: f64 = self.regions.iter().zip(&self.weights).map(open).sum();
         if all <= 0.0 {
@@ -315,9 +344,9 @@
             own: self.arrivals.per_second(place.now),
             all: if told { self.regions.iter().map(|region| region.told_load).sum() } else { 0.0 },
             balancers: place.balancers,
-            regions: place.regions,
+            places,
         };
-        self.home.chance(self.regions[place.home].ready / all, &traffic)
+        self.home.chance(ready / all, &traffic)
     }
 
     fn mean_in_flight(&self) -> f64 {
--- a/dataplane/routing/tests/ordinary_path.rs
+++ b/dataplane/routing/tests/ordinary_path.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use whinspindle_configuration::{Backend, RouteKind};
-use whinspindle_routing::{Choice, Outcome, RequestFacts, Router};
+use whinspindle_routing::{Choice, Outcome, RequestFacts, Router, RouterSettings};
 
 /// Parts of sends by region; each is answered after the time that its region takes.
 fn play(
@@ -261,3 +261,51 @@
         assert!(matches!(router.choose(0, &facts, &[]), Choice::Refuse(_)));
     }
 }
+
+/// A router in zone z1 of region a, which has zones z1 and z2; region b has the others.
+fn in_a_region_of_two_zones(seed: u64, instances: Vec<whinspindle_distribution::Instance>) -> Router {
+    let zones = [("z1", "a"), ("z2", "a"), ("z3", "b"), ("z4", "b")];
+    let zones = zones.into_iter().map(|(zone, region)| (zone.to_owned(), region.to_owned())).collect();
+    let settings = RouterSettings { zone: "z1".to_owned(), zones, ..settings("a", seed) };
+    let mut router = Router::new(settings, 0);
+    let routes = vec![route("r", RouteKind::Safe)];
+    router.configure(0, &configuration(GENERATION, routes, vec![service(SERVICE, 0.0)]));
+    router.instances(0, &list(instances));
+    router.fleet(0, &fleet(8, vec![]));
+    router
+}
+
+/// The part of 400 requests that the zone serves.
+fn part_of_zone(router: &mut Router, zone: &str) -> f64 {
+    let sends = (0..400).filter(|&number| {
+        let (attempt, key) = send(router, number * 20, &facts()).expect("there are instances");
+        let is_there = router.target(key).expect("a known instance").zone == zone;
+        router.finished(number * 20, attempt, Outcome::Served);
+        is_there
+    });
+    sends.count() as f64 / 400.0
+}
+
+#[test]
+fn a_zone_keeps_what_it_can_serve() {
+    let instances = (1..=16).map(|number| instance(number, ["z1", "z2", "z3", "z4"][number as usize % 4]));
+    let mut router = in_a_region_of_two_zones(1, instances.collect());
+    assert!(part_of_zone(&mut router, "z1") > 0.95);
+}
+
+#[test]
+fn a_zone_with_few_instances_sends_the_rest_to_its_region() {
+    let zone = |number: u8| if number == 1 { "z1" } else { ["z2", "z3", "z4"][usize::from(number) % 3] };
+    let mut router =
+        in_a_region_of_two_zones(1, (1..=16).map(|number| instance(number, zone(number))).collect());
+    let part = part_of_zone(&mut router, "z1");
+    assert!(part > 0.1 && part < 0.5, "one of 16 instances, and a quarter of the requests: {part}");
+    assert!(part_of_zone(&mut router, "z2") > 0.2, "the rest stays in the region where it can");
+}
+
+#[test]
+fn without_an_instance_in_the_zone_the_region_serves() {
+    let instances = (1..=8).map(|number| instance(number, ["z2", "z3"][number as usize % 2]));
+    let mut router = in_a_region_of_two_zones(1, instances.collect());
+    assert!(part_of_zone(&mut router, "z2") > 0.9);
+}
