Registry: the test of recalled instances looks for silence as often as a controller does

The test let a second and a half pass between two looks, which the registry rightly takes for a pause of its own process and excuses; it failed since it came, as only the controller's tests were run after it. It now looks every second, as the registry asks of its owner, and still wants the instance kept at the last moment and gone right after.

--- a/controlplane/registry/tests/instances.rs
+++ b/controlplane/registry/tests/instances.rs
@@ -356,9 +356,9 @@
     assert_eq!(ids(&registry), ["a"]);
     assert!(registry.heard(0).is_empty());
     assert_eq!(registry.recalled(0).len(), 1);
-    registry.expire(1_000);
-    registry.expire(2_000);
-    registry.expire(SILENCE_MS);
+    for now in [1_000, 2_000, 3_000, SILENCE_MS] {
+        registry.expire(now);
+    }
     assert_eq!(ids(&registry), ["a"]);
     registry.expire(SILENCE_MS + 1);
     assert!(ids(&registry).is_empty());
