Links come to stand soon after a start of the whole core

After a loss of power balancers learned of the quorum only with the next keep-alive, up to 0.3 s later, and agents whose first attempts had failed waited up to a second for the next: links stood up to 0.3 s after the quorum. Now a controller tells its balancers of a quorum at once, with what is to be published then; agents try again every 100 ms for the first 20 attempts before they turn patient.

--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -152,6 +152,7 @@
     started_at: u64,
     /// When the replica was last seen in a quorum.
     quorum_at: Option<u64>,
+    was_in_quorum: bool,
     /// How long a controller that has just started learns before it tells what it knows.
     learning_ms: u64,
     /// Another controller has told all that lives.
@@ -195,6 +196,7 @@
             acquaintances: Acquaintances::default(),
             started_at: now,
             quorum_at: None,
+            was_in_quorum: false,
             learning_ms,
             is_taught: false,
             has_recalled: false,
@@ -296,6 +298,12 @@
         }
         self.registry.set_isolated(now, !in_quorum);
         self.leases.set_isolated(!in_quorum);
+        let is_gained = !std::mem::replace(&mut self.was_in_quorum, in_quorum) && in_quorum;
+        if is_gained {
+            // Balancers may wait for just that.
+            self.send_links(now);
+            self.publish(now);
+        }
     }
 
     fn expire(&mut self, now: u64) {
@@ -461,6 +469,9 @@
             self.acquaintances.mentioned(now, &heartbeat.heard);
         }
         self.step(now, Input::Message { from, message });
+        if !self.was_in_quorum {
+            self.note_quorum(now);
+        }
     }
 
     fn take_outputs(&mut self, now: u64, outputs: Vec<Output>) {
--- a/controlplane/controller/tests/fleet.rs
+++ b/controlplane/controller/tests/fleet.rs
@@ -15,6 +15,8 @@
 
 /// While the core is calm an order is acknowledged within this time, wherever it goes.
 const CALM_ORDER_MS: u64 = 400;
+/// After a start of all controllers balancers are told of a quorum within this time.
+const QUORUM_MS: u64 = 250;
 /// After a start of all controllers balancers are told what was known within this time.
 const RECALL_MS: u64 = 1_000;
 /// An order is acknowledged within this time after a trouble.
@@ -159,6 +161,22 @@
     }
 }
 
+#[test]
+fn after_a_loss_of_power_a_quorum_comes_about_soon_and_is_told_at_once() {
+    for seed in 20..40 {
+        let mut fleet = after_loss_of_power(seed, &[]);
+        for number in 1..=3 {
+            fleet.report(endpoint(number), u64::from(number), report(number, "zone-a"));
+        }
+        fleet.pass(QUORUM_MS);
+        for number in 1..=3 {
+            let subscriber = SubscriberId(number);
+            let told = fleet.links.iter().any(|(to, link)| *to == subscriber && link.in_quorum);
+            assert!(told, "controller {number}, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn after_a_loss_of_power_clients_are_told_where_balancers_were() {
     let mut fleet = after_loss_of_power(9, &[2]);
--- a/dataplane/agent/src/catalog.rs
+++ b/dataplane/agent/src/catalog.rs
@@ -8,9 +8,11 @@
 
 /// The most controllers that are remembered.
 const MAXIMUM_KNOWN: usize = 32;
-/// Pause after a failed attempt; doubled for each further one, up to the longest.
-const FIRST_PAUSE_MS: u64 = 250;
-const LONGEST_PAUSE_MS: u64 = 1_000;
+/// Pause after a failed attempt: short at first, since controllers often come up together with the agent.
+const EAGER_PAUSE_MS: u64 = 100;
+/// So many attempts in a row are eager.
+const EAGER_ATTEMPTS: u32 = 20;
+const PATIENT_PAUSE_MS: u64 = 1_000;
 /// Pause for a controller that answers and cannot serve.
 const REJECTED_PAUSE_MS: u64 = 2_000;
 
@@ -94,9 +96,9 @@
     /// Notes a failed attempt or a lost link.
     pub fn failed(&mut self, now: u64, endpoint: SocketAddr) {
         if let Some(known) = self.known.get_mut(&endpoint) {
-            let pause = FIRST_PAUSE_MS << known.failures.min(8);
             known.failures += 1;
-            known.not_before = now + pause.min(LONGEST_PAUSE_MS);
+            let is_eager = known.failures <= EAGER_ATTEMPTS;
+            known.not_before = now + if is_eager { EAGER_PAUSE_MS } else { PATIENT_PAUSE_MS };
         }
     }
 
--- a/dataplane/agent/tests/link.rs
+++ b/dataplane/agent/tests/link.rs
@@ -232,3 +232,16 @@
     assert_eq!(world.links().last(), Some(&endpoint(2)));
     assert!(world.linked_at() <= 200 + SILENCE_MS + RELINK_MS);
 }
+
+#[test]
+fn controllers_that_come_up_together_with_the_agent_are_reached_soon() {
+    for started_at in [50, 300, 700, 1_500] {
+        let mut world = World::new(&three(), &[1, 2, 3], 1);
+        (1..=3).for_each(|number| world.set_mode(number, Mode::Down));
+        world.run_until(started_at);
+        assert!(world.linked_to().is_empty());
+        (1..=3).for_each(|number| world.set_mode(number, Mode::Up));
+        world.run_until(started_at + 200);
+        assert_eq!(world.linked_to().len(), 1, "started after {started_at} ms");
+    }
+}
