Proxy: requests wait for the first moment of a process

A proxy that had just started refused what came in the half second before its configuration; a client with one further try came back too early and was refused for good. Now requests wait until configuration and instances are known, within the first second of the process and for a quarter of the client's time at most; later, without a configuration, the refusal comes at once as before.

--- a/dataplane/proxy/src/clock.rs
+++ b/dataplane/proxy/src/clock.rs
@@ -12,6 +12,10 @@
         Clock { start: Instant::now() }
     }
 
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
     pub fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -22,6 +22,10 @@
 
 /// A body must be whole after so long if the client gives no time.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
+/// A process that has just started is told what it needs within this time; requests wait for it meanwhile.
+const START: Duration = Duration::from_millis(1_000);
+/// They wait for this part of the time that the client gives at most.
+const START_PART: u32 = 4;
 /// Bytes of a header beside its name and value.
 const HEADER_OVERHEAD: usize = ": \r\n".len();
 
@@ -55,6 +59,7 @@
     let body = read_body(body, most, &mut room, received + patience).await?;
     let version = parts.version;
     let request = ClientRequest::new(parts, body, received);
+    node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
     let matched = match_route(node, &request)?;
     // The end of a stream can't be told from its break there.
     if version == Version::HTTP_10 && matched.route().kind == RouteKind::Streaming {
--- a/dataplane/proxy/src/node.rs
+++ b/dataplane/proxy/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 use whinspindle_configuration::{Configuration, ConfigurationError, Settings};
 use whinspindle_distribution::{Holder, Update};
 use whinspindle_routing::{Router, RouterSettings};
@@ -31,6 +32,8 @@
     /// Something has changed that the control plane wants to know at once.
     pub report_due: Notify,
     pub holder: RefCell<Holder>,
+    /// Something new is in force.
+    news: Notify,
     pub tally: Tally,
     configuration: RefCell<Option<Arc<Configuration>>>,
     balancers: Cell<u32>,
@@ -59,6 +62,7 @@
             stop: Stop::new(StopTimes::of(grace)),
             report_due: Notify::new(),
             holder: RefCell::default(),
+            news: Notify::new(),
             tally: Tally::default(),
             configuration: RefCell::default(),
             balancers: Cell::new(1),
@@ -73,8 +77,16 @@
 
     /// A configuration and the instances are known, and the process is not stopping.
     pub fn is_ready(&self) -> bool {
-        let knows = self.configuration.borrow().is_some() && self.holder.borrow().instances().is_some();
-        knows && !self.stop.is_ordered()
+        self.is_informed() && !self.stop.is_ordered()
+    }
+
+    fn is_informed(&self) -> bool {
+        self.configuration.borrow().is_some() && self.holder.borrow().instances().is_some()
+    }
+
+    /// Waits until a configuration and the instances are known, not longer than until then.
+    pub async fn informed(&self, until: Instant) {
+        while !self.is_informed() && timeout_at(until, self.news.notified()).await.is_ok() {}
     }
 
     /// The most connections that this process may have to one upstream of a service.
@@ -99,6 +111,8 @@
         if let Some(instances) = &news.instances {
             router.instances(now, instances);
         }
+        drop(router);
+        self.news.notify_waiters();
         configured.unwrap_or(Ok(()))
     }
 
--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -282,7 +282,8 @@
         world
     }
 
-    fn furnish(&self) {
+    /// Tells the proxy of a configuration, the upstreams and the number of balancers.
+    pub fn furnish(&self) {
         self.configure(1, CONFIGURATION);
         self.instances(1, &[]);
         let fleet = Fleet { version: 1, balancers: 1, loads: Vec::new() };
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -102,6 +102,46 @@
     });
 }
 
+#[test]
+fn requests_wait_for_a_process_that_has_just_started() {
+    play(async {
+        let world = World::empty();
+        world.upstreams.script(served("ok"));
+        let informed = async {
+            sleep(Duration::from_millis(600)).await;
+            world.furnish();
+        };
+        let began = Instant::now();
+        let request = post("/unsafe/x");
+        let (got, ()) = tokio::join!(world.ask(&request), informed);
+        assert_eq!(status(&got), 200);
+        assert!(began.elapsed() < Duration::from_millis(650), "{:?}", began.elapsed());
+    });
+}
+
+#[test]
+fn requests_wait_for_no_process_that_has_been_up_for_long() {
+    play(async {
+        let world = World::empty();
+        sleep(Duration::from_millis(1_000)).await;
+        let began = Instant::now();
+        assert_eq!(status(&world.ask(&post("/unsafe/x")).await), 503);
+        assert!(began.elapsed() < REST, "at once");
+    });
+}
+
+#[test]
+fn a_request_waits_for_a_start_only_for_a_part_of_its_time() {
+    play(async {
+        let world = World::empty();
+        let began = Instant::now();
+        let request = post("/unsafe/x").replace("Deadline-Ms: 3000", "Deadline-Ms: 1200");
+        let got = world.ask(&request).await;
+        assert_eq!(status(&got), 503);
+        assert!(began.elapsed() <= Duration::from_millis(310), "{:?}", began.elapsed());
+    });
+}
+
 #[test]
 fn a_request_that_may_have_run_is_not_repeated() {
     let unstamped = vec![answer("200 OK", "", "x")];
