Replica: a majority of few replicas goes on; seeds that are gone are not asked

Three replicas told to bear two losses stopped at the first; what is missing is lost already, so a majority is a chain that takes writes. Seeds are messaged only while no majority is heard.

--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -123,6 +123,8 @@
     /// The identity is on the disk.
     is_started: bool,
     was_stalled: bool,
+    /// A majority of the voters is heard: the seeds, some of which may be gone for good, are not needed.
+    is_in_touch: bool,
     behind_since: Option<u64>,
 }
 
@@ -170,6 +172,7 @@
             inbox: VecDeque::new(),
             is_started: checkpoint.is_some(),
             was_stalled: false,
+            is_in_touch: false,
             behind_since: None,
             state,
             settings,
@@ -248,7 +251,8 @@
     pub fn peers(&self) -> Vec<SocketAddr> {
         let members = self.view().members.iter().map(|member| member.endpoint);
         let heard = self.peers.iter().map(|(endpoint, _)| *endpoint);
-        let known = members.chain(heard).chain(self.settings.seeds.iter().copied());
+        let seeds = self.settings.seeds.iter().copied().filter(|_| !self.is_in_touch);
+        let known = members.chain(heard).chain(seeds);
         let endpoints: BTreeSet<SocketAddr> =
             known.filter(|known| *known != self.settings.endpoint).collect();
         endpoints.into_iter().collect()
@@ -349,6 +353,7 @@
             self.send_heartbeats(now);
         }
         self.peers.forget_silent(now);
+        self.is_in_touch = self.hears_majority(now);
         self.note_lag(now);
         self.tick_resume(now);
         self.tick_pull(now);
@@ -356,6 +361,12 @@
         self.send_submissions(now);
     }
 
+    fn hears_majority(&self, now: u64) -> bool {
+        let view = self.view();
+        let me = self.me();
+        view.has_majority(|voter| me == Some(voter) || self.peers.well(now, view, voter).is_some())
+    }
+
     fn note_lag(&mut self, now: u64) {
         let ahead = |peer: &crate::peers::Peer| peer.heartbeat.report.committed > self.state.committed;
         let is_behind = self.peers.iter().any(|(_, peer)| ahead(peer));
--- a/coordination/replica/src/view.rs
+++ b/coordination/replica/src/view.rs
@@ -133,11 +133,11 @@
         !self.boards.is_empty() && self.boards.iter().all(counts)
     }
 
-    /// The length of a chain that outlives the tolerated losses, as far as there are voters for it, and has a member
-    /// in every majority.
+    /// The length of a chain that outlives the tolerated losses and has a member in every majority. Where there are too
+    /// few voters for the tolerated losses, a majority of them is enough: those that are missing are lost already.
     pub fn required_chain(&self, tolerated_losses: usize) -> usize {
         let voters = self.boards.iter().map(Vec::len).max().unwrap_or(0);
-        (tolerated_losses + 1).min(voters).max(voters.div_ceil(2))
+        (tolerated_losses + 1).min(voters / 2 + 1).max(voters.div_ceil(2))
     }
 
     /// Whether the chain may take writes: it outlives the tolerated losses, and no majority that might agree on
--- a/coordination/replica/tests/faults.rs
+++ b/coordination/replica/tests/faults.rs
@@ -269,3 +269,28 @@
     println!("one of three lost, two learners: {took} ms");
     converges(&mut cluster, &mut clients, 3, "a learner has taken over");
 }
+
+#[test]
+fn with_fewer_replicas_than_the_losses_to_bear_a_majority_goes_on() {
+    let (mut cluster, mut clients) = settled(6, 3, 2);
+    converges(&mut cluster, &mut clients, 3, "three for two losses");
+    cluster.stop(endpoint(1));
+    serves(&mut cluster, &mut clients, &[], "one of three lost");
+    let (mut cluster, mut clients) = settled(6, 1, 0);
+    converges(&mut cluster, &mut clients, 1, "alone");
+    cluster.stop(endpoint(0));
+    cluster.start(endpoint(0));
+    serves(&mut cluster, &mut clients, &[], "alone, restarted");
+}
+
+#[test]
+fn all_members_are_replaced_one_after_the_other() {
+    let (mut cluster, mut clients) = settled(8, 3, 1);
+    for number in 0..4 {
+        cluster.remove(endpoint(number));
+        cluster.add(endpoint(number + 3), false);
+        cluster.start(endpoint(number + 3));
+        serves(&mut cluster, &mut clients, &[], "replaced");
+        converges(&mut cluster, &mut clients, 3, "replaced");
+    }
+}
