Router: what is down is refused at once; pauses reach over the outage

Cause: in outages of a route's regions clients were told to come back after 20 to 600 ms, came back into the same outage and were turned away for good; requests also spent up to a second on instances whose trials had failed. Change: an instance that failed at a trial after an earlier rest counts as down and is no last resort; refusals for want of upstreams tell four heartbeat intervals, for want of warm ones the time until the first is warm, within the third of the time that clients heed.

--- a/dataplane/routing/src/cold.rs
+++ b/dataplane/routing/src/cold.rs
@@ -74,16 +74,6 @@
         since >= 0.0 && pace.window_ms.is_none_or(|window| since % pace.spacing_ms < window)
     }
 
-    /// Milliseconds until there is room again.
-    pub(crate) fn wait_ms(&self, now: u64, pace: &ColdPace) -> f64 {
-        let Some(next) = self.next else { return pace.spacing_ms };
-        let since = now as f64 - next;
-        if since < 0.0 {
-            return -since;
-        }
-        if self.has_room(now, pace) { 0.0 } else { pace.spacing_ms - since % pace.spacing_ms }
-    }
-
     pub(crate) fn note_send(&mut self, now: u64, pace: &ColdPace) {
         let begun = if pace.window_ms.is_none() { now as f64 } else { self.window_begin(now, pace) };
         self.next = Some(begun + pace.spacing_ms);
--- a/dataplane/routing/src/health.rs
+++ b/dataplane/routing/src/health.rs
@@ -6,6 +6,9 @@
 /// A rest doubles so many times at most.
 const DOUBLINGS: u32 = 4;
 
+/// After so many rests in a row, each with a trial that failed, an instance counts as down.
+const RESTS_UNTIL_DOWN: u32 = 2;
+
 /// Counts sends that came to nothing, and rests the instance for a while: first shortly, then longer each time that
 /// the trial after a rest fails too.
 #[derive(Clone, Debug, Default)]
@@ -44,4 +47,9 @@
     pub(crate) fn is_resting(&self, now: u64, unanswered: u32) -> bool {
         now < self.resting_until || (self.rests > 0 && unanswered > 0)
     }
+
+    /// Whether it rests and the trial after an earlier rest failed too.
+    pub(crate) fn is_down(&self, now: u64, unanswered: u32) -> bool {
+        self.rests >= RESTS_UNTIL_DOWN && self.is_resting(now, unanswered)
+    }
 }
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -25,6 +25,8 @@
     Full,
     /// Cold, and this balancer's share is used.
     ColdSpent,
+    /// It has failed for a while, its last trial too: a send would be in vain.
+    Down,
     /// Not to be sent to by any rule.
     Closed,
 }
@@ -124,7 +126,9 @@
             let room = pace.is_some_and(|pace| self.cold_share.has_room(now, pace));
             return if room && !resting { Standing::ColdOpen } else { Standing::ColdSpent };
         }
-        if resting {
+        if self.health.is_down(now, self.unanswered) {
+            Standing::Down
+        } else if resting {
             Standing::Resting
         } else if self.is_full(now) {
             Standing::Full
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -33,7 +33,9 @@
 const LEAST_RETRY_AFTER_MS: f64 = 20.0;
 /// A pause is this part of the route's objective where nothing tells more.
 const RETRY_AFTER_PART: f64 = 0.25;
-const NO_UPSTREAM_RETRY_AFTER_MS: f64 = 500.0;
+/// Without any upstream it is this many heartbeat intervals: one that is back makes itself known with its heartbeat,
+/// and outages rarely end within a second.
+const NO_UPSTREAM_HEARTBEATS: u64 = 4;
 
 /// What a router is told of its place and of the figures that bound it.
 #[derive(Clone, Debug)]
@@ -211,7 +213,8 @@
         let Some((route, id, service)) =
             resolved.and_then(|(r, id)| Some((r, id, self.services.get_mut(id)?)))
         else {
-            return refuse(RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS, facts, &mut self.chance);
+            let wait_ms = no_upstream_wait_ms(&self.settings);
+            return refuse(RefusalReason::NoUpstream, wait_ms, facts, &mut self.chance);
         };
         if tried.is_empty() {
             service.note_arrival(now, place.bounds);
@@ -228,7 +231,7 @@
         let instance = match result {
             Ok(instance) => instance,
             Err(reason) => {
-                let wait_ms = retry_after_ms(reason, now, route, service);
+                let wait_ms = retry_after_ms(reason, now, route, service, &self.settings);
                 return refuse(reason, wait_ms, facts, &mut self.chance);
             }
         };
@@ -522,15 +525,25 @@
 }
 
 /// When another try makes sense, before what the client's time allows.
-fn retry_after_ms(reason: RefusalReason, now: u64, route: &RoutePlan, service: &Service) -> f64 {
+fn retry_after_ms(
+    reason: RefusalReason,
+    now: u64,
+    route: &RoutePlan,
+    service: &Service,
+    settings: &RouterSettings,
+) -> f64 {
     let part_of_target = RETRY_AFTER_PART * route.target_ms as f64;
     match reason {
         RefusalReason::Full | RefusalReason::RetryBudget => part_of_target,
         RefusalReason::Cold => service.cold_wait_ms(now).map_or(part_of_target, |wait| wait as f64),
-        RefusalReason::NoUpstream => NO_UPSTREAM_RETRY_AFTER_MS,
+        RefusalReason::NoUpstream => no_upstream_wait_ms(settings),
     }
 }
 
+fn no_upstream_wait_ms(settings: &RouterSettings) -> f64 {
+    (NO_UPSTREAM_HEARTBEATS * settings.heartbeat_ms) as f64
+}
+
 /// A refusal with the pause spread by chance, so that clients don't come back all at once.
 fn refuse(reason: RefusalReason, wait_ms: f64, facts: &RequestFacts, chance: &mut Pcg) -> Choice {
     let most = (MOST_OF_TIME_LEFT * facts.time_left_ms as f64).max(LEAST_RETRY_AFTER_MS);
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -226,16 +226,12 @@
         Ok(key)
     }
 
-    /// Milliseconds until a cold instance may have room for this balancer.
+    /// Milliseconds until the first cold instance is warm. There is less room than requests until then, so that those
+    /// that came back for this balancer's next share would be turned away again.
     pub(crate) fn cold_wait_ms(&self, now: u64) -> Option<u64> {
-        let wait = |instance: &InstanceState| {
-            let share =
-                self.pace.as_ref().map_or(f64::INFINITY, |pace| instance.cold_share.wait_ms(now, pace));
-            instance.cold_for_ms(now).min(share as u64)
-        };
         let cold =
             self.instances.values().filter(|instance| instance.may_be_sent_to() && instance.is_cold(now));
-        cold.map(wait).min()
+        cold.map(|instance| instance.cold_for_ms(now)).min()
     }
 
     fn has_told_loads(&self, now: u64) -> bool {
@@ -284,7 +280,7 @@
             Standing::Open | Standing::ColdOpen | Standing::Resting => Ok(()),
             Standing::Full => Err(RefusalReason::Full),
             Standing::ColdSpent => Err(RefusalReason::Cold),
-            Standing::Closed => Err(RefusalReason::NoUpstream),
+            Standing::Down | Standing::Closed => Err(RefusalReason::NoUpstream),
         }
     }
 
--- a/dataplane/routing/tests/health.rs
+++ b/dataplane/routing/tests/health.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use whinspindle_configuration::RouteKind;
+use whinspindle_configuration::{Route, RouteKind};
 use whinspindle_routing::{Choice, Outcome, RefusalReason, Router};
 
 fn plain(instances: Vec<whinspindle_distribution::Instance>) -> Router {
@@ -148,3 +148,40 @@
     assert_eq!(refused.reason, RefusalReason::NoUpstream);
     assert!(refused.retry_after_ms < facts().time_left_ms / 3);
 }
+
+/// Two sends in a row that come to nothing, then the trials after each rest until the given time.
+fn fail_until(router: &mut Router, until: u64) -> Vec<u64> {
+    let mut sent = Vec::new();
+    for now in 1..until {
+        router.tick(now);
+        if let Some((attempt, _)) = send(router, now, &facts()) {
+            sent.push(now);
+            router.finished(now, attempt, Outcome::Unreachable);
+        }
+    }
+    sent
+}
+
+/// A route that only region a may serve, and enough awake instances elsewhere that those of a may rest.
+fn bound_to_a() -> Router {
+    let route = Route { home_regions: vec!["a".to_owned()], ..route("r", RouteKind::Safe) };
+    router(1, route, spread([1, 4, 0]))
+}
+
+#[test]
+fn where_all_are_down_a_request_is_refused_at_once_and_for_long() {
+    let mut router = bound_to_a();
+    let sent = fail_until(&mut router, 3_000);
+    assert!(sent.iter().filter(|&&at| at > 700).count() <= 3, "{sent:?}");
+    let refused = refusal(router.choose(3_000, &facts(), &[]));
+    assert_eq!(refused.reason, RefusalReason::NoUpstream);
+    assert!((1_500..=facts().time_left_ms / 3).contains(&refused.retry_after_ms), "{refused:?}");
+}
+
+#[test]
+fn an_instance_that_was_down_serves_again_after_one_trial() {
+    let mut router = bound_to_a();
+    fail_until(&mut router, 3_000);
+    let back = (3_000..9_000).find(|&now| served_by(&mut router, now, &facts()).is_some()).expect("a trial");
+    assert!((back + 1..back + 50).all(|now| served_by(&mut router, now, &facts()).is_some()));
+}
