--- a/coordination/replica/src/chain.rs
+++ b/coordination/replica/src/chain.rs
@@ -26,7 +26,7 @@
     pub(crate) fn begin_session(&mut self, now: u64) {
         let view = &self.state.decided.view;
         let link = self.me().and_then(|me| view.link(me).copied());
-        let is_recorded = link.is_some_and(|link| self.state.complete >= link.since);
+        let is_recorded = link.is_some_and(|link| L::complete(self.state.complete, link.since) >= link.since);
         if !is_recorded {
             self.forget_pending();
         }
@@ -44,7 +44,7 @@
             since: link.since,
             predecessor: predecessor.map(Predecessor::new),
             successor: successor.map(|endpoint| Successor::new(endpoint, now)),
-            is_complete: is_recorded && self.durable_complete >= link.since,
+            is_complete: is_recorded && L::complete(self.durable_complete, link.since) >= link.since,
             newest: None,
             reads: VecDeque::new(),
         });
@@ -105,10 +105,10 @@
     }
 
     pub(crate) fn on_submit(&mut self, origin: Origin, command: &[u8]) {
-        if !self.is_taking_commands() || self.state.is_pending(origin) {
+        if !self.is_taking_commands() || L::is_repeat(self.state.is_pending(origin)) {
             return;
         }
-        if let Some(outcome) = self.state.outcome(origin) {
+        if let Some(outcome) = self.state.outcome(origin).filter(|_| L::is_repeat(true)) {
             let (sequence, answer) = (outcome.sequence, outcome.answer.clone());
             self.reply(origin, sequence, &answer);
             return;
@@ -119,6 +119,17 @@
         self.take_command(origin, command);
     }
 
+    /// Answers a read that was submitted here from the committed records; returns whether it did.
+    pub(crate) fn answer_at_tail(&mut self, origin: Origin, command: &[u8]) -> bool {
+        let is_tail = self.me().is_some() && self.view().tail() == self.me();
+        let evaluation = self.application.evaluate(&self.state.records, command);
+        if !is_tail || !evaluation.writes.is_empty() {
+            return false;
+        }
+        self.reply(origin, self.state.committed, &evaluation.answer);
+        true
+    }
+
     fn take_command(&mut self, origin: Origin, command: &[u8]) {
         let last = self.state.last();
         let view = self.state.decided.view.number;
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use whinspindle_agreement::{AsPublished, Ballot, Round, Voter};
+use whinspindle_agreement::{Ballot, Round, Voter};
 
 use crate::application::Application;
 use crate::disk::Afterwards;
@@ -30,7 +30,7 @@
 const STEADY: u64 = 500;
 
 /// A round that this replica has begun.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Proposal {
     round: Round<View>,
     reports: BTreeMap<Voter, Report>,
@@ -42,7 +42,7 @@
 }
 
 /// What is under way to change the view.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ViewChange {
     proposal: Option<Proposal>,
     highest_round: u64,
@@ -165,6 +165,7 @@
         places.insert(self.settings.endpoint, (self.settings.zone.clone(), self.settings.region.clone()));
         Situation {
             tolerated_losses: self.settings.tolerated_losses,
+            replaces_voters_jointly: L::replaces_voters_jointly(),
             present,
             lost,
             candidates: self.candidates(now, view),
@@ -249,7 +250,7 @@
         let Some(proposal) = &self.change.proposal else { return };
         let ballot = proposal.round.ballot;
         let known = self.view().number;
-        for voter in proposal.round.unheard::<AsPublished>() {
+        for voter in proposal.round.unheard::<L::Agreement>() {
             if let Some(to) = self.endpoint_of(voter) {
                 self.send(to, Message::Prepare { voter, ballot, known });
             }
@@ -303,7 +304,7 @@
         if proposal.round.is_writing() {
             return;
         }
-        let Some(found) = proposal.round.found::<AsPublished>().cloned() else { return };
+        let Some(found) = proposal.round.found::<L::Agreement>().cloned() else { return };
         let majority_at = *proposal.majority_at.get_or_insert(now);
         let reports = proposal.reports.clone();
         let is_awaited = |voter: Voter| !reports.contains_key(&voter) && self.is_awaited(now, &found, voter);
@@ -311,13 +312,13 @@
             return;
         }
         let present = reports.iter().filter_map(|(voter, report)| {
-            let standing = self.promised_standing(now, *voter, *report)?;
+            let standing = self.promised_standing(now, &found, *voter, *report)?;
             Some((*voter, standing))
         });
         let situation = self.situation(now, &found, present.collect());
         let Some(next) = next_view(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
-        proposal.round.write::<AsPublished>(next);
+        proposal.round.write::<L::Agreement>(next);
         proposal.asked_at = now;
         self.ask_for_votes();
     }
@@ -326,7 +327,7 @@
         self.peers.well(now, found, voter).is_some()
     }
 
-    fn promised_standing(&self, now: u64, voter: Voter, report: Report) -> Option<Standing> {
+    fn promised_standing(&self, now: u64, found: &View, voter: Voter, report: Report) -> Option<Standing> {
         if self.owes_too_long(now, voter) {
             return None;
         }
@@ -334,7 +335,9 @@
         let heartbeat = endpoint.and_then(|endpoint| self.peers.get(endpoint)).map(|peer| &peer.heartbeat);
         let is_own = endpoint == Some(self.settings.endpoint);
         let is_leaving = if is_own { self.is_leaving } else { heartbeat.is_some_and(|peer| peer.is_leaving) };
-        Some(Standing::new(report, is_leaving))
+        let since = found.link(voter).map_or(0, |link| link.since);
+        let complete = L::complete(report.complete, since);
+        Some(Standing::new(Report { complete, ..report }, is_leaving))
     }
 
     pub(crate) fn on_prepare(
@@ -346,7 +349,7 @@
         known: u64,
     ) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         if self.view().number > known {
@@ -363,7 +366,11 @@
                     self.change.wanted = None;
                 }
                 let accepted = votes.accepted.clone();
-                self.record_votes(votes);
+                if L::records_promises() {
+                    self.record_votes(votes);
+                } else {
+                    self.state.votes = votes;
+                }
                 let report = self.report();
                 let message = Message::Promise { voter, ballot, accepted, report };
                 self.afterwards(now, Afterwards::Send { to: from, message: Box::new(message) });
@@ -373,11 +380,11 @@
 
     pub(crate) fn on_accept(&mut self, now: u64, from: SocketAddr, voter: Voter, ballot: Ballot, view: View) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         let mut votes = self.state.votes.clone();
-        match votes.accept::<AsPublished>(ballot, view) {
+        match votes.accept::<L::Agreement>(ballot, view) {
             Err(promised) => self.send(from, Message::Rejected { ballot, promised }),
             Ok(()) => {
                 self.record_votes(votes);
@@ -405,12 +412,12 @@
         if proposal.round.ballot != ballot || proposal.round.is_writing() {
             return;
         }
-        let unheard = proposal.round.unheard::<AsPublished>().len();
+        let unheard = proposal.round.unheard::<L::Agreement>().len();
         let members = accepted.iter().flat_map(|(_, view)| &view.members);
         proposal.endpoints.extend(members.map(|member| (member.voter, member.endpoint)));
         proposal.round.promised(voter, accepted);
         proposal.reports.insert(voter, report);
-        let has_grown = proposal.round.unheard::<AsPublished>().len() >= unheard;
+        let has_grown = proposal.round.unheard::<L::Agreement>().len() >= unheard;
         if has_grown {
             self.ask_for_promises();
         }
@@ -422,7 +429,7 @@
         if proposal.round.ballot != ballot {
             return;
         }
-        let Some(view) = proposal.round.voted::<AsPublished>(voter).cloned() else { return };
+        let Some(view) = proposal.round.voted::<L::Agreement>(voter).cloned() else { return };
         let decided = Decided { ballot, view };
         for member in &decided.view.members.clone() {
             self.send(member.endpoint, Message::Decided(decided.clone()));
--- a/coordination/replica/src/disk.rs
+++ b/coordination/replica/src/disk.rs
@@ -32,7 +32,7 @@
 }
 
 /// The queue before the disk.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Disk {
     queue: Vec<Vec<u8>>,
     /// Records handed in, durable or not.
--- a/coordination/replica/src/laws.rs
+++ b/coordination/replica/src/laws.rs
@@ -1,9 +1,16 @@
 //! The rules that keep what was acknowledged.
 
+use std::fmt::Debug;
+
+use whinspindle_agreement::AsPublished;
+
 use crate::settings::ReplicaSettings;
 
 /// What must hold. The defaults are what the program runs; tests plant faults in their place.
-pub trait Laws {
+pub trait Laws: Clone + Debug {
+    /// How the votes for a view are counted.
+    type Agreement: whinspindle_agreement::Laws;
+
     /// Up to which entry a member may acknowledge, pass on and commit.
     fn settled(durable: u64, _last: u64) -> u64 {
         durable
@@ -14,15 +21,59 @@
         false
     }
 
+    /// Whether the tail answers reads that are submitted to it by itself, without a pass of the chain.
+    fn tail_answers_reads() -> bool {
+        false
+    }
+
+    /// Whether a command is a repeat, which is not carried out again, if it is `known`: it waits in the log, or its
+    /// outcome is kept.
+    fn is_repeat(known: bool) -> bool {
+        known
+    }
+
+    /// Whether the outcomes of the commands that made the records are sent with the records.
+    fn transfers_outcomes() -> bool {
+        true
+    }
+
+    /// The last view in which a member's log counts as complete, by the one that is `recorded` on its disk and the
+    /// view since which it is in the chain.
+    fn complete(recorded: u64, _since: u64) -> u64 {
+        recorded
+    }
+
     /// The identity taken with an empty disk: a founding member's only where the whole system begins.
     fn birth(settings: &ReplicaSettings) -> u64 {
         let founds = settings.bootstrap && settings.seeds.contains(&settings.endpoint);
         if founds { 0 } else { settings.birth }
     }
+
+    /// Whether a replica is the voter that is meant, by the births of both.
+    fn is_same_birth(meant: u64, own: u64) -> bool {
+        meant == own
+    }
+
+    /// Whether a promise is written to the disk before it is given.
+    fn records_promises() -> bool {
+        true
+    }
+
+    /// Whether the old and the new voters both have to agree while voters are replaced.
+    fn replaces_voters_jointly() -> bool {
+        true
+    }
+
+    /// The start of the process, which tells its tickets from those of the process before it.
+    fn start(settings: &ReplicaSettings) -> u64 {
+        settings.start
+    }
 }
 
 /// The laws as the program keeps them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AsDesigned;
 
-impl Laws for AsDesigned {}
+impl Laws for AsDesigned {
+    type Agreement = AsPublished;
+}
--- a/coordination/replica/src/peers.rs
+++ b/coordination/replica/src/peers.rs
@@ -24,7 +24,7 @@
 }
 
 /// All that were heard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Peers {
     endpoint: SocketAddr,
     timing: Timing,
--- a/coordination/replica/src/plan.rs
+++ b/coordination/replica/src/plan.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Situation {
     pub tolerated_losses: usize,
+    /// Whether the voters of before agree together with those that replace some of them, until these have begun.
+    pub replaces_voters_jointly: bool,
     /// Voters that take part; others are not to be in the next chain.
     pub present: BTreeMap<Voter, Standing>,
     /// Voters that may be replaced.
@@ -97,6 +99,9 @@
         if old != new {
             self.next.boards.push(new);
         }
+        if !self.situation.replaces_voters_jointly {
+            self.next.boards.drain(..self.next.boards.len() - 1);
+        }
     }
 
     /// The best candidate for a lost voter's place: at its endpoint, else in its zone, else any.
--- a/coordination/replica/src/recent.rs
+++ b/coordination/replica/src/recent.rs
@@ -7,7 +7,7 @@
 const MOST_ENTRIES: usize = 256;
 const MOST_BYTES: usize = 512 * 1024;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Recent {
     entries: VecDeque<Entry>,
     bytes: usize,
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -96,6 +96,7 @@
 const BEHIND: u64 = 500;
 
 /// One replica.
+#[derive(Clone, Debug)]
 pub struct Replica<A, L = AsDesigned> {
     pub(crate) application: A,
     laws: PhantomData<L>,
@@ -270,7 +271,7 @@
     /// This replica as a voter of the view.
     pub(crate) fn me(&self) -> Option<Voter> {
         let member = self.view().member_at(self.settings.endpoint)?;
-        (member.voter.birth == self.state.birth).then_some(member.voter)
+        L::is_same_birth(member.voter.birth, self.state.birth).then_some(member.voter)
     }
 
     pub(crate) fn report(&self) -> Report {
@@ -399,10 +400,13 @@
         if !self.is_started {
             return;
         }
-        let (endpoint, start) = (self.settings.endpoint, self.settings.start);
+        let (endpoint, start) = (self.settings.endpoint, L::start(&self.settings));
         let number = view.number;
         for (ticket, command) in self.submissions.due(now, number, &self.settings.timing) {
             let origin = Origin { endpoint, start, ticket };
+            if L::tail_answers_reads() && self.answer_at_tail(origin, &command) {
+                continue;
+            }
             self.send(head, Message::Submit { origin, command });
         }
     }
@@ -457,7 +461,7 @@
     }
 
     fn on_replied(&mut self, start: u64, ticket: u64, reply: Reply) {
-        if start == self.settings.start && self.submissions.answered(ticket) {
+        if start == L::start(&self.settings) && self.submissions.answered(ticket) {
             self.outputs.push(Output::Reply { ticket, result: Ok(reply) });
         }
     }
--- a/coordination/replica/src/session.rs
+++ b/coordination/replica/src/session.rs
@@ -83,7 +83,7 @@
 }
 
 /// The part in the chain of one view.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Session {
     pub view: u64,
     /// The view since which this replica is in the chain.
--- a/coordination/replica/src/submissions.rs
+++ b/coordination/replica/src/submissions.rs
@@ -5,7 +5,7 @@
 use crate::replica::SubmitError;
 use crate::settings::Timing;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Waiting {
     command: Vec<u8>,
     submitted_at: u64,
@@ -19,7 +19,7 @@
     view: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Submissions {
     by_ticket: BTreeMap<u64, Waiting>,
 }
--- a/coordination/replica/src/synchronize.rs
+++ b/coordination/replica/src/synchronize.rs
@@ -113,7 +113,9 @@
             None => {
                 transfer.ranges = differing_ranges(&self.state.records, digests);
                 transfer.position = committed;
-                transfer.outcomes = self.state.outcomes.iter().cloned().collect();
+                if L::transfers_outcomes() {
+                    transfer.outcomes = self.state.outcomes.iter().cloned().collect();
+                }
             }
         }
         let after = base.max(committed);
--- a/coordination/replica/tests/planted.rs
+++ b/coordination/replica/tests/planted.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::schedule::{Fault, Schedule, Step, play};
-use whinspindle_replica::{AsDesigned, Laws, ReplicaSettings};
+use whinspindle_replica::{AsDesigned, AsPublished, Laws, ReplicaSettings};
 
 /// The schedule is played with so many seeds.
 const SEEDS: u64 = 100;
@@ -28,8 +28,11 @@
 /// All lose power while their disks are slow.
 #[test]
 fn members_that_acknowledge_before_the_disk_has_it_are_found() {
+    #[derive(Clone, Debug)]
     struct Hasty;
     impl Laws for Hasty {
+        type Agreement = AsPublished;
+
         fn settled(_durable: u64, last: u64) -> u64 {
             last
         }
@@ -47,8 +50,11 @@
 /// The head is cut off, and those that go on without it write.
 #[test]
 fn a_head_that_answers_reads_itself_is_found() {
+    #[derive(Clone, Debug)]
     struct Lonely;
     impl Laws for Lonely {
+        type Agreement = AsPublished;
+
         fn head_answers_reads() -> bool {
             true
         }
@@ -60,8 +66,11 @@
 /// another voter it makes no majority with it.
 #[test]
 fn a_member_that_votes_as_if_it_remembered_is_found() {
+    #[derive(Clone, Debug)]
     struct Forgetful;
     impl Laws for Forgetful {
+        type Agreement = AsPublished;
+
         fn birth(settings: &ReplicaSettings) -> u64 {
             if settings.seeds.contains(&settings.endpoint) { 0 } else { settings.birth }
         }
