Replica tests: six more faults planted, each found by a directed schedule

A tail that answers reads itself, a repeat taken for a new order, a ticket used again after a restart, a joiner that counts before it has all, a voter that answers for its old birth, a transfer without outcomes. The laws as designed bear each schedule with 100 seeds.

--- a/coordination/replica/tests/planted.rs
+++ b/coordination/replica/tests/planted.rs
@@ -3,30 +3,52 @@
 
 mod common;
 
-use common::schedule::{Fault, Schedule, Step, play};
+use common::node::Moment;
+use common::schedule::{Fault, Schedule, Step, Trigger, play};
 use whinspindle_replica::{AsDesigned, AsPublished, Laws, ReplicaSettings};
 
-/// The schedule is played with so many seeds.
+/// A schedule is played with so many seeds at most.
 const SEEDS: u64 = 100;
 
-/// Whether the laws as designed bear the schedule, and one of the plays under others shows a history that is not
-/// linearizable.
-fn shows<L: Laws + 'static>(faults: &[(u64, Fault)]) {
-    let step = |(wait, fault): &(u64, Fault)| Step { wait: *wait, trigger: None, fault: fault.clone() };
-    let steps: Vec<Step> = faults.iter().map(step).collect();
+/// What a fault is planted in: so many replicas, and how many of them may be lost.
+#[derive(Clone, Copy)]
+struct Setting {
+    count: usize,
+    tolerated_losses: usize,
+    is_busy: bool,
+}
+
+const THREE: Setting = Setting { count: 3, tolerated_losses: 1, is_busy: false };
+const WITH_LEARNERS: Setting = Setting { count: 5, tolerated_losses: 1, is_busy: true };
+
+/// A step without a trigger.
+fn step(wait: u64, fault: Fault) -> Step {
+    Step { wait, trigger: None, fault }
+}
+
+/// A step that waits for this moment at some replica.
+fn at(wait: u64, moment: Moment, fault: Fault) -> Step {
+    Step { wait, trigger: Some(Trigger { moment, strikes_there: false }), fault }
+}
+
+/// Whether the laws as designed bear the schedule with each seed, and others show a history that is not linearizable
+/// with one of them.
+fn shows<L: Laws + 'static>(setting: Setting, steps: &[Step]) {
+    let Setting { count, tolerated_losses, is_busy } = setting;
     let schedule = |seed| Schedule {
         seed,
         has_calm_losses: false,
         loss: 0,
         longest_delay: 10,
-        is_busy: false,
-        steps: steps.clone(),
+        is_busy,
+        steps: steps.to_vec(),
     };
     for seed in 0..SEEDS {
-        play::<AsDesigned>(&schedule(seed), 3, 1).unwrap();
+        play::<AsDesigned>(&schedule(seed), count, tolerated_losses).unwrap();
     }
-    let is_shown = |seed| {
-        play::<L>(&schedule(seed), 3, 1).is_err_and(|fault: String| fault.contains("not linearizable"))
+    let is_shown = |seed: u64| {
+        let played = play::<L>(&schedule(seed), count, tolerated_losses);
+        played.is_err_and(|fault| fault.contains("not linearizable"))
     };
     assert!((0..SEEDS).any(is_shown));
 }
@@ -43,14 +65,17 @@
             last
         }
     }
-    shows::<Hasty>(&[
-        (500, Fault::Slow(0, 200)),
-        (0, Fault::Slow(1, 200)),
-        (0, Fault::Slow(2, 200)),
-        (1_500, Fault::StopAll),
-        (100, Fault::StartAll),
-        (2_000, Fault::Heal),
-    ]);
+    shows::<Hasty>(
+        THREE,
+        &[
+            step(500, Fault::Slow(0, 200)),
+            step(0, Fault::Slow(1, 200)),
+            step(0, Fault::Slow(2, 200)),
+            step(1_500, Fault::StopAll),
+            step(100, Fault::StartAll),
+            step(2_000, Fault::Heal),
+        ],
+    );
 }
 
 /// The head is cut off, and those that go on without it write.
@@ -65,7 +90,7 @@
             true
         }
     }
-    shows::<Lonely>(&[(500, Fault::Isolate(0)), (3_000, Fault::Heal)]);
+    shows::<Lonely>(THREE, &[step(500, Fault::Isolate(0)), step(3_000, Fault::Heal)]);
 }
 
 /// Two go on without the third. One of them loses its disk, and comes back together with the third only: as
@@ -81,11 +106,140 @@
             if settings.seeds.contains(&settings.endpoint) { 0 } else { settings.birth }
         }
     }
-    shows::<Forgetful>(&[
-        (500, Fault::Stop(2)),
-        (3_000, Fault::StopAllAndWipe(1)),
-        (500, Fault::Start(1)),
-        (0, Fault::Start(2)),
-        (3_500, Fault::Heal),
-    ]);
+    shows::<Forgetful>(
+        THREE,
+        &[
+            step(500, Fault::Stop(2)),
+            step(3_000, Fault::StopAllAndWipe(1)),
+            step(500, Fault::Start(1)),
+            step(0, Fault::Start(2)),
+            step(3_500, Fault::Heal),
+        ],
+    );
+}
+
+/// The tail is cut off, and those that go on without it write.
+#[test]
+fn a_tail_that_answers_reads_itself_is_found() {
+    #[derive(Clone, Debug)]
+    struct Stale;
+    impl Laws for Stale {
+        type Agreement = AsPublished;
+
+        fn tail_answers_reads() -> bool {
+            true
+        }
+    }
+    shows::<Stale>(THREE, &[step(500, Fault::Isolate(2)), step(3_000, Fault::Heal)]);
+}
+
+/// The tail is cut off when it answers, so that commands are sent again.
+#[test]
+fn a_repeat_that_is_taken_for_a_new_order_is_found() {
+    #[derive(Clone, Debug)]
+    struct Gullible;
+    impl Laws for Gullible {
+        type Agreement = AsPublished;
+
+        fn is_repeat(_known: bool) -> bool {
+            false
+        }
+    }
+    shows::<Gullible>(THREE, &[at(500, Moment::Reply, Fault::Mute(2)), step(1_000, Fault::Heal)]);
+}
+
+/// Replicas start again: their tickets begin with 1 again.
+#[test]
+fn a_ticket_that_is_used_again_after_a_restart_is_found() {
+    #[derive(Clone, Debug)]
+    struct Timeless;
+    impl Laws for Timeless {
+        type Agreement = AsPublished;
+
+        fn start(_settings: &ReplicaSettings) -> u64 {
+            0
+        }
+    }
+    shows::<Timeless>(
+        THREE,
+        &[step(500, Fault::Stop(1)), step(100, Fault::Start(1)), step(1_000, Fault::Heal)],
+    );
+}
+
+/// One that was down joins the chain again, its disk slow, while the others lose touch.
+#[test]
+fn a_joiner_that_counts_before_it_has_all_is_found() {
+    #[derive(Clone, Debug)]
+    struct Premature;
+    impl Laws for Premature {
+        type Agreement = AsPublished;
+
+        fn complete(recorded: u64, since: u64) -> u64 {
+            recorded.max(since)
+        }
+    }
+    shows::<Premature>(
+        THREE,
+        &[
+            step(500, Fault::Stop(2)),
+            step(1_500, Fault::Slow(2, 300)),
+            step(0, Fault::Start(2)),
+            at(0, Moment::Decided, Fault::Stop(0)),
+            step(3_000, Fault::Heal),
+        ],
+    );
+}
+
+/// One of two that go on without the third loses its disk, and is asked for a promise as if it had it still.
+#[test]
+fn a_voter_that_answers_for_its_old_birth_is_found() {
+    #[derive(Clone, Debug)]
+    struct Reborn;
+    impl Laws for Reborn {
+        type Agreement = AsPublished;
+
+        fn is_same_birth(_meant: u64, _own: u64) -> bool {
+            true
+        }
+    }
+    shows::<Reborn>(
+        THREE,
+        &[
+            step(500, Fault::Stop(2)),
+            step(3_000, Fault::StopAllAndWipe(1)),
+            step(500, Fault::Start(1)),
+            step(0, Fault::Start(2)),
+            step(3_500, Fault::Heal),
+        ],
+    );
+}
+
+/// The answers to one replica are lost. Another one joins by a transfer of records, as its predecessor has started anew
+/// and has kept no entries, and becomes the head; then the first replica sends its commands again.
+#[test]
+fn a_transfer_without_outcomes_is_found() {
+    #[derive(Clone, Debug)]
+    struct Oblivious;
+    impl Laws for Oblivious {
+        type Agreement = AsPublished;
+
+        fn transfers_outcomes() -> bool {
+            false
+        }
+    }
+    shows::<Oblivious>(
+        WITH_LEARNERS,
+        &[
+            step(500, Fault::Stop(0)),
+            step(1_500, Fault::Stop(2)),
+            step(50, Fault::Start(2)),
+            step(200, Fault::Deafen(3)),
+            step(100, Fault::Start(0)),
+            at(0, Moment::Synchronize, Fault::Checkpoint(0)),
+            step(100, Fault::Leave(1)),
+            step(0, Fault::Start(1)),
+            step(0, Fault::Stop(2)),
+            step(1_300, Fault::Heal),
+        ],
+    );
 }
