Replica: exhaustive searches over the shipped state machine

Whole replicas with their disks and the messages between them, departing from eight states (empty disks, two orders on one base, one down, two apart, the head lost, one replaced, joint voters being voted for, one cut off): all interleavings to a depth, with a crash, a one-way cut, a lost disk, a replacement, a lost and a repeated message between any two steps; and all schedules with a number of departures from the ordinary one, to their end. In every state: one entry at a position and one position for an entry, the same records at the same position, one sequence of views, and an order of all that callers saw.

The faults are in a file of their own now, for both kinds of search.

--- a/coordination/replica/tests/common/mod.rs
+++ b/coordination/replica/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod clients;
+pub mod faulty;
 pub mod history;
 pub mod node;
 pub mod schedule;
--- /dev/null
+++ b/coordination/replica/tests/exhaustive/beginnings.rs
@@ -0,0 +1,91 @@
+//! States from which the searches depart.
+
+use whinspindle_replica::{Laws, Message};
+
+use crate::common::history::Asked;
+use crate::search::play;
+use crate::world::{Action, Budget, Order, World};
+
+/// Faults without end, but for losses of what is durable.
+pub const AMPLE: Budget =
+    Budget { losses: 9, repeats: 9, crashes: 9, cuts: 9, lost_disks: 1, replacements: 1, passes: u8::MAX };
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beginning {
+    /// Empty disks.
+    Empty,
+    /// Three voters in the chain, and nothing was asked for yet.
+    Steady,
+    /// The last member is down, and the others have gone on without it.
+    OneDown,
+    /// The first two members don't hear each other; both are heard by the third.
+    Apart,
+    /// The head is down, and the view without it is voted for.
+    HeadLost,
+    /// The last member is gone for good, and an empty machine has come in its place.
+    Replaced,
+    /// The joint voters of before and after the replacement of the head are voted for.
+    Joint,
+    /// The last member is cut off, and a replica that did not vote may take its place.
+    CutOff,
+}
+
+impl Beginning {
+    pub fn world<L: Laws>(self) -> World<L> {
+        let empty = World::<L>::new(orders(), AMPLE);
+        let crash = |machine| Action::Crash { machine, writes: true };
+        match self {
+            Beginning::Empty => empty,
+            Beginning::Steady => pass(empty, 2),
+            Beginning::OneDown => pass(suffer(pass(empty, 2), &[crash(2)]), 4),
+            Beginning::Apart => {
+                let cut = [Action::Cut((0, 1)), Action::Cut((1, 0))];
+                pass(suffer(pass(empty, 2), &cut), 1)
+            }
+            Beginning::HeadLost => {
+                let world = suffer(pass(empty, 3), &[crash(0)]);
+                go_on(world, |world| world.carries(|message| matches!(message, Message::Accept { .. })))
+            }
+            Beginning::Replaced => pass(suffer(pass(empty, 2), &[Action::Replace(2)]), 3),
+            Beginning::Joint => {
+                let world = suffer(pass(empty, 4), &[Action::Replace(0)]);
+                go_on(world, |world| world.carries(is_joint))
+            }
+            Beginning::CutOff => {
+                let mut world = empty;
+                world.add().expect("a start breaks nothing");
+                pass(suffer(pass(world, 4), &[Action::Isolate(2)]), 3)
+            }
+        }
+    }
+}
+
+fn is_joint(message: &Message) -> bool {
+    matches!(message, Message::Accept { view, .. } if view.boards.len() == 2)
+}
+
+/// Two orders on one base, and reads in between and at the end.
+fn orders() -> Vec<Order> {
+    let swap = |after, machine, new: &str| {
+        let asked = Asked::Swap { old: "-".to_string(), new: new.to_string() };
+        Order { after, machine, asked }
+    };
+    let get = |after, machine| Order { after, machine, asked: Asked::Get };
+    vec![swap(3, 0, "one"), swap(6, 1, "two"), get(9, 2), get(16, 1), get(16, 2), get(16, 0)]
+}
+
+fn suffer<L: Laws>(mut world: World<L>, actions: &[Action]) -> World<L> {
+    for action in actions {
+        world.act(*action).expect("one fault breaks nothing");
+    }
+    world
+}
+
+fn pass<L: Laws>(world: World<L>, passes: u64) -> World<L> {
+    let until = world.passed + passes;
+    go_on(world, |world| world.passed >= until)
+}
+
+fn go_on<L: Laws>(world: World<L>, is_wanted: impl Fn(&World<L>) -> bool) -> World<L> {
+    play(world, &[], is_wanted).expect("the ordinary schedule breaks nothing")
+}
--- a/coordination/replica/tests/planted.rs
+++ b/coordination/replica/tests/planted.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
+use common::faulty::{Forgetful, Gullible, Hasty, Lonely, Oblivious, Premature, Reborn, Stale, Timeless};
 use common::node::Moment;
 use common::schedule::{Fault, Schedule, Step, Trigger, play};
-use whinspindle_replica::{AsDesigned, AsPublished, Laws, ReplicaSettings};
+use whinspindle_replica::{AsDesigned, Laws};
 
 /// A schedule is played with so many seeds at most.
 const SEEDS: u64 = 100;
@@ -56,15 +57,6 @@
 /// All lose power while their disks are slow.
 #[test]
 fn members_that_acknowledge_before_the_disk_has_it_are_found() {
-    #[derive(Clone, Debug)]
-    struct Hasty;
-    impl Laws for Hasty {
-        type Agreement = AsPublished;
-
-        fn settled(_durable: u64, last: u64) -> u64 {
-            last
-        }
-    }
     shows::<Hasty>(
         THREE,
         &[
@@ -81,15 +73,6 @@
 /// The head is cut off, and those that go on without it write.
 #[test]
 fn a_head_that_answers_reads_itself_is_found() {
-    #[derive(Clone, Debug)]
-    struct Lonely;
-    impl Laws for Lonely {
-        type Agreement = AsPublished;
-
-        fn head_answers_reads() -> bool {
-            true
-        }
-    }
     shows::<Lonely>(THREE, &[step(500, Fault::Isolate(0)), step(3_000, Fault::Heal)]);
 }
 
@@ -97,15 +80,6 @@
 /// another voter it makes no majority with it.
 #[test]
 fn a_member_that_votes_as_if_it_remembered_is_found() {
-    #[derive(Clone, Debug)]
-    struct Forgetful;
-    impl Laws for Forgetful {
-        type Agreement = AsPublished;
-
-        fn birth(settings: &ReplicaSettings) -> u64 {
-            if settings.seeds.contains(&settings.endpoint) { 0 } else { settings.birth }
-        }
-    }
     shows::<Forgetful>(
         THREE,
         &[
@@ -121,45 +95,18 @@
 /// The tail is cut off, and those that go on without it write.
 #[test]
 fn a_tail_that_answers_reads_itself_is_found() {
-    #[derive(Clone, Debug)]
-    struct Stale;
-    impl Laws for Stale {
-        type Agreement = AsPublished;
-
-        fn tail_answers_reads() -> bool {
-            true
-        }
-    }
     shows::<Stale>(THREE, &[step(500, Fault::Isolate(2)), step(3_000, Fault::Heal)]);
 }
 
 /// The tail is cut off when it answers, so that commands are sent again.
 #[test]
 fn a_repeat_that_is_taken_for_a_new_order_is_found() {
-    #[derive(Clone, Debug)]
-    struct Gullible;
-    impl Laws for Gullible {
-        type Agreement = AsPublished;
-
-        fn is_repeat(_known: bool) -> bool {
-            false
-        }
-    }
     shows::<Gullible>(THREE, &[at(500, Moment::Reply, Fault::Mute(2)), step(1_000, Fault::Heal)]);
 }
 
 /// Replicas start again: their tickets begin with 1 again.
 #[test]
 fn a_ticket_that_is_used_again_after_a_restart_is_found() {
-    #[derive(Clone, Debug)]
-    struct Timeless;
-    impl Laws for Timeless {
-        type Agreement = AsPublished;
-
-        fn start(_settings: &ReplicaSettings) -> u64 {
-            0
-        }
-    }
     shows::<Timeless>(
         THREE,
         &[step(500, Fault::Stop(1)), step(100, Fault::Start(1)), step(1_000, Fault::Heal)],
@@ -169,15 +116,6 @@
 /// One that was down joins the chain again, its disk slow, while the others lose touch.
 #[test]
 fn a_joiner_that_counts_before_it_has_all_is_found() {
-    #[derive(Clone, Debug)]
-    struct Premature;
-    impl Laws for Premature {
-        type Agreement = AsPublished;
-
-        fn complete(recorded: u64, since: u64) -> u64 {
-            recorded.max(since)
-        }
-    }
     shows::<Premature>(
         THREE,
         &[
@@ -193,15 +131,6 @@
 /// One of two that go on without the third loses its disk, and is asked for a promise as if it had it still.
 #[test]
 fn a_voter_that_answers_for_its_old_birth_is_found() {
-    #[derive(Clone, Debug)]
-    struct Reborn;
-    impl Laws for Reborn {
-        type Agreement = AsPublished;
-
-        fn is_same_birth(_meant: u64, _own: u64) -> bool {
-            true
-        }
-    }
     shows::<Reborn>(
         THREE,
         &[
@@ -218,15 +147,6 @@
 /// and has kept no entries, and becomes the head; then the first replica sends its commands again.
 #[test]
 fn a_transfer_without_outcomes_is_found() {
-    #[derive(Clone, Debug)]
-    struct Oblivious;
-    impl Laws for Oblivious {
-        type Agreement = AsPublished;
-
-        fn transfers_outcomes() -> bool {
-            false
-        }
-    }
     shows::<Oblivious>(
         WITH_LEARNERS,
         &[
