One HTTP call to a controller: a crate of its own for the commands and the lab

The operator's commands and the lab's callers had each written the same exchange. controlplane/client holds it: Call, Answer, CallError, call. The lab keeps what is its own, going on to the next controller and following redirections.

--- a/lab/serving/src/headers.rs
+++ b/lab/serving/src/headers.rs
@@ -15,7 +15,6 @@
 pub const PREFIX_HASH: HeaderName = HeaderName::from_static("whinspindle-prefix-hash");
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
-pub const BASE_VERSION: HeaderName = HeaderName::from_static("whinspindle-base-version");
 
 /// A header's value as text; none if it is absent or no text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
--- a/programs/serving/src/lib.rs
+++ b/programs/serving/src/lib.rs
@@ -2,7 +2,6 @@
 //! a running controller. Command line, settings, logs and wiring only; each program lives in its own crate.
 
 pub mod command_line;
-mod control_client;
 mod daemon;
 mod logging;
 mod operator;
--- a/programs/serving/src/operator.rs
+++ b/programs/serving/src/operator.rs
@@ -4,16 +4,21 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
+use tokio::task::LocalSet;
+use whinspindle_client::{Answer, Call, CallError};
 use whinspindle_configuration::{Configuration, ConfigurationError, Route, Service};
 
 use crate::FAILURE_STATUS;
 use crate::command_line::OperatorCommand;
-use crate::control_client::{self, Answer, Call, CallError};
 use crate::status::{Status, StatusError};
 
+/// How long one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a command was not carried out.
 #[derive(Debug, Snafu)]
 enum OperatorError {
@@ -25,18 +30,14 @@
     InForce { source: ConfigurationError },
     #[snafu(display("the controller's status: {source}"))]
     Status { source: StatusError },
+    #[snafu(display("the runtime: {source}"))]
+    Runtime { source: std::io::Error },
     #[snafu(display("{source}"))]
     Call { source: CallError },
     #[snafu(display("refused with {}: {}", answer.status, String::from_utf8_lossy(&answer.body)))]
     Refused { answer: Answer },
 }
 
-impl std::fmt::Debug for Answer {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{} with {} bytes", self.status, self.body.len())
-    }
-}
-
 /// Carries out a command and prints what came of it.
 pub fn run(command: &OperatorCommand) -> ExitCode {
     match answer(command) {
@@ -60,16 +61,18 @@
         OperatorCommand::ConfigReplace { control, file, base } => replace(*control, file, *base),
         OperatorCommand::ConfigDiff { control, file } => difference(*control, file),
         OperatorCommand::EvacuateBegin { control, zone } => {
-            ask(*control, Call::post(format!("/Evacuate.Begin/{zone}")))
+            ask(*control, Call::post(format!("/Evacuate.Begin/{zone}"), Bytes::new()))
         }
         OperatorCommand::EvacuateFinish { control, zone } => {
-            ask(*control, Call::post(format!("/Evacuate.Finish/{zone}")))
+            ask(*control, Call::post(format!("/Evacuate.Finish/{zone}"), Bytes::new()))
         }
     }
 }
 
 fn ask(control: SocketAddr, call: Call) -> Result<String, OperatorError> {
-    let answer = control_client::call(control, call).context(CallSnafu)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let answer = whinspindle_client::call(control, &call, CALL_TIMEOUT);
+    let answer = LocalSet::new().block_on(&runtime, answer).context(CallSnafu)?;
     if !answer.status.is_success() {
         return Err(OperatorError::Refused { answer });
     }
@@ -96,9 +99,8 @@
 
 fn replace(control: SocketAddr, file: &Path, base: u64) -> Result<String, OperatorError> {
     let (text, configuration) = read(file)?;
-    let mut call = Call::post("/Config.Replace".to_owned());
+    let mut call = Call::post("/Config.Replace", text);
     call.base_version = Some(base);
-    call.body = Bytes::from(text);
     ask(control, call)?;
     Ok(format!("generation {} is in place", configuration.generation))
 }
