Split the controller's state machine by concern

Each is a module of its own now: calls, submission, replication, gossip, recall, publication, disclosure, event.

--- /dev/null
+++ b/controlplane/controller/src/controller/calls.rs
@@ -0,0 +1,90 @@
+//! The calls of operators, upstreams and clients.
+
+use whinspindle_registry::HeartbeatEffect;
+
+use super::Controller;
+use super::event::Action;
+use crate::api::{Call, Refusal, Response};
+use crate::directory::{self, Place};
+use crate::orders::{self, Departure};
+use crate::pending::{CallId, Request};
+use crate::status;
+
+impl Controller {
+    pub(super) fn call(&mut self, now: u64, id: CallId, call: Call) {
+        match call {
+            Call::Replace { base, generation, body } => {
+                self.order(now, id, Request::Replace { base, generation, body });
+            }
+            Call::Fetch => self.order(now, id, Request::Fetch),
+            Call::Evacuate { zone, .. } if !self.settings.zones.contains_key(&zone) => {
+                self.answer(id, Refusal::UnknownZone.into());
+            }
+            Call::Evacuate { zone, evacuated } => {
+                self.order(now, id, Request::Evacuate { zone, evacuated });
+            }
+            Call::Heartbeat { instance, heartbeat } => {
+                let effect = self.registry.heartbeat(now, &instance, &heartbeat);
+                self.heartbeat_taken(now, id, instance, effect);
+            }
+            Call::Deregister { instance } => self.depart(now, id, instance, Departure::Gone),
+            Call::Resolve { region, zone } => self.resolve(now, id, &region, &zone),
+            Call::Status => self.answer_status(now, id),
+        }
+    }
+
+    fn heartbeat_taken(&mut self, now: u64, id: CallId, instance: String, effect: HeartbeatEffect) {
+        match effect {
+            HeartbeatEffect::Accepted { changed } => {
+                self.answer(id, Response::accepted());
+                if changed {
+                    self.instances_changed(now);
+                }
+            }
+            HeartbeatEffect::Stale => self.answer(id, Response::accepted()),
+            HeartbeatEffect::StartsDraining => {
+                self.instances_changed(now);
+                self.depart(now, id, instance, Departure::Draining);
+            }
+            HeartbeatEffect::Overfull => {
+                self.answer(id, Response::unavailable("more instances than this controller holds"));
+            }
+        }
+    }
+
+    fn depart(&mut self, now: u64, id: CallId, instance: String, departure: Departure) {
+        if orders::departure_of(self.replica.committed(), &instance) >= Some(departure) {
+            self.answer(id, Response::accepted());
+            return;
+        }
+        self.order(now, id, Request::Drain { instance, departure });
+    }
+
+    fn resolve(&mut self, now: u64, id: CallId, region: &str, zone: &str) {
+        let region = self.settings.zones.get(zone).map_or(region, String::as_str);
+        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone });
+        let response = match directory::answer(&addresses) {
+            Some(body) if self.may_tell(now) => Response::ok(body),
+            _ => Response::unavailable("no balancer is known yet"),
+        };
+        self.answer(id, response);
+    }
+
+    fn answer_status(&mut self, now: u64, id: CallId) {
+        let body = status::describe(&status::Summary {
+            node: &self.settings.node,
+            replica: &self.replica,
+            registry: &self.registry,
+            leases: &self.leases,
+            publisher: &self.publisher,
+            pending: self.pending.len(),
+            leaving: self.leaving,
+            now,
+        });
+        self.answer(id, Response::ok(body));
+    }
+
+    pub(super) fn answer(&mut self, id: CallId, response: Response) {
+        self.actions.push(Action::Answer { id, response });
+    }
+}
--- /dev/null
+++ b/controlplane/controller/src/controller/gossip.rs
@@ -0,0 +1,86 @@
+//! What controllers tell each other of upstreams and balancers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use whinspindle_distribution::frame::FrameKind;
+use whinspindle_distribution::{GossipScope, decode_gossip, encode_gossip};
+
+use super::Controller;
+use super::event::Action;
+use crate::exchange;
+
+/// Heartbeats and renewals that change nothing are told to the other controllers at this interval.
+const GOSSIP_REFRESH_MS: u64 = 400;
+/// They wait this much longer for other messages to go along with.
+const GOSSIP_PATIENCE_MS: u64 = 200;
+
+impl Controller {
+    /// Changes that are not urgent go along with the replica's own messages, in the same packets.
+    pub(super) fn is_gossip_due(&self, now: u64) -> bool {
+        let goes_along = self.actions.iter().any(|action| matches!(action, Action::SendPeer { .. }));
+        now >= self.gossip_at && (goes_along || now >= self.gossip_at + GOSSIP_PATIENCE_MS)
+    }
+
+    pub(super) fn instances_changed(&mut self, now: u64) {
+        self.send_changes(now);
+        self.publish(now);
+    }
+
+    /// Tells all other controllers what was heard here. Those to which the replica sends nothing get an empty message
+    /// too, so that the connection is known to stand.
+    pub(super) fn send_changes(&mut self, now: u64) {
+        self.gossip_at = now + GOSSIP_REFRESH_MS;
+        let is_empty = !self.registry.has_changes() && !self.leases.has_changes();
+        let gossip = exchange::changes(now, &mut self.registry, &mut self.leases);
+        let payload = Bytes::from(encode_gossip(&gossip));
+        let known = self.replica.peers();
+        let beyond = self.acquaintances.beyond(self.settings.address.endpoint, &known);
+        let known = known.into_iter().filter(|_| !is_empty);
+        for to in known.chain(beyond) {
+            self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload: payload.clone() });
+        }
+    }
+
+    pub(super) fn send_snapshot(&mut self, now: u64, to: SocketAddr) {
+        let scope = if self.has_heard_all(now) { GossipScope::Complete } else { GossipScope::Heard };
+        let gossip = exchange::heard(now, scope, &self.registry, &self.leases);
+        let payload = Bytes::from(encode_gossip(&gossip));
+        self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload });
+        self.send_recalled(now, to);
+    }
+
+    /// Of use to a controller that has started at about the same time and found its disk empty.
+    pub(super) fn send_recalled(&mut self, now: u64, to: SocketAddr) {
+        if !self.has_recalled || self.has_heard_all(now) {
+            return;
+        }
+        let gossip = exchange::recalled(now, &self.registry, &self.leases);
+        let payload = Bytes::from(encode_gossip(&gossip));
+        self.actions.push(Action::SendPeer { to, kind: FrameKind::Gossip, payload });
+    }
+
+    pub(super) fn take_gossip(&mut self, now: u64, payload: &[u8]) {
+        let Ok(gossip) = decode_gossip(payload) else { return };
+        if gossip.scope == GossipScope::Recalled {
+            self.take_recalled(now, gossip);
+            return;
+        }
+        let mut changed = false;
+        for instance in gossip.instances {
+            changed |= self.registry.merge(now, exchange::instance_record(instance));
+        }
+        for lease in gossip.leases {
+            changed |= self.leases.merge(now, exchange::lease_record(lease));
+        }
+        if gossip.scope == GossipScope::Complete && !self.has_heard_all(now) {
+            self.is_taught = true;
+            self.registry.drop_recalled();
+            self.leases.drop_recalled();
+            changed = true;
+        }
+        if changed {
+            self.publish(now);
+        }
+    }
+}
--- /dev/null
+++ b/controlplane/controller/src/controller/publication.rs
@@ -0,0 +1,135 @@
+//! What balancers are sent: the state of the link, and what they lack of the newest sections.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use whinspindle_distribution::{
+    Configured, ControllerAddress, Evacuations, Instance, Instances, Link, Report, SubscriberId, ToBalancer,
+};
+use whinspindle_registry::InstanceRecord;
+
+use super::Controller;
+use super::event::Action;
+use crate::{exchange, orders};
+
+/// Interval of the messages that show balancers that this controller is alive.
+const LINK_MS: u64 = 300;
+/// Instances that come, or are cold for another time, are told at most this often: many do so together.
+const INSTANCES_INTERVAL_MS: u64 = 300;
+
+impl Controller {
+    pub(super) fn take_report(&mut self, now: u64, subscriber: SubscriberId, report: &Report) {
+        let is_new = !self.publisher.subscribers().any(|known| known == subscriber);
+        self.publisher.reported(now, subscriber, report);
+        let changed = self.leases.renew(now, exchange::lease_of(report));
+        if is_new {
+            let message = ToBalancer::Link(self.link(now, self.controllers(now)));
+            self.actions.push(Action::SendBalancer { to: subscriber, message });
+        }
+        if changed {
+            self.send_changes(now);
+        }
+        if changed || is_new {
+            self.publish(now);
+        }
+    }
+
+    pub(super) fn send_links(&mut self, now: u64) {
+        self.link_at = now + LINK_MS;
+        let controllers = self.controllers(now);
+        let told = if controllers == self.told_controllers { Vec::new() } else { controllers.clone() };
+        self.told_controllers = controllers;
+        let link = self.link(now, told);
+        for to in self.publisher.subscribers() {
+            self.actions.push(Action::SendBalancer { to, message: ToBalancer::Link(link.clone()) });
+        }
+    }
+
+    fn link(&self, now: u64, controllers: Vec<ControllerAddress>) -> Link {
+        Link { in_quorum: self.replica.is_in_quorum(now), leaving: self.leaving, controllers }
+    }
+
+    /// Sends each balancer what it lacks of the newest state.
+    pub(super) fn publish(&mut self, now: u64) {
+        self.refresh_replicated(now);
+        if self.may_tell(now) {
+            self.refresh_instances(now);
+            self.refresh_fleet(now);
+        }
+        let subscribers: Vec<SubscriberId> = self.publisher.subscribers().collect();
+        for to in subscribers {
+            if let Some(update) = self.publisher.update_for(now, to) {
+                self.actions.push(Action::SendBalancer { to, message: ToBalancer::Update(update) });
+            }
+        }
+    }
+
+    /// A replica that has just started may hold old records; they are told only if a quorum doesn't come about soon.
+    fn refresh_replicated(&mut self, now: u64) {
+        if !self.may_tell_records(now) {
+            return;
+        }
+        let records = self.replica.committed();
+        let held = self.publisher.versions();
+        if let Some(record) = records.get(orders::CONFIGURATION)
+            && record.sequence > held.configured
+        {
+            let body = Bytes::from(record.value.to_vec());
+            self.publisher.configure(Configured { sequence: record.sequence, body });
+        }
+        let (sequence, zones) = orders::evacuated_zones(records);
+        if sequence > held.evacuations {
+            self.publisher.evacuate(Evacuations { sequence, zones });
+        }
+    }
+
+    pub(super) fn are_instances_due(&self, now: u64) -> bool {
+        let has_rested = self.instances_published_at.is_none_or(|at| now >= at + INSTANCES_INTERVAL_MS);
+        let is_urgent = self.registry.withdrawals() != self.published_withdrawals;
+        self.registry.version() != self.published_instances && (has_rested || is_urgent)
+    }
+
+    fn refresh_instances(&mut self, now: u64) {
+        if !self.are_instances_due(now) {
+            return;
+        }
+        let version = self.registry.version();
+        self.published_instances = version;
+        self.published_withdrawals = self.registry.withdrawals();
+        self.instances_published_at = Some(now);
+        let list = self.registry.snapshot(now).into_iter().map(instance).collect();
+        self.publisher.set_instances(now, Instances { version, list });
+    }
+
+    fn refresh_fleet(&mut self, now: u64) {
+        let loads = self.leases.loads(now).into_iter().map(exchange::region_load).collect();
+        if let Some(fleet) = self.fleet.update(now, self.leases.balancers(now), loads) {
+            self.publisher.set_fleet(fleet);
+        }
+    }
+
+    /// All controllers that are known, this one included: members of the view, and others that are heard.
+    fn controllers(&self, now: u64) -> Vec<ControllerAddress> {
+        let members = self.replica.view().members.iter();
+        let members = members.map(|member| (member.endpoint, member.zone.as_str(), member.region.as_str()));
+        let mut controllers = BTreeMap::new();
+        for (endpoint, zone, region) in members.chain(self.replica.heard(now)) {
+            let (zone, region) = (zone.to_owned(), region.to_owned());
+            controllers.insert(endpoint, ControllerAddress { endpoint, zone, region });
+        }
+        controllers.insert(self.settings.address.endpoint, self.settings.address.clone());
+        controllers.into_values().collect()
+    }
+}
+
+fn instance(record: InstanceRecord) -> Instance {
+    Instance {
+        id: record.id,
+        service: record.service,
+        address: record.address,
+        zone: record.zone,
+        slots: record.slots,
+        draining: record.draining,
+        cold_ms: record.cold_ms,
+    }
+}
--- /dev/null
+++ b/controlplane/controller/src/controller/replication.rs
@@ -0,0 +1,90 @@
+//! The replica: what it is given, and what follows from its outputs.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use whinspindle_distribution::frame::FrameKind;
+use whinspindle_replica::{Input, Message, Output, RecordWrite};
+
+use super::Controller;
+use super::event::Action;
+use crate::orders::{self, Departure};
+
+impl Controller {
+    pub(super) fn step(&mut self, now: u64, input: Input) {
+        let outputs = self.replica.handle(now, input);
+        self.take_outputs(now, outputs);
+    }
+
+    pub(super) fn receive(&mut self, now: u64, from: SocketAddr, message: Message) {
+        if let Message::Heartbeat(heartbeat) = &message {
+            self.acquaintances.mentioned(now, &heartbeat.heard);
+        }
+        self.step(now, Input::Message { from, message });
+        if !self.was_in_quorum {
+            self.note_quorum(now);
+        }
+    }
+
+    pub(super) fn take_outputs(&mut self, now: u64, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    let payload = Bytes::from(message.encode());
+                    self.actions.push(Action::SendPeer { to, kind: FrameKind::Replica, payload });
+                }
+                Output::Persist { token, write } => self.actions.push(Action::Persist { token, write }),
+                Output::Reply { ticket, result } => self.replied(now, ticket, result),
+                Output::Committed { writes, .. } => self.committed(now, &writes),
+                Output::Replaced => self.replaced(now),
+            }
+        }
+    }
+
+    fn committed(&mut self, now: u64, writes: &[RecordWrite]) {
+        for write in writes {
+            if let Some((instance, departure)) = orders::departure_in(write) {
+                self.departed(instance, departure);
+            }
+        }
+        self.publish(now);
+    }
+
+    fn replaced(&mut self, now: u64) {
+        self.take_departures();
+        self.publish(now);
+    }
+
+    pub(super) fn take_departures(&mut self) {
+        let departures: Vec<(String, Departure)> = orders::departures(self.replica.committed())
+            .map(|(instance, departure)| (instance.to_owned(), departure))
+            .collect();
+        for (instance, departure) in departures {
+            self.departed(&instance, departure);
+        }
+    }
+
+    fn departed(&mut self, instance: &str, departure: Departure) {
+        match departure {
+            Departure::Draining => self.registry.drained(instance),
+            Departure::Gone => self.registry.gone(instance),
+        }
+    }
+
+    pub(super) fn persisted(&mut self, now: u64, token: u64, log_bytes: usize) {
+        self.step(now, Input::Persisted { token });
+        if self.compacting {
+            return;
+        }
+        if let Some(state) = self.replica.checkpoint_due(log_bytes) {
+            self.compacting = true;
+            self.actions.push(Action::Compact { state });
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: u64) {
+        self.leaving = true;
+        self.step(now, Input::Leave);
+        self.send_links(now);
+    }
+}
