An acknowledged evacuation order voids all copies of earlier ones

A begin without a clear answer could be followed by a finish that was acknowledged without a write, since the zone was in service. The zone's sequence stayed, so a copy of the begin, which a replica sends again for up to four seconds, evacuated the zone after that acknowledgement; likewise the other way round.

Each evacuation order is now a compare and set on the sequence of the zone's record and always writes. The test of a repeat without a write is replaced: it asked for the very thing that left the sequence in place. A repeat still changes nothing but the sequence; the new test brings the held-up copy about, in both directions.

--- a/controlplane/controller/src/orders.rs
+++ b/controlplane/controller/src/orders.rs
@@ -1,7 +1,8 @@
 //! What an order does to the replicated records: the application that the chain's head evaluates.
 //!
 //! Every order may be sent more than once. A configuration is known again by the digest that the history keeps for its
-//! generation; an evacuation and a drained instance are states, which a repeat finds in place.
+//! generation. A departure is a state that only goes forward. An evacuation names the version of the zone's record that
+//! its controller knew, and raises that version: copies that are still on their way count for nothing afterwards.
 
 use blake3::Hash;
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,7 @@
 const GENERATION: &str = "generation";
 /// Records of the digests of the configurations that were taken, by generation.
 const HISTORY: &str = "history/";
-/// Records of the zones that were ever evacuated.
+/// Records of the zones for which an evacuation was ever begun or finished.
 pub const EVACUATION: &str = "evacuation/";
 /// Records of the instances that leave or have left.
 pub const DRAINED: &str = "drained/";
@@ -235,19 +236,14 @@
     records.range(HISTORY).next().map(|(key, _)| RecordWrite { key: key.to_owned(), value: None })
 }
 
+/// Writes also where the zone is in that state: the new sequence voids every copy of an earlier order.
 fn evacuate(records: &Records, zone: &str, evacuated: bool, seen: u64) -> Evaluation {
-    let key = evacuation_key(zone);
-    let value = if evacuated { ZONE_EVACUATED } else { ZONE_IN_SERVICE };
-    let record = records.get(&key);
-    let in_place = record.map_or(ZONE_IN_SERVICE, |record| record.value.as_slice());
-    if in_place == value {
-        return answer_only(Outcome::Done);
-    }
-    let sequence = record.map_or(0, |record| record.sequence);
+    let sequence = evacuation_sequence(records, zone);
     if sequence != seen {
         return answer_only(Outcome::Overtaken { sequence });
     }
-    let writes = vec![write(key, value.to_vec())];
+    let value = if evacuated { ZONE_EVACUATED } else { ZONE_IN_SERVICE };
+    let writes = vec![write(evacuation_key(zone), value.to_vec())];
     Evaluation { writes, answer: Answer::Value(Outcome::Done.encode()) }
 }
 
--- a/controlplane/controller/tests/orders.rs
+++ b/controlplane/controller/tests/orders.rs
@@ -168,13 +168,26 @@
 }
 
 #[test]
-fn a_repeated_evacuation_is_acknowledged_without_a_write() {
+fn a_repeated_evacuation_is_acknowledged_and_changes_nothing() {
     let mut state = State::default();
     assert_eq!(state.carry_out(evacuate("zone-a", false, 0)), Outcome::Done, "never evacuated");
-    assert_eq!(state.sequence, 0);
-    state.carry_out(evacuate("zone-a", true, 0));
-    assert_eq!(state.carry_out(evacuate("zone-a", true, 0)), Outcome::Done);
-    assert_eq!(state.sequence, 1);
+    assert_eq!(evacuated_zones(&state.records), (1, Vec::new()));
+    assert_eq!(state.carry_out(evacuate("zone-a", true, 1)), Outcome::Done);
+    assert_eq!(state.carry_out(evacuate("zone-a", true, 2)), Outcome::Done);
+    assert_eq!(evacuated_zones(&state.records), (3, vec!["zone-a".to_owned()]));
+}
+
+/// A begin gets no clear answer; the operator takes it back and is acknowledged; then a copy of the begin comes through.
+#[test]
+fn an_acknowledged_order_voids_every_copy_of_earlier_ones() {
+    for evacuated in [true, false] {
+        let mut state = State::default();
+        state.carry_out(evacuate("zone-a", !evacuated, 0));
+        let held_up = evacuate("zone-a", evacuated, 1);
+        assert_eq!(state.carry_out(evacuate("zone-a", !evacuated, 1)), Outcome::Done, "nothing to do");
+        assert_eq!(state.carry_out(held_up), Outcome::Overtaken { sequence: 2 });
+        assert_eq!(evacuated_zones(&state.records).1.is_empty(), evacuated);
+    }
 }
 
 #[test]
