Messages of all schemas are built and read in bounds by one crate

The codecs of distribution and replica each had the same head: segment size, words a message may be read through, opening. coordination/encoding holds it, with tests of its own (cut short at each length, read through too often). Tests of encoding, distribution and the replica's messages pass (debug); the schemas are unchanged.

--- a/controlplane/distribution/src/codec/balancer.rs
+++ b/controlplane/distribution/src/codec/balancer.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use capnp::serialize::write_message_to_words;
 
+use whinspindle_encoding::{new_message, read_message};
+
+use super::DecodeError;
 use super::parts::{read_endpoint, read_loads, write_endpoint, write_loads};
-use super::{DecodeError, new_message, read_message};
 use crate::distribution_capnp::{
     configured, controller_address, evacuations, fleet, instance, instances, link, to_balancer, update,
 };
--- a/controlplane/distribution/src/codec/gossip.rs
+++ b/controlplane/distribution/src/codec/gossip.rs
@@ -2,8 +2,10 @@
 
 use capnp::serialize::write_message_to_words;
 
+use whinspindle_encoding::{new_message, read_message};
+
+use super::DecodeError;
 use super::parts::{read_endpoint, read_loads, write_endpoint, write_loads};
-use super::{DecodeError, new_message, read_message};
 use crate::distribution_capnp::{self, gossip, gossip_instance, gossip_lease};
 use crate::{Gossip, GossipInstance, GossipLease, GossipScope};
 
--- a/controlplane/distribution/src/codec/report.rs
+++ b/controlplane/distribution/src/codec/report.rs
@@ -2,8 +2,10 @@
 
 use capnp::serialize::write_message_to_words;
 
+use whinspindle_encoding::{new_message, read_message};
+
+use super::DecodeError;
 use super::parts::{read_endpoint, read_loads, read_versions, write_endpoint, write_loads, write_versions};
-use super::{DecodeError, new_message, read_message};
 use crate::distribution_capnp::{hello, report};
 use crate::{Hello, Report, Role};
 
--- a/coordination/replica/src/codec.rs
+++ b/coordination/replica/src/codec.rs
@@ -6,21 +6,13 @@
 mod parts;
 mod transfer;
 
-use capnp::message::{Builder, HeapAllocator, Reader, ReaderOptions};
-use capnp::serialize::{self, OwnedSegments};
+use capnp::serialize;
 use snafu::Snafu;
+use whinspindle_encoding::{new_message, read_message};
 
 use crate::message::Message;
 use crate::replica_capnp::message as wire;
 
-const WORD_BYTES: usize = 8;
-/// A message may be read through this many times over, so that shared pointers cannot make it seem endless.
-const TRAVERSALS: usize = 8;
-/// Words that a message of any length may be read through.
-const LEAST_TRAVERSED_WORDS: usize = 64;
-/// Enough for a heartbeat in one segment.
-const FIRST_SEGMENT_WORDS: u32 = 128;
-
 /// Received bytes are no message of the schema.
 #[derive(Debug, Snafu)]
 pub enum DecodeError {
@@ -39,24 +31,18 @@
 impl Message {
     /// The bytes to send.
     pub fn encode(&self) -> Vec<u8> {
-        let mut builder = Builder::new(HeapAllocator::new().first_segment_words(FIRST_SEGMENT_WORDS));
+        let mut builder = new_message();
         write(self, builder.init_root());
         serialize::write_message_to_words(&builder)
     }
 
     /// The message that was received.
     pub fn decode(bytes: &[u8]) -> Result<Message, DecodeError> {
-        let reader = open(bytes)?;
+        let reader = read_message(bytes)?;
         read(reader.get_root()?)
     }
 }
 
-fn open(mut bytes: &[u8]) -> Result<Reader<OwnedSegments>, DecodeError> {
-    let words = bytes.len() / WORD_BYTES * TRAVERSALS + LEAST_TRAVERSED_WORDS;
-    let options = ReaderOptions { traversal_limit_in_words: Some(words), ..ReaderOptions::default() };
-    Ok(serialize::read_message(&mut bytes, options)?)
-}
-
 fn write(message: &Message, to: wire::Builder) {
     match message {
         Message::Heartbeat(heartbeat) => heartbeat::write(heartbeat, to.init_heartbeat()),
