Directory: clients are led to their own region and to their host's alone

Cause: the directory looked at the place of a client and not at what its host may use.

Change: the controller keeps a view of the newest configuration, host to the regions that all of its routes with homes share, read anew only when the configuration's record changes and only while records may be told. Balancers outside of these and of the client's region are never named, not even where no other is left: answers outlast what caused them, and a caller without an answer goes on to another controller. For a host that is not known here (no configuration yet, an old one) only the client's own region is named. Between several routes of a host the homes intersect, since a client may use any of them.

--- a/controlplane/configuration/src/configuration.rs
+++ b/controlplane/configuration/src/configuration.rs
@@ -209,7 +209,7 @@
 }
 
 /// The host in lower case and without a port.
-fn normalize_host(host: &str) -> Cow<'_, str> {
+pub(crate) fn normalize_host(host: &str) -> Cow<'_, str> {
     let name = without_port(host);
     if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
         Cow::Owned(name.to_ascii_lowercase())
--- /dev/null
+++ b/controlplane/configuration/src/host_regions.rs
@@ -0,0 +1,79 @@
+//! Where the requests of each host may be served, read from a configuration without the rest of it.
+
+// `DeJson`'s derive writes `return Err(..)` where `?` would do.
+#![allow(clippy::question_mark)]
+
+use std::collections::{BTreeSet, HashMap};
+
+use nanoserde::DeJson;
+
+use crate::configuration::normalize_host;
+use crate::json::JsonError;
+
+/// The regions in which a host's requests may be served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServingRegions {
+    /// None of the host's routes has home regions.
+    Any,
+    /// The regions that are homes of each of the host's routes with home regions; maybe none.
+    Only(BTreeSet<String>),
+}
+
+/// The serving regions of the hosts of a configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostRegions {
+    by_host: HashMap<String, ServingRegions>,
+}
+
+#[derive(DeJson)]
+struct RoutesOnly {
+    routes: Vec<HomesOnly>,
+}
+
+#[derive(DeJson)]
+struct HomesOnly {
+    host: String,
+    home_regions: Option<Vec<String>>,
+}
+
+impl ServingRegions {
+    /// Whether requests may be served in this region.
+    pub fn contains(&self, region: &str) -> bool {
+        match self {
+            ServingRegions::Any => true,
+            ServingRegions::Only(regions) => regions.contains(region),
+        }
+    }
+
+    /// The regions in which both may be served.
+    fn intersection(self, homes: Vec<String>) -> ServingRegions {
+        match self {
+            _ if homes.is_empty() => self,
+            ServingRegions::Any => ServingRegions::Only(homes.into_iter().collect()),
+            ServingRegions::Only(regions) => {
+                let is_home = |region: &String| homes.contains(region);
+                ServingRegions::Only(regions.into_iter().filter(is_home).collect())
+            }
+        }
+    }
+}
+
+impl HostRegions {
+    /// Reads the hosts and home regions of a configuration that was checked before.
+    pub fn parse(bytes: &[u8]) -> Result<HostRegions, JsonError> {
+        let raw: RoutesOnly = crate::json::parse(bytes)?;
+        let mut by_host: HashMap<String, ServingRegions> = HashMap::new();
+        for route in raw.routes {
+            let host = normalize_host(&route.host).into_owned();
+            let regions = by_host.remove(&host).unwrap_or(ServingRegions::Any);
+            by_host.insert(host, regions.intersection(route.home_regions.unwrap_or_default()));
+        }
+        Ok(HostRegions { by_host })
+    }
+
+    /// Where requests of a host may be served, whichever of its routes they take; none for a host without routes. The
+    /// host may carry a port.
+    pub fn of(&self, host: &str) -> Option<&ServingRegions> {
+        self.by_host.get(normalize_host(host).as_ref())
+    }
+}
--- a/controlplane/configuration/src/lib.rs
+++ b/controlplane/configuration/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod heartbeat;
+mod host_regions;
 mod json;
 mod number;
 mod raw_configuration;
@@ -12,5 +13,6 @@
     Backend, Configuration, ConfigurationError, Engine, Limits, Route, RouteKind, Service,
 };
 pub use heartbeat::{Heartbeat, HeartbeatError, InstanceState};
+pub use host_regions::{HostRegions, ServingRegions};
 pub use json::JsonError;
 pub use settings::{Bounds, Listen, MachineLimits, Settings, SettingsError, Tolerance};
--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -21,7 +21,7 @@
     Evacuate { zone: String, evacuated: bool },
     Heartbeat { instance: String, heartbeat: Heartbeat },
     Deregister { instance: String },
-    Resolve { region: String, zone: String },
+    Resolve { host: String, region: String, zone: String },
     Status,
 }
 
@@ -199,7 +199,11 @@
 }
 
 fn parse_resolve(query: &str) -> Call {
-    Call::Resolve { region: query_value(query, "region"), zone: query_value(query, "zone") }
+    Call::Resolve {
+        host: query_value(query, "name"),
+        region: query_value(query, "region"),
+        zone: query_value(query, "zone"),
+    }
 }
 
 fn query_value(query: &str, name: &str) -> String {
--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -23,6 +23,7 @@
 use crate::memory::Memory;
 use crate::orders::{self, Departure, Orders, Outcome};
 use crate::pending::{CallId, PendingOrder, PendingOrders, Request};
+use crate::residency::Residency;
 use crate::status;
 
 /// An order gets its answer within this time, since its caller gives up after a second of silence.
@@ -145,6 +146,7 @@
     replica: Replica<Orders>,
     registry: InstanceRegistry,
     leases: LeaseTable,
+    residency: Residency,
     publisher: Publisher,
     fleet: FleetState,
     pending: PendingOrders,
@@ -190,6 +192,7 @@
             replica,
             registry: InstanceRegistry::new(timing),
             leases: LeaseTable::new(LeaseTiming::default()),
+            residency: Residency::default(),
             publisher: Publisher::new(),
             fleet: FleetState::default(),
             pending: PendingOrders::default(),
@@ -332,7 +335,7 @@
                 self.heartbeat_taken(now, id, instance, effect);
             }
             Call::Deregister { instance } => self.depart(now, id, instance, Departure::Gone),
-            Call::Resolve { region, zone } => self.resolve(now, id, &region, &zone),
+            Call::Resolve { host, region, zone } => self.resolve(now, id, &host, &region, &zone),
             Call::Status => self.answer_status(now, id),
         }
     }
@@ -364,9 +367,12 @@
         self.order(now, id, Request::Drain { instance, departure });
     }
 
-    fn resolve(&mut self, now: u64, id: CallId, region: &str, zone: &str) {
+    fn resolve(&mut self, now: u64, id: CallId, host: &str, region: &str, zone: &str) {
         let region = self.settings.zones.get(zone).map_or(region, String::as_str);
-        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone });
+        let records = self.may_tell_records(now).then(|| self.replica.committed());
+        self.residency.refresh(records);
+        let regions = self.residency.regions_of(host);
+        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone }, regions);
         let response = match directory::answer(&addresses) {
             Some(body) if self.may_tell(now) => Response::ok(body),
             _ => Response::unavailable("no balancer is known yet"),
--- a/controlplane/controller/src/directory.rs
+++ b/controlplane/controller/src/directory.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use whinspindle_configuration::ServingRegions;
 use whinspindle_registry::{Lease, LeaseTable};
 
 /// The most addresses of an answer.
@@ -20,16 +21,31 @@
     pub zone: &'a str,
 }
 
+impl Place<'_> {
+    /// Whether a balancer stands in the client's region, as its own zone does, also one that the settings don't name.
+    fn holds(self, lease: &Lease) -> bool {
+        lease.region == self.region || lease.zone == self.zone
+    }
+}
+
 /// Addresses for a client: those of its zone, else those of its region, else all. Where these are too few, others of the
-/// region and then one of another region are added.
-pub fn addresses_for(leases: &LeaseTable, now: u64, place: Place<'_>) -> Vec<SocketAddr> {
-    let mut open: Vec<&Lease> = leases.live(now).filter(|lease| lease.ready && !lease.leaving).collect();
+/// region and then one of another region are added. None is ever outside of the client's region and the host's regions,
+/// also if no others are left: planned work may have taken the rest, and answers outlast their cause.
+pub fn addresses_for(
+    leases: &LeaseTable,
+    now: u64,
+    place: Place<'_>,
+    host_regions: &ServingRegions,
+) -> Vec<SocketAddr> {
+    let permitted = |lease: &&Lease| place.holds(lease) || host_regions.contains(&lease.region);
+    let mut open: Vec<&Lease> =
+        leases.live(now).filter(|lease| lease.ready && !lease.leaving).filter(permitted).collect();
     open.sort_by_key(|lease| lease.front);
     let zone = fronts(&open, |lease| lease.zone == place.zone);
     if zone.len() >= MIN_ADDRESSES {
         return bounded(zone);
     }
-    let region = fronts(&open, |lease| lease.region == place.region || lease.zone == place.zone);
+    let region = fronts(&open, |lease| place.holds(lease));
     match region.len() {
         0 => bounded(fronts(&open, |_| true)),
         1 => with_one_from_elsewhere(region, &open, place),
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -12,6 +12,7 @@
 mod memory;
 pub mod orders;
 mod pending;
+mod residency;
 mod shell;
 mod status;
 
--- /dev/null
+++ b/controlplane/controller/src/residency.rs
@@ -0,0 +1,38 @@
+//! In which regions clients of a host may be sent to balancers: a view of the newest configuration that is known here.
+
+use std::collections::BTreeSet;
+
+use whinspindle_configuration::{HostRegions, ServingRegions};
+use whinspindle_replica::Records;
+
+use crate::orders::CONFIGURATION;
+
+/// No region but the client's own: what holds for a host of which nothing is known.
+static OWN_REGION_ALONE: ServingRegions = ServingRegions::Only(BTreeSet::new());
+
+/// The serving regions of hosts, read anew only when the configuration has changed.
+#[derive(Debug, Default)]
+pub struct Residency {
+    /// The sequence of the record that `hosts` was read from.
+    sequence: Option<u64>,
+    hosts: HostRegions,
+}
+
+impl Residency {
+    /// Takes the configuration of these records; none while the records aren't worth telling.
+    pub fn refresh(&mut self, records: Option<&Records>) {
+        let record = records.and_then(|records| records.get(CONFIGURATION));
+        let sequence = record.map(|record| record.sequence);
+        if sequence == self.sequence {
+            return;
+        }
+        self.sequence = sequence;
+        let hosts = record.and_then(|record| HostRegions::parse(&record.value).ok());
+        self.hosts = hosts.unwrap_or_default();
+    }
+
+    /// The regions, beside the client's own, of the balancers that may be named to clients of a host.
+    pub fn regions_of(&self, host: &str) -> &ServingRegions {
+        self.hosts.of(host).unwrap_or(&OWN_REGION_ALONE)
+    }
+}
