--- a/controlplane/controller/tests/directory.rs
+++ b/controlplane/controller/tests/directory.rs
@@ -232,10 +232,12 @@
         keep_alive(&mut fleet);
         fleet.pass(200);
         for at in 1..=3 {
-            let question = resolve_host(NORTH_AND_SOUTH, FROM_NORTH.0, FROM_NORTH.1);
-            let told = fleet.ask(endpoint(at), question).map_or_else(Vec::new, |answer| named(&answer));
-            assert!(!told.contains(&WEST), "controller {at} names {told:?}");
-            answers[usize::from(at) - 1] += usize::from(told == [NORTH_A, SOUTH]);
+            for zone in ["zone-a", "zone-b"] {
+                let question = resolve_host(NORTH_AND_SOUTH, "north", zone);
+                let told = fleet.ask(endpoint(at), question).map_or_else(Vec::new, |answer| named(&answer));
+                assert!(!told.contains(&WEST), "controller {at} names {told:?} to {zone}");
+                answers[usize::from(at) - 1] += usize::from(told == [NORTH_A, SOUTH]);
+            }
         }
     }
     assert!(answers.iter().all(|&count| count > 5), "all come to answer in full: {answers:?}");
