--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -23,6 +23,7 @@
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
 use crate::pending::PendingOrders;
+use crate::residency::Residency;
 
 /// Interval at which silent instances and balancers are looked for.
 const EXPIRY_MS: u64 = 300;
@@ -43,6 +44,7 @@
     replica: Replica<Orders>,
     registry: InstanceRegistry,
     leases: LeaseTable,
+    residency: Residency,
     publisher: Publisher,
     fleet: FleetState,
     pending: PendingOrders,
@@ -88,6 +90,7 @@
             replica,
             registry: InstanceRegistry::new(timing),
             leases: LeaseTable::new(LeaseTiming::default()),
+            residency: Residency::default(),
             publisher: Publisher::new(),
             fleet: FleetState::default(),
             pending: PendingOrders::default(),
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -28,7 +28,7 @@
                 self.heartbeat_taken(now, id, instance, effect);
             }
             Call::Deregister { instance } => self.depart(now, id, instance, Departure::Gone),
-            Call::Resolve { region, zone } => self.resolve(now, id, &region, &zone),
+            Call::Resolve { host, region, zone } => self.resolve(now, id, &host, &region, &zone),
             Call::Status => self.answer_status(now, id),
         }
     }
@@ -60,9 +60,12 @@
         self.order(now, id, Request::Drain { instance, departure });
     }
 
-    fn resolve(&mut self, now: u64, id: CallId, region: &str, zone: &str) {
+    fn resolve(&mut self, now: u64, id: CallId, host: &str, region: &str, zone: &str) {
         let region = self.settings.zones.get(zone).map_or(region, String::as_str);
-        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone });
+        let records = self.may_tell_records(now).then(|| self.replica.committed());
+        self.residency.refresh(records);
+        let regions = self.residency.regions_of(host);
+        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone }, regions);
         let response = match directory::answer(&addresses) {
             Some(body) if self.may_tell(now) => Response::ok(body),
             _ => Response::unavailable("no balancer is known yet"),
