--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -13,7 +13,9 @@
 use whinspindle_registry::{
     HeartbeatEffect, InstanceRecord, InstanceRegistry, LeaseTable, LeaseTiming, RegistryTiming,
 };
-use whinspindle_replica::{DurableWrite, Input, Message, Output, RecordWrite, Replica, Reply, SubmitError};
+use whinspindle_replica::{
+    DurableWrite, Input, LossKind, Message, Output, RecordWrite, Replica, Reply, SubmitError,
+};
 
 use crate::acquaintances::Acquaintances;
 use crate::api::{Call, Refusal, Response};
@@ -260,6 +262,11 @@
         self.replica.is_in_quorum(now)
     }
 
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        self.replica.fatal_losses()
+    }
+
     fn tick(&mut self, now: u64) {
         self.step(now, Input::Tick);
         self.note_quorum(now);
--- a/controlplane/controller/src/shell.rs
+++ b/controlplane/controller/src/shell.rs
@@ -9,6 +9,7 @@
 mod outbox;
 mod peers;
 mod program;
+mod reported;
 mod shared_folder;
 
 pub use disk::DiskError;
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -6,15 +6,17 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use whinspindle_distribution::frame::FrameKind;
 use whinspindle_distribution::{SubscriberId, ToBalancer, encode_to_balancer};
+use whinspindle_replica::LossKind;
 
 use super::clock::Clock;
 use super::disk::{Disk, DiskReport};
 use super::outbox::Outbox;
 use super::peers::{PeerLink, PeerLinks};
+use super::reported::Reported;
 use crate::api::{Call, Response};
 use crate::controller::{Action, Controller, Event};
 use crate::pending::CallId;
@@ -39,6 +41,7 @@
     disk: Disk,
     links_checked_at: u64,
     was_in_quorum: bool,
+    fatal_losses: Reported<Vec<LossKind>>,
 }
 
 impl Node {
@@ -54,6 +57,7 @@
             disk,
             links_checked_at: 0,
             was_in_quorum: false,
+            fatal_losses: Reported::default(),
         }
     }
 
@@ -86,6 +90,7 @@
             self.links_checked_at = now;
             self.peers.renew_silent(now);
             self.peers.end_unused(now, &self.controller.peers());
+            self.report_fatal_losses(now);
         }
         let in_quorum = self.controller.is_in_quorum(now);
         if in_quorum != self.was_in_quorum {
@@ -94,6 +99,17 @@
         }
     }
 
+    fn report_fatal_losses(&mut self, now: u64) {
+        let fatal = self.controller.fatal_losses();
+        let Some(fatal) = self.fatal_losses.changed(now, fatal) else { return };
+        if fatal.is_empty() {
+            info!("a majority of the voters outlives each loss that is to be tolerated");
+            return;
+        }
+        let names: Vec<&str> = fatal.iter().map(|kind| kind.name()).collect();
+        warn!("no majority of the voters would outlive the tolerated loss of {}", names.join(", "));
+    }
+
     /// Takes a call; its answer comes through the receiver.
     pub fn call(&mut self, call: Call) -> (CallId, oneshot::Receiver<Response>) {
         self.last_call += 1;
--- a/controlplane/controller/src/shell/program.rs
+++ b/controlplane/controller/src/shell/program.rs
@@ -16,7 +16,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use whinspindle_configuration::Settings;
 use whinspindle_distribution::ControllerAddress;
-use whinspindle_replica::{Output, Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{Output, Replica, ReplicaSettings, Timing, Tolerance};
 use whinspindle_storage::Recovered;
 
 use super::clock::Clock;
@@ -143,7 +143,7 @@
         bootstrap,
         birth: random(),
         start: random(),
-        tolerated_losses: settings.tolerate.machines,
+        tolerance: tolerance(settings),
         timing: Timing::default(),
     };
     let found = (recovered.checkpoint, recovered.log);
@@ -160,6 +160,11 @@
     }
 }
 
+fn tolerance(settings: &Settings) -> Tolerance {
+    let configured = settings.tolerate;
+    Tolerance { machines: configured.machines, zones: configured.zones, regions: configured.regions }
+}
+
 fn seed_endpoints(settings: &Settings) -> Vec<SocketAddr> {
     settings.seeds.iter().map(|seed| settings.internal_endpoint(seed.ip())).collect()
 }
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -63,6 +63,8 @@
     push_addresses(json, "chain", view.chain.iter().filter_map(|link| endpoint(link.voter)));
     push_addresses(json, "voters", view.voters().into_iter().filter_map(endpoint));
     push_addresses(json, "peers", replica.peers());
+    let fatal = replica.fatal_losses();
+    push_list(json, "fatal_losses", fatal, |json, kind| push_json_string(json, kind.name()));
 }
 
 fn push_evacuations(json: &mut String, replica: &Replica<Orders>) {
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -15,7 +15,7 @@
 use whinspindle_lab_cluster::{
     Cluster, DiskTiming, Effect, Event as Happening, NetworkTiming, Pcg, Process, Start,
 };
-use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing, Tolerance};
 
 use super::{HEARTBEAT_MS, zones};
 
@@ -154,7 +154,7 @@
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
-        tolerated_losses: 1,
+        tolerance: Tolerance::of_machines(1),
         timing: Timing::default(),
     };
     let (replica, outputs) =
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use whinspindle_controller::orders::Orders;
 use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
 use whinspindle_distribution::{ControllerAddress, Link, Report, SubscriberId, ToBalancer, Update, Versions};
-use whinspindle_replica::{Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{Replica, ReplicaSettings, Timing, Tolerance};
 
 /// The clock of a test starts above zero, as that of a process does.
 pub const START: u64 = 1_000_000;
@@ -46,7 +46,7 @@
             bootstrap: true,
             birth: 1,
             start: 2,
-            tolerated_losses: 0,
+            tolerance: Tolerance::of_machines(0),
             timing: Timing::default(),
         };
         let (replica, outputs) = Replica::new(replica_settings, Orders, (None, Vec::new()), START).unwrap();
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -345,8 +345,13 @@
     let body: &Bytes = &single.answer(id).expect("it is answered at once").body;
     let text = std::str::from_utf8(body).unwrap();
     assert!(text.starts_with("{\"node\":\"core-1\"") && text.ends_with('}'), "{text}");
-    for field in ["\"in_quorum\":1", "\"generation\":3", "\"subscribers\":1", "\"chain\":[\"10.0.0.1:7700\"]"]
-    {
+    for field in [
+        "\"fatal_losses\":[]",
+        "\"in_quorum\":1",
+        "\"generation\":3",
+        "\"subscribers\":1",
+        "\"chain\":[\"10.0.0.1:7700\"]",
+    ] {
         assert!(text.contains(field), "{field} in {text}");
     }
 }
--- a/coordination/replica/examples/three_replicas.rs
+++ b/coordination/replica/examples/three_replicas.rs
@@ -6,6 +6,7 @@
 
 use whinspindle_replica::{
     Answer, Application, Evaluation, Input, Output, RecordWrite, Records, Replica, ReplicaSettings, Timing,
+    Tolerance,
 };
 
 /// The records' meaning: a command `key=value` writes, a command `key` reads.
@@ -33,7 +34,7 @@
         bootstrap: true,
         birth: u64::from(endpoint.port()),
         start: 1,
-        tolerated_losses: 1,
+        tolerance: Tolerance::of_machines(1),
         timing: Timing::default(),
     }
 }
--- a/coordination/replica/src/chain.rs
+++ b/coordination/replica/src/chain.rs
@@ -101,7 +101,7 @@
         let view = &self.state.decided.view;
         let is_head = self.me().is_some() && view.head() == self.me();
         let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
-        is_head && is_complete && self.takes_part() && view.takes_writes(self.settings.tolerated_losses)
+        is_head && is_complete && self.takes_part() && view.takes_writes(self.settings.tolerance.machines)
     }
 
     pub(crate) fn on_submit(&mut self, origin: Origin, command: &[u8]) {
@@ -251,7 +251,7 @@
     }
 
     fn commit_at_tail(&mut self) {
-        if self.state.decided.view.takes_writes(self.settings.tolerated_losses) {
+        if self.state.decided.view.takes_writes(self.settings.tolerance.machines) {
             self.commit_up_to(self.settled());
         }
     }
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -10,9 +10,10 @@
 use crate::durable::{Decided, DurableRecord};
 use crate::laws::Laws;
 use crate::message::{Message, Report};
+use crate::placement::{LossKind, Place, fatal_losses};
 use crate::plan::{Candidate, Situation, Standing, next_view};
 use crate::replica::Replica;
-use crate::view::View;
+use crate::view::{Member, View};
 
 /// All rounds are of one founding.
 const EPOCH: u64 = 1;
@@ -156,23 +157,43 @@
     fn situation(&self, now: u64, view: &View, present: BTreeMap<Voter, Standing>) -> Situation {
         let lost = view.voters().into_iter().filter(|voter| !present.contains_key(voter));
         let lost = lost.filter(|voter| self.is_lost(now, view, *voter)).collect();
-        let place = |endpoint: &SocketAddr| {
-            let heartbeat = &self.peers.get(*endpoint)?.heartbeat;
-            Some((*endpoint, (heartbeat.zone.clone(), heartbeat.region.clone())))
-        };
-        let mut places: BTreeMap<_, _> =
-            view.members.iter().filter_map(|member| place(&member.endpoint)).collect();
-        places.insert(self.settings.endpoint, (self.settings.zone.clone(), self.settings.region.clone()));
         Situation {
-            tolerated_losses: self.settings.tolerated_losses,
+            tolerance: self.settings.tolerance,
             present,
             lost,
             candidates: self.candidates(now, view),
             apart: self.pairs_apart(now, view),
-            places,
+            places: self.places(view),
         }
     }
 
+    /// Where the members are, as far as they were heard.
+    fn places(&self, view: &View) -> BTreeMap<SocketAddr, Place> {
+        let heard = |member: &Member| {
+            let heartbeat = &self.peers.get(member.endpoint)?.heartbeat;
+            Some((member.endpoint, heartbeat.place()))
+        };
+        let mut places: BTreeMap<SocketAddr, Place> = view.members.iter().filter_map(heard).collect();
+        let own = Place { zone: self.settings.zone.clone(), region: self.settings.region.clone() };
+        places.insert(self.settings.endpoint, own);
+        places
+    }
+
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters, as far as their places
+    /// are known.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        let view = self.view();
+        let heard = self.places(view);
+        let place = |voter: Voter| {
+            let member = view.member(voter)?;
+            Some(heard.get(&member.endpoint).cloned().unwrap_or_else(|| member.place()))
+        };
+        let voters = view.boards.last().map(Vec::as_slice).unwrap_or_default();
+        let places: Vec<Place> = voters.iter().filter_map(|voter| place(*voter)).collect();
+        let are_known = !places.is_empty() && places.iter().all(Place::is_known);
+        if are_known { fatal_losses(&places, self.settings.tolerance) } else { Vec::new() }
+    }
+
     /// Whether another may take this voter's place: its memory is gone, or nobody has heard it for long.
     fn is_lost(&self, now: u64, view: &View, voter: Voter) -> bool {
         let Some(member) = view.member(voter) else { return false };
@@ -195,8 +216,7 @@
                 candidates.push(Candidate {
                     endpoint: *endpoint,
                     birth: heartbeat.birth,
-                    zone: heartbeat.zone.clone(),
-                    region: heartbeat.region.clone(),
+                    place: heartbeat.place(),
                     standing: Standing::new(heartbeat.report, false),
                 });
             }
--- a/coordination/replica/src/message.rs
+++ b/coordination/replica/src/message.rs
@@ -7,6 +7,7 @@
 
 use crate::durable::Decided;
 use crate::entry::{Entry, Origin, Read};
+use crate::placement::Place;
 use crate::transfer::Transfer;
 use crate::view::View;
 
@@ -109,6 +110,12 @@
     pub is_leaving: bool,
 }
 
+impl Heartbeat {
+    pub fn place(&self) -> Place {
+        Place { zone: self.zone.clone(), region: self.region.clone() }
+    }
+}
+
 /// Where a member of the chain stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChainStanding {
--- /dev/null
+++ b/coordination/replica/src/placement.rs
@@ -0,0 +1,106 @@
+//! Where voters stand, and which losses leave a majority of them.
+
+use std::collections::BTreeMap;
+
+/// What may be lost at once: so many machines, or zones, or regions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tolerance {
+    pub machines: usize,
+    pub zones: usize,
+    pub regions: usize,
+}
+
+impl Tolerance {
+    /// So many machines; zones and regions are not looked at.
+    pub fn of_machines(machines: usize) -> Tolerance {
+        Tolerance { machines, zones: 0, regions: 0 }
+    }
+
+    /// The least number of voters that can bear the losses, if they are spread evenly over enough places.
+    pub fn wanted_voters(&self) -> usize {
+        2 * self.machines.max(self.zones).max(self.regions) + 1
+    }
+}
+
+/// The zone and the region of a replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    pub zone: String,
+    pub region: String,
+}
+
+impl Place {
+    /// The place of a founding member is not known until it was heard.
+    pub fn is_known(&self) -> bool {
+        !self.zone.is_empty()
+    }
+}
+
+/// How unevenly voters are spread. Less is better; regions come first, since each of them holds whole zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Crowding {
+    /// The squares of the numbers of voters of all regions, added up.
+    regions: usize,
+    /// The same of the zones.
+    zones: usize,
+}
+
+impl Crowding {
+    pub fn of(places: &[Place]) -> Crowding {
+        let squares = |counts: Vec<usize>| counts.iter().map(|count| count * count).sum();
+        Crowding { regions: squares(region_counts(places)), zones: squares(zone_counts(places)) }
+    }
+}
+
+/// A kind of loss that is to be tolerated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LossKind {
+    Machines,
+    Zones,
+    Regions,
+}
+
+impl LossKind {
+    pub fn name(self) -> &'static str {
+        match self {
+            LossKind::Machines => "machines",
+            LossKind::Zones => "zones",
+            LossKind::Regions => "regions",
+        }
+    }
+}
+
+/// The kinds of tolerated losses after which no majority of these voters would be left.
+pub fn fatal_losses(places: &[Place], tolerance: Tolerance) -> Vec<LossKind> {
+    let machines = vec![1; places.len()];
+    let kinds = [
+        (LossKind::Machines, machines, tolerance.machines),
+        (LossKind::Zones, zone_counts(places), tolerance.zones),
+        (LossKind::Regions, region_counts(places), tolerance.regions),
+    ];
+    let is_fatal = |counts: Vec<usize>, losses: usize| 2 * largest(counts, losses) >= places.len();
+    let fatal = kinds.into_iter().filter(|(_, counts, losses)| is_fatal(counts.clone(), *losses));
+    fatal.map(|(kind, _, _)| kind).collect()
+}
+
+/// The sum of the largest of these.
+fn largest(mut counts: Vec<usize>, number: usize) -> usize {
+    counts.sort_unstable_by_key(|count| std::cmp::Reverse(*count));
+    counts.into_iter().take(number).sum()
+}
+
+fn zone_counts(places: &[Place]) -> Vec<usize> {
+    counts(places.iter().map(|place| place.zone.as_str()))
+}
+
+fn region_counts(places: &[Place]) -> Vec<usize> {
+    counts(places.iter().map(|place| place.region.as_str()))
+}
+
+fn counts<'a>(names: impl Iterator<Item = &'a str>) -> Vec<usize> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for name in names {
+        *counts.entry(name).or_default() += 1;
+    }
+    counts.into_values().collect()
+}
--- a/coordination/replica/src/plan.rs
+++ b/coordination/replica/src/plan.rs
@@ -6,6 +6,7 @@
 use whinspindle_agreement::Voter;
 
 use crate::message::Report;
+use crate::placement::{Crowding, Place, Tolerance};
 use crate::view::{ChainLink, Member, View};
 
 /// A joiner that lacks no more entries than these is let in at once.
@@ -31,15 +32,14 @@
 pub struct Candidate {
     pub endpoint: SocketAddr,
     pub birth: u64,
-    pub zone: String,
-    pub region: String,
+    pub place: Place,
     pub standing: Standing,
 }
 
 /// What is known of the replicas.
 #[derive(Clone, Debug, Default)]
 pub struct Situation {
-    pub tolerated_losses: usize,
+    pub tolerance: Tolerance,
     /// Voters that take part; others are not to be in the next chain.
     pub present: BTreeMap<Voter, Standing>,
     /// Voters that may be replaced.
@@ -48,7 +48,7 @@
     /// Pairs of endpoints that do not hear each other.
     pub apart: BTreeSet<(SocketAddr, SocketAddr)>,
     /// What is known of zones and regions.
-    pub places: BTreeMap<SocketAddr, (String, String)>,
+    pub places: BTreeMap<SocketAddr, Place>,
 }
 
 /// The next view; none if too few take part for a chain that may take writes.
@@ -62,7 +62,7 @@
     plan.choose_chain(found)?;
     plan.forget_members();
     plan.learn_places();
-    plan.next.takes_writes(situation.tolerated_losses).then_some(plan.next)
+    plan.next.takes_writes(situation.tolerance.machines).then_some(plan.next)
 }
 
 /// A view in the making.
@@ -87,30 +87,64 @@
         let old = old.clone();
         let mut new = old.clone();
         let mut candidates = self.situation.candidates.clone();
-        for voter in old.iter().filter(|voter| self.situation.lost.contains(voter)) {
-            if let Some(candidate) = self.take_successor(*voter, &mut candidates) {
-                new.retain(|other| other != voter);
-                new.push(self.admit(candidate));
-            }
+        self.replace_lost(&mut new, &mut candidates);
+        self.grow(&mut new, &mut candidates);
+        if old == new {
+            self.spread(&mut new, &candidates);
         }
-        self.grow(&mut new, candidates);
         if old != new {
             self.next.boards.push(new);
         }
     }
 
-    /// The best candidate for a lost voter's place: at its endpoint, else in its zone, else any.
-    fn take_successor(&self, lost: Voter, candidates: &mut Vec<Candidate>) -> Option<Candidate> {
+    fn replace_lost(&mut self, board: &mut Vec<Voter>, candidates: &mut Vec<Candidate>) {
+        let lost: Vec<Voter> =
+            board.iter().copied().filter(|voter| self.situation.lost.contains(voter)).collect();
+        for voter in lost {
+            let others: Vec<Voter> = board.iter().copied().filter(|other| *other != voter).collect();
+            if let Some(candidate) = self.take_successor(voter, &others, candidates) {
+                *board = others;
+                board.push(self.admit(candidate));
+            }
+        }
+    }
+
+    /// The best candidate for a lost voter's place: at its endpoint, else where fewest of the others are.
+    fn take_successor(
+        &self,
+        lost: Voter,
+        others: &[Voter],
+        candidates: &mut Vec<Candidate>,
+    ) -> Option<Candidate> {
         let member = self.next.member(lost)?;
         let at_endpoint = candidates.iter().position(|candidate| candidate.endpoint == member.endpoint);
-        let in_zone = candidates.iter().position(|candidate| candidate.zone == member.zone);
-        let any = (!candidates.is_empty()).then_some(0);
-        at_endpoint.or(in_zone).or(any).map(|index| candidates.remove(index))
+        let index = at_endpoint.or_else(|| self.best_placed(others, candidates))?;
+        Some(candidates.remove(index))
+    }
+
+    /// The candidate that would crowd the voters least; of several the first.
+    fn best_placed(&self, voters: &[Voter], candidates: &[Candidate]) -> Option<usize> {
+        let crowding = |candidate: &Candidate| self.crowding(voters, candidate);
+        (0..candidates.len()).min_by_key(|index| crowding(&candidates[*index]))
+    }
+
+    /// How unevenly these voters and one more would be spread.
+    fn crowding(&self, voters: &[Voter], candidate: &Candidate) -> Crowding {
+        let mut places: Vec<Place> = voters.iter().map(|voter| self.place(*voter)).collect();
+        places.push(candidate.place.clone());
+        Crowding::of(&places)
+    }
+
+    fn place(&self, voter: Voter) -> Place {
+        let Some(member) = self.next.member(voter) else { return Place::default() };
+        let heard = self.situation.places.get(&member.endpoint).cloned();
+        heard.unwrap_or_else(|| member.place())
     }
 
     fn admit(&mut self, candidate: Candidate) -> Voter {
-        let Candidate { endpoint, birth, zone, region, standing } = candidate;
+        let Candidate { endpoint, birth, place, standing } = candidate;
         let voter = Voter { member: self.next.next_member, birth };
+        let Place { zone, region } = place;
         self.next.members.push(Member { voter, endpoint, zone, region });
         self.next.next_member += 1;
         self.present.insert(voter, standing);
@@ -118,18 +152,62 @@
     }
 
     /// Adds voters up to the wanted number, and keeps the number odd where it can.
-    fn grow(&mut self, board: &mut Vec<Voter>, candidates: Vec<Candidate>) {
-        let wanted = 2 * self.situation.tolerated_losses + 1;
+    fn grow(&mut self, board: &mut Vec<Voter>, candidates: &mut Vec<Candidate>) {
+        let wanted = self.situation.tolerance.wanted_voters();
         let mut reached = (board.len() + candidates.len()).min(wanted);
         if reached.is_multiple_of(2) {
             reached -= 1;
         }
-        let room = reached.saturating_sub(board.len());
-        for candidate in candidates.into_iter().take(room) {
+        while board.len() < reached {
+            let Some(index) = self.best_placed(board, candidates) else { return };
+            let voter = self.admit(candidates.remove(index));
+            board.push(voter);
+        }
+    }
+
+    /// Replaces one voter where that spreads them more evenly over regions and zones, if nothing else is amiss.
+    fn spread(&mut self, board: &mut Vec<Voter>, candidates: &[Candidate]) {
+        let places: Vec<Place> = board.iter().map(|voter| self.place(*voter)).collect();
+        if !places.iter().all(Place::is_known) || !board.iter().all(|voter| self.is_settled(*voter)) {
+            return;
+        }
+        let Some((crowding, voter, candidate)) = self.best_exchange(board, candidates) else { return };
+        if crowding < Crowding::of(&places) {
+            board.retain(|other| *other != voter);
             board.push(self.admit(candidate));
         }
     }
 
+    /// The exchange of a voter after which they are spread most evenly; of several that of the last in the chain.
+    fn best_exchange(
+        &self,
+        board: &[Voter],
+        candidates: &[Candidate],
+    ) -> Option<(Crowding, Voter, Candidate)> {
+        let position = |voter: &Voter| std::cmp::Reverse(self.next.position(*voter));
+        let mut leavers = board.to_vec();
+        leavers.sort_by_key(position);
+        let ready = || candidates.iter().filter(|candidate| self.is_up_to_date(candidate.standing));
+        let exchange = |voter: Voter, candidate: &Candidate| {
+            let others: Vec<Voter> = board.iter().copied().filter(|other| *other != voter).collect();
+            (self.crowding(&others, candidate), voter, candidate.clone())
+        };
+        let exchanges = leavers.iter().flat_map(|voter| ready().map(|candidate| exchange(*voter, candidate)));
+        exchanges.min_by_key(|(crowding, _, _)| *crowding)
+    }
+
+    /// In the chain with a complete log, and not about to stop.
+    fn is_settled(&self, voter: Voter) -> bool {
+        let link = self.next.link(voter);
+        link.is_some_and(|link| self.is_complete(link)) && !self.is_leaving(voter)
+    }
+
+    /// Whether a replica lacks so little that it can be let into the chain at once.
+    fn is_up_to_date(&self, standing: Standing) -> bool {
+        let committed = self.present.values().map(|standing| standing.committed).max();
+        standing.committed + SMALL_LAG >= committed.unwrap_or(0)
+    }
+
     /// Survivors in their order, then those that join; the first of them has all that any of them has.
     fn choose_chain(&mut self, found: &View) -> Option<()> {
         let voters = self.next.voters();
@@ -152,7 +230,7 @@
                 late.push(link);
             }
         }
-        let required = self.next.required_chain(self.situation.tolerated_losses);
+        let required = self.next.required_chain(self.situation.tolerance.machines);
         self.drop_leaving(&mut chain, required);
         let lacking = required.saturating_sub(chain.len());
         chain.extend(late.into_iter().take(lacking));
@@ -200,9 +278,9 @@
 
     fn learn_places(&mut self) {
         for member in &mut self.next.members {
-            if let Some((zone, region)) = self.situation.places.get(&member.endpoint) {
-                member.zone.clone_from(zone);
-                member.region.clone_from(region);
+            if let Some(place) = self.situation.places.get(&member.endpoint) {
+                member.zone.clone_from(&place.zone);
+                member.region.clone_from(&place.region);
             }
         }
     }
--- a/coordination/replica/src/settings.rs
+++ b/coordination/replica/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::placement::Tolerance;
+
 /// Settings of one replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -17,8 +19,8 @@
     pub birth: u64,
     /// Drawn at random at each start of the process; also the seed of the jitter.
     pub start: u64,
-    /// How many replicas may be lost at once.
-    pub tolerated_losses: usize,
+    /// What may be lost at once while commands are still taken.
+    pub tolerance: Tolerance,
     pub timing: Timing,
 }
 
--- a/coordination/replica/src/view.rs
+++ b/coordination/replica/src/view.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use whinspindle_agreement::{Agreed, Voter};
 
+use crate::placement::Place;
+
 /// A replica as the view knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
@@ -15,6 +17,12 @@
     pub region: String,
 }
 
+impl Member {
+    pub fn place(&self) -> Place {
+        Place { zone: self.zone.clone(), region: self.region.clone() }
+    }
+}
+
 /// A place in the chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ChainLink {
--- a/coordination/replica/tests/common/node.rs
+++ b/coordination/replica/tests/common/node.rs
@@ -1,11 +1,11 @@
 //! A replica as a simulated process, with registers of text as its application.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use whinspindle_lab_cluster::{Cluster, DiskTiming, Effect, Event, NetworkTiming, Process, Start};
 use whinspindle_replica::{
     Answer, Application, AsDesigned, ChainLink, DurableWrite, Evaluation, Input, Laws, Message, Output,
-    RecordWrite, Records, Replica, ReplicaSettings, Reply, SubmitError, Timing, Voter,
+    Place, RecordWrite, Records, Replica, ReplicaSettings, Reply, SubmitError, Timing, Tolerance, Voter,
 };
 
 /// Registers: `put KEY VALUE`, `swap KEY OLD NEW` and `get KEY`. An empty register is `-`. A swap of another value
@@ -123,22 +123,47 @@
     SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_700))
 }
 
+/// The number of an endpoint, see [`endpoint`].
+fn number(endpoint: SocketAddr) -> usize {
+    match endpoint.ip() {
+        IpAddr::V4(ip) => ip.octets()[3] as usize - 1,
+        IpAddr::V6(_) => unreachable!("all endpoints are of the fourth version"),
+    }
+}
+
 /// Nodes that a new one is told of.
 const SEEDS: usize = 3;
 
-/// A cluster of this many founding replicas, three of which at most are seeds; all are started.
+/// A cluster of this many founding replicas, three of which at most are seeds; all are started. Each has a zone and a
+/// region of its own.
 pub fn cluster<L: Laws + 'static>(
     seed: u64,
     count: usize,
     tolerated_losses: usize,
     network: NetworkTiming,
+) -> Cluster<Node<L>> {
+    let own = |number: usize| place(&format!("zone-{number}"), &format!("region-{number}"));
+    cluster_at(seed, count, Tolerance::of_machines(tolerated_losses), network, own)
+}
+
+pub fn place(zone: &str, region: &str) -> Place {
+    Place { zone: zone.to_string(), region: region.to_string() }
+}
+
+/// Like [`cluster`], with places and a tolerance of the caller's choice.
+pub fn cluster_at<L: Laws + 'static>(
+    seed: u64,
+    count: usize,
+    tolerance: Tolerance,
+    network: NetworkTiming,
+    place: impl Fn(usize) -> Place + 'static,
 ) -> Cluster<Node<L>> {
     let founding: Vec<SocketAddr> = (0..count.min(SEEDS)).map(endpoint).collect();
     let starter = move |start: Start| {
-        let zone = format!("zone-{}", start.endpoint.ip());
+        let Place { zone, region } = place(number(start.endpoint));
         let settings = ReplicaSettings {
             endpoint: start.endpoint,
-            region: format!("region-{zone}"),
+            region,
             zone,
             seeds: if start.is_founding {
                 founding.clone()
@@ -148,7 +173,7 @@
             bootstrap: start.is_founding,
             birth: start.chance >> 1 | 1,
             start: start.chance,
-            tolerated_losses,
+            tolerance,
             timing: Timing::default(),
         };
         Node::start(settings, start)
