--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -14,7 +14,7 @@
 
 use whinspindle_distribution::{ControllerAddress, Publisher};
 use whinspindle_registry::{InstanceRegistry, LeaseTable, LeaseTiming, RegistryTiming};
-use whinspindle_replica::{Input, Output, Replica};
+use whinspindle_replica::{Input, LossKind, Output, Replica};
 
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
@@ -161,6 +161,11 @@
         self.replica.is_in_quorum(now)
     }
 
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        self.replica.fatal_losses()
+    }
+
     fn tick(&mut self, now: u64) {
         self.step(now, Input::Tick);
         self.note_quorum(now);
