Agent: first records only from a controller in a quorum, or after three seconds

An agent that had nothing handed on whatever configuration the first controller sent that it reached, also that of one which was cut off or had just started alone on an old disk: its proxy ran with it until a controller in a quorum was found. Now records of a controller without a quorum wait for 3 s from the first link, in which the others are tried; where something is held, newer records are taken from any controller, as before.

A restarted agent takes nothing older than what its proxies have reported as in force, so that a proxy that restarts afterwards is not taken back within one life of the machine.

--- a/dataplane/agent/src/agent.rs
+++ b/dataplane/agent/src/agent.rs
@@ -281,6 +281,7 @@
 
     fn proxy_reported(&mut self, now: u64, report: Report, outputs: &mut Vec<Output>) {
         let before = self.applied;
+        self.sections.in_force(report.applied);
         self.proxy.reported(now, report);
         self.report(now, outputs);
         if now >= self.link_told_at + KEEP_ALIVE_MS {
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -1,6 +1,8 @@
 //! The sections that the agent holds for its proxy, guarded against controllers that cannot know everything: one
 //! without a quorum, or one that has just become the link and may itself have just started. What such a controller
-//! lists is added to what is held, and takes nothing away; its whole list stands once it knows better.
+//! lists is added to what is held, and takes nothing away; its whole list stands once it knows better. Its configuration
+//! and evacuations may be old: an agent that has none waits for a while for those of a controller in a quorum, and none
+//! that are older than what its proxies have reported are taken.
 
 use std::collections::HashSet;
 
@@ -9,13 +11,23 @@
 /// For how long after it became the link a controller's lists take nothing away.
 const SETTLING_MS: u64 = 3_000;
 
-/// What is held, and the whole lists that wait.
+/// For how long after the first link the records of a controller without a quorum wait for those of another. All that
+/// are in reach have been tried by then.
+const RECORDS_PATIENCE_MS: u64 = 3_000;
+
+/// What is held, and what waits.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GuardedSections {
     holder: Holder,
     settled_at: u64,
     in_quorum: bool,
     waiting: Option<Waiting>,
+    /// When records are taken from any controller; none before the first link.
+    records_open_at: Option<u64>,
+    /// The newest records of a controller without a quorum, not taken yet.
+    waiting_records: Update,
+    /// The newest positions that the proxies of this agent have had in force.
+    floor: Versions,
 }
 
 /// The newest lists of the link, as they were received.
@@ -31,6 +43,14 @@
     pub fn linked(&mut self, now: u64) {
         self.settled_at = now + SETTLING_MS;
         self.waiting = None;
+        self.waiting_records = Update::default();
+        self.records_open_at.get_or_insert(now + RECORDS_PATIENCE_MS);
+    }
+
+    /// A proxy has these in force: nothing older is taken from now on.
+    pub fn in_force(&mut self, applied: Versions) {
+        self.floor.configured = self.floor.configured.max(applied.configured);
+        self.floor.evacuations = self.floor.evacuations.max(applied.evacuations);
     }
 
     /// Whether the controller of the link has a quorum. Returns the news that this brings.
@@ -41,6 +61,7 @@
 
     /// Takes an update of the link, and returns the news in it.
     pub fn apply(&mut self, now: u64, update: Update) -> Update {
+        let update = self.hold_back_records(now, update);
         if self.is_trusted(now) {
             self.waiting = None;
             return self.holder.apply(now, update);
@@ -53,18 +74,22 @@
 
     /// Lets the whole lists stand that have waited for the controller to know everything. Returns the news.
     pub fn settle(&mut self, now: u64) -> Update {
-        if !self.is_trusted(now) {
-            return Update::default();
+        let mut due = self.take_due_records(now);
+        if self.is_trusted(now)
+            && let Some(waiting) = self.waiting.take()
+        {
+            let elapsed_ms = now.saturating_sub(waiting.received_at);
+            due.instances = waiting.instances.map(|section| section.aged(elapsed_ms));
+            due.fleet = waiting.fleet;
         }
-        let Some(waiting) = self.waiting.take() else { return Update::default() };
-        let elapsed_ms = now.saturating_sub(waiting.received_at);
-        let instances = waiting.instances.map(|section| section.aged(elapsed_ms));
-        self.holder.apply(now, Update { instances, fleet: waiting.fleet, ..Update::default() })
+        self.holder.apply(now, due)
     }
 
     /// When `settle` is to be called.
     pub fn next_wake(&self) -> Option<u64> {
-        (self.in_quorum && self.waiting.is_some()).then_some(self.settled_at)
+        let lists = (self.in_quorum && self.waiting.is_some()).then_some(self.settled_at);
+        let records = self.records_open_at.filter(|_| self.waiting_records != Update::default());
+        lists.into_iter().chain(records).min()
     }
 
     pub fn snapshot(&self, now: u64) -> Update {
@@ -79,6 +104,41 @@
         self.in_quorum && now >= self.settled_at
     }
 
+    /// The update without records that are not to be taken, or not yet.
+    fn hold_back_records(&mut self, now: u64, mut update: Update) -> Update {
+        self.drop_older_records(&mut update);
+        if self.may_take_records(now) {
+            return update;
+        }
+        if let Some(section) = update.configured.take() {
+            self.waiting_records.configured = Some(section);
+        }
+        if let Some(section) = update.evacuations.take() {
+            self.waiting_records.evacuations = Some(section);
+        }
+        update
+    }
+
+    fn take_due_records(&mut self, now: u64) -> Update {
+        if !self.may_take_records(now) {
+            return Update::default();
+        }
+        let mut due = std::mem::take(&mut self.waiting_records);
+        self.drop_older_records(&mut due);
+        due
+    }
+
+    fn drop_older_records(&self, update: &mut Update) {
+        update.configured.take_if(|section| section.sequence < self.floor.configured);
+        update.evacuations.take_if(|section| section.sequence < self.floor.evacuations);
+    }
+
+    /// Where something is held, what is newer can be taken from any controller.
+    fn may_take_records(&self, now: u64) -> bool {
+        let holds_some = self.holder.configured().is_some();
+        self.in_quorum || holds_some || self.records_open_at.is_some_and(|at| now >= at)
+    }
+
     fn keep_waiting(&mut self, now: u64, update: &Update) {
         let earlier = self.waiting.take();
         let (received_at, instances, fleet) = match earlier {
