A controller without a majority tells new balancers nothing old

Faults found, each by a test in tests/cut_off.rs that runs without the bench: - A controller that started alone on an old disk told its balancers those records after 3 s, though the others had gone on (one way in which balancers handle version 10 while 13 is acknowledged); and once it had been in a quorum, it told new balancers for good. - One that came back in reach of the others said that it is in a quorum, and told its old records, for up to 500 ms before it counted as behind. - One that was frozen for 20 s read the heartbeats that had waited for it, took them for contact, and said that it is in a quorum before it knew of the newer view. - One that was cut off acknowledged heartbeats: the upstream called no other controller, and all other balancers took it for lost after three and a half intervals.

Without a quorum a balancer that has no configuration is told nothing for 8 s, and nothing at all once a controller or a balancer has spoken of a newer position. The 8 s replace the 3 s of LONE_START_MS: the service after a loss of most of the core stays possible, and machines are in touch again only 8 s after such a loss. Heartbeats are taken in, told to the controller's own balancers, and answered 503 while there is no quorum.

Replaced: the assertion in tests/fleet.rs that a cut-off controller answers 200 to a heartbeat. It was wrong, as said above; 503 is asserted now, and cut_off.rs asserts besides that the controller's own balancers are told of the upstream.

--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -19,6 +19,7 @@
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
 use crate::api::Response;
+use crate::contact::Contact;
 use crate::fleet::FleetState;
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
@@ -48,9 +49,7 @@
     pending: PendingOrders,
     acquaintances: Acquaintances,
     started_at: u64,
-    /// When the replica was last seen in a quorum.
-    quorum_at: Option<u64>,
-    was_in_quorum: bool,
+    contact: Contact,
     /// How long a controller that has just started learns before it tells what it knows.
     learning_ms: u64,
     /// Another controller has told all that lives.
@@ -93,8 +92,7 @@
             pending: PendingOrders::default(),
             acquaintances: Acquaintances::default(),
             started_at: now,
-            quorum_at: None,
-            was_in_quorum: false,
+            contact: Contact::new(now),
             learning_ms,
             is_taught: false,
             has_recalled: false,
@@ -118,6 +116,7 @@
 
     /// Takes an event; answers what is to be done, in order.
     pub fn handle(&mut self, now: u64, event: Event) -> Vec<Action> {
+        self.contact.awake(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Call { id, call } => self.call(now, id, call),
@@ -154,8 +153,9 @@
         !self.pending.is_empty()
     }
 
+    /// Whether this controller is in contact with a majority and up to date.
     pub fn is_in_quorum(&self, now: u64) -> bool {
-        self.replica.is_in_quorum(now)
+        self.contact.is_in_quorum() && self.replica.is_in_quorum(now)
     }
 
     fn tick(&mut self, now: u64) {
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -36,12 +36,12 @@
     fn heartbeat_taken(&mut self, now: u64, id: CallId, instance: String, effect: HeartbeatEffect) {
         match effect {
             HeartbeatEffect::Accepted { changed } => {
-                self.answer(id, Response::accepted());
+                self.acknowledge_heartbeat(now, id);
                 if changed {
                     self.instances_changed(now);
                 }
             }
-            HeartbeatEffect::Stale => self.answer(id, Response::accepted()),
+            HeartbeatEffect::Stale => self.acknowledge_heartbeat(now, id),
             HeartbeatEffect::StartsDraining => {
                 self.instances_changed(now);
                 self.depart(now, id, instance, Departure::Draining);
@@ -52,6 +52,17 @@
         }
     }
 
+    /// Without a quorum this controller's own balancers are told of the instance, but it is to call another controller
+    /// too: all other balancers would take it for lost.
+    fn acknowledge_heartbeat(&mut self, now: u64, id: CallId) {
+        let response = if self.is_in_quorum(now) {
+            Response::accepted()
+        } else {
+            Response::unavailable("no contact with a majority of the controllers")
+        };
+        self.answer(id, response);
+    }
+
     fn depart(&mut self, now: u64, id: CallId, instance: String, departure: Departure) {
         if orders::departure_of(self.replica.committed(), &instance) >= Some(departure) {
             self.answer(id, Response::accepted());
@@ -77,6 +88,7 @@
             registry: &self.registry,
             leases: &self.leases,
             publisher: &self.publisher,
+            in_quorum: self.is_in_quorum(now),
             pending: self.pending.len(),
             leaving: self.leaving,
             now,
--- a/controlplane/controller/src/controller/publication.rs
+++ b/controlplane/controller/src/controller/publication.rs
@@ -21,6 +21,7 @@
     pub(super) fn take_report(&mut self, now: u64, subscriber: SubscriberId, report: &Report) {
         let is_new = !self.publisher.subscribers().any(|known| known == subscriber);
         self.publisher.reported(now, subscriber, report);
+        self.contact.mentioned(report.applied.configured.max(report.applied.evacuations));
         let changed = self.leases.renew(now, exchange::lease_of(report));
         if is_new {
             let message = ToBalancer::Link(self.link(now, self.controllers(now)));
@@ -46,27 +47,31 @@
     }
 
     fn link(&self, now: u64, controllers: Vec<ControllerAddress>) -> Link {
-        Link { in_quorum: self.replica.is_in_quorum(now), leaving: self.leaving, controllers }
+        Link { in_quorum: self.is_in_quorum(now), leaving: self.leaving, controllers }
     }
 
-    /// Sends each balancer what it lacks of the newest state.
+    /// Sends each balancer what it lacks of the newest state. One that has nothing yet looks for a controller in a quorum
+    /// first.
     pub(super) fn publish(&mut self, now: u64) {
         self.refresh_replicated(now);
         if self.may_tell(now) {
             self.refresh_instances(now);
             self.refresh_fleet(now);
         }
+        let hands_out = self.may_hand_out(now);
         let subscribers: Vec<SubscriberId> = self.publisher.subscribers().collect();
         for to in subscribers {
+            if !hands_out && !self.publisher.has_configuration(to) {
+                continue;
+            }
             if let Some(update) = self.publisher.update_for(now, to) {
                 self.actions.push(Action::SendBalancer { to, message: ToBalancer::Update(update) });
             }
         }
     }
 
-    /// A replica that has just started may hold old records; they are told only if a quorum doesn't come about soon.
     fn refresh_replicated(&mut self, now: u64) {
-        if !self.may_tell_records(now) {
+        if !self.may_hand_out(now) {
             return;
         }
         let records = self.replica.committed();
--- a/controlplane/controller/src/controller/replication.rs
+++ b/controlplane/controller/src/controller/replication.rs
@@ -19,9 +19,10 @@
     pub(super) fn receive(&mut self, now: u64, from: SocketAddr, message: Message) {
         if let Message::Heartbeat(heartbeat) = &message {
             self.acquaintances.mentioned(now, &heartbeat.heard);
+            self.contact.mentioned(heartbeat.report.committed);
         }
         self.step(now, Input::Message { from, message });
-        if !self.was_in_quorum {
+        if !self.contact.is_in_quorum() {
             self.note_quorum(now);
         }
     }
--- a/controlplane/controller/src/controller/submission.rs
+++ b/controlplane/controller/src/controller/submission.rs
@@ -25,8 +25,7 @@
     }
 
     fn time_for(&self, now: u64, request: &Request) -> u64 {
-        let lost_quorum = self.quorum_at.is_none_or(|at| at + ORDER_MS < now);
-        if lost_quorum && !self.replica.is_in_quorum(now) {
+        if self.contact.is_lost_for(now, ORDER_MS) {
             return ORDER_WITHOUT_QUORUM_MS;
         }
         match request {
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod acquaintances;
 pub mod api;
+mod contact;
 mod controller;
 mod directory;
 mod exchange;
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -18,6 +18,7 @@
     pub registry: &'a InstanceRegistry,
     pub leases: &'a LeaseTable,
     pub publisher: &'a Publisher,
+    pub in_quorum: bool,
     pub pending: usize,
     pub leaving: bool,
     pub now: u64,
@@ -39,7 +40,7 @@
 fn push_fields(json: &mut String, summary: &Summary<'_>) {
     let versions = summary.publisher.versions();
     let fields = [
-        ("in_quorum", u64::from(summary.replica.is_in_quorum(summary.now))),
+        ("in_quorum", u64::from(summary.in_quorum)),
         ("leaving", u64::from(summary.leaving)),
         ("pending_orders", summary.pending as u64),
         ("committed_sequence", summary.replica.committed_sequence()),
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -188,6 +188,8 @@
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
+    /// Updates and links in the order in which they were sent.
+    pub sent: Vec<(SubscriberId, ToBalancer)>,
     memories: Memories,
     last_call: u64,
 }
@@ -209,6 +211,7 @@
             attempts: Vec::new(),
             updates: Vec::new(),
             links: Vec::new(),
+            sent: Vec::new(),
             memories,
             last_call: 0,
         };
@@ -311,8 +314,14 @@
     fn take(&mut self, at: u64, answer: Answer) {
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
-            Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
-            Answer::Link { subscriber, link } => self.links.push((subscriber, link)),
+            Answer::Update { subscriber, update } => {
+                self.sent.push((subscriber, ToBalancer::Update(update.clone())));
+                self.updates.push((subscriber, update));
+            }
+            Answer::Link { subscriber, link } => {
+                self.sent.push((subscriber, ToBalancer::Link(link.clone())));
+                self.links.push((subscriber, link));
+            }
         }
     }
 
--- /dev/null
+++ b/controlplane/controller/tests/cut_off.rs
@@ -0,0 +1,223 @@
+//! Controllers that are cut off, frozen, or started alone on an old disk: what they tell, take and confirm.
+
+mod common;
+
+use common::fleet::{Fleet, endpoint};
+use common::*;
+use http::StatusCode;
+use whinspindle_configuration::InstanceState::{Draining, Ready};
+use whinspindle_distribution::{Report, SubscriberId, ToBalancer, Versions};
+
+/// A loss of contact is noticed within this time.
+const NOTICED_MS: u64 = 2_000;
+/// A controller alone tells new balancers nothing for this long.
+const ALONE_MS: u64 = 8_000;
+const CUT_MS: u64 = 20_000;
+const ORDER_MS: u64 = 15_000;
+/// A caller goes on to another controller after this time without an answer.
+const CALLER_PATIENCE_MS: u64 = 1_000;
+
+fn applied(report: Report, sequence: u64) -> Report {
+    Report { applied: Versions { configured: sequence, ..Versions::default() }, ..report }
+}
+
+/// The configurations that a subscriber was sent.
+fn sent_configurations(fleet: &Fleet, subscriber: u64) -> Vec<bytes::Bytes> {
+    let sent = fleet.updates.iter().filter(|(to, _)| *to == SubscriberId(subscriber));
+    let bodies = sent.filter_map(|(_, update)| Some(update.configured.as_ref()?.body.clone()));
+    // One that is not acknowledged is sent again.
+    let mut bodies: Vec<bytes::Bytes> = bodies.collect();
+    bodies.dedup();
+    bodies
+}
+
+fn said_in_quorum(fleet: &Fleet, subscriber: u64) -> bool {
+    fleet.links.iter().any(|(to, link)| *to == SubscriberId(subscriber) && link.in_quorum)
+}
+
+/// The newest position that a controller's balancers were told.
+fn newest_position(fleet: &Fleet) -> u64 {
+    let positions = fleet.updates.iter().filter_map(|(_, update)| Some(update.configured.as_ref()?.sequence));
+    positions.max().unwrap_or(0)
+}
+
+/// Configuration 1 is on all disks, and 2 on all but that of the third controller, which is down.
+fn third_is_down_with_an_old_disk(seed: u64) -> Fleet {
+    let mut fleet = Fleet::start(seed, 3);
+    fleet.complete(replace(0, 1), ORDER_MS);
+    fleet.pass(1_000);
+    fleet.cluster.stop(endpoint(3));
+    fleet.pass(3_000);
+    fleet.complete(replace(1, 2), ORDER_MS);
+    fleet.pass(1_000);
+    fleet
+}
+
+#[test]
+fn a_controller_that_starts_alone_on_an_old_disk_tells_nothing_at_first() {
+    let mut fleet = third_is_down_with_an_old_disk(1);
+    fleet.set_cut_off(endpoint(3), true);
+    fleet.cluster.start(endpoint(3));
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    fleet.pass(ALONE_MS - 200);
+    assert!(sent_configurations(&fleet, 30).is_empty(), "the others have gone on");
+    assert!(!said_in_quorum(&fleet, 30));
+    fleet.pass(1_000);
+    assert_eq!(sent_configurations(&fleet, 30), [configuration(1)], "where nothing else is left it serves");
+}
+
+#[test]
+fn a_controller_that_starts_alone_tells_nothing_once_a_balancer_knows_more() {
+    let mut fleet = third_is_down_with_an_old_disk(2);
+    fleet.report(endpoint(1), 10, report(1, "zone-a"));
+    fleet.pass(100);
+    let newest = newest_position(&fleet);
+    fleet.set_cut_off(endpoint(3), true);
+    fleet.cluster.start(endpoint(3));
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    fleet.report(endpoint(3), 31, applied(report(2, "zone-a"), newest));
+    fleet.pass(CUT_MS);
+    assert!(sent_configurations(&fleet, 30).is_empty(), "it knows that it is behind");
+    assert!(sent_configurations(&fleet, 31).is_empty());
+    fleet.set_cut_off(endpoint(3), false);
+    fleet.pass(4_000);
+    assert_eq!(sent_configurations(&fleet, 30), [configuration(2)]);
+}
+
+#[test]
+fn a_controller_that_comes_back_on_an_old_disk_never_tells_old_records() {
+    for seed in 0..20 {
+        let mut fleet = third_is_down_with_an_old_disk(100 + seed);
+        fleet.cluster.start(endpoint(3));
+        fleet.report(endpoint(3), 30, report(1, "zone-a"));
+        fleet.pass(6_000);
+        assert_eq!(sent_configurations(&fleet, 30), [configuration(2)], "seed {seed}");
+    }
+}
+
+#[test]
+fn a_cut_off_controller_hands_a_new_balancer_nothing_old() {
+    let mut fleet = Fleet::start(3, 3);
+    fleet.complete(replace(0, 1), ORDER_MS);
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    fleet.pass(1_000);
+    fleet.set_cut_off(endpoint(3), true);
+    fleet.pass(NOTICED_MS);
+    fleet.complete(replace(1, 2), ORDER_MS);
+    fleet.report(endpoint(3), 31, report(2, "zone-a"));
+    fleet.pass(3_000);
+    assert!(sent_configurations(&fleet, 31).is_empty());
+    assert!(!said_in_quorum(&fleet, 31));
+    let balancer = applied(report(3, "zone-a"), newest_position(&fleet));
+    fleet.report(endpoint(3), 32, balancer);
+    fleet.ask(endpoint(3), heartbeat("i-1", 1, Ready));
+    fleet.pass(500);
+    let lists =
+        fleet.updates.iter().filter(|(to, update)| *to == SubscriberId(32) && update.instances.is_some());
+    assert!(lists.count() > 0, "a balancer that has a configuration hears of upstreams there");
+}
+
+#[test]
+fn a_cut_off_controller_confirms_no_heartbeat_and_tells_its_own_balancers() {
+    let mut fleet = Fleet::start(4, 3);
+    fleet.complete(replace(0, 1), ORDER_MS);
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    fleet.pass(1_000);
+    fleet.set_cut_off(endpoint(3), true);
+    fleet.pass(NOTICED_MS);
+    for (beat, state) in [(1, Ready), (2, Draining)] {
+        let began = fleet.cluster.now();
+        let answer = fleet.ask(endpoint(3), heartbeat("i-1", beat, state)).expect("an answer in time");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{state:?}");
+        assert!(fleet.cluster.now() < began + CALLER_PATIENCE_MS);
+        fleet.pass(500);
+        let sent = fleet.updates.iter().rev().filter(|(to, _)| *to == SubscriberId(30));
+        let list = sent.filter_map(|(_, update)| update.instances.as_ref()).next().expect("a list");
+        let told = list.list.iter().find(|instance| instance.id == "i-1").expect("the upstream");
+        assert_eq!(told.draining, state == Draining);
+    }
+    let answer = fleet.ask(endpoint(3), deregister("i-1")).expect("an answer in time");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[test]
+fn a_cut_in_one_direction_is_noticed_on_both_sides() {
+    for outward in [true, false] {
+        let mut fleet = Fleet::start(5, 3);
+        fleet.complete(replace(0, 1), ORDER_MS);
+        fleet.report(endpoint(3), 30, report(1, "zone-a"));
+        fleet.pass(1_000);
+        for other in [1, 2].map(endpoint) {
+            let (from, to) = if outward { (endpoint(3), other) } else { (other, endpoint(3)) };
+            fleet.cluster.cut(from, to);
+        }
+        fleet.pass(NOTICED_MS);
+        fleet.links.clear();
+        fleet.complete(replace(1, 2), ORDER_MS);
+        fleet.report(endpoint(3), 31, report(2, "zone-a"));
+        fleet.pass(2_000);
+        assert!(!said_in_quorum(&fleet, 30), "outward {outward}");
+        assert!(sent_configurations(&fleet, 31).is_empty(), "outward {outward}");
+        let answer = fleet.ask(endpoint(3), evacuate("zone-a", true)).expect("an answer in time");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "outward {outward}");
+        fleet.cluster.heal_all();
+        fleet.pass(4_000);
+        assert_eq!(sent_configurations(&fleet, 31), [configuration(2)], "outward {outward}");
+    }
+}
+
+#[test]
+fn a_controller_that_was_frozen_serves_nothing_before_it_has_contact_again() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::start(200 + seed, 3);
+        fleet.complete(replace(0, 1), ORDER_MS);
+        fleet.report(endpoint(3), 29, report(2, "zone-a"));
+        fleet.pass(1_000);
+        let thaws_at = fleet.cluster.now() + CUT_MS;
+        fleet.cluster.freeze(endpoint(3), thaws_at);
+        fleet.pass(3_000);
+        fleet.complete(replace(1, 2), ORDER_MS);
+        // The thawed process reads first what was sent to it right before and during its pause.
+        fleet.sent.clear();
+        fleet.pass(thaws_at + 200 - fleet.cluster.now());
+        let to_earlier = fleet.sent.iter().filter(|(to, _)| *to == SubscriberId(29));
+        let until_newest = to_earlier.map(|(_, message)| message).take_while(|message| match message {
+            ToBalancer::Update(update) => update.configured.is_none(),
+            ToBalancer::Link(_) => true,
+        });
+        let claims_quorum =
+            |message: &ToBalancer| matches!(message, ToBalancer::Link(link) if link.in_quorum);
+        assert!(!until_newest.into_iter().any(claims_quorum), "seed {seed}");
+        fleet.report(endpoint(3), 30, report(1, "zone-a"));
+        fleet.pass(6_000);
+        assert_eq!(sent_configurations(&fleet, 30), [configuration(2)], "seed {seed}");
+        assert!(said_in_quorum(&fleet, 30), "seed {seed}");
+    }
+}
+
+#[test]
+fn orders_and_departures_in_the_moment_of_the_return_have_one_outcome() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(300 + seed, 3);
+        fleet.complete(replace(0, 1), ORDER_MS);
+        fleet.set_cut_off(endpoint(3), true);
+        fleet.pass(CUT_MS);
+        fleet.complete(replace(1, 2), ORDER_MS);
+        fleet.set_cut_off(endpoint(3), false);
+        // Given to the returning controller first, on the base that it last knew.
+        let stale = fleet.ask(endpoint(3), replace(1, 3));
+        assert!(stale.is_none_or(|answer| answer.status != StatusCode::OK), "seed {seed}");
+        let departure = fleet.begin(heartbeat("i-1", 1, Draining));
+        let change = fleet.begin(replace(2, 4));
+        let zone = fleet.begin(evacuate("zone-b", true));
+        fleet.pass(6_000);
+        for attempt in [departure, change, zone] {
+            let (_, answer) = fleet.attempts[attempt].answered.clone().expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK, "seed {seed}");
+        }
+        for number in 1..=3 {
+            let departed = fleet.cluster.process(endpoint(number)).unwrap().controller.has_departed("i-1");
+            assert!(departed, "controller {number}, seed {seed}");
+        }
+    }
+}
--- a/controlplane/controller/tests/fleet.rs
+++ b/controlplane/controller/tests/fleet.rs
@@ -236,7 +236,7 @@
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{order:?}");
     }
     let answer = fleet.ask(endpoint(3), heartbeat("i-2", 1, Ready)).expect("an answer");
-    assert_eq!(answer.status, StatusCode::OK, "that an instance is there needs no quorum");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "the others would take it for lost");
     fleet.pass(2_000);
     assert_eq!(fleet.complete(replace(0, 1), TROUBLED_ORDER_MS).status, StatusCode::OK);
     fleet.set_cut_off(endpoint(3), false);
--- a/controlplane/distribution/src/publisher.rs
+++ b/controlplane/distribution/src/publisher.rs
@@ -129,6 +129,12 @@
         self.subscribers.keys().copied()
     }
 
+    /// Whether a subscriber has a configuration, sent on this connection or reported as applied.
+    pub fn has_configuration(&self, subscriber: SubscriberId) -> bool {
+        let state = self.subscribers.get(&subscriber);
+        state.is_some_and(|state| state.applied.configured > 0 || state.configured.sent.is_some())
+    }
+
     /// What is to be sent to a subscriber now: sections newer than those sent on this connection, and those whose
     /// acknowledgement is overdue. None where there is nothing to send.
     pub fn update_for(&mut self, now: u64, subscriber: SubscriberId) -> Option<Update> {
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -235,6 +235,11 @@
         view.is_known() && view.has_majority(is_agreed) && is_synchronized && !is_behind
     }
 
+    /// Whether another replica has said that more is committed than is known here.
+    pub fn is_behind(&self) -> bool {
+        self.peers.iter().any(|(_, peer)| peer.heartbeat.report.committed > self.state.committed)
+    }
+
     /// The newest view that is known here.
     pub fn view(&self) -> &View {
         &self.state.decided.view
@@ -368,9 +373,7 @@
     }
 
     fn note_lag(&mut self, now: u64) {
-        let ahead = |peer: &crate::peers::Peer| peer.heartbeat.report.committed > self.state.committed;
-        let is_behind = self.peers.iter().any(|(_, peer)| ahead(peer));
-        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+        self.behind_since = self.is_behind().then(|| self.behind_since.unwrap_or(now));
     }
 
     fn send_heartbeats(&mut self, now: u64) {
