A clear refusal of an order is final, and an order that was taken is never refused

Faults found by going through every answer to an order:

- A configuration on a base that is not in place yet got 412.
Once that base came, a copy of it that was still on its way (a replica sends an order again for four seconds) could be taken after the refusal.
It waits now, and is answered 503 in the end; generations climb, so 412 remains for bases below the current one, where it is final.
- After 512 later changes a taken configuration that was sent again got 412.
Below the oldest generation in the history it is not known any more whether it was taken, so the answer is 503 there; never 200, never a refusal.
- A generation not above its base is refused whatever is in place.
- An evacuation order that was held up in a cut link or at a stopped process was given as new, after later orders were acknowledged.
Its caller has gone by then and its connection has ended, so such an order is given after 100 ms and not at all if its caller is gone; and it is renewed on a newer record only within 400 ms of its arrival, not until its deadline.
- A configuration whose body could not be read in time got 400, which ends the call of an operator whose order may have been taken elsewhere.
It gets 408 now.
- A submission without a known outcome is not given a second ticket any more: nothing could reach that path within an order's deadline but a second evaluation.

--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -72,8 +72,9 @@
             Refusal::BaseVersion
             | Refusal::InvalidConfiguration { .. }
             | Refusal::InvalidHeartbeat { .. }
-            | Refusal::InstanceId
-            | Refusal::BodyUnread => StatusCode::BAD_REQUEST,
+            | Refusal::InstanceId => StatusCode::BAD_REQUEST,
+            // Nothing is known of the order then: the caller is to send it again.
+            Refusal::BodyUnread => StatusCode::REQUEST_TIMEOUT,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Busy | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/controlplane/controller/src/controller/submission.rs
+++ b/controlplane/controller/src/controller/submission.rs
@@ -15,13 +15,26 @@
 const ORDER_WITHOUT_QUORUM_MS: u64 = 250;
 /// A large body may take longer: a millisecond for so many bytes.
 const ORDER_BYTES_PER_MS: u64 = 4096;
-/// An order that failed without a known outcome is submitted again after this time.
-const RESUBMIT_MS: u64 = 100;
+/// A configuration whose base is not in place yet is submitted again after this time.
+const BASE_AHEAD_MS: u64 = 200;
+/// An evacuation order waits for so long before it is submitted. One that was held up on its way, in a cut link or at a
+/// process that stood still, is followed by the end of its connection, since its caller has gone on to another
+/// controller; it must not be given then, after newer orders.
+const EVACUATION_WAIT_MS: u64 = 100;
+/// For so long after its arrival an evacuation order that was overtaken is given anew on the zone's newest record. Its
+/// caller has not gone on to another controller by then.
+const EVACUATION_RENEWAL_MS: u64 = 400;
 
 impl Controller {
     pub(super) fn order(&mut self, now: u64, call: CallId, request: Request) {
         let deadline = now + self.time_for(now, &request);
-        self.submit(now, PendingOrder { call, request, seen: 0, deadline });
+        let is_evacuation = matches!(request, Request::Evacuate { .. });
+        let pending = PendingOrder { call, request, seen: 0, taken_at: now, deadline };
+        if is_evacuation {
+            self.pending.rest(now + EVACUATION_WAIT_MS, pending);
+        } else {
+            self.submit(now, pending);
+        }
     }
 
     fn time_for(&self, now: u64, request: &Request) -> u64 {
@@ -55,31 +68,46 @@
                 self.answer(pending.call, fetched(reply.answer));
             }
             Ok(reply) => self.decided(now, pending, &reply.answer),
-            Err(_) => self.pending.rest(now + RESUBMIT_MS, pending),
+            Err(error) => self.answer(pending.call, Response::unavailable(&error.to_string())),
         }
     }
 
-    fn decided(&mut self, now: u64, mut pending: PendingOrder, answer: &[u8]) {
-        let response = match Outcome::decode(answer) {
-            Ok(Outcome::Done) => Response::accepted(),
-            Ok(Outcome::OtherBase { current }) => Response::failure(
-                StatusCode::PRECONDITION_FAILED,
-                &format!("the configuration in place is of generation {current}"),
-            ),
-            Ok(Outcome::NotAbove { current }) => Response::failure(
-                StatusCode::CONFLICT,
-                &format!("the generation is not above the current one, {current}"),
-            ),
-            Ok(Outcome::Overtaken { sequence }) if pending.deadline > now => {
-                pending.seen = sequence;
-                self.submit(now, pending);
-                return;
+    fn decided(&mut self, now: u64, pending: PendingOrder, answer: &[u8]) {
+        match Outcome::decode(answer) {
+            Ok(Outcome::BaseAhead { .. }) if now + BASE_AHEAD_MS < pending.deadline => {
+                self.pending.rest(now + BASE_AHEAD_MS, pending);
             }
-            Ok(Outcome::Overtaken { .. } | Outcome::Unreadable) | Err(_) => {
-                Response::unavailable("the order was not carried out")
+            Ok(Outcome::Overtaken { sequence }) if now < pending.taken_at + EVACUATION_RENEWAL_MS => {
+                self.submit(now, PendingOrder { seen: sequence, ..pending });
             }
-        };
-        self.answer(pending.call, response);
+            Ok(outcome) => self.answer(pending.call, response(&outcome)),
+            Err(_) => self.answer(pending.call, Response::unavailable("the outcome could not be read")),
+        }
+    }
+}
+
+/// What the caller is told. An order that was taken, or that may yet be, is never refused.
+fn response(outcome: &Outcome) -> Response {
+    match outcome {
+        Outcome::Done => Response::accepted(),
+        Outcome::OtherBase { current } => Response::failure(
+            StatusCode::PRECONDITION_FAILED,
+            &format!("the configuration in place is of generation {current}"),
+        ),
+        Outcome::NotAbove { current } => Response::failure(
+            StatusCode::CONFLICT,
+            &format!("the generation is not above the one that it builds on; in place is {current}"),
+        ),
+        Outcome::BaseAhead { current } => Response::unavailable(&format!(
+            "the configuration that this one builds on is not in place yet, but {current}"
+        )),
+        Outcome::Forgotten { current } => Response::unavailable(&format!(
+            "it is not known any more whether this configuration was taken; in place is {current}"
+        )),
+        Outcome::Overtaken { .. } => {
+            Response::unavailable("another order for this zone came first; this one has no effect")
+        }
+        Outcome::Unreadable => Response::unavailable("the order could not be read; it has no effect"),
     }
 }
 
--- a/controlplane/controller/src/orders.rs
+++ b/controlplane/controller/src/orders.rs
@@ -62,16 +62,21 @@
 /// What became of an order at the head.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// It is in force, by this order or by an equal one before.
+    /// It is in force, by this order or by an equal one before; or it was, until a newer one came.
     Done,
-    /// Another configuration is in place than the one that the order builds on.
+    /// A later configuration is in place than the one that the order builds on. Since generations climb, it can't come
+    /// into force any more.
     OtherBase { current: u64 },
-    /// The generation is not above the current one.
+    /// The generation is not above the one that the order builds on, so it can never come into force.
     NotAbove { current: u64 },
     /// The zone's record has changed since the order was given.
     Overtaken { sequence: u64 },
     /// The command could not be read.
     Unreadable,
+    /// The configuration that the order builds on is not in place yet. It may come, and a copy of the order with it.
+    BaseAhead { current: u64 },
+    /// The generation is so old that it is not known any more whether this configuration was taken.
+    Forgotten { current: u64 },
 }
 
 /// A command or an outcome that can't be read.
@@ -209,11 +214,8 @@
         return answer_only(Outcome::Done);
     }
     let current = current_generation(records);
-    if base != current {
-        return answer_only(Outcome::OtherBase { current });
-    }
-    if generation <= current {
-        return answer_only(Outcome::NotAbove { current });
+    if let Some(obstacle) = obstacle(records, current, base, generation) {
+        return answer_only(obstacle);
     }
     let mut writes = vec![
         write(CONFIGURATION.to_owned(), body),
@@ -224,6 +226,29 @@
     Evaluation { writes, answer: Answer::Value(Outcome::Done.encode()) }
 }
 
+/// Why a configuration is not put in place. Clear refusals are final: no later copy of the order can be taken.
+fn obstacle(records: &Records, current: u64, base: u64, generation: u64) -> Option<Outcome> {
+    if generation <= base {
+        return Some(Outcome::NotAbove { current });
+    }
+    if base > current {
+        return Some(Outcome::BaseAhead { current });
+    }
+    if generation < oldest_known_generation(records) {
+        return Some(Outcome::Forgotten { current });
+    }
+    (base < current).then_some(Outcome::OtherBase { current })
+}
+
+/// Whether a configuration of a lower generation was taken may be forgotten.
+fn oldest_known_generation(records: &Records) -> u64 {
+    if records.range(HISTORY).count() < MAX_HISTORY {
+        return 0;
+    }
+    let oldest = records.range(HISTORY).next();
+    oldest.and_then(|(key, _)| key[HISTORY.len()..].parse().ok()).unwrap_or(0)
+}
+
 fn was_taken(records: &Records, generation: u64, digest: &Hash) -> bool {
     records.get(&history_key(generation)).is_some_and(|record| record.value.as_slice() == digest.as_bytes())
 }
--- a/controlplane/controller/src/pending.rs
+++ b/controlplane/controller/src/pending.rs
@@ -26,6 +26,8 @@
     pub request: Request,
     /// For an evacuation, the sequence of the zone's record when it was submitted.
     pub seen: u64,
+    /// When the caller's request was read.
+    pub taken_at: u64,
     /// The caller gets an answer by then.
     pub deadline: u64,
 }
@@ -53,7 +55,7 @@
 pub struct PendingOrders {
     last_ticket: u64,
     submitted: BTreeMap<u64, PendingOrder>,
-    /// Orders whose last submission failed, with the time of the next one.
+    /// Orders that wait for a submission, with its time. None of them has a submission whose outcome is unknown.
     resting: Vec<(u64, PendingOrder)>,
 }
 
@@ -70,12 +72,12 @@
         self.submitted.remove(&ticket)
     }
 
-    /// Puts an order by until it is submitted again.
+    /// Puts an order by until it is submitted, for the first time or again.
     pub fn rest(&mut self, until: u64, pending: PendingOrder) {
         self.resting.push((until, pending));
     }
 
-    /// Takes the orders that are to be submitted again.
+    /// Takes the orders that are to be submitted now.
     pub fn take_rested(&mut self, now: u64) -> Vec<PendingOrder> {
         let rested = self.resting.extract_if(.., |(until, _)| *until <= now);
         rested.map(|(_, pending)| pending).collect()
--- a/controlplane/controller/tests/api.rs
+++ b/controlplane/controller/tests/api.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use whinspindle_controller::api::{Call, Request, Response, parse};
+use whinspindle_controller::api::{Call, Refusal, Request, Response, parse};
 
 const CONFIGURATION: &str = r#"{"generation":7,
     "routes":[{"name":"r","host":"shop.example","path_prefix":"/a/","kind":"safe","timeout_ms":1000,
@@ -109,3 +109,15 @@
     let expected = "{\"error\":\"a \\\"quote\\\", a \\\\ and a\\u000aline\"}";
     assert_eq!(response.body, expected);
 }
+
+/// 400 would end the call of an operator whose order may have been taken elsewhere.
+#[test]
+fn a_body_that_could_not_be_read_is_to_be_sent_again() {
+    for (refusal, status) in [
+        (Refusal::BodyUnread, StatusCode::REQUEST_TIMEOUT),
+        (Refusal::Busy, StatusCode::SERVICE_UNAVAILABLE),
+        (Refusal::Stopping, StatusCode::SERVICE_UNAVAILABLE),
+    ] {
+        assert_eq!(Response::from(refusal).status, status);
+    }
+}
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -19,6 +19,8 @@
 pub const START: u64 = 1_000_000;
 pub const TICK_MS: u64 = 50;
 pub const HEARTBEAT_MS: u64 = 1_000;
+/// An evacuation order waits for so long before it is given.
+pub const EVACUATION_WAIT_MS: u64 = 100;
 
 pub struct Single {
     pub controller: Controller,
@@ -123,6 +125,14 @@
         self.answer(id).expect("the call is answered at once").status
     }
 
+    /// The status of an evacuation order, which is given to the chain after a short wait.
+    pub fn evacuation_status(&mut self, zone: &str, evacuated: bool) -> StatusCode {
+        let id = self.call(evacuate(zone, evacuated));
+        assert_eq!(self.answer(id), None, "it is given at once");
+        self.pass(EVACUATION_WAIT_MS);
+        self.answer(id).expect("the order is answered after the wait").status
+    }
+
     pub fn answer(&self, id: CallId) -> Option<&Response> {
         self.answers.get(&id)
     }
