Two operators on one base, with a trouble at every moment of their orders

720 races in a simulated fleet of three: eight troubles (kill, cut, one-way cut, freeze, lost disk, stalled disk, loss of power of all, lost answers) at each member of the chain, every 2 ms of the 60 ms that an order takes.

--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -178,6 +178,7 @@
     pub call: Call,
     pub first_sent_at: u64,
     pub answered: Option<(u64, Response)>,
+    pub is_abandoned: bool,
     waiting: Option<(CallId, u64)>,
 }
 
@@ -185,6 +186,8 @@
 pub struct Fleet {
     pub cluster: Cluster<Node>,
     pub chance: Pcg,
+    /// Share of the answers that don't reach their callers.
+    pub lost_answers: f64,
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
@@ -206,6 +209,7 @@
         let mut fleet = Fleet {
             cluster,
             chance: Pcg::new(seed ^ 0x5eed),
+            lost_answers: 0.0,
             attempts: Vec::new(),
             updates: Vec::new(),
             links: Vec::new(),
@@ -219,10 +223,28 @@
     /// Begins a call; its place among the attempts.
     pub fn begin(&mut self, call: Call) -> usize {
         let first_sent_at = self.cluster.now();
-        self.attempts.push(Attempt { call, first_sent_at, answered: None, waiting: None });
+        self.attempts.push(Attempt {
+            call,
+            first_sent_at,
+            answered: None,
+            is_abandoned: false,
+            waiting: None,
+        });
         self.attempts.len() - 1
     }
 
+    /// Begins a call that goes to this controller first, if it runs.
+    pub fn begin_at(&mut self, at: SocketAddr, call: Call) -> usize {
+        let attempt = self.begin(call.clone());
+        self.send(attempt, at, call);
+        attempt
+    }
+
+    /// The caller of this attempt sends its call no more.
+    pub fn abandon(&mut self, attempt: usize) {
+        self.attempts[attempt].is_abandoned = true;
+    }
+
     /// Lets time pass; callers go on to another controller where they get no clear answer.
     pub fn pass(&mut self, span_ms: u64) {
         let end = self.cluster.now() + span_ms;
@@ -297,17 +319,21 @@
         for index in 0..self.attempts.len() {
             let attempt = &self.attempts[index];
             let waits = attempt.waiting.is_some_and(|(_, since)| now < since + PATIENCE_MS);
-            if attempt.answered.is_some() || waits {
+            if attempt.answered.is_some() || attempt.is_abandoned || waits {
                 continue;
             }
             let call = attempt.call.clone();
-            let id = self.next_call();
             let at = endpoints[self.chance.below(endpoints.len())];
-            let running = self.cluster.command(at, Command::Call { id, call });
-            self.attempts[index].waiting = running.then_some((id, now));
+            self.send(index, at, call);
         }
     }
 
+    fn send(&mut self, attempt: usize, at: SocketAddr, call: Call) {
+        let id = self.next_call();
+        let running = self.cluster.command(at, Command::Call { id, call });
+        self.attempts[attempt].waiting = running.then_some((id, self.cluster.now()));
+    }
+
     fn take(&mut self, at: u64, answer: Answer) {
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
@@ -318,6 +344,9 @@
 
     fn answered(&mut self, at: u64, id: CallId, response: Response) {
         let waits = |attempt: &&mut Attempt| attempt.waiting.is_some_and(|(waiting, _)| waiting == id);
+        if self.lost_answers > 0.0 && self.chance.unit() < self.lost_answers {
+            return;
+        }
         let Some(attempt) = self.attempts.iter_mut().find(waits) else { return };
         attempt.waiting = None;
         if response.status != StatusCode::SERVICE_UNAVAILABLE {
--- /dev/null
+++ b/controlplane/controller/tests/two_operators.rs
@@ -0,0 +1,260 @@
+//! Two operators on one base, whose orders meet every kind of trouble at every moment: one is confirmed, stays so
+//! however often and wherever it is sent again, and the other is never in force.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use common::fleet::{Fleet, endpoint};
+use common::*;
+use http::StatusCode;
+use whinspindle_controller::api::Call;
+
+const CONTROLLERS: u8 = 3;
+/// An order passes a calm chain of three within this time: the troubles come at each of these moments.
+const ORDER_MS: u64 = 60;
+const MOMENT_MS: usize = 2;
+const TROUBLE_MS: u64 = 3_000;
+/// An order is answered within this time after a trouble.
+const TROUBLED_ORDER_MS: u64 = 15_000;
+/// After a start of all controllers there is a quorum within this time.
+const START_MS: u64 = 4_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// Killed, and started again later.
+    Kill,
+    /// Cut off both ways; what was sent comes through later, or not.
+    CutOff,
+    /// Hears the others, and isn't heard.
+    CutOneWay,
+    Freeze,
+    /// Killed, and its disk is lost.
+    Wipe,
+    /// Its disk doesn't answer.
+    StalledDisk,
+    /// All are killed at once, and start again.
+    LossOfPower,
+    /// The first answers don't reach the callers.
+    LostAnswers,
+}
+
+/// The chain as a controller tells it, the head first.
+fn chain(fleet: &mut Fleet, at: SocketAddr) -> Vec<SocketAddr> {
+    let status = fleet.ask(at, Call::Status).expect("the status is told at once").body;
+    let text = String::from_utf8(status.to_vec()).expect("text");
+    let (_, rest) = text.split_once("\"chain\":[").expect("the chain");
+    let (list, _) = rest.split_once(']').expect("its end");
+    list.split(',').map(|address| address.trim_matches('"').parse().expect("an address")).collect()
+}
+
+fn others(at: SocketAddr) -> impl Iterator<Item = SocketAddr> {
+    (1..=CONTROLLERS).map(endpoint).filter(move |other| *other != at)
+}
+
+fn everywhere() -> impl Iterator<Item = SocketAddr> {
+    (1..=CONTROLLERS).map(endpoint)
+}
+
+impl Trouble {
+    fn begin(self, fleet: &mut Fleet, at: SocketAddr) {
+        let until = fleet.cluster.now() + TROUBLE_MS;
+        match self {
+            Trouble::Kill => fleet.cluster.stop(at),
+            Trouble::CutOff => fleet.set_cut_off(at, true),
+            Trouble::CutOneWay => others(at).for_each(|other| fleet.cluster.cut(at, other)),
+            Trouble::Freeze => fleet.cluster.freeze(at, until),
+            Trouble::Wipe => {
+                fleet.cluster.stop(at);
+                fleet.wipe(at);
+            }
+            Trouble::StalledDisk => fleet.cluster.disk(at).expect("it has a disk").stall(until),
+            Trouble::LossOfPower => everywhere().for_each(|at| fleet.restart(at)),
+            Trouble::LostAnswers => fleet.lost_answers = 1.0,
+        }
+    }
+
+    fn end(self, fleet: &mut Fleet, at: SocketAddr) {
+        match self {
+            Trouble::Kill | Trouble::Wipe => fleet.cluster.start(at),
+            Trouble::CutOff => fleet.set_cut_off(at, false),
+            Trouble::CutOneWay => others(at).for_each(|other| fleet.cluster.heal(at, other)),
+            Trouble::LostAnswers => fleet.lost_answers = 0.0,
+            Trouble::Freeze | Trouble::StalledDisk | Trouble::LossOfPower => {}
+        }
+    }
+}
+
+/// A configuration of one operator.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Change {
+    base: u64,
+    generation: u64,
+    body: Bytes,
+}
+
+impl Change {
+    fn new(base: u64, generation: u64, operator: &str) -> Change {
+        let body = String::from_utf8(configuration(generation).to_vec()).expect("text");
+        let body = Bytes::from(body.replacen('{', &format!("{{\"operator\":\"{operator}\","), 1));
+        Change { base, generation, body }
+    }
+
+    fn call(&self) -> Call {
+        Call::Replace { base: self.base, generation: self.generation, body: self.body.clone() }
+    }
+}
+
+/// What operators were answered, and what it must not contradict.
+#[derive(Default)]
+struct Judge {
+    confirmed: BTreeSet<Change>,
+    refused: BTreeSet<Change>,
+}
+
+impl Judge {
+    fn answered(&mut self, change: &Change, status: StatusCode) {
+        match status {
+            StatusCode::OK => {
+                self.confirmed.insert(change.clone());
+            }
+            StatusCode::PRECONDITION_FAILED | StatusCode::CONFLICT => {
+                self.refused.insert(change.clone());
+            }
+            other => assert_eq!(other, StatusCode::SERVICE_UNAVAILABLE, "{change:?}"),
+        }
+        assert!(self.confirmed.is_disjoint(&self.refused), "confirmed and refused: {change:?}");
+        let bases: BTreeSet<u64> = self.confirmed.iter().map(|change| change.base).collect();
+        assert_eq!(bases.len(), self.confirmed.len(), "two confirmed on one base: {:?}", self.confirmed);
+    }
+
+    /// What balancers were told was asked for and not refused, and is a chain with what was confirmed.
+    fn told(&self, fleet: &Fleet) {
+        let told = fleet.updates.iter().filter_map(|(_, update)| update.configured.as_ref());
+        for configured in told {
+            let refused = self.refused.iter().find(|change| change.body == configured.body);
+            assert_eq!(refused, None, "refused and in force");
+        }
+    }
+
+    /// The same order at every controller, until each has given a clear answer.
+    fn sent_everywhere(&mut self, fleet: &mut Fleet, change: &Change, expected: StatusCode) {
+        for at in everywhere() {
+            let answer = fleet.ask(at, change.call()).expect("an answer in time");
+            assert_eq!(answer.status, expected, "{change:?} at {at}: {answer:?}");
+            self.answered(change, answer.status);
+        }
+    }
+}
+
+fn started(seed: u64) -> Fleet {
+    let mut fleet = Fleet::start(seed, CONTROLLERS);
+    for number in 1..=CONTROLLERS {
+        fleet.report(endpoint(number), u64::from(number), report(number, "zone-a"));
+    }
+    assert_eq!(fleet.complete(replace(0, 1), ORDER_MS).status, StatusCode::OK);
+    fleet
+}
+
+fn wait_for(fleet: &mut Fleet, attempts: &[usize]) -> Vec<StatusCode> {
+    let end = fleet.cluster.now() + TROUBLED_ORDER_MS;
+    while attempts.iter().any(|attempt| fleet.attempts[*attempt].answered.is_none()) {
+        assert!(fleet.cluster.now() < end, "an operator gets no answer");
+        fleet.pass(20);
+    }
+    let status = |attempt: &usize| fleet.attempts[*attempt].answered.as_ref().expect("an answer").1.status;
+    attempts.iter().map(status).collect()
+}
+
+fn lose_power(fleet: &mut Fleet) {
+    everywhere().for_each(|at| fleet.cluster.stop(at));
+    everywhere().for_each(|at| fleet.cluster.start(at));
+    fleet.pass(START_MS);
+    for number in 1..=CONTROLLERS {
+        fleet.report(endpoint(number), 10 + u64::from(number), report(number, "zone-a"));
+    }
+    fleet.pass(100);
+}
+
+/// Two orders on one base, of one number or of two, go to the first or to the last members of the chain.
+fn race(seed: u64, trouble: Trouble, place: usize, moment: u64) {
+    let mut fleet = started(seed);
+    let chain = chain(&mut fleet, endpoint(1));
+    let at = chain[place];
+    let (one_at, other_at) = if seed % 2 == 0 { (chain[0], chain[1]) } else { (chain[1], chain[2]) };
+    let changes = [Change::new(1, 2, "one"), Change::new(1, 2 + moment / MOMENT_MS as u64 % 2, "other")];
+    let attempts = [fleet.begin_at(one_at, changes[0].call()), fleet.begin_at(other_at, changes[1].call())];
+    fleet.pass(moment);
+    trouble.begin(&mut fleet, at);
+    fleet.pass(TROUBLE_MS);
+    trouble.end(&mut fleet, at);
+    let statuses = wait_for(&mut fleet, &attempts);
+
+    let mut judge = Judge::default();
+    changes.iter().zip(&statuses).for_each(|(change, status)| judge.answered(change, *status));
+    let winner = usize::from(statuses[0] != StatusCode::OK);
+    assert_eq!(statuses[winner], StatusCode::OK, "one is confirmed");
+    assert_eq!(statuses[1 - winner], StatusCode::PRECONDITION_FAILED, "the other is refused");
+
+    fleet.pass(2 * TROUBLE_MS);
+    judge.sent_everywhere(&mut fleet, &changes[winner], StatusCode::OK);
+    lose_power(&mut fleet);
+    judge.sent_everywhere(&mut fleet, &changes[winner], StatusCode::OK);
+    judge.sent_everywhere(&mut fleet, &changes[1 - winner], StatusCode::PRECONDITION_FAILED);
+    let current = changes[winner].generation;
+    judge.sent_everywhere(&mut fleet, &Change::new(current, current + 1, "next"), StatusCode::OK);
+    judge.sent_everywhere(&mut fleet, &changes[winner], StatusCode::OK);
+    judge.sent_everywhere(&mut fleet, &changes[1 - winner], StatusCode::PRECONDITION_FAILED);
+    judge.told(&fleet);
+}
+
+fn race_at_every_moment(trouble: Trouble) {
+    for moment in (0..ORDER_MS).step_by(MOMENT_MS) {
+        for place in 0..usize::from(CONTROLLERS) {
+            let seed = 100 + moment + place as u64;
+            race(seed, trouble, place, moment);
+        }
+    }
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_controller_is_killed() {
+    race_at_every_moment(Trouble::Kill);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_controller_is_cut_off() {
+    race_at_every_moment(Trouble::CutOff);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_controller_is_cut_one_way() {
+    race_at_every_moment(Trouble::CutOneWay);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_controller_is_frozen() {
+    race_at_every_moment(Trouble::Freeze);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_disk_is_lost() {
+    race_at_every_moment(Trouble::Wipe);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_a_disk_stalls() {
+    race_at_every_moment(Trouble::StalledDisk);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_all_lose_power() {
+    race_at_every_moment(Trouble::LossOfPower);
+}
+
+#[test]
+fn one_of_two_is_confirmed_where_answers_are_lost() {
+    race_at_every_moment(Trouble::LostAnswers);
+}
