--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -285,6 +285,20 @@
         clear
     }
 
+    /// The chain as a controller tells it, the head first.
+    pub fn chain(&mut self, at: SocketAddr) -> Vec<SocketAddr> {
+        let status = self.ask(at, Call::Status).expect("the status is told at once").body;
+        let text = String::from_utf8(status.to_vec()).expect("text");
+        let (_, rest) = text.split_once("\"chain\":[").expect("the chain");
+        let (list, _) = rest.split_once(']').expect("its end");
+        list.split(',').map(|address| address.trim_matches('"').parse().expect("an address")).collect()
+    }
+
+    /// The time since a call was sent first.
+    pub fn since(&self, attempt: usize) -> u64 {
+        self.cluster.now() - self.attempts[attempt].first_sent_at
+    }
+
     pub fn report(&mut self, at: SocketAddr, subscriber: u64, report: Report) {
         self.cluster.command(at, Command::Report { subscriber: SubscriberId(subscriber), report });
     }
--- a/controlplane/controller/tests/two_operators.rs
+++ b/controlplane/controller/tests/two_operators.rs
@@ -41,15 +41,6 @@
     LostAnswers,
 }
 
-/// The chain as a controller tells it, the head first.
-fn chain(fleet: &mut Fleet, at: SocketAddr) -> Vec<SocketAddr> {
-    let status = fleet.ask(at, Call::Status).expect("the status is told at once").body;
-    let text = String::from_utf8(status.to_vec()).expect("text");
-    let (_, rest) = text.split_once("\"chain\":[").expect("the chain");
-    let (list, _) = rest.split_once(']').expect("its end");
-    list.split(',').map(|address| address.trim_matches('"').parse().expect("an address")).collect()
-}
-
 fn others(at: SocketAddr) -> impl Iterator<Item = SocketAddr> {
     (1..=CONTROLLERS).map(endpoint).filter(move |other| *other != at)
 }
@@ -181,9 +172,9 @@
 /// Two orders on one base, of one number or of two, go to the first or to the last members of the chain.
 fn race(seed: u64, trouble: Trouble, place: usize, moment: u64) {
     let mut fleet = started(seed);
-    let chain = chain(&mut fleet, endpoint(1));
+    let chain = fleet.chain(endpoint(1));
     let at = chain[place];
-    let (one_at, other_at) = if seed % 2 == 0 { (chain[0], chain[1]) } else { (chain[1], chain[2]) };
+    let (one_at, other_at) = if seed.is_multiple_of(2) { (chain[0], chain[1]) } else { (chain[1], chain[2]) };
     let changes = [Change::new(1, 2, "one"), Change::new(1, 2 + moment / MOMENT_MS as u64 % 2, "other")];
     let attempts = [fleet.begin_at(one_at, changes[0].call()), fleet.begin_at(other_at, changes[1].call())];
     fleet.pass(moment);
