Replica: a member with a slow disk is let in; a stalled disk's queue stays short

Seen in simulated clusters under a change of 120 KB each 50 or 100 ms:

- A voter outside of the chain whose disk takes 150 ms a sync did not promise within the 150 ms that a round waits for it, so the round ended in the view that it began with, and the next one began at once: up to 7 changes of the view and 4.9 s until it was in the chain (links of 3 MB/s, disks of 20 MB/s).
What a voter outside of the chain has is not needed from its promise, as it is brought up to date before it counts: its heartbeat tells enough, as for a candidate.
- Records behind a disk that stands still were kept without bound, and written at once afterwards: 21 to 25 MB in one write after 11 s of changes.

--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -310,11 +310,13 @@
         if now < majority_at + GRACE && found.voters().into_iter().any(is_awaited) {
             return;
         }
-        let present = reports.iter().filter_map(|(voter, report)| {
+        let promised = reports.iter().filter_map(|(voter, report)| {
             let standing = self.promised_standing(now, *voter, *report)?;
             Some((*voter, standing))
         });
-        let situation = self.situation(now, &found, present.collect());
+        let mut present: BTreeMap<Voter, Standing> = promised.collect();
+        present.extend(self.silent_joiners(now, &found, &reports));
+        let situation = self.situation(now, &found, present);
         let Some(next) = next_view(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
         proposal.round.write::<AsPublished>(next);
@@ -326,6 +328,25 @@
         self.peers.well(now, found, voter).is_some()
     }
 
+    /// Voters outside of the chain that are well but have not promised yet, as their disks are slow. What they have is
+    /// not asked for: in the chain they are brought up to date before they count. Without them the round would end in
+    /// the view that it began with, and the next one would again.
+    fn silent_joiners(
+        &self,
+        now: u64,
+        found: &View,
+        reports: &BTreeMap<Voter, Report>,
+    ) -> Vec<(Voter, Standing)> {
+        let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let standing = |voter: Voter| {
+            let heartbeat = self.peers.well(now, found, voter)?;
+            let endpoint = found.endpoint(voter)?;
+            let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
+            is_steady.then(|| (voter, Standing::new(heartbeat.report, heartbeat.is_leaving)))
+        };
+        found.voters().into_iter().filter(is_silent).filter_map(standing).collect()
+    }
+
     fn promised_standing(&self, now: u64, voter: Voter, report: Report) -> Option<Standing> {
         if self.owes_too_long(now, voter) {
             return None;
--- a/coordination/replica/src/disk.rs
+++ b/coordination/replica/src/disk.rs
@@ -35,8 +35,11 @@
 #[derive(Debug)]
 pub struct Disk {
     queue: Vec<Vec<u8>>,
+    queued_bytes: usize,
     /// Records handed in, durable or not.
     handed_in: u64,
+    /// Of these, the first so many are durable.
+    durable: u64,
     /// Whether one in the queue is waited for.
     urgent: bool,
     writing: Writing,
@@ -52,7 +55,9 @@
     pub fn new(log_bytes: usize, checkpoint_bytes: usize) -> Disk {
         Disk {
             queue: Vec::new(),
+            queued_bytes: 0,
             handed_in: 0,
+            durable: 0,
             urgent: false,
             writing: Writing::Nothing,
             waiting: VecDeque::new(),
@@ -64,10 +69,31 @@
     }
 
     /// Adds a record; an urgent one is written as soon as the disk is free.
+    ///
+    /// Where more has come together than a log may hold, as behind a disk that stands still, a checkpoint is due, and
+    /// stands for all of it: neither the memory nor the next write grows with the time that the disk takes.
     pub fn append(&mut self, record: Vec<u8>, urgent: bool) {
-        self.queue.push(record);
         self.handed_in += 1;
         self.urgent |= urgent;
+        if self.wants_checkpoint {
+            return;
+        }
+        self.queued_bytes += record.len();
+        self.queue.push(record);
+        if self.queued_bytes > self.longest_log() {
+            self.wants_checkpoint = true;
+            self.drop_queue();
+        }
+    }
+
+    /// Leaves the queue to the checkpoint that is due.
+    fn drop_queue(&mut self) {
+        self.queue = Vec::new();
+        self.queued_bytes = 0;
+    }
+
+    fn longest_log(&self) -> usize {
+        CHECKPOINT_BYTES.max(2 * self.checkpoint_bytes)
     }
 
     /// Something to do once all that was handed in is durable.
@@ -101,17 +127,17 @@
     }
 
     fn compose(&mut self, state: impl FnOnce() -> Vec<u8>) -> DurableWrite {
-        let records = std::mem::take(&mut self.queue);
-        let longest = CHECKPOINT_BYTES.max(2 * self.checkpoint_bytes);
-        if self.wants_checkpoint || self.log_bytes > longest {
+        if self.wants_checkpoint || self.log_bytes > self.longest_log() {
+            self.drop_queue();
             let checkpoint = state();
             self.checkpoint_bytes = checkpoint.len();
             self.log_bytes = 0;
             self.wants_checkpoint = false;
             return DurableWrite::Checkpoint(checkpoint);
         }
-        self.log_bytes += records.iter().map(Vec::len).sum::<usize>();
-        DurableWrite::Append(records)
+        self.log_bytes += self.queued_bytes;
+        self.queued_bytes = 0;
+        DurableWrite::Append(std::mem::take(&mut self.queue))
     }
 
     /// Returns what has waited for this write, in order.
@@ -121,6 +147,7 @@
             return Vec::new();
         }
         self.writing = Writing::Nothing;
+        self.durable = up_to;
         let ready = self.waiting.iter().take_while(|(after, _)| *after <= up_to).count();
         self.waiting.drain(..ready).map(|(_, what)| what).collect()
     }
@@ -130,6 +157,7 @@
         if matches!(self.writing, Writing::Since { token: awaited, .. } if awaited == token) {
             self.writing = Writing::Failed { at: now };
             self.wants_checkpoint = true;
+            self.drop_queue();
         }
     }
 
@@ -148,6 +176,6 @@
     }
 
     pub fn is_idle(&self) -> bool {
-        self.writing == Writing::Nothing && self.queue.is_empty()
+        self.writing == Writing::Nothing && self.durable == self.handed_in
     }
 }
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -222,6 +222,11 @@
         self.state.committed
     }
 
+    /// The position of the newest entry here, committed or not.
+    pub fn newest_sequence(&self) -> u64 {
+        self.state.last()
+    }
+
     /// Whether this replica is up to date and in touch with a majority.
     pub fn is_in_quorum(&self, now: u64) -> bool {
         let view = self.view();
--- /dev/null
+++ b/coordination/replica/tests/catch_up.rs
@@ -0,0 +1,191 @@
+//! A member that was away, or whose disk is slow, catches up under large changes that don't stop.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::changes::{Changes, Load};
+use common::node::endpoint;
+use whinspindle_lab_cluster::{DiskTiming, NetworkTiming};
+
+/// A configuration of about 400 routes.
+const BODY_BYTES: usize = 120_000;
+/// A member that is back is in the chain and has everything within this, in milliseconds.
+const CAUGHT_UP: u64 = 3_000;
+/// After a loss of all power writes are acknowledged again within this.
+const ALL_BACK: u64 = 3_000;
+/// No write to a disk is larger, however long the disk stood still: what came together meanwhile is the state itself.
+const LARGEST_WRITE: usize = 2_000_000;
+/// Changes that are made while one is away, at least.
+const AWAY_CHANGES: usize = 150;
+
+fn wide() -> NetworkTiming {
+    NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() }
+}
+
+fn load(interval: u64) -> Load {
+    Load { interval, body_bytes: BODY_BYTES, network: wide(), disks: DiskTiming::default() }
+}
+
+/// Why one was away.
+#[derive(Clone, Copy, Debug)]
+enum Absence {
+    Down,
+    Wiped,
+    CutOff,
+    Frozen,
+    Stalled,
+}
+
+fn begin(changes: &mut Changes, victim: SocketAddr, absence: Absence, span: u64) {
+    let until = changes.cluster.now() + span;
+    match absence {
+        Absence::Down => changes.cluster.stop(victim),
+        Absence::Wiped => {
+            changes.cluster.stop(victim);
+            changes.cluster.wipe(victim);
+        }
+        Absence::CutOff => changes.isolate(victim),
+        Absence::Frozen => changes.cluster.freeze(victim, until),
+        Absence::Stalled => changes.cluster.disk(victim).unwrap().stall(until),
+    }
+}
+
+fn end(changes: &mut Changes, victim: SocketAddr, absence: Absence) {
+    match absence {
+        Absence::Down | Absence::Wiped => changes.cluster.start(victim),
+        Absence::CutOff => changes.cluster.heal_all(),
+        Absence::Frozen | Absence::Stalled => {}
+    }
+}
+
+/// One is away while changes are made, catches up under more of them, and all power is lost right after.
+fn catches_up(victim: usize, absence: Absence, load: Load) {
+    let mut changes = Changes::rolled_over(victim as u64, 3, 1, load);
+    let victim = endpoint(victim);
+    changes.run(1_000);
+    let before = changes.acknowledgements;
+    changes.avoided = vec![victim];
+    let span = AWAY_CHANGES as u64 * load.interval + 2_000;
+    begin(&mut changes, victim, absence, span);
+    changes.run(span);
+    let made = changes.acknowledgements - before;
+    assert!(made >= AWAY_CHANGES * 3 / 4, "{absence:?}: only {made} changes while one was away");
+    let sent = changes.sent();
+    end(&mut changes, victim, absence);
+    let name = format!("{absence:?} {victim} every {} ms", load.interval);
+    let took = changes.run_until(CAUGHT_UP, |changes| changes.is_caught_up(victim));
+    let took = took.unwrap_or_else(|fault| panic!("{name}: {fault}"));
+    let now_sent = changes.sent();
+    println!(
+        "{name}: caught up after {took} ms; {made} changes missed; {} transfers of {} KB, {} KB in all; \
+         longest pause {} ms; {} views; largest write {} KB",
+        now_sent.transfers - sent.transfers,
+        (now_sent.transfer_bytes - sent.transfer_bytes) / 1_000,
+        (now_sent.bytes - sent.bytes) / 1_000,
+        changes.longest_pause,
+        changes.views,
+        changes.cluster.disk(victim).unwrap().traffic.largest_write / 1_000,
+    );
+    let largest_write = changes.cluster.disk(victim).unwrap().traffic.largest_write;
+    assert!(largest_write <= LARGEST_WRITE, "{name}: {largest_write} bytes in one write");
+    changes.avoided.clear();
+    changes.lose_all_power();
+    let acknowledged = changes.acknowledged;
+    let took = changes.run_until(ALL_BACK, |changes| changes.acknowledged > acknowledged);
+    took.unwrap_or_else(|fault| panic!("{name}, all power lost: {fault}"));
+    changes.pass(6_000);
+    changes.check_nothing_lost();
+}
+
+#[test]
+fn a_member_that_was_down_catches_up() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Down, load(50)));
+}
+
+#[test]
+fn a_member_whose_disk_was_lost_catches_up() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Wiped, load(50)));
+}
+
+#[test]
+fn a_member_that_was_cut_off_catches_up() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::CutOff, load(50)));
+}
+
+#[test]
+fn a_member_that_was_frozen_catches_up() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Frozen, load(50)));
+}
+
+#[test]
+fn a_member_whose_disk_stood_still_catches_up() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Stalled, load(50)));
+}
+
+/// Links that carry little more than twice what the changes need, and disks that need time for each byte.
+fn narrow() -> Load {
+    let network = NetworkTiming { bytes_per_ms: Some(3_000), ..wide() };
+    let disks = DiskTiming { bytes_per_ms: Some(20_000), ..DiskTiming::default() };
+    Load { network, disks, ..load(100) }
+}
+
+#[test]
+fn a_member_that_was_down_catches_up_over_narrow_links() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Down, narrow()));
+}
+
+#[test]
+fn a_member_whose_disk_was_lost_catches_up_over_narrow_links() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Wiped, narrow()));
+}
+
+#[test]
+fn a_member_that_was_cut_off_catches_up_over_narrow_links() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::CutOff, narrow()));
+}
+
+#[test]
+fn a_member_that_was_frozen_catches_up_over_narrow_links() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Frozen, narrow()));
+}
+
+#[test]
+fn a_member_whose_disk_stood_still_catches_up_over_narrow_links() {
+    (0..3).for_each(|victim| catches_up(victim, Absence::Stalled, narrow()));
+}
+
+/// A write takes thirty times as long as on a sound disk.
+const SLOW_DISK: u64 = 145;
+
+/// A member comes back with a slow disk: it is let in by one change of the view (two more where its disk was lost),
+/// and stays. Without it the view changes again and again, each time to what it was.
+fn catches_up_with_a_slow_disk(victim: usize, absence: Absence, most_views: usize) {
+    let mut changes = Changes::rolled_over(victim as u64, 3, 1, narrow());
+    let victim = endpoint(victim);
+    changes.avoided = vec![victim];
+    begin(&mut changes, victim, absence, 0);
+    changes.run(10_000);
+    changes.cluster.disk(victim).unwrap().slowness = SLOW_DISK;
+    let views = changes.views;
+    end(&mut changes, victim, absence);
+    let name = format!("slow disk, {absence:?} {victim}");
+    let took = changes.run_until(CAUGHT_UP, |changes| changes.is_caught_up(victim));
+    let took = took.unwrap_or_else(|fault| panic!("{name}: {fault}"));
+    println!("{name}: caught up after {took} ms; {} views", changes.views - views);
+    assert!(changes.views <= views + most_views, "{name}: {}", changes.describe());
+    let views = changes.views;
+    changes.longest_pause = 0;
+    changes.run(10_000);
+    assert_eq!(changes.views, views, "{name}: it stays in the chain");
+    assert!(changes.longest_pause < 1_000, "{name}: {} ms", changes.longest_pause);
+}
+
+#[test]
+fn a_member_with_a_slow_disk_catches_up() {
+    for victim in 0..3 {
+        catches_up_with_a_slow_disk(victim, Absence::Down, 1);
+        catches_up_with_a_slow_disk(victim, Absence::CutOff, 1);
+        catches_up_with_a_slow_disk(victim, Absence::Wiped, 3);
+    }
+}
--- a/coordination/replica/tests/common/mod.rs
+++ b/coordination/replica/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Clusters of replicas in a simulated network, their clients, and the judge of what the clients saw.
 #![allow(dead_code)]
 
+pub mod changes;
 pub mod clients;
 pub mod history;
 pub mod node;
--- a/lab/cluster/src/disk.rs
+++ b/lab/cluster/src/disk.rs
@@ -11,11 +11,13 @@
 pub struct DiskTiming {
     /// Milliseconds for a write with its sync.
     pub sync: u64,
+    /// Bytes that are written in a millisecond; without a limit only the sync takes time.
+    pub bytes_per_ms: Option<u64>,
 }
 
 impl Default for DiskTiming {
     fn default() -> Self {
-        DiskTiming { sync: 5 }
+        DiskTiming { sync: 5, bytes_per_ms: None }
     }
 }
 
@@ -39,6 +41,26 @@
     failing_until: u64,
     /// Added to each write.
     pub slowness: u64,
+    /// Of all writes that were begun, since the disk was empty.
+    pub traffic: DiskTraffic,
+}
+
+/// What a disk was given to write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DiskTraffic {
+    pub bytes: usize,
+    pub checkpoints: usize,
+    /// The size of the largest write.
+    pub largest_write: usize,
+}
+
+impl Write {
+    fn bytes(&self) -> usize {
+        match self {
+            Write::Append(records) => records.iter().map(Vec::len).sum(),
+            Write::Checkpoint(state) => state.len(),
+        }
+    }
 }
 
 /// What became of a write.
@@ -67,8 +89,13 @@
 
     /// Returns when the write will be done.
     fn begin(&mut self, now: u64, timing: DiskTiming, token: u64, write: Write) -> u64 {
+        let bytes = write.bytes();
+        self.traffic.bytes += bytes;
+        self.traffic.checkpoints += usize::from(matches!(write, Write::Checkpoint(_)));
+        self.traffic.largest_write = self.traffic.largest_write.max(bytes);
         let begins = now.max(self.busy_until).max(self.stalled_until);
-        self.busy_until = begins + timing.sync + self.slowness;
+        let writing = timing.bytes_per_ms.map_or(0, |width| bytes as u64 / width.max(1));
+        self.busy_until = begins + timing.sync + self.slowness + writing;
         self.under_way.push_back((token, write));
         self.busy_until
     }
--- a/lab/cluster/src/lib.rs
+++ b/lab/cluster/src/lib.rs
@@ -9,7 +9,7 @@
 mod process;
 
 pub use cluster::{Cluster, Occurrence};
-pub use disk::{Disk, DiskTiming};
+pub use disk::{Disk, DiskTiming, DiskTraffic};
 pub use network::{Network, NetworkTiming};
 pub use process::{Effect, Event, Process, Recovered, Start};
 pub use whinspindle::pcg::Pcg;
--- a/lab/cluster/src/process.rs
+++ b/lab/cluster/src/process.rs
@@ -14,6 +14,11 @@
     type Answer;
 
     fn handle(&mut self, now: u64, event: Event<Self>) -> Vec<Effect<Self>>;
+
+    /// How large a message is on a link of limited width.
+    fn message_bytes(_message: &Self::Message) -> usize {
+        0
+    }
 }
 
 /// What happens to a process.
