--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -165,12 +165,15 @@
                 Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             match run.splitter.push(data) {
-                Ok(whole) => events.add(whole),
+                Ok(whole) => {
+                    events.add(whole);
+                    // Of a piece that can't be passed on, none of the events count.
+                    self.position = run.splitter.position();
+                }
                 Err(_) => break true,
             }
         };
         if events.length > 0 {
-            self.position = flow.run.splitter.position();
             self.note_events();
         }
         if broke {
--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -66,6 +66,12 @@
     Close,
     /// Says nothing until the other side closes.
     Hang,
+    /// First of a script: it is played as soon as the head of a request is there, before its body is read.
+    BeforeBody,
+    /// Reads the body of a request whose script began before it.
+    ReadBody,
+    /// Counts a run of the request.
+    Run,
 }
 
 pub type Script = Vec<Step>;
@@ -126,6 +132,14 @@
     pub refusals: Cell<usize>,
     /// How long a connect takes.
     pub connect_time: Cell<Duration>,
+    /// What a connection holds that nobody reads; nothing for plenty.
+    pub pipe_bytes: Cell<Option<usize>>,
+    /// What is played for requests that no script is left for.
+    otherwise: RefCell<Option<Script>>,
+    /// The ids of requests that ran, once for each run.
+    runs: RefCell<Vec<String>>,
+    /// What came where a body was due, and is not the whole body.
+    broken_bodies: RefCell<Vec<String>>,
 }
 
 impl Upstreams {
@@ -147,25 +161,56 @@
         self.open.get()
     }
 
+    /// Requests that no script is left for are answered so.
+    pub fn otherwise(&self, script: Script) {
+        *self.otherwise.borrow_mut() = Some(script);
+    }
+
+    /// How often a request has run.
+    pub fn runs(&self, id: &str) -> usize {
+        self.runs.borrow().iter().filter(|run| *run == id).count()
+    }
+
+    /// What came of bodies that were not whole when their connection ended.
+    pub fn broken_bodies(&self) -> Vec<String> {
+        self.broken_bodies.borrow().clone()
+    }
+
     async fn serve(self: Rc<Self>, mut socket: DuplexStream) {
         self.connections.set(self.connections.get() + 1);
         self.open.set(self.open.get() + 1);
-        while let Some(request) = read_message(&mut socket).await {
-            let id = header(&request, "whinspindle-request-id").unwrap_or_default();
-            self.requests.borrow_mut().push(request);
-            let script = self.scripts.borrow_mut().pop_front().unwrap_or(vec![Step::Hang]);
-            if !self.play(script, &id, &mut socket).await {
+        while let Some(head) = read_head(&mut socket).await {
+            let script = self.scripts.borrow_mut().pop_front();
+            let script = script.or_else(|| self.otherwise.borrow().clone()).unwrap_or(vec![Step::Hang]);
+            let is_early = matches!(script.first(), Some(Step::BeforeBody));
+            if !is_early && !self.take_body(&head, &mut socket).await {
+                break;
+            }
+            if !self.play(script, &head, &mut socket).await {
                 break;
             }
         }
         self.open.set(self.open.get() - 1);
     }
 
-    async fn play(&self, script: Script, id: &str, socket: &mut DuplexStream) -> bool {
+    /// Reads and keeps a request whose head is there; false if the connection ends before its end.
+    async fn take_body(&self, head: &str, socket: &mut DuplexStream) -> bool {
+        match read_body(head, socket).await {
+            Ok(body) => self.requests.borrow_mut().push(format!("{head}{body}")),
+            Err(part) => {
+                self.broken_bodies.borrow_mut().push(part);
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn play(&self, script: Script, head: &str, socket: &mut DuplexStream) -> bool {
+        let id = header(head, "whinspindle-request-id").unwrap_or_default();
         for step in script {
             match step {
                 Step::Write(text) => {
-                    if socket.write_all(text.replace("{id}", id).as_bytes()).await.is_err() {
+                    if socket.write_all(text.replace("{id}", &id).as_bytes()).await.is_err() {
                         return false;
                     }
                 }
@@ -175,6 +220,13 @@
                     let _ = socket.read_u8().await;
                     return false;
                 }
+                Step::BeforeBody => {}
+                Step::ReadBody => {
+                    if !self.take_body(head, socket).await {
+                        return false;
+                    }
+                }
+                Step::Run => self.runs.borrow_mut().push(id.clone()),
             }
         }
         true
@@ -193,27 +245,34 @@
                 upstreams.refusals.set(refusals - 1);
                 return Err(io::ErrorKind::ConnectionRefused.into());
             }
-            let (near, far) = duplex(PIPE_BYTES);
+            let (near, far) = duplex(upstreams.pipe_bytes.get().unwrap_or(PIPE_BYTES));
             spawn_local(upstreams.serve(far));
             Ok(Box::new(near) as BoxedSocket)
         })
     }
 }
 
-/// A whole message with its body by length or in chunks; nothing at the end of the connection.
-async fn read_message(socket: &mut DuplexStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    loop {
-        let byte = socket.read_u8().await.ok()?;
-        bytes.push(byte);
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let length = header(head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-        let chunked = header(head, "transfer-encoding").is_some();
-        if (chunked && body.ends_with("0\r\n\r\n")) || (!chunked && body.len() >= length) {
-            return Some(text);
+/// The head of a message with the empty line behind it; nothing at the end of the connection.
+async fn read_head(socket: &mut DuplexStream) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        head.push(char::from(socket.read_u8().await.ok()?));
+    }
+    Some(head)
+}
+
+/// The body of a message by length or in chunks, as it came; what there was of it if the connection ends.
+async fn read_body(head: &str, socket: &mut DuplexStream) -> Result<String, String> {
+    let length = header(head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let chunked = header(head, "transfer-encoding").is_some();
+    let mut body = String::new();
+    while if chunked { !body.ends_with("0\r\n\r\n") } else { body.len() < length } {
+        match socket.read_u8().await {
+            Ok(byte) => body.push(char::from(byte)),
+            Err(_) => return Err(body),
         }
     }
+    Ok(body)
 }
 
 /// The value of a header in a message.
--- a/dataplane/proxy/tests/head_watch.rs
+++ b/dataplane/proxy/tests/head_watch.rs
@@ -43,3 +43,41 @@
         is_ambiguous(&pieces) == both
     }
 }
+
+const BOTH: &str = "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LENGTH: &str = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+const CHUNKED: &str =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nA: b\r\n\r\n";
+
+#[test]
+fn heads_that_come_before_the_last_answer_are_looked_at() {
+    for first in [LENGTH, CHUNKED, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "\r\nGET / HTTP/1.1\n\n"] {
+        let bytes = [first, LENGTH, CHUNKED, BOTH].concat();
+        for piece in 1..=bytes.len() {
+            let mut watch = HeadWatch::default();
+            bytes.as_bytes().chunks(piece).for_each(|bytes| watch.push(bytes));
+            for expected in [false, false, false, true] {
+                assert_eq!(watch.is_ambiguous(), expected, "{piece} at once after {first}");
+                watch.restart();
+            }
+        }
+    }
+}
+
+#[test]
+fn a_head_whose_lines_lack_returns_is_looked_at() {
+    let mut watch = HeadWatch::default();
+    watch.push(BOTH.replace("\r\n", "\n").as_bytes());
+    assert!(watch.is_ambiguous());
+}
+
+#[test]
+fn a_body_that_looks_like_a_head_is_none() {
+    let mut watch = HeadWatch::default();
+    let body = BOTH;
+    watch.push(format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes());
+    assert!(!watch.is_ambiguous());
+    watch.restart();
+    watch.push(LENGTH.as_bytes());
+    assert!(!watch.is_ambiguous());
+}
--- a/dataplane/proxy/tests/streams.rs
+++ b/dataplane/proxy/tests/streams.rs
@@ -7,7 +7,7 @@
 
 use common::{
     MOMENT, Script, Step, World, body, chunk, chunks, event, header, last_chunk, play, post, post_with,
-    rejected, status, stream_head,
+    rejected, status, stream_head, write,
 };
 use quickcheck::quickcheck;
 use tokio::time::{Instant, sleep};
@@ -28,6 +28,13 @@
     script
 }
 
+fn text_of(step: Step) -> String {
+    match step {
+        Step::Write(text) => text,
+        _ => String::new(),
+    }
+}
+
 #[test]
 fn events_go_on_as_they_come() {
     play(async {
@@ -132,6 +139,23 @@
     }
 }
 
+#[test]
+fn a_stream_goes_on_after_the_events_that_were_passed_on() {
+    play(async {
+        let world = World::new();
+        let spoilt = [chunk(&event(2)), chunk(&events([3, 3]))];
+        let mut script = stream([1]);
+        script.push(Step::Wait(MOMENT));
+        script.push(write(spoilt.map(text_of).concat()));
+        world.upstreams.script(script);
+        world.upstreams.script(whole_stream(3..=5));
+        let got = world.ask(&post("/resumable/x")).await;
+        assert_eq!(chunks(&got), (events(1..=5), true));
+        let sent = world.upstreams.requests();
+        assert_eq!(header(&sent[1], "last-event-id").as_deref(), Some("2"));
+    });
+}
+
 #[test]
 fn a_resumable_stream_runs_on_no_more_upstreams_than_its_route_says() {
     play(async {
