Proxy: an answer in a coding other than chunks is no whole answer

The end of an answer with another transfer coding than chunks is the end of the connection, so a break can't be told from an end; it was taken for whole. Tests through the proxy for this and for the head behind another request fail without the mends.

--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -26,6 +26,7 @@
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// The longest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const CHUNKED: &[u8] = b"chunked";
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// A send that the router has granted.
@@ -517,10 +518,17 @@
 }
 
 /// Whether the end of the body is known from its framing: one that lasts until the connection closes can't be told
-/// from one that broke off, and one with two kinds of length can't be trusted.
+/// from one that broke off, one with two kinds of length can't be trusted, and of one with another coding than chunks
+/// the bytes would not be the upstream's body.
 fn is_framed(method: &Method, head: &response::Parts, body: &Incoming) -> bool {
     let length = head.headers.contains_key(CONTENT_LENGTH);
-    let coding = head.headers.contains_key(TRANSFER_ENCODING);
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let coding = codings.next();
+    let chunked = coding.is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    if !chunked || codings.next().is_some() {
+        return false;
+    }
+    let coding = coding.is_some();
     let bodyless = method == Method::HEAD
         || head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED;
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -69,6 +69,56 @@
     });
 }
 
+#[test]
+fn a_request_that_names_two_lengths_is_found_behind_another() {
+    let hidden = post("/unsafe/hidden");
+    let ambiguous = format!(
+        "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+        hidden.len() + 5
+    );
+    for wait in [Duration::ZERO, Duration::from_millis(5)] {
+        play(async {
+            let world = World::new();
+            let mut slow = served("first");
+            slow.insert(0, Step::Wait(Duration::from_millis(10)));
+            world.upstreams.script(slow);
+            world.upstreams.otherwise(served("no"));
+            let mut client = world.client();
+            let first = post("/unsafe/x");
+            if wait.is_zero() {
+                client.send(&format!("{first}{ambiguous}")).await;
+            } else {
+                client.send(&first).await;
+                sleep(wait).await;
+                client.send(&ambiguous).await;
+            }
+            let got = client.heard(REST).await;
+            assert!(got.contains("first") && got.contains("HTTP/1.1 400 "), "{got}");
+            assert_eq!(world.upstreams.requests().len(), 1, "{wait:?}");
+        });
+    }
+}
+
+#[test]
+fn an_answer_in_another_coding_than_chunks_is_not_passed_on() {
+    let stamp = format!("Whinspindle-Server-Stamp: {STAMP}\r\n");
+    for coding in ["identity", "gzip, chunked", "gzip"] {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(vec![
+                write(format!(
+                    "HTTP/1.1 200 OK\r\nWhinspindle-Request-Id: {{id}}\r\n{stamp}\
+                     Transfer-Encoding: {coding}\r\n\r\n2\r\nxx\r\n0\r\n\r\n"
+                )),
+                Step::Close,
+            ]);
+            let got = world.ask(&post("/unsafe/x")).await;
+            assert_eq!((status(&got), body(&got)), (502, ""), "{coding}");
+        });
+    }
+}
+
 #[test]
 fn the_priority_of_a_route_is_told_to_engines() {
     play(async {
