Proxy: nothing is too long for a process that knows no limits yet

Cause: a proxy without a configuration held heads and bodies against built-in limits and answered 431 or 413, which tell a client not to come again; a configuration may allow more. Change: without a configuration a request is read as far as memory allows, waits as before, and gets 503; limits that come meanwhile are applied before it is sent on.

--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -46,21 +46,23 @@
 async fn take(node: &Rc<Node>, request: Request<Incoming>, busy: &Busy) -> Result<Answer, OwnAnswer> {
     let received = busy.received();
     let (parts, body) = request.into_parts();
-    if header_bytes(&parts.headers) > node.limits.borrow().header_bytes() {
-        return Err(OwnAnswer::HeadTooLong);
-    }
+    let head_bytes = header_bytes(&parts.headers);
+    check_head(node, head_bytes)?;
     if busy.is_ambiguous() {
         return Err(OwnAnswer::TwoLengths);
     }
     let patience = number(&parts.headers, &DEADLINE).map_or(BODY_LIMIT, Duration::from_millis);
     busy.set_answer_due(received + patience);
     let mut room = node.bodies.share();
-    let most = node.limits.borrow().body_bytes();
+    let most = node.limits.borrow().longest_body();
     let body = read_body(body, most, &mut room, received + patience).await?;
     let version = parts.version;
     let request = ClientRequest::new(parts, body, received);
     node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
     let matched = match_route(node, &request)?;
+    // The limits may have become known meanwhile.
+    check_head(node, head_bytes)?;
+    check_body(node, request.body.len())?;
     // The end of a stream can't be told from its break there.
     if version == Version::HTTP_10 && matched.route().kind == RouteKind::Streaming {
         return Err(OwnAnswer::OldVersion);
@@ -81,6 +83,14 @@
     headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD).sum()
 }
 
+fn check_head(node: &Node, bytes: usize) -> Result<(), OwnAnswer> {
+    if bytes > node.limits.borrow().longest_head() { Err(OwnAnswer::HeadTooLong) } else { Ok(()) }
+}
+
+fn check_body(node: &Node, bytes: usize) -> Result<(), OwnAnswer> {
+    if bytes > node.limits.borrow().longest_body() { Err(OwnAnswer::BodyTooLong) } else { Ok(()) }
+}
+
 fn match_route(node: &Node, request: &ClientRequest) -> Result<MatchedRoute, OwnAnswer> {
     let configuration = node.configuration().ok_or(OwnAnswer::Refused { retry_after_ms: RETRY_AFTER_MS })?;
     let route = configuration.find_route(&request.host, request.target.path());
--- a/dataplane/proxy/src/limits.rs
+++ b/dataplane/proxy/src/limits.rs
@@ -103,8 +103,14 @@
         self.widest(|limits| limits.max_header_bytes)
     }
 
-    pub fn body_bytes(&self) -> usize {
-        self.widest(|limits| limits.max_body_bytes)
+    /// The longest head that is not turned down: of any length while no configuration is known.
+    pub fn longest_head(&self) -> usize {
+        if self.newest.is_none() { usize::MAX } else { self.header_bytes() }
+    }
+
+    /// The longest body that is not turned down: of any length while no configuration is known.
+    pub fn longest_body(&self) -> usize {
+        if self.newest.is_none() { usize::MAX } else { self.widest(|limits| limits.max_body_bytes) }
     }
 
     pub fn header_timeout_ms(&self) -> u64 {
