Proxy: a route's time-out also bounds a body that comes late

Cause: the route was looked up only behind the whole body, so that a body in drops held a request until the client's own deadline, or 30 s, whatever the route's timeout_ms. Change: the time-out of the route to which the head leads bounds the reading of the body; the answer is 408, since nothing was sent. Test: the_time_of_a_route_bounds_a_body_that_comes_late, seen to fail without the change (held for 30 s and 60 s).

--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http::{HeaderMap, Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -16,7 +17,7 @@
 use crate::headers::{DEADLINE, number};
 use crate::limits::BudgetShare;
 use crate::node::Node;
-use crate::request::{ClientRequest, MatchedRoute};
+use crate::request::{ClientRequest, MatchedRoute, host_of};
 use crate::stream::StreamAnswer;
 use crate::tally::Event;
 
@@ -53,9 +54,10 @@
     }
     let patience = number(&parts.headers, &DEADLINE).map_or(BODY_LIMIT, Duration::from_millis);
     busy.set_answer_due(received + patience);
+    let body_due = received + route_timeout(node, &parts).map_or(patience, |timeout| patience.min(timeout));
     let mut room = node.bodies.share();
     let most = node.limits.borrow().longest_body();
-    let body = read_body(body, most, &mut room, received + patience).await?;
+    let body = read_body(body, most, &mut room, body_due).await?;
     let version = parts.version;
     let request = ClientRequest::new(parts, body, received);
     node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
@@ -91,6 +93,13 @@
     if bytes > node.limits.borrow().longest_body() { Err(OwnAnswer::BodyTooLong) } else { Ok(()) }
 }
 
+/// The time-out of the route to which a head leads, as far as that is known by now.
+fn route_timeout(node: &Node, parts: &Parts) -> Option<Duration> {
+    let configuration = node.configuration()?;
+    let route = configuration.find_route(&host_of(&parts.uri, &parts.headers), parts.uri.path())?;
+    Some(Duration::from_millis(configuration.routes[route].timeout_ms))
+}
+
 fn match_route(node: &Node, request: &ClientRequest) -> Result<MatchedRoute, OwnAnswer> {
     let configuration = node.configuration().ok_or(OwnAnswer::Refused { retry_after_ms: RETRY_AFTER_MS })?;
     let route = configuration.find_route(&request.host, request.target.path());
--- a/dataplane/proxy/src/request.rs
+++ b/dataplane/proxy/src/request.rs
@@ -130,7 +130,8 @@
     }
 }
 
-fn host_of(uri: &Uri, headers: &HeaderMap) -> String {
+/// The host that a request names.
+pub(crate) fn host_of(uri: &Uri, headers: &HeaderMap) -> String {
     let header = headers.get(HOST).and_then(|host| host.to_str().ok());
     header.or_else(|| uri.authority().map(|authority| authority.as_str())).unwrap_or_default().to_owned()
 }
--- a/dataplane/proxy/tests/rules.rs
+++ b/dataplane/proxy/tests/rules.rs
@@ -259,6 +259,24 @@
     });
 }
 
+#[test]
+fn the_time_of_a_route_bounds_a_body_that_comes_late() {
+    for (path, limit_ms) in [("/unsafe/x", 4_000), ("/stream/x", 15_000)] {
+        play(async {
+            let world = World::new();
+            let request = patient(path, 60_000);
+            let mut client = world.client();
+            let start = Instant::now();
+            client.send(&request[..request.len() - 1]).await;
+            let got = client.answer().await;
+            let held = start.elapsed();
+            assert_eq!(status(&got), 408, "{path}");
+            assert!(held <= Duration::from_millis(limit_ms + 100), "{path}: {held:?}");
+            assert_eq!(world.upstreams.requests().len(), 0);
+        });
+    }
+}
+
 #[test]
 fn the_time_of_a_route_bounds_a_stream_that_flows() {
     play(async {
