Proxy: the last clients are taken 2.8 s after the order to stop, not 3 s

Cause: a request that is sent later than 3 s after SIGTERM must have its answer even if its upstream works on; clients were taken for the whole 3 s, and the way of a request comes on top. Change: 200 ms are kept for that way. Test: a_request_that_is_sent_three_seconds_after_the_order_to_stop_is_not_taken; the old constant gives 3 s for a grace of 8 s, which the test refuses.

--- a/dataplane/proxy/src/stop.rs
+++ b/dataplane/proxy/src/stop.rs
@@ -6,8 +6,13 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+/// A request that is sent up to so long after the order may find its answer cut at the end of the grace; one that is
+/// sent later must not be taken.
+const LAST_REQUESTS: Duration = Duration::from_secs(3);
+/// What a request may need from its client to this process, so that none that was sent too late is taken.
+const REQUEST_WAY: Duration = Duration::from_millis(200);
 /// Clients learn from new answers to their look-ups that this machine leaves, and are served meanwhile.
-const STILL_ACCEPTING: Duration = Duration::from_secs(3);
+const STILL_ACCEPTING: Duration = LAST_REQUESTS.saturating_sub(REQUEST_WAY);
 /// What the last answers need to reach their clients.
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
 
--- a/dataplane/proxy/tests/limits.rs
+++ b/dataplane/proxy/tests/limits.rs
@@ -58,3 +58,12 @@
         assert!(times.answering < grace && times.answering > times.accepting);
     }
 }
+
+#[test]
+fn a_request_that_is_sent_three_seconds_after_the_order_to_stop_is_not_taken() {
+    const SOON: Duration = Duration::from_millis(100);
+    for grace_ms in [1000, 4000, 8000, 30_000] {
+        let times = StopTimes::of(Duration::from_millis(grace_ms));
+        assert!(times.accepting + SOON < Duration::from_secs(3), "{times:?}");
+    }
+}
