Contact with a peer counts from the sending of the heartbeat that it has answered

Cause: contact was counted from the arrival of a peer's heartbeat. Heartbeats that a cut link had held up, or that came out of order, made a controller believe in a quorum in the moment of its return: one whose incoming links were cut told a new balancer the configuration before the newest, 10 ms after the end of the cut.

Change: heartbeats carry the time of their sending and tell back the newest one heard of each peer. A replica is in a quorum only with answers to heartbeats that it sent within 1.3 s, and a heartbeat that was overtaken by a newer one is dropped. A heartbeat of a new start is answered at once, so that contact comes about one interval earlier. No clocks of two machines are compared. The rule is a law of the replica (Laws::contact).

--- a/controlplane/controller/src/acquaintances.rs
+++ b/controlplane/controller/src/acquaintances.rs
@@ -14,8 +14,8 @@
 
 impl Acquaintances {
     /// Another controller says that it hears these.
-    pub fn mentioned(&mut self, now: u64, endpoints: &[SocketAddr]) {
-        self.mentioned_at.extend(endpoints.iter().map(|endpoint| (*endpoint, now)));
+    pub fn mentioned(&mut self, now: u64, endpoints: impl Iterator<Item = SocketAddr>) {
+        self.mentioned_at.extend(endpoints.map(|endpoint| (endpoint, now)));
     }
 
     pub fn forget_old(&mut self, now: u64) {
--- a/controlplane/controller/src/controller/replication.rs
+++ b/controlplane/controller/src/controller/replication.rs
@@ -18,7 +18,8 @@
 
     pub(super) fn receive(&mut self, now: u64, from: SocketAddr, message: Message) {
         if let Message::Heartbeat(heartbeat) = &message {
-            self.acquaintances.mentioned(now, &heartbeat.heard);
+            let heard = heartbeat.heard.iter().map(|heard| heard.endpoint);
+            self.acquaintances.mentioned(now, heard);
             self.contact.mentioned(heartbeat.report.committed);
         }
         self.step(now, Input::Message { from, message });
--- a/coordination/replica/schema/replica.capnp
+++ b/coordination/replica/schema/replica.capnp
@@ -51,6 +51,12 @@
   committed @1 :UInt64;
 }
 
+struct Heard {
+  endpoint @0 :Endpoint;
+  start @1 :UInt64;
+  sentAt @2 :UInt64;
+}
+
 struct Heartbeat {
   birth @0 :UInt64;
   start @1 :UInt64;
@@ -58,10 +64,11 @@
   region @3 :Text;
   view @4 :UInt64;
   report @5 :Report;
-  heard @6 :List(Endpoint);
+  heard @6 :List(Heard);
   isSealed @7 :Bool;
   isStalled @8 :Bool;
   isLeaving @9 :Bool;
+  sentAt @10 :UInt64;
 }
 
 struct Prepare {
--- a/coordination/replica/src/codec/heartbeat.rs
+++ b/coordination/replica/src/codec/heartbeat.rs
@@ -2,8 +2,8 @@
 
 use super::DecodeError;
 use super::parts::{length, read_endpoint, read_report, write_endpoint, write_report};
-use crate::message::Heartbeat;
-use crate::replica_capnp::heartbeat as wire;
+use crate::message::{Heard, Heartbeat};
+use crate::replica_capnp::{heard, heartbeat as wire};
 
 pub fn write(heartbeat: &Heartbeat, mut to: wire::Builder) {
     to.set_birth(heartbeat.birth);
@@ -11,13 +11,14 @@
     to.set_zone(&heartbeat.zone);
     to.set_region(&heartbeat.region);
     to.set_view(heartbeat.view);
+    to.set_sent_at(heartbeat.sent_at);
     to.set_is_sealed(heartbeat.is_sealed);
     to.set_is_stalled(heartbeat.is_stalled);
     to.set_is_leaving(heartbeat.is_leaving);
     write_report(&heartbeat.report, to.reborrow().init_report());
-    let mut heard = to.init_heard(length(&heartbeat.heard));
-    for (index, endpoint) in (0..).zip(&heartbeat.heard) {
-        write_endpoint(*endpoint, heard.reborrow().get(index));
+    let mut list = to.init_heard(length(&heartbeat.heard));
+    for (index, heard) in (0..).zip(&heartbeat.heard) {
+        write_heard(heard, list.reborrow().get(index));
     }
 }
 
@@ -28,10 +29,25 @@
         zone: from.get_zone()?.to_string()?,
         region: from.get_region()?.to_string()?,
         view: from.get_view(),
+        sent_at: from.get_sent_at(),
         report: read_report(from.get_report()?),
-        heard: from.get_heard()?.iter().map(read_endpoint).collect::<Result<_, _>>()?,
+        heard: from.get_heard()?.iter().map(read_heard).collect::<Result<_, _>>()?,
         is_sealed: from.get_is_sealed(),
         is_stalled: from.get_is_stalled(),
         is_leaving: from.get_is_leaving(),
     })
 }
+
+fn write_heard(heard: &Heard, mut to: heard::Builder) {
+    to.set_start(heard.start);
+    to.set_sent_at(heard.sent_at);
+    write_endpoint(heard.endpoint, to.init_endpoint());
+}
+
+fn read_heard(from: heard::Reader) -> Result<Heard, DecodeError> {
+    Ok(Heard {
+        endpoint: read_endpoint(from.get_endpoint()?)?,
+        start: from.get_start(),
+        sent_at: from.get_sent_at(),
+    })
+}
--- a/coordination/replica/src/laws.rs
+++ b/coordination/replica/src/laws.rs
@@ -64,6 +64,11 @@
         true
     }
 
+    /// From when contact with a peer counts, by the times at which a heartbeat to it was sent and its answer arrived.
+    fn contact(sent_at: u64, _arrived_at: u64) -> u64 {
+        sent_at
+    }
+
     /// The start of the process, which tells its tickets from those of the process before it.
     fn start(settings: &ReplicaSettings) -> u64 {
         settings.start
--- a/coordination/replica/src/message.rs
+++ b/coordination/replica/src/message.rs
@@ -91,6 +91,15 @@
     },
 }
 
+/// The newest heartbeat of a replica that was heard. It proves to that replica that what stands beside it was said after
+/// that heartbeat was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    pub endpoint: SocketAddr,
+    pub start: u64,
+    pub sent_at: u64,
+}
+
 /// Says that a replica is alive and where it stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -101,8 +110,10 @@
     pub region: String,
     pub view: u64,
     pub report: Report,
-    /// Endpoints that were heard lately.
-    pub heard: Vec<SocketAddr>,
+    /// By the steady clock of the sender; only its own echo is compared with it.
+    pub sent_at: u64,
+    /// Replicas that were heard lately.
+    pub heard: Vec<Heard>,
     pub is_sealed: bool,
     /// Its disk does not answer.
     pub is_stalled: bool,
@@ -111,6 +122,11 @@
 }
 
 impl Heartbeat {
+    /// Whether the sender has lately heard the replica at this endpoint.
+    pub fn hears(&self, endpoint: SocketAddr) -> bool {
+        self.heard.iter().any(|heard| heard.endpoint == endpoint)
+    }
+
     pub fn place(&self) -> Place {
         Place { zone: self.zone.clone(), region: self.region.clone() }
     }
--- a/coordination/replica/src/peers.rs
+++ b/coordination/replica/src/peers.rs
@@ -5,7 +5,7 @@
 
 use whinspindle_agreement::Voter;
 
-use crate::message::Heartbeat;
+use crate::message::{Heard, Heartbeat};
 use crate::settings::Timing;
 use crate::view::{Member, View};
 
@@ -21,12 +21,15 @@
     pub steady_since: u64,
     /// When it last said that it hears this replica.
     hears_us_at: Option<u64>,
+    /// When this replica sent the newest heartbeat that the peer has answered: all that the peer has said since is newer.
+    confirmed_at: Option<u64>,
 }
 
 /// All that were heard.
 #[derive(Clone, Debug)]
 pub struct Peers {
     endpoint: SocketAddr,
+    start: u64,
     timing: Timing,
     /// Silence counts from here at the earliest.
     since: u64,
@@ -34,13 +37,22 @@
 }
 
 impl Peers {
-    pub fn new(endpoint: SocketAddr, timing: Timing, now: u64) -> Peers {
-        Peers { endpoint, timing, since: now, known: BTreeMap::new() }
+    pub fn new(endpoint: SocketAddr, start: u64, timing: Timing, now: u64) -> Peers {
+        Peers { endpoint, start, timing, since: now, known: BTreeMap::new() }
     }
 
-    /// Returns whether the peer has started anew, or is heard for the first time.
-    pub fn heard(&mut self, now: u64, from: SocketAddr, heartbeat: Heartbeat) -> bool {
-        let hears_us = heartbeat.heard.contains(&self.endpoint);
+    /// Returns whether the peer has started anew, or is heard for the first time. `contact` tells from when contact counts,
+    /// by the times at which this replica sent a heartbeat and the answer to it arrived.
+    pub fn heard(
+        &mut self,
+        now: u64,
+        from: SocketAddr,
+        heartbeat: Heartbeat,
+        contact: fn(u64, u64) -> u64,
+    ) -> bool {
+        let hears_us = heartbeat.hears(self.endpoint);
+        let answered = heartbeat.heard.iter().find(|heard| self.is_own(heard));
+        let confirmed_at = answered.map(|heard| contact(heard.sent_at, now));
         let before = self.known.get(&from);
         let is_new = before.is_none_or(|peer| peer.heartbeat.start != heartbeat.start);
         let pause = before.map_or(u64::MAX, |peer| now.saturating_sub(peer.heard_at));
@@ -48,10 +60,23 @@
         let steady_since = before.filter(|_| is_steady).map_or(now, |peer| peer.steady_since);
         let heard_us_before = before.filter(|_| !is_new).and_then(|peer| peer.hears_us_at);
         let hears_us_at = if hears_us { Some(now) } else { heard_us_before };
-        self.known.insert(from, Peer { heartbeat, heard_at: now, steady_since, hears_us_at });
+        let confirmed_before = before.filter(|_| !is_new).and_then(|peer| peer.confirmed_at);
+        let confirmed_at = confirmed_at.max(confirmed_before);
+        self.known.insert(from, Peer { heartbeat, heard_at: now, steady_since, hears_us_at, confirmed_at });
         is_new
     }
 
+    /// Whether the peer has said something newer already: the heartbeat was held up on its way.
+    pub fn is_overtaken(&self, from: SocketAddr, heartbeat: &Heartbeat) -> bool {
+        let newest = self.get(from).map(|peer| &peer.heartbeat);
+        newest.is_some_and(|newest| newest.start == heartbeat.start && newest.sent_at > heartbeat.sent_at)
+    }
+
+    /// Whether a heartbeat that is told back was sent by this process.
+    fn is_own(&self, heard: &Heard) -> bool {
+        heard.endpoint == self.endpoint && heard.start == self.start
+    }
+
     pub fn forget_silent(&mut self, now: u64) {
         let longest = FORGOTTEN_AFTER * self.timing.suspicion;
         self.known.retain(|_, peer| now <= peer.heard_at + longest);
@@ -81,6 +106,13 @@
         self.is_heard(now, endpoint) && hears_us_at.is_some_and(|at| now <= at + self.timing.suspicion)
     }
 
+    /// Whether what the peer has said last was said a short time ago, by an answer to a heartbeat that was sent then. What
+    /// waited in a cut link, or while this process stood still, proves nothing.
+    pub fn is_confirmed(&self, now: u64, endpoint: SocketAddr) -> bool {
+        let confirmed_at = self.get(endpoint).and_then(|peer| peer.confirmed_at);
+        confirmed_at.is_some_and(|at| now <= at + self.timing.contact)
+    }
+
     /// Silent for too long, or does not hear this replica.
     pub fn is_suspected(&self, now: u64, endpoint: SocketAddr) -> bool {
         if self.silence(now, endpoint) > self.timing.suspicion {
@@ -91,24 +123,29 @@
         now > waits_since + self.timing.suspicion
     }
 
-    /// Endpoints that were heard lately.
-    pub fn heard_lately(&self, now: u64) -> Vec<SocketAddr> {
-        self.known.keys().copied().filter(|endpoint| self.is_heard(now, *endpoint)).collect()
+    /// The newest heartbeats of those that were heard lately.
+    pub fn heard_lately(&self, now: u64) -> Vec<Heard> {
+        let heard = self.known.iter().filter(|(endpoint, _)| self.is_heard(now, **endpoint));
+        let newest = heard.map(|(endpoint, peer)| Heard {
+            endpoint: *endpoint,
+            start: peer.heartbeat.start,
+            sent_at: peer.heartbeat.sent_at,
+        });
+        newest.collect()
     }
 
     /// Whether another that is in touch says that it hears this endpoint.
     pub fn is_heard_by_another(&self, now: u64, endpoint: SocketAddr) -> bool {
         let hears = |(other, peer): (&SocketAddr, &Peer)| {
-            *other != endpoint && self.is_in_touch(now, *other) && peer.heartbeat.heard.contains(&endpoint)
+            *other != endpoint && self.is_in_touch(now, *other) && peer.heartbeat.hears(endpoint)
         };
         self.known.iter().any(hears)
     }
 
     /// Whether both say that they hear each other.
     pub fn hear_each_other(&self, one: SocketAddr, other: SocketAddr) -> bool {
-        let hears = |from: SocketAddr, to: SocketAddr| {
-            self.get(from).is_some_and(|peer| peer.heartbeat.heard.contains(&to))
-        };
+        let hears =
+            |from: SocketAddr, to: SocketAddr| self.get(from).is_some_and(|peer| peer.heartbeat.hears(to));
         hears(one, other) && hears(other, one)
     }
 
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -159,7 +159,7 @@
             disk: Disk::new(log_bytes, checkpoint.as_ref().map_or(0, Vec::len)),
             durable_last: state.last(),
             durable_complete: state.complete,
-            peers: Peers::new(settings.endpoint, settings.timing, now),
+            peers: Peers::new(settings.endpoint, settings.start, settings.timing, now),
             session: None,
             owes_acknowledgement: false,
             recent: Recent::default(),
@@ -234,7 +234,10 @@
         let me = self.me();
         let is_agreed = |voter: Voter| {
             let heartbeat = self.peers.well(now, view, voter);
-            me == Some(voter) || heartbeat.is_some_and(|heartbeat| heartbeat.view == view.number)
+            let is_confirmed =
+                view.endpoint(voter).is_some_and(|endpoint| self.peers.is_confirmed(now, endpoint));
+            let agrees = heartbeat.is_some_and(|heartbeat| heartbeat.view == view.number);
+            me == Some(voter) || (is_confirmed && agrees)
         };
         let is_behind = self.behind_since.is_some_and(|since| now > since + BEHIND);
         let is_synchronized = self.session.as_ref().is_none_or(|session| session.is_complete);
@@ -384,20 +387,25 @@
 
     fn send_heartbeats(&mut self, now: u64) {
         self.heartbeat_due = now + self.settings.timing.heartbeat;
-        let heartbeat = Heartbeat {
+        let heartbeat = self.heartbeat(now);
+        for to in self.peers() {
+            self.send(to, Message::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    fn heartbeat(&self, now: u64) -> Heartbeat {
+        Heartbeat {
             birth: self.state.birth,
             start: self.settings.start,
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
             view: self.view().number,
             report: self.report(),
+            sent_at: now,
             heard: self.peers.heard_lately(now),
             is_sealed: self.state.is_sealed(),
             is_stalled: self.is_disk_stalled(now),
             is_leaving: self.is_leaving,
-        };
-        for to in self.peers() {
-            self.send(to, Message::Heartbeat(heartbeat.clone()));
         }
     }
 
@@ -452,18 +460,24 @@
     }
 
     fn on_heartbeat(&mut self, now: u64, from: SocketAddr, heartbeat: Heartbeat) {
+        if self.peers.is_overtaken(from, &heartbeat) {
+            return;
+        }
         let number = self.view().number;
         let knows_less = heartbeat.view < number;
         if heartbeat.view == number && self.session.as_ref().is_some_and(|session| session.is_complete) {
             // An acknowledgement may have been lost. What was committed up to this view is in a complete log.
             self.commit_up_to(heartbeat.report.committed);
         }
-        let has_started = self.peers.heard(now, from, heartbeat);
+        let has_started = self.peers.heard(now, from, heartbeat, L::contact);
         if knows_less {
             let decided = self.state.decided.clone();
             self.send(from, Message::Decided(decided));
         }
         if has_started {
+            // Answered at once, it has contact a heartbeat's interval earlier.
+            let heartbeat = self.heartbeat(now);
+            self.send(from, Message::Heartbeat(heartbeat));
             self.on_restart(now, from);
         }
     }
--- a/coordination/replica/src/replica_capnp.rs
+++ b/coordination/replica/src/replica_capnp.rs
@@ -2889,6 +2889,351 @@
     }
 }
 
+pub mod heard {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<crate::replica_capnp::endpoint::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_start(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<crate::replica_capnp::endpoint::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_endpoint(
+            &mut self,
+            value: crate::replica_capnp::endpoint::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_endpoint(self) -> crate::replica_capnp::endpoint::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_start(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_start(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_sent_at(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {
+        pub fn get_endpoint(&self) -> crate::replica_capnp::endpoint::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(69, 194, 189, 23, 72, 44, 176, 199),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(97, 43, 124, 95, 240, 168, 241, 211),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 72, 101),
+            ::capnp::word(97, 114, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 250, 232, 188, 223, 40, 141, 189),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::replica_capnp::endpoint::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc7b0_2c48_17bd_c245;
+    }
+}
+
 pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3034,8 +3379,7 @@
         #[inline]
         pub fn get_heard(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::replica_capnp::endpoint::Owned>>
-        {
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::replica_capnp::heard::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(3),
                 ::core::option::Option::None,
@@ -3057,6 +3401,10 @@
         pub fn get_is_leaving(self) -> bool {
             self.reader.get_bool_field(194)
         }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3064,7 +3412,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+            ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3231,8 +3579,7 @@
         #[inline]
         pub fn get_heard(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::replica_capnp::endpoint::Owned>>
-        {
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::replica_capnp::heard::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(3),
                 ::core::option::Option::None,
@@ -3241,7 +3588,7 @@
         #[inline]
         pub fn set_heard(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::replica_capnp::endpoint::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::replica_capnp::heard::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(3),
@@ -3253,7 +3600,7 @@
         pub fn init_heard(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::replica_capnp::endpoint::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::replica_capnp::heard::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
@@ -3284,6 +3631,14 @@
         pub fn set_is_leaving(&mut self, value: bool) {
             self.builder.set_bool_field(194, value);
         }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_sent_at(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3300,94 +3655,101 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(4, 15, 236, 222, 87, 169, 176, 142),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 43, 124, 95, 240, 168, 241, 211),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 72, 101),
             ::capnp::word(97, 114, 116, 98, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 114, 116, 104, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3442,7 +3804,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 250, 232, 188, 223, 40, 141, 189),
+            ::capnp::word(69, 194, 189, 23, 72, 44, 176, 199),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -3475,6 +3837,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3484,10 +3854,11 @@
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::replica_capnp::report::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::replica_capnp::endpoint::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::replica_capnp::heard::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3506,9 +3877,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 6, 9, 7, 8, 3, 5, 1, 4, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 6, 9, 7, 8, 3, 5, 10, 1, 4, 2];
         pub(crate) const TYPE_ID: u64 = 0x8eb0_a957_deec_0f04;
     }
 }
--- a/coordination/replica/src/settings.rs
+++ b/coordination/replica/src/settings.rs
@@ -31,6 +31,8 @@
     pub heartbeat: u64,
     /// Silence after which a peer is suspected.
     pub suspicion: u64,
+    /// How long contact with a peer counts, from the sending of the heartbeat that it has answered.
+    pub contact: u64,
     /// How long a write to the disk may last before the disk counts as stalled.
     pub disk_stall: u64,
     /// How long entries may wait for a neighbour in the chain before it is suspected.
@@ -50,6 +52,7 @@
         Timing {
             heartbeat: 200,
             suspicion: 900,
+            contact: 1_300,
             disk_stall: 800,
             chain_stall: 1_000,
             replacement: 2_000,
