--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -96,6 +96,7 @@
 const BEHIND: u64 = 500;
 
 /// One replica.
+#[derive(Clone, Debug)]
 pub struct Replica<A, L = AsDesigned> {
     pub(crate) application: A,
     laws: PhantomData<L>,
@@ -240,6 +241,11 @@
         view.is_known() && view.has_majority(is_agreed) && is_synchronized && !is_behind
     }
 
+    /// Whether another replica has said that more is committed than is known here.
+    pub fn is_behind(&self) -> bool {
+        self.peers.iter().any(|(_, peer)| peer.heartbeat.report.committed > self.state.committed)
+    }
+
     /// The newest view that is known here.
     pub fn view(&self) -> &View {
         &self.state.decided.view
@@ -275,7 +281,7 @@
     /// This replica as a voter of the view.
     pub(crate) fn me(&self) -> Option<Voter> {
         let member = self.view().member_at(self.settings.endpoint)?;
-        (member.voter.birth == self.state.birth).then_some(member.voter)
+        L::is_same_birth(member.voter.birth, self.state.birth).then_some(member.voter)
     }
 
     pub(crate) fn report(&self) -> Report {
@@ -373,9 +379,7 @@
     }
 
     fn note_lag(&mut self, now: u64) {
-        let ahead = |peer: &crate::peers::Peer| peer.heartbeat.report.committed > self.state.committed;
-        let is_behind = self.peers.iter().any(|(_, peer)| ahead(peer));
-        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+        self.behind_since = self.is_behind().then(|| self.behind_since.unwrap_or(now));
     }
 
     fn send_heartbeats(&mut self, now: u64) {
@@ -404,10 +408,13 @@
         if !self.is_started || self.is_chain_sealed(head) {
             return;
         }
-        let (endpoint, start) = (self.settings.endpoint, self.settings.start);
+        let (endpoint, start) = (self.settings.endpoint, L::start(&self.settings));
         let number = view.number;
         for (ticket, command) in self.submissions.due(now, number, &self.settings.timing) {
             let origin = Origin { endpoint, start, ticket };
+            if L::tail_answers_reads() && self.answer_at_tail(origin, &command) {
+                continue;
+            }
             self.send(head, Message::Submit { origin, command });
         }
     }
@@ -471,7 +478,7 @@
     }
 
     fn on_replied(&mut self, start: u64, ticket: u64, reply: Reply) {
-        if start == self.settings.start && self.submissions.answered(ticket) {
+        if start == L::start(&self.settings) && self.submissions.answered(ticket) {
             self.outputs.push(Output::Reply { ticket, result: Ok(reply) });
         }
     }
--- a/dataplane/proxy/tests/limits.rs
+++ b/dataplane/proxy/tests/limits.rs
@@ -41,12 +41,12 @@
     };
     let mut in_force = LimitsInForce::default();
     in_force.replace(&limits(5000, 10));
-    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (5000, 10));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.longest_body()), (5000, 10));
     in_force.replace(&limits(2000, 20));
     in_force.replace(&limits(2000, 20));
-    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (5000, 20));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.longest_body()), (5000, 20));
     in_force.replace(&limits(1000, 15));
-    assert_eq!((in_force.idle_timeout_ms(), in_force.body_bytes()), (2000, 20));
+    assert_eq!((in_force.idle_timeout_ms(), in_force.longest_body()), (2000, 20));
 }
 
 #[test]
@@ -58,3 +58,12 @@
         assert!(times.answering < grace && times.answering > times.accepting);
     }
 }
+
+#[test]
+fn a_request_that_is_sent_three_seconds_after_the_order_to_stop_is_not_taken() {
+    const SOON: Duration = Duration::from_millis(100);
+    for grace_ms in [1000, 4000, 8000, 30_000] {
+        let times = StopTimes::of(Duration::from_millis(grace_ms));
+        assert!(times.accepting + SOON < Duration::from_secs(3), "{times:?}");
+    }
+}
