--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -191,6 +191,7 @@
         let voters = view.boards.last().map(Vec::as_slice).unwrap_or_default();
         let places: Vec<Place> = voters.iter().filter_map(|voter| place(*voter)).collect();
         let are_known = !places.is_empty() && places.iter().all(Place::is_known);
+        let places: Vec<&Place> = places.iter().collect();
         if are_known { fatal_losses(&places, self.settings.tolerance) } else { Vec::new() }
     }
 
--- a/coordination/replica/src/placement.rs
+++ b/coordination/replica/src/placement.rs
@@ -46,7 +46,7 @@
 }
 
 impl Crowding {
-    pub fn of(places: &[Place]) -> Crowding {
+    pub fn of(places: &[&Place]) -> Crowding {
         let squares = |counts: Vec<usize>| counts.iter().map(|count| count * count).sum();
         Crowding { regions: squares(region_counts(places)), zones: squares(zone_counts(places)) }
     }
@@ -71,7 +71,7 @@
 }
 
 /// The kinds of tolerated losses after which no majority of these voters would be left.
-pub fn fatal_losses(places: &[Place], tolerance: Tolerance) -> Vec<LossKind> {
+pub fn fatal_losses(places: &[&Place], tolerance: Tolerance) -> Vec<LossKind> {
     let machines = vec![1; places.len()];
     let kinds = [
         (LossKind::Machines, machines, tolerance.machines),
@@ -89,11 +89,11 @@
     counts.into_iter().take(number).sum()
 }
 
-fn zone_counts(places: &[Place]) -> Vec<usize> {
+fn zone_counts(places: &[&Place]) -> Vec<usize> {
     counts(places.iter().map(|place| place.zone.as_str()))
 }
 
-fn region_counts(places: &[Place]) -> Vec<usize> {
+fn region_counts(places: &[&Place]) -> Vec<usize> {
     counts(places.iter().map(|place| place.region.as_str()))
 }
 
--- a/coordination/replica/src/plan.rs
+++ b/coordination/replica/src/plan.rs
@@ -124,15 +124,12 @@
 
     /// The candidate that would crowd the voters least; of several the first.
     fn best_placed(&self, voters: &[Voter], candidates: &[Candidate]) -> Option<usize> {
-        let crowding = |candidate: &Candidate| self.crowding(voters, candidate);
-        (0..candidates.len()).min_by_key(|index| crowding(&candidates[*index]))
-    }
-
-    /// How unevenly these voters and one more would be spread.
-    fn crowding(&self, voters: &[Voter], candidate: &Candidate) -> Crowding {
-        let mut places: Vec<Place> = voters.iter().map(|voter| self.place(*voter)).collect();
-        places.push(candidate.place.clone());
-        Crowding::of(&places)
+        let places: Vec<Place> = voters.iter().map(|voter| self.place(*voter)).collect();
+        let crowding = |index: &usize| {
+            let candidate = &candidates[*index].place;
+            Crowding::of(&places.iter().chain([candidate]).collect::<Vec<&Place>>())
+        };
+        (0..candidates.len()).min_by_key(crowding)
     }
 
     fn place(&self, voter: Voter) -> Place {
@@ -167,33 +164,38 @@
 
     /// Replaces one voter where that spreads them more evenly over regions and zones, if nothing else is amiss.
     fn spread(&mut self, board: &mut Vec<Voter>, candidates: &[Candidate]) {
-        let places: Vec<Place> = board.iter().map(|voter| self.place(*voter)).collect();
-        if !places.iter().all(Place::is_known) || !board.iter().all(|voter| self.is_settled(*voter)) {
+        let places: Vec<(Voter, Place)> = board.iter().map(|voter| (*voter, self.place(*voter))).collect();
+        let are_known = places.iter().all(|(_, place)| place.is_known());
+        if candidates.is_empty() || !are_known || !board.iter().all(|voter| self.is_settled(*voter)) {
             return;
         }
-        let Some((crowding, voter, candidate)) = self.best_exchange(board, candidates) else { return };
-        if crowding < Crowding::of(&places) {
+        if let Some((voter, candidate)) = self.best_exchange(places, candidates) {
             board.retain(|other| *other != voter);
             board.push(self.admit(candidate));
         }
     }
 
-    /// The exchange of a voter after which they are spread most evenly; of several that of the last in the chain.
+    /// The exchange of a voter that spreads them most evenly; of several that of the last in the chain. None if they
+    /// are spread as evenly already.
     fn best_exchange(
         &self,
-        board: &[Voter],
+        mut voters: Vec<(Voter, Place)>,
         candidates: &[Candidate],
-    ) -> Option<(Crowding, Voter, Candidate)> {
-        let position = |voter: &Voter| std::cmp::Reverse(self.next.position(*voter));
-        let mut leavers = board.to_vec();
-        leavers.sort_by_key(position);
-        let ready = || candidates.iter().filter(|candidate| self.is_up_to_date(candidate.standing));
-        let exchange = |voter: Voter, candidate: &Candidate| {
-            let others: Vec<Voter> = board.iter().copied().filter(|other| *other != voter).collect();
-            (self.crowding(&others, candidate), voter, candidate.clone())
-        };
-        let exchanges = leavers.iter().flat_map(|voter| ready().map(|candidate| exchange(*voter, candidate)));
-        exchanges.min_by_key(|(crowding, _, _)| *crowding)
+    ) -> Option<(Voter, Candidate)> {
+        voters.sort_by_key(|(voter, _)| std::cmp::Reverse(self.next.position(*voter)));
+        let mut best = Crowding::of(&voters.iter().map(|(_, place)| place).collect::<Vec<&Place>>());
+        let mut exchange = None;
+        for (voter, _) in &voters {
+            for candidate in candidates.iter().filter(|candidate| self.is_up_to_date(candidate.standing)) {
+                let others = voters.iter().filter(|(other, _)| other != voter).map(|(_, place)| place);
+                let crowding = Crowding::of(&others.chain([&candidate.place]).collect::<Vec<&Place>>());
+                if crowding < best {
+                    best = crowding;
+                    exchange = Some((*voter, candidate.clone()));
+                }
+            }
+        }
+        exchange
     }
 
     /// In the chain with a complete log, and not about to stop.
