Operators' orders in the log and the status: what was asked, and how it was answered

Each configuration and evacuation order that a controller answers is a line with its status and, if it was not confirmed, the reason; requests that are refused before the state is asked are a warning. The status counts confirmed, refused and unclear orders. Two headers Whinspindle-Base-Version in one request are refused: it was not said which holds.

--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -1,6 +1,6 @@
 //! The calls of operators, upstreams and clients: read from HTTP requests, and the answers that they get.
 
-use std::fmt::Write;
+use std::fmt::{self, Display, Formatter, Write};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -25,6 +25,18 @@
     Status,
 }
 
+impl Call {
+    /// What an operator asks to be changed, for the log; none for other calls.
+    pub fn order_name(&self) -> Option<String> {
+        match self {
+            Call::Replace { base, generation, .. } => Some(format!("configuration {generation} on {base}")),
+            Call::Evacuate { zone, evacuated: true } => Some(format!("evacuation of {zone}")),
+            Call::Evacuate { zone, evacuated: false } => Some(format!("end of the evacuation of {zone}")),
+            _ => None,
+        }
+    }
+}
+
 /// The parts of an HTTP request that a call is read from.
 #[derive(Clone, Debug)]
 pub struct Request<'a> {
@@ -113,6 +125,16 @@
     }
 }
 
+/// For the log: the status, and the reason of a failure.
+impl Display for Response {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if self.status.is_success() {
+            return write!(formatter, "{}", self.status);
+        }
+        write!(formatter, "{} {}", self.status, String::from_utf8_lossy(&self.body))
+    }
+}
+
 impl From<Refusal> for Response {
     fn from(refusal: Refusal) -> Response {
         Response::failure(refusal.status(), &refusal.to_string())
@@ -124,6 +146,11 @@
     path == "/Config.Replace" || path.starts_with("/Instances.Heartbeat/")
 }
 
+/// Whether an operator asks for a change at this path.
+pub fn is_order(path: &str) -> bool {
+    path == "/Config.Replace" || path.starts_with("/Evacuate.")
+}
+
 /// Reads a call and checks what it carries.
 pub fn parse(request: &Request<'_>) -> Result<Call, Refusal> {
     let (operation, argument) = split_path(request.path)?;
--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -18,7 +18,6 @@
 
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
-use crate::api::Response;
 use crate::fleet::FleetState;
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
@@ -164,9 +163,7 @@
         for pending in self.pending.take_rested(now) {
             self.submit(now, pending);
         }
-        for call in self.pending.take_overdue(now) {
-            self.answer(call, Response::unavailable("no outcome is known yet"));
-        }
+        self.give_up_overdue(now);
         if now >= self.expiry_at {
             self.expire(now);
         }
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -77,7 +77,7 @@
             registry: &self.registry,
             leases: &self.leases,
             publisher: &self.publisher,
-            pending: self.pending.len(),
+            orders: &self.pending,
             leaving: self.leaving,
             now,
         });
--- a/controlplane/controller/src/controller/submission.rs
+++ b/controlplane/controller/src/controller/submission.rs
@@ -54,7 +54,7 @@
         }
         let call = pending.call;
         let Ok(command) = pending.order().encode() else {
-            self.answer(call, Response::unavailable("the order could not be written"));
+            self.conclude(call, Response::unavailable("the order could not be written"));
             return;
         };
         let ticket = self.pending.submitted(pending);
@@ -68,10 +68,22 @@
                 self.answer(pending.call, fetched(reply.answer));
             }
             Ok(reply) => self.decided(now, pending, &reply.answer),
-            Err(error) => self.answer(pending.call, Response::unavailable(&error.to_string())),
+            Err(error) => self.conclude(pending.call, Response::unavailable(&error.to_string())),
         }
     }
 
+    /// Answers orders whose time has run out.
+    pub(super) fn give_up_overdue(&mut self, now: u64) {
+        for call in self.pending.take_overdue(now) {
+            self.conclude(call, Response::unavailable("no outcome is known yet"));
+        }
+    }
+
+    fn conclude(&mut self, call: CallId, response: Response) {
+        self.pending.answered(response.status);
+        self.answer(call, response);
+    }
+
     fn decided(&mut self, now: u64, pending: PendingOrder, answer: &[u8]) {
         match Outcome::decode(answer) {
             Ok(Outcome::BaseAhead { .. }) if now + BASE_AHEAD_MS < pending.deadline => {
@@ -80,8 +92,8 @@
             Ok(Outcome::Overtaken { sequence }) if now < pending.taken_at + EVACUATION_RENEWAL_MS => {
                 self.submit(now, PendingOrder { seen: sequence, ..pending });
             }
-            Ok(outcome) => self.answer(pending.call, response(&outcome)),
-            Err(_) => self.answer(pending.call, Response::unavailable("the outcome could not be read")),
+            Ok(outcome) => self.conclude(pending.call, response(&outcome)),
+            Err(_) => self.conclude(pending.call, Response::unavailable("the outcome could not be read")),
         }
     }
 }
--- a/controlplane/controller/src/pending.rs
+++ b/controlplane/controller/src/pending.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use http::StatusCode;
 
 use crate::orders::{Departure, Order};
 
@@ -50,9 +51,19 @@
     }
 }
 
+/// How orders were answered since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderCounts {
+    pub confirmed: u64,
+    pub refused: u64,
+    /// Without a clear answer: the caller goes on to another controller.
+    pub unclear: u64,
+}
+
 /// The orders under way, by ticket.
 #[derive(Debug, Default)]
 pub struct PendingOrders {
+    counts: OrderCounts,
     last_ticket: u64,
     submitted: BTreeMap<u64, PendingOrder>,
     /// Orders that wait for a submission, with its time. None of them has a submission whose outcome is unknown.
@@ -83,6 +94,20 @@
         rested.map(|(_, pending)| pending).collect()
     }
 
+    /// Counts how an order is answered.
+    pub fn answered(&mut self, status: StatusCode) {
+        let count = match status {
+            success if success.is_success() => &mut self.counts.confirmed,
+            refusal if refusal.is_client_error() => &mut self.counts.refused,
+            _ => &mut self.counts.unclear,
+        };
+        *count += 1;
+    }
+
+    pub fn counts(&self) -> OrderCounts {
+        self.counts
+    }
+
     /// Takes the calls whose time has run out.
     pub fn take_overdue(&mut self, now: u64) -> Vec<CallId> {
         let submitted = self.submitted.extract_if(.., |_, pending| pending.deadline <= now);
--- a/controlplane/controller/src/shell/http_server.rs
+++ b/controlplane/controller/src/shell/http_server.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use spdlog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
@@ -95,7 +96,8 @@
     request: http::Request<Incoming>,
     server: &HttpServer,
 ) -> Result<http::Response<Full<Bytes>>, Infallible> {
-    let response = respond(request, server).await.unwrap_or_else(Response::from);
+    let path = request.uri().path().to_owned();
+    let response = respond(request, server).await.unwrap_or_else(|refusal| refused(&path, refusal));
     let mut answer = http::Response::new(Full::new(response.body));
     *answer.status_mut() = response.status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -114,7 +116,7 @@
         method: &head.method,
         path: head.uri.path(),
         query: head.uri.query().unwrap_or(""),
-        base_version: head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()),
+        base_version: only_value(&head.headers, BASE_VERSION),
         body,
     })?;
     let (id, receiver) = server.node.borrow_mut().call(call);
@@ -122,6 +124,22 @@
     Ok(outcome(receiver).await)
 }
 
+/// The value of a header that stands in the request once.
+fn only_value<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?.to_str().ok()?;
+    values.next().is_none().then_some(value)
+}
+
+/// A request that does not reach the state machine.
+fn refused(path: &str, refusal: Refusal) -> Response {
+    let response = Response::from(refusal);
+    if api::is_order(path) {
+        warn!("order at {path}: {response}");
+    }
+    response
+}
+
 async fn outcome(receiver: oneshot::Receiver<Response>) -> Response {
     receiver.await.unwrap_or_else(|_| Response::unavailable("the call was dropped"))
 }
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -27,11 +27,18 @@
 /// The node as the tasks of the process share it. It is never borrowed across a wait.
 pub type SharedNode = Rc<RefCell<Node>>;
 
+/// A call whose answer its task waits for.
+struct WaitingCall {
+    sender: oneshot::Sender<Response>,
+    /// What an operator asked for.
+    order: Option<String>,
+}
+
 /// One controller process.
 pub struct Node {
     pub clock: Clock,
     controller: Controller,
-    calls: HashMap<CallId, oneshot::Sender<Response>>,
+    calls: HashMap<CallId, WaitingCall>,
     last_call: u64,
     subscribers: HashMap<SubscriberId, Rc<Outbox>>,
     last_subscriber: u64,
@@ -99,14 +106,17 @@
         self.last_call += 1;
         let id = CallId(self.last_call);
         let (sender, receiver) = oneshot::channel();
-        self.calls.insert(id, sender);
+        self.calls.insert(id, WaitingCall { sender, order: call.order_name() });
         self.handle(Event::Call { id, call });
         (id, receiver)
     }
 
     /// A caller has gone, or has its answer.
     pub fn end_call(&mut self, id: CallId) {
-        if self.calls.remove(&id).is_some() {
+        if let Some(call) = self.calls.remove(&id) {
+            if let Some(order) = call.order {
+                info!("order {order}: its caller has gone");
+            }
             self.handle(Event::CallDropped { id });
         }
     }
@@ -162,9 +172,12 @@
     }
 
     fn answer(&mut self, id: CallId, response: Response) {
-        if let Some(sender) = self.calls.remove(&id) {
+        if let Some(call) = self.calls.remove(&id) {
+            if let Some(order) = call.order {
+                info!("order {order}: {response}");
+            }
             // The caller may have gone in the meantime.
-            let _ = sender.send(response);
+            let _ = call.sender.send(response);
         }
     }
 
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -10,6 +10,7 @@
 
 use crate::api::push_json_string;
 use crate::orders::{self, Orders};
+use crate::pending::PendingOrders;
 
 /// The parts of a controller that its status is read from.
 pub struct Summary<'a> {
@@ -18,7 +19,7 @@
     pub registry: &'a InstanceRegistry,
     pub leases: &'a LeaseTable,
     pub publisher: &'a Publisher,
-    pub pending: usize,
+    pub orders: &'a PendingOrders,
     pub leaving: bool,
     pub now: u64,
 }
@@ -38,10 +39,14 @@
 
 fn push_fields(json: &mut String, summary: &Summary<'_>) {
     let versions = summary.publisher.versions();
+    let orders_answered = summary.orders.counts();
     let fields = [
         ("in_quorum", u64::from(summary.replica.is_in_quorum(summary.now))),
         ("leaving", u64::from(summary.leaving)),
-        ("pending_orders", summary.pending as u64),
+        ("pending_orders", summary.orders.len() as u64),
+        ("orders_confirmed", orders_answered.confirmed),
+        ("orders_refused", orders_answered.refused),
+        ("orders_unclear", orders_answered.unclear),
         ("committed_sequence", summary.replica.committed_sequence()),
         ("generation", orders::current_generation(summary.replica.committed())),
         ("published_configuration", versions.configured),
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -103,6 +103,20 @@
     assert_eq!(single.evacuation_status("zone-a", true), StatusCode::OK);
 }
 
+#[test]
+fn the_status_counts_how_orders_were_answered() {
+    let mut single = Single::settled();
+    assert_eq!(single.status(replace(0, 3)), StatusCode::OK);
+    assert_eq!(single.status(replace(0, 4)), StatusCode::PRECONDITION_FAILED);
+    assert_eq!(single.status(replace(3, 3)), StatusCode::OK, "the same bytes as before");
+    single.call(replace(8, 9));
+    single.pass(1_000);
+    let id = single.call(Call::Status);
+    let status = single.answer(id).expect("the status is told at once").body.clone();
+    let expected = "\"orders_confirmed\":2,\"orders_refused\":1,\"orders_unclear\":1";
+    assert!(String::from_utf8_lossy(&status).contains(expected), "{status:?}");
+}
+
 /// A request that was held up on its way arrives together with the end of its connection, after newer orders.
 #[test]
 fn an_evacuation_order_whose_caller_has_gone_is_not_given() {
