--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -14,14 +14,16 @@
 
 use whinspindle_distribution::{ControllerAddress, Publisher};
 use whinspindle_registry::{InstanceRegistry, LeaseTable, LeaseTiming, RegistryTiming};
-use whinspindle_replica::{Input, Output, Replica};
+use whinspindle_replica::{Input, LossKind, Output, Replica};
 
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
+use crate::contact::Contact;
 use crate::fleet::FleetState;
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
 use crate::pending::PendingOrders;
+use crate::residency::Residency;
 
 /// Interval at which silent instances and balancers are looked for.
 const EXPIRY_MS: u64 = 300;
@@ -42,14 +44,13 @@
     replica: Replica<Orders>,
     registry: InstanceRegistry,
     leases: LeaseTable,
+    residency: Residency,
     publisher: Publisher,
     fleet: FleetState,
     pending: PendingOrders,
     acquaintances: Acquaintances,
     started_at: u64,
-    /// When the replica was last seen in a quorum.
-    quorum_at: Option<u64>,
-    was_in_quorum: bool,
+    contact: Contact,
     /// How long a controller that has just started learns before it tells what it knows.
     learning_ms: u64,
     /// Another controller has told all that lives.
@@ -87,13 +88,13 @@
             replica,
             registry: InstanceRegistry::new(timing),
             leases: LeaseTable::new(LeaseTiming::default()),
+            residency: Residency::default(),
             publisher: Publisher::new(),
             fleet: FleetState::default(),
             pending: PendingOrders::default(),
             acquaintances: Acquaintances::default(),
             started_at: now,
-            quorum_at: None,
-            was_in_quorum: false,
+            contact: Contact::new(now),
             learning_ms,
             is_taught: false,
             has_recalled: false,
@@ -117,6 +118,7 @@
 
     /// Takes an event; answers what is to be done, in order.
     pub fn handle(&mut self, now: u64, event: Event) -> Vec<Action> {
+        self.contact.awake(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Call { id, call } => self.call(now, id, call),
@@ -153,8 +155,14 @@
         !self.pending.is_empty()
     }
 
+    /// Whether this controller is in contact with a majority and up to date.
     pub fn is_in_quorum(&self, now: u64) -> bool {
-        self.replica.is_in_quorum(now)
+        self.contact.is_in_quorum() && self.replica.is_in_quorum(now)
+    }
+
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        self.replica.fatal_losses()
     }
 
     fn tick(&mut self, now: u64) {
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -28,7 +28,7 @@
                 self.heartbeat_taken(now, id, instance, effect);
             }
             Call::Deregister { instance } => self.depart(now, id, instance, Departure::Gone),
-            Call::Resolve { region, zone } => self.resolve(now, id, &region, &zone),
+            Call::Resolve { host, region, zone } => self.resolve(now, id, &host, &region, &zone),
             Call::Status => self.answer_status(now, id),
         }
     }
@@ -36,12 +36,12 @@
     fn heartbeat_taken(&mut self, now: u64, id: CallId, instance: String, effect: HeartbeatEffect) {
         match effect {
             HeartbeatEffect::Accepted { changed } => {
-                self.answer(id, Response::accepted());
+                self.acknowledge_heartbeat(now, id);
                 if changed {
                     self.instances_changed(now);
                 }
             }
-            HeartbeatEffect::Stale => self.answer(id, Response::accepted()),
+            HeartbeatEffect::Stale => self.acknowledge_heartbeat(now, id),
             HeartbeatEffect::StartsDraining => {
                 self.instances_changed(now);
                 self.depart(now, id, instance, Departure::Draining);
@@ -52,6 +52,17 @@
         }
     }
 
+    /// Without a quorum this controller's own balancers are told of the instance, but it is to call another controller
+    /// too: all other balancers would take it for lost.
+    fn acknowledge_heartbeat(&mut self, now: u64, id: CallId) {
+        let response = if self.is_in_quorum(now) {
+            Response::accepted()
+        } else {
+            Response::unavailable("no contact with a majority of the controllers")
+        };
+        self.answer(id, response);
+    }
+
     fn depart(&mut self, now: u64, id: CallId, instance: String, departure: Departure) {
         if orders::departure_of(self.replica.committed(), &instance) >= Some(departure) {
             self.answer(id, Response::accepted());
@@ -60,9 +71,12 @@
         self.order(now, id, Request::Drain { instance, departure });
     }
 
-    fn resolve(&mut self, now: u64, id: CallId, region: &str, zone: &str) {
+    fn resolve(&mut self, now: u64, id: CallId, host: &str, region: &str, zone: &str) {
         let region = self.settings.zones.get(zone).map_or(region, String::as_str);
-        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone });
+        let records = self.may_hand_out(now).then(|| self.replica.committed());
+        self.residency.refresh(records);
+        let regions = self.residency.regions_of(host);
+        let addresses = directory::addresses_for(&self.leases, now, Place { region, zone }, regions);
         let response = match directory::answer(&addresses) {
             Some(body) if self.may_tell(now) => Response::ok(body),
             _ => Response::unavailable("no balancer is known yet"),
@@ -77,6 +91,7 @@
             registry: &self.registry,
             leases: &self.leases,
             publisher: &self.publisher,
+            in_quorum: self.is_in_quorum(now),
             orders: &self.pending,
             leaving: self.leaving,
             now,
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -19,6 +19,7 @@
     pub registry: &'a InstanceRegistry,
     pub leases: &'a LeaseTable,
     pub publisher: &'a Publisher,
+    pub in_quorum: bool,
     pub orders: &'a PendingOrders,
     pub leaving: bool,
     pub now: u64,
@@ -41,7 +42,7 @@
     let versions = summary.publisher.versions();
     let orders_answered = summary.orders.counts();
     let fields = [
-        ("in_quorum", u64::from(summary.replica.is_in_quorum(summary.now))),
+        ("in_quorum", u64::from(summary.in_quorum)),
         ("leaving", u64::from(summary.leaving)),
         ("pending_orders", summary.orders.len() as u64),
         ("orders_confirmed", orders_answered.confirmed),
@@ -68,6 +69,8 @@
     push_addresses(json, "chain", view.chain.iter().filter_map(|link| endpoint(link.voter)));
     push_addresses(json, "voters", view.voters().into_iter().filter_map(endpoint));
     push_addresses(json, "peers", replica.peers());
+    let fatal = replica.fatal_losses();
+    push_list(json, "fatal_losses", fatal, |json, kind| push_json_string(json, kind.name()));
 }
 
 fn push_evacuations(json: &mut String, replica: &Replica<Orders>) {
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -15,7 +15,7 @@
 use whinspindle_lab_cluster::{
     Cluster, DiskTiming, Effect, Event as Happening, NetworkTiming, Pcg, Process, Start,
 };
-use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing, Tolerance};
 
 use super::{HEARTBEAT_MS, zones};
 
@@ -154,7 +154,7 @@
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
-        tolerated_losses: 1,
+        tolerance: Tolerance::of_machines(1),
         timing: Timing::default(),
     };
     let (replica, outputs) =
@@ -191,6 +191,8 @@
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
+    /// Updates and links in the order in which they were sent.
+    pub sent: Vec<(SubscriberId, ToBalancer)>,
     memories: Memories,
     last_call: u64,
 }
@@ -213,6 +215,7 @@
             attempts: Vec::new(),
             updates: Vec::new(),
             links: Vec::new(),
+            sent: Vec::new(),
             memories,
             last_call: 0,
         };
@@ -351,8 +354,14 @@
     fn take(&mut self, at: u64, answer: Answer) {
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
-            Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
-            Answer::Link { subscriber, link } => self.links.push((subscriber, link)),
+            Answer::Update { subscriber, update } => {
+                self.sent.push((subscriber, ToBalancer::Update(update.clone())));
+                self.updates.push((subscriber, update));
+            }
+            Answer::Link { subscriber, link } => {
+                self.sent.push((subscriber, ToBalancer::Link(link.clone())));
+                self.links.push((subscriber, link));
+            }
         }
     }
 
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http::{HeaderMap, Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -16,7 +17,7 @@
 use crate::headers::{DEADLINE, number};
 use crate::limits::BudgetShare;
 use crate::node::Node;
-use crate::request::{ClientRequest, MatchedRoute};
+use crate::request::{ClientRequest, MatchedRoute, host_of};
 use crate::stream::StreamAnswer;
 use crate::tally::Event;
 
@@ -46,21 +47,24 @@
 async fn take(node: &Rc<Node>, request: Request<Incoming>, busy: &Busy) -> Result<Answer, OwnAnswer> {
     let received = busy.received();
     let (parts, body) = request.into_parts();
-    if header_bytes(&parts.headers) > node.limits.borrow().header_bytes() {
-        return Err(OwnAnswer::HeadTooLong);
-    }
+    let head_bytes = header_bytes(&parts.headers);
+    check_head(node, head_bytes)?;
     if busy.is_ambiguous() {
         return Err(OwnAnswer::TwoLengths);
     }
     let patience = number(&parts.headers, &DEADLINE).map_or(BODY_LIMIT, Duration::from_millis);
     busy.set_answer_due(received + patience);
+    let body_due = received + route_timeout(node, &parts).map_or(patience, |timeout| patience.min(timeout));
     let mut room = node.bodies.share();
-    let most = node.limits.borrow().body_bytes();
-    let body = read_body(body, most, &mut room, received + patience).await?;
+    let most = node.limits.borrow().longest_body();
+    let body = read_body(body, most, &mut room, body_due).await?;
     let version = parts.version;
     let request = ClientRequest::new(parts, body, received);
     node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
     let matched = match_route(node, &request)?;
+    // The limits may have become known meanwhile.
+    check_head(node, head_bytes)?;
+    check_body(node, request.body.len())?;
     // The end of a stream can't be told from its break there.
     if version == Version::HTTP_10 && matched.route().kind == RouteKind::Streaming {
         return Err(OwnAnswer::OldVersion);
@@ -81,6 +85,21 @@
     headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD).sum()
 }
 
+fn check_head(node: &Node, bytes: usize) -> Result<(), OwnAnswer> {
+    if bytes > node.limits.borrow().longest_head() { Err(OwnAnswer::HeadTooLong) } else { Ok(()) }
+}
+
+fn check_body(node: &Node, bytes: usize) -> Result<(), OwnAnswer> {
+    if bytes > node.limits.borrow().longest_body() { Err(OwnAnswer::BodyTooLong) } else { Ok(()) }
+}
+
+/// The time-out of the route to which a head leads, as far as that is known by now.
+fn route_timeout(node: &Node, parts: &Parts) -> Option<Duration> {
+    let configuration = node.configuration()?;
+    let route = configuration.find_route(&host_of(&parts.uri, &parts.headers), parts.uri.path())?;
+    Some(Duration::from_millis(configuration.routes[route].timeout_ms))
+}
+
 fn match_route(node: &Node, request: &ClientRequest) -> Result<MatchedRoute, OwnAnswer> {
     let configuration = node.configuration().ok_or(OwnAnswer::Refused { retry_after_ms: RETRY_AFTER_MS })?;
     let route = configuration.find_route(&request.host, request.target.path());
