--- /dev/null
+++ b/dataplane/proxy/tests/answers.rs
@@ -0,0 +1,474 @@
+//! Every order of what an upstream may do with a request, on fresh and on reused connections, for each kind of route:
+//! an answer goes to the request that it belongs to or to none, what may not be repeated runs once, and a status that
+//! promises that a request has not run is given only if it has not.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod common;
+
+use std::time::Duration;
+
+use common::{Client, MOMENT, REST, STAMP, Script, Step, World, body, chunks, header, play, status, write};
+use tokio::time::sleep;
+
+const FIRST: &str = "aaaaaaaaaaaaaaa1";
+const SECOND: &str = "bbbbbbbbbbbbbbb2";
+const WARM: &str = "ccccccccccccccc3";
+const OTHER: &str = "ddddddddddddddd4";
+/// A connection between proxy and upstream that holds less than a request.
+const NARROW: usize = 64;
+const SMALL_BODY: usize = 5;
+const LARGE_BODY: usize = 900;
+/// Between the end of one answer and the next request.
+const GAPS_MS: [u64; 3] = [0, 19, 50];
+const SURPLUS_WAITS_MS: [u64; 5] = [0, 10, 49, 50, 51];
+/// More than the last chunk.
+const CUT_OFF: usize = 12;
+const KEPT_UNREAD: Duration = Duration::from_millis(30);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Unsafe,
+    Safe,
+    Stream,
+    Resumable,
+}
+
+impl Kind {
+    const ALL: [Kind; 4] = [Kind::Unsafe, Kind::Safe, Kind::Stream, Kind::Resumable];
+
+    fn path(self) -> &'static str {
+        match self {
+            Kind::Unsafe => "/unsafe/x",
+            Kind::Safe => "/safe/x",
+            Kind::Stream => "/stream/x",
+            Kind::Resumable => "/resumable/x",
+        }
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Kind::Stream | Kind::Resumable)
+    }
+
+    /// As the route says.
+    fn most_runs(self) -> usize {
+        match self {
+            Kind::Unsafe | Kind::Stream => 1,
+            Kind::Safe | Kind::Resumable => 2,
+        }
+    }
+
+    /// The head and the body of a good answer, which name the request's id.
+    fn success(self) -> (String, String) {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nWhinspindle-Request-Id: {{id}}\r\nWhinspindle-Server-Stamp: {STAMP}\r\n\
+             Keep-Alive: timeout=5\r\n"
+        );
+        if self.is_stream() {
+            let head = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let chunks = event_texts().map(|text| format!("{:x}\r\n{text}\r\n", length(&text)));
+            return (head, format!("{}0\r\n\r\n", chunks.concat()));
+        }
+        let body = "{id} is served".to_owned();
+        (format!("{head}Content-Length: {}\r\n\r\n", length(&body)), body)
+    }
+
+    fn whole(self) -> String {
+        let (head, body) = self.success();
+        head + &body
+    }
+
+    /// A good answer of which the body comes in chunks.
+    fn in_chunks(self) -> String {
+        let (head, body) = self.success();
+        if self.is_stream() {
+            return head + &body;
+        }
+        let head =
+            head.replacen(&format!("Content-Length: {}", length(&body)), "Transfer-Encoding: chunked", 1);
+        format!("{head}10\r\n{{id}}\r\na\r\n is served\r\n0\r\n\r\n")
+    }
+}
+
+/// The body by its length or in chunks; of chunks without an end nothing.
+fn whole_body(got: &str) -> String {
+    match header(got, "transfer-encoding") {
+        Some(_) => Some(chunks(got)).filter(|(_, is_complete)| *is_complete).unwrap_or_default().0,
+        None => body(got).to_owned(),
+    }
+}
+
+fn event_texts() -> [String; 3] {
+    [1, 2, 3].map(|number| format!("id: {number}\ndata: {{id}}\n\n"))
+}
+
+/// The length of a text with an id in place of `{id}`.
+fn length(text: &str) -> usize {
+    text.replace("{id}", FIRST).len()
+}
+
+fn with_id(text: &str, id: &str) -> String {
+    text.replace("{id}", id)
+}
+
+/// What an upstream does with a request.
+#[derive(Clone, Debug)]
+struct Event {
+    name: String,
+    script: Script,
+    /// Nothing of it keeps the request from a good answer.
+    must_serve: bool,
+    /// How long after its answer it has an end.
+    ends_after: Duration,
+}
+
+impl Event {
+    /// Whether the next request must be served: what came behind the answer came long before it, or meets a
+    /// connection that rests.
+    fn spares_next(&self, gap: Duration) -> bool {
+        self.must_serve && (self.ends_after < REST / 2 || gap < REST / 2)
+    }
+}
+
+fn event(name: impl Into<String>, script: Script) -> Event {
+    Event { name: name.into(), script, must_serve: false, ends_after: Duration::ZERO }
+}
+
+fn served(name: impl Into<String>, script: Script) -> Event {
+    Event { must_serve: true, ..event(name, script) }
+}
+
+/// An answer without a body.
+fn bare(status: &str, headers: &str) -> Step {
+    write(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n"))
+}
+
+const OWN_ID: &str = "Whinspindle-Request-Id: {id}\r\n";
+const OTHER_ID: &str = "Whinspindle-Request-Id: ddddddddddddddd4\r\n";
+const NOT_RUN: &str = "Whinspindle-Not-Run: 1\r\n";
+
+fn full(id: &str) -> Step {
+    bare("503 Service Unavailable", &format!("{id}{NOT_RUN}Keep-Alive: timeout=5\r\n"))
+}
+
+fn misdirected(id: &str) -> Step {
+    bare("421 Misdirected Request", id)
+}
+
+fn breaks(kind: Kind) -> Vec<Event> {
+    let (head, body) = kind.success();
+    let half_head = write(&head[..head.len() / 2]);
+    let half_body = write(format!("{head}{}", &body[..body.len() / 2]));
+    let in_chunks = kind.in_chunks();
+    let unframed = head
+        .lines()
+        .filter(|line| !line.starts_with("Content-Length") && !line.starts_with("Transfer-Encoding"))
+        .fold(String::new(), |head, line| head + line + "\r\n");
+    vec![
+        event("silence", vec![Step::Run, Step::Hang]),
+        event("a close before the body is read", vec![Step::BeforeBody, Step::Close]),
+        event("a close", vec![Step::Run, Step::Close]),
+        event("half a head", vec![Step::Run, half_head.clone(), Step::Close]),
+        event("half a body", vec![Step::Run, half_body.clone(), Step::Close]),
+        event(
+            "chunks that break off",
+            vec![Step::Run, write(&in_chunks[..in_chunks.len() - CUT_OFF]), Step::Close],
+        ),
+        event(
+            "chunks without the last",
+            vec![Step::Run, write(in_chunks.replace("0\r\n\r\n", "")), Step::Close],
+        ),
+        event("half a body and silence", vec![Step::Run, half_body, Step::Hang]),
+        event(
+            "half a head early",
+            vec![
+                Step::BeforeBody,
+                Step::Run,
+                half_head,
+                Step::Wait(KEPT_UNREAD),
+                Step::ReadBody,
+                Step::Close,
+            ],
+        ),
+        event("no length", vec![Step::Run, write(unframed + "id: 1\ndata: x\n\n"), Step::Close]),
+        event("no answer", vec![Step::Run, write("what is this\r\n\r\n"), Step::Close]),
+        event("a head without end", vec![Step::Run, write("HTTP/1.1 200 OK\r\nA: b\r\n"), Step::Hang]),
+        event(
+            "a continuation and a close",
+            vec![Step::Run, write("HTTP/1.1 100 Continue\r\n\r\n"), Step::Close],
+        ),
+        event(
+            "another protocol",
+            vec![Step::Run, write("HTTP/1.1 101 Switching Protocols\r\n\r\n"), Step::Close],
+        ),
+    ]
+}
+
+fn good_answers(kind: Kind) -> Vec<Event> {
+    let whole = || write(kind.whole());
+    let closing = kind.whole().replacen("Keep-Alive: timeout=5", "Connection: close", 1);
+    let after = |text: &str| vec![Step::Run, write(text), whole()];
+    let early = |rest: &[Step]| {
+        let mut script = vec![Step::BeforeBody, Step::Run, whole()];
+        script.extend_from_slice(rest);
+        script
+    };
+    vec![
+        served("a whole answer", vec![Step::Run, whole()]),
+        served("a whole answer that names a close", vec![Step::Run, write(closing.clone()), Step::Close]),
+        served("a whole answer that names a close to come", vec![Step::Run, write(closing)]),
+        served("a whole answer in chunks", vec![Step::Run, write(kind.in_chunks())]),
+        served("a whole answer and a close", vec![Step::Run, whole(), Step::Close]),
+        served("a continuation", after("HTTP/1.1 100 Continue\r\n\r\n")),
+        served("hints", after("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")),
+        served("two continuations", after("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")),
+        served(
+            "a continuation before the body",
+            vec![
+                Step::BeforeBody,
+                write("HTTP/1.1 100 Continue\r\n\r\n"),
+                Step::ReadBody,
+                Step::Run,
+                whole(),
+            ],
+        ),
+        event("an early answer, the body read at once", early(&[Step::ReadBody])),
+        event("an early answer, the body read later", early(&[Step::Wait(KEPT_UNREAD), Step::ReadBody])),
+        event("an early answer and a close", early(&[Step::Close])),
+        event("an early answer and silence", early(&[Step::Wait(KEPT_UNREAD), Step::Close])),
+    ]
+}
+
+fn refusals() -> Vec<Event> {
+    let mut events = Vec::new();
+    for (name, id) in [("its id", OWN_ID), ("another id", OTHER_ID), ("no id", "")] {
+        events.push(event(format!("full, with {name}"), vec![full(id)]));
+        events.push(event(format!("misdirected, with {name}"), vec![misdirected(id)]));
+        let early = vec![Step::BeforeBody, full(id), Step::Wait(KEPT_UNREAD), Step::ReadBody];
+        events.push(event(format!("full, early, with {name}"), early));
+        events.push(event(
+            format!("full, early, and a close, with {name}"),
+            vec![Step::BeforeBody, full(id), Step::Close],
+        ));
+        let surplus = SURPLUS_WAITS_MS.map(|wait| {
+            let script = vec![full(id), Step::Wait(Duration::from_millis(wait)), full(id)];
+            event(format!("full, and again after {wait} ms, with {name}"), script)
+        });
+        events.extend(surplus);
+    }
+    for status in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+        events.push(event(format!("{status} of a run"), vec![Step::Run, bare(status, OWN_ID)]));
+    }
+    events
+}
+
+fn unfit_answers(kind: Kind) -> Vec<Event> {
+    let whole = kind.whole();
+    let (head, body) = kind.success();
+    let with = |header: &str| write(whole.replacen("\r\n", &format!("\r\n{header}\r\n"), 1));
+    let unstamped = whole.replace(&format!("Whinspindle-Server-Stamp: {STAMP}\r\n"), "");
+    let failure = head.replace("200 OK", "500 Oh") + &body;
+    let mut events = vec![
+        event("another id", vec![Step::Run, write(with_id(&whole, OTHER))]),
+        event(
+            "another id, then its own",
+            vec![Step::Run, write(with_id(&whole, OTHER)), write(whole.clone())],
+        ),
+        event("no id", vec![Step::Run, write(whole.replace(OWN_ID, ""))]),
+        event("no stamp", vec![Step::Run, write(unstamped)]),
+        event("an encoding", vec![Step::Run, with("Content-Encoding: gzip")]),
+        event("a failure", vec![Step::Run, write(failure)]),
+        event("a redirection", vec![Step::Run, bare("302 Found", OWN_ID)]),
+        event("nothing changed", vec![Step::Run, bare("304 Not Modified", OWN_ID)]),
+    ];
+    let second_length = if kind.is_stream() { "Content-Length: 3" } else { "Transfer-Encoding: chunked" };
+    events.push(event("two kinds of length", vec![Step::Run, with(second_length), Step::Close]));
+    events
+}
+
+/// Whole answers behind which more comes, also in the slot of the next answer.
+fn surpluses(kind: Kind) -> Vec<Event> {
+    let whole = kind.whole();
+    let surplus = [
+        ("the answer again", write(whole.clone())),
+        ("an answer to another", write(with_id(&whole, OTHER))),
+        ("half an answer", write(&whole[..whole.len() / 2])),
+        ("no answer", write("what is this\r\n\r\n")),
+        ("a continuation", write("HTTP/1.1 100 Continue\r\n\r\n")),
+        ("a refusal", full(OWN_ID)),
+        ("a refusal without id", full("")),
+        ("a misdirection without id", misdirected("")),
+        ("a close", Step::Close),
+    ];
+    let mut events = Vec::new();
+    for (name, more) in surplus {
+        for wait in SURPLUS_WAITS_MS {
+            let ends_after = Duration::from_millis(wait);
+            let script = vec![Step::Run, write(whole.clone()), Step::Wait(ends_after), more.clone()];
+            events.push(Event { ends_after, ..served(format!("{name} {wait} ms behind"), script) });
+        }
+    }
+    events
+}
+
+fn all_events(kind: Kind) -> Vec<Event> {
+    [breaks(kind), good_answers(kind), refusals(), unfit_answers(kind), surpluses(kind)].concat()
+}
+
+/// One order of what happens.
+#[derive(Clone, Debug)]
+struct Order {
+    kind: Kind,
+    event: Event,
+    /// Connections to all upstreams have carried an answer before.
+    is_reused: bool,
+    is_narrow: bool,
+    body_bytes: usize,
+    gap: Duration,
+    /// The client leaves so long after its request.
+    leaves: Option<Duration>,
+}
+
+impl Order {
+    fn request(&self, id: &str) -> String {
+        let body = id[..1].repeat(self.body_bytes);
+        format!(
+            "POST {} HTTP/1.1\r\nHost: a.example\r\nWhinspindle-Request-Id: {id}\r\n\
+             Whinspindle-Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n{body}",
+            self.kind.path(),
+            self.body_bytes
+        )
+    }
+
+    async fn play(&self) {
+        let world = World::new();
+        world.upstreams.otherwise(vec![Step::Run, write(self.kind.whole())]);
+        if self.is_narrow {
+            world.upstreams.pipe_bytes.set(Some(NARROW));
+        }
+        if self.is_reused {
+            self.warm_up(&world).await;
+        }
+        let connections = world.upstreams.connections();
+        world.upstreams.script(self.event.script.clone());
+        let mut client = world.client();
+        client.send(&self.request(FIRST)).await;
+        match self.leaves {
+            Some(time) => {
+                sleep(time).await;
+                drop(client);
+            }
+            None => {
+                let got = client.answer().await;
+                self.check_answer(&world, FIRST, &got);
+                if self.event.must_serve {
+                    assert_eq!(status(&got), 200, "{got}");
+                    assert!(!self.is_reused || world.upstreams.connections() == connections, "reused");
+                }
+            }
+        }
+        sleep(self.gap).await;
+        let got = world.ask(&self.request(SECOND)).await;
+        self.check_answer(&world, SECOND, &got);
+        // The event may be left for the next request by a client that leaves at once.
+        let must_serve = self.leaves.is_none() && self.event.spares_next(self.gap);
+        assert!(!must_serve || status(&got) == 200, "the next is served: {got}");
+        sleep(REST).await;
+        self.check_upstreams(&world);
+    }
+
+    /// Six requests at once leave an idle connection to each of the three upstreams.
+    async fn warm_up(&self, world: &World) {
+        let mut clients: Vec<Client> = (0..6).map(|_| world.client()).collect();
+        for client in &mut clients {
+            let mut script = vec![Step::Wait(MOMENT * 5)];
+            script.push(write(self.kind.whole()));
+            world.upstreams.script(script);
+            client.send(&self.request(WARM)).await;
+        }
+        for client in &mut clients {
+            assert_eq!(status(&client.answer().await), 200);
+        }
+        sleep(REST).await;
+    }
+
+    fn check_answer(&self, world: &World, id: &str, got: &str) {
+        let code = status(got);
+        if matches!(code, 408 | 421 | 429 | 503) {
+            assert_eq!(world.upstreams.runs(id), 0, "{code} promises that it has not run");
+        }
+        if let Some(answered) = header(got, "whinspindle-request-id") {
+            assert_eq!(answered, id, "the answer is its own: {got}");
+        }
+        if header(got, "whinspindle-server-stamp").is_some() {
+            assert!(matches!(code, 200 | 500), "a stamp comes with the status of its upstream: {got}");
+        }
+        if code == 200 {
+            self.check_success(id, got);
+        }
+    }
+
+    fn check_success(&self, id: &str, got: &str) {
+        assert_eq!(header(got, "content-encoding"), None, "{got}");
+        assert_eq!(header(got, "whinspindle-server-stamp").as_deref(), Some(STAMP), "{got}");
+        if !self.kind.is_stream() {
+            assert_eq!(whole_body(got), with_id("{id} is served", id), "the whole body");
+            return;
+        }
+        let whole = with_id(&event_texts().concat(), id);
+        let (events, is_complete) = chunks(got);
+        assert!(whole.starts_with(&events), "a part of its own stream: {got}");
+        assert!(!is_complete || events == whole, "no stream looks complete that is not: {got}");
+    }
+
+    fn check_upstreams(&self, world: &World) {
+        for id in [FIRST, SECOND] {
+            let runs = world.upstreams.runs(id);
+            assert!(runs <= self.kind.most_runs(), "{id} ran {runs} times");
+        }
+        for request in world.upstreams.requests() {
+            let id = header(&request, "whinspindle-request-id").unwrap_or_default();
+            assert!([FIRST, SECOND, WARM].contains(&id.as_str()), "{request}");
+            assert_eq!(body(&request), id[..1].repeat(self.body_bytes), "its own body");
+        }
+        for part in world.upstreams.broken_bodies() {
+            let bytes = part.as_bytes();
+            let is_own = bytes.iter().all(|byte| *byte == bytes[0] && b"abc".contains(byte));
+            assert!(is_own, "nothing but its own body where a body is due: {part}");
+        }
+    }
+}
+
+fn play_orders(leaves: Option<Duration>, gaps: &[u64]) -> usize {
+    let mut played = 0;
+    for kind in Kind::ALL {
+        for event in all_events(kind) {
+            for (is_reused, is_narrow) in [(false, false), (false, true), (true, false), (true, true)] {
+                for body_bytes in [SMALL_BODY, LARGE_BODY] {
+                    for gap in gaps {
+                        let gap = Duration::from_millis(*gap);
+                        let event = event.clone();
+                        let order = Order { kind, event, is_reused, is_narrow, body_bytes, gap, leaves };
+                        // Shown if a check in it fails.
+                        println!("{kind:?} {:?}: {order:?}", order.event.name);
+                        play(async move { order.play().await });
+                        played += 1;
+                    }
+                }
+            }
+        }
+    }
+    played
+}
+
+#[test]
+fn every_order_keeps_answers_apart() {
+    let played = play_orders(None, &GAPS_MS);
+    assert!(played > 5_000, "{played} orders");
+}
+
+#[test]
+fn every_order_with_a_client_that_leaves_keeps_answers_apart() {
+    let played: usize =
+        [0, 1, 20].into_iter().map(|time| play_orders(Some(Duration::from_millis(time)), &[0])).sum();
+    assert!(played > 5_000, "{played} orders");
+}
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -119,6 +119,63 @@
     }
 }
 
+#[test]
+fn answers_without_a_body_go_back_whole() {
+    let head = |status: &str, length: &str| {
+        vec![write(format!(
+            "HTTP/1.1 {status}\r\nWhinspindle-Request-Id: {{id}}\r\nWhinspindle-Server-Stamp: {STAMP}\r\n\
+             {length}\r\n"
+        ))]
+    };
+    let cases = [
+        ("HEAD", "200 OK", "Content-Length: 26\r\n"),
+        ("HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"),
+        ("HEAD", "200 OK", ""),
+        ("GET", "204 No Content", ""),
+        ("GET", "204 No Content", "Content-Length: 0\r\n"),
+        ("GET", "204 No Content", "Content-Length: 5\r\n"),
+        ("GET", "204 No Content", "Transfer-Encoding: chunked\r\n"),
+        ("GET", "200 OK", "Content-Length: 0\r\nContent-Length: 0\r\n"),
+    ];
+    for (method, code, length) in cases {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(head(code, length));
+            let mut client = world.client();
+            client
+                .send(&format!(
+                    "{method} /unsafe/x HTTP/1.1\r\nHost: a.example\r\nWhinspindle-Request-Id: {ID}\r\n\r\n"
+                ))
+                .await;
+            let got = client.heard(REST).await;
+            assert!(code.starts_with(&status(&got).to_string()), "{method} {length}: {got}");
+            assert_eq!(body(&got), "", "{method} {length}");
+            world.upstreams.script(served("next"));
+            client.send(&post("/unsafe/x")).await;
+            assert_eq!(body(&client.answer().await), "next", "{method} {length}");
+        });
+    }
+}
+
+#[test]
+fn requests_at_once_are_answered_in_their_order() {
+    play(async {
+        let world = World::new();
+        let mut slow = served("first");
+        slow.insert(0, Step::Wait(Duration::from_millis(10)));
+        world.upstreams.script(slow);
+        world.upstreams.script(served("second"));
+        let mut client = world.client();
+        let other = "eeeeeeeeeeeeeee5";
+        client.send(&[post("/unsafe/x"), post("/unsafe/x").replace(ID, other)].concat()).await;
+        let got = client.heard(REST).await;
+        let answers: Vec<&str> = got.split("HTTP/1.1 200 OK").skip(1).collect();
+        assert_eq!(answers.len(), 2, "{got}");
+        assert!(answers[0].contains(ID) && answers[0].ends_with("first"), "{got}");
+        assert!(answers[1].contains(other) && answers[1].ends_with("second"), "{got}");
+    });
+}
+
 #[test]
 fn the_priority_of_a_route_is_told_to_engines() {
     play(async {
