--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub use application::{Answer, Application, Evaluation, RecordWrite};
 pub use durable::{DurableWrite, RecoverError};
+pub use entry::Origin;
 pub use laws::{AsDesigned, Laws};
 pub use message::{DecodeError, Message};
 pub use records::{Record, Records};
