--- a/coordination/replica/tests/tickets.rs
+++ b/coordination/replica/tests/tickets.rs
@@ -1,7 +1,6 @@
 //! Answers and commands that outlive the process that they belong to: a ticket counts together with the start of the
 //! process that gave it out.
 
-#[allow(dead_code)] // Each test file uses a part of it.
 mod common;
 
 use std::net::SocketAddr;
@@ -189,7 +188,7 @@
         Output::Persist { token, .. } => Some(*token),
         _ => None,
     });
-    let token = tokens.last().expect("the entry is written");
+    let token = tokens.max().expect("the entry is written");
     for other in (0..token).chain(token + 1..token + 3) {
         let told = driven.replica.handle(driven.now, Input::Persisted { token: other });
         assert_eq!(replies(told), [], "write {other} is not write {token}");
