--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod acquaintances;
 pub mod api;
+mod contact;
 mod controller;
 mod directory;
 mod exchange;
@@ -12,6 +13,7 @@
 mod memory;
 pub mod orders;
 mod pending;
+mod residency;
 mod shell;
 mod status;
 
--- a/controlplane/controller/src/orders.rs
+++ b/controlplane/controller/src/orders.rs
@@ -1,7 +1,8 @@
 //! What an order does to the replicated records: the application that the chain's head evaluates.
 //!
 //! Every order may be sent more than once. A configuration is known again by the digest that the history keeps for its
-//! generation; an evacuation and a drained instance are states, which a repeat finds in place.
+//! generation. A departure is a state that only goes forward. An evacuation names the version of the zone's record that
+//! its controller knew, and raises that version: copies that are still on their way count for nothing afterwards.
 
 use blake3::Hash;
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,7 @@
 const GENERATION: &str = "generation";
 /// Records of the digests of the configurations that were taken, by generation.
 const HISTORY: &str = "history/";
-/// Records of the zones that were ever evacuated.
+/// Records of the zones for which an evacuation was ever begun or finished.
 pub const EVACUATION: &str = "evacuation/";
 /// Records of the instances that leave or have left.
 pub const DRAINED: &str = "drained/";
@@ -61,16 +62,21 @@
 /// What became of an order at the head.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// It is in force, by this order or by an equal one before.
+    /// It is in force, by this order or by an equal one before; or it was, until a newer one came.
     Done,
-    /// Another configuration is in place than the one that the order builds on.
+    /// A later configuration is in place than the one that the order builds on. Since generations climb, it can't come
+    /// into force any more.
     OtherBase { current: u64 },
-    /// The generation is not above the current one.
+    /// The generation is not above the one that the order builds on, so it can never come into force.
     NotAbove { current: u64 },
     /// The zone's record has changed since the order was given.
     Overtaken { sequence: u64 },
     /// The command could not be read.
     Unreadable,
+    /// The configuration that the order builds on is not in place yet. It may come, and a copy of the order with it.
+    BaseAhead { current: u64 },
+    /// The generation is so old that it is not known any more whether this configuration was taken.
+    Forgotten { current: u64 },
 }
 
 /// A command or an outcome that can't be read.
@@ -208,11 +214,8 @@
         return answer_only(Outcome::Done);
     }
     let current = current_generation(records);
-    if base != current {
-        return answer_only(Outcome::OtherBase { current });
-    }
-    if generation <= current {
-        return answer_only(Outcome::NotAbove { current });
+    if let Some(obstacle) = obstacle(records, current, base, generation) {
+        return answer_only(obstacle);
     }
     let mut writes = vec![
         write(CONFIGURATION.to_owned(), body),
@@ -223,6 +226,29 @@
     Evaluation { writes, answer: Answer::Value(Outcome::Done.encode()) }
 }
 
+/// Why a configuration is not put in place. Clear refusals are final: no later copy of the order can be taken.
+fn obstacle(records: &Records, current: u64, base: u64, generation: u64) -> Option<Outcome> {
+    if generation <= base {
+        return Some(Outcome::NotAbove { current });
+    }
+    if base > current {
+        return Some(Outcome::BaseAhead { current });
+    }
+    if generation < oldest_known_generation(records) {
+        return Some(Outcome::Forgotten { current });
+    }
+    (base < current).then_some(Outcome::OtherBase { current })
+}
+
+/// Whether a configuration of a lower generation was taken may be forgotten.
+fn oldest_known_generation(records: &Records) -> u64 {
+    if records.range(HISTORY).count() < MAX_HISTORY {
+        return 0;
+    }
+    let oldest = records.range(HISTORY).next();
+    oldest.and_then(|(key, _)| key[HISTORY.len()..].parse().ok()).unwrap_or(0)
+}
+
 fn was_taken(records: &Records, generation: u64, digest: &Hash) -> bool {
     records.get(&history_key(generation)).is_some_and(|record| record.value.as_slice() == digest.as_bytes())
 }
@@ -235,19 +261,14 @@
     records.range(HISTORY).next().map(|(key, _)| RecordWrite { key: key.to_owned(), value: None })
 }
 
+/// Writes also where the zone is in that state: the new sequence voids every copy of an earlier order.
 fn evacuate(records: &Records, zone: &str, evacuated: bool, seen: u64) -> Evaluation {
-    let key = evacuation_key(zone);
-    let value = if evacuated { ZONE_EVACUATED } else { ZONE_IN_SERVICE };
-    let record = records.get(&key);
-    let in_place = record.map_or(ZONE_IN_SERVICE, |record| record.value.as_slice());
-    if in_place == value {
-        return answer_only(Outcome::Done);
-    }
-    let sequence = record.map_or(0, |record| record.sequence);
+    let sequence = evacuation_sequence(records, zone);
     if sequence != seen {
         return answer_only(Outcome::Overtaken { sequence });
     }
-    let writes = vec![write(key, value.to_vec())];
+    let value = if evacuated { ZONE_EVACUATED } else { ZONE_IN_SERVICE };
+    let writes = vec![write(evacuation_key(zone), value.to_vec())];
     Evaluation { writes, answer: Answer::Value(Outcome::Done.encode()) }
 }
 
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -13,12 +13,14 @@
 use whinspindle_controller::orders::Orders;
 use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
 use whinspindle_distribution::{ControllerAddress, Link, Report, SubscriberId, ToBalancer, Update, Versions};
-use whinspindle_replica::{Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{Replica, ReplicaSettings, Timing, Tolerance};
 
 /// The clock of a test starts above zero, as that of a process does.
 pub const START: u64 = 1_000_000;
 pub const TICK_MS: u64 = 50;
 pub const HEARTBEAT_MS: u64 = 1_000;
+/// An evacuation order waits for so long before it is given.
+pub const EVACUATION_WAIT_MS: u64 = 100;
 
 pub struct Single {
     pub controller: Controller,
@@ -46,7 +48,7 @@
             bootstrap: true,
             birth: 1,
             start: 2,
-            tolerated_losses: 0,
+            tolerance: Tolerance::of_machines(0),
             timing: Timing::default(),
         };
         let (replica, outputs) = Replica::new(replica_settings, Orders, (None, Vec::new()), START).unwrap();
@@ -123,6 +125,14 @@
         self.answer(id).expect("the call is answered at once").status
     }
 
+    /// The status of an evacuation order, which is given to the chain after a short wait.
+    pub fn evacuation_status(&mut self, zone: &str, evacuated: bool) -> StatusCode {
+        let id = self.call(evacuate(zone, evacuated));
+        assert_eq!(self.answer(id), None, "it is given at once");
+        self.pass(EVACUATION_WAIT_MS);
+        self.answer(id).expect("the order is answered after the wait").status
+    }
+
     pub fn answer(&self, id: CallId) -> Option<&Response> {
         self.answers.get(&id)
     }
@@ -190,8 +200,13 @@
     Call::Deregister { instance: instance.to_owned() }
 }
 
+/// The question of a client of a host that no configuration names.
 pub fn resolve(region: &str, zone: &str) -> Call {
-    Call::Resolve { region: region.to_owned(), zone: zone.to_owned() }
+    resolve_host("unknown.example", region, zone)
+}
+
+pub fn resolve_host(host: &str, region: &str, zone: &str) -> Call {
+    Call::Resolve { host: host.to_owned(), region: region.to_owned(), zone: zone.to_owned() }
 }
 
 /// The report of a balancer that takes clients.
--- a/coordination/replica/tests/tickets.rs
+++ b/coordination/replica/tests/tickets.rs
@@ -8,6 +8,7 @@
 use common::node::{Registers, endpoint};
 use whinspindle_replica::{
     DurableWrite, Input, Message, Origin, Output, Replica, ReplicaSettings, Reply, SubmitError, Timing,
+    Tolerance,
 };
 
 const CALLER: usize = 7;
@@ -37,7 +38,7 @@
             bootstrap: true,
             birth: 1,
             start,
-            tolerated_losses: 0,
+            tolerance: Tolerance::of_machines(0),
             timing: Timing::default(),
         };
         let (checkpoint, log) = recovered.clone();
