--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -73,7 +73,7 @@
 
     fn resolve(&mut self, now: u64, id: CallId, host: &str, region: &str, zone: &str) {
         let region = self.settings.zones.get(zone).map_or(region, String::as_str);
-        let records = self.may_tell_records(now).then(|| self.replica.committed());
+        let records = self.may_hand_out(now).then(|| self.replica.committed());
         self.residency.refresh(records);
         let regions = self.residency.regions_of(host);
         let addresses = directory::addresses_for(&self.leases, now, Place { region, zone }, regions);
