--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -8,7 +8,7 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use whinspindle_routing::{Attempt, Choice, InstanceKey, InstanceTarget, Outcome};
 
 use crate::answers::RETRY_AFTER_MS;
@@ -24,6 +24,8 @@
 
 /// With less time left nothing is sent any more.
 const LEAST_TIME: Duration = Duration::from_millis(15);
+/// The body of a refusal is waited for so long, for the sake of the connection.
+const REFUSAL_BODY: Duration = Duration::from_millis(20);
 /// The longest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 const CHUNKED: &[u8] = b"chunked";
@@ -317,6 +319,7 @@
         let Answered { verdict, head, body, mut leased } = answered;
         // Where the head alone says that the request did not run, the body does not count.
         let counts = !matches!(verdict, Verdict::Rejected | Verdict::Misdirected);
+        self.in_flight = counts;
         if counts && !is_framed(&self.request.method, &head, &body) {
             sent.finish(Outcome::Broken);
             return Err(SendEnd::Broken);
@@ -330,7 +333,11 @@
             sent.first_event();
         }
         let framed = is_framed(&self.request.method, &head, &body);
-        let whole = if framed { self.read_whole(body, &mut leased).await } else { None };
+        let whole = match (framed, counts) {
+            (false, _) => None,
+            (true, true) => self.read_whole(body, &mut leased).await,
+            (true, false) => timeout(REFUSAL_BODY, self.read_whole(body, &mut leased)).await.ok().flatten(),
+        };
         let is_whole = whole.is_some();
         let end = self.conclude(verdict, head, whole, &mut sent);
         if is_whole {
--- a/dataplane/proxy/tests/answers.rs
+++ b/dataplane/proxy/tests/answers.rs
@@ -249,6 +249,8 @@
             format!("full, early, and a close, with {name}"),
             vec![Step::BeforeBody, full(id), Step::Close],
         ));
+        let bodiless = format!("HTTP/1.1 503 Full\r\n{id}{NOT_RUN}Content-Length: 5\r\n\r\n");
+        events.push(event(format!("full, without its body, with {name}"), vec![write(bodiless), Step::Hang]));
         let surplus = SURPLUS_WAITS_MS.map(|wait| {
             let script = vec![full(id), Step::Wait(Duration::from_millis(wait)), full(id)];
             event(format!("full, and again after {wait} ms, with {name}"), script)
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -323,6 +323,25 @@
     }
 }
 
+#[test]
+fn a_refusal_counts_without_its_body() {
+    for code in ["503 Service Unavailable", "421 Misdirected Request"] {
+        let head = format!(
+            "HTTP/1.1 {code}\r\nWhinspindle-Request-Id: {{id}}\r\nWhinspindle-Not-Run: 1\r\n\
+             Content-Length: 5\r\n\r\n"
+        );
+        play(async {
+            let world = World::new();
+            world.upstreams.script(vec![write(head), Step::Hang]);
+            world.upstreams.script(served("second"));
+            let start = Instant::now();
+            let got = world.ask(&post("/unsafe/x")).await;
+            assert_eq!((status(&got), body(&got)), (200, "second"), "{code}");
+            assert!(start.elapsed() < REST, "{:?}", start.elapsed());
+        });
+    }
+}
+
 #[test]
 fn what_did_not_run_at_all_is_refused_with_a_pause() {
     play(async {
