Proxy: tests of surplus bytes of a client, and of an agent that starts anew

What follows a request and is no request reaches no upstream, and the answer before it stays whole. The next agent is told at once what is in force; an older configuration of it, and half a frame of the one before, change nothing.

--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -157,6 +157,24 @@
     }
 }
 
+#[test]
+fn bytes_behind_a_request_that_are_no_request_are_sent_nowhere() {
+    for surplus in ["what is this\r\n\r\n", "\r\n\r\nhello", "POST /unsafe/x", "hello\0\0"] {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(served("first"));
+            world.upstreams.otherwise(served("no"));
+            let mut client = world.client();
+            client.send(&format!("{}{surplus}", post("/unsafe/x"))).await;
+            let got = client.heard(REST).await;
+            let (first, rest) = got.split_at(got.find("first").expect("the answer") + "first".len());
+            assert_eq!((status(first), header(first, "whinspindle-request-id").as_deref()), (200, Some(ID)));
+            assert!(rest.is_empty() || status(rest) == 400, "{surplus:?}: {rest}");
+            assert_eq!(world.upstreams.requests().len(), 1, "{surplus:?}");
+        });
+    }
+}
+
 #[test]
 fn requests_at_once_are_answered_in_their_order() {
     play(async {
--- a/dataplane/proxy/tests/feed.rs
+++ b/dataplane/proxy/tests/feed.rs
@@ -101,6 +101,32 @@
     });
 }
 
+#[test]
+fn an_agent_that_has_just_started_takes_nothing_back() {
+    play(async {
+        let world = World::empty();
+        let mut before = Agent::connect(&world);
+        before.hello().await;
+        before.report().await;
+        before.tell(ToBalancer::Update(configured(5))).await;
+        assert_eq!(before.report().await.applied.configured, 5);
+        let mut frames = FrameBuffer::default();
+        let unfinished = encode_to_balancer(&ToBalancer::Update(configured(9)));
+        frames.push(FrameKind::ToBalancer, &unfinished).expect("a short message");
+        let mut bytes = Vec::new();
+        frames.write_to(&mut bytes).await.expect("room");
+        before.writer.write_all(&bytes[..bytes.len() / 2]).await.expect("the proxy reads");
+        sleep(MOMENT).await;
+        drop((before.reader, before.writer));
+        before.link.await.expect("the link has ended");
+        let mut after = Agent::connect(&world);
+        after.hello().await;
+        assert_eq!(after.report().await.applied.configured, 5, "told again to the next agent");
+        after.tell(ToBalancer::Update(configured(3))).await;
+        assert_eq!(after.report().await.applied.configured, 5, "neither the older nor half of a newer one");
+    });
+}
+
 #[test]
 fn reports_come_regularly_and_at_once_when_the_proxy_leaves() {
     play(async {
