--- /dev/null
+++ b/controlplane/controller/tests/heartbeats.rs
@@ -0,0 +1,109 @@
+//! Heartbeats and departures that come late, in another order than they were sent, or without a word before.
+
+mod common;
+
+use common::*;
+use http::StatusCode;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use whinspindle_configuration::InstanceState::{Draining, Ready};
+use whinspindle_controller::api::Call;
+
+/// An instance reads no longer answer than this.
+const LONGEST_ANSWER_BYTES: usize = 4096;
+
+/// What balancers were told last: ids, and whether they drain.
+fn instances_sent(single: &Single) -> Vec<(String, bool)> {
+    let sent = single.updates.iter().rev().find_map(|(_, update)| update.instances.as_ref());
+    let list = sent.map(|instances| instances.list.as_slice()).unwrap_or_default();
+    list.iter().map(|instance| (instance.id.clone(), instance.draining)).collect()
+}
+
+fn settled_with_a_balancer() -> Single {
+    let mut single = Single::settled();
+    single.report(1, report(1, "zone-a"));
+    single
+}
+
+#[test]
+fn the_answer_to_a_heartbeat_is_short() {
+    let mut single = settled_with_a_balancer();
+    for number in 1..=200 {
+        single.status(heartbeat(&format!("i-{number}"), 1, Ready));
+    }
+    for call in [heartbeat("i-1", 2, Ready), heartbeat("i-1", 3, Draining), deregister("i-1")] {
+        let id = single.call(call);
+        let answer = single.answer(id).expect("it is answered at once");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(answer.body.len() <= LONGEST_ANSWER_BYTES);
+    }
+}
+
+#[test]
+fn an_instance_that_deregisters_without_draining_is_gone_for_good() {
+    let mut single = settled_with_a_balancer();
+    single.status(heartbeat("i-1", 1, Ready));
+    single.status(heartbeat("i-2", 1, Ready));
+    assert_eq!(single.status(deregister("i-1")), StatusCode::OK);
+    assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+    for (sequence, state) in [(2, Ready), (9, Ready), (10, Draining)] {
+        assert_eq!(single.status(heartbeat("i-1", sequence, state)), StatusCode::OK);
+        single.pass(500);
+        assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+    }
+    assert_eq!(single.status(deregister("i-1")), StatusCode::OK, "sent again");
+}
+
+/// A call of one of two instances.
+#[derive(Clone, Debug)]
+struct Word {
+    instance: &'static str,
+    sequence: u64,
+    kind: Kind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Ready,
+    Draining,
+    Deregister,
+}
+
+impl Arbitrary for Word {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let instance = *generator.choose(&["i-1", "i-2"]).expect("one of two");
+        let kind =
+            *generator.choose(&[Kind::Ready, Kind::Ready, Kind::Draining, Kind::Deregister]).expect("a kind");
+        Word { instance, sequence: u64::arbitrary(generator) % 20, kind }
+    }
+}
+
+impl Word {
+    fn call(&self) -> Call {
+        match self.kind {
+            Kind::Ready => heartbeat(self.instance, self.sequence, Ready),
+            Kind::Draining => heartbeat(self.instance, self.sequence, Draining),
+            Kind::Deregister => deregister(self.instance),
+        }
+    }
+}
+
+#[test]
+fn what_was_acknowledged_as_leaving_never_takes_requests_again_in_any_order() {
+    fn property(words: Vec<Word>) -> bool {
+        let mut single = settled_with_a_balancer();
+        let mut left: Vec<(&str, Kind)> = Vec::new();
+        words.iter().all(|word| {
+            let acknowledged = single.status(word.call()) == StatusCode::OK;
+            if word.kind != Kind::Ready {
+                left.push((word.instance, word.kind));
+            }
+            single.pass(TICK_MS);
+            let told = instances_sent(&single);
+            let told_to_leave = |&(instance, kind): &(&str, Kind)| {
+                told.iter().all(|(id, draining)| id != instance || (*draining && kind == Kind::Draining))
+            };
+            acknowledged && left.iter().all(told_to_leave)
+        })
+    }
+    QuickCheck::new().tests(60).quickcheck(property as fn(Vec<Word>) -> bool);
+}
--- a/dataplane/proxy/tests/rules.rs
+++ b/dataplane/proxy/tests/rules.rs
@@ -10,7 +10,7 @@
     CONFIGURATION, ID, MOMENT, Script, Step, World, answer, body, chunk, chunks, event, header, last_chunk,
     misdirected, play, post, post_with, served, status, write,
 };
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const PROMPT: [(&str, &str); 3] = [
     ("Whinspindle-Model", "m"),
@@ -43,6 +43,11 @@
     world.upstreams.requests().iter().map(|sent| deadline(sent).expect("a deadline on every send")).collect()
 }
 
+/// What comes for a request until its answer or connection ends, which it has to within a minute.
+async fn ask_to_the_end(world: &World, request: &str) -> String {
+    timeout(Duration::from_secs(60), world.ask(request)).await.expect("an end")
+}
+
 /// The request of `post`, by a client that waits so long.
 fn patient(path: &str, deadline_ms: u64) -> String {
     post(path).replace("Deadline-Ms: 3000", &format!("Deadline-Ms: {deadline_ms}"))
@@ -139,7 +144,7 @@
         play(async {
             let world = World::new();
             world.upstreams.script(vec![Step::Wait(Duration::from_secs(1)), Step::Close]);
-            world.ask(&request).await;
+            ask_to_the_end(&world, &request).await;
             let told = deadlines(&world);
             assert_eq!(told.len(), 2);
             assert!((3_900..=4_000).contains(&told[0]), "{told:?}");
@@ -251,7 +256,7 @@
         (0..100).for_each(|_| script.extend([write("x"), Step::Wait(Duration::from_millis(200))]));
         world.upstreams.script(script);
         let start = Instant::now();
-        let got = world.ask(&patient("/unsafe/x", 30_000)).await;
+        let got = ask_to_the_end(&world, &patient("/unsafe/x", 30_000)).await;
         let held = start.elapsed();
         assert_eq!(status(&got), 504);
         assert_eq!(header(&got, "whinspindle-server-stamp"), None);
@@ -268,7 +273,7 @@
             let mut client = world.client();
             let start = Instant::now();
             client.send(&request[..request.len() - 1]).await;
-            let got = client.answer().await;
+            let got = timeout(Duration::from_secs(90), client.answer()).await.expect("an answer");
             let held = start.elapsed();
             assert_eq!(status(&got), 408, "{path}");
             assert!(held <= Duration::from_millis(limit_ms + 100), "{path}: {held:?}");
@@ -287,7 +292,7 @@
         }
         world.upstreams.script(script);
         let start = Instant::now();
-        let got = world.ask(&patient("/stream/x", 60_000)).await;
+        let got = ask_to_the_end(&world, &patient("/stream/x", 60_000)).await;
         let held = start.elapsed();
         assert!(!chunks(&got).1, "it does not look complete");
         assert!(held >= Duration::from_millis(14_900) && held <= Duration::from_millis(15_100), "{held:?}");
@@ -302,7 +307,7 @@
         let world = World::new();
         world.upstreams.script(broken_stream([1]));
         let start = Instant::now();
-        let got = world.ask(&patient("/resumable/x", 60_000)).await;
+        let got = ask_to_the_end(&world, &patient("/resumable/x", 60_000)).await;
         let held = start.elapsed();
         assert_eq!(chunks(&got), (event(1), false));
         assert!(held <= Duration::from_millis(15_100), "{held:?}");
