--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -18,6 +18,7 @@
     pub registry: &'a InstanceRegistry,
     pub leases: &'a LeaseTable,
     pub publisher: &'a Publisher,
+    pub in_quorum: bool,
     pub pending: usize,
     pub leaving: bool,
     pub now: u64,
@@ -39,7 +40,7 @@
 fn push_fields(json: &mut String, summary: &Summary<'_>) {
     let versions = summary.publisher.versions();
     let fields = [
-        ("in_quorum", u64::from(summary.replica.is_in_quorum(summary.now))),
+        ("in_quorum", u64::from(summary.in_quorum)),
         ("leaving", u64::from(summary.leaving)),
         ("pending_orders", summary.pending as u64),
         ("committed_sequence", summary.replica.committed_sequence()),
@@ -63,6 +64,8 @@
     push_addresses(json, "chain", view.chain.iter().filter_map(|link| endpoint(link.voter)));
     push_addresses(json, "voters", view.voters().into_iter().filter_map(endpoint));
     push_addresses(json, "peers", replica.peers());
+    let fatal = replica.fatal_losses();
+    push_list(json, "fatal_losses", fatal, |json, kind| push_json_string(json, kind.name()));
 }
 
 fn push_evacuations(json: &mut String, replica: &Replica<Orders>) {
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -3,16 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use whinspindle_agreement::{AsPublished, Ballot, Round, Voter};
+use whinspindle_agreement::{Ballot, Round, Voter};
 
 use crate::application::Application;
 use crate::disk::Afterwards;
 use crate::durable::{Decided, DurableRecord};
 use crate::laws::Laws;
 use crate::message::{Message, Report};
+use crate::placement::{LossKind, Place, fatal_losses};
 use crate::plan::{Candidate, Situation, Standing, next_view};
 use crate::replica::Replica;
-use crate::view::View;
+use crate::view::{Member, View};
 
 /// All rounds are of one founding.
 const EPOCH: u64 = 1;
@@ -30,7 +31,7 @@
 const STEADY: u64 = 500;
 
 /// A round that this replica has begun.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Proposal {
     round: Round<View>,
     reports: BTreeMap<Voter, Report>,
@@ -42,7 +43,7 @@
 }
 
 /// What is under way to change the view.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ViewChange {
     proposal: Option<Proposal>,
     highest_round: u64,
@@ -156,23 +157,44 @@
     fn situation(&self, now: u64, view: &View, present: BTreeMap<Voter, Standing>) -> Situation {
         let lost = view.voters().into_iter().filter(|voter| !present.contains_key(voter));
         let lost = lost.filter(|voter| self.is_lost(now, view, *voter)).collect();
-        let place = |endpoint: &SocketAddr| {
-            let heartbeat = &self.peers.get(*endpoint)?.heartbeat;
-            Some((*endpoint, (heartbeat.zone.clone(), heartbeat.region.clone())))
-        };
-        let mut places: BTreeMap<_, _> =
-            view.members.iter().filter_map(|member| place(&member.endpoint)).collect();
-        places.insert(self.settings.endpoint, (self.settings.zone.clone(), self.settings.region.clone()));
         Situation {
-            tolerated_losses: self.settings.tolerated_losses,
+            tolerance: self.settings.tolerance,
+            replaces_voters_jointly: L::replaces_voters_jointly(),
             present,
             lost,
             candidates: self.candidates(now, view),
             apart: self.pairs_apart(now, view),
-            places,
+            places: self.places(view),
         }
     }
 
+    /// Where the members are, as far as they were heard.
+    fn places(&self, view: &View) -> BTreeMap<SocketAddr, Place> {
+        let heard = |member: &Member| {
+            let heartbeat = &self.peers.get(member.endpoint)?.heartbeat;
+            Some((member.endpoint, heartbeat.place()))
+        };
+        let mut places: BTreeMap<SocketAddr, Place> = view.members.iter().filter_map(heard).collect();
+        let own = Place { zone: self.settings.zone.clone(), region: self.settings.region.clone() };
+        places.insert(self.settings.endpoint, own);
+        places
+    }
+
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters, as far as their places
+    /// are known.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        let view = self.view();
+        let heard = self.places(view);
+        let place = |voter: Voter| {
+            let member = view.member(voter)?;
+            Some(heard.get(&member.endpoint).cloned().unwrap_or_else(|| member.place()))
+        };
+        let voters = view.boards.last().map(Vec::as_slice).unwrap_or_default();
+        let places: Vec<Place> = voters.iter().filter_map(|voter| place(*voter)).collect();
+        let are_known = !places.is_empty() && places.iter().all(Place::is_known);
+        if are_known { fatal_losses(&places, self.settings.tolerance) } else { Vec::new() }
+    }
+
     /// Whether another may take this voter's place: its memory is gone, or nobody has heard it for long.
     fn is_lost(&self, now: u64, view: &View, voter: Voter) -> bool {
         let Some(member) = view.member(voter) else { return false };
@@ -195,8 +217,7 @@
                 candidates.push(Candidate {
                     endpoint: *endpoint,
                     birth: heartbeat.birth,
-                    zone: heartbeat.zone.clone(),
-                    region: heartbeat.region.clone(),
+                    place: heartbeat.place(),
                     standing: Standing::new(heartbeat.report, false),
                 });
             }
@@ -249,7 +270,7 @@
         let Some(proposal) = &self.change.proposal else { return };
         let ballot = proposal.round.ballot;
         let known = self.view().number;
-        for voter in proposal.round.unheard::<AsPublished>() {
+        for voter in proposal.round.unheard::<L::Agreement>() {
             if let Some(to) = self.endpoint_of(voter) {
                 self.send(to, Message::Prepare { voter, ballot, known });
             }
@@ -303,21 +324,23 @@
         if proposal.round.is_writing() {
             return;
         }
-        let Some(found) = proposal.round.found::<AsPublished>().cloned() else { return };
+        let Some(found) = proposal.round.found::<L::Agreement>().cloned() else { return };
         let majority_at = *proposal.majority_at.get_or_insert(now);
         let reports = proposal.reports.clone();
         let is_awaited = |voter: Voter| !reports.contains_key(&voter) && self.is_awaited(now, &found, voter);
         if now < majority_at + GRACE && found.voters().into_iter().any(is_awaited) {
             return;
         }
-        let present = reports.iter().filter_map(|(voter, report)| {
-            let standing = self.promised_standing(now, *voter, *report)?;
+        let promised = reports.iter().filter_map(|(voter, report)| {
+            let standing = self.promised_standing(now, &found, *voter, *report)?;
             Some((*voter, standing))
         });
-        let situation = self.situation(now, &found, present.collect());
+        let mut present: BTreeMap<Voter, Standing> = promised.collect();
+        present.extend(self.silent_joiners(now, &found, &reports));
+        let situation = self.situation(now, &found, present);
         let Some(next) = next_view(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
-        proposal.round.write::<AsPublished>(next);
+        proposal.round.write::<L::Agreement>(next);
         proposal.asked_at = now;
         self.ask_for_votes();
     }
@@ -326,7 +349,26 @@
         self.peers.well(now, found, voter).is_some()
     }
 
-    fn promised_standing(&self, now: u64, voter: Voter, report: Report) -> Option<Standing> {
+    /// Voters outside of the chain that are well but have not promised yet, as their disks are slow. What they have is
+    /// not asked for: in the chain they are brought up to date before they count. Without them the round would end in
+    /// the view that it began with, and the next one would again.
+    fn silent_joiners(
+        &self,
+        now: u64,
+        found: &View,
+        reports: &BTreeMap<Voter, Report>,
+    ) -> Vec<(Voter, Standing)> {
+        let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let standing = |voter: Voter| {
+            let heartbeat = self.peers.well(now, found, voter)?;
+            let endpoint = found.endpoint(voter)?;
+            let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
+            is_steady.then(|| (voter, Standing::new(heartbeat.report, heartbeat.is_leaving)))
+        };
+        found.voters().into_iter().filter(is_silent).filter_map(standing).collect()
+    }
+
+    fn promised_standing(&self, now: u64, found: &View, voter: Voter, report: Report) -> Option<Standing> {
         if self.owes_too_long(now, voter) {
             return None;
         }
@@ -334,7 +376,9 @@
         let heartbeat = endpoint.and_then(|endpoint| self.peers.get(endpoint)).map(|peer| &peer.heartbeat);
         let is_own = endpoint == Some(self.settings.endpoint);
         let is_leaving = if is_own { self.is_leaving } else { heartbeat.is_some_and(|peer| peer.is_leaving) };
-        Some(Standing::new(report, is_leaving))
+        let since = found.link(voter).map_or(0, |link| link.since);
+        let complete = L::complete(report.complete, since);
+        Some(Standing::new(Report { complete, ..report }, is_leaving))
     }
 
     pub(crate) fn on_prepare(
@@ -346,7 +390,7 @@
         known: u64,
     ) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         if self.view().number > known {
@@ -363,7 +407,11 @@
                     self.change.wanted = None;
                 }
                 let accepted = votes.accepted.clone();
-                self.record_votes(votes);
+                if L::records_promises() {
+                    self.record_votes(votes);
+                } else {
+                    self.state.votes = votes;
+                }
                 let report = self.report();
                 let message = Message::Promise { voter, ballot, accepted, report };
                 self.afterwards(now, Afterwards::Send { to: from, message: Box::new(message) });
@@ -373,11 +421,11 @@
 
     pub(crate) fn on_accept(&mut self, now: u64, from: SocketAddr, voter: Voter, ballot: Ballot, view: View) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         let mut votes = self.state.votes.clone();
-        match votes.accept::<AsPublished>(ballot, view) {
+        match votes.accept::<L::Agreement>(ballot, view) {
             Err(promised) => self.send(from, Message::Rejected { ballot, promised }),
             Ok(()) => {
                 self.record_votes(votes);
@@ -405,12 +453,12 @@
         if proposal.round.ballot != ballot || proposal.round.is_writing() {
             return;
         }
-        let unheard = proposal.round.unheard::<AsPublished>().len();
+        let unheard = proposal.round.unheard::<L::Agreement>().len();
         let members = accepted.iter().flat_map(|(_, view)| &view.members);
         proposal.endpoints.extend(members.map(|member| (member.voter, member.endpoint)));
         proposal.round.promised(voter, accepted);
         proposal.reports.insert(voter, report);
-        let has_grown = proposal.round.unheard::<AsPublished>().len() >= unheard;
+        let has_grown = proposal.round.unheard::<L::Agreement>().len() >= unheard;
         if has_grown {
             self.ask_for_promises();
         }
@@ -422,7 +470,7 @@
         if proposal.round.ballot != ballot {
             return;
         }
-        let Some(view) = proposal.round.voted::<AsPublished>(voter).cloned() else { return };
+        let Some(view) = proposal.round.voted::<L::Agreement>(voter).cloned() else { return };
         let decided = Decided { ballot, view };
         for member in &decided.view.members.clone() {
             self.send(member.endpoint, Message::Decided(decided.clone()));
