--- a/dataplane/proxy/tests/rules.rs
+++ b/dataplane/proxy/tests/rules.rs
@@ -399,6 +399,14 @@
         let sent = world.upstreams.requests();
         let asked: Vec<_> = sent.iter().map(|sent| header(sent, "expect-version")).collect();
         assert_eq!(asked, [None, Some("8".to_owned()), Some("8".to_owned())]);
+        // The one with other weights still serves who asks for no version.
+        let other = header(&sent[1], "whinspindle-expect-instance").expect("an instance");
+        let rest: Vec<String> =
+            (1..=3).map(|number| format!("model-{number}")).filter(|id| *id != other).collect();
+        world.instances(2, &rest.iter().map(String::as_str).collect::<Vec<_>>());
+        world.pass(Duration::from_secs(1)).await;
+        world.upstreams.script(vec![versioned_head("other", 7), chunk(&event(1)), last_chunk()]);
+        assert_eq!(status(&world.ask(&post("/stream/x")).await), 200);
     });
 }
 
