Drawn schedules over whole controllers with agents; ends of instances told by id

Found: the end of an upstream was not told by a controller that had started meanwhile and never heard of that upstream; its balancers kept it as ready for 3 s after each move. Change: ends are told by id alone, the newest 128 for 30 s, also those found in the records at a start; the agent takes them out of the list and marks what it holds.

--- a/controlplane/controller/src/controller/publication.rs
+++ b/controlplane/controller/src/controller/publication.rs
@@ -102,7 +102,9 @@
         self.published_instances = version;
         self.published_withdrawals = self.registry.withdrawals();
         self.instances_published_at = Some(now);
-        let list = self.registry.listed(now).into_iter().map(instance).collect();
+        let known = self.registry.snapshot(now).into_iter().map(instance);
+        let ended = self.registry.ended().map(|id| Instance::ended(id.to_owned()));
+        let list = known.chain(ended).collect();
         self.publisher.set_instances(now, Instances { version, list });
     }
 
--- a/controlplane/controller/src/controller/replication.rs
+++ b/controlplane/controller/src/controller/replication.rs
@@ -56,11 +56,17 @@
         self.publish(now);
     }
 
+    /// The newest last: they are told longest.
     pub(super) fn take_departures(&mut self) {
-        let departures: Vec<(String, Departure)> = orders::departures(self.replica.committed())
-            .map(|(instance, departure)| (instance.to_owned(), departure))
+        let records = self.replica.committed();
+        let sequence = |instance: &str| {
+            records.get(&format!("{}{instance}", orders::DRAINED)).map_or(0, |record| record.sequence)
+        };
+        let mut departures: Vec<(u64, String, Departure)> = orders::departures(records)
+            .map(|(instance, departure)| (sequence(instance), instance.to_owned(), departure))
             .collect();
-        for (instance, departure) in departures {
+        departures.sort_by_key(|(sequence, ..)| *sequence);
+        for (_, instance, departure) in departures {
             self.departed(&instance, departure);
         }
     }
--- a/controlplane/controller/tests/common/edge.rs
+++ b/controlplane/controller/tests/common/edge.rs
@@ -39,7 +39,8 @@
     pub number: u8,
     pub address: SocketAddr,
     pub wires: BTreeMap<ConnectionId, Wire>,
-    seeds: Vec<SocketAddr>,
+    /// What the settings name.
+    pub seeds: Vec<SocketAddr>,
     agent: Option<Agent>,
     proxy: Option<Proxy>,
     lives: u64,
@@ -129,7 +130,10 @@
 
     pub fn give(&mut self, now: u64, input: Input) -> Vec<Wish> {
         let Some(agent) = &mut self.agent else { return Vec::new() };
-        let outputs = agent.handle(now, input);
+        let mut outputs = agent.handle(now, input);
+        if outputs.contains(&Output::ReadSettings) {
+            outputs.extend(agent.handle(now, Input::Seeds(self.seeds.clone())));
+        }
         outputs.into_iter().filter_map(|output| self.carry_out(now, output)).collect()
     }
 
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -19,8 +19,8 @@
 
 use super::{HEARTBEAT_MS, zones};
 
-/// The seeds are the first so many controllers.
-const SEEDS: u8 = 3;
+/// The seeds are the first so many controllers that there are.
+pub const SEEDS: usize = 3;
 /// A caller takes a controller for silent after this time.
 const PATIENCE_MS: u64 = 1_000;
 /// The token of writes that the replica didn't order.
@@ -154,7 +154,7 @@
         endpoint: start.endpoint,
         zone: zone.clone(),
         region: region.clone(),
-        seeds: (1..=SEEDS).map(endpoint).collect(),
+        seeds: start.nodes.iter().copied().take(SEEDS).collect(),
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
@@ -207,6 +207,8 @@
         let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), starter);
         for number in 1..=count {
             cluster.add(endpoint(number), true);
+        }
+        for number in 1..=count {
             cluster.start(endpoint(number));
         }
         let mut fleet = Fleet {
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod edge;
 pub mod fleet;
 pub mod judge;
+pub mod schedule;
 pub mod upstream;
 pub mod world;
 
--- /dev/null
+++ b/controlplane/controller/tests/common/schedule.rs
@@ -0,0 +1,314 @@
+//! Schedules of faults, drawn by quickcheck and played against controllers, edge machines, upstreams and operators.
+
+use std::net::SocketAddr;
+
+use quickcheck::{Arbitrary, Gen};
+
+use super::fleet::Command;
+use super::world::{Direction, Reach, World};
+
+/// How long it takes until all that is well again counts, and a lost disk has been made up for.
+const CALM_MS: u64 = 6_000;
+/// Once all faults have ended, every order has its outcome within this time.
+const OUTCOME_MS: u64 = 10_000;
+/// And everything is told everywhere after this.
+const CONVERGED_MS: u64 = 8_000;
+/// The longest that a process stands still.
+const FREEZE_MS: u64 = 20_000;
+/// How long a fault waits for an acknowledgement.
+const ACKNOWLEDGEMENT_MS: u64 = 3_000;
+/// Between the signal to a controller and its end.
+const LEAVING_MS: u64 = 400;
+const MOST_STEPS: usize = 14;
+const EDGES: u8 = 3;
+const UPSTREAMS: u8 = 8;
+
+/// What happens to the controller that has just confirmed something.
+#[derive(Clone, Copy, Debug)]
+pub enum Blow {
+    Kill,
+    Wipe,
+    Restart,
+    Cut(Reach, Direction),
+}
+
+/// Something that happens. Machines are counted among those that there are at that time.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Stop(usize),
+    Start(usize),
+    Restart(usize),
+    /// All controllers stop.
+    StopAll,
+    StartAll,
+    Wipe(usize),
+    /// All controllers stop, and one disk is lost.
+    StopAllAndWipe(usize),
+    /// One is taken out for good; another one comes at a new address.
+    Replace(usize),
+    /// One is told to stop.
+    Leave(usize),
+    Freeze(usize, u64),
+    Cut(usize, Reach, Direction),
+    CutEdge(usize, usize, Direction),
+    Heal,
+    AfterAcknowledgement(Blow),
+    StopEdge(usize),
+    StartEdge(usize),
+    RestartEdge(usize),
+    RestartAgent(usize),
+    RestartProxy(usize),
+    FreezeEdge(usize, u64),
+    LeaveUpstream(usize, bool),
+    /// All is well again for a while.
+    Calm,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub wait_ms: u64,
+    pub fault: Fault,
+}
+
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub controllers: u8,
+    pub steps: Vec<Step>,
+}
+
+fn below(g: &mut Gen, bound: u64) -> u64 {
+    u64::arbitrary(g) % bound
+}
+
+impl Arbitrary for Reach {
+    fn arbitrary(g: &mut Gen) -> Self {
+        [Reach::Peers, Reach::Clients, Reach::All, Reach::Near][below(g, 4) as usize]
+    }
+}
+
+impl Arbitrary for Direction {
+    fn arbitrary(g: &mut Gen) -> Self {
+        [Direction::Both, Direction::Outward, Direction::Inward][below(g, 3) as usize]
+    }
+}
+
+impl Arbitrary for Blow {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match below(g, 4) {
+            0 => Blow::Kill,
+            1 => Blow::Wipe,
+            2 => Blow::Restart,
+            _ => Blow::Cut(Reach::arbitrary(g), Direction::arbitrary(g)),
+        }
+    }
+}
+
+impl Arbitrary for Fault {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let one = below(g, 6) as usize;
+        let other = below(g, 6) as usize;
+        let span = below(g, FREEZE_MS);
+        match below(g, 34) {
+            0 | 1 => Fault::Stop(one),
+            2 | 3 => Fault::Start(one),
+            4 => Fault::Restart(one),
+            5 => Fault::StopAll,
+            6 | 7 => Fault::StartAll,
+            8 => Fault::Wipe(one),
+            9 => Fault::StopAllAndWipe(one),
+            10 => Fault::Replace(one),
+            11 => Fault::Leave(one),
+            12 | 13 => Fault::Freeze(one, span),
+            14..18 => Fault::Cut(one, Reach::arbitrary(g), Direction::arbitrary(g)),
+            18 => Fault::CutEdge(one, other, Direction::arbitrary(g)),
+            19 | 20 => Fault::Heal,
+            21..24 => Fault::AfterAcknowledgement(Blow::arbitrary(g)),
+            24 => Fault::StopEdge(one),
+            25 => Fault::StartEdge(one),
+            26 => Fault::RestartEdge(one),
+            27 => Fault::RestartAgent(one),
+            28 => Fault::RestartProxy(one),
+            29 => Fault::FreezeEdge(one, span),
+            30..32 => Fault::LeaveUpstream(other, bool::arbitrary(g)),
+            _ => Fault::Calm,
+        }
+    }
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let longest = [20, 500, 3_000, 10_000][below(g, 4) as usize];
+        Step { wait_ms: below(g, longest), fault: Fault::arbitrary(g) }
+    }
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = 1 + below(g, MOST_STEPS as u64);
+        Schedule {
+            seed: below(g, 1 << 40),
+            controllers: [3, 5][below(g, 2) as usize],
+            steps: (0..count).map(|_| Step::arbitrary(g)).collect(),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let schedule = self.clone();
+        let without = move |index: usize| {
+            let mut shorter = schedule.clone();
+            shorter.steps.remove(index);
+            shorter
+        };
+        Box::new((0..self.steps.len()).rev().map(without))
+    }
+}
+
+struct Play {
+    world: World,
+    next_address: u8,
+    /// When the last standstill will be over.
+    standstill_until: u64,
+}
+
+/// Plays a schedule; how many confirmations there were, or what went wrong.
+pub fn play(schedule: &Schedule) -> Result<usize, String> {
+    let world = World::start(schedule.seed, schedule.controllers, EDGES, UPSTREAMS);
+    let mut play = Play { world, next_address: 1 + schedule.controllers, standstill_until: 0 };
+    play.world.pass(CALM_MS);
+    for step in &schedule.steps {
+        play.world.pass(step.wait_ms);
+        play.happen(step.fault);
+        if !play.world.problems.is_empty() {
+            break;
+        }
+    }
+    play.end()
+}
+
+impl Play {
+    fn controller(&self, number: usize) -> SocketAddr {
+        let endpoints = self.world.fleet.cluster.endpoints();
+        endpoints[number % endpoints.len()]
+    }
+
+    fn edge(&self, number: usize) -> usize {
+        number % self.world.edges.len()
+    }
+
+    fn happen(&mut self, fault: Fault) {
+        if let Fault::Freeze(_, span) | Fault::FreezeEdge(_, span) = fault {
+            self.standstill_until = self.standstill_until.max(self.world.now() + span);
+        }
+        match fault {
+            Fault::Stop(number) => self.world.stop_controller(self.controller(number)),
+            Fault::Start(number) => self.world.start_controller(self.controller(number)),
+            Fault::Restart(number) => self.restart(self.controller(number)),
+            Fault::StopAll => self.stop_all(),
+            Fault::StartAll => self.start_all(),
+            Fault::Wipe(number) => {
+                self.calm();
+                self.world.wipe_controller(self.controller(number));
+            }
+            Fault::StopAllAndWipe(number) => {
+                self.calm();
+                self.stop_all();
+                self.world.wipe_controller(self.controller(number));
+            }
+            Fault::Replace(number) => self.replace(number),
+            Fault::Leave(number) => self.leave(self.controller(number)),
+            Fault::Freeze(number, span) => self.world.freeze_controller(self.controller(number), span),
+            Fault::Cut(number, reach, direction) => {
+                self.world.cut_controller(self.controller(number), reach, direction);
+            }
+            Fault::CutEdge(edge, number, direction) => {
+                self.world.cut_edge(self.edge(edge), self.controller(number), direction);
+            }
+            Fault::Heal => self.world.heal_all(),
+            Fault::AfterAcknowledgement(blow) => self.strike(blow),
+            Fault::StopEdge(edge) => self.world.stop_edge(self.edge(edge)),
+            Fault::StartEdge(edge) => self.world.start_edge(self.edge(edge)),
+            Fault::RestartEdge(edge) => {
+                self.world.stop_edge(self.edge(edge));
+                self.world.start_edge(self.edge(edge));
+            }
+            Fault::RestartAgent(edge) => self.world.restart_agent(self.edge(edge)),
+            Fault::RestartProxy(edge) => self.world.restart_proxy(self.edge(edge)),
+            Fault::FreezeEdge(edge, span) => self.world.freeze_edge(self.edge(edge), span),
+            Fault::LeaveUpstream(upstream, says_draining) => self.world.leave(upstream, says_draining),
+            Fault::Calm => self.calm(),
+        }
+    }
+
+    fn strike(&mut self, blow: Blow) {
+        if matches!(blow, Blow::Wipe) {
+            self.calm();
+        }
+        self.world.acknowledged_by = None;
+        self.world.pass_until_acknowledgement(ACKNOWLEDGEMENT_MS);
+        let Some(at) = self.world.acknowledged_by else { return };
+        match blow {
+            Blow::Kill => self.world.stop_controller(at),
+            Blow::Wipe => self.world.wipe_controller(at),
+            Blow::Restart => self.restart(at),
+            Blow::Cut(reach, direction) => self.world.cut_controller(at, reach, direction),
+        }
+    }
+
+    fn restart(&mut self, at: SocketAddr) {
+        self.world.stop_controller(at);
+        self.world.start_controller(at);
+    }
+
+    fn leave(&mut self, at: SocketAddr) {
+        self.world.fleet.cluster.command(at, Command::Leave);
+        self.world.pass(LEAVING_MS);
+        self.world.stop_controller(at);
+    }
+
+    fn replace(&mut self, number: usize) {
+        let at = self.controller(number);
+        self.calm();
+        self.world.replace_controller(at, self.next_address);
+        self.next_address += 1;
+    }
+
+    fn stop_all(&mut self) {
+        for at in self.world.fleet.cluster.endpoints() {
+            self.world.stop_controller(at);
+        }
+    }
+
+    fn start_all(&mut self) {
+        for at in self.world.fleet.cluster.endpoints() {
+            self.world.start_controller(at);
+        }
+    }
+
+    /// All is well, and stays so for a while.
+    fn calm(&mut self) {
+        let rest = self.standstill_until.saturating_sub(self.world.now());
+        self.world.pass(rest);
+        self.world.heal_all();
+        self.start_all();
+        for edge in 0..self.world.edges.len() {
+            if !self.world.edges[edge].is_running() {
+                self.world.start_edge(edge);
+            }
+        }
+        self.world.pass(CALM_MS);
+    }
+
+    fn end(mut self) -> Result<usize, String> {
+        if self.world.problems.is_empty() {
+            self.calm();
+            self.world.finish_orders(OUTCOME_MS);
+            self.world.pass(CONVERGED_MS);
+            self.world.check_convergence();
+        }
+        match self.world.problems.first() {
+            None => Ok(self.world.acknowledgements),
+            Some(problem) => Err(problem.clone()),
+        }
+    }
+}
--- a/controlplane/controller/tests/common/world.rs
+++ b/controlplane/controller/tests/common/world.rs
@@ -13,13 +13,12 @@
 use whinspindle_lab_cluster::Occurrence;
 
 use super::edge::{Edge, Wire, Wish};
-use super::fleet::{Answer, Command, Fleet, endpoint};
+use super::fleet::{Answer, Command, Fleet, SEEDS, endpoint};
 use super::judge::{CONTACT_MS, Judge, KNOWN_MS, held_generation};
 use super::upstream::{Phase, Upstream};
 use super::{configuration, evacuate};
 
 const STEP_MS: u64 = 10;
-const SEEDS: u8 = 3;
 /// How often it is looked up who the voters are.
 const VOTERS_MS: u64 = 100;
 
@@ -87,7 +86,7 @@
     pub fn start(seed: u64, controllers: u8, edges: u8, upstreams: u8) -> World {
         let fleet = Fleet::start(seed, controllers);
         let now = fleet.cluster.now();
-        let seeds: Vec<SocketAddr> = (1..=SEEDS).map(endpoint).collect();
+        let seeds: Vec<SocketAddr> = fleet.cluster.endpoints().into_iter().take(SEEDS).collect();
         let mut world = World {
             fleet,
             edges: (1..=edges).map(|number| Edge::new(number, seeds.clone())).collect(),
@@ -451,6 +450,8 @@
         self.fleet.cluster.remove(at);
         self.fleet.cluster.add(endpoint(by), false);
         self.start_controller(endpoint(by));
+        let seeds: Vec<SocketAddr> = self.fleet.cluster.endpoints().into_iter().take(SEEDS).collect();
+        self.edges.iter_mut().for_each(|edge| edge.seeds = seeds.clone());
     }
 
     pub fn cut_controller(&mut self, at: SocketAddr, reach: Reach, direction: Direction) {
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -10,7 +10,7 @@
 use whinspindle_controller::api::Call;
 use whinspindle_distribution::{Report, SubscriberId, Update, Versions};
 
-/// The newest instances that a balancer was sent, as ids and whether they drain.
+/// The newest instances that a balancer was sent, as ids and whether they drain or have ended.
 fn instances_sent(single: &Single) -> Vec<(String, bool)> {
     let sent = single.updates.iter().rev().find_map(|(_, update)| update.instances.as_ref());
     let list = sent.map(|instances| instances.list.as_slice()).unwrap_or_default();
@@ -159,7 +159,7 @@
     single.call(heartbeat("i-1", 1, Ready));
     single.call(heartbeat("i-2", 1, Ready));
     assert_eq!(single.status(deregister("i-1")), StatusCode::OK);
-    // Listed as draining for a while: a balancer that was out of contact may hold it as ready.
+    // Its end is told for a while: a balancer that was out of contact may hold it as ready.
     let told = [("i-2".to_owned(), false), ("i-1".to_owned(), true)];
     assert_eq!(instances_sent(&single), told);
     assert_eq!(single.status(heartbeat("i-1", 2, Ready)), StatusCode::OK, "a late heartbeat");
--- a/controlplane/distribution/src/holder.rs
+++ b/controlplane/distribution/src/holder.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// From now on this instance is draining, whoever speaks of it.
+    pub fn retire(&mut self, instance: &str) {
+        self.draining.insert(instance);
+    }
+
     /// Everything that is held as of now, for a receiver that has nothing yet.
     pub fn snapshot(&self, now: u64) -> Update {
         let elapsed_ms = now.saturating_sub(self.instances_at);
--- a/controlplane/distribution/src/message.rs
+++ b/controlplane/distribution/src/message.rs
@@ -73,7 +73,7 @@
     pub zones: Vec<String>,
 }
 
-/// All upstream instances that are known.
+/// All upstream instances that are known, and the ends of some. An agent passes no ends on to its proxy.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Instances {
     pub version: u64,
@@ -105,6 +105,26 @@
     pub cold_ms: u64,
 }
 
+impl Instance {
+    /// Says of an instance that it has ended, and nothing else.
+    pub fn ended(id: String) -> Instance {
+        Instance {
+            id,
+            service: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            zone: String::new(),
+            slots: 0,
+            draining: true,
+            cold_ms: 0,
+        }
+    }
+
+    /// Whether it is told of this instance just that it has ended.
+    pub fn is_ended(&self) -> bool {
+        self.draining && self.service.is_empty() && self.address.ip().is_unspecified()
+    }
+}
+
 /// What the fleet of balancers is and sends.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
--- a/controlplane/registry/src/ended.rs
+++ b/controlplane/registry/src/ended.rs
@@ -1,18 +1,16 @@
-//! Instances that have ended a short while ago. They are still listed, as draining: a balancer that was out of contact
-//! may hold them as ready, and what a list doesn't name says little to it.
+//! Instances that have ended a short while ago. Their ends are told to balancers: one that was out of contact may hold
+//! them as ready, and what a list doesn't name says little to it.
 
 use std::collections::VecDeque;
 
-use crate::instances::InstanceRecord;
-
-/// How long an instance that has ended is listed.
-const LISTED_MS: u64 = 30_000;
-/// How many are listed at most.
-const CAPACITY: usize = 256;
+/// For how long an end is told.
+const TOLD_MS: u64 = 30_000;
+/// How many are told at most.
+const CAPACITY: usize = 128;
 
 #[derive(Debug)]
 struct Ended {
-    record: InstanceRecord,
+    id: String,
     /// The first time at which it was looked at; the end itself comes without a time.
     seen_at: Option<u64>,
 }
@@ -24,11 +22,11 @@
 }
 
 impl EndedInstances {
-    pub fn add(&mut self, record: InstanceRecord) {
+    pub fn add(&mut self, id: &str) {
         if self.ended.len() >= CAPACITY {
             self.ended.pop_front();
         }
-        self.ended.push_back(Ended { record, seen_at: None });
+        self.ended.push_back(Ended { id: id.to_owned(), seen_at: None });
     }
 
     /// Forgets what ended long ago.
@@ -36,10 +34,10 @@
         for ended in &mut self.ended {
             ended.seen_at.get_or_insert(now);
         }
-        self.ended.retain(|ended| ended.seen_at.is_none_or(|at| now < at + LISTED_MS));
+        self.ended.retain(|ended| ended.seen_at.is_none_or(|at| now < at + TOLD_MS));
     }
 
-    pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
-        self.ended.iter().map(|ended| &ended.record)
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.ended.iter().map(|ended| ended.id.as_str())
     }
 }
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -144,15 +144,14 @@
 
     /// The instance has ended. Later heartbeats and records of it count for nothing.
     pub fn gone(&mut self, id: &str) {
-        self.retired.raise(id, Retirement::Gone);
+        let ends = self.retired.raise(id, Retirement::Gone);
         self.unsent.remove(id);
-        let removed = self.known.shift_remove(id);
-        self.bump_if(removed.is_some());
-        self.withdrawals += u64::from(removed.is_some());
-        if let Some(known) = removed {
-            let record = self.record(known.heard_at, id, &known);
-            self.ended.add(record);
+        if ends {
+            self.ended.add(id);
         }
+        let removed = self.known.shift_remove(id).is_some();
+        self.bump_if(ends || removed);
+        self.withdrawals += u64::from(ends || removed);
     }
 
     /// Takes what another controller knows of an instance; answers whether balancers see a difference.
@@ -212,11 +211,9 @@
         self.known.iter().map(|(id, known)| self.record(now, id, known)).collect()
     }
 
-    /// What balancers are to be told: the instances of `snapshot`, and as draining those that ended a short while ago.
-    pub fn listed(&self, now: u64) -> Vec<InstanceRecord> {
-        let mut listed = self.snapshot(now);
-        listed.extend(self.ended.records().cloned());
-        listed
+    /// Instances that ended a short while ago, whether they were known here or not.
+    pub fn ended(&self) -> impl Iterator<Item = &str> {
+        self.ended.ids()
     }
 
     /// Those of `snapshot` that were heard of since this controller started.
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -61,7 +61,10 @@
 
     /// Takes an update of the link, and returns the news in it.
     pub fn apply(&mut self, now: u64, update: Update) -> Update {
-        let update = self.hold_back_records(now, update);
+        let mut update = self.hold_back_records(now, update);
+        if let Some(section) = &mut update.instances {
+            self.take_ends(section);
+        }
         if self.is_trusted(now) {
             self.waiting = None;
             return self.holder.apply(now, update);
@@ -104,6 +107,13 @@
         self.in_quorum && now >= self.settled_at
     }
 
+    /// What has ended takes no more requests, though a list that adds to what is held doesn't take it away.
+    fn take_ends(&mut self, section: &mut Instances) {
+        for ended in section.list.extract_if(.., |instance| instance.is_ended()) {
+            self.holder.retire(&ended.id);
+        }
+    }
+
     /// The update without records that are not to be taken, or not yet.
     fn hold_back_records(&mut self, now: u64, mut update: Update) -> Update {
         self.drop_older_records(&mut update);
