--- a/controlplane/controller/src/shell/disk.rs
+++ b/controlplane/controller/src/shell/disk.rs
@@ -1,7 +1,5 @@
 //! The thread that waits for the disk.
 
-use std::fs::{self, File};
-use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::thread;
@@ -75,7 +73,7 @@
         let found = open_journal(&folder);
         if opened_sender.send((found.recovered, found.was_damaged)).is_ok() {
             let Found { files, journal, .. } = found;
-            Worker { folder, files, journal, memory: None, jobs: job_receiver, reports: report_sender }.run();
+            Worker { files, journal, memory: None, jobs: job_receiver, reports: report_sender }.run();
         }
     };
     thread::Builder::new().name("disk".to_owned()).spawn(work).context(ThreadSnafu)?;
@@ -127,7 +125,7 @@
             warn!("the disk can't be used yet: {failure}");
             warned = true;
         }
-        if matches!(failure, StorageError::Damaged { .. }) && empty_files(folder, "").is_ok() {
+        if matches!(failure, StorageError::Damaged { .. }) && empty_journal(folder).is_ok() {
             was_damaged = true;
         }
         thread::sleep(REOPEN_PAUSE);
@@ -140,21 +138,12 @@
     Ok((files, journal, recovered))
 }
 
-fn empty_files(folder: &Path, prefix: &str) -> io::Result<()> {
-    for entry in fs::read_dir(folder)? {
-        let entry = entry?;
-        if !entry.file_name().to_string_lossy().starts_with(prefix) {
-            continue;
-        }
-        let file = File::options().write(true).open(entry.path())?;
-        file.set_len(0)?;
-        file.sync_all()?;
-    }
-    Ok(())
+fn empty_journal(folder: &Path) -> Result<(), StorageError> {
+    let mut files = FolderDirectory::open(folder)?;
+    Journal::discard(&mut files)
 }
 
 struct Worker {
-    folder: PathBuf,
     files: SharedFolder,
     journal: Journal<SharedFolder>,
     /// None while its files can't be used.
@@ -223,7 +212,8 @@
     fn open_memory(&mut self) -> Result<Option<Vec<u8>>, StorageError> {
         let files = self.files.with_prefix(MEMORY_PREFIX);
         let opened = match Journal::open(files.clone()) {
-            Err(StorageError::Damaged { .. }) if empty_files(&self.folder, MEMORY_PREFIX).is_ok() => {
+            Err(StorageError::Damaged { .. }) => {
+                Journal::discard(&mut files.clone())?;
                 Journal::open(files)
             }
             opened => opened,
--- a/coordination/storage/src/journal.rs
+++ b/coordination/storage/src/journal.rs
@@ -56,6 +56,18 @@
         Ok((journal, Recovered { checkpoint: checkpoint.map(|checkpoint| checkpoint.state), log }))
     }
 
+    /// Empties the files of a journal that can't be opened ([`StorageError::Damaged`]), and leaves all others alone.
+    ///
+    /// A loss of power in between leaves a journal that is damaged still, or an empty one: the first slot, by which
+    /// damage is known, goes last, after the logs whose records an emptied journal might take for its own.
+    pub fn discard(directory: &mut D) -> Result<(), StorageError> {
+        for name in LOG_FILES.into_iter().chain(SLOT_FILES.into_iter().rev()) {
+            directory.set_length(name, 0)?;
+            directory.sync(name)?;
+        }
+        Ok(())
+    }
+
     /// Appends records by one write and one sync. They are durable when this returns.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
         let mut buffer = Vec::new();
--- a/coordination/storage/tests/folder.rs
+++ b/coordination/storage/tests/folder.rs
@@ -60,3 +60,23 @@
     assert!(matches!(error, DirectoryError::Io { .. }), "{error}");
     fs::remove_file(&folder.0).expect("the file can be removed");
 }
+
+#[test]
+fn a_damaged_journal_is_discarded_beside_files_and_folders_of_others() {
+    let folder = TemporaryFolder::new("discard");
+    let path = &folder.0;
+    let (mut journal, _) = open(path);
+    journal.checkpoint(b"first").expect("the folder can be written");
+    journal.checkpoint(b"second").expect("the folder can be written");
+    drop(journal);
+    fs::create_dir(path.join("lost+found")).expect("the folder can be written");
+    fs::write(path.join("notes"), b"of another").expect("the folder can be written");
+    fs::write(path.join("slot-a"), b"neither whole").expect("the folder can be written");
+    fs::write(path.join("slot-b"), b"nor empty").expect("the folder can be written");
+    let mut directory = FolderDirectory::open(path).expect("the folder can be used");
+    Journal::discard(&mut directory).expect("the folder can be written");
+    drop(directory);
+    let (_, recovered) = open(path);
+    assert_eq!(recovered, Recovered::default());
+    assert_eq!(fs::read(path.join("notes")).expect("it is there"), b"of another");
+}
--- a/coordination/storage/tests/journal.rs
+++ b/coordination/storage/tests/journal.rs
@@ -233,6 +233,89 @@
     assert!(matches!(error, StorageError::Damaged { .. }), "{error}");
 }
 
+/// A folder whose two checkpoints are damaged, with logs behind both: of the seventh and the eighth generation.
+fn damaged_folder() -> Files {
+    let directory = SimulatedDirectory::default();
+    let (mut journal, _) = open(&directory);
+    for generation in 1..=8 {
+        journal.checkpoint(b"state").expect("the disk works");
+        journal.append(&records(&[generation])).expect("the disk works");
+    }
+    let mut files = directory.files();
+    files.damage("slot-a", 60);
+    files.damage("slot-b", 60);
+    files
+}
+
+fn is_damaged(files: &Files) -> bool {
+    let opened = Journal::open(SimulatedDirectory::with_files(files.clone()));
+    matches!(opened, Err(StorageError::Damaged { .. }))
+}
+
+#[test]
+fn a_loss_of_power_while_a_damaged_journal_is_discarded_leaves_it_damaged_or_empty() {
+    let directory = SimulatedDirectory::with_files(damaged_folder());
+    assert!(is_damaged(&directory.files()));
+    directory.start_recording();
+    Journal::discard(&mut directory.clone()).expect("the disk works");
+    let mut outcomes = 0;
+    for files in directory.take_recorded() {
+        for files in files.all_after_power_loss() {
+            outcomes += 1;
+            if is_damaged(&files) {
+                continue;
+            }
+            let directory = SimulatedDirectory::with_files(files);
+            let (mut journal, history) = open(&directory);
+            assert_eq!(history, History::default());
+            // Nor do old records come back with a generation that is reached again.
+            for _ in 0..8 {
+                journal.checkpoint(b"").expect("the disk works");
+                assert_eq!(open(&directory).1, History::default());
+            }
+        }
+    }
+    assert!(outcomes > 8, "only {outcomes} outcomes were seen");
+    assert_eq!(open(&directory).1, History::default());
+}
+
+/// Power is lost in the middle of a checkpoint, again and again: each is written where the torn one lies, never over
+/// the whole one, so that there is always one to go back to, with the log behind it.
+#[test]
+fn checkpoints_torn_one_after_the_other_leave_the_last_whole_one() {
+    for torn_in_a_row in 1..=4 {
+        for cut_short in 1..8 {
+            let directory = SimulatedDirectory::default();
+            let (mut journal, _) = open(&directory);
+            let mut history = vec![0, 1];
+            journal.append(&records(&history)).expect("the disk works");
+            journal.checkpoint(&state(&history)).expect("the disk works");
+            journal.append(&records(&[2])).expect("the disk works");
+            history.push(2);
+            for round in 0..torn_in_a_row {
+                // The slot is written by half, and neither its length nor its sync comes.
+                directory.set_fault(Some(Fault {
+                    after: 0,
+                    operations: 1,
+                    is_full: false,
+                    takes_effect: true,
+                }));
+                journal.checkpoint(&state(&history)).expect_err("power is lost");
+                directory.set_fault(None);
+                directory.lose_power(cut_short + round);
+                let (reopened, found) = open(&directory);
+                assert_eq!(found, history, "{torn_in_a_row} torn in a row");
+                journal = reopened;
+                let next = 3 + round as u32;
+                journal.append(&records(&[next])).expect("the disk works");
+                history.push(next);
+            }
+            journal.checkpoint(&state(&history)).expect("the disk works");
+            assert_eq!(open(&directory).1, history);
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Append(usize),
