--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -6,15 +6,17 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use whinspindle_distribution::frame::FrameKind;
 use whinspindle_distribution::{SubscriberId, ToBalancer, encode_to_balancer};
+use whinspindle_replica::LossKind;
 
 use super::clock::Clock;
 use super::disk::{Disk, DiskReport};
 use super::outbox::Outbox;
 use super::peers::{PeerLink, PeerLinks};
+use super::reported::Reported;
 use crate::api::{Call, Response};
 use crate::controller::{Action, Controller, Event};
 use crate::pending::CallId;
@@ -27,11 +29,18 @@
 /// The node as the tasks of the process share it. It is never borrowed across a wait.
 pub type SharedNode = Rc<RefCell<Node>>;
 
+/// A call whose answer its task waits for.
+struct WaitingCall {
+    sender: oneshot::Sender<Response>,
+    /// What an operator asked for.
+    order: Option<String>,
+}
+
 /// One controller process.
 pub struct Node {
     pub clock: Clock,
     controller: Controller,
-    calls: HashMap<CallId, oneshot::Sender<Response>>,
+    calls: HashMap<CallId, WaitingCall>,
     last_call: u64,
     subscribers: HashMap<SubscriberId, Rc<Outbox>>,
     last_subscriber: u64,
@@ -39,6 +48,7 @@
     disk: Disk,
     links_checked_at: u64,
     was_in_quorum: bool,
+    fatal_losses: Reported<Vec<LossKind>>,
 }
 
 impl Node {
@@ -54,6 +64,7 @@
             disk,
             links_checked_at: 0,
             was_in_quorum: false,
+            fatal_losses: Reported::default(),
         }
     }
 
@@ -86,6 +97,7 @@
             self.links_checked_at = now;
             self.peers.renew_silent(now);
             self.peers.end_unused(now, &self.controller.peers());
+            self.report_fatal_losses(now);
         }
         let in_quorum = self.controller.is_in_quorum(now);
         if in_quorum != self.was_in_quorum {
@@ -94,19 +106,33 @@
         }
     }
 
+    fn report_fatal_losses(&mut self, now: u64) {
+        let fatal = self.controller.fatal_losses();
+        let Some(fatal) = self.fatal_losses.changed(now, fatal) else { return };
+        if fatal.is_empty() {
+            info!("a majority of the voters outlives each loss that is to be tolerated");
+            return;
+        }
+        let names: Vec<&str> = fatal.iter().map(|kind| kind.name()).collect();
+        warn!("no majority of the voters would outlive the tolerated loss of {}", names.join(", "));
+    }
+
     /// Takes a call; its answer comes through the receiver.
     pub fn call(&mut self, call: Call) -> (CallId, oneshot::Receiver<Response>) {
         self.last_call += 1;
         let id = CallId(self.last_call);
         let (sender, receiver) = oneshot::channel();
-        self.calls.insert(id, sender);
+        self.calls.insert(id, WaitingCall { sender, order: call.order_name() });
         self.handle(Event::Call { id, call });
         (id, receiver)
     }
 
     /// A caller has gone, or has its answer.
     pub fn end_call(&mut self, id: CallId) {
-        if self.calls.remove(&id).is_some() {
+        if let Some(call) = self.calls.remove(&id) {
+            if let Some(order) = call.order {
+                info!("order {order}: its caller has gone");
+            }
             self.handle(Event::CallDropped { id });
         }
     }
@@ -162,9 +188,12 @@
     }
 
     fn answer(&mut self, id: CallId, response: Response) {
-        if let Some(sender) = self.calls.remove(&id) {
+        if let Some(call) = self.calls.remove(&id) {
+            if let Some(order) = call.order {
+                info!("order {order}: {response}");
+            }
             // The caller may have gone in the meantime.
-            let _ = sender.send(response);
+            let _ = call.sender.send(response);
         }
     }
 
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -10,6 +10,7 @@
 
 use crate::api::push_json_string;
 use crate::orders::{self, Orders};
+use crate::pending::PendingOrders;
 
 /// The parts of a controller that its status is read from.
 pub struct Summary<'a> {
@@ -18,7 +19,8 @@
     pub registry: &'a InstanceRegistry,
     pub leases: &'a LeaseTable,
     pub publisher: &'a Publisher,
-    pub pending: usize,
+    pub in_quorum: bool,
+    pub orders: &'a PendingOrders,
     pub leaving: bool,
     pub now: u64,
 }
@@ -38,10 +40,14 @@
 
 fn push_fields(json: &mut String, summary: &Summary<'_>) {
     let versions = summary.publisher.versions();
+    let orders_answered = summary.orders.counts();
     let fields = [
-        ("in_quorum", u64::from(summary.replica.is_in_quorum(summary.now))),
+        ("in_quorum", u64::from(summary.in_quorum)),
         ("leaving", u64::from(summary.leaving)),
-        ("pending_orders", summary.pending as u64),
+        ("pending_orders", summary.orders.len() as u64),
+        ("orders_confirmed", orders_answered.confirmed),
+        ("orders_refused", orders_answered.refused),
+        ("orders_unclear", orders_answered.unclear),
         ("committed_sequence", summary.replica.committed_sequence()),
         ("generation", orders::current_generation(summary.replica.committed())),
         ("published_configuration", versions.configured),
@@ -63,6 +69,8 @@
     push_addresses(json, "chain", view.chain.iter().filter_map(|link| endpoint(link.voter)));
     push_addresses(json, "voters", view.voters().into_iter().filter_map(endpoint));
     push_addresses(json, "peers", replica.peers());
+    let fatal = replica.fatal_losses();
+    push_list(json, "fatal_losses", fatal, |json, kind| push_json_string(json, kind.name()));
 }
 
 fn push_evacuations(json: &mut String, replica: &Replica<Orders>) {
--- a/coordination/replica/src/chain.rs
+++ b/coordination/replica/src/chain.rs
@@ -16,6 +16,8 @@
 
 /// The head takes no more commands while so many entries are not committed.
 const MOST_PENDING: usize = 1_024;
+/// The head takes no more commands while entries of so many bytes are not committed.
+const MOST_PENDING_BYTES: usize = 16 * 1024 * 1024;
 /// A message holds entries up to about this many bytes.
 const MESSAGE_BYTES: usize = 256 * 1024;
 /// How much longer a member that is still being brought up to date may owe an acknowledgement.
@@ -101,7 +103,7 @@
         let view = &self.state.decided.view;
         let is_head = self.me().is_some() && view.head() == self.me();
         let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
-        is_head && is_complete && self.takes_part() && view.takes_writes(self.settings.tolerated_losses)
+        is_head && is_complete && self.takes_part() && view.takes_writes(self.settings.tolerance.machines)
     }
 
     pub(crate) fn on_submit(&mut self, origin: Origin, command: &[u8]) {
@@ -113,12 +115,16 @@
             self.reply(origin, sequence, &answer);
             return;
         }
-        if self.state.log.len() >= MOST_PENDING {
+        if self.state.log.len() >= MOST_PENDING || self.pending_bytes() >= MOST_PENDING_BYTES {
             return;
         }
         self.take_command(origin, command);
     }
 
+    fn pending_bytes(&self) -> usize {
+        self.state.log.iter().map(Entry::size).sum()
+    }
+
     /// Answers a read that was submitted here from the committed records; returns whether it did.
     pub(crate) fn answer_at_tail(&mut self, origin: Origin, command: &[u8]) -> bool {
         let is_tail = self.me().is_some() && self.view().tail() == self.me();
@@ -262,7 +268,7 @@
     }
 
     fn commit_at_tail(&mut self) {
-        if self.state.decided.view.takes_writes(self.settings.tolerated_losses) {
+        if self.state.decided.view.takes_writes(self.settings.tolerance.machines) {
             self.commit_up_to(self.settled());
         }
     }
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -10,9 +10,10 @@
 use crate::durable::{Decided, DurableRecord};
 use crate::laws::Laws;
 use crate::message::{Message, Report};
+use crate::placement::{LossKind, Place, fatal_losses};
 use crate::plan::{Candidate, Situation, Standing, next_view};
 use crate::replica::Replica;
-use crate::view::View;
+use crate::view::{Member, View};
 
 /// All rounds are of one founding.
 const EPOCH: u64 = 1;
@@ -26,6 +27,8 @@
 const JITTER: u64 = 60;
 /// How long the promises of others are waited for once a majority has promised.
 const GRACE: u64 = 150;
+/// A round has at most twice the time of the first so many times over.
+const MOST_DOUBLINGS: u32 = 3;
 /// A peer is taken in once it was heard without a pause for this long.
 const STEADY: u64 = 500;
 
@@ -48,6 +51,8 @@
     highest_round: u64,
     wanted: Option<Wanted>,
     not_before: u64,
+    /// Rounds of this replica that came to nothing since the last change of the view.
+    failed_rounds: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +67,13 @@
         self.highest_round = self.highest_round.max(ballot.round);
         self.proposal = None;
         self.wanted = None;
+        self.failed_rounds = 0;
+    }
+
+    /// A span of a round, or of the wait for the round of another. Where links or disks are slow, later rounds have more
+    /// time: each of the same length would fail like the one before, while the chain stands still.
+    fn stretched(&self, span: u64) -> u64 {
+        span << self.failed_rounds.min(MOST_DOUBLINGS)
     }
 }
 
@@ -92,7 +104,11 @@
         }
         let rank = RANK_DELAY * self.rank(now, me);
         if self.state.is_sealed() {
-            return Some(if self.is_sealed_by_itself(me) { rank } else { SEALED_DELAY + rank });
+            return Some(if self.is_sealed_by_itself(me) {
+                rank
+            } else {
+                self.change.stretched(SEALED_DELAY) + rank
+            });
         }
         let next = next_view(view, &self.expected_situation(now, me))?;
         if self.is_leaving || next.is_alike(view) {
@@ -156,24 +172,45 @@
     fn situation(&self, now: u64, view: &View, present: BTreeMap<Voter, Standing>) -> Situation {
         let lost = view.voters().into_iter().filter(|voter| !present.contains_key(voter));
         let lost = lost.filter(|voter| self.is_lost(now, view, *voter)).collect();
-        let place = |endpoint: &SocketAddr| {
-            let heartbeat = &self.peers.get(*endpoint)?.heartbeat;
-            Some((*endpoint, (heartbeat.zone.clone(), heartbeat.region.clone())))
-        };
-        let mut places: BTreeMap<_, _> =
-            view.members.iter().filter_map(|member| place(&member.endpoint)).collect();
-        places.insert(self.settings.endpoint, (self.settings.zone.clone(), self.settings.region.clone()));
         Situation {
-            tolerated_losses: self.settings.tolerated_losses,
+            tolerance: self.settings.tolerance,
             replaces_voters_jointly: L::replaces_voters_jointly(),
             present,
             lost,
             candidates: self.candidates(now, view),
             apart: self.pairs_apart(now, view),
-            places,
+            places: self.places(view),
         }
     }
 
+    /// Where the members are, as far as they were heard.
+    fn places(&self, view: &View) -> BTreeMap<SocketAddr, Place> {
+        let heard = |member: &Member| {
+            let heartbeat = &self.peers.get(member.endpoint)?.heartbeat;
+            Some((member.endpoint, heartbeat.place()))
+        };
+        let mut places: BTreeMap<SocketAddr, Place> = view.members.iter().filter_map(heard).collect();
+        let own = Place { zone: self.settings.zone.clone(), region: self.settings.region.clone() };
+        places.insert(self.settings.endpoint, own);
+        places
+    }
+
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters, as far as their places
+    /// are known.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        let view = self.view();
+        let heard = self.places(view);
+        let place = |voter: Voter| {
+            let member = view.member(voter)?;
+            Some(heard.get(&member.endpoint).cloned().unwrap_or_else(|| member.place()))
+        };
+        let voters = view.boards.last().map(Vec::as_slice).unwrap_or_default();
+        let places: Vec<Place> = voters.iter().filter_map(|voter| place(*voter)).collect();
+        let are_known = !places.is_empty() && places.iter().all(Place::is_known);
+        let places: Vec<&Place> = places.iter().collect();
+        if are_known { fatal_losses(&places, self.settings.tolerance) } else { Vec::new() }
+    }
+
     /// Whether another may take this voter's place: its memory is gone, or nobody has heard it for long.
     fn is_lost(&self, now: u64, view: &View, voter: Voter) -> bool {
         let Some(member) = view.member(voter) else { return false };
@@ -196,8 +233,7 @@
                 candidates.push(Candidate {
                     endpoint: *endpoint,
                     birth: heartbeat.birth,
-                    zone: heartbeat.zone.clone(),
-                    region: heartbeat.region.clone(),
+                    place: heartbeat.place(),
                     standing: Standing::new(heartbeat.report, false),
                 });
             }
@@ -277,8 +313,9 @@
 
     fn continue_proposal(&mut self, now: u64) {
         let timing = self.settings.timing;
+        let limit = self.change.stretched(timing.round);
         let Some(proposal) = &mut self.change.proposal else { return };
-        if now >= proposal.started_at + timing.round {
+        if now >= proposal.started_at + limit {
             self.give_up(now);
             return;
         }
@@ -295,7 +332,9 @@
 
     fn give_up(&mut self, now: u64) {
         self.change.proposal = None;
-        self.change.not_before = now + RANK_DELAY + self.chance.below(2 * RANK_DELAY);
+        let wait = self.change.stretched(RANK_DELAY);
+        self.change.not_before = now + wait + self.chance.below(2 * wait);
+        self.change.failed_rounds += 1;
     }
 
     /// Writes the next view once enough have promised.
@@ -311,11 +350,13 @@
         if now < majority_at + GRACE && found.voters().into_iter().any(is_awaited) {
             return;
         }
-        let present = reports.iter().filter_map(|(voter, report)| {
+        let promised = reports.iter().filter_map(|(voter, report)| {
             let standing = self.promised_standing(now, &found, *voter, *report)?;
             Some((*voter, standing))
         });
-        let situation = self.situation(now, &found, present.collect());
+        let mut present: BTreeMap<Voter, Standing> = promised.collect();
+        present.extend(self.silent_joiners(now, &found, &reports));
+        let situation = self.situation(now, &found, present);
         let Some(next) = next_view(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
         proposal.round.write::<L::Agreement>(next);
@@ -327,6 +368,25 @@
         self.peers.well(now, found, voter).is_some()
     }
 
+    /// Voters outside of the chain that are well but have not promised yet, as their disks are slow. What they have is
+    /// not asked for: in the chain they are brought up to date before they count. Without them the round would end in
+    /// the view that it began with, and the next one would again.
+    fn silent_joiners(
+        &self,
+        now: u64,
+        found: &View,
+        reports: &BTreeMap<Voter, Report>,
+    ) -> Vec<(Voter, Standing)> {
+        let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let standing = |voter: Voter| {
+            let heartbeat = self.peers.well(now, found, voter)?;
+            let endpoint = found.endpoint(voter)?;
+            let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
+            is_steady.then(|| (voter, Standing::new(heartbeat.report, heartbeat.is_leaving)))
+        };
+        found.voters().into_iter().filter(is_silent).filter_map(standing).collect()
+    }
+
     fn promised_standing(&self, now: u64, found: &View, voter: Voter, report: Report) -> Option<Standing> {
         if self.owes_too_long(now, voter) {
             return None;
--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -20,6 +20,7 @@
 mod laws;
 mod message;
 mod peers;
+mod placement;
 mod plan;
 mod recent;
 mod records;
@@ -35,8 +36,10 @@
 
 pub use application::{Answer, Application, Evaluation, RecordWrite};
 pub use durable::{DurableWrite, RecoverError};
+pub use entry::Origin;
 pub use laws::{AsDesigned, Laws};
 pub use message::{DecodeError, Message};
+pub use placement::{LossKind, Place, Tolerance};
 pub use records::{Record, Records};
 pub use replica::{Input, Output, Replica, Reply, SubmitError};
 pub use settings::{ReplicaSettings, Timing};
--- a/coordination/replica/src/message.rs
+++ b/coordination/replica/src/message.rs
@@ -7,6 +7,7 @@
 
 use crate::durable::Decided;
 use crate::entry::{Entry, Origin, Read};
+use crate::placement::Place;
 use crate::transfer::Transfer;
 use crate::view::View;
 
@@ -90,6 +91,15 @@
     },
 }
 
+/// The newest heartbeat of a replica that was heard. It proves to that replica that what stands beside it was said after
+/// that heartbeat was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    pub endpoint: SocketAddr,
+    pub start: u64,
+    pub sent_at: u64,
+}
+
 /// Says that a replica is alive and where it stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -100,8 +110,10 @@
     pub region: String,
     pub view: u64,
     pub report: Report,
-    /// Endpoints that were heard lately.
-    pub heard: Vec<SocketAddr>,
+    /// By the steady clock of the sender; only its own echo is compared with it.
+    pub sent_at: u64,
+    /// Replicas that were heard lately.
+    pub heard: Vec<Heard>,
     pub is_sealed: bool,
     /// Its disk does not answer.
     pub is_stalled: bool,
@@ -109,6 +121,17 @@
     pub is_leaving: bool,
 }
 
+impl Heartbeat {
+    /// Whether the sender has lately heard the replica at this endpoint.
+    pub fn hears(&self, endpoint: SocketAddr) -> bool {
+        self.heard.iter().any(|heard| heard.endpoint == endpoint)
+    }
+
+    pub fn place(&self) -> Place {
+        Place { zone: self.zone.clone(), region: self.region.clone() }
+    }
+}
+
 /// Where a member of the chain stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChainStanding {
