--- a/coordination/replica/tests/exhaustive/world.rs
+++ b/coordination/replica/tests/exhaustive/world.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-use whinspindle_replica::{DurableWrite, Input, Laws, Message, Output, Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{
+    DurableWrite, Input, Laws, Message, Output, Replica, ReplicaSettings, Timing, Tolerance,
+};
 
 use crate::common::history::Asked;
 use crate::common::node::{Registers, endpoint};
@@ -22,6 +24,7 @@
 const TIMING: Timing = Timing {
     heartbeat: 1,
     suspicion: 400,
+    contact: 1_000,
     disk_stall: 700,
     chain_stall: 700,
     replacement: 1_000,
@@ -437,7 +440,7 @@
             bootstrap: number < FOUNDING && machine.starts == 1,
             birth: drawn,
             start: drawn,
-            tolerated_losses: 1,
+            tolerance: Tolerance::of_machines(1),
             timing: TIMING,
         };
         let (replica, outputs) = Replica::with_laws(settings, Registers, machine.disk.clone(), now)
