--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -377,7 +377,11 @@
         reports: &BTreeMap<Voter, Report>,
     ) -> Vec<(Voter, Standing)> {
         let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let me = self.me();
         let standing = |voter: Voter| {
+            if me == Some(voter) {
+                return Some((voter, Standing::new(self.report(), self.is_leaving)));
+            }
             let heartbeat = self.peers.well(now, found, voter)?;
             let endpoint = found.endpoint(voter)?;
             let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
