--- a/coordination/replica/tests/catch_up.rs
+++ b/coordination/replica/tests/catch_up.rs
@@ -61,16 +61,20 @@
 
 /// One is away while changes are made, catches up under more of them, and all power is lost right after.
 fn catches_up(victim: usize, absence: Absence, load: Load) {
+    catches_up_after(victim, absence, load, AWAY_CHANGES);
+}
+
+fn catches_up_after(victim: usize, absence: Absence, load: Load, away_changes: usize) {
     let mut changes = Changes::rolled_over(victim as u64, 3, 1, load);
     let victim = endpoint(victim);
     changes.run(1_000);
     let before = changes.acknowledgements;
     changes.avoided = vec![victim];
-    let span = AWAY_CHANGES as u64 * load.interval + 2_000;
+    let span = away_changes as u64 * load.interval + 2_000;
     begin(&mut changes, victim, absence, span);
     changes.run(span);
     let made = changes.acknowledgements - before;
-    assert!(made >= AWAY_CHANGES * 3 / 4, "{absence:?}: only {made} changes while one was away");
+    assert!(made >= away_changes * 3 / 4, "{absence:?}: only {made} changes while one was away");
     let sent = changes.sent();
     end(&mut changes, victim, absence);
     let name = format!("{absence:?} {victim} every {} ms", load.interval);
@@ -123,6 +127,54 @@
     (0..3).for_each(|victim| catches_up(victim, Absence::Stalled, load(50)));
 }
 
+/// Changes after which outcomes and the history of changes, 512 of each, have rolled over twice more, and log and
+/// checkpoints many times.
+const ROLLED_OVER: usize = 1_400;
+
+#[test]
+fn a_member_catches_up_though_all_that_is_kept_rolled_over_meanwhile() {
+    let load = Load { body_bytes: 2_000, ..load(20) };
+    for victim in 0..3 {
+        for absence in [Absence::Down, Absence::Wiped, Absence::CutOff, Absence::Frozen, Absence::Stalled] {
+            catches_up_after(victim, absence, load, ROLLED_OVER);
+        }
+    }
+}
+
+/// Two replicas beyond the wanted voters follow what is committed. One that was away has everything again within a
+/// second, and is never further behind afterwards than a joiner may be.
+#[test]
+fn a_replica_outside_of_the_chain_catches_up_and_keeps_up() {
+    for absence in [Absence::Down, Absence::Wiped, Absence::CutOff] {
+        let mut changes = Changes::rolled_over(3, 5, 1, load(50));
+        let outside = changes.outside_of_the_chain()[0];
+        begin(&mut changes, outside, absence, 0);
+        changes.avoided = vec![outside];
+        changes.run(8_000);
+        let sent = changes.sent();
+        end(&mut changes, outside, absence);
+        let took = changes.run_until(CAUGHT_UP, |changes| changes.follows(outside));
+        let took = took.unwrap_or_else(|fault| panic!("{absence:?}: {fault}"));
+        let mut furthest = 0;
+        for _ in 0..500 {
+            changes.run(10);
+            furthest = furthest.max(changes.lag(outside));
+        }
+        let now_sent = changes.sent();
+        println!(
+            "outside of the chain, {absence:?}: caught up after {took} ms, then {furthest} behind at most; \
+             {} transfers of {} KB in 5 s",
+            now_sent.transfers - sent.transfers,
+            (now_sent.transfer_bytes - sent.transfer_bytes) / 1_000
+        );
+        assert!(changes.outside_of_the_chain().contains(&outside));
+        assert!(furthest <= SMALL_LAG, "{absence:?}: {furthest} behind\n{}", changes.describe());
+    }
+}
+
+/// A joiner may lack so many entries.
+const SMALL_LAG: u64 = 64;
+
 /// Links that carry little more than twice what the changes need, and disks that need time for each byte.
 fn narrow() -> Load {
     let network = NetworkTiming { bytes_per_ms: Some(3_000), ..wide() };
--- a/coordination/replica/tests/common/changes.rs
+++ b/coordination/replica/tests/common/changes.rs
@@ -216,6 +216,22 @@
             && newest_change(node.replica.committed()) >= self.acknowledged
     }
 
+    /// The replicas that are no members of the chain of the newest view.
+    pub fn outside_of_the_chain(&self) -> Vec<SocketAddr> {
+        let view = &self.newest_view;
+        let is_inside =
+            |at: &SocketAddr| view.member_at(*at).is_some_and(|member| view.position(member.voter).is_some());
+        self.cluster.endpoints().into_iter().filter(|at| !is_inside(at)).collect()
+    }
+
+    /// How many committed commands a replica lacks that another has.
+    pub fn lag(&self, at: SocketAddr) -> u64 {
+        let committed =
+            |at: SocketAddr| self.cluster.process(at).map_or(0, |node| node.replica.committed_sequence());
+        let most = self.cluster.endpoints().into_iter().map(committed).max().unwrap_or(0);
+        most - committed(at)
+    }
+
     /// Whether a replica, in the chain or not, has all that was acknowledged.
     pub fn follows(&self, at: SocketAddr) -> bool {
         let Some(node) = self.cluster.process(at) else { return false };
