--- a/dataplane/proxy/tests/answers.rs
+++ b/dataplane/proxy/tests/answers.rs
@@ -312,8 +312,22 @@
     events
 }
 
+/// The same with a reset in the place of each close.
+fn with_resets(events: Vec<Event>) -> Vec<Event> {
+    let ends_in_close = |event: &&Event| matches!(event.script.last(), Some(Step::Close));
+    let resets = events.iter().filter(ends_in_close).map(|event| {
+        let mut event = event.clone();
+        event.name += ", by a reset";
+        event.script.pop();
+        event.script.push(Step::Reset);
+        event
+    });
+    let resets: Vec<Event> = resets.collect();
+    [events, resets].concat()
+}
+
 fn all_events(kind: Kind) -> Vec<Event> {
-    [breaks(kind), good_answers(kind), refusals(), unfit_answers(kind), surpluses(kind)].concat()
+    with_resets([breaks(kind), good_answers(kind), refusals(), unfit_answers(kind), surpluses(kind)].concat())
 }
 
 /// One order of what happens.
--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -5,11 +5,13 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 use whinspindle_configuration::Settings;
@@ -64,6 +66,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection; what was written before still arrives.
+    Reset,
     /// Says nothing until the other side closes.
     Hang,
     /// First of a script: it is played as soon as the head of a request is there, before its body is read.
@@ -176,12 +180,13 @@
         self.broken_bodies.borrow().clone()
     }
 
-    async fn serve(self: Rc<Self>, mut socket: DuplexStream) {
+    async fn serve(self: Rc<Self>, mut socket: DuplexStream, is_reset: Rc<Cell<bool>>) {
         self.connections.set(self.connections.get() + 1);
         self.open.set(self.open.get() + 1);
         while let Some(head) = read_head(&mut socket).await {
             let script = self.scripts.borrow_mut().pop_front();
             let script = script.or_else(|| self.otherwise.borrow().clone()).unwrap_or(vec![Step::Hang]);
+            is_reset.set(script.iter().any(|step| matches!(step, Step::Reset)));
             let is_early = matches!(script.first(), Some(Step::BeforeBody));
             if !is_early && !self.take_body(&head, &mut socket).await {
                 break;
@@ -215,7 +220,7 @@
                     }
                 }
                 Step::Wait(time) => sleep(time).await,
-                Step::Close => return false,
+                Step::Close | Step::Reset => return false,
                 Step::Hang => {
                     let _ = socket.read_u8().await;
                     return false;
@@ -233,6 +238,54 @@
     }
 }
 
+/// The proxy's side of a connection, of which the end may be a reset.
+struct Resettable {
+    socket: DuplexStream,
+    is_reset: Rc<Cell<bool>>,
+}
+
+impl AsyncRead for Resettable {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.socket).poll_read(cx, buf);
+        let has_ended = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before;
+        if has_ended && self.is_reset.get() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Resettable {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
+
 struct ScriptedConnect(Rc<Upstreams>);
 
 impl Connect for ScriptedConnect {
@@ -246,8 +299,9 @@
                 return Err(io::ErrorKind::ConnectionRefused.into());
             }
             let (near, far) = duplex(upstreams.pipe_bytes.get().unwrap_or(PIPE_BYTES));
-            spawn_local(upstreams.serve(far));
-            Ok(Box::new(near) as BoxedSocket)
+            let is_reset = Rc::default();
+            spawn_local(upstreams.serve(far, Rc::clone(&is_reset)));
+            Ok(Box::new(Resettable { socket: near, is_reset }) as BoxedSocket)
         })
     }
 }
