--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -18,7 +18,6 @@
 
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
-use crate::api::Response;
 use crate::contact::Contact;
 use crate::fleet::FleetState;
 use crate::memory::Memory;
@@ -172,9 +171,7 @@
         for pending in self.pending.take_rested(now) {
             self.submit(now, pending);
         }
-        for call in self.pending.take_overdue(now) {
-            self.answer(call, Response::unavailable("no outcome is known yet"));
-        }
+        self.give_up_overdue(now);
         if now >= self.expiry_at {
             self.expire(now);
         }
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -92,7 +92,7 @@
             leases: &self.leases,
             publisher: &self.publisher,
             in_quorum: self.is_in_quorum(now),
-            pending: self.pending.len(),
+            orders: &self.pending,
             leaving: self.leaving,
             now,
         });
