--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -1,6 +1,6 @@
 //! The calls of operators, upstreams and clients: read from HTTP requests, and the answers that they get.
 
-use std::fmt::Write;
+use std::fmt::{self, Display, Formatter, Write};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -21,10 +21,22 @@
     Evacuate { zone: String, evacuated: bool },
     Heartbeat { instance: String, heartbeat: Heartbeat },
     Deregister { instance: String },
-    Resolve { region: String, zone: String },
+    Resolve { host: String, region: String, zone: String },
     Status,
 }
 
+impl Call {
+    /// What an operator asks to be changed, for the log; none for other calls.
+    pub fn order_name(&self) -> Option<String> {
+        match self {
+            Call::Replace { base, generation, .. } => Some(format!("configuration {generation} on {base}")),
+            Call::Evacuate { zone, evacuated: true } => Some(format!("evacuation of {zone}")),
+            Call::Evacuate { zone, evacuated: false } => Some(format!("end of the evacuation of {zone}")),
+            _ => None,
+        }
+    }
+}
+
 /// The parts of an HTTP request that a call is read from.
 #[derive(Clone, Debug)]
 pub struct Request<'a> {
@@ -72,8 +84,9 @@
             Refusal::BaseVersion
             | Refusal::InvalidConfiguration { .. }
             | Refusal::InvalidHeartbeat { .. }
-            | Refusal::InstanceId
-            | Refusal::BodyUnread => StatusCode::BAD_REQUEST,
+            | Refusal::InstanceId => StatusCode::BAD_REQUEST,
+            // Nothing is known of the order then: the caller is to send it again.
+            Refusal::BodyUnread => StatusCode::REQUEST_TIMEOUT,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Busy | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -112,6 +125,16 @@
     }
 }
 
+/// For the log: the status, and the reason of a failure.
+impl Display for Response {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if self.status.is_success() {
+            return write!(formatter, "{}", self.status);
+        }
+        write!(formatter, "{} {}", self.status, String::from_utf8_lossy(&self.body))
+    }
+}
+
 impl From<Refusal> for Response {
     fn from(refusal: Refusal) -> Response {
         Response::failure(refusal.status(), &refusal.to_string())
@@ -123,6 +146,11 @@
     path == "/Config.Replace" || path.starts_with("/Instances.Heartbeat/")
 }
 
+/// Whether an operator asks for a change at this path.
+pub fn is_order(path: &str) -> bool {
+    path == "/Config.Replace" || path.starts_with("/Evacuate.")
+}
+
 /// Reads a call and checks what it carries.
 pub fn parse(request: &Request<'_>) -> Result<Call, Refusal> {
     let (operation, argument) = split_path(request.path)?;
@@ -199,7 +227,11 @@
 }
 
 fn parse_resolve(query: &str) -> Call {
-    Call::Resolve { region: query_value(query, "region"), zone: query_value(query, "zone") }
+    Call::Resolve {
+        host: query_value(query, "name"),
+        region: query_value(query, "region"),
+        zone: query_value(query, "zone"),
+    }
 }
 
 fn query_value(query: &str, name: &str) -> String {
--- a/controlplane/controller/src/pending.rs
+++ b/controlplane/controller/src/pending.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use http::StatusCode;
 
 use crate::orders::{Departure, Order};
 
@@ -26,6 +27,8 @@
     pub request: Request,
     /// For an evacuation, the sequence of the zone's record when it was submitted.
     pub seen: u64,
+    /// When the caller's request was read.
+    pub taken_at: u64,
     /// The caller gets an answer by then.
     pub deadline: u64,
 }
@@ -48,12 +51,22 @@
     }
 }
 
+/// How orders were answered since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderCounts {
+    pub confirmed: u64,
+    pub refused: u64,
+    /// Without a clear answer: the caller goes on to another controller.
+    pub unclear: u64,
+}
+
 /// The orders under way, by ticket.
 #[derive(Debug, Default)]
 pub struct PendingOrders {
+    counts: OrderCounts,
     last_ticket: u64,
     submitted: BTreeMap<u64, PendingOrder>,
-    /// Orders whose last submission failed, with the time of the next one.
+    /// Orders that wait for a submission, with its time. None of them has a submission whose outcome is unknown.
     resting: Vec<(u64, PendingOrder)>,
 }
 
@@ -70,17 +83,31 @@
         self.submitted.remove(&ticket)
     }
 
-    /// Puts an order by until it is submitted again.
+    /// Puts an order by until it is submitted, for the first time or again.
     pub fn rest(&mut self, until: u64, pending: PendingOrder) {
         self.resting.push((until, pending));
     }
 
-    /// Takes the orders that are to be submitted again.
+    /// Takes the orders that are to be submitted now.
     pub fn take_rested(&mut self, now: u64) -> Vec<PendingOrder> {
         let rested = self.resting.extract_if(.., |(until, _)| *until <= now);
         rested.map(|(_, pending)| pending).collect()
     }
 
+    /// Counts how an order is answered.
+    pub fn answered(&mut self, status: StatusCode) {
+        let count = match status {
+            success if success.is_success() => &mut self.counts.confirmed,
+            refusal if refusal.is_client_error() => &mut self.counts.refused,
+            _ => &mut self.counts.unclear,
+        };
+        *count += 1;
+    }
+
+    pub fn counts(&self) -> OrderCounts {
+        self.counts
+    }
+
     /// Takes the calls whose time has run out.
     pub fn take_overdue(&mut self, now: u64) -> Vec<CallId> {
         let submitted = self.submitted.extract_if(.., |_, pending| pending.deadline <= now);
--- a/controlplane/controller/tests/api.rs
+++ b/controlplane/controller/tests/api.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use whinspindle_controller::api::{Call, Request, Response, parse};
+use whinspindle_controller::api::{Call, Refusal, Request, Response, is_order, parse};
 
 const CONFIGURATION: &str = r#"{"generation":7,
     "routes":[{"name":"r","host":"shop.example","path_prefix":"/a/","kind":"safe","timeout_ms":1000,
@@ -91,7 +91,8 @@
     assert_eq!(parse(&request(&Method::GET, "/status", "")).unwrap(), Call::Status);
     let query = "name=shop.example&region=north&zone=zone-a";
     let resolve = Request { query, ..request(&Method::GET, "/resolve", "") };
-    let expected = Call::Resolve { region: "north".to_owned(), zone: "zone-a".to_owned() };
+    let host = "shop.example".to_owned();
+    let expected = Call::Resolve { host, region: "north".to_owned(), zone: "zone-a".to_owned() };
     assert_eq!(parse(&resolve).unwrap(), expected);
 }
 
@@ -109,3 +110,39 @@
     let expected = "{\"error\":\"a \\\"quote\\\", a \\\\ and a\\u000aline\"}";
     assert_eq!(response.body, expected);
 }
+
+/// 400 would end the call of an operator whose order may have been taken elsewhere.
+#[test]
+fn a_body_that_could_not_be_read_is_to_be_sent_again() {
+    for (refusal, status) in [
+        (Refusal::BodyUnread, StatusCode::REQUEST_TIMEOUT),
+        (Refusal::Busy, StatusCode::SERVICE_UNAVAILABLE),
+        (Refusal::Stopping, StatusCode::SERVICE_UNAVAILABLE),
+    ] {
+        assert_eq!(Response::from(refusal).status, status);
+    }
+}
+
+#[test]
+fn the_log_names_orders_of_operators_and_their_answers() {
+    let replace = Call::Replace { base: 5, generation: 7, body: Bytes::new() };
+    assert_eq!(replace.order_name().as_deref(), Some("configuration 7 on 5"));
+    let begin = Call::Evacuate { zone: "zone-a".to_owned(), evacuated: true };
+    assert_eq!(begin.order_name().as_deref(), Some("evacuation of zone-a"));
+    let finish = Call::Evacuate { zone: "zone-a".to_owned(), evacuated: false };
+    assert_eq!(finish.order_name().as_deref(), Some("end of the evacuation of zone-a"));
+    assert_eq!(Call::Fetch.order_name(), None);
+    assert_eq!(Call::Deregister { instance: "i-1".to_owned() }.order_name(), None);
+
+    assert_eq!(Response::accepted().to_string(), "200 OK");
+    let refused = Response::failure(StatusCode::PRECONDITION_FAILED, "another one");
+    assert_eq!(refused.to_string(), "412 Precondition Failed {\"error\":\"another one\"}");
+    for (path, expected) in [
+        ("/Config.Replace", true),
+        ("/Evacuate.Begin/zone-x", true),
+        ("/Config.Fetch", false),
+        ("/status", false),
+    ] {
+        assert_eq!(is_order(path), expected, "{path}");
+    }
+}
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -19,8 +19,8 @@
 
 use super::{HEARTBEAT_MS, zones};
 
-/// The seeds are the first so many controllers.
-const SEEDS: u8 = 3;
+/// The seeds are the first so many controllers that there are.
+pub const SEEDS: usize = 3;
 /// A caller takes a controller for silent after this time.
 const PATIENCE_MS: u64 = 1_000;
 /// The token of writes that the replica didn't order.
@@ -37,6 +37,7 @@
 pub enum Command {
     Call { id: CallId, call: Call },
     Report { subscriber: SubscriberId, report: Report },
+    Closed { subscriber: SubscriberId },
     Leave,
 }
 
@@ -77,6 +78,9 @@
             Happening::Command(Command::Report { subscriber, report }) => {
                 self.controller.handle(now, Event::Report { subscriber, report })
             }
+            Happening::Command(Command::Closed { subscriber }) => {
+                self.controller.handle(now, Event::SubscriberClosed { subscriber })
+            }
             Happening::Command(Command::Leave) => self.controller.handle(now, Event::Leave),
             Happening::Persisted { token: COMPACTION } | Happening::PersistFailed { token: COMPACTION } => {
                 self.controller.handle(now, Event::Compacted)
@@ -150,7 +154,7 @@
         endpoint: start.endpoint,
         zone: zone.clone(),
         region: region.clone(),
-        seeds: (1..=SEEDS).map(endpoint).collect(),
+        seeds: start.nodes.iter().copied().take(SEEDS).collect(),
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
@@ -178,6 +182,7 @@
     pub call: Call,
     pub first_sent_at: u64,
     pub answered: Option<(u64, Response)>,
+    pub is_abandoned: bool,
     waiting: Option<(CallId, u64)>,
 }
 
@@ -185,9 +190,13 @@
 pub struct Fleet {
     pub cluster: Cluster<Node>,
     pub chance: Pcg,
+    /// Share of the answers that don't reach their callers.
+    pub lost_answers: f64,
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
+    /// Updates and links in the order in which they were sent.
+    pub sent: Vec<(SubscriberId, ToBalancer)>,
     memories: Memories,
     last_call: u64,
 }
@@ -201,14 +210,18 @@
         let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), starter);
         for number in 1..=count {
             cluster.add(endpoint(number), true);
+        }
+        for number in 1..=count {
             cluster.start(endpoint(number));
         }
         let mut fleet = Fleet {
             cluster,
             chance: Pcg::new(seed ^ 0x5eed),
+            lost_answers: 0.0,
             attempts: Vec::new(),
             updates: Vec::new(),
             links: Vec::new(),
+            sent: Vec::new(),
             memories,
             last_call: 0,
         };
@@ -219,10 +232,28 @@
     /// Begins a call; its place among the attempts.
     pub fn begin(&mut self, call: Call) -> usize {
         let first_sent_at = self.cluster.now();
-        self.attempts.push(Attempt { call, first_sent_at, answered: None, waiting: None });
+        self.attempts.push(Attempt {
+            call,
+            first_sent_at,
+            answered: None,
+            is_abandoned: false,
+            waiting: None,
+        });
         self.attempts.len() - 1
     }
 
+    /// Begins a call that goes to this controller first, if it runs.
+    pub fn begin_at(&mut self, at: SocketAddr, call: Call) -> usize {
+        let attempt = self.begin(call.clone());
+        self.send(attempt, at, call);
+        attempt
+    }
+
+    /// The caller of this attempt sends its call no more.
+    pub fn abandon(&mut self, attempt: usize) {
+        self.attempts[attempt].is_abandoned = true;
+    }
+
     /// Lets time pass; callers go on to another controller where they get no clear answer.
     pub fn pass(&mut self, span_ms: u64) {
         let end = self.cluster.now() + span_ms;
@@ -263,6 +294,20 @@
         clear
     }
 
+    /// The chain as a controller tells it, the head first.
+    pub fn chain(&mut self, at: SocketAddr) -> Vec<SocketAddr> {
+        let status = self.ask(at, Call::Status).expect("the status is told at once").body;
+        let text = String::from_utf8(status.to_vec()).expect("text");
+        let (_, rest) = text.split_once("\"chain\":[").expect("the chain");
+        let (list, _) = rest.split_once(']').expect("its end");
+        list.split(',').map(|address| address.trim_matches('"').parse().expect("an address")).collect()
+    }
+
+    /// The time since a call was sent first.
+    pub fn since(&self, attempt: usize) -> u64 {
+        self.cluster.now() - self.attempts[attempt].first_sent_at
+    }
+
     pub fn report(&mut self, at: SocketAddr, subscriber: u64, report: Report) {
         self.cluster.command(at, Command::Report { subscriber: SubscriberId(subscriber), report });
     }
@@ -291,33 +336,48 @@
         }
     }
 
-    fn send_waiting(&mut self) {
+    /// Sends the calls of which no answer is awaited.
+    pub fn send_waiting(&mut self) {
         let now = self.cluster.now();
         let endpoints = self.cluster.endpoints();
         for index in 0..self.attempts.len() {
             let attempt = &self.attempts[index];
             let waits = attempt.waiting.is_some_and(|(_, since)| now < since + PATIENCE_MS);
-            if attempt.answered.is_some() || waits {
+            if attempt.answered.is_some() || attempt.is_abandoned || waits {
                 continue;
             }
             let call = attempt.call.clone();
-            let id = self.next_call();
             let at = endpoints[self.chance.below(endpoints.len())];
-            let running = self.cluster.command(at, Command::Call { id, call });
-            self.attempts[index].waiting = running.then_some((id, now));
+            self.send(index, at, call);
         }
     }
 
-    fn take(&mut self, at: u64, answer: Answer) {
+    fn send(&mut self, attempt: usize, at: SocketAddr, call: Call) {
+        let id = self.next_call();
+        let running = self.cluster.command(at, Command::Call { id, call });
+        self.attempts[attempt].waiting = running.then_some((id, self.cluster.now()));
+    }
+
+    /// Takes what a controller has answered or sent.
+    pub fn take(&mut self, at: u64, answer: Answer) {
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
-            Answer::Update { subscriber, update } => self.updates.push((subscriber, update)),
-            Answer::Link { subscriber, link } => self.links.push((subscriber, link)),
+            Answer::Update { subscriber, update } => {
+                self.sent.push((subscriber, ToBalancer::Update(update.clone())));
+                self.updates.push((subscriber, update));
+            }
+            Answer::Link { subscriber, link } => {
+                self.sent.push((subscriber, ToBalancer::Link(link.clone())));
+                self.links.push((subscriber, link));
+            }
         }
     }
 
     fn answered(&mut self, at: u64, id: CallId, response: Response) {
         let waits = |attempt: &&mut Attempt| attempt.waiting.is_some_and(|(waiting, _)| waiting == id);
+        if self.lost_answers > 0.0 && self.chance.unit() < self.lost_answers {
+            return;
+        }
         let Some(attempt) = self.attempts.iter_mut().find(waits) else { return };
         attempt.waiting = None;
         if response.status != StatusCode::SERVICE_UNAVAILABLE {
@@ -325,7 +385,7 @@
         }
     }
 
-    fn next_call(&mut self) -> CallId {
+    pub fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         CallId(self.last_call)
     }
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use whinspindle_agreement::{AsPublished, Ballot, Round, Voter};
+use whinspindle_agreement::{Ballot, Round, Voter};
 
 use crate::application::Application;
 use crate::disk::Afterwards;
@@ -27,11 +27,13 @@
 const JITTER: u64 = 60;
 /// How long the promises of others are waited for once a majority has promised.
 const GRACE: u64 = 150;
+/// A round has at most twice the time of the first so many times over.
+const MOST_DOUBLINGS: u32 = 3;
 /// A peer is taken in once it was heard without a pause for this long.
 const STEADY: u64 = 500;
 
 /// A round that this replica has begun.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Proposal {
     round: Round<View>,
     reports: BTreeMap<Voter, Report>,
@@ -43,12 +45,14 @@
 }
 
 /// What is under way to change the view.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ViewChange {
     proposal: Option<Proposal>,
     highest_round: u64,
     wanted: Option<Wanted>,
     not_before: u64,
+    /// Rounds of this replica that came to nothing since the last change of the view.
+    failed_rounds: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +67,13 @@
         self.highest_round = self.highest_round.max(ballot.round);
         self.proposal = None;
         self.wanted = None;
+        self.failed_rounds = 0;
+    }
+
+    /// A span of a round, or of the wait for the round of another. Where links or disks are slow, later rounds have more
+    /// time: each of the same length would fail like the one before, while the chain stands still.
+    fn stretched(&self, span: u64) -> u64 {
+        span << self.failed_rounds.min(MOST_DOUBLINGS)
     }
 }
 
@@ -93,7 +104,11 @@
         }
         let rank = RANK_DELAY * self.rank(now, me);
         if self.state.is_sealed() {
-            return Some(if self.is_sealed_by_itself(me) { rank } else { SEALED_DELAY + rank });
+            return Some(if self.is_sealed_by_itself(me) {
+                rank
+            } else {
+                self.change.stretched(SEALED_DELAY) + rank
+            });
         }
         let next = next_view(view, &self.expected_situation(now, me))?;
         if self.is_leaving || next.is_alike(view) {
@@ -159,6 +174,7 @@
         let lost = lost.filter(|voter| self.is_lost(now, view, *voter)).collect();
         Situation {
             tolerance: self.settings.tolerance,
+            replaces_voters_jointly: L::replaces_voters_jointly(),
             present,
             lost,
             candidates: self.candidates(now, view),
@@ -270,7 +286,7 @@
         let Some(proposal) = &self.change.proposal else { return };
         let ballot = proposal.round.ballot;
         let known = self.view().number;
-        for voter in proposal.round.unheard::<AsPublished>() {
+        for voter in proposal.round.unheard::<L::Agreement>() {
             if let Some(to) = self.endpoint_of(voter) {
                 self.send(to, Message::Prepare { voter, ballot, known });
             }
@@ -297,8 +313,9 @@
 
     fn continue_proposal(&mut self, now: u64) {
         let timing = self.settings.timing;
+        let limit = self.change.stretched(timing.round);
         let Some(proposal) = &mut self.change.proposal else { return };
-        if now >= proposal.started_at + timing.round {
+        if now >= proposal.started_at + limit {
             self.give_up(now);
             return;
         }
@@ -315,7 +332,9 @@
 
     fn give_up(&mut self, now: u64) {
         self.change.proposal = None;
-        self.change.not_before = now + RANK_DELAY + self.chance.below(2 * RANK_DELAY);
+        let wait = self.change.stretched(RANK_DELAY);
+        self.change.not_before = now + wait + self.chance.below(2 * wait);
+        self.change.failed_rounds += 1;
     }
 
     /// Writes the next view once enough have promised.
@@ -324,21 +343,23 @@
         if proposal.round.is_writing() {
             return;
         }
-        let Some(found) = proposal.round.found::<AsPublished>().cloned() else { return };
+        let Some(found) = proposal.round.found::<L::Agreement>().cloned() else { return };
         let majority_at = *proposal.majority_at.get_or_insert(now);
         let reports = proposal.reports.clone();
         let is_awaited = |voter: Voter| !reports.contains_key(&voter) && self.is_awaited(now, &found, voter);
         if now < majority_at + GRACE && found.voters().into_iter().any(is_awaited) {
             return;
         }
-        let present = reports.iter().filter_map(|(voter, report)| {
-            let standing = self.promised_standing(now, *voter, *report)?;
+        let promised = reports.iter().filter_map(|(voter, report)| {
+            let standing = self.promised_standing(now, &found, *voter, *report)?;
             Some((*voter, standing))
         });
-        let situation = self.situation(now, &found, present.collect());
+        let mut present: BTreeMap<Voter, Standing> = promised.collect();
+        present.extend(self.silent_joiners(now, &found, &reports));
+        let situation = self.situation(now, &found, present);
         let Some(next) = next_view(&found, &situation) else { return };
         let Some(proposal) = &mut self.change.proposal else { return };
-        proposal.round.write::<AsPublished>(next);
+        proposal.round.write::<L::Agreement>(next);
         proposal.asked_at = now;
         self.ask_for_votes();
     }
@@ -347,7 +368,30 @@
         self.peers.well(now, found, voter).is_some()
     }
 
-    fn promised_standing(&self, now: u64, voter: Voter, report: Report) -> Option<Standing> {
+    /// Voters outside of the chain that are well but have not promised yet, as their disks are slow. What they have is
+    /// not asked for: in the chain they are brought up to date before they count. Without them the round would end in
+    /// the view that it began with, and the next one would again.
+    fn silent_joiners(
+        &self,
+        now: u64,
+        found: &View,
+        reports: &BTreeMap<Voter, Report>,
+    ) -> Vec<(Voter, Standing)> {
+        let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let me = self.me();
+        let standing = |voter: Voter| {
+            if me == Some(voter) {
+                return Some((voter, Standing::new(self.report(), self.is_leaving)));
+            }
+            let heartbeat = self.peers.well(now, found, voter)?;
+            let endpoint = found.endpoint(voter)?;
+            let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
+            is_steady.then(|| (voter, Standing::new(heartbeat.report, heartbeat.is_leaving)))
+        };
+        found.voters().into_iter().filter(is_silent).filter_map(standing).collect()
+    }
+
+    fn promised_standing(&self, now: u64, found: &View, voter: Voter, report: Report) -> Option<Standing> {
         if self.owes_too_long(now, voter) {
             return None;
         }
@@ -355,7 +399,9 @@
         let heartbeat = endpoint.and_then(|endpoint| self.peers.get(endpoint)).map(|peer| &peer.heartbeat);
         let is_own = endpoint == Some(self.settings.endpoint);
         let is_leaving = if is_own { self.is_leaving } else { heartbeat.is_some_and(|peer| peer.is_leaving) };
-        Some(Standing::new(report, is_leaving))
+        let since = found.link(voter).map_or(0, |link| link.since);
+        let complete = L::complete(report.complete, since);
+        Some(Standing::new(Report { complete, ..report }, is_leaving))
     }
 
     pub(crate) fn on_prepare(
@@ -367,7 +413,7 @@
         known: u64,
     ) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         if self.view().number > known {
@@ -384,7 +430,11 @@
                     self.change.wanted = None;
                 }
                 let accepted = votes.accepted.clone();
-                self.record_votes(votes);
+                if L::records_promises() {
+                    self.record_votes(votes);
+                } else {
+                    self.state.votes = votes;
+                }
                 let report = self.report();
                 let message = Message::Promise { voter, ballot, accepted, report };
                 self.afterwards(now, Afterwards::Send { to: from, message: Box::new(message) });
@@ -394,11 +444,11 @@
 
     pub(crate) fn on_accept(&mut self, now: u64, from: SocketAddr, voter: Voter, ballot: Ballot, view: View) {
         self.change.highest_round = self.change.highest_round.max(ballot.round);
-        if voter.birth != self.state.birth {
+        if !L::is_same_birth(voter.birth, self.state.birth) {
             return;
         }
         let mut votes = self.state.votes.clone();
-        match votes.accept::<AsPublished>(ballot, view) {
+        match votes.accept::<L::Agreement>(ballot, view) {
             Err(promised) => self.send(from, Message::Rejected { ballot, promised }),
             Ok(()) => {
                 self.record_votes(votes);
@@ -426,12 +476,12 @@
         if proposal.round.ballot != ballot || proposal.round.is_writing() {
             return;
         }
-        let unheard = proposal.round.unheard::<AsPublished>().len();
+        let unheard = proposal.round.unheard::<L::Agreement>().len();
         let members = accepted.iter().flat_map(|(_, view)| &view.members);
         proposal.endpoints.extend(members.map(|member| (member.voter, member.endpoint)));
         proposal.round.promised(voter, accepted);
         proposal.reports.insert(voter, report);
-        let has_grown = proposal.round.unheard::<AsPublished>().len() >= unheard;
+        let has_grown = proposal.round.unheard::<L::Agreement>().len() >= unheard;
         if has_grown {
             self.ask_for_promises();
         }
@@ -443,7 +493,7 @@
         if proposal.round.ballot != ballot {
             return;
         }
-        let Some(view) = proposal.round.voted::<AsPublished>(voter).cloned() else { return };
+        let Some(view) = proposal.round.voted::<L::Agreement>(voter).cloned() else { return };
         let decided = Decided { ballot, view };
         for member in &decided.view.members.clone() {
             self.send(member.endpoint, Message::Decided(decided.clone()));
--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -36,6 +36,7 @@
 
 pub use application::{Answer, Application, Evaluation, RecordWrite};
 pub use durable::{DurableWrite, RecoverError};
+pub use entry::Origin;
 pub use laws::{AsDesigned, Laws};
 pub use message::{DecodeError, Message};
 pub use placement::{LossKind, Place, Tolerance};
@@ -43,4 +44,4 @@
 pub use replica::{Input, Output, Replica, Reply, SubmitError};
 pub use settings::{ReplicaSettings, Timing};
 pub use view::{ChainLink, Member, View};
-pub use whinspindle_agreement::Voter;
+pub use whinspindle_agreement::{AsPublished, Laws as AgreementLaws, Voter};
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -69,6 +69,131 @@
     });
 }
 
+#[test]
+fn a_request_that_names_two_lengths_is_found_behind_another() {
+    let hidden = post("/unsafe/hidden");
+    let ambiguous = format!(
+        "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+        hidden.len() + 5
+    );
+    for wait in [Duration::ZERO, Duration::from_millis(5)] {
+        play(async {
+            let world = World::new();
+            let mut slow = served("first");
+            slow.insert(0, Step::Wait(Duration::from_millis(10)));
+            world.upstreams.script(slow);
+            world.upstreams.otherwise(served("no"));
+            let mut client = world.client();
+            let first = post("/unsafe/x");
+            if wait.is_zero() {
+                client.send(&format!("{first}{ambiguous}")).await;
+            } else {
+                client.send(&first).await;
+                sleep(wait).await;
+                client.send(&ambiguous).await;
+            }
+            let got = client.heard(REST).await;
+            assert!(got.contains("first") && got.contains("HTTP/1.1 400 "), "{got}");
+            assert_eq!(world.upstreams.requests().len(), 1, "{wait:?}");
+        });
+    }
+}
+
+#[test]
+fn an_answer_in_another_coding_than_chunks_is_not_passed_on() {
+    let stamp = format!("Whinspindle-Server-Stamp: {STAMP}\r\n");
+    for coding in ["identity", "gzip, chunked", "gzip"] {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(vec![
+                write(format!(
+                    "HTTP/1.1 200 OK\r\nWhinspindle-Request-Id: {{id}}\r\n{stamp}\
+                     Transfer-Encoding: {coding}\r\n\r\n2\r\nxx\r\n0\r\n\r\n"
+                )),
+                Step::Close,
+            ]);
+            let got = world.ask(&post("/unsafe/x")).await;
+            assert_eq!((status(&got), body(&got)), (502, ""), "{coding}");
+        });
+    }
+}
+
+#[test]
+fn answers_without_a_body_go_back_whole() {
+    let head = |status: &str, length: &str| {
+        vec![write(format!(
+            "HTTP/1.1 {status}\r\nWhinspindle-Request-Id: {{id}}\r\nWhinspindle-Server-Stamp: {STAMP}\r\n\
+             {length}\r\n"
+        ))]
+    };
+    let cases = [
+        ("HEAD", "200 OK", "Content-Length: 26\r\n"),
+        ("HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"),
+        ("HEAD", "200 OK", ""),
+        ("GET", "204 No Content", ""),
+        ("GET", "204 No Content", "Content-Length: 0\r\n"),
+        ("GET", "204 No Content", "Content-Length: 5\r\n"),
+        ("GET", "204 No Content", "Transfer-Encoding: chunked\r\n"),
+        ("GET", "200 OK", "Content-Length: 0\r\nContent-Length: 0\r\n"),
+    ];
+    for (method, code, length) in cases {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(head(code, length));
+            let mut client = world.client();
+            client
+                .send(&format!(
+                    "{method} /unsafe/x HTTP/1.1\r\nHost: a.example\r\nWhinspindle-Request-Id: {ID}\r\n\r\n"
+                ))
+                .await;
+            let got = client.heard(REST).await;
+            assert!(code.starts_with(&status(&got).to_string()), "{method} {length}: {got}");
+            assert_eq!(body(&got), "", "{method} {length}");
+            world.upstreams.script(served("next"));
+            client.send(&post("/unsafe/x")).await;
+            assert_eq!(body(&client.answer().await), "next", "{method} {length}");
+        });
+    }
+}
+
+#[test]
+fn bytes_behind_a_request_that_are_no_request_are_sent_nowhere() {
+    for surplus in ["what is this\r\n\r\n", "\r\n\r\nhello", "POST /unsafe/x", "hello\0\0"] {
+        play(async {
+            let world = World::new();
+            world.upstreams.script(served("first"));
+            world.upstreams.otherwise(served("no"));
+            let mut client = world.client();
+            client.send(&format!("{}{surplus}", post("/unsafe/x"))).await;
+            let got = client.heard(REST).await;
+            let (first, rest) = got.split_at(got.find("first").expect("the answer") + "first".len());
+            assert_eq!((status(first), header(first, "whinspindle-request-id").as_deref()), (200, Some(ID)));
+            assert!(rest.is_empty() || status(rest) == 400, "{surplus:?}: {rest}");
+            assert_eq!(world.upstreams.requests().len(), 1, "{surplus:?}");
+        });
+    }
+}
+
+#[test]
+fn requests_at_once_are_answered_in_their_order() {
+    play(async {
+        let world = World::new();
+        let mut slow = served("first");
+        slow.insert(0, Step::Wait(Duration::from_millis(10)));
+        world.upstreams.script(slow);
+        world.upstreams.script(served("second"));
+        let mut client = world.client();
+        let other = "eeeeeeeeeeeeeee5";
+        client.send(&[post("/unsafe/x"), post("/unsafe/x").replace(ID, other)].concat()).await;
+        let got = client.heard(REST).await;
+        let answers: Vec<&str> = got.split("HTTP/1.1 200 OK").skip(1).collect();
+        assert_eq!(answers.len(), 2, "{got}");
+        assert!(answers[0].contains(ID) && answers[0].ends_with("first"), "{got}");
+        assert!(answers[1].contains(other) && answers[1].ends_with("second"), "{got}");
+    });
+}
+
 #[test]
 fn the_priority_of_a_route_is_told_to_engines() {
     play(async {
@@ -216,6 +341,25 @@
     }
 }
 
+#[test]
+fn a_refusal_counts_without_its_body() {
+    for code in ["503 Service Unavailable", "421 Misdirected Request"] {
+        let head = format!(
+            "HTTP/1.1 {code}\r\nWhinspindle-Request-Id: {{id}}\r\nWhinspindle-Not-Run: 1\r\n\
+             Content-Length: 5\r\n\r\n"
+        );
+        play(async {
+            let world = World::new();
+            world.upstreams.script(vec![write(head), Step::Hang]);
+            world.upstreams.script(served("second"));
+            let start = Instant::now();
+            let got = world.ask(&post("/unsafe/x")).await;
+            assert_eq!((status(&got), body(&got)), (200, "second"), "{code}");
+            assert!(start.elapsed() < REST, "{:?}", start.elapsed());
+        });
+    }
+}
+
 #[test]
 fn what_did_not_run_at_all_is_refused_with_a_pause() {
     play(async {
