--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -14,16 +14,16 @@
 
 use whinspindle_distribution::{ControllerAddress, Publisher};
 use whinspindle_registry::{InstanceRegistry, LeaseTable, LeaseTiming, RegistryTiming};
-use whinspindle_replica::{Input, Output, Replica};
+use whinspindle_replica::{Input, LossKind, Output, Replica};
 
 pub use self::event::{Action, Event};
 use crate::acquaintances::Acquaintances;
-use crate::api::Response;
 use crate::contact::Contact;
 use crate::fleet::FleetState;
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
 use crate::pending::PendingOrders;
+use crate::residency::Residency;
 
 /// Interval at which silent instances and balancers are looked for.
 const EXPIRY_MS: u64 = 300;
@@ -44,6 +44,7 @@
     replica: Replica<Orders>,
     registry: InstanceRegistry,
     leases: LeaseTable,
+    residency: Residency,
     publisher: Publisher,
     fleet: FleetState,
     pending: PendingOrders,
@@ -87,6 +88,7 @@
             replica,
             registry: InstanceRegistry::new(timing),
             leases: LeaseTable::new(LeaseTiming::default()),
+            residency: Residency::default(),
             publisher: Publisher::new(),
             fleet: FleetState::default(),
             pending: PendingOrders::default(),
@@ -158,15 +160,18 @@
         self.contact.is_in_quorum() && self.replica.is_in_quorum(now)
     }
 
+    /// The kinds of losses that are to be tolerated but would leave no majority of the voters.
+    pub fn fatal_losses(&self) -> Vec<LossKind> {
+        self.replica.fatal_losses()
+    }
+
     fn tick(&mut self, now: u64) {
         self.step(now, Input::Tick);
         self.note_quorum(now);
         for pending in self.pending.take_rested(now) {
             self.submit(now, pending);
         }
-        for call in self.pending.take_overdue(now) {
-            self.answer(call, Response::unavailable("no outcome is known yet"));
-        }
+        self.give_up_overdue(now);
         if now >= self.expiry_at {
             self.expire(now);
         }
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -15,7 +15,7 @@
 use whinspindle_lab_cluster::{
     Cluster, DiskTiming, Effect, Event as Happening, NetworkTiming, Pcg, Process, Start,
 };
-use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing};
+use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing, Tolerance};
 
 use super::{HEARTBEAT_MS, zones};
 
@@ -158,7 +158,7 @@
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
-        tolerated_losses: 1,
+        tolerance: Tolerance::of_machines(1),
         timing: Timing::default(),
     };
     let (replica, outputs) =
@@ -182,6 +182,7 @@
     pub call: Call,
     pub first_sent_at: u64,
     pub answered: Option<(u64, Response)>,
+    pub is_abandoned: bool,
     waiting: Option<(CallId, u64)>,
 }
 
@@ -189,6 +190,8 @@
 pub struct Fleet {
     pub cluster: Cluster<Node>,
     pub chance: Pcg,
+    /// Share of the answers that don't reach their callers.
+    pub lost_answers: f64,
     pub attempts: Vec<Attempt>,
     pub updates: Vec<(SubscriberId, Update)>,
     pub links: Vec<(SubscriberId, Link)>,
@@ -214,6 +217,7 @@
         let mut fleet = Fleet {
             cluster,
             chance: Pcg::new(seed ^ 0x5eed),
+            lost_answers: 0.0,
             attempts: Vec::new(),
             updates: Vec::new(),
             links: Vec::new(),
@@ -228,10 +232,28 @@
     /// Begins a call; its place among the attempts.
     pub fn begin(&mut self, call: Call) -> usize {
         let first_sent_at = self.cluster.now();
-        self.attempts.push(Attempt { call, first_sent_at, answered: None, waiting: None });
+        self.attempts.push(Attempt {
+            call,
+            first_sent_at,
+            answered: None,
+            is_abandoned: false,
+            waiting: None,
+        });
         self.attempts.len() - 1
     }
 
+    /// Begins a call that goes to this controller first, if it runs.
+    pub fn begin_at(&mut self, at: SocketAddr, call: Call) -> usize {
+        let attempt = self.begin(call.clone());
+        self.send(attempt, at, call);
+        attempt
+    }
+
+    /// The caller of this attempt sends its call no more.
+    pub fn abandon(&mut self, attempt: usize) {
+        self.attempts[attempt].is_abandoned = true;
+    }
+
     /// Lets time pass; callers go on to another controller where they get no clear answer.
     pub fn pass(&mut self, span_ms: u64) {
         let end = self.cluster.now() + span_ms;
@@ -272,6 +294,20 @@
         clear
     }
 
+    /// The chain as a controller tells it, the head first.
+    pub fn chain(&mut self, at: SocketAddr) -> Vec<SocketAddr> {
+        let status = self.ask(at, Call::Status).expect("the status is told at once").body;
+        let text = String::from_utf8(status.to_vec()).expect("text");
+        let (_, rest) = text.split_once("\"chain\":[").expect("the chain");
+        let (list, _) = rest.split_once(']').expect("its end");
+        list.split(',').map(|address| address.trim_matches('"').parse().expect("an address")).collect()
+    }
+
+    /// The time since a call was sent first.
+    pub fn since(&self, attempt: usize) -> u64 {
+        self.cluster.now() - self.attempts[attempt].first_sent_at
+    }
+
     pub fn report(&mut self, at: SocketAddr, subscriber: u64, report: Report) {
         self.cluster.command(at, Command::Report { subscriber: SubscriberId(subscriber), report });
     }
@@ -307,17 +343,21 @@
         for index in 0..self.attempts.len() {
             let attempt = &self.attempts[index];
             let waits = attempt.waiting.is_some_and(|(_, since)| now < since + PATIENCE_MS);
-            if attempt.answered.is_some() || waits {
+            if attempt.answered.is_some() || attempt.is_abandoned || waits {
                 continue;
             }
             let call = attempt.call.clone();
-            let id = self.next_call();
             let at = endpoints[self.chance.below(endpoints.len())];
-            let running = self.cluster.command(at, Command::Call { id, call });
-            self.attempts[index].waiting = running.then_some((id, now));
+            self.send(index, at, call);
         }
     }
 
+    fn send(&mut self, attempt: usize, at: SocketAddr, call: Call) {
+        let id = self.next_call();
+        let running = self.cluster.command(at, Command::Call { id, call });
+        self.attempts[attempt].waiting = running.then_some((id, self.cluster.now()));
+    }
+
     /// Takes what a controller has answered or sent.
     pub fn take(&mut self, at: u64, answer: Answer) {
         match answer {
@@ -335,6 +375,9 @@
 
     fn answered(&mut self, at: u64, id: CallId, response: Response) {
         let waits = |attempt: &&mut Attempt| attempt.waiting.is_some_and(|(waiting, _)| waiting == id);
+        if self.lost_answers > 0.0 && self.chance.unit() < self.lost_answers {
+            return;
+        }
         let Some(attempt) = self.attempts.iter_mut().find(waits) else { return };
         attempt.waiting = None;
         if response.status != StatusCode::SERVICE_UNAVAILABLE {
--- a/controlplane/controller/tests/common/judge.rs
+++ b/controlplane/controller/tests/common/judge.rs
@@ -55,18 +55,32 @@
 
     /// Whether what a balancer in touch holds is as new as it has to be.
     pub fn check(&self, now: u64, held: &Holder) -> Result<(), String> {
+        self.check_configuration(now, held)?;
+        self.check_evacuations(now, held)?;
+        self.check_departures(now, held)
+    }
+
+    pub fn check_configuration(&self, now: u64, held: &Holder) -> Result<(), String> {
         let due = self.configurations.iter().filter(|(at, _)| at + CONVERGE_MS < now);
         let due = due.map(|(_, generation)| *generation).max().unwrap_or(0);
         let generation = held_generation(held);
         if generation < due {
             return Err(format!("holds configuration {generation}, {due} was acknowledged"));
         }
+        Ok(())
+    }
+
+    fn check_evacuations(&self, now: u64, held: &Holder) -> Result<(), String> {
         for (zone, (at, evacuated)) in &self.zones {
             let holds = held.evacuations().is_some_and(|section| section.zones.contains(zone));
             if at + EVACUATE_MS < now && holds != *evacuated {
                 return Err(format!("{zone} evacuated: {holds}, acknowledged: {evacuated}"));
             }
         }
+        Ok(())
+    }
+
+    fn check_departures(&self, now: u64, held: &Holder) -> Result<(), String> {
         let listed = held.instances().map_or(&[][..], |section| &section.list);
         let is_due = |id: &String| self.left.get(id).is_some_and(|at| at + DRAIN_MS < now);
         match listed.iter().find(|instance| !instance.draining && is_due(&instance.id)) {
--- a/controlplane/controller/tests/common/world.rs
+++ b/controlplane/controller/tests/common/world.rs
@@ -77,7 +77,10 @@
     voters: Vec<SocketAddr>,
     voters_at: u64,
     core_disturbed_at: u64,
+    /// When an edge machine was started, stopped, or lost a process.
     edge_disturbed_at: BTreeMap<SocketAddr, u64>,
+    /// When an edge machine stood still, or lacked a path to a controller that serves.
+    edge_unreached_at: BTreeMap<SocketAddr, u64>,
     upstream_disturbed_at: BTreeMap<SocketAddr, u64>,
     last_subscriber: u64,
 }
@@ -105,6 +108,7 @@
             voters_at: 0,
             core_disturbed_at: now,
             edge_disturbed_at: BTreeMap::new(),
+            edge_unreached_at: BTreeMap::new(),
             upstream_disturbed_at: BTreeMap::new(),
             last_subscriber: 0,
         };
@@ -511,10 +515,13 @@
             self.core_disturbed_at = now;
         }
         for edge in &self.edges {
-            let reaches = |at: &SocketAddr| self.is_path(edge.address, *at);
-            if !edge.is_running() || edge.frozen_until > now || !serving.iter().all(reaches) {
+            let reaches_all = serving.iter().all(|at| self.is_path(edge.address, *at));
+            if !edge.is_running() {
                 self.edge_disturbed_at.insert(edge.address, now);
             }
+            if edge.frozen_until > now || !reaches_all {
+                self.edge_unreached_at.insert(edge.address, now);
+            }
         }
         for upstream in &self.upstreams {
             if !serving.iter().all(|at| self.is_path(upstream.address, *at)) {
@@ -584,6 +591,12 @@
             if configured > 0 && configured < edge.reported {
                 found.push(format!("edge {} went back to {configured} from {}", edge.number, edge.reported));
             }
+            if configured > 0
+                && self.is_in_reach(now, edge)
+                && let Err(problem) = self.judge.check_configuration(now, held)
+            {
+                found.push(format!("edge {}, in reach, {problem}", edge.number));
+            }
             if !self.is_in_touch(now, edge) {
                 continue;
             }
@@ -601,7 +614,13 @@
 
     fn is_in_touch(&self, now: u64, edge: &Edge) -> bool {
         let disturbed_at = self.edge_disturbed_at.get(&edge.address).copied().unwrap_or(0);
-        now > disturbed_at.max(self.core_disturbed_at) + CONTACT_MS
+        now > disturbed_at + CONTACT_MS && self.is_in_reach(now, edge)
+    }
+
+    /// As in touch, but the machine may have started just now: what it handles at all, it handles by the newest.
+    fn is_in_reach(&self, now: u64, edge: &Edge) -> bool {
+        let unreached_at = self.edge_unreached_at.get(&edge.address).copied().unwrap_or(0);
+        now > unreached_at.max(self.core_disturbed_at) + CONTACT_MS
     }
 
     fn missing_upstream(&self, now: u64, edge: &Edge) -> Option<&str> {
--- a/controlplane/controller/tests/orders.rs
+++ b/controlplane/controller/tests/orders.rs
@@ -93,14 +93,25 @@
 #[test]
 fn a_configuration_on_another_base_is_refused() {
     let mut state = State::default();
-    assert_eq!(state.replace(2, 3, "early"), Outcome::OtherBase { current: 0 });
     state.replace(0, 3, "first");
-    for base in [0, 2, 4] {
+    for base in [0, 1, 2] {
         assert_eq!(state.replace(base, 9, "other"), Outcome::OtherBase { current: 3 }, "base {base}");
     }
     assert_eq!(state.configuration(), b"first");
 }
 
+/// Its base may still come, and then a copy of the order would be taken: a clear refusal would be no longer true.
+#[test]
+fn a_configuration_on_a_base_to_come_waits() {
+    let mut state = State::default();
+    assert_eq!(state.replace(3, 5, "early"), Outcome::BaseAhead { current: 0 });
+    assert_eq!(state.replace(0, 3, "first"), Outcome::Done);
+    assert_eq!(state.replace(4, 9, "never"), Outcome::BaseAhead { current: 3 });
+    assert_eq!(state.replace(3, 5, "early"), Outcome::Done);
+    assert_eq!(state.configuration(), b"early");
+    assert_eq!(state.replace(4, 9, "never"), Outcome::OtherBase { current: 5 });
+}
+
 #[test]
 fn a_generation_that_is_not_above_the_current_one_is_refused() {
     let mut state = State::default();
@@ -146,7 +157,11 @@
     let repeat =
         |generation: u64| replace(generation - 1, generation, &format!("configuration {generation}"));
     assert_eq!(state.carry_out(repeat(configurations - 500)), Outcome::Done);
-    assert_eq!(state.carry_out(repeat(1)), Outcome::OtherBase { current: configurations });
+    let forgotten = Outcome::Forgotten { current: configurations };
+    assert_eq!(state.carry_out(repeat(1)), forgotten, "it was taken, so it is not refused");
+    assert_eq!(state.replace(0, 88, "of a forgotten generation"), forgotten);
+    assert_eq!(state.replace(88, 88, "never valid"), Outcome::NotAbove { current: configurations });
+    assert_eq!(state.replace(0, 89, "of a known one"), Outcome::OtherBase { current: configurations });
     assert!(state.records.len() < 520, "the history is bounded");
 }
 
@@ -168,13 +183,26 @@
 }
 
 #[test]
-fn a_repeated_evacuation_is_acknowledged_without_a_write() {
+fn a_repeated_evacuation_is_acknowledged_and_changes_nothing() {
     let mut state = State::default();
     assert_eq!(state.carry_out(evacuate("zone-a", false, 0)), Outcome::Done, "never evacuated");
-    assert_eq!(state.sequence, 0);
-    state.carry_out(evacuate("zone-a", true, 0));
-    assert_eq!(state.carry_out(evacuate("zone-a", true, 0)), Outcome::Done);
-    assert_eq!(state.sequence, 1);
+    assert_eq!(evacuated_zones(&state.records), (1, Vec::new()));
+    assert_eq!(state.carry_out(evacuate("zone-a", true, 1)), Outcome::Done);
+    assert_eq!(state.carry_out(evacuate("zone-a", true, 2)), Outcome::Done);
+    assert_eq!(evacuated_zones(&state.records), (3, vec!["zone-a".to_owned()]));
+}
+
+/// A begin gets no clear answer; the operator takes it back and is acknowledged; then a copy of the begin comes through.
+#[test]
+fn an_acknowledged_order_voids_every_copy_of_earlier_ones() {
+    for evacuated in [true, false] {
+        let mut state = State::default();
+        state.carry_out(evacuate("zone-a", !evacuated, 0));
+        let held_up = evacuate("zone-a", evacuated, 1);
+        assert_eq!(state.carry_out(evacuate("zone-a", !evacuated, 1)), Outcome::Done, "nothing to do");
+        assert_eq!(state.carry_out(held_up), Outcome::Overtaken { sequence: 2 });
+        assert_eq!(evacuated_zones(&state.records).1.is_empty(), evacuated);
+    }
 }
 
 #[test]
--- a/coordination/replica/src/settings.rs
+++ b/coordination/replica/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::placement::Tolerance;
+
 /// Settings of one replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -17,8 +19,8 @@
     pub birth: u64,
     /// Drawn at random at each start of the process; also the seed of the jitter.
     pub start: u64,
-    /// How many replicas may be lost at once.
-    pub tolerated_losses: usize,
+    /// What may be lost at once while commands are still taken.
+    pub tolerance: Tolerance,
     pub timing: Timing,
 }
 
@@ -29,6 +31,8 @@
     pub heartbeat: u64,
     /// Silence after which a peer is suspected.
     pub suspicion: u64,
+    /// How long contact with a peer counts, from the sending of the heartbeat that it has answered.
+    pub contact: u64,
     /// How long a write to the disk may last before the disk counts as stalled.
     pub disk_stall: u64,
     /// How long entries may wait for a neighbour in the chain before it is suspected.
@@ -48,6 +52,7 @@
         Timing {
             heartbeat: 200,
             suspicion: 900,
+            contact: 1_300,
             disk_stall: 800,
             chain_stall: 1_000,
             replacement: 2_000,
--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -8,7 +8,7 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use whinspindle_routing::{Attempt, Choice, InstanceKey, InstanceTarget, Outcome};
 
 use crate::answers::RETRY_AFTER_MS;
@@ -24,8 +24,11 @@
 
 /// With less time left nothing is sent any more.
 const LEAST_TIME: Duration = Duration::from_millis(15);
+/// The body of a refusal is waited for so long, for the sake of the connection.
+const REFUSAL_BODY: Duration = Duration::from_millis(20);
 /// The longest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const CHUNKED: &[u8] = b"chunked";
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// A send that the router has granted.
@@ -316,6 +319,7 @@
         let Answered { verdict, head, body, mut leased } = answered;
         // Where the head alone says that the request did not run, the body does not count.
         let counts = !matches!(verdict, Verdict::Rejected | Verdict::Misdirected);
+        self.in_flight = counts;
         if counts && !is_framed(&self.request.method, &head, &body) {
             sent.finish(Outcome::Broken);
             return Err(SendEnd::Broken);
@@ -329,7 +333,11 @@
             sent.first_event();
         }
         let framed = is_framed(&self.request.method, &head, &body);
-        let whole = if framed { self.read_whole(body, &mut leased).await } else { None };
+        let whole = match (framed, counts) {
+            (false, _) => None,
+            (true, true) => self.read_whole(body, &mut leased).await,
+            (true, false) => timeout(REFUSAL_BODY, self.read_whole(body, &mut leased)).await.ok().flatten(),
+        };
         let is_whole = whole.is_some();
         let end = self.conclude(verdict, head, whole, &mut sent);
         if is_whole {
@@ -517,10 +525,17 @@
 }
 
 /// Whether the end of the body is known from its framing: one that lasts until the connection closes can't be told
-/// from one that broke off, and one with two kinds of length can't be trusted.
+/// from one that broke off, one with two kinds of length can't be trusted, and of one with another coding than chunks
+/// the bytes would not be the upstream's body.
 fn is_framed(method: &Method, head: &response::Parts, body: &Incoming) -> bool {
     let length = head.headers.contains_key(CONTENT_LENGTH);
-    let coding = head.headers.contains_key(TRANSFER_ENCODING);
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let coding = codings.next();
+    let chunked = coding.is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    if !chunked || codings.next().is_some() {
+        return false;
+    }
+    let coding = coding.is_some();
     let bodyless = method == Method::HEAD
         || head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED;
