--- a/controlplane/controller/tests/common/edge.rs
+++ b/controlplane/controller/tests/common/edge.rs
@@ -187,7 +187,8 @@
         format!("edge-{}", self.number)
     }
 
-    fn place(&self) -> (String, String) {
+    /// Its zone and region.
+    pub fn place(&self) -> (String, String) {
         let zones = zones();
         let (zone, region) = zones.iter().nth(usize::from(self.number) % zones.len()).unwrap();
         (zone.clone(), region.clone())
--- a/controlplane/controller/tests/common/world.rs
+++ b/controlplane/controller/tests/common/world.rs
@@ -16,11 +16,17 @@
 use super::fleet::{Answer, Command, Fleet, SEEDS, endpoint};
 use super::judge::{CONTACT_MS, Judge, KNOWN_MS, held_generation};
 use super::upstream::{Phase, Upstream};
-use super::{configuration, evacuate};
+use super::{configuration, evacuate, resolve};
 
 const STEP_MS: u64 = 10;
 /// How often it is looked up who the voters are.
 const VOTERS_MS: u64 = 100;
+/// How often each controller is asked where clients connect.
+const RESOLVE_MS: u64 = 500;
+const CLIENT_REGION: &str = "north";
+const CLIENT_ZONE: &str = "zone-a";
+/// A balancer that has ended is named for this long at most.
+const NAMED_MS: u64 = CONTACT_MS + 3_000;
 
 /// Which of its partners a machine is cut off from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,9 +82,12 @@
     frozen: BTreeMap<SocketAddr, u64>,
     voters: Vec<SocketAddr>,
     voters_at: u64,
+    resolved_at: u64,
     core_disturbed_at: u64,
     /// When an edge machine was started, stopped, or lost a process.
     edge_disturbed_at: BTreeMap<SocketAddr, u64>,
+    /// When an edge machine was stopped last.
+    edge_ended_at: BTreeMap<SocketAddr, u64>,
     /// When an edge machine stood still, or lacked a path to a controller that serves.
     edge_unreached_at: BTreeMap<SocketAddr, u64>,
     upstream_disturbed_at: BTreeMap<SocketAddr, u64>,
@@ -106,8 +115,10 @@
             frozen: BTreeMap::new(),
             voters: Vec::new(),
             voters_at: 0,
+            resolved_at: 0,
             core_disturbed_at: now,
             edge_disturbed_at: BTreeMap::new(),
+            edge_ended_at: BTreeMap::new(),
             edge_unreached_at: BTreeMap::new(),
             upstream_disturbed_at: BTreeMap::new(),
             last_subscriber: 0,
@@ -152,6 +163,10 @@
         self.take_outcomes();
         self.note_contact(now);
         self.check_balancers(now);
+        if now >= self.resolved_at + RESOLVE_MS {
+            self.resolved_at = now;
+            self.check_directory(now);
+        }
     }
 
     // Operators.
@@ -392,6 +407,7 @@
     pub fn stop_edge(&mut self, index: usize) {
         self.disturb_edge(index);
         let now = self.now();
+        self.edge_ended_at.insert(self.edges[index].address, now);
         let wishes = self.edges[index].stop_agent();
         self.grant(index, wishes);
         self.edges[index].stop_proxy(now);
@@ -612,6 +628,52 @@
         }
     }
 
+    /// No controller names a balancer that ended long ago beside a running one, cut off or not; one that serves names
+    /// those in touch.
+    fn check_directory(&mut self, now: u64) {
+        let serving = self.serving_controllers(now);
+        let is_core_calm = now > self.core_disturbed_at + CONTACT_MS;
+        for at in self.fleet.cluster.endpoints() {
+            let was_frozen = self.frozen.get(&at).is_some_and(|until| *until + NAMED_MS > now);
+            if was_frozen || !is_core_calm {
+                continue;
+            }
+            let Some(named) = self.named_by(now, at) else { continue };
+            let ended = |edge: &&Edge| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
+            if let Some(edge) = self.edges.iter().filter(ended).find(|edge| named.contains(&edge.address)) {
+                let problem = format!("{at} names edge {}, which ended long ago", edge.number);
+                self.problem(problem);
+            } else if named.is_empty() && serving.contains(&at) && self.is_near_one_in_touch(now) {
+                self.problem(format!("{at} names no balancer"));
+            }
+        }
+    }
+
+    /// Clients of an unknown host are sent to balancers of their own region alone.
+    fn is_near_one_in_touch(&self, now: u64) -> bool {
+        let mut near = self.edges.iter().filter(|edge| edge.place().1 == CLIENT_REGION);
+        near.any(|edge| self.is_in_touch(now, edge))
+    }
+
+    fn has_ended_since(&self, now: u64, edge: &Edge, span_ms: u64) -> bool {
+        self.edge_ended_at.get(&edge.address).is_none_or(|at| at + span_ms > now)
+    }
+
+    /// The answer of a running controller's directory.
+    fn named_by(&mut self, now: u64, at: SocketAddr) -> Option<Vec<SocketAddr>> {
+        let id = self.fleet.next_call();
+        let process = self.fleet.cluster.process_mut(at)?;
+        let actions =
+            process.controller.handle(now, Event::Call { id, call: resolve(CLIENT_REGION, CLIENT_ZONE) });
+        let [Action::Answer { response, .. }] = &actions[..] else { panic!("a question has one answer") };
+        if response.status != StatusCode::OK {
+            return Some(Vec::new());
+        }
+        let body = std::str::from_utf8(&response.body).expect("an answer is text");
+        let addresses = after(body, "[", ']').split(',').map(|address| address.trim_matches('"'));
+        Some(addresses.map(|address| address.parse().expect("an address")).collect())
+    }
+
     fn is_in_touch(&self, now: u64, edge: &Edge) -> bool {
         let disturbed_at = self.edge_disturbed_at.get(&edge.address).copied().unwrap_or(0);
         now > disturbed_at + CONTACT_MS && self.is_in_reach(now, edge)
