--- a/coordination/replica/tests/catch_up.rs
+++ b/coordination/replica/tests/catch_up.rs
@@ -17,7 +17,7 @@
 /// No write to a disk is larger, however long the disk stood still: what came together meanwhile is the state itself.
 const LARGEST_WRITE: usize = 2_000_000;
 /// Changes that are made while one is away, at least.
-const AWAY_CHANGES: usize = 150;
+const AWAY_CHANGES: usize = 300;
 
 fn wide() -> NetworkTiming {
     NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() }
