--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -36,6 +36,7 @@
 
 pub use application::{Answer, Application, Evaluation, RecordWrite};
 pub use durable::{DurableWrite, RecoverError};
+pub use entry::Origin;
 pub use laws::{AsDesigned, Laws};
 pub use message::{DecodeError, Message};
 pub use placement::{LossKind, Place, Tolerance};
--- a/coordination/replica/tests/common/mod.rs
+++ b/coordination/replica/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod changes;
 pub mod clients;
+pub mod faulty;
 pub mod history;
 pub mod node;
 pub mod schedule;
