Test of a second loss: whether the first is repaired is read at that moment

The state at the moment of the second loss decides now: noticed, and all voters in the chain of one board. Failed try: without the word noticed, a loss that nobody has seen yet counts as repaired.

--- a/coordination/replica/tests/repair.rs
+++ b/coordination/replica/tests/repair.rs
@@ -271,6 +271,12 @@
     }
 
     /// All replicas run, and the voters are as many as there should be, all of them in the chain.
+    fn newest_view(&self) -> u64 {
+        let endpoints = self.cluster.endpoints();
+        let numbers = endpoints.iter().filter_map(|at| self.cluster.process(*at));
+        numbers.map(|node| node.replica.view().number).max().unwrap_or(0)
+    }
+
     fn is_repaired(&self, voters: usize) -> bool {
         let endpoints = self.cluster.endpoints();
         let now = self.cluster.now();
@@ -301,12 +307,18 @@
     Ok(play.cluster.now() - begun)
 }
 
-/// Plays a case. A write must be possible in the end if `must_serve`; what was acknowledged is there in any case.
-/// Returns how long the write took.
-fn play(case: &Case, must_serve: bool) -> Result<Option<u64>, String> {
+/// Plays a case; what was acknowledged is there in any case. A write must be possible in the end unless, of disks of which
+/// one may be lost, a second one is lost before the first loss is repaired. Returns how long the write took.
+fn play(case: &Case) -> Result<Option<u64>, String> {
     let mut play = Play::start(case);
+    let view_before = play.newest_view();
     play.lose_first(case.repair, endpoint(case.first));
     play.pass(case.offset);
+    let loses_disk = matches!(case.second, Second::Wiped | Second::SuccessorLost);
+    // Before it is noticed, a loss looks like a repaired one.
+    let is_noticed = play.newest_view() > view_before;
+    let is_repaired = is_noticed && play.is_repaired(2 * case.tolerated_losses + 1);
+    let must_serve = case.tolerated_losses > 1 || !loses_disk || is_repaired;
     play.lose_second(case.second, endpoint(case.other));
     play.pass(BACK_AFTER + LEAVING_FOR + SUCCESSOR_AFTER);
     let at = play.cluster.endpoints()[0];
@@ -358,7 +370,7 @@
         {
             stagger = (stagger + STAGGER) % step;
             for offset in (stagger..WINDOW).step_by(step as usize) {
-                swept.add(&Case { second, other, offset, ..case }, repaired_after);
+                swept.add(&Case { second, other, offset, ..case });
             }
         }
     }
@@ -367,11 +379,8 @@
 }
 
 impl Swept {
-    fn add(&mut self, case: &Case, repaired_after: u64) {
-        // Of three disks one at a time may be lost.
-        let loses_disk = matches!(case.second, Second::Wiped | Second::SuccessorLost);
-        let must_serve = case.tolerated_losses > 1 || !loses_disk || case.offset >= repaired_after;
-        let took = play(case, must_serve).unwrap_or_else(|fault| panic!("{fault}"));
+    fn add(&mut self, case: &Case) {
+        let took = play(case).unwrap_or_else(|fault| panic!("{fault}"));
         self.plays += 1;
         self.stopped += usize::from(took.is_none());
         self.longest_write = self.longest_write.max(took.unwrap_or(0));
