--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -10,7 +10,7 @@
 use whinspindle_controller::api::Call;
 use whinspindle_distribution::{Report, SubscriberId, Update, Versions};
 
-/// The newest instances that a balancer was sent, as ids and whether they drain.
+/// The newest instances that a balancer was sent, as ids and whether they drain or have ended.
 fn instances_sent(single: &Single) -> Vec<(String, bool)> {
     let sent = single.updates.iter().rev().find_map(|(_, update)| update.instances.as_ref());
     let list = sent.map(|instances| instances.list.as_slice()).unwrap_or_default();
@@ -103,6 +103,20 @@
     assert_eq!(single.evacuation_status("zone-a", true), StatusCode::OK);
 }
 
+#[test]
+fn the_status_counts_how_orders_were_answered() {
+    let mut single = Single::settled();
+    assert_eq!(single.status(replace(0, 3)), StatusCode::OK);
+    assert_eq!(single.status(replace(0, 4)), StatusCode::PRECONDITION_FAILED);
+    assert_eq!(single.status(replace(3, 3)), StatusCode::OK, "the same bytes as before");
+    single.call(replace(8, 9));
+    single.pass(1_000);
+    let id = single.call(Call::Status);
+    let status = single.answer(id).expect("the status is told at once").body.clone();
+    let expected = "\"orders_confirmed\":2,\"orders_refused\":1,\"orders_unclear\":1";
+    assert!(String::from_utf8_lossy(&status).contains(expected), "{status:?}");
+}
+
 /// A request that was held up on its way arrives together with the end of its connection, after newer orders.
 #[test]
 fn an_evacuation_order_whose_caller_has_gone_is_not_given() {
@@ -215,9 +229,17 @@
     single.call(heartbeat("i-1", 1, Ready));
     single.call(heartbeat("i-2", 1, Ready));
     assert_eq!(single.status(deregister("i-1")), StatusCode::OK);
-    assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+    // Its end is told for a while: a balancer that was out of contact may hold it as ready.
+    let told = [("i-2".to_owned(), false), ("i-1".to_owned(), true)];
+    assert_eq!(instances_sent(&single), told);
     assert_eq!(single.status(heartbeat("i-1", 2, Ready)), StatusCode::OK, "a late heartbeat");
-    assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+    assert_eq!(instances_sent(&single), told);
+    for beat in 2..33 {
+        single.pass(1_000);
+        single.call(heartbeat("i-2", beat, Ready));
+    }
+    single.call(heartbeat("i-3", 1, Ready));
+    assert_eq!(instances_sent(&single), [("i-2".to_owned(), false), ("i-3".to_owned(), false)]);
 }
 
 #[test]
