Proxy: no stream to a client of HTTP/1.0, whatever the route

A stream's end can't be told from its break there. Routes of the kind streaming were guarded; on others an upstream that answers with a stream had it passed on, and a break looked like an end. Such a request may have run: 502. The test fails without the change.

--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -73,6 +73,7 @@
     busy.set_answer_due(exchange.due());
     match exchange.open(None).await {
         Ok(Opened::Whole(whole)) => Ok(whole.map(AnswerBody::whole)),
+        Ok(Opened::Stream(_)) if version == Version::HTTP_10 => Err(OwnAnswer::BadGateway),
         Ok(Opened::Stream(open)) => {
             let (head, stream) = StreamAnswer::begin(exchange, *open);
             Ok(Response::from_parts(head, AnswerBody::stream(stream)))
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -175,6 +175,28 @@
     }
 }
 
+#[test]
+fn a_stream_goes_to_no_client_that_could_not_tell_its_end() {
+    let stamp = format!("Whinspindle-Server-Stamp: {STAMP}\r\nContent-Type: text/event-stream\r\n");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nWhinspindle-Request-Id: {{id}}\r\n{stamp}Transfer-Encoding: chunked\r\n\r\n"
+    );
+    let event = common::event(1);
+    for path in ["/safe/x", "/unsafe/x", "/stream/x"] {
+        play(async {
+            let world = World::new();
+            world.upstreams.otherwise(vec![
+                write(format!("{head}{:x}\r\n{event}\r\n", event.len())),
+                Step::Wait(MOMENT),
+                Step::Close,
+            ]);
+            let got = world.ask(&post(path).replace("HTTP/1.1", "HTTP/1.0")).await;
+            assert!(matches!(status(&got), 502 | 505), "{path}: {got}");
+            assert_eq!(body(&got), "", "{path}");
+        });
+    }
+}
+
 #[test]
 fn requests_at_once_are_answered_in_their_order() {
     play(async {
