Proxy: a stream that moved for silence in vain stays open until its time

Cause: a silent resumable stream leaves its upstream for another one; where that one did not take it either, the answer was cut at once, seconds before its time. Silence of an upstream is no reason to end an answer sooner. Change: such an answer stays open until its time is over or its client leaves; a stream that broke is still cut at once. Test: a_stream_that_moved_for_silence_in_vain_is_not_cut_before_its_time, seen to fail without the change.

--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -40,6 +40,8 @@
 enum State {
     Flowing(Box<Flow>),
     Resuming(Pin<Box<dyn Future<Output = Resumed>>>),
+    /// No upstream has taken up a stream that moved for silence alone: silence is no reason to end it before its time.
+    Abandoned,
     /// What has been handed on is to be written, and then the client's connection is to be cut.
     Flushing,
     Cut,
@@ -63,6 +65,8 @@
     due: Pin<Box<Sleep>>,
     /// Ends when the stream has been silent for too long; only where it may move.
     silence: Option<Silence>,
+    /// The resumption under way follows a silence, not a break.
+    moved_for_silence: bool,
 }
 
 struct Silence {
@@ -108,7 +112,10 @@
             Some(run) => State::Flowing(Box::new(Flow { exchange, run })),
             None => State::Ended,
         };
-        (open.head, StreamAnswer { node, state, ready: open.first, position, due, silence })
+        (
+            open.head,
+            StreamAnswer { node, state, ready: open.first, position, due, silence, moved_for_silence: false },
+        )
     }
 
     /// Nothing more follows.
@@ -137,6 +144,10 @@
                 State::Cut => return Poll::Ready(Some(Err(StreamCut::Broken))),
                 State::Flowing(flow) => ready!(self.poll_flow(flow, cx)),
                 State::Resuming(resuming) => ready!(self.poll_resuming(resuming, cx)),
+                State::Abandoned => {
+                    self.state = State::Abandoned;
+                    return Poll::Pending;
+                }
             };
             if !events.is_empty() {
                 return Poll::Ready(Some(Ok(events)));
@@ -215,10 +226,10 @@
             return Poll::Pending;
         };
         let Ok(Opened::Stream(open)) = resumed else {
-            self.node.tally.note(Event::StreamCut);
-            self.state = State::Flushing;
+            self.give_up_resuming();
             return Poll::Ready(Bytes::new());
         };
+        self.moved_for_silence = false;
         self.node.tally.note(Event::StreamResumed);
         self.note_events();
         if let Some(run) = open.run {
@@ -228,6 +239,16 @@
         Poll::Ready(open.first)
     }
 
+    /// What comes after a resumption that no upstream took.
+    fn give_up_resuming(&mut self) {
+        if self.moved_for_silence {
+            self.state = State::Abandoned;
+            return;
+        }
+        self.node.tally.note(Event::StreamCut);
+        self.state = State::Flushing;
+    }
+
     fn note_events(&mut self) {
         if let Some(silence) = &mut self.silence {
             silence.last_event = Instant::now();
@@ -248,6 +269,7 @@
     /// Ends a run and asks another upstream for what follows.
     fn move_on(&mut self, flow: Box<Flow>, chosen: Option<Chosen>) {
         let Flow { mut exchange, mut run } = *flow;
+        self.moved_for_silence = chosen.is_some();
         run.sent.finish(Outcome::Broken);
         // The old run must not go on beside the new one.
         drop(run);
--- a/dataplane/proxy/tests/rules.rs
+++ b/dataplane/proxy/tests/rules.rs
@@ -421,3 +421,19 @@
         assert_eq!(chunks(&got), (event(1) + &event(2), true));
     });
 }
+
+#[test]
+fn a_stream_that_moved_for_silence_in_vain_is_not_cut_before_its_time() {
+    play(async {
+        let world = World::new();
+        world.upstreams.script(vec![versioned_head("first", 7), chunk(&event(1)), Step::Hang]);
+        // The other one breaks off as well.
+        world.upstreams.script(vec![Step::Close]);
+        let start = Instant::now();
+        let got = ask_to_the_end(&world, &patient("/resumable/x", 6_000)).await;
+        let held = start.elapsed();
+        assert_eq!(world.upstreams.requests().len(), 2);
+        assert_eq!(chunks(&got), (event(1), false));
+        assert!(held >= Duration::from_millis(5_900) && held < Duration::from_millis(6_000), "{held:?}");
+    });
+}
