--- a/controlplane/controller/tests/heartbeats.rs
+++ b/controlplane/controller/tests/heartbeats.rs
@@ -7,15 +7,26 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use whinspindle_configuration::InstanceState::{Draining, Ready};
 use whinspindle_controller::api::Call;
+use whinspindle_distribution::Instance;
 
 /// An instance reads no longer answer than this.
 const LONGEST_ANSWER_BYTES: usize = 4096;
 
+fn list_sent(single: &Single) -> &[Instance] {
+    let sent = single.updates.iter().rev().find_map(|(_, update)| update.instances.as_ref());
+    sent.map(|instances| instances.list.as_slice()).unwrap_or_default()
+}
+
 /// What balancers were told last: ids, and whether they drain.
 fn instances_sent(single: &Single) -> Vec<(String, bool)> {
-    let sent = single.updates.iter().rev().find_map(|(_, update)| update.instances.as_ref());
-    let list = sent.map(|instances| instances.list.as_slice()).unwrap_or_default();
-    list.iter().map(|instance| (instance.id.clone(), instance.draining)).collect()
+    let listed = list_sent(single).iter().filter(|instance| !instance.is_ended());
+    listed.map(|instance| (instance.id.clone(), instance.draining)).collect()
+}
+
+/// Of which instances balancers were told last that they have ended.
+fn ends_sent(single: &Single) -> Vec<String> {
+    let ended = list_sent(single).iter().filter(|instance| instance.is_ended());
+    ended.map(|instance| instance.id.clone()).collect()
 }
 
 fn settled_with_a_balancer() -> Single {
@@ -45,10 +56,12 @@
     single.status(heartbeat("i-2", 1, Ready));
     assert_eq!(single.status(deregister("i-1")), StatusCode::OK);
     assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+    assert_eq!(ends_sent(&single), ["i-1"]);
     for (sequence, state) in [(2, Ready), (9, Ready), (10, Draining)] {
         assert_eq!(single.status(heartbeat("i-1", sequence, state)), StatusCode::OK);
         single.pass(500);
         assert_eq!(instances_sent(&single), [("i-2".to_owned(), false)]);
+        assert_eq!(ends_sent(&single), ["i-1"]);
     }
     assert_eq!(single.status(deregister("i-1")), StatusCode::OK, "sent again");
 }
