--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -56,7 +56,7 @@
     UnknownPath,
     #[snafu(display("this path takes another method"))]
     WrongMethod,
-    #[snafu(display("the header Whinspindle-Base-Version must hold a whole number"))]
+    #[snafu(display("the header Whinspindle-Base-Version must stand once and hold a whole number"))]
     BaseVersion,
     #[snafu(display("invalid configuration: {source}"))]
     InvalidConfiguration { source: ConfigurationError },
