--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -19,8 +19,8 @@
 
 use super::{HEARTBEAT_MS, zones};
 
-/// The seeds are the first so many controllers.
-const SEEDS: u8 = 3;
+/// The seeds are the first so many controllers that there are.
+pub const SEEDS: usize = 3;
 /// A caller takes a controller for silent after this time.
 const PATIENCE_MS: u64 = 1_000;
 /// The token of writes that the replica didn't order.
@@ -37,6 +37,7 @@
 pub enum Command {
     Call { id: CallId, call: Call },
     Report { subscriber: SubscriberId, report: Report },
+    Closed { subscriber: SubscriberId },
     Leave,
 }
 
@@ -77,6 +78,9 @@
             Happening::Command(Command::Report { subscriber, report }) => {
                 self.controller.handle(now, Event::Report { subscriber, report })
             }
+            Happening::Command(Command::Closed { subscriber }) => {
+                self.controller.handle(now, Event::SubscriberClosed { subscriber })
+            }
             Happening::Command(Command::Leave) => self.controller.handle(now, Event::Leave),
             Happening::Persisted { token: COMPACTION } | Happening::PersistFailed { token: COMPACTION } => {
                 self.controller.handle(now, Event::Compacted)
@@ -150,7 +154,7 @@
         endpoint: start.endpoint,
         zone: zone.clone(),
         region: region.clone(),
-        seeds: (1..=SEEDS).map(endpoint).collect(),
+        seeds: start.nodes.iter().copied().take(SEEDS).collect(),
         bootstrap: start.is_founding,
         birth: start.chance,
         start: start.chance,
@@ -206,6 +210,8 @@
         let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), starter);
         for number in 1..=count {
             cluster.add(endpoint(number), true);
+        }
+        for number in 1..=count {
             cluster.start(endpoint(number));
         }
         let mut fleet = Fleet {
@@ -330,7 +336,8 @@
         }
     }
 
-    fn send_waiting(&mut self) {
+    /// Sends the calls of which no answer is awaited.
+    pub fn send_waiting(&mut self) {
         let now = self.cluster.now();
         let endpoints = self.cluster.endpoints();
         for index in 0..self.attempts.len() {
@@ -351,7 +358,8 @@
         self.attempts[attempt].waiting = running.then_some((id, self.cluster.now()));
     }
 
-    fn take(&mut self, at: u64, answer: Answer) {
+    /// Takes what a controller has answered or sent.
+    pub fn take(&mut self, at: u64, answer: Answer) {
         match answer {
             Answer::Response { id, response } => self.answered(at, id, response),
             Answer::Update { subscriber, update } => {
@@ -377,7 +385,7 @@
         }
     }
 
-    fn next_call(&mut self) -> CallId {
+    pub fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         CallId(self.last_call)
     }
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -207,6 +207,7 @@
         let voters = view.boards.last().map(Vec::as_slice).unwrap_or_default();
         let places: Vec<Place> = voters.iter().filter_map(|voter| place(*voter)).collect();
         let are_known = !places.is_empty() && places.iter().all(Place::is_known);
+        let places: Vec<&Place> = places.iter().collect();
         if are_known { fatal_losses(&places, self.settings.tolerance) } else { Vec::new() }
     }
 
@@ -377,7 +378,11 @@
         reports: &BTreeMap<Voter, Report>,
     ) -> Vec<(Voter, Standing)> {
         let is_silent = |voter: &Voter| found.position(*voter).is_none() && !reports.contains_key(voter);
+        let me = self.me();
         let standing = |voter: Voter| {
+            if me == Some(voter) {
+                return Some((voter, Standing::new(self.report(), self.is_leaving)));
+            }
             let heartbeat = self.peers.well(now, found, voter)?;
             let endpoint = found.endpoint(voter)?;
             let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
