A thawed controller counts its time without a majority anew

Fault: a controller that was frozen for over 8 s answered the first balancer that spoke to it, in the moment of its waking, with the records of before: it still counted as in a quorum until the next tick, and the time of the freeze counted as time alone. Found by review; a_balancer_that_is_the_first_to_speak_to_a_thawed_controller_is_told_nothing_old failed before.

Change: after a pause of over 900 ms the controller is in no quorum, and its 8 s alone begin anew. The distrust of 1 s after a pause goes: since replicas count contact from the sending of the heartbeat that was answered, it held nothing any more (cut_off.rs passed without it).

--- a/controlplane/controller/src/contact.rs
+++ b/controlplane/controller/src/contact.rs
@@ -1,13 +1,12 @@
 //! Contact with a majority of the controllers: whether what is known here may be handed out as the newest.
 
-/// A process that was not run for this long may have been left behind: the others suspect it by then.
-const PAUSE_MS: u64 = 900;
-/// After such a pause no contact counts for this long: what arrives first was sent during the pause.
-const DISTRUST_MS: u64 = 1_000;
 /// Without a quorum for this long, balancers that have nothing are told what is known here. By then those that reach a
 /// controller in a quorum have found it.
 const ALONE_MS: u64 = 8_000;
 
+/// A process that was not run for this long starts to count anew: the others may have gone on meanwhile.
+const PAUSE_MS: u64 = 900;
+
 /// What the replica says of its own standing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
@@ -21,11 +20,10 @@
 #[derive(Debug)]
 pub struct Contact {
     in_quorum: bool,
-    /// When there was a quorum last; the start before there was one.
+    /// When there was a quorum last, or the process started or went on after a pause, if that was later.
     alone_since: u64,
     has_had_quorum: bool,
     awake_at: u64,
-    distrusted_until: u64,
     /// The newest position that another controller or a balancer has spoken of.
     newest_mentioned: u64,
 }
@@ -38,7 +36,6 @@
             alone_since: now,
             has_had_quorum: false,
             awake_at: now,
-            distrusted_until: now,
             newest_mentioned: 0,
         }
     }
@@ -47,7 +44,7 @@
     pub fn awake(&mut self, now: u64) {
         if now > self.awake_at + PAUSE_MS {
             self.in_quorum = false;
-            self.distrusted_until = now + DISTRUST_MS;
+            self.alone_since = now;
         }
         self.awake_at = now;
     }
@@ -55,7 +52,7 @@
     /// Takes the replica's standing. A quorum that was lost counts again only once nothing is missing here.
     pub fn observe(&mut self, now: u64, standing: Standing) {
         let is_current = self.in_quorum || !standing.is_behind;
-        self.in_quorum = standing.in_quorum && is_current && now >= self.distrusted_until;
+        self.in_quorum = standing.in_quorum && is_current;
         if self.in_quorum {
             self.alone_since = now;
             self.has_had_quorum = true;
--- a/controlplane/controller/tests/cut_off.rs
+++ b/controlplane/controller/tests/cut_off.rs
@@ -195,6 +195,23 @@
     }
 }
 
+#[test]
+fn a_balancer_that_is_the_first_to_speak_to_a_thawed_controller_is_told_nothing_old() {
+    let mut fleet = Fleet::start(6, 3);
+    fleet.complete(replace(0, 1), ORDER_MS);
+    fleet.pass(1_000);
+    let thaws_at = fleet.cluster.now() + CUT_MS;
+    fleet.cluster.freeze(endpoint(3), thaws_at + 1);
+    fleet.pass(3_000);
+    fleet.complete(replace(1, 2), ORDER_MS);
+    fleet.pass(thaws_at - fleet.cluster.now());
+    // Its report is read before the frames of the other controllers, and before the first tick.
+    fleet.cluster.freeze(endpoint(3), thaws_at);
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    fleet.pass(6_000);
+    assert_eq!(sent_configurations(&fleet, 30), [configuration(2)]);
+}
+
 #[test]
 fn orders_and_departures_in_the_moment_of_the_return_have_one_outcome() {
     for seed in 0..10 {
