--- a/coordination/replica/tests/search.rs
+++ b/coordination/replica/tests/search.rs
@@ -3,7 +3,8 @@
 
 mod common;
 
-use common::schedule::{Schedule, play};
+use common::node::Moment;
+use common::schedule::{Fault, Schedule, Step, Trigger, play};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use whinspindle_replica::AsDesigned;
 
@@ -45,3 +46,30 @@
 fn three_voters_with_two_learners_bear_any_schedule() {
     search(|schedule| holds(schedule, 5, 1));
 }
+
+/// Found by the drawn schedules: a voter that had promised and was replaced before the round came to its end took the
+/// chain for sealed for ever, and forwarded no commands.
+#[test]
+fn one_that_votes_no_more_forwards_commands_in_spite_of_an_old_promise() {
+    let step = |wait, fault| Step { wait, trigger: None, fault };
+    let at = |wait, moment, strikes_there, fault| Step {
+        wait,
+        trigger: Some(Trigger { moment, strikes_there }),
+        fault,
+    };
+    let schedule = Schedule {
+        seed: 937_244_104_666,
+        has_calm_losses: false,
+        loss: 0,
+        longest_delay: 2,
+        is_busy: true,
+        steps: vec![
+            step(873, Fault::Stop(1)),
+            step(1_183, Fault::Split(4)),
+            at(207, Moment::Accept, false, Fault::Start(1)),
+            step(15, Fault::Deafen(1)),
+            at(168, Moment::Prepare, true, Fault::Deafen(3)),
+        ],
+    };
+    play::<AsDesigned>(&schedule, 5, 1).unwrap();
+}
