Replica tests: voters replaced without joint majorities planted, and found

Votes of the new voters alone, in one step: a learner takes a lost voter's place by a round that the head has no part in but its promise; then the head and the voter that is back agree on another view with the same number. 100 seeds hold with the laws as designed.

--- a/coordination/replica/tests/planted.rs
+++ b/coordination/replica/tests/planted.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use common::faulty::{
-    Credulous, Forgetful, Gullible, Hasty, Lonely, Oblivious, Premature, Reborn, Stale, Timeless,
+    Credulous, Disjoint, Forgetful, Gullible, Hasty, Lonely, Oblivious, Premature, Reborn, Stale, Timeless,
 };
-use common::node::{Moment, cluster, endpoint};
+use common::node::{Moment, Node, cluster, endpoint};
 use common::schedule::{Fault, Schedule, Step, Trigger, play};
-use whinspindle_lab_cluster::NetworkTiming;
-use whinspindle_replica::{AsDesigned, Laws};
+use whinspindle_lab_cluster::{Cluster, NetworkTiming};
+use whinspindle_replica::{AsDesigned, Laws, View};
 
 /// A schedule is played with so many seeds at most.
 const SEEDS: u64 = 100;
@@ -196,3 +196,40 @@
     assert!(!(0..SEEDS).any(claims_old_contact::<AsDesigned>));
     assert!((0..SEEDS).any(claims_old_contact::<Credulous>));
 }
+
+/// Whether two replicas know different views by one number after this: a voter is down, and a learner takes its place by
+/// a round that the head has no part in but its promise. Then the head hears no more of the others, but of the old voter
+/// again; together they are a majority of the old voters.
+fn agrees_on_two_views<L: Laws + 'static>(seed: u64) -> bool {
+    let mut cluster = cluster::<L>(seed, 4, 1, NetworkTiming::default());
+    let [head, tail, lost, learner] = [0, 1, 2, 3].map(endpoint);
+    cluster.run_until(cluster.now() + 1_500);
+    cluster.stop(lost);
+    cluster.run_until(cluster.now() + 300);
+    // The head does not know of the learner, so that the other one begins the round.
+    cluster.cut(learner, head);
+    cluster.run_until(cluster.now() + 1_300);
+    let promises = |cluster: &Cluster<Node<L>>| cluster.process(head).map(|node| node.count(Moment::Prepare));
+    let before = promises(&cluster);
+    let is_asked = (0..3_000).any(|_| {
+        cluster.run_until(cluster.now() + 1);
+        promises(&cluster) != before
+    });
+    assert!(is_asked, "no round begins");
+    for (from, to) in [(tail, head), (tail, lost), (lost, tail), (lost, learner), (learner, lost)] {
+        cluster.cut(from, to);
+    }
+    cluster.start(lost);
+    (0..150).any(|_| {
+        cluster.run_until(cluster.now() + 10);
+        let nodes = cluster.endpoints().into_iter().filter_map(|at| cluster.process(at));
+        let views: Vec<&View> = nodes.map(|node| node.replica.view()).collect();
+        views.iter().any(|one| views.iter().any(|other| one.number == other.number && one != other))
+    })
+}
+
+#[test]
+fn voters_that_are_replaced_without_joint_majorities_are_found() {
+    assert!(!(0..SEEDS).any(agrees_on_two_views::<AsDesigned>));
+    assert!((0..SEEDS).any(agrees_on_two_views::<Disjoint>));
+}
