--- a/dataplane/proxy/tests/rules.rs
+++ b/dataplane/proxy/tests/rules.rs
@@ -1,5 +1,5 @@
 //! What clients, upstreams and the platform count on, held under the order of events that tries it.
-//! `docs/safety/rules.md` names the test for each rule.
+//! `docs/control-plane-safety.md` (section 8) names the test for each rule.
 
 #[allow(dead_code)] // Each test file uses a part of it.
 mod common;
