A directory of its own, one a zone, before up to five controllers a zone

Cause: clients ask the nearest three machines that serve the directory, a second each.

Change: the directory is a program of its own, one a zone, which carries connections to the controller of its machine, else to a seed.

--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -19,4 +19,4 @@
 
 pub use controller::{Action, Controller, ControllerSettings, Event};
 pub use pending::CallId;
-pub use shell::{ControllerError, DiskError, ListenError, run};
+pub use shell::{ControllerError, DiskError, ListenError, run, run_directory};
--- a/controlplane/controller/src/shell.rs
+++ b/controlplane/controller/src/shell.rs
@@ -9,9 +9,11 @@
 mod outbox;
 mod peers;
 mod program;
+mod relay;
 mod reported;
 mod shared_folder;
 
 pub use disk::DiskError;
 pub use listen::ListenError;
 pub use program::{ControllerError, run};
+pub use relay::run_directory;
--- a/controlplane/controller/src/shell/program.rs
+++ b/controlplane/controller/src/shell/program.rs
@@ -31,16 +31,19 @@
 
 const TICK: Duration = Duration::from_millis(50);
 /// After a signal to stop, callers are served for this time, so that they find another controller meanwhile.
-const LAST_SERVICE: Duration = Duration::from_millis(400);
+pub(super) const LAST_SERVICE: Duration = Duration::from_millis(400);
 /// The process ends at most this much later, also with calls under way.
 const LAST_CALLS: Duration = Duration::from_millis(1_200);
 const LAST_CALLS_CHECK: Duration = Duration::from_millis(50);
 
 /// Why the controller could not run.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum ControllerError {
     #[snafu(display("the settings name no data_dir"))]
     NoDataDirectory,
+    #[snafu(display("the settings name no directory address to listen on"))]
+    NoDirectoryAddress,
     #[snafu(display("{source}"))]
     Listen { source: ListenError },
     #[snafu(display("{source}"))]
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -13,8 +13,8 @@
 const DEFAULT_SETTINGS: &str = "/etc/whinspindle/boot.json";
 
 /// The first arguments that this crate handles.
-pub const COMMANDS: [&str; 8] =
-    ["proxy", "agent", "controller", "status", "members", "config", "evacuate", "serving-help"];
+pub const COMMANDS: [&str; 9] =
+    ["proxy", "agent", "controller", "directory", "status", "members", "config", "evacuate", "serving-help"];
 
 /// What `whinspindle serving-help` prints.
 pub const HELP: &str = "\
@@ -22,6 +22,7 @@
   whinspindle proxy       carries clients' requests to upstreams
   whinspindle agent       links the proxy of its machine to the control plane
   whinspindle controller  keeps the configuration, the upstreams and the balancers; answers operators and clients
+  whinspindle directory   carries clients' questions where to connect to the controller of its machine
       --settings FILE     settings of the process (else $WHINSPINDLE_CONFIG, else /etc/whinspindle/boot.json)
       --log-level LEVEL   error, warn, info or debug; info by default
 
@@ -50,6 +51,7 @@
     Proxy,
     Agent,
     Controller,
+    Directory,
 }
 
 /// A daemon's start.
@@ -110,6 +112,7 @@
         Some("proxy") => daemon(Program::Proxy, &mut arguments)?,
         Some("agent") => daemon(Program::Agent, &mut arguments)?,
         Some("controller") => daemon(Program::Controller, &mut arguments)?,
+        Some("directory") => daemon(Program::Directory, &mut arguments)?,
         Some("status") => Command::Operator(OperatorCommand::Status { control: control(&mut arguments)? }),
         Some("members") => Command::Operator(OperatorCommand::Members { control: control(&mut arguments)? }),
         Some("config") => config(&mut arguments)?,
--- a/programs/serving/src/daemon.rs
+++ b/programs/serving/src/daemon.rs
@@ -60,6 +60,9 @@
             Program::Proxy => whinspindle_proxy::run(settings).await.context(ProxySnafu),
             Program::Agent => whinspindle_agent::run(settings).await.context(AgentSnafu),
             Program::Controller => whinspindle_controller::run(settings).await.context(ControllerSnafu),
+            Program::Directory => {
+                whinspindle_controller::run_directory(settings).await.context(ControllerSnafu)
+            }
         }
     })
 }
--- a/programs/serving/tests/command_line.rs
+++ b/programs/serving/tests/command_line.rs
@@ -24,9 +24,12 @@
 
 #[test]
 fn each_daemon_has_its_name() {
-    for (name, program) in
-        [("proxy", Program::Proxy), ("agent", Program::Agent), ("controller", Program::Controller)]
-    {
+    for (name, program) in [
+        ("proxy", Program::Proxy),
+        ("agent", Program::Agent),
+        ("controller", Program::Controller),
+        ("directory", Program::Directory),
+    ] {
         let Command::Daemon(daemon) = parsed(name).unwrap() else { panic!("{name} is a daemon") };
         assert_eq!((daemon.program, daemon.log_level), (program, LogLevel::Info));
     }
