Even draws of the parts of a split; answers out before the last sixth of a short grace

Tests seen to fail with independent draws, with resting or cold parts left out, and with 0.4 s for any grace. The proxy ends its listener by the sockets crate's drain, of which it had a copy.

--- a/dataplane/proxy/src/clients.rs
+++ b/dataplane/proxy/src/clients.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -16,7 +15,7 @@
 use hyper::server::conn::http1::{Builder, Connection};
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -278,7 +277,7 @@
             () = &mut accepting_ends => break,
         }
     }
-    for socket in end_of(listener) {
+    for socket in whinspindle_sockets::drain(listener) {
         clients.serve(&node, accepted(socket));
     }
     finish(&node, &clients).await;
@@ -291,20 +290,6 @@
     clients.all_ended().await;
 }
 
-/// Ends the listener; returns whom the system has connected already, since what they send counts as taken. The socket
-/// itself is asked until it has no more.
-fn end_of(listener: TcpListener) -> Vec<TcpStream> {
-    let accept = |listener: &std::net::TcpListener| -> io::Result<TcpStream> {
-        let (socket, _) = listener.accept()?;
-        socket.set_nonblocking(true)?;
-        TcpStream::from_std(socket)
-    };
-    match listener.into_std() {
-        Ok(listener) => std::iter::from_fn(|| accept(&listener).ok()).collect(),
-        Err(_) => Vec::new(),
-    }
-}
-
 async fn serve_connection(clients: &Rc<Clients>, node: &Rc<Node>, client: &Rc<Client>, socket: BoxedSocket) {
     let (watched, watching, shared) = (Rc::clone(client), Rc::clone(clients), Rc::clone(node));
     let service = service_fn(move |request: Request<Incoming>| {
--- a/dataplane/proxy/src/stop.rs
+++ b/dataplane/proxy/src/stop.rs
@@ -15,6 +15,8 @@
 const STILL_ACCEPTING: Duration = LAST_REQUESTS.saturating_sub(REQUEST_WAY);
 /// What the last answers need to reach their clients.
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// They get no more than this part of the grace: what upstreams answer before its last sixth has to go out whole.
+const LAST_ANSWERS_PART: u32 = 12;
 
 /// When things end after the order to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,7 +32,7 @@
     pub fn of(grace: Duration) -> Self {
         StopTimes {
             accepting: STILL_ACCEPTING.min(grace * 3 / 8),
-            answering: grace.saturating_sub(LAST_ANSWERS),
+            answering: grace.saturating_sub(LAST_ANSWERS.min(grace / LAST_ANSWERS_PART)),
         }
     }
 }
--- a/dataplane/proxy/tests/limits.rs
+++ b/dataplane/proxy/tests/limits.rs
@@ -67,3 +67,13 @@
         assert!(times.accepting + SOON < Duration::from_secs(3), "{times:?}");
     }
 }
+
+#[test]
+fn what_an_upstream_has_answered_before_the_last_sixth_of_the_grace_still_goes_to_its_client() {
+    for grace_ms in [500, 1000, 2000, 2300, 4000, 8000, 30_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let times = StopTimes::of(grace);
+        let way_to_the_client = grace / 24;
+        assert!(times.answering >= grace * 5 / 6 + way_to_the_client, "{grace:?}: {times:?}");
+    }
+}
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod catalogue;
 mod cold;
+mod even_draw;
 mod health;
 mod home;
 mod instance;
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -13,6 +13,7 @@
 use crate::balancer_count::BalancerCount;
 use crate::catalogue::{Catalogue, RegionId, RoutePlan, ServiceId};
 use crate::cold::ColdPace;
+use crate::even_draw::EvenDraw;
 use crate::instance::InstanceState;
 use crate::region::CHECK_MS;
 use crate::service::{Place, Service};
@@ -84,6 +85,8 @@
     regions_with_balancers: usize,
     chance: Pcg,
     catalogue: Catalogue,
+    /// Draws the services of split routes, by the number of the route.
+    draws: HashMap<usize, EvenDraw>,
     services: Vec<Service>,
     /// The newest key for each id, and the service of each key.
     keys: HashMap<String, InstanceKey>,
@@ -111,6 +114,7 @@
             home,
             regions_with_balancers,
             catalogue,
+            draws: HashMap::new(),
             services: Vec::new(),
             keys: HashMap::new(),
             service_of: HashMap::new(),
@@ -185,7 +189,8 @@
     }
 
     /// Draws the service of a request by the route's weights: an index into the services of the newest configuration.
-    /// A service without any instance that may be sent to is left out while there is another.
+    /// A service without any instance that may be sent to is left out while there is another; one whose instances turn
+    /// requests away, are cold or rest keeps its share.
     pub fn draw_service(&mut self, route: usize) -> usize {
         let Some(plan) = self.catalogue.newest_route(route) else { return 0 };
         if let [(index, _, _)] = plan.backends.as_slice() {
@@ -195,7 +200,9 @@
         let able = |&(_, id, weight): &(usize, ServiceId, f64)| if has_instances(id) { weight } else { 0.0 };
         let able: Vec<f64> = plan.backends.iter().map(able).collect();
         let all: Vec<f64> = plan.backends.iter().map(|backend| backend.2).collect();
-        let drawn = self.chance.pick(&able).or_else(|| self.chance.pick(&all)).unwrap_or(0);
+        let begin = || EvenDraw::beginning_by_chance(&mut self.chance);
+        let draw = self.draws.entry(route).or_insert_with(begin);
+        let drawn = draw.pick(&able).or_else(|| draw.pick(&all)).unwrap_or(0);
         plan.backends.get(drawn).map_or(0, |backend| backend.0)
     }
 
--- a/dataplane/routing/tests/ordinary_path.rs
+++ b/dataplane/routing/tests/ordinary_path.rs
@@ -6,6 +6,7 @@
 
 use common::*;
 use whinspindle_configuration::{Backend, RouteKind};
+use whinspindle_distribution::Instance;
 use whinspindle_routing::{Choice, Outcome, RequestFacts, Router, RouterSettings};
 
 /// Parts of sends by region; each is answered after the time that its region takes.
@@ -233,6 +234,75 @@
     assert!((0..200).all(|_| router.draw_service(0) == 0), "a service without instances is left out");
 }
 
+/// A router with one route split between two services with one instance each; the second instance may be cold.
+fn split_router(seed: u64, weights: [f64; 2], second_cold_ms: u64) -> Router {
+    let mut split = route("r", RouteKind::Unsafe);
+    split.backends =
+        vec![Backend { service: 0, weight: weights[0] }, Backend { service: 1, weight: weights[1] }];
+    let services = vec![service("one", 0.0), service("two", 5.0)];
+    let mut router = Router::new(settings("a", seed), 0);
+    router.configure(0, &configuration(GENERATION, vec![split], services));
+    let one = Instance { service: "one".into(), ..instance(1, "za") };
+    let two = Instance { service: "two".into(), cold_ms: second_cold_ms, ..instance(2, "za") };
+    router.instances(0, &list(vec![one, two]));
+    router.fleet(0, &fleet(30, vec![]));
+    router
+}
+
+/// Seeds that have as little to do with each other as those of processes.
+fn seed_of(number: u64) -> u64 {
+    (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+#[test]
+fn each_part_of_a_split_gets_its_share_of_a_few_hundred_requests_of_many_balancers() {
+    const BALANCERS: u64 = 30;
+    const REQUESTS_EACH: usize = 10;
+    const MOST_OFF: f64 = 0.045;
+    for weights in [[50.0, 50.0], [70.0, 30.0], [90.0, 10.0]] {
+        let share = weights[1] / (weights[0] + weights[1]);
+        for trial in 0..200 {
+            let second: usize = (0..BALANCERS)
+                .map(|balancer| {
+                    let mut router = split_router(seed_of(trial * BALANCERS + balancer), weights, 0);
+                    (0..REQUESTS_EACH).filter(|_| router.draw_service(0) == 1).count()
+                })
+                .sum();
+            let got = second as f64 / (BALANCERS as usize * REQUESTS_EACH) as f64;
+            assert!((got - share).abs() < MOST_OFF, "{weights:?}, trial {trial}: {got}");
+        }
+    }
+}
+
+#[test]
+fn each_part_of_a_split_gets_its_share_of_few_requests_of_one_balancer() {
+    for seed in 0..50 {
+        let mut router = split_router(seed, [75.0, 25.0], 0);
+        let second = (0..200).filter(|_| router.draw_service(0) == 1).count();
+        assert!((48..=52).contains(&second), "seed {seed}: {second}");
+    }
+}
+
+#[test]
+fn a_part_of_a_split_that_turns_requests_away_is_cold_or_rests_keeps_its_share() {
+    for (outcome, cold_ms) in
+        [(Outcome::Served, 60_000), (Outcome::Rejected, 0), (Outcome::Broken, 0), (Outcome::Unreachable, 0)]
+    {
+        let mut router = split_router(1, [50.0, 50.0], cold_ms);
+        let mut second = 0;
+        for request in 0..200 {
+            let now = request * 20;
+            let drawn = router.draw_service(0);
+            second += drawn;
+            let facts = RequestFacts { service: drawn, ..facts() };
+            if let Some((attempt, _)) = send(&mut router, now, &facts) {
+                router.finished(now, attempt, if drawn == 1 { outcome } else { Outcome::Served });
+            }
+        }
+        assert!((96..=104).contains(&second), "{outcome:?}: {second}");
+    }
+}
+
 #[test]
 fn a_request_keeps_its_service_when_a_new_configuration_comes() {
     let old = configuration(1, vec![route("r", RouteKind::Unsafe)], vec![service("old", 0.0)]);
