--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -471,6 +471,12 @@
         self.socket.write_all(text.as_bytes()).await.expect("the proxy reads");
     }
 
+    /// Sends what still goes out on a connection that may be closed meanwhile.
+    pub async fn send_what_goes(&mut self, text: &str) {
+        // What the proxy does not read any more is what such a test is about.
+        let _ = self.socket.write_all(text.as_bytes()).await;
+    }
+
     /// One whole answer, or what has come when the connection ends.
     pub async fn answer(&mut self) -> String {
         let mut bytes = Vec::new();
