Nothing is served behind a request whose end cannot be told

Cause: a length padded by more than 256 bytes was read from its beginning alone, so that what followed was watched at the wrong place and a head with two lengths could pass there. Such a request is now the last of its connection.

--- a/dataplane/proxy/src/clients.rs
+++ b/dataplane/proxy/src/clients.rs
@@ -99,6 +99,11 @@
         self.client.head.borrow().is_ambiguous()
     }
 
+    /// None may be served after the request on its connection.
+    pub fn is_last(&self) -> bool {
+        self.is_ambiguous() || self.client.head.borrow().is_lost()
+    }
+
     /// Tells by when the answer has to be out.
     pub fn set_answer_due(&self, due: Instant) {
         self.client.answer_due.set(Some(due));
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -38,7 +38,7 @@
         Err(own) => own.event(),
     });
     let mut answer = taken.unwrap_or_else(OwnAnswer::into_answer);
-    if node.stop.is_ordered() || busy.is_ambiguous() {
+    if node.stop.is_ordered() || busy.is_last() {
         close_after(&mut answer);
     }
     answer
--- a/dataplane/proxy/src/head_watch.rs
+++ b/dataplane/proxy/src/head_watch.rs
@@ -47,14 +47,14 @@
 }
 
 impl Lengths {
-    fn take(&mut self, line: &[u8]) {
+    fn take(&mut self, line: &[u8], is_cut: bool) {
         if !std::mem::replace(&mut self.has_begun, true) {
             return;
         }
         let (name, value) = split_at_colon(line);
         if name.eq_ignore_ascii_case(LENGTH) {
             self.has_length = true;
-            self.length = number(value, 10);
+            self.length = if is_cut { None } else { number(value, 10) };
         }
         self.has_coding |= name.eq_ignore_ascii_case(CODING);
     }
@@ -80,6 +80,8 @@
     part: Part,
     /// The beginning of the line that has not ended yet.
     line: Vec<u8>,
+    /// The line goes on beyond what is kept of it.
+    is_cut: bool,
     lengths: Lengths,
     /// Whole heads of requests that are not done, the oldest first: whether they are ambiguous.
     heads: VecDeque<bool>,
@@ -103,6 +105,11 @@
         self.heads.front().copied().unwrap_or_default()
     }
 
+    /// Whether the end of the request in hand can't be told, so that none may be served after it.
+    pub fn is_lost(&self) -> bool {
+        self.part == Part::Unknown && self.heads.len() <= 1
+    }
+
     /// The request in hand is done.
     pub fn restart(&mut self) {
         self.heads.pop_front();
@@ -122,19 +129,22 @@
         let piece = &bytes[..end.unwrap_or(bytes.len())];
         let room = LINE_BYTES.saturating_sub(self.line.len());
         self.line.extend_from_slice(&piece[..piece.len().min(room)]);
+        self.is_cut |= piece.len() > room;
         let Some(end) = end else { return &[] };
         let line = std::mem::take(&mut self.line);
-        self.take_line(line.strip_suffix(b"\r").unwrap_or(&line));
+        let is_cut = std::mem::take(&mut self.is_cut);
+        self.take_line(line.strip_suffix(b"\r").unwrap_or(&line), is_cut);
         &bytes[end + 1..]
     }
 
-    fn take_line(&mut self, line: &[u8]) {
+    /// Takes a line, or its beginning.
+    fn take_line(&mut self, line: &[u8], is_cut: bool) {
         match self.part {
             // Empty lines before a request are passed over.
             Part::Head if line.is_empty() && self.lengths.has_begun => self.end_head(),
             Part::Head if line.is_empty() => {}
-            Part::Head => self.lengths.take(line),
-            Part::ChunkSize => self.part = chunk(line),
+            Part::Head => self.lengths.take(line, is_cut),
+            Part::ChunkSize => self.part = chunk(line, is_cut),
             Part::Trailers if line.is_empty() => self.part = Part::Head,
             _ => {}
         }
@@ -148,10 +158,11 @@
 }
 
 /// What follows the line of a chunk's size.
-fn chunk(line: &[u8]) -> Part {
+fn chunk(line: &[u8], is_cut: bool) -> Part {
     const LINE_END: u64 = 2;
     let size = line.split(|&byte| byte == b';').next().unwrap_or_default();
-    match number(size, 16) {
+    let is_whole = !is_cut || size.len() < line.len();
+    match number(size, 16).filter(|_| is_whole) {
         Some(0) => Part::Trailers,
         Some(size) => Part::Chunk { left: size.saturating_add(LINE_END) },
         None => Part::Unknown,
--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -100,6 +100,26 @@
     }
 }
 
+#[test]
+fn nothing_is_served_behind_a_request_whose_end_cannot_be_told() {
+    let hidden = format!(
+        "POST /unsafe/hidden HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    );
+    let padded =
+        post("/unsafe/x").replace("Content-Length: 5", &format!("Content-Length:{}5", " ".repeat(300)));
+    play(async {
+        let world = World::new();
+        world.upstreams.otherwise(served("ok"));
+        let mut client = world.client();
+        client.send(&format!("{padded}{hidden}")).await;
+        let got = client.heard(REST).await;
+        assert_eq!((status(&got), header(&got, "connection").as_deref()), (200, Some("close")), "{got}");
+        assert_eq!(world.upstreams.requests().len(), 1);
+        assert!(client.is_closed().await);
+    });
+}
+
 #[test]
 fn an_answer_in_another_coding_than_chunks_is_not_passed_on() {
     let stamp = format!("Whinspindle-Server-Stamp: {STAMP}\r\n");
--- a/dataplane/proxy/tests/head_watch.rs
+++ b/dataplane/proxy/tests/head_watch.rs
@@ -81,3 +81,34 @@
     watch.push(LENGTH.as_bytes());
     assert!(!watch.is_ambiguous());
 }
+
+#[test]
+fn a_length_that_is_padded_beyond_what_is_kept_of_a_line_is_not_taken_for_another() {
+    let zeros = "0".repeat(300);
+    let spaces = " ".repeat(300);
+    let lengths = [format!("{zeros}5"), format!("{spaces}5")];
+    let mut firsts: Vec<String> =
+        lengths.iter().map(|length| LENGTH.replace(" 5", &format!(" {length}"))).collect();
+    firsts.push(CHUNKED.replace("3;x=y", &format!("{zeros}3;x=y")));
+    for first in firsts {
+        let mut watch = HeadWatch::default();
+        watch.push(first.as_bytes());
+        assert!(watch.is_lost(), "what follows can't be told: {first}");
+        watch.push(BOTH.as_bytes());
+        assert!(watch.is_lost() && !watch.is_ambiguous(), "{first}");
+    }
+}
+
+#[test]
+fn long_lines_of_other_kinds_are_followed() {
+    let long = "x".repeat(300);
+    let extended = CHUNKED.replace("3;x=y", &format!("3;x={long}"));
+    let other = LENGTH.replace("Content-Length", &format!("X: {long}\r\nContent-Length"));
+    for first in [extended, other] {
+        let mut watch = HeadWatch::default();
+        watch.push([first.as_str(), BOTH].concat().as_bytes());
+        assert!(!watch.is_lost() && !watch.is_ambiguous(), "{first}");
+        watch.restart();
+        assert!(watch.is_ambiguous(), "{first}");
+    }
+}
