--- a/dataplane/proxy/tests/common/mod.rs
+++ b/dataplane/proxy/tests/common/mod.rs
@@ -471,6 +471,11 @@
         self.socket.write_all(text.as_bytes()).await.expect("the proxy reads");
     }
 
+    /// Says that nothing more comes from here; reads on.
+    pub async fn end(&mut self) {
+        self.socket.shutdown().await.expect("the proxy is there");
+    }
+
     /// Sends what still goes out on a connection that may be closed meanwhile.
     pub async fn send_what_goes(&mut self, text: &str) {
         // What the proxy does not read any more is what such a test is about.
