--- a/dataplane/proxy/tests/exchange.rs
+++ b/dataplane/proxy/tests/exchange.rs
@@ -102,10 +102,8 @@
 
 #[test]
 fn nothing_is_served_behind_a_request_whose_end_cannot_be_told() {
-    let hidden = format!(
-        "POST /unsafe/hidden HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\
-         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
-    );
+    let hidden = "POST /unsafe/hidden HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\
+                  Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
     let padded =
         post("/unsafe/x").replace("Content-Length: 5", &format!("Content-Length:{}5", " ".repeat(300)));
     play(async {
