--- a/dataplane/proxy/tests/callers.rs
+++ b/dataplane/proxy/tests/callers.rs
@@ -381,3 +381,28 @@
         });
     }
 }
+
+/// What the HTTP library bounds by itself.
+#[test]
+fn a_hundred_headers_pass_both_ways_and_more_are_turned_down() {
+    // Host, id, deadline and length are the others of the request; id, stamp and length those of the answer.
+    for (extra, expected, sent) in [(96, 200, 1), (97, 431, 0)] {
+        play(async move {
+            let world = World::new();
+            world.upstreams.otherwise(served("ok"));
+            let headers: String = (0..extra).map(|number| format!("X-{number}: 1\r\n")).collect();
+            let got = world.ask(&post_with("/unsafe/x", &headers)).await;
+            assert_eq!((status(&got), world.upstreams.requests().len()), (expected, sent), "{extra}: {got}");
+        });
+    }
+    for (extra, expected) in [(97, 200), (98, 502)] {
+        play(async move {
+            let world = World::new();
+            let headers: String = (0..extra).map(|number| format!("X-{number}: 1\r\n")).collect();
+            let stamp = format!("Whinspindle-Server-Stamp: {STAMP}\r\n");
+            world.upstreams.script(vec![answer("200 OK", &format!("{stamp}{headers}"), "ok")]);
+            let got = world.ask(&post("/unsafe/x")).await;
+            assert_eq!(status(&got), expected, "{extra}: {got}");
+        });
+    }
+}
