One error for received bytes that are no message, for all schemas

The codecs of distribution and replica had the same four variants and the same reading of addresses; both now take them from the encoding crate.

--- a/controlplane/distribution/src/codec/parts.rs
+++ b/controlplane/distribution/src/codec/parts.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
 use capnp::struct_list;
+use whinspindle_encoding::address_octets;
 
 use super::DecodeError;
 use crate::distribution_capnp::{endpoint, region_load, versions};
@@ -19,16 +20,11 @@
 pub(super) fn read_endpoint(reader: endpoint::Reader<'_>) -> Result<SocketAddr, DecodeError> {
     let ip = match reader.which()? {
         endpoint::V4(bits) => IpAddr::V4(Ipv4Addr::from_bits(bits)),
-        endpoint::V6(octets) => IpAddr::V6(read_ipv6(octets?)?),
+        endpoint::V6(octets) => IpAddr::V6(Ipv6Addr::from(address_octets::<16>(octets?)?)),
     };
     Ok(SocketAddr::new(ip, reader.get_port()))
 }
 
-fn read_ipv6(octets: &[u8]) -> Result<Ipv6Addr, DecodeError> {
-    let exact = <[u8; 16]>::try_from(octets);
-    exact.map(Ipv6Addr::from).map_err(|_| DecodeError::AddressLength { length: octets.len() })
-}
-
 pub(super) fn write_loads(mut builder: struct_list::Builder<'_, region_load::Owned>, loads: &[RegionLoad]) {
     for (index, load) in (0..).zip(loads) {
         let mut item = builder.reborrow().get(index);
--- a/coordination/encoding/src/lib.rs
+++ b/coordination/encoding/src/lib.rs
@@ -1,8 +1,12 @@
 //! Building and bounded reading of Cap'n Proto messages, for all schemas of the internal protocol.
 
+mod decode_error;
+
 use capnp::message::{Builder, HeapAllocator, Reader, ReaderOptions};
 use capnp::serialize::{self, OwnedSegments};
 
+pub use decode_error::{DecodeError, DigestLengthSnafu, address_octets};
+
 const WORD_BYTES: usize = 8;
 /// A message may be read through this many times over, so that shared pointers cannot make it seem endless.
 const TRAVERSALS: usize = 8;
--- a/coordination/replica/src/codec/parts.rs
+++ b/coordination/replica/src/codec/parts.rs
@@ -5,8 +5,9 @@
 use snafu::OptionExt;
 use whinspindle_agreement::{Ballot, Voter};
 use whinspindle_digests::{Digest, KeyRange, RangeDigest};
+use whinspindle_encoding::{DigestLengthSnafu, address_octets};
 
-use super::{AddressLengthSnafu, DecodeError, DigestLengthSnafu};
+use super::DecodeError;
 use crate::application::Answer;
 use crate::durable::Decided;
 use crate::entry::Origin;
@@ -29,16 +30,12 @@
 
 pub fn read_endpoint(from: wire::endpoint::Reader) -> Result<SocketAddr, DecodeError> {
     let address: IpAddr = match from.which()? {
-        wire::endpoint::V4(octets) => Ipv4Addr::from(octets_of::<4>(octets?)?).into(),
-        wire::endpoint::V6(octets) => Ipv6Addr::from(octets_of::<16>(octets?)?).into(),
+        wire::endpoint::V4(octets) => Ipv4Addr::from(address_octets::<4>(octets?)?).into(),
+        wire::endpoint::V6(octets) => Ipv6Addr::from(address_octets::<16>(octets?)?).into(),
     };
     Ok(SocketAddr::new(address, from.get_port()))
 }
 
-fn octets_of<const LENGTH: usize>(octets: &[u8]) -> Result<[u8; LENGTH], DecodeError> {
-    octets.try_into().ok().context(AddressLengthSnafu { length: octets.len() })
-}
-
 pub fn write_voter(voter: Voter, mut to: wire::voter::Builder) {
     to.set_member(voter.member);
     to.set_birth(voter.birth);
