Registry: remove the choice of addresses that nothing but its tests used

LeaseTable::fronts_for was left behind when the directory got its own rule. What its two tests held moves to the table of the directory: each of its 26 states is now brought about by balancers that leave and by ones that are not ready. Seen to fail with either condition taken out of addresses_for.

--- a/controlplane/controller/src/controller/disclosure.rs
+++ b/controlplane/controller/src/controller/disclosure.rs
@@ -6,6 +6,7 @@
 /// After a start all upstreams and balancers have been heard of within this time, and within so many heartbeats.
 const LEARNING_MS: u64 = 3_000;
 const LEARNING_HEARTBEATS: u64 = 2;
+
 impl Controller {
     /// Takes in whether there is a majority to rely on.
     pub(super) fn note_quorum(&mut self, now: u64) {
--- a/controlplane/controller/tests/directory.rs
+++ b/controlplane/controller/tests/directory.rs
@@ -91,12 +91,25 @@
     named(single.answer(id).expect("a question is answered at once"))
 }
 
+fn leaving(number: u8) -> Report {
+    Report { leaving: true, ..balancer(number) }
+}
+
+fn not_ready(number: u8) -> Report {
+    Report { ready: false, ..balancer(number) }
+}
+
 /// A controller that knows of these balancers; the others leave by plan.
 fn with_balancers(staying: &[u8]) -> Single {
+    with_balancers_and(staying, leaving)
+}
+
+/// A controller that knows of these balancers; the others report something else.
+fn with_balancers_and(staying: &[u8], others: fn(u8) -> Report) -> Single {
     let mut single = Single::settled();
     for number in ALL {
-        let leaving = !staying.contains(&number);
-        single.report(u64::from(number), Report { leaving, ..balancer(number) });
+        let report = if staying.contains(&number) { balancer(number) } else { others(number) };
+        single.report(u64::from(number), report);
     }
     single
 }
@@ -137,21 +150,20 @@
         (&[SOUTH, WEST], FROM_NORTH, UNKNOWN, &[]),
     ];
     for (staying, from, host, expected) in cases {
-        let mut single = with_balancers(staying);
-        assert_eq!(single.status(replace_hosts(0, 3)), StatusCode::OK);
-        let case = format!("{staying:?} stay, a client of {host} from {from:?}");
-        assert_eq!(ask(&mut single, host, from), expected, "{case}");
+        for others in [leaving, not_ready] {
+            let mut single = with_balancers_and(staying, others);
+            assert_eq!(single.status(replace_hosts(0, 3)), StatusCode::OK);
+            let case = format!("{staying:?} stay, a client of {host} from {from:?}");
+            assert_eq!(ask(&mut single, host, from), expected, "{case}");
+        }
     }
 }
 
 /// Whatever the reason for which balancers are missing, and whichever are: nothing outside is named.
 #[test]
 fn no_loss_leads_clients_out_of_their_regions() {
-    let losses: [fn(u8) -> Option<Report>; 3] = [
-        |number| Some(Report { leaving: true, ..balancer(number) }),
-        |number| Some(Report { ready: false, ..balancer(number) }),
-        |_| None,
-    ];
+    let losses: [fn(u8) -> Option<Report>; 3] =
+        [|number| Some(leaving(number)), |number| Some(not_ready(number)), |_| None];
     for (lost, loss) in (0..16_u8).flat_map(|lost| losses.map(|loss| (lost, loss))) {
         let mut single = with_balancers(&ALL);
         assert_eq!(single.status(replace_hosts(0, 3)), StatusCode::OK);
--- a/controlplane/registry/src/leases.rs
+++ b/controlplane/registry/src/leases.rs
@@ -190,18 +190,6 @@
         sums.into_iter().map(load).collect()
     }
 
-    /// Where clients of a place connect: the balancers of the region that take clients, those of the zone first; those
-    /// of all other regions where the region has none.
-    pub fn fronts_for(&self, zone: &str, region: &str, now: u64) -> Vec<SocketAddr> {
-        let open = || self.live(now).filter(|lease| lease.ready && !lease.leaving);
-        let mut near: Vec<&Lease> = open().filter(|lease| lease.region == region).collect();
-        if near.is_empty() {
-            near = open().collect();
-        }
-        near.sort_by_key(|lease| (lease.zone != zone, lease.front));
-        near.into_iter().map(|lease| lease.front).collect()
-    }
-
     /// Rises when a balancer comes, goes, or changes anything but its rates.
     pub fn version(&self) -> u64 {
         self.version
--- a/controlplane/registry/tests/leases.rs
+++ b/controlplane/registry/tests/leases.rs
@@ -103,24 +103,6 @@
     );
 }
 
-#[test]
-fn clients_get_the_fronts_of_their_region_with_their_zone_first() {
-    let mut table = table();
-    table.renew(0, lease(1, "z1", "r1"));
-    table.renew(0, lease(2, "z2", "r1"));
-    table.renew(0, lease(3, "z3", "r2"));
-    assert_eq!(table.fronts_for("z2", "r1", 0), [front(2), front(1)]);
-}
-
-#[test]
-fn clients_are_not_sent_to_balancers_that_leave_or_are_not_ready() {
-    let mut table = table();
-    table.renew(0, Lease { leaving: true, ..lease(1, "z1", "r1") });
-    table.renew(0, Lease { ready: false, ..lease(2, "z1", "r1") });
-    table.renew(0, lease(3, "z2", "r2"));
-    assert_eq!(table.fronts_for("z1", "r1", 0), [front(3)], "those of other regions stand in");
-}
-
 #[test]
 fn changes_hold_renewals_made_here_once() {
     let mut table = table();
