--- a/controlplane/configuration/src/configuration.rs
+++ b/controlplane/configuration/src/configuration.rs
@@ -139,6 +139,12 @@
 
     #[snafu(display("two services have the name `{service}`"))]
     SharedServiceName { service: String },
+
+    #[snafu(display("`{key}` of service `{service}` is {value}, expected a number that is not negative"))]
+    InvalidCold { service: String, key: &'static str, value: f64 },
+
+    #[snafu(display("no generation is left above {generation}"))]
+    LastGeneration { generation: u64 },
 }
 
 impl Configuration {
@@ -156,6 +162,11 @@
         services: Vec<Service>,
         limits: Limits,
     ) -> Result<Configuration, ConfigurationError> {
+        ensure!(generation < u64::MAX, LastGenerationSnafu { generation });
+        for service in &services {
+            check_cold(service, "cold_s", service.cold_s)?;
+            check_cold(service, "cold_per_s", service.cold_per_s)?;
+        }
         for route in &routes {
             check_route(route, &services)?;
         }
@@ -175,6 +186,12 @@
     }
 }
 
+fn check_cold(service: &Service, key: &'static str, value: f64) -> Result<(), ConfigurationError> {
+    let valid = value.is_finite() && value >= 0.0;
+    ensure!(valid, InvalidColdSnafu { service: &service.name, key, value });
+    Ok(())
+}
+
 fn check_route(route: &Route, services: &[Service]) -> Result<(), ConfigurationError> {
     let name = &route.name;
     ensure!(route.timeout_ms > 0, NoTimeoutSnafu { route: name });
--- a/controlplane/configuration/src/json.rs
+++ b/controlplane/configuration/src/json.rs
@@ -2,13 +2,18 @@
 //!
 //! `nanoserde` takes more than JSON (comments, trailing commas, text behind the document), and it panics or never
 //! returns on some broken input. The grammar of a document is therefore checked in one pass before `nanoserde`
-//! sees it.
+//! sees it. It takes less than JSON in the spelling of numbers: those that it would refuse are spelled anew.
+
+use std::borrow::Cow;
+use std::ops::Range;
 
 use nanoserde::{DeJson, DeJsonErr, DeJsonErrReason};
 use snafu::Snafu;
 
 /// Deeper documents are refused.
 const MAX_DEPTH: usize = 128;
+/// Makes a fraction of an integer.
+const FRACTION: &str = ".0";
 
 /// Why a document could not be read, and where.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -40,8 +45,37 @@
 pub(crate) fn parse<T: DeJson>(bytes: &[u8]) -> Result<T, JsonError> {
     let text =
         std::str::from_utf8(bytes).map_err(|error| JsonError::NotText { offset: error.valid_up_to() })?;
-    check_grammar(text)?;
-    T::deserialize_json(text).map_err(|error| value_error(text, error))
+    let unread = check_grammar(text)?;
+    let text = spell_anew(text, &unread);
+    T::deserialize_json(&text).map_err(|error| value_error(&text, error))
+}
+
+/// The text with other spellings of these numbers: without a plus sign, and as a fraction where no integer holds it.
+fn spell_anew<'a>(text: &'a str, numbers: &[Range<usize>]) -> Cow<'a, str> {
+    if numbers.is_empty() {
+        return Cow::Borrowed(text);
+    }
+    let mut spelled = String::with_capacity(text.len() + numbers.len() * FRACTION.len());
+    let mut end = 0;
+    for number in numbers {
+        spelled.push_str(&text[end..number.start]);
+        let digits = &text[number.clone()];
+        spelled.push_str(&digits.replace('+', ""));
+        if is_integer(digits) {
+            spelled.push_str(FRACTION);
+        }
+        end = number.end;
+    }
+    spelled.push_str(&text[end..]);
+    Cow::Owned(spelled)
+}
+
+fn is_integer(number: &str) -> bool {
+    !number.contains(['.', 'e', 'E'])
+}
+
+fn fits_integer(number: &str) -> bool {
+    number.parse::<u64>().is_ok() || number.parse::<i64>().is_ok()
 }
 
 fn value_error(text: &str, error: DeJsonErr) -> JsonError {
@@ -107,24 +141,33 @@
 }
 
 struct Scanner<'a> {
+    text: &'a str,
     bytes: &'a [u8],
     position: usize,
     open: Vec<Container>,
+    /// The numbers that have to be spelled anew.
+    unread: Vec<Range<usize>>,
 }
 
-fn check_grammar(text: &str) -> Result<(), JsonError> {
+/// Checks a whole document; answers which of its numbers have to be spelled anew.
+fn check_grammar(text: &str) -> Result<Vec<Range<usize>>, JsonError> {
     let mut scanner = Scanner::new(text);
-    scanner.document().map_err(|expected| {
-        let before = &scanner.bytes[..scanner.position];
-        let line = before.iter().filter(|&&byte| byte == b'\n').count() + 1;
-        let line_start = before.iter().rposition(|&byte| byte == b'\n').map_or(0, |index| index + 1);
-        JsonError::Syntax { expected, line, column: scanner.position - line_start + 1 }
-    })
+    match scanner.document() {
+        Ok(()) => Ok(scanner.unread),
+        Err(expected) => Err(scanner.syntax_error(expected)),
+    }
 }
 
 impl<'a> Scanner<'a> {
     fn new(text: &'a str) -> Self {
-        Scanner { bytes: text.as_bytes(), position: 0, open: Vec::new() }
+        Scanner { text, bytes: text.as_bytes(), position: 0, open: Vec::new(), unread: Vec::new() }
+    }
+
+    fn syntax_error(&self, expected: &'static str) -> JsonError {
+        let before = &self.bytes[..self.position];
+        let line = before.iter().filter(|&&byte| byte == b'\n').count() + 1;
+        let line_start = before.iter().rposition(|&byte| byte == b'\n').map_or(0, |index| index + 1);
+        JsonError::Syntax { expected, line, column: self.position - line_start + 1 }
     }
 
     fn document(&mut self) -> Result<(), &'static str> {
@@ -234,6 +277,7 @@
     }
 
     fn number(&mut self) -> Result<(), &'static str> {
+        let start = self.position;
         self.take(b'-');
         if !self.take(b'0') {
             self.digits()?;
@@ -245,6 +289,10 @@
             let _ = self.take(b'+') || self.take(b'-');
             self.digits()?;
         }
+        let number = &self.text[start..self.position];
+        if number.contains('+') || (is_integer(number) && !fits_integer(number)) {
+            self.unread.push(start..self.position);
+        }
         Ok(())
     }
 
--- a/controlplane/configuration/src/number.rs
+++ b/controlplane/configuration/src/number.rs
@@ -4,6 +4,9 @@
 
 use nanoserde::{DeJson, DeJsonErr, DeJsonState, DeJsonTok};
 
+/// The least number that is too high for a `Whole`.
+const TOO_HIGH: f64 = 18_446_744_073_709_551_616.0;
+
 /// A whole number that is not negative. `5.0` is read as 5.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Whole(pub u64);
@@ -40,8 +43,9 @@
     fn de_json(state: &mut DeJsonState, input: &mut Chars) -> Result<Self, DeJsonErr> {
         let value = match state.tok {
             DeJsonTok::U64(value) => value,
-            DeJsonTok::F64(value) if value.fract() == 0.0 && value >= 0.0 => value as u64,
-            _ => return Err(state.err_token("a whole number that is not negative")),
+            DeJsonTok::I64(0) => 0,
+            DeJsonTok::F64(value) if value.fract() == 0.0 && (0.0..TOO_HIGH).contains(&value) => value as u64,
+            _ => return Err(state.err_token("a whole number that is not negative and below 2^64")),
         };
         state.next_tok(input)?;
         Ok(Whole(value))
@@ -52,6 +56,7 @@
     fn de_json(state: &mut DeJsonState, input: &mut Chars) -> Result<Self, DeJsonErr> {
         let value = match state.tok {
             DeJsonTok::U64(value) => value,
+            DeJsonTok::I64(0) => 0,
             DeJsonTok::F64(value) if value >= 0.0 => value.ceil() as u64,
             _ => return Err(state.err_token("a number that is not negative")),
         };
--- /dev/null
+++ b/controlplane/configuration/tests/extremes.rs
@@ -0,0 +1,177 @@
+//! Bodies as nobody sends them in earnest: numbers of any size, keys that stand twice, bodies as long as they may be.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use whinspindle_configuration::{Configuration, ConfigurationError, Heartbeat, Settings};
+
+const CONFIGURATION: &str = include_str!("data/configuration.json");
+const SETTINGS: &str = include_str!("data/settings.json");
+const HEARTBEAT: &str = r#"{"backend":"chat","address":"10.0.0.1:8000","zone":"a","state":"ready","seq":1,
+    "slots":2,"cold_ms":3,"remaining_ms":4}"#;
+/// The longest body that a controller takes.
+const LONGEST_BODY: usize = 4 << 20;
+
+/// A number in any spelling that JSON has.
+#[derive(Clone, Debug)]
+struct Number(String);
+
+impl Arbitrary for Number {
+    fn arbitrary(g: &mut Gen) -> Number {
+        let sign = g.choose(&["", "", "-"]).expect("not empty");
+        let digits = g.choose(&[0, 1, 3, 18, 19, 20, 40, 400]).expect("not empty");
+        let whole: String = (0..*digits).map(|_| char::from(b'1' + u8::arbitrary(g) % 9)).collect();
+        let whole = if whole.is_empty() { "0".to_owned() } else { whole };
+        let fraction = g.choose(&["", "", ".0", ".5", ".000000000000000000000001"]).expect("not empty");
+        let exponent =
+            g.choose(&["", "", "e0", "E+2", "e-7", "e+308", "e-99999", "E99999"]).expect("not empty");
+        Number(format!("{sign}{whole}{fraction}{exponent}"))
+    }
+}
+
+/// The document with another number in the place of one of its own.
+fn with_number(document: &str, place: usize, number: &Number) -> String {
+    let is_number = |(index, _): &(usize, &str)| {
+        document[index + 1..].trim_start().starts_with(|c: char| c.is_ascii_digit())
+    };
+    let starts: Vec<usize> = document
+        .match_indices(": ")
+        .chain(document.match_indices(':'))
+        .filter(is_number)
+        .map(|(index, _)| index + 1)
+        .collect();
+    let start = starts[place % starts.len()];
+    let end = start + document[start..].find([',', '}', '\n']).expect("the document goes on");
+    format!("{}{}{}", &document[..start], number.0, &document[end..])
+}
+
+fn parse(text: &str) -> Result<Configuration, ConfigurationError> {
+    Configuration::parse(text.as_bytes())
+}
+
+#[test]
+fn numbers_of_any_size_are_taken_or_refused() {
+    fn property(number: Number, place: usize) -> bool {
+        if let Ok(configuration) = parse(&with_number(CONFIGURATION, place, &number)) {
+            assert!(configuration.generation < u64::MAX);
+            for service in &configuration.services {
+                assert!(service.cold_s.is_finite() && service.cold_s >= 0.0);
+                assert!(service.cold_per_s.is_finite() && service.cold_per_s >= 0.0);
+            }
+            for backend in configuration.routes.iter().flat_map(|route| &route.backends) {
+                assert!(backend.weight.is_finite() && backend.weight >= 0.0);
+            }
+        }
+        let _ = Heartbeat::parse(with_number(HEARTBEAT, place, &number).as_bytes());
+        let _ = Settings::parse(with_number(SETTINGS, place, &number).as_bytes());
+        true
+    }
+    QuickCheck::new().tests(5_000).quickcheck(property as fn(Number, usize) -> bool);
+}
+
+/// Whoever writes the document may spell numbers as JSON allows, also those that nobody reads.
+#[test]
+fn every_spelling_of_a_number_is_read() {
+    for (spelling, expected) in [
+        ("6000", 6000),
+        ("6e3", 6000),
+        ("6E+3", 6000),
+        ("60000e-1", 6000),
+        ("0.6e+4", 6000),
+        ("6000.0000", 6000),
+        ("18446744073709551615", u64::MAX),
+        ("18446744073709551616", u64::MAX),
+        ("1e+400", u64::MAX),
+    ] {
+        let text = CONFIGURATION.replace("\"timeout_ms\": 6000", &format!("\"timeout_ms\": {spelling}"));
+        let configuration = parse(&text).unwrap_or_else(|failure| panic!("{spelling}: {failure}"));
+        assert_eq!(configuration.routes[0].timeout_ms, expected, "{spelling}");
+        let unknown = CONFIGURATION.replacen('{', &format!("{{\"later\": [{spelling}, -{spelling}],"), 1);
+        assert_eq!(parse(&unknown), parse(CONFIGURATION), "{spelling}");
+    }
+    let none = CONFIGURATION.replace("\"retries\": 2", "\"retries\": -0");
+    assert_eq!(parse(&none).unwrap().routes[0].retries, 0);
+}
+
+#[test]
+fn numbers_that_make_no_sense_are_refused() {
+    for (from, to, key) in [
+        ("\"cold_s\": 3.5", "\"cold_s\": -3.5", "cold_s"),
+        ("\"cold_s\": 3.5", "\"cold_s\": 1e999", "cold_s"),
+        ("\"cold_per_s\": 9.9", "\"cold_per_s\": -0.1", "cold_per_s"),
+        ("\"cold_per_s\": 9.9", "\"cold_per_s\": 1e999", "cold_per_s"),
+    ] {
+        let failure = parse(&CONFIGURATION.replace(from, to)).expect_err(to);
+        assert!(
+            matches!(failure, ConfigurationError::InvalidCold { key: found, .. } if found == key),
+            "{failure}"
+        );
+    }
+    let last = CONFIGURATION.replace("\"generation\": 7", "\"generation\": 18446744073709551615");
+    let failure = parse(&last).expect_err("no other one could follow");
+    assert_eq!(failure, ConfigurationError::LastGeneration { generation: u64::MAX });
+    for number in ["1e300", "18446744073709551616", "1.8446744073709551616E+19"] {
+        let text = CONFIGURATION.replace("\"generation\": 7", &format!("\"generation\": {number}"));
+        let failure = parse(&text).expect_err(number);
+        assert!(failure.to_string().contains("`generation`"), "{failure}");
+    }
+}
+
+/// JSON leaves open which one counts; it has to be the same one everywhere.
+#[test]
+fn of_keys_that_stand_twice_the_last_counts() {
+    let twice = CONFIGURATION.replace("\"generation\": 7,", "\"generation\": 5, \"generation\": 7,");
+    assert_eq!(parse(&twice), parse(CONFIGURATION));
+}
+
+/// A document with a list of as many of these as fit into the longest body.
+fn longest(before: &str, piece: impl Fn(usize) -> String, after: &str) -> String {
+    let mut text = before.to_owned();
+    for index in 0.. {
+        let piece = piece(index);
+        if text.len() + piece.len() + after.len() >= LONGEST_BODY {
+            break;
+        }
+        text.push_str(if index == 0 { "" } else { "," });
+        text.push_str(&piece);
+    }
+    text + after
+}
+
+#[test]
+fn the_longest_bodies_are_read() {
+    let unknown = |piece: &str| {
+        longest("{\"generation\":1,\"services\":[],\"routes\":[],\"x\":[", |_| piece.to_owned(), "]}")
+    };
+    for piece in ["[]", "{}", "0", "1e+1", "99999999999999999999", "\"\\u0041\"", "\n\n\n\nnull"] {
+        assert!(parse(&unknown(piece)).is_ok(), "{piece}");
+    }
+    let routes = longest(
+        "{\"generation\":1,\"services\":[{\"name\":\"s\"}],\"routes\":[",
+        |index| {
+            format!(r#"{{"host":"h","path_prefix":"/{index}","kind":"safe","timeout_ms":1,"backend":"s"}}"#)
+        },
+        "]}",
+    );
+    let configuration = parse(&routes).expect("long and valid");
+    assert!(configuration.routes.len() > 50_000);
+    assert_eq!(configuration.find_route("h", "/50000"), Some(50_000));
+}
+
+#[test]
+fn the_longest_broken_bodies_are_refused() {
+    let long = "[".repeat(LONGEST_BODY);
+    for text in [
+        long.clone(),
+        long.replace('[', "9"),
+        long.replace('[', "\""),
+        long.replace('[', "{"),
+        long.replace('[', "\n"),
+        long.replace('[', "\u{7f}"),
+        format!("{{\"generation\":\"{long}\",\"routes\":[],\"services\":[]}}"),
+        format!("{{\"generation\":1,\"{long}\":1,\"routes\":[],\"services\":5}}"),
+    ] {
+        assert!(parse(&text).is_err());
+    }
+    let mut bytes = CONFIGURATION.as_bytes().to_vec();
+    bytes.resize(LONGEST_BODY, 0xff);
+    assert!(Configuration::parse(&bytes).is_err());
+}
--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -10,6 +10,8 @@
 /// The header that names the generation on which a configuration builds.
 pub const BASE_VERSION: &str = "whinspindle-base-version";
 
+/// A longer reason is cut off: it may quote what the caller has sent.
+const MAX_REASON_BYTES: usize = 1024;
 /// The longest id of an instance that is taken.
 const MAX_INSTANCE_ID_BYTES: usize = 128;
 
@@ -114,7 +116,7 @@
     /// A failure with its reason.
     pub fn failure(status: StatusCode, reason: &str) -> Response {
         let mut body = String::from("{\"error\":");
-        push_json_string(&mut body, reason);
+        push_json_string(&mut body, &reason[..reason.floor_char_boundary(MAX_REASON_BYTES)]);
         body.push('}');
         Response { status, body: Bytes::from(body) }
     }
--- a/controlplane/controller/tests/api.rs
+++ b/controlplane/controller/tests/api.rs
@@ -111,6 +111,25 @@
     assert_eq!(response.body, expected);
 }
 
+/// The reason quotes what was sent; it goes to the caller and into the log.
+#[test]
+fn a_reason_is_short_whatever_was_sent() {
+    for letter in ["k", "\u{1f600}", "\\u0001"] {
+        let kind = letter.repeat(500_000);
+        let sent = CONFIGURATION.replace("\"safe\"", &format!("\"{kind}\""));
+        let refused = parse(&Request {
+            base_version: Some("6"),
+            body: Bytes::from(sent),
+            ..request(&Method::POST, "/Config.Replace", "")
+        });
+        let response = Response::from(refused.unwrap_err());
+        assert_eq!(response.status, StatusCode::BAD_REQUEST);
+        assert!(response.body.len() < 8192, "{} bytes", response.body.len());
+        let text = std::str::from_utf8(&response.body).expect("it is text");
+        assert!(text.starts_with("{\"error\":\"invalid configuration: ") && text.ends_with("\"}"), "{text}");
+    }
+}
+
 /// 400 would end the call of an operator whose order may have been taken elsewhere.
 #[test]
 fn a_body_that_could_not_be_read_is_to_be_sent_again() {
