--- a/controlplane/configuration/src/lib.rs
+++ b/controlplane/configuration/src/lib.rs
@@ -15,4 +15,4 @@
 pub use heartbeat::{Heartbeat, HeartbeatError, InstanceState};
 pub use host_regions::{HostRegions, ServingRegions};
 pub use json::JsonError;
-pub use settings::{Bounds, Listen, MachineLimits, Settings, SettingsError, Tolerance};
+pub use settings::{Bounds, Listen, MachineLimits, Settings, SettingsError, SettingsFault, Tolerance};
--- a/controlplane/configuration/src/raw_settings.rs
+++ b/controlplane/configuration/src/raw_settings.rs
@@ -4,30 +4,36 @@
 #![allow(clippy::question_mark)]
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::str::{Chars, FromStr};
 
 use nanoserde::{DeJson, DeJsonErr, DeJsonState, DeJsonTok};
-use snafu::{ResultExt, ensure};
+use snafu::{OptionExt, ResultExt, ensure};
 
 use crate::number::{RoundedUp, Whole};
 use crate::settings::{
-    Bounds, InvalidAddressSnafu, InvalidValueSnafu, Listen, MachineLimits, Settings, SettingsError, Tolerance,
+    Bounds, InvalidAddressSnafu, InvalidValueSnafu, Listen, MachineLimits, MissingSnafu, Settings,
+    SettingsFault, Tolerance,
 };
 
 const DEFAULT_HEARTBEAT_MS: u64 = 1_000;
+/// A day. Times are added up; longer ones than this are no times of this system.
+const LONGEST_MS: u64 = 86_400_000;
+
+/// Stands where the address is at fault; settings with it are not handed out.
+const NO_ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
 
 #[derive(DeJson)]
 pub struct RawSettings {
-    node: String,
+    node: Option<String>,
     role: Option<String>,
-    ip: String,
-    zone: String,
-    region: String,
+    ip: Option<String>,
+    zone: Option<String>,
+    region: Option<String>,
     zones: Option<BTreeMap<String, String>>,
     listen: Option<RawListen>,
-    port_range: Vec<Whole>,
+    port_range: Option<Vec<Whole>>,
     seeds: Option<Vec<String>>,
     bootstrap: Option<bool>,
     limits: Option<RawLimits>,
@@ -76,39 +82,73 @@
     }
 }
 
+/// What is wrong with the values so far.
+#[derive(Default)]
+struct Faults(Vec<SettingsFault>);
+
+impl Faults {
+    /// The value, or an empty one in its place and a fault more.
+    fn take<T: Default>(&mut self, value: Result<T, SettingsFault>) -> T {
+        self.take_or(T::default(), value)
+    }
+
+    fn take_or<T>(&mut self, otherwise: T, value: Result<T, SettingsFault>) -> T {
+        match value {
+            Ok(value) => value,
+            Err(fault) => {
+                self.0.push(fault);
+                otherwise
+            }
+        }
+    }
+}
+
 impl RawSettings {
-    /// Converts the values and checks them.
-    pub fn check(self) -> Result<Settings, SettingsError> {
+    /// Converts the values and checks them; answers all that is wrong.
+    pub fn check(self) -> Result<Settings, Vec<SettingsFault>> {
+        let mut faults = Faults::default();
+        let zone = faults.take(required("zone", self.zone));
+        let region = faults.take(required("region", self.region));
         let mut zones = self.zones.unwrap_or_default();
-        zones.entry(self.zone.clone()).or_insert_with(|| self.region.clone());
-        Ok(Settings {
-            node: self.node,
+        zones.entry(zone.clone()).or_insert_with(|| region.clone());
+        let settings = Settings {
+            node: faults.take(required("node", self.node)),
             role: self.role.unwrap_or_default(),
-            ip: parse_address("ip", &self.ip)?,
-            zone: self.zone,
-            region: self.region,
+            ip: faults.take_or(NO_ADDRESS, convert_ip(self.ip)),
+            zone,
+            region,
             zones,
-            listen: self.listen.unwrap_or_default().convert()?,
-            port_range: convert_port_range(&self.port_range)?,
-            seeds: convert_seeds(&self.seeds.unwrap_or_default())?,
+            listen: self.listen.unwrap_or_default().convert(&mut faults),
+            port_range: faults.take(convert_port_range(self.port_range)),
+            seeds: convert_seeds(&self.seeds.unwrap_or_default(), &mut faults),
             bootstrap: self.bootstrap.unwrap_or(false),
             limits: self.limits.map(RawLimits::convert).unwrap_or_default(),
             data_dir: self.data_dir.filter(|path| !path.is_empty()).map(PathBuf::from),
-            heartbeat_ms: convert_heartbeat(self.heartbeat_ms)?,
+            heartbeat_ms: faults.take(convert_heartbeat(self.heartbeat_ms)),
             tolerate: self.tolerate.map(RawTolerance::convert).unwrap_or_default(),
-            bounds: RawBounds(self.bounds.unwrap_or_default()).convert()?,
-        })
+            bounds: RawBounds(self.bounds.unwrap_or_default()).convert(&mut faults),
+        };
+        if faults.0.is_empty() { Ok(settings) } else { Err(faults.0) }
     }
 }
 
+fn required<T>(key: &'static str, value: Option<T>) -> Result<T, SettingsFault> {
+    value.context(MissingSnafu { key })
+}
+
+fn convert_ip(ip: Option<String>) -> Result<IpAddr, SettingsFault> {
+    parse_address("ip", &required("ip", ip)?)
+}
+
 fn parse_address<T: FromStr<Err = std::net::AddrParseError>>(
     key: &str,
     value: &str,
-) -> Result<T, SettingsError> {
+) -> Result<T, SettingsFault> {
     value.parse().context(InvalidAddressSnafu { key, value })
 }
 
-fn convert_port_range(range: &[Whole]) -> Result<(u16, u16), SettingsError> {
+fn convert_port_range(range: Option<Vec<Whole>>) -> Result<(u16, u16), SettingsFault> {
+    let range = required("port_range", range)?;
     let ports: Vec<u16> = range.iter().filter_map(|port| u16::try_from(port.0).ok()).collect();
     if let (&[first, last], 2) = (ports.as_slice(), range.len())
         && first > 0
@@ -120,29 +160,31 @@
     InvalidValueSnafu { key: "port_range", value, expected: "a first port and a higher last port" }.fail()
 }
 
-fn convert_seeds(seeds: &[String]) -> Result<Vec<SocketAddr>, SettingsError> {
-    seeds.iter().map(|seed| parse_address("seeds", seed)).collect()
+fn convert_seeds(seeds: &[String], faults: &mut Faults) -> Vec<SocketAddr> {
+    let parsed = seeds.iter().map(|seed| parse_address("seeds", seed).map(Some));
+    parsed.filter_map(|seed| faults.take(seed)).collect()
 }
 
-fn convert_heartbeat(interval: Option<RoundedUp>) -> Result<u64, SettingsError> {
+fn convert_heartbeat(interval: Option<RoundedUp>) -> Result<u64, SettingsFault> {
     let interval = interval.map_or(DEFAULT_HEARTBEAT_MS, |interval| interval.0);
-    let expected = "more than 0";
-    ensure!(interval > 0, InvalidValueSnafu { key: "heartbeat_ms", value: "0", expected });
+    let value = interval.to_string();
+    let expected = "more than 0 and no more than a day";
+    ensure!((1..=LONGEST_MS).contains(&interval), InvalidValueSnafu { key: "heartbeat_ms", value, expected });
     Ok(interval)
 }
 
 impl RawListen {
-    fn convert(self) -> Result<Listen, SettingsError> {
-        Ok(Listen {
-            front: convert_listen("listen.front", self.front)?,
-            ready: convert_listen("listen.ready", self.ready)?,
-            control: convert_listen("listen.control", self.control)?,
-            directory: convert_listen("listen.directory", self.directory)?,
-        })
+    fn convert(self, faults: &mut Faults) -> Listen {
+        Listen {
+            front: faults.take(convert_listen("listen.front", self.front)),
+            ready: faults.take(convert_listen("listen.ready", self.ready)),
+            control: faults.take(convert_listen("listen.control", self.control)),
+            directory: faults.take(convert_listen("listen.directory", self.directory)),
+        }
     }
 }
 
-fn convert_listen(key: &str, address: Option<String>) -> Result<Option<SocketAddr>, SettingsError> {
+fn convert_listen(key: &str, address: Option<String>) -> Result<Option<SocketAddr>, SettingsFault> {
     address.map(|address| parse_address(key, &address)).transpose()
 }
 
@@ -171,45 +213,47 @@
 struct RawBounds(BTreeMap<String, RawBound>);
 
 impl RawBounds {
-    fn convert(&self) -> Result<Bounds, SettingsError> {
+    fn convert(&self, faults: &mut Faults) -> Bounds {
         let default = Bounds::default();
-        Ok(Bounds {
-            seed_lag_ms: self.milliseconds("seed_lag", default.seed_lag_ms)?,
-            reuse_after_ms: self.milliseconds("reuse_after", default.reuse_after_ms)?,
-            contact_ms: self.milliseconds("contact", default.contact_ms)?,
-            ack_ms: self.milliseconds("ack", default.ack_ms)?,
-            sync_ms: self.milliseconds("sync", default.sync_ms)?,
-            drain_ms: self.milliseconds("drain", default.drain_ms)?,
-            grace_ms: self.milliseconds("grace", default.grace_ms)?,
-            converge_ms: self.milliseconds("converge", default.converge_ms)?,
-            downgrade_ms: self.milliseconds("downgrade", default.downgrade_ms)?,
-            retry_ratio: self.number("retry_ratio", default.retry_ratio)?,
-            retry_window_ms: self.milliseconds("retry_window", default.retry_window_ms)?,
-            retry_slack: self.number("retry_slack", default.retry_slack)?,
-            cold_overrun: self.number("cold_overrun", default.cold_overrun)?,
-            cold_slack: self.number("cold_slack", default.cold_slack)?,
-            evac_ms: self.milliseconds("evac", default.evac_ms)?,
-            recover_ms: self.milliseconds("recover", default.recover_ms)?,
-            pass_ms: self.milliseconds("pass", default.pass_ms)?,
-            again_ms: self.milliseconds("again", default.again_ms)?,
-            ttl_max_ms: self.milliseconds("ttl_max", default.ttl_max_ms)?,
-        })
+        Bounds {
+            seed_lag_ms: faults.take(self.milliseconds("seed_lag", default.seed_lag_ms)),
+            reuse_after_ms: faults.take(self.milliseconds("reuse_after", default.reuse_after_ms)),
+            contact_ms: faults.take(self.milliseconds("contact", default.contact_ms)),
+            ack_ms: faults.take(self.milliseconds("ack", default.ack_ms)),
+            sync_ms: faults.take(self.milliseconds("sync", default.sync_ms)),
+            drain_ms: faults.take(self.milliseconds("drain", default.drain_ms)),
+            grace_ms: faults.take(self.milliseconds("grace", default.grace_ms)),
+            converge_ms: faults.take(self.milliseconds("converge", default.converge_ms)),
+            downgrade_ms: faults.take(self.milliseconds("downgrade", default.downgrade_ms)),
+            retry_ratio: faults.take(self.number("retry_ratio", default.retry_ratio)),
+            retry_window_ms: faults.take(self.milliseconds("retry_window", default.retry_window_ms)),
+            retry_slack: faults.take(self.number("retry_slack", default.retry_slack)),
+            cold_overrun: faults.take(self.number("cold_overrun", default.cold_overrun)),
+            cold_slack: faults.take(self.number("cold_slack", default.cold_slack)),
+            evac_ms: faults.take(self.milliseconds("evac", default.evac_ms)),
+            recover_ms: faults.take(self.milliseconds("recover", default.recover_ms)),
+            pass_ms: faults.take(self.milliseconds("pass", default.pass_ms)),
+            again_ms: faults.take(self.milliseconds("again", default.again_ms)),
+            ttl_max_ms: faults.take(self.milliseconds("ttl_max", default.ttl_max_ms)),
+        }
     }
 
     /// A duration, given under `name` with the suffix of its unit.
-    fn milliseconds(&self, name: &str, default: u64) -> Result<u64, SettingsError> {
-        if let Some(milliseconds) = self.find(&format!("{name}_ms"))? {
-            return Ok(milliseconds.ceil() as u64);
+    fn milliseconds(&self, name: &str, default: u64) -> Result<u64, SettingsFault> {
+        for (suffix, unit_ms) in [("ms", 1.0), ("s", 1_000.0)] {
+            let key = format!("{name}_{suffix}");
+            if let Some(number) = self.find(&key)? {
+                return rounded_up(key, number * unit_ms);
+            }
         }
-        let seconds = self.find(&format!("{name}_s"))?;
-        Ok(seconds.map_or(default, |seconds| (seconds * 1_000.0).ceil() as u64))
+        Ok(default)
     }
 
-    fn number(&self, key: &str, default: f64) -> Result<f64, SettingsError> {
+    fn number(&self, key: &str, default: f64) -> Result<f64, SettingsFault> {
         Ok(self.find(key)?.unwrap_or(default))
     }
 
-    fn find(&self, key: &str) -> Result<Option<f64>, SettingsError> {
+    fn find(&self, key: &str) -> Result<Option<f64>, SettingsFault> {
         let expected = "a number that is not negative";
         match self.0.get(key) {
             None => Ok(None),
@@ -224,3 +268,11 @@
         }
     }
 }
+
+fn rounded_up(key: String, milliseconds: f64) -> Result<u64, SettingsFault> {
+    let value = format!("{milliseconds} ms");
+    let expected = "no more than a day";
+    let key = format!("bounds.{key}");
+    ensure!(milliseconds <= LONGEST_MS as f64, InvalidValueSnafu { key, value, expected });
+    Ok(milliseconds.ceil() as u64)
+}
--- a/controlplane/configuration/src/settings.rs
+++ b/controlplane/configuration/src/settings.rs
@@ -113,13 +113,24 @@
     }
 }
 
-/// Why settings were refused; each names the key at fault.
+/// Why settings were refused.
 #[derive(Clone, Debug, PartialEq, Snafu)]
-#[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     #[snafu(display("the settings can't be read: {source}"))]
     Unreadable { source: JsonError },
 
+    /// All that is wrong, at least one.
+    #[snafu(display("{}", described(faults)))]
+    Invalid { faults: Vec<SettingsFault> },
+}
+
+/// What is wrong with the value of one key.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SettingsFault {
+    #[snafu(display("`{key}` is missing"))]
+    Missing { key: &'static str },
+
     #[snafu(display("`{key}` is `{value}`: {source}"))]
     InvalidAddress { key: String, value: String, source: std::net::AddrParseError },
 
@@ -127,11 +138,16 @@
     InvalidValue { key: String, value: String, expected: &'static str },
 }
 
+fn described(faults: &[SettingsFault]) -> String {
+    let faults: Vec<String> = faults.iter().map(SettingsFault::to_string).collect();
+    faults.join("; ")
+}
+
 impl Settings {
-    /// Reads a settings file. Keys that are not known are skipped.
+    /// Reads a settings file. Keys that are not known are skipped; all values at fault are told at once.
     pub fn parse(bytes: &[u8]) -> Result<Settings, SettingsError> {
         let raw: RawSettings = crate::json::parse(bytes).context(UnreadableSnafu)?;
-        raw.check()
+        raw.check().map_err(|faults| SettingsError::Invalid { faults })
     }
 
     /// The address on which a machine with this control or machine address takes connections of other machines.
--- a/controlplane/configuration/tests/settings.rs
+++ b/controlplane/configuration/tests/settings.rs
@@ -134,6 +134,64 @@
     }
 }
 
+#[test]
+fn all_that_is_wrong_is_told_at_once() {
+    let mut text = EXAMPLE.to_owned();
+    for (from, to) in [
+        (r#""node": "core-hall1-1","#, ""),
+        (r#""ip": "10.1.0.12""#, r#""ip": "10.1.0""#),
+        (r#""zone": "hall1","#, r#""zone": null,"#),
+        (r#""region": "north","#, ""),
+        (r#""control": "10.1.0.12:8166""#, r#""control": "10.1.0.12""#),
+        (r#""directory": "10.1.0.12:8164""#, r#""directory": "hall1:8164""#),
+        ("[7720, 7735]", "[7720]"),
+        (r#"["10.1.0.12:8166", "10.2.0.42:8166"]"#, r#"["first", "10.2.0.42:8166", "third"]"#),
+        (r#""heartbeat_ms": 1200"#, r#""heartbeat_ms": 0"#),
+        (r#""grace_s": 8.1"#, r#""grace_s": -8.1"#),
+        (r#""retry_ratio": 0.25"#, r#""retry_ratio": "many""#),
+    ] {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let Err(SettingsError::Invalid { faults }) = parse(&text) else { panic!("they were taken") };
+    let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    for key in [
+        "`node` is missing",
+        "`ip` is `10.1.0`",
+        "`zone` is missing",
+        "`region` is missing",
+        "`listen.control` is `10.1.0.12`",
+        "`listen.directory` is `hall1:8164`",
+        "`port_range` is `7720`",
+        "`seeds` is `first`",
+        "`seeds` is `third`",
+        "`heartbeat_ms` is `0`",
+        "`bounds.grace_s` is `-8.1`",
+        "`bounds.retry_ratio` is `no number`",
+    ] {
+        assert_eq!(told.iter().filter(|fault| fault.starts_with(key)).count(), 1, "{key} in {told:?}");
+    }
+    assert_eq!(told.len(), 12, "{told:?}");
+    let text = parse(&text).unwrap_err().to_string();
+    assert_eq!(text, told.join("; "));
+}
+
+/// Times are added to others: the highest numbers would run over.
+#[test]
+fn times_beyond_a_day_are_refused() {
+    for (from, to) in [
+        (r#""heartbeat_ms": 1200"#, r#""heartbeat_ms": 18446744073709551615"#),
+        (r#""heartbeat_ms": 1200"#, r#""heartbeat_ms": 86400001"#),
+        (r#""grace_s": 8.1"#, r#""grace_s": 86400.1"#),
+        (r#""grace_s": 8.1"#, r#""grace_ms": 1e300"#),
+        (r#""contact_ms": 4001"#, r#""contact_ms": 18446744073709551615"#),
+    ] {
+        assert!(parse_changed(from, to).is_err(), "{to}");
+    }
+    let day = parse_changed(r#""grace_s": 8.1"#, r#""grace_s": 86400"#).expect("a day is taken");
+    assert_eq!(day.bounds.grace_ms, 86_400_000);
+}
+
 #[test]
 fn every_proper_prefix_is_refused() {
     let document = EXAMPLE.trim_end();
