--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod report;
 mod sections;
 mod selector;
+pub mod settings_file;
 mod shell;
 
 pub use agent::{Agent, AgentSettings, Input, Notice, Output};
--- a/dataplane/agent/src/shell/settings_file.rs
+++ b/dataplane/agent/src/settings_file.rs
@@ -1,23 +1,19 @@
 //! The settings file, read again while the agent runs.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::Path;
 
 use spdlog::warn;
 use whinspindle_configuration::Settings;
 
-/// Names the settings file.
-const PATH_VARIABLE: &str = "WHINSPINDLE_CONFIG";
-
 /// The internal endpoints of the controllers that the settings name.
 pub fn internal_endpoints(settings: &Settings) -> Vec<SocketAddr> {
     settings.seeds.iter().map(|seed| settings.internal_endpoint(seed.ip())).collect()
 }
 
 /// The controllers that the file names now; none if it cannot be read, perhaps because it is being written.
-pub fn seeds() -> Option<Vec<SocketAddr>> {
-    let path = PathBuf::from(std::env::var_os(PATH_VARIABLE)?);
-    let text = match std::fs::read(&path) {
+pub fn seeds(path: &Path) -> Option<Vec<SocketAddr>> {
+    let text = match std::fs::read(path) {
         Ok(text) => text,
         Err(error) => {
             warn!("{} cannot be read again: {error}", path.display());
--- a/dataplane/agent/src/shell.rs
+++ b/dataplane/agent/src/shell.rs
@@ -2,11 +2,11 @@
 
 mod channel;
 mod notices;
-mod settings_file;
 
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -25,6 +25,7 @@
 
 use crate::agent::{Agent, AgentSettings, Input, Output};
 use crate::connection::ConnectionId;
+use crate::settings_file;
 use channel::{Channel, Event, Happening, Source};
 
 /// Events that wait for the state machine; connections that have more are not read meanwhile.
@@ -43,15 +44,16 @@
     Signals { source: std::io::Error },
 }
 
-/// Runs the agent until it is told to stop. Its tasks need a `LocalSet` around it.
-pub async fn run(settings: Settings) -> Result<(), AgentError> {
+/// Runs the agent until it is told to stop. The settings come from this file, which is read again at a hang-up. The
+/// agent's tasks need a `LocalSet` around it.
+pub async fn run(settings: Settings, settings_file: PathBuf) -> Result<(), AgentError> {
     let endpoint = settings.agent_endpoint();
     let listener = TcpListener::bind(endpoint).await.context(ListenSnafu { endpoint })?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let (events, mut waiting) = mpsc::channel(WAITING_EVENTS);
     spawn_local(accept(listener, events.clone()));
-    let mut shell = Shell::new(&settings, events);
+    let mut shell = Shell::new(&settings, settings_file, events);
     shell.handle(Input::Tick);
     while !shell.exiting {
         let input = next_input(&mut shell, &mut waiting, &mut terminate, &mut hangup).await;
@@ -87,7 +89,7 @@
         biased;
         Some(event) = waiting.recv() => shell.input_of(event),
         _ = terminate.recv() => Some(Input::Terminate),
-        _ = hangup.recv() => settings_file::seeds().map(Input::Seeds),
+        _ = hangup.recv() => settings_file::seeds(&shell.settings_file).map(Input::Seeds),
         () = sleep_until(wake.into()) => Some(Input::Tick),
     }
 }
@@ -95,6 +97,7 @@
 /// The state machine with its connections.
 struct Shell {
     agent: Agent,
+    settings_file: PathBuf,
     started: Instant,
     hello: Bytes,
     events: mpsc::Sender<Event>,
@@ -106,7 +109,7 @@
 }
 
 impl Shell {
-    fn new(settings: &Settings, events: mpsc::Sender<Event>) -> Self {
+    fn new(settings: &Settings, settings_file: PathBuf, events: mpsc::Sender<Event>) -> Self {
         let own = SocketAddr::new(settings.ip, settings.agent_endpoint().port());
         let hello = encode_hello(&Hello { role: Role::Balancer, endpoint: own });
         let agent_settings = AgentSettings {
@@ -120,6 +123,7 @@
         };
         Shell {
             agent: Agent::new(0, agent_settings),
+            settings_file,
             started: Instant::now(),
             hello: Bytes::from(hello),
             events,
@@ -167,7 +171,7 @@
                 }
             }
             Output::ReadSettings => {
-                if let Some(seeds) = settings_file::seeds() {
+                if let Some(seeds) = settings_file::seeds(&self.settings_file) {
                     self.handle(Input::Seeds(seeds));
                 }
             }
--- a/programs/serving/src/daemon.rs
+++ b/programs/serving/src/daemon.rs
@@ -3,12 +3,13 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use spdlog::error;
 use tokio::task::LocalSet;
 use whinspindle_configuration::{Settings, SettingsError};
 
 use crate::command_line::{DaemonCommand, Program};
+use crate::requirements::missing_keys;
 use crate::{FAILURE_STATUS, USAGE_STATUS, logging};
 
 /// What keeps a daemon from running, or ended it.
@@ -18,6 +19,8 @@
     ReadSettings { path: std::path::PathBuf, source: std::io::Error },
     #[snafu(display("{}: {source}", path.display()))]
     Settings { path: std::path::PathBuf, source: SettingsError },
+    #[snafu(display("{}: missing: {}", path.display(), keys.join(", ")))]
+    Missing { path: std::path::PathBuf, keys: Vec<&'static str> },
     #[snafu(display("the log: {source}"))]
     Log { source: spdlog::Error },
     #[snafu(display("the runtime: {source}"))]
@@ -33,7 +36,9 @@
 impl DaemonError {
     fn status(&self) -> u8 {
         match self {
-            DaemonError::ReadSettings { .. } | DaemonError::Settings { .. } => USAGE_STATUS,
+            DaemonError::ReadSettings { .. } | DaemonError::Settings { .. } | DaemonError::Missing { .. } => {
+                USAGE_STATUS
+            }
             _ => FAILURE_STATUS,
         }
     }
@@ -53,12 +58,17 @@
 fn start(command: &DaemonCommand) -> Result<(), DaemonError> {
     logging::start(command.log_level).context(LogSnafu)?;
     let settings = read_settings(&command.settings)?;
+    let keys = missing_keys(command.program, &settings);
+    ensure!(keys.is_empty(), MissingSnafu { path: &command.settings, keys });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
     let program = command.program;
     LocalSet::new().block_on(&runtime, async {
         match program {
             Program::Proxy => whinspindle_proxy::run(settings).await.context(ProxySnafu),
-            Program::Agent => whinspindle_agent::run(settings).await.context(AgentSnafu),
+            Program::Agent => {
+                let file = command.settings.clone();
+                whinspindle_agent::run(settings, file).await.context(AgentSnafu)
+            }
             Program::Controller => whinspindle_controller::run(settings).await.context(ControllerSnafu),
             Program::Directory => {
                 whinspindle_controller::run_directory(settings).await.context(ControllerSnafu)
--- a/programs/serving/src/lib.rs
+++ b/programs/serving/src/lib.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod logging;
 mod operator;
+pub mod requirements;
 pub mod status;
 
 use std::ffi::OsString;
