--- a/controlplane/controller/tests/safety_page.rs
+++ b/controlplane/controller/tests/safety_page.rs
@@ -1,12 +1,15 @@
 //! The page `docs/control-plane-safety.md` names files, tests and code by which its claims hold: all of them are there.
 
-use std::collections::BTreeMap;
+#[path = "common/sources.rs"]
+mod sources;
+
 use std::fs;
-use std::path::{Path, PathBuf};
+
+use sources::{Sources, root};
 
 const PAGE: &str = "docs/control-plane-safety.md";
 /// Where the sources of the workspace are.
-const SOURCE_FOLDERS: [&str; 8] =
+const FOLDERS: [&str; 8] =
     ["controlplane", "coordination", "crates", "dataplane", "lab", "programs", "src", "tests"];
 /// Stands for the beginning of a name that the page has given in full just before.
 const ELLIPSIS: &str = "...";
@@ -21,51 +24,22 @@
     before: &'a str,
 }
 
-/// The sources of the workspace by their paths from its root.
-struct Sources(BTreeMap<String, String>);
-
-impl Sources {
-    fn read() -> Sources {
-        let mut sources = Sources(BTreeMap::new());
-        for folder in SOURCE_FOLDERS {
-            sources.read_folder(&root().join(folder));
-        }
-        sources
-    }
-
-    fn read_folder(&mut self, folder: &Path) {
-        for entry in fs::read_dir(folder).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_dir() {
-                self.read_folder(&path);
-            } else if path.extension().is_some_and(|extension| extension == "rs") {
-                let name = path.strip_prefix(root()).unwrap().to_str().unwrap().to_owned();
-                self.0.insert(name, fs::read_to_string(&path).unwrap());
-            }
-        }
-    }
-
-    /// The files that a page may mean by a path: those of which it is the end.
-    fn files(&self, path: &str) -> Vec<&str> {
-        let is_meant = |name: &str| name == path || name.ends_with(&format!("/{path}"));
-        self.0.iter().filter(|(name, _)| is_meant(name)).map(|(_, text)| text.as_str()).collect()
-    }
-
-    fn has_word(&self, word: &str) -> bool {
-        self.0.values().any(|text| holds_word(text, word))
-    }
+/// The files that a page may mean by a path: those of which it is the end.
+fn files_of<'a>(sources: &'a Sources, path: &str) -> Vec<&'a str> {
+    let is_meant = |name: &str| name == path || name.ends_with(&format!("/{path}"));
+    sources.0.iter().filter(|(name, _)| is_meant(name)).map(|(_, text)| text.as_str()).collect()
+}
 
-    fn has_function(&self, name: &str) -> bool {
-        self.0.values().any(|text| holds_function(text, name))
-    }
+fn has_word(sources: &Sources, word: &str) -> bool {
+    sources.0.values().any(|text| holds_word(text, word))
+}
 
-    fn has_function_that_ends_with(&self, end: &str) -> bool {
-        self.0.values().any(|text| text.contains(&format!("{end}(")))
-    }
+fn has_function(sources: &Sources, name: &str) -> bool {
+    sources.0.values().any(|text| holds_function(text, name))
 }
 
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+fn has_function_that_ends_with(sources: &Sources, end: &str) -> bool {
+    sources.0.values().any(|text| text.contains(&format!("{end}(")))
 }
 
 fn is_of_a_word(character: char) -> bool {
@@ -108,18 +82,18 @@
 /// What is wrong with a mention; the files are those that the list which it stands in belongs to.
 fn fault(sources: &Sources, text: &str, files: &[&str]) -> Option<String> {
     if let Some((path, name)) = text.split_once(".rs::") {
-        let files = sources.files(&format!("{path}.rs"));
+        let files = files_of(sources, &format!("{path}.rs"));
         return (!files.iter().any(|file| holds_function(file, name))).then(|| "no such test".to_owned());
     }
     if text.ends_with(".rs") {
-        return sources.files(text).is_empty().then(|| "no such file".to_owned());
+        return files_of(sources, text).is_empty().then(|| "no such file".to_owned());
     }
     if text.starts_with("deploy/") {
         return missing_paths(text);
     }
     if let Some(end) = text.strip_prefix(ELLIPSIS) {
         let end = end.trim_end_matches(ELLIPSIS);
-        let is_there = sources.has_function_that_ends_with(end) || text.ends_with(ELLIPSIS);
+        let is_there = has_function_that_ends_with(sources, end) || text.ends_with(ELLIPSIS);
         return (!is_there).then(|| "no function ends so".to_owned());
     }
     let words: Vec<&str> = text.split("::").collect();
@@ -131,10 +105,10 @@
         return (!words.iter().all(is_there)).then(|| "not in the file named before".to_owned());
     }
     if words.len() > 1 {
-        return (!words.iter().all(|word| sources.has_word(word))).then(|| "no such item".to_owned());
+        return (!words.iter().all(|word| has_word(sources, word))).then(|| "no such item".to_owned());
     }
     let is_function = text.split('_').count() >= WORDS_OF_A_TEST && !text.contains(char::is_uppercase);
-    (is_function && !sources.has_function(text)).then(|| "no such function".to_owned())
+    (is_function && !has_function(sources, text)).then(|| "no such function".to_owned())
 }
 
 /// Of a path with alternatives in braces, or with a star at its end.
@@ -164,7 +138,7 @@
             faults.push(format!("line {line}: `{text}`: {fault}"));
         }
         if text.ends_with(".rs") {
-            files = sources.files(text);
+            files = files_of(sources, text);
         }
     }
     faults
@@ -174,7 +148,7 @@
 fn all_that_the_page_names_is_there() {
     let page = fs::read_to_string(root().join(PAGE)).unwrap();
     assert!(mentions(&page).len() > 300, "the page is not read");
-    let faults = faults(&Sources::read(), &page);
+    let faults = faults(&Sources::read(&FOLDERS), &page);
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
