--- /dev/null
+++ b/controlplane/controller/tests/common/world/checks.rs
@@ -0,0 +1,151 @@
+//! What has to hold at any moment, and once all is well.
+
+use std::net::SocketAddr;
+
+use http::StatusCode;
+use whinspindle_controller::api::Call;
+use whinspindle_controller::{Action, Event};
+
+use super::{World, after};
+use crate::common::edge::Edge;
+use crate::common::judge::{CONTACT_MS, KNOWN_MS, held_generation};
+use crate::common::resolve;
+use crate::common::upstream::{Phase, Upstream};
+
+const CLIENT_REGION: &str = "north";
+const CLIENT_ZONE: &str = "zone-a";
+/// A balancer that has ended is named for this long at most.
+const NAMED_MS: u64 = CONTACT_MS + 3_000;
+
+impl World {
+    pub(super) fn check_balancers(&mut self, now: u64) {
+        let mut found = Vec::new();
+        for edge in &self.edges {
+            let Some(held) = edge.held() else { continue };
+            let configured = held.versions().configured;
+            if configured > 0 && configured < edge.reported {
+                found.push(format!("edge {} went back to {configured} from {}", edge.number, edge.reported));
+            }
+            if configured > 0
+                && self.is_in_reach(now, edge)
+                && let Err(problem) = self.judge.check_configuration(now, held)
+            {
+                found.push(format!("edge {}, in reach, {problem}", edge.number));
+            }
+            if !self.is_in_touch(now, edge) {
+                continue;
+            }
+            if let Err(problem) = self.judge.check(now, held) {
+                found.push(format!("edge {}: {problem}", edge.number));
+            }
+            if let Some(upstream) = self.missing_upstream(now, edge) {
+                found.push(format!("edge {} doesn't know {upstream}, which serves", edge.number));
+            }
+        }
+        for problem in found {
+            self.problem(problem);
+        }
+    }
+
+    /// No controller names a balancer that ended long ago beside a running one, cut off or not; one that serves names
+    /// those in touch.
+    pub(super) fn check_directory(&mut self, now: u64) {
+        let serving = self.serving_controllers(now);
+        let is_core_calm = now > self.core_disturbed_at + CONTACT_MS;
+        for at in self.fleet.cluster.endpoints() {
+            let was_frozen = self.frozen.get(&at).is_some_and(|until| *until + NAMED_MS > now);
+            if was_frozen || !is_core_calm {
+                continue;
+            }
+            let Some(named) = self.named_by(now, at) else { continue };
+            let ended = |edge: &&Edge| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
+            if let Some(edge) = self.edges.iter().filter(ended).find(|edge| named.contains(&edge.address)) {
+                let problem = format!("{at} names edge {}, which ended long ago", edge.number);
+                self.problem(problem);
+            } else if named.is_empty() && serving.contains(&at) && self.is_near_one_in_touch(now) {
+                self.problem(format!("{at} names no balancer"));
+            }
+        }
+    }
+
+    /// Clients of an unknown host are sent to balancers of their own region alone.
+    fn is_near_one_in_touch(&self, now: u64) -> bool {
+        let mut near = self.edges.iter().filter(|edge| edge.place().1 == CLIENT_REGION);
+        near.any(|edge| self.is_in_touch(now, edge))
+    }
+
+    fn has_ended_since(&self, now: u64, edge: &Edge, span_ms: u64) -> bool {
+        self.edge_ended_at.get(&edge.address).is_none_or(|at| at + span_ms > now)
+    }
+
+    /// The answer of a running controller's directory.
+    fn named_by(&mut self, now: u64, at: SocketAddr) -> Option<Vec<SocketAddr>> {
+        let id = self.fleet.next_call();
+        let process = self.fleet.cluster.process_mut(at)?;
+        let actions =
+            process.controller.handle(now, Event::Call { id, call: resolve(CLIENT_REGION, CLIENT_ZONE) });
+        let [Action::Answer { response, .. }] = &actions[..] else { panic!("a question has one answer") };
+        if response.status != StatusCode::OK {
+            return Some(Vec::new());
+        }
+        let body = std::str::from_utf8(&response.body).expect("an answer is text");
+        let addresses = after(body, "[", ']').split(',').map(|address| address.trim_matches('"'));
+        Some(addresses.map(|address| address.parse().expect("an address")).collect())
+    }
+
+    fn is_in_touch(&self, now: u64, edge: &Edge) -> bool {
+        let disturbed_at = self.edge_disturbed_at.get(&edge.address).copied().unwrap_or(0);
+        now > disturbed_at + CONTACT_MS && self.is_in_reach(now, edge)
+    }
+
+    /// As in touch, but the machine may have started just now: what it handles at all, it handles by the newest.
+    fn is_in_reach(&self, now: u64, edge: &Edge) -> bool {
+        let unreached_at = self.edge_unreached_at.get(&edge.address).copied().unwrap_or(0);
+        now > unreached_at.max(self.core_disturbed_at) + CONTACT_MS
+    }
+
+    fn missing_upstream(&self, now: u64, edge: &Edge) -> Option<&str> {
+        let held = edge.held()?;
+        let is_ready = |id: &str| {
+            let listed = held.instances().map_or(&[][..], |section| &section.list);
+            listed.iter().any(|instance| instance.id == id && !instance.draining)
+        };
+        let is_known = |upstream: &&Upstream| {
+            let disturbed_at = self.upstream_disturbed_at.get(&upstream.address).copied().unwrap_or(0);
+            now > disturbed_at.max(self.core_disturbed_at) + KNOWN_MS
+        };
+        let mut serving = self.upstreams.iter().filter(|upstream| upstream.phase == Phase::Serving);
+        serving
+            .find(|upstream| is_known(upstream) && !is_ready(&upstream.id))
+            .map(|upstream| upstream.id.as_str())
+    }
+
+    /// All is well for a while: everything is told everywhere.
+    pub fn check_convergence(&mut self) {
+        let newest = self.judge.newest_generation();
+        for at in self.fleet.cluster.endpoints() {
+            let body = match self.fleet.ask(at, Call::Fetch) {
+                Some(answer) if answer.status == StatusCode::OK => answer.body,
+                other => {
+                    self.problem(format!("reading back at {at}: {other:?}"));
+                    continue;
+                }
+            };
+            let text = String::from_utf8_lossy(&body).into_owned();
+            if !text.contains(&format!("\"generation\":{newest},")) {
+                self.problem(format!("read back at {at}: {text}, {newest} was acknowledged"));
+            }
+            let left: Vec<String> = self.judge.left_upstreams().cloned().collect();
+            let process = self.fleet.cluster.process(at).expect("all run");
+            if let Some(lost) = left.iter().find(|id| !process.controller.has_departed(id)) {
+                let problem = format!("{at} has forgotten that {lost} left");
+                self.problem(problem);
+            }
+        }
+        let generations: Vec<u64> =
+            self.edges.iter().filter_map(|edge| edge.held().map(held_generation)).collect();
+        if generations.iter().any(|generation| *generation != newest) {
+            self.problem(format!("balancers hold {generations:?}, {newest} was acknowledged"));
+        }
+    }
+}
--- /dev/null
+++ b/controlplane/controller/tests/common/world/controllers.rs
@@ -0,0 +1,110 @@
+//! Troubles of the controllers: starts, ends, pauses, lost disks and cuts.
+
+use std::net::SocketAddr;
+
+use super::World;
+use crate::common::fleet::{SEEDS, endpoint};
+
+/// Which of its partners a machine is cut off from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// The other controllers.
+    Peers,
+    /// Edge machines and upstreams.
+    Clients,
+    All,
+    /// The other controllers, and every second edge machine and upstream: the others are near and still reach it.
+    Near,
+}
+
+/// Which way a cut holds, seen from the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Both,
+    Outward,
+    Inward,
+}
+
+impl World {
+    pub fn start_controller(&mut self, at: SocketAddr) {
+        if !self.fleet.cluster.is_running(at) {
+            self.disturb_core();
+            *self.lives.entry(at).or_insert(0) += 1;
+            self.frozen.remove(&at);
+            self.fleet.cluster.start(at);
+        }
+    }
+
+    pub fn stop_controller(&mut self, at: SocketAddr) {
+        self.disturb_core();
+        self.fleet.cluster.stop(at);
+    }
+
+    pub fn freeze_controller(&mut self, at: SocketAddr, span_ms: u64) {
+        self.disturb_core();
+        let until = self.now() + span_ms;
+        self.frozen.insert(at, until);
+        self.fleet.cluster.freeze(at, until);
+    }
+
+    /// Its disk is lost; it stops.
+    pub fn wipe_controller(&mut self, at: SocketAddr) {
+        self.stop_controller(at);
+        self.fleet.wipe(at);
+        self.disks_lost.insert(at);
+    }
+
+    /// It is taken out for good, and another one comes with an empty disk.
+    pub fn replace_controller(&mut self, at: SocketAddr, by: u8) {
+        self.disturb_core();
+        self.fleet.cluster.remove(at);
+        self.fleet.cluster.add(endpoint(by), false);
+        self.start_controller(endpoint(by));
+        let seeds: Vec<SocketAddr> = self.fleet.cluster.endpoints().into_iter().take(SEEDS).collect();
+        self.edges.iter_mut().for_each(|edge| edge.seeds = seeds.clone());
+    }
+
+    pub fn cut_controller(&mut self, at: SocketAddr, reach: Reach, direction: Direction) {
+        self.disturb_core();
+        if reach != Reach::Clients {
+            for other in self.fleet.cluster.endpoints().into_iter().filter(|other| *other != at) {
+                for (from, to) in directed(at, other, direction) {
+                    self.fleet.cluster.cut(from, to);
+                }
+            }
+        }
+        let addresses: Vec<SocketAddr> = self.client_addresses();
+        let cut_off = addresses.into_iter().enumerate().filter(|(position, _)| match reach {
+            Reach::Peers => false,
+            Reach::Clients | Reach::All => true,
+            Reach::Near => position % 2 == 0,
+        });
+        for (_, client) in cut_off {
+            self.cuts.extend(directed(at, client, direction));
+        }
+    }
+
+    /// An edge machine is cut off from a controller.
+    pub fn cut_edge(&mut self, index: usize, at: SocketAddr, direction: Direction) {
+        self.cuts.extend(directed(at, self.edges[index].address, direction));
+    }
+
+    pub fn heal_all(&mut self) {
+        self.disturb_core();
+        self.cuts.clear();
+        self.fleet.cluster.heal_all();
+    }
+
+    fn client_addresses(&self) -> Vec<SocketAddr> {
+        let edges = self.edges.iter().map(|edge| edge.address);
+        edges.chain(self.upstreams.iter().map(|upstream| upstream.address)).collect()
+    }
+}
+
+fn directed(at: SocketAddr, other: SocketAddr, direction: Direction) -> Vec<(SocketAddr, SocketAddr)> {
+    match direction {
+        Direction::Both => vec![(at, other), (other, at)],
+        Direction::Outward => vec![(at, other)],
+        Direction::Inward => vec![(other, at)],
+    }
+}
--- /dev/null
+++ b/controlplane/controller/tests/common/world/edges.rs
@@ -0,0 +1,130 @@
+//! Edge machines: their links to controllers, their starts and ends.
+
+use whinspindle_agent::{ConnectionId, Input};
+use whinspindle_distribution::{SubscriberId, ToBalancer};
+
+use super::World;
+use crate::common::edge::{Wire, Wish};
+use crate::common::fleet::Command;
+
+impl World {
+    pub(super) fn post_downward(&mut self, subscriber: SubscriberId, message: ToBalancer) {
+        let wires = self.edges.iter_mut().flat_map(|edge| edge.wires.values_mut());
+        if let Some(wire) = wires.into_iter().find(|wire| wire.subscriber == subscriber) {
+            wire.downward.push_back(message);
+        }
+    }
+
+    pub(super) fn run_edge(&mut self, now: u64, index: usize) {
+        if self.edges[index].frozen_until > now {
+            return;
+        }
+        let connections: Vec<ConnectionId> = self.edges[index].wires.keys().copied().collect();
+        for connection in connections {
+            self.run_wire(now, index, connection);
+        }
+        let wishes = self.edges[index].tick(now);
+        self.grant(index, wishes);
+    }
+
+    fn run_wire(&mut self, now: u64, index: usize, connection: ConnectionId) {
+        let edge = &mut self.edges[index];
+        let Some(wire) = edge.wires.get_mut(&connection) else { return };
+        let controller = wire.controller;
+        let life = self.lives.get(&controller).copied().unwrap_or(0);
+        let is_running = self.fleet.cluster.is_running(controller);
+        let goes_up = !self.cuts.contains(&(edge.address, controller));
+        let goes_down = !self.cuts.contains(&(controller, edge.address));
+        let is_standing = wire.accepted_by == Some(life) && is_running;
+        if is_standing {
+            while goes_up && let Some(report) = wire.upward.front() {
+                let command = Command::Report { subscriber: wire.subscriber, report: report.clone() };
+                if !self.fleet.cluster.command(controller, command) {
+                    break;
+                }
+                wire.upward.pop_front();
+            }
+            let arrived = if goes_down { std::mem::take(&mut wire.downward) } else { Default::default() };
+            for message in arrived {
+                let wishes = self.edges[index].give(now, Input::FromController(connection, message));
+                self.grant(index, wishes);
+            }
+        } else if goes_up && goes_down {
+            let input = if wire.accepted_by.is_none() && is_running {
+                wire.accepted_by = Some(life);
+                Input::Connected(connection)
+            } else {
+                edge.wires.remove(&connection);
+                Input::Closed(connection)
+            };
+            let wishes = self.edges[index].give(now, input);
+            self.grant(index, wishes);
+        }
+    }
+
+    fn grant(&mut self, index: usize, wishes: Vec<Wish>) {
+        for wish in wishes {
+            match wish {
+                Wish::Connect(connection, controller) => {
+                    self.last_subscriber += 1;
+                    let wire = Wire {
+                        controller,
+                        subscriber: SubscriberId(self.last_subscriber),
+                        accepted_by: None,
+                        upward: Default::default(),
+                        downward: Default::default(),
+                    };
+                    self.edges[index].wires.insert(connection, wire);
+                }
+                Wish::Closed(wire) => {
+                    let life = self.lives.get(&wire.controller).copied().unwrap_or(0);
+                    let goes_up = !self.cuts.contains(&(self.edges[index].address, wire.controller));
+                    if goes_up && wire.accepted_by == Some(life) {
+                        let command = Command::Closed { subscriber: wire.subscriber };
+                        self.fleet.cluster.command(wire.controller, command);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn start_edge(&mut self, index: usize) {
+        let now = self.now();
+        self.disturb_edge(index);
+        let wishes = self.edges[index].start_agent(now);
+        self.grant(index, wishes);
+        let wishes = self.edges[index].start_proxy(now);
+        self.grant(index, wishes);
+    }
+
+    pub fn stop_edge(&mut self, index: usize) {
+        self.disturb_edge(index);
+        let now = self.now();
+        self.edge_ended_at.insert(self.edges[index].address, now);
+        let wishes = self.edges[index].stop_agent();
+        self.grant(index, wishes);
+        self.edges[index].stop_proxy(now);
+    }
+
+    pub fn restart_agent(&mut self, index: usize) {
+        self.disturb_edge(index);
+        let now = self.now();
+        let wishes = self.edges[index].stop_agent();
+        self.grant(index, wishes);
+        let wishes = self.edges[index].start_agent(now);
+        self.grant(index, wishes);
+    }
+
+    pub fn restart_proxy(&mut self, index: usize) {
+        self.disturb_edge(index);
+        let now = self.now();
+        let wishes = self.edges[index].stop_proxy(now);
+        self.grant(index, wishes);
+        let wishes = self.edges[index].start_proxy(now);
+        self.grant(index, wishes);
+    }
+
+    pub fn freeze_edge(&mut self, index: usize, span_ms: u64) {
+        self.edges[index].frozen_until = self.now() + span_ms;
+    }
+}
--- /dev/null
+++ b/controlplane/controller/tests/common/world/operators.rs
@@ -0,0 +1,103 @@
+//! Operators: two orders at a time on one base, and evacuations.
+
+use bytes::Bytes;
+use http::StatusCode;
+use whinspindle_controller::api::{Call, Response};
+
+use super::World;
+use crate::common::{configuration, evacuate};
+
+/// Two orders on one base, of which one wins.
+pub(super) struct Race {
+    generation: u64,
+    attempts: [usize; 2],
+    bodies: [Bytes; 2],
+}
+
+/// An order for a zone that has no answer yet.
+pub(super) struct ZoneOrder {
+    zone: &'static str,
+    evacuated: bool,
+    attempt: usize,
+}
+
+impl World {
+    pub(super) fn give_orders(&mut self) {
+        if self.are_operators_resting {
+            return;
+        }
+        if self.race.is_none() {
+            self.begin_race();
+        }
+        if self.zone_order.is_none() {
+            self.begin_zone_order();
+        }
+    }
+
+    fn begin_race(&mut self) {
+        let base = self.judge.newest_generation();
+        let generation = base + 1 + self.fleet.chance.below(2) as u64;
+        let bodies = ["one", "other"].map(|operator| {
+            let text = String::from_utf8(configuration(generation).to_vec()).unwrap();
+            Bytes::from(text.replacen('{', &format!("{{\"operator\":\"{operator}\","), 1))
+        });
+        let attempts = bodies.clone().map(|body| self.fleet.begin(Call::Replace { base, generation, body }));
+        self.race = Some(Race { generation, attempts, bodies });
+    }
+
+    fn begin_zone_order(&mut self) {
+        let zone = ["zone-a", "zone-b", "zone-c"][self.fleet.chance.below(3)];
+        let evacuated = !self.judge.zones().get(zone).is_some_and(|(_, evacuated)| *evacuated);
+        self.judge.evacuating(zone);
+        let attempt = self.fleet.begin(evacuate(zone, evacuated));
+        self.zone_order = Some(ZoneOrder { zone, evacuated, attempt });
+    }
+
+    fn answer_of(&self, attempt: usize) -> Option<(u64, Response)> {
+        self.fleet.attempts[attempt].answered.clone()
+    }
+
+    pub(super) fn take_outcomes(&mut self) {
+        if let Some(order) = &self.zone_order
+            && let Some((at, answer)) = self.answer_of(order.attempt)
+        {
+            let ZoneOrder { zone, evacuated, .. } = *order;
+            if answer.status != StatusCode::OK {
+                self.problem(format!("an evacuation was answered {}", answer.status));
+            }
+            self.judge.evacuated(at, zone, evacuated);
+            self.zone_order = None;
+        }
+        if let Some(race) = &self.race
+            && let [Some(one), Some(other)] = race.attempts.map(|attempt| self.answer_of(attempt))
+        {
+            self.take_race(one, other);
+        }
+    }
+
+    fn take_race(&mut self, one: (u64, Response), other: (u64, Response)) {
+        let Some(race) = self.race.take() else { return };
+        let statuses = (one.1.status, other.1.status);
+        match statuses {
+            (StatusCode::OK, StatusCode::PRECONDITION_FAILED) => {
+                self.judge.configured(one.0, race.generation)
+            }
+            (StatusCode::PRECONDITION_FAILED, StatusCode::OK) => {
+                self.judge.configured(other.0, race.generation);
+            }
+            _ => self.problem(format!("of two changes on one base: {statuses:?} {:?}", race.bodies)),
+        }
+    }
+
+    /// Waits until no order is under way.
+    pub fn finish_orders(&mut self, limit_ms: u64) {
+        self.are_operators_resting = true;
+        let end = self.now() + limit_ms;
+        while self.now() < end && (self.race.is_some() || self.zone_order.is_some()) {
+            self.step();
+        }
+        if self.race.is_some() || self.zone_order.is_some() {
+            self.problem(format!("an order has no outcome after {limit_ms} ms"));
+        }
+    }
+}
--- /dev/null
+++ b/controlplane/controller/tests/common/world/upstreams.rs
@@ -0,0 +1,62 @@
+//! Upstreams: what they call, and the answers that come back.
+
+use std::net::SocketAddr;
+
+use http::StatusCode;
+use whinspindle_controller::CallId;
+use whinspindle_controller::api::Response;
+
+use super::World;
+use crate::common::fleet::{Answer, Command};
+use crate::common::upstream::{Phase, Upstream};
+
+impl World {
+    pub(super) fn call_for_upstreams(&mut self) {
+        let now = self.now();
+        let endpoints = self.fleet.cluster.endpoints();
+        for index in 0..self.upstreams.len() {
+            let Some(call) = self.upstreams[index].due_call(now) else { continue };
+            let at = endpoints[self.upstreams[index].target % endpoints.len()];
+            let id = self.fleet.next_call();
+            let reaches = !self.cuts.contains(&(self.upstreams[index].address, at));
+            if reaches && !self.fleet.cluster.is_running(at) {
+                self.upstreams[index].failed(now);
+                continue;
+            }
+            self.upstreams[index].waiting = Some((id, at, now));
+            if reaches {
+                self.fleet.cluster.command(at, Command::Call { id, call });
+            }
+        }
+    }
+
+    pub(super) fn take_response(&mut self, at: u64, from: SocketAddr, id: CallId, response: Response) {
+        if response.status == StatusCode::OK {
+            self.acknowledgements += 1;
+            self.acknowledged_by = Some(from);
+        }
+        let waits = |upstream: &Upstream| upstream.waiting.is_some_and(|(waiting, ..)| waiting == id);
+        let Some(index) = self.upstreams.iter().position(waits) else {
+            self.fleet.take(at, Answer::Response { id, response });
+            return;
+        };
+        let upstream = &mut self.upstreams[index];
+        if self.cuts.contains(&(from, upstream.address)) {
+            return;
+        }
+        if response.status != StatusCode::OK {
+            upstream.failed(at);
+            return;
+        }
+        if upstream.phase != Phase::Serving {
+            self.judge.left(at, &upstream.id);
+        }
+        upstream.acknowledged(at);
+    }
+
+    pub fn leave(&mut self, index: usize, says_draining: bool) {
+        let now = self.now();
+        let count = self.upstreams.len();
+        self.upstreams[index % count].leave(now, says_draining);
+    }
+}
