--- a/coordination/replica/tests/exhaustive/world.rs
+++ b/coordination/replica/tests/exhaustive/world.rs
@@ -1,13 +1,16 @@
 //! Replicas, their disks and the messages between them, one event after the other.
 
+mod choices;
+mod machine;
+
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-use whinspindle_replica::{
-    DurableWrite, Input, Laws, Message, Output, Replica, ReplicaSettings, Timing, Tolerance,
-};
+use whinspindle_replica::{Input, Laws, Message, Output, Replica, ReplicaSettings, Timing, Tolerance};
 
+pub use self::choices::{Action, Budget};
+use self::machine::Machine;
 use crate::common::history::Asked;
 use crate::common::node::{Registers, endpoint};
 use crate::observer::{Observer, hash_of};
@@ -33,44 +36,6 @@
     resend: 200,
 };
 
-/// One machine and the process on it.
-#[derive(Clone, Debug)]
-pub struct Machine<L> {
-    pub replica: Option<Replica<Registers, L>>,
-    disk: (Option<Vec<u8>>, Vec<Vec<u8>>),
-    /// The write under way.
-    writing: Option<(u64, DurableWrite)>,
-    starts: u64,
-    is_gone: bool,
-    /// Made when it is asked for.
-    fingerprint: OnceCell<u64>,
-}
-
-impl<L: Laws> Machine<L> {
-    fn empty() -> Machine<L> {
-        let (replica, disk, writing) = (None, (None, Vec::new()), None);
-        Machine { replica, disk, writing, starts: 0, is_gone: false, fingerprint: OnceCell::new() }
-    }
-
-    fn fingerprint(&self) -> u64 {
-        let Machine { replica, disk, writing, starts, is_gone, fingerprint } = self;
-        let under_way = writing.as_ref().map(|(token, write)| match write {
-            DurableWrite::Append(records) => (*token, false, hash_of(records)),
-            DurableWrite::Checkpoint(state) => (*token, true, hash_of(state)),
-        });
-        // Of the replica, only its text tells all.
-        let state = || hash_of((format!("{replica:?}"), disk, under_way, starts, is_gone));
-        *fingerprint.get_or_init(state)
-    }
-
-    fn write(&mut self, write: DurableWrite) {
-        match write {
-            DurableWrite::Append(records) => self.disk.1.extend(records),
-            DurableWrite::Checkpoint(state) => self.disk = (Some(state), Vec::new()),
-        }
-    }
-}
-
 /// A direction of a link, by the numbers of the machines.
 pub type Link = (usize, usize);
 
@@ -82,45 +47,6 @@
     message: Rc<Message>,
 }
 
-/// Something that happens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// The oldest message of the link arrives.
-    Deliver(Link),
-    Lose(Link),
-    /// It arrives, and will do so again.
-    Repeat(Link),
-    /// It will arrive after a while, later ones before it.
-    Delay(Link),
-    /// The write under way is done.
-    Written(usize),
-    /// The process ends; the write under way may be done.
-    Crash {
-        machine: usize,
-        writes: bool,
-    },
-    /// The process ends, and another one starts at once.
-    Restart {
-        machine: usize,
-        writes: bool,
-    },
-    /// The process ends and the disk is lost.
-    LoseDisk(usize),
-    Start(usize),
-    /// The machine is gone for good; another one comes.
-    Replace(usize),
-    Cut(Link),
-    Isolate(usize),
-    Heal,
-    /// A caller asks the replica on this machine.
-    Ask {
-        machine: usize,
-        order: usize,
-    },
-    /// Time passes; whoever is connected hears the other's heartbeat.
-    Pass,
-}
-
 /// What a caller asks.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -130,18 +56,6 @@
     pub asked: Asked,
 }
 
-/// What may still happen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Budget {
-    pub losses: u8,
-    pub repeats: u8,
-    pub crashes: u8,
-    pub cuts: u8,
-    pub lost_disks: u8,
-    pub replacements: u8,
-    pub passes: u8,
-}
-
 /// Machines in the middle of a schedule.
 #[derive(Clone)]
 pub struct World<L> {
@@ -198,197 +112,71 @@
         self.machines[machine].replica.is_some()
     }
 
-    /// What may happen now.
-    pub fn actions(&self) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let budget = self.budget;
-        for (link, mails) in &self.links {
-            if mails.is_empty() {
-                continue;
-            }
-            actions.push(Action::Deliver(*link));
-            if budget.losses > 0 {
-                actions.push(Action::Lose(*link));
-            }
-            if budget.repeats > 0 {
-                actions.push(Action::Repeat(*link));
-            }
-        }
-        for (number, machine) in self.machines.iter().enumerate() {
-            if machine.writing.is_some() {
-                actions.push(Action::Written(number));
-            }
-            if machine.replica.is_none() && !machine.is_gone {
-                actions.push(Action::Start(number));
-            }
-            if machine.replica.is_none() {
-                continue;
-            }
-            if budget.crashes > 0 {
-                actions.push(Action::Crash { machine: number, writes: false });
-                if machine.writing.is_some() {
-                    actions.push(Action::Crash { machine: number, writes: true });
-                }
-            }
-            if budget.lost_disks > 0 {
-                actions.push(Action::LoseDisk(number));
-            }
-            if budget.replacements > 0 {
-                actions.push(Action::Replace(number));
-            }
-            if budget.cuts > 0 {
-                actions.push(Action::Isolate(number));
-                let others = (0..self.machines.len()).filter(|other| *other != number);
-                actions.extend(others.map(|other| Action::Cut((number, other))));
-            }
-        }
-        actions.extend(
-            self.unasked().map(|(order, Order { machine, .. })| Action::Ask { machine: *machine, order }),
-        );
-        if !self.cuts.is_empty() {
-            actions.push(Action::Heal);
-        }
-        if budget.passes > 0 {
-            actions.push(Action::Pass);
-        }
-        actions
-    }
-
-    /// Orders that may be asked for now.
-    fn unasked(&self) -> impl Iterator<Item = (usize, &Order)> {
-        let orders = self.orders.iter().enumerate();
-        orders.filter(|(order, what)| !self.asked.contains(order) && self.is_running(what.machine))
-    }
-
-    /// What happens where nothing goes wrong: the disks are quick, messages arrive in the order in which they were
-    /// sent, and time passes once there is nothing else to do.
-    pub fn ordinary(&self) -> Action {
-        if let Some(number) = self.machines.iter().position(|machine| machine.writing.is_some()) {
-            return Action::Written(number);
-        }
-        if let Some(link) = self.oldest() {
-            return Action::Deliver(link);
-        }
-        let due = self.unasked().find(|(_, order)| order.after <= self.passed);
-        due.map_or(Action::Pass, |(order, Order { machine, .. })| Action::Ask { machine: *machine, order })
-    }
-
-    fn oldest(&self) -> Option<Link> {
-        let first = |(link, mails): (&Link, &VecDeque<Mail>)| Some((mails.front()?.order, *link));
-        self.links.iter().filter_map(first).min().map(|(_, link)| link)
-    }
-
-    /// What may go wrong in the place of the ordinary action.
-    pub fn departures(&self, ordinary: Action) -> Vec<Action> {
-        let mut departures = match ordinary {
-            Action::Deliver(link) => {
-                let crash = |machine| Action::Crash { machine, writes: false };
-                let (lose, repeat, delay) = (Action::Lose(link), Action::Repeat(link), Action::Delay(link));
-                let (sender, receiver) = link;
-                let restart = Action::Restart { machine: receiver, writes: false };
-                let (lost, cut) = (Action::LoseDisk(receiver), Action::Cut(link));
-                vec![
-                    lose,
-                    repeat,
-                    delay,
-                    restart,
-                    crash(sender),
-                    crash(receiver),
-                    lost,
-                    cut,
-                    Action::Isolate(receiver),
-                ]
-            }
-            Action::Written(machine) => {
-                let crash = |writes| Action::Crash { machine, writes };
-                let restart = |writes| Action::Restart { machine, writes };
-                vec![restart(false), restart(true), crash(false), crash(true), Action::LoseDisk(machine)]
-            }
-            Action::Pass => (0..self.machines.len()).map(Action::Replace).collect(),
-            _ => Vec::new(),
-        };
-        departures.retain(|departure| self.is_allowed(*departure));
-        departures
-    }
-
-    fn is_allowed(&self, action: Action) -> bool {
-        let budget = self.budget;
-        match action {
-            Action::Crash { machine, .. } | Action::Restart { machine, .. } => {
-                budget.crashes > 0 && self.is_running(machine)
-            }
-            Action::LoseDisk(machine) => budget.lost_disks > 0 && self.is_running(machine),
-            Action::Replace(machine) => budget.replacements > 0 && self.is_running(machine),
-            Action::Cut(_) | Action::Isolate(_) => budget.cuts > 0,
-            Action::Lose(_) | Action::Delay(_) => budget.losses > 0,
-            Action::Repeat(_) => budget.repeats > 0,
-            _ => true,
-        }
-    }
-
     /// Carries out an action; says what is broken by it.
     pub fn act(&mut self, action: Action) -> Result<(), String> {
         self.steps += 1;
+        self.pay_for(action);
         match action {
             Action::Deliver(link) => {
                 let mail = self.take(link);
-                self.deliver(link, mail)
+                self.deliver(link, mail)?;
             }
             Action::Lose(link) => {
-                self.budget.losses -= 1;
                 self.take(link);
-                Ok(())
             }
             Action::Repeat(link) => {
-                self.budget.repeats -= 1;
                 let mail = self.take(link);
                 self.links.entry(link).or_default().extend(mail.clone());
-                self.deliver(link, mail)
+                self.deliver(link, mail)?;
             }
             Action::Delay(link) => {
-                self.budget.losses -= 1;
                 let mail = self.take(link);
                 self.late.extend(mail.map(|mail| (self.passed + LATE, link, mail)));
-                Ok(())
-            }
-            Action::Written(machine) => self.written(machine),
-            Action::Crash { machine, writes } => {
-                self.budget.crashes -= 1;
-                self.stop(machine, writes);
-                Ok(())
             }
+            Action::Written(machine) => self.written(machine)?,
+            Action::Crash { machine, writes } => self.stop(machine, writes),
             Action::Restart { machine, writes } => {
-                self.budget.crashes -= 1;
                 self.stop(machine, writes);
-                self.start(machine)
+                self.start(machine)?;
             }
             Action::LoseDisk(machine) => {
-                self.budget.lost_disks -= 1;
                 self.stop(machine, false);
                 self.machine(machine).disk = (None, Vec::new());
-                Ok(())
-            }
-            Action::Start(machine) => self.start(machine),
-            Action::Replace(machine) => self.replace(machine),
-            Action::Cut(link) => {
-                self.budget.cuts -= 1;
-                self.cut(link);
-                Ok(())
-            }
-            Action::Isolate(machine) => {
-                self.budget.cuts -= 1;
-                for other in (0..self.machines.len()).filter(|other| *other != machine) {
-                    self.cut((machine, other));
-                    self.cut((other, machine));
-                }
-                Ok(())
-            }
-            Action::Heal => {
-                self.cuts.clear();
-                Ok(())
             }
-            Action::Ask { machine, order } => self.ask(machine, order),
-            Action::Pass => self.pass(),
+            Action::Start(machine) => self.start(machine)?,
+            Action::Replace(machine) => self.replace(machine)?,
+            Action::Cut(link) => self.cut(link),
+            Action::Isolate(machine) => self.isolate(machine),
+            Action::Heal => self.cuts.clear(),
+            Action::Ask { machine, order } => self.ask(machine, order)?,
+            Action::Pass => self.pass()?,
+        }
+        Ok(())
+    }
+
+    /// Takes from the budget what an action costs.
+    fn pay_for(&mut self, action: Action) {
+        let budget = &mut self.budget;
+        match action {
+            Action::Lose(_) | Action::Delay(_) => budget.losses -= 1,
+            Action::Repeat(_) => budget.repeats -= 1,
+            Action::Crash { .. } | Action::Restart { .. } => budget.crashes -= 1,
+            Action::LoseDisk(_) => budget.lost_disks -= 1,
+            Action::Replace(_) => budget.replacements -= 1,
+            Action::Cut(_) | Action::Isolate(_) => budget.cuts -= 1,
+            Action::Pass => budget.passes = budget.passes.saturating_sub(1),
+            Action::Deliver(_)
+            | Action::Written(_)
+            | Action::Start(_)
+            | Action::Heal
+            | Action::Ask { .. } => {}
+        }
+    }
+
+    fn isolate(&mut self, machine: usize) {
+        for other in (0..self.machines.len()).filter(|other| *other != machine) {
+            self.cut((machine, other));
+            self.cut((other, machine));
         }
     }
 
@@ -450,7 +238,6 @@
     }
 
     fn replace(&mut self, number: usize) -> Result<(), String> {
-        self.budget.replacements -= 1;
         self.stop(number, false);
         self.down_until.remove(&number);
         self.machine(number).is_gone = true;
@@ -466,7 +253,6 @@
     }
 
     fn pass(&mut self) -> Result<(), String> {
-        self.budget.passes = self.budget.passes.saturating_sub(1);
         self.passed += 1;
         let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, ..)| *at <= self.passed);
         self.late = late;
--- /dev/null
+++ b/coordination/replica/tests/exhaustive/world/machine.rs
@@ -0,0 +1,46 @@
+//! One machine: its replica, its disk and the write under way.
+
+use std::cell::OnceCell;
+
+use whinspindle_replica::{DurableWrite, Laws, Replica};
+
+use crate::common::node::Registers;
+use crate::observer::hash_of;
+
+/// One machine and the process on it.
+#[derive(Clone, Debug)]
+pub struct Machine<L> {
+    pub replica: Option<Replica<Registers, L>>,
+    pub(super) disk: (Option<Vec<u8>>, Vec<Vec<u8>>),
+    /// The write under way.
+    pub(super) writing: Option<(u64, DurableWrite)>,
+    pub(super) starts: u64,
+    pub(super) is_gone: bool,
+    /// Made when it is asked for.
+    pub(super) fingerprint: OnceCell<u64>,
+}
+
+impl<L: Laws> Machine<L> {
+    pub(super) fn empty() -> Machine<L> {
+        let (replica, disk, writing) = (None, (None, Vec::new()), None);
+        Machine { replica, disk, writing, starts: 0, is_gone: false, fingerprint: OnceCell::new() }
+    }
+
+    pub(super) fn fingerprint(&self) -> u64 {
+        let Machine { replica, disk, writing, starts, is_gone, fingerprint } = self;
+        let under_way = writing.as_ref().map(|(token, write)| match write {
+            DurableWrite::Append(records) => (*token, false, hash_of(records)),
+            DurableWrite::Checkpoint(state) => (*token, true, hash_of(state)),
+        });
+        // Of the replica, only its text tells all.
+        let state = || hash_of((format!("{replica:?}"), disk, under_way, starts, is_gone));
+        *fingerprint.get_or_init(state)
+    }
+
+    pub(super) fn write(&mut self, write: DurableWrite) {
+        match write {
+            DurableWrite::Append(records) => self.disk.1.extend(records),
+            DurableWrite::Checkpoint(state) => self.disk = (Some(state), Vec::new()),
+        }
+    }
+}
