Replica: messages on the wire in short functions; planted faults named by what they do

The faults planted in tests were called Hasty, Lonely and the like, which wanted explaining. All tests of the replica pass, the searches among them.

--- a/controlplane/controller/tests/common/schedule.rs
+++ b/controlplane/controller/tests/common/schedule.rs
@@ -228,10 +228,7 @@
             Fault::AfterAcknowledgement(blow) => self.strike(blow),
             Fault::StopEdge(edge) => self.world.stop_edge(self.edge(edge)),
             Fault::StartEdge(edge) => self.world.start_edge(self.edge(edge)),
-            Fault::RestartEdge(edge) => {
-                self.world.stop_edge(self.edge(edge));
-                self.world.start_edge(self.edge(edge));
-            }
+            Fault::RestartEdge(edge) => self.world.restart_edge(self.edge(edge)),
             Fault::RestartAgent(edge) => self.world.restart_agent(self.edge(edge)),
             Fault::RestartProxy(edge) => self.world.restart_proxy(self.edge(edge)),
             Fault::FreezeEdge(edge, span) => self.world.freeze_edge(self.edge(edge), span),
--- a/controlplane/controller/tests/common/world/edges.rs
+++ b/controlplane/controller/tests/common/world/edges.rs
@@ -106,6 +106,11 @@
         self.edges[index].stop_proxy(now);
     }
 
+    pub fn restart_edge(&mut self, index: usize) {
+        self.stop_edge(index);
+        self.start_edge(index);
+    }
+
     pub fn restart_agent(&mut self, index: usize) {
         self.disturb_edge(index);
         let now = self.now();
--- a/coordination/replica/src/codec.rs
+++ b/coordination/replica/src/codec.rs
@@ -57,44 +57,25 @@
         }
         Message::Accepted { voter, ballot } => agreement::write_accepted(*voter, *ballot, to.init_accepted()),
         Message::Rejected { ballot, promised } => {
-            let mut to = to.init_rejected();
-            parts::write_ballot(*ballot, to.reborrow().init_ballot());
-            parts::write_ballot(*promised, to.init_promised());
+            agreement::write_rejected(*ballot, *promised, to.init_rejected());
         }
         Message::Decided(decided) => parts::write_decided(decided.ballot, &decided.view, to.init_decided()),
-        Message::Submit { origin, command } => {
-            let mut to = to.init_submit();
-            parts::write_origin(origin, to.reborrow().init_origin());
-            to.set_command(command);
-        }
+        Message::Submit { origin, command } => chain::write_submit(origin, command, to.init_submit()),
         Message::Replied { start, ticket, sequence, answer } => {
-            let mut to = to.init_replied();
-            to.set_start(*start);
-            to.set_ticket(*ticket);
-            to.set_sequence(*sequence);
-            to.set_answer(answer);
+            chain::write_replied(*start, *ticket, *sequence, answer, to.init_replied());
         }
         Message::Append { view, entries, reads } => {
-            chain::write_append(*view, entries, reads, to.init_append())
+            chain::write_append(*view, entries, reads, to.init_append());
         }
         Message::Acknowledge { view, last, committed } => {
-            let mut to = to.init_acknowledge();
-            to.set_view(*view);
-            to.set_last(*last);
-            to.set_committed(*committed);
+            chain::write_acknowledge(*view, *last, *committed, to.init_acknowledge());
         }
         Message::Resume { view, standing } => transfer::write_resume(*view, standing, to.init_resume()),
         Message::Synchronize { view, transfer } => {
-            let mut to = to.init_synchronize();
-            to.set_view(*view);
-            transfer::write(transfer, to.init_transfer());
+            transfer::write_synchronize(*view, transfer, to.init_synchronize());
         }
         Message::Pull { committed, digests } => transfer::write_pull(*committed, digests, to.init_pull()),
-        Message::Learn { view, transfer } => {
-            let mut to = to.init_learn();
-            to.set_view(*view);
-            transfer::write(transfer, to.init_transfer());
-        }
+        Message::Learn { view, transfer } => transfer::write_learn(*view, transfer, to.init_learn()),
     }
 }
 
@@ -105,39 +86,15 @@
         wire::Promise(from) => agreement::read_promise(from?)?,
         wire::Accept(from) => agreement::read_accept(from?)?,
         wire::Accepted(from) => agreement::read_accepted(from?)?,
-        wire::Rejected(from) => {
-            let from = from?;
-            let ballot = parts::read_ballot(from.get_ballot()?);
-            Message::Rejected { ballot, promised: parts::read_ballot(from.get_promised()?) }
-        }
+        wire::Rejected(from) => agreement::read_rejected(from?)?,
         wire::Decided(from) => Message::Decided(parts::read_decided(from?)?),
-        wire::Submit(from) => {
-            let from = from?;
-            let origin = parts::read_origin(from.get_origin()?)?;
-            Message::Submit { origin, command: from.get_command()?.to_vec() }
-        }
-        wire::Replied(from) => {
-            let from = from?;
-            let (start, ticket, sequence) = (from.get_start(), from.get_ticket(), from.get_sequence());
-            Message::Replied { start, ticket, sequence, answer: from.get_answer()?.to_vec() }
-        }
+        wire::Submit(from) => chain::read_submit(from?)?,
+        wire::Replied(from) => chain::read_replied(from?)?,
         wire::Append(from) => chain::read_append(from?)?,
-        wire::Acknowledge(from) => {
-            let from = from?;
-            let (view, last, committed) = (from.get_view(), from.get_last(), from.get_committed());
-            Message::Acknowledge { view, last, committed }
-        }
+        wire::Acknowledge(from) => chain::read_acknowledge(from?),
         wire::Resume(from) => transfer::read_resume(from?)?,
-        wire::Synchronize(from) => {
-            let from = from?;
-            let transfer = transfer::read(from.get_transfer()?)?;
-            Message::Synchronize { view: from.get_view(), transfer }
-        }
+        wire::Synchronize(from) => transfer::read_synchronize(from?)?,
         wire::Pull(from) => transfer::read_pull(from?)?,
-        wire::Learn(from) => {
-            let from = from?;
-            let transfer = transfer::read(from.get_transfer()?)?;
-            Message::Learn { view: from.get_view(), transfer }
-        }
+        wire::Learn(from) => transfer::read_learn(from?)?,
     })
 }
--- a/coordination/replica/src/codec/agreement.rs
+++ b/coordination/replica/src/codec/agreement.rs
@@ -68,3 +68,13 @@
     let (voter, ballot) = (read_voter(from.get_voter()?), read_ballot(from.get_ballot()?));
     Ok(Message::Accepted { voter, ballot })
 }
+
+pub fn write_rejected(ballot: Ballot, promised: Ballot, mut to: wire::rejected::Builder) {
+    write_ballot(ballot, to.reborrow().init_ballot());
+    write_ballot(promised, to.init_promised());
+}
+
+pub fn read_rejected(from: wire::rejected::Reader) -> Result<Message, DecodeError> {
+    let (ballot, promised) = (read_ballot(from.get_ballot()?), read_ballot(from.get_promised()?));
+    Ok(Message::Rejected { ballot, promised })
+}
--- a/coordination/replica/src/codec/chain.rs
+++ b/coordination/replica/src/codec/chain.rs
@@ -1,14 +1,47 @@
-//! Entries and reads on the wire.
+//! Commands, entries and reads on the wire.
 
 use capnp::struct_list;
 
 use super::DecodeError;
 use super::parts::{length, read_answer, read_origin, write_answer, write_origin};
 use crate::application::RecordWrite;
-use crate::entry::{Entry, Read};
+use crate::entry::{Entry, Origin, Read};
 use crate::message::Message;
 use crate::replica_capnp as wire;
 
+pub fn write_submit(origin: &Origin, command: &[u8], mut to: wire::submit::Builder) {
+    write_origin(origin, to.reborrow().init_origin());
+    to.set_command(command);
+}
+
+pub fn read_submit(from: wire::submit::Reader) -> Result<Message, DecodeError> {
+    let origin = read_origin(from.get_origin()?)?;
+    Ok(Message::Submit { origin, command: from.get_command()?.to_vec() })
+}
+
+pub fn write_replied(start: u64, ticket: u64, sequence: u64, answer: &[u8], mut to: wire::replied::Builder) {
+    to.set_start(start);
+    to.set_ticket(ticket);
+    to.set_sequence(sequence);
+    to.set_answer(answer);
+}
+
+pub fn read_replied(from: wire::replied::Reader) -> Result<Message, DecodeError> {
+    let (start, ticket, sequence) = (from.get_start(), from.get_ticket(), from.get_sequence());
+    Ok(Message::Replied { start, ticket, sequence, answer: from.get_answer()?.to_vec() })
+}
+
+pub fn write_acknowledge(view: u64, last: u64, committed: u64, mut to: wire::acknowledge::Builder) {
+    to.set_view(view);
+    to.set_last(last);
+    to.set_committed(committed);
+}
+
+pub fn read_acknowledge(from: wire::acknowledge::Reader) -> Message {
+    let (view, last, committed) = (from.get_view(), from.get_last(), from.get_committed());
+    Message::Acknowledge { view, last, committed }
+}
+
 pub fn write_append(view: u64, entries: &[Entry], reads: &[Read], mut to: wire::append::Builder) {
     to.set_view(view);
     write_entries(entries, to.reborrow().init_entries(length(entries)));
--- a/coordination/replica/src/codec/transfer.rs
+++ b/coordination/replica/src/codec/transfer.rs
@@ -45,6 +45,26 @@
     Ok(Message::Pull { committed: from.get_committed(), digests })
 }
 
+pub fn write_synchronize(view: u64, transfer: &Transfer, mut to: wire::synchronize::Builder) {
+    to.set_view(view);
+    write(transfer, to.init_transfer());
+}
+
+pub fn read_synchronize(from: wire::synchronize::Reader) -> Result<Message, DecodeError> {
+    let transfer = read(from.get_transfer()?)?;
+    Ok(Message::Synchronize { view: from.get_view(), transfer })
+}
+
+pub fn write_learn(view: u64, transfer: &Transfer, mut to: wire::learn::Builder) {
+    to.set_view(view);
+    write(transfer, to.init_transfer());
+}
+
+pub fn read_learn(from: wire::learn::Reader) -> Result<Message, DecodeError> {
+    let transfer = read(from.get_transfer()?)?;
+    Ok(Message::Learn { view: from.get_view(), transfer })
+}
+
 fn write_digests(digests: &[RangeDigest], mut to: struct_list::Builder<wire::range_digest::Owned>) {
     for (index, digest) in (0..).zip(digests) {
         write_digest(digest, to.reborrow().get(index));
@@ -57,7 +77,7 @@
     from.iter().map(read_digest).collect()
 }
 
-pub fn write(transfer: &Transfer, mut to: wire::transfer::Builder) {
+fn write(transfer: &Transfer, mut to: wire::transfer::Builder) {
     to.set_base(transfer.base);
     to.set_position(transfer.position);
     to.set_committed(transfer.committed);
@@ -75,7 +95,7 @@
     }
 }
 
-pub fn read(from: wire::transfer::Reader) -> Result<Transfer, DecodeError> {
+fn read(from: wire::transfer::Reader) -> Result<Transfer, DecodeError> {
     Ok(Transfer {
         base: from.get_base(),
         ranges: from.get_ranges()?.iter().map(read_contents).collect::<Result<_, _>>()?,
--- a/coordination/replica/tests/common/faulty.rs
+++ b/coordination/replica/tests/common/faulty.rs
@@ -5,8 +5,8 @@
 
 /// A member acknowledges, passes on and commits what its disk does not have yet.
 #[derive(Clone, Debug)]
-pub struct Hasty;
-impl Laws for Hasty {
+pub struct AcknowledgesTooEarly;
+impl Laws for AcknowledgesTooEarly {
     type Agreement = AsPublished;
 
     fn settled(_durable: u64, last: u64) -> u64 {
@@ -16,8 +16,8 @@
 
 /// The head answers reads itself.
 #[derive(Clone, Debug)]
-pub struct Lonely;
-impl Laws for Lonely {
+pub struct HeadAnswersReads;
+impl Laws for HeadAnswersReads {
     type Agreement = AsPublished;
 
     fn head_answers_reads() -> bool {
@@ -27,8 +27,8 @@
 
 /// A founding member whose disk was lost takes the identity that it had.
 #[derive(Clone, Debug)]
-pub struct Forgetful;
-impl Laws for Forgetful {
+pub struct KeepsIdentityWithoutDisk;
+impl Laws for KeepsIdentityWithoutDisk {
     type Agreement = AsPublished;
 
     fn birth(settings: &ReplicaSettings) -> u64 {
@@ -38,8 +38,8 @@
 
 /// The tail answers reads that are submitted to it itself.
 #[derive(Clone, Debug)]
-pub struct Stale;
-impl Laws for Stale {
+pub struct TailAnswersReads;
+impl Laws for TailAnswersReads {
     type Agreement = AsPublished;
 
     fn tail_answers_reads() -> bool {
@@ -49,8 +49,8 @@
 
 /// A command that was sent again is carried out again.
 #[derive(Clone, Debug)]
-pub struct Gullible;
-impl Laws for Gullible {
+pub struct RepeatsCommands;
+impl Laws for RepeatsCommands {
     type Agreement = AsPublished;
 
     fn is_repeat(_known: bool) -> bool {
@@ -60,8 +60,8 @@
 
 /// The tickets of a process are taken for those of the process before it.
 #[derive(Clone, Debug)]
-pub struct Timeless;
-impl Laws for Timeless {
+pub struct ReusesTickets;
+impl Laws for ReusesTickets {
     type Agreement = AsPublished;
 
     fn start(_settings: &ReplicaSettings) -> u64 {
@@ -71,8 +71,8 @@
 
 /// A member that joins the chain counts as complete before it has all.
 #[derive(Clone, Debug)]
-pub struct Premature;
-impl Laws for Premature {
+pub struct CompletesTooEarly;
+impl Laws for CompletesTooEarly {
     type Agreement = AsPublished;
 
     fn complete(recorded: u64, since: u64) -> u64 {
@@ -82,8 +82,8 @@
 
 /// A replica answers for the voter that had its endpoint before its disk was lost.
 #[derive(Clone, Debug)]
-pub struct Reborn;
-impl Laws for Reborn {
+pub struct AnswersForOldBirth;
+impl Laws for AnswersForOldBirth {
     type Agreement = AsPublished;
 
     fn is_same_birth(_meant: u64, _own: u64) -> bool {
@@ -93,8 +93,8 @@
 
 /// Records are transferred without the outcomes of the commands that made them.
 #[derive(Clone, Debug)]
-pub struct Oblivious;
-impl Laws for Oblivious {
+pub struct TransfersNoOutcomes;
+impl Laws for TransfersNoOutcomes {
     type Agreement = AsPublished;
 
     fn transfers_outcomes() -> bool {
@@ -104,8 +104,8 @@
 
 /// Contact with a peer counts from the arrival of an answer, not from the sending of what it answers.
 #[derive(Clone, Debug)]
-pub struct Credulous;
-impl Laws for Credulous {
+pub struct CountsContactFromArrival;
+impl Laws for CountsContactFromArrival {
     type Agreement = AsPublished;
 
     fn contact(_sent_at: u64, arrived_at: u64) -> u64 {
@@ -115,8 +115,8 @@
 
 /// A promise is given before it is on the disk, and gone after a restart.
 #[derive(Clone, Debug)]
-pub struct Volatile;
-impl Laws for Volatile {
+pub struct ForgetsPromises;
+impl Laws for ForgetsPromises {
     type Agreement = AsPublished;
 
     fn records_promises() -> bool {
@@ -126,8 +126,8 @@
 
 /// Voters are replaced in one step, by the votes of the new ones alone.
 #[derive(Clone, Debug)]
-pub struct Disjoint;
-impl Laws for Disjoint {
+pub struct ReplacesVotersAtOnce;
+impl Laws for ReplacesVotersAtOnce {
     type Agreement = NewVotersAlone;
 
     fn replaces_voters_jointly() -> bool {
--- a/coordination/replica/tests/common/schedule.rs
+++ b/coordination/replica/tests/common/schedule.rs
@@ -316,43 +316,16 @@
             Fault::Replace(number) => self.replace(node(number)),
             Fault::Cut(one, other) => self.cluster.cut(node(one), self.node(other)),
             Fault::CutBoth(one, other) => self.cut_both(node(one), self.node(other)),
-            Fault::Isolate(number) => {
-                let isolated = node(number);
-                for other in self.cluster.endpoints() {
-                    self.cut_both(isolated, other);
-                }
-            }
-            Fault::Deafen(number) => {
-                let deaf = node(number);
-                for other in self.others(deaf) {
-                    self.cluster.cut(other, deaf);
-                }
-            }
-            Fault::Mute(number) => {
-                let mute = node(number);
-                for other in self.others(mute) {
-                    self.cluster.cut(mute, other);
-                }
-            }
-            Fault::Split(number) => {
-                let endpoints = self.cluster.endpoints();
-                let (left, right) = endpoints.split_at(number % endpoints.len());
-                for one in left {
-                    for other in right {
-                        self.cut_both(*one, *other);
-                    }
-                }
-            }
+            Fault::Isolate(number) => self.isolate(node(number)),
+            Fault::Deafen(number) => self.deafen(node(number)),
+            Fault::Mute(number) => self.mute(node(number)),
+            Fault::Split(number) => self.split(number),
             Fault::Heal => self.cluster.heal_all(),
             Fault::Freeze(number, span) => self.cluster.freeze(node(number), now + span),
             Fault::Stall(number, span) => self.with_disk(node(number), |disk| disk.stall(now + span)),
             Fault::Refuse(number, span) => self.with_disk(node(number), |disk| disk.fail(now + span)),
             Fault::Slow(number, slowness) => self.with_disk(node(number), |disk| disk.slowness = slowness),
-            Fault::Leave(number) => {
-                self.cluster.command(node(number), Command::Leave);
-                self.pass(300);
-                self.cluster.stop(node(number));
-            }
+            Fault::Leave(number) => self.leave(node(number)),
             Fault::Checkpoint(number) => {
                 self.cluster.command(node(number), Command::Checkpoint);
             }
@@ -381,6 +354,43 @@
         }
     }
 
+    fn isolate(&mut self, at: SocketAddr) {
+        for other in self.cluster.endpoints() {
+            self.cut_both(at, other);
+        }
+    }
+
+    /// The node hears the others no more, but is heard.
+    fn deafen(&mut self, at: SocketAddr) {
+        for other in self.others(at) {
+            self.cluster.cut(other, at);
+        }
+    }
+
+    /// The node is heard no more, but hears the others.
+    fn mute(&mut self, at: SocketAddr) {
+        for other in self.others(at) {
+            self.cluster.cut(at, other);
+        }
+    }
+
+    /// The first nodes, so many of them, are cut off from the rest.
+    fn split(&mut self, number: usize) {
+        let endpoints = self.cluster.endpoints();
+        let (left, right) = endpoints.split_at(number % endpoints.len());
+        for one in left {
+            for other in right {
+                self.cut_both(*one, *other);
+            }
+        }
+    }
+
+    fn leave(&mut self, at: SocketAddr) {
+        self.cluster.command(at, Command::Leave);
+        self.pass(300);
+        self.cluster.stop(at);
+    }
+
     fn others(&self, but: SocketAddr) -> Vec<SocketAddr> {
         self.cluster.endpoints().into_iter().filter(|other| *other != but).collect()
     }
--- a/coordination/replica/tests/exhaustive/main.rs
+++ b/coordination/replica/tests/exhaustive/main.rs
@@ -11,7 +11,10 @@
 use std::time::Instant;
 
 use beginnings::Beginning;
-use common::faulty::{Forgetful, Gullible, Lonely, Premature, Reborn, Stale, Volatile};
+use common::faulty::{
+    AnswersForOldBirth, CompletesTooEarly, ForgetsPromises, HeadAnswersReads, KeepsIdentityWithoutDisk,
+    RepeatsCommands, TailAnswersReads,
+};
 use search::{Searched, departures, interleavings, play};
 use whinspindle_replica::{AsDesigned, Laws};
 use world::{Action, Budget};
@@ -155,39 +158,39 @@
 
 #[test]
 fn a_stale_tail_is_found() {
-    is_found::<Stale>(Beginning::OneDown);
+    is_found::<TailAnswersReads>(Beginning::OneDown);
 }
 
 #[test]
 fn a_head_that_answers_reads_is_found() {
-    is_found::<Lonely>(Beginning::Apart);
+    is_found::<HeadAnswersReads>(Beginning::Apart);
 }
 
 #[test]
 fn a_repeat_taken_for_a_new_order_is_found() {
-    is_found::<Gullible>(Beginning::Replaced);
+    is_found::<RepeatsCommands>(Beginning::Replaced);
 }
 
 #[test]
 fn a_joiner_that_counts_too_early_is_found() {
-    is_found::<Premature>(Beginning::Apart);
+    is_found::<CompletesTooEarly>(Beginning::Apart);
 }
 
 #[test]
 fn a_promise_kept_only_in_memory_is_found() {
-    is_found::<Volatile>(Beginning::Apart);
+    is_found::<ForgetsPromises>(Beginning::Apart);
 }
 
 /// Found by the search with two departures.
 #[test]
 fn a_disk_lost_and_an_identity_kept_is_shown() {
     let path = [(46, Action::LoseDisk(0)), (48, Action::Replace(1))];
-    is_shown::<Forgetful>(Beginning::OneDown, &path);
+    is_shown::<KeepsIdentityWithoutDisk>(Beginning::OneDown, &path);
 }
 
 /// Found by the search with two departures.
 #[test]
 fn an_answer_for_the_old_birth_is_shown() {
     let path = [(46, Action::LoseDisk(0)), (48, Action::Replace(1))];
-    is_shown::<Reborn>(Beginning::OneDown, &path);
+    is_shown::<AnswersForOldBirth>(Beginning::OneDown, &path);
 }
--- a/coordination/replica/tests/planted.rs
+++ b/coordination/replica/tests/planted.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::faulty::{
-    Credulous, Disjoint, Forgetful, Gullible, Hasty, Lonely, Oblivious, Premature, Reborn, Stale, Timeless,
+    AcknowledgesTooEarly, AnswersForOldBirth, CompletesTooEarly, CountsContactFromArrival, HeadAnswersReads,
+    KeepsIdentityWithoutDisk, RepeatsCommands, ReplacesVotersAtOnce, ReusesTickets, TailAnswersReads,
+    TransfersNoOutcomes,
 };
 use common::node::{Moment, Node, cluster, endpoint};
 use common::schedule::{Fault, Schedule, Step, Trigger, play};
@@ -60,7 +62,7 @@
 /// All lose power while their disks are slow.
 #[test]
 fn members_that_acknowledge_before_the_disk_has_it_are_found() {
-    shows::<Hasty>(
+    shows::<AcknowledgesTooEarly>(
         THREE,
         &[
             step(500, Fault::Slow(0, 200)),
@@ -76,14 +78,14 @@
 /// The head is cut off, and those that go on without it write.
 #[test]
 fn a_head_that_answers_reads_itself_is_found() {
-    shows::<Lonely>(THREE, &[step(500, Fault::Isolate(0)), step(3_000, Fault::Heal)]);
+    shows::<HeadAnswersReads>(THREE, &[step(500, Fault::Isolate(0)), step(3_000, Fault::Heal)]);
 }
 
 /// Two go on without the third. One of them loses its disk, and comes back together with the third only: as
 /// another voter it makes no majority with it.
 #[test]
 fn a_member_that_votes_as_if_it_remembered_is_found() {
-    shows::<Forgetful>(
+    shows::<KeepsIdentityWithoutDisk>(
         THREE,
         &[
             step(500, Fault::Stop(2)),
@@ -98,19 +100,19 @@
 /// The tail is cut off, and those that go on without it write.
 #[test]
 fn a_tail_that_answers_reads_itself_is_found() {
-    shows::<Stale>(THREE, &[step(500, Fault::Isolate(2)), step(3_000, Fault::Heal)]);
+    shows::<TailAnswersReads>(THREE, &[step(500, Fault::Isolate(2)), step(3_000, Fault::Heal)]);
 }
 
 /// The tail is cut off when it answers, so that commands are sent again.
 #[test]
 fn a_repeat_that_is_taken_for_a_new_order_is_found() {
-    shows::<Gullible>(THREE, &[at(500, Moment::Reply, Fault::Mute(2)), step(1_000, Fault::Heal)]);
+    shows::<RepeatsCommands>(THREE, &[at(500, Moment::Reply, Fault::Mute(2)), step(1_000, Fault::Heal)]);
 }
 
 /// Replicas start again: their tickets begin with 1 again.
 #[test]
 fn a_ticket_that_is_used_again_after_a_restart_is_found() {
-    shows::<Timeless>(
+    shows::<ReusesTickets>(
         THREE,
         &[step(500, Fault::Stop(1)), step(100, Fault::Start(1)), step(1_000, Fault::Heal)],
     );
@@ -120,7 +122,7 @@
 /// head joins the third.
 #[test]
 fn a_joiner_that_counts_before_it_has_all_is_found() {
-    shows::<Premature>(
+    shows::<CompletesTooEarly>(
         THREE,
         &[
             step(500, Fault::Isolate(0)),
@@ -134,7 +136,7 @@
 /// One of two that go on without the third loses its disk, and is asked for a promise as if it had it still.
 #[test]
 fn a_voter_that_answers_for_its_old_birth_is_found() {
-    shows::<Reborn>(
+    shows::<AnswersForOldBirth>(
         THREE,
         &[
             step(500, Fault::Stop(2)),
@@ -150,7 +152,7 @@
 /// and has kept no entries, and becomes the head; then the first replica sends its commands again.
 #[test]
 fn a_transfer_without_outcomes_is_found() {
-    shows::<Oblivious>(
+    shows::<TransfersNoOutcomes>(
         WITH_LEARNERS,
         &[
             step(500, Fault::Stop(0)),
@@ -194,7 +196,7 @@
 #[test]
 fn contact_that_counts_from_the_arrival_of_an_answer_is_found() {
     assert!(!(0..SEEDS).any(claims_old_contact::<AsDesigned>));
-    assert!((0..SEEDS).any(claims_old_contact::<Credulous>));
+    assert!((0..SEEDS).any(claims_old_contact::<CountsContactFromArrival>));
 }
 
 /// Whether two replicas know different views by one number after this: a voter is down, and a learner takes its place by
@@ -231,5 +233,5 @@
 #[test]
 fn voters_that_are_replaced_without_joint_majorities_are_found() {
     assert!(!(0..SEEDS).any(agrees_on_two_views::<AsDesigned>));
-    assert!((0..SEEDS).any(agrees_on_two_views::<Disjoint>));
+    assert!((0..SEEDS).any(agrees_on_two_views::<ReplacesVotersAtOnce>));
 }
