Variants of site files: every layout of the core with every number of losses

deploy/variants.py knew eight variants written out one by one. Layouts and numbers of losses are now listed apart and joined by name; new are two and nine core machines, and one a zone for as many zones as the site has. The names of the eight stay.

--- a/deploy/variants.py
+++ b/deploy/variants.py
@@ -19,29 +19,52 @@
 TOLERATED_MACHINES = re.compile(r"(?m)^(\[tolerate\]\n(?:(?!\[).*\n)*?machines = )\d+$")
 
 
+ONE_A_ZONE = "one a zone"
+SITES_OWN = "as in the site file"
+
+# How many core machines each zone has, in the order of the site file.
+LAYOUTS: dict[str, tuple[int, ...] | str] = {
+    "": SITES_OWN,
+    "two-zones": (3, 2),
+    "one-zone": (5,),
+    "two-machines": (1, 1),
+    "four-machines": (2, 1, 1),
+    "seven-machines": (3, 2, 2),
+    "nine-machines": (3, 3, 3),
+    "one-each": ONE_A_ZONE,
+}
+
+# How many machines may be lost at once; none: as many as in the site file.
+LOSSES: dict[str, int | None] = {"": None, "one-loss": 1, "two-losses": 2, "three-losses": 3}
+
+
 @dataclass(frozen=True)
 class Variant:
-    """How many core machines each zone has, in the order of the site file, and how many may be lost."""
+    """Where the core machines stand, and how many of them may be lost."""
 
-    core: tuple[int, ...] | None = None
-    tolerated_machines: int | None = None
+    core: tuple[int, ...] | str
+    tolerated_machines: int | None
 
 
-VARIANTS = {
-    "two-zones": Variant(core=(3, 2)),
-    "one-zone": Variant(core=(5,)),
-    "four-machines": Variant(core=(2, 1, 1)),
-    "seven-machines": Variant(core=(3, 2, 2)),
-    "one-each": Variant(core=(1, 1, 1)),
-    "two-losses": Variant(tolerated_machines=2),
-    "one-zone-two-losses": Variant(core=(5,), tolerated_machines=2),
-    "seven-machines-three-losses": Variant(core=(3, 2, 2), tolerated_machines=3),
-}
+def all_variants() -> dict[str, Variant]:
+    """Each layout with each number of losses, by its name: `two-zones`, `two-zones-two-losses`, `two-losses`."""
+    variants = {}
+    for layout, core in LAYOUTS.items():
+        for losses, machines in LOSSES.items():
+            name = "-".join(part for part in (layout, losses) if part)
+            variants[name] = Variant(core, machines)
+    del variants[""]
+    return variants
+
+
+VARIANTS = all_variants()
 
 
-def with_core(text: str, counts: tuple[int, ...]) -> str:
+def with_core(text: str, counts: tuple[int, ...] | str) -> str:
     """Moves the core machines: each zone gets its count, the other fields are those of the first core machine."""
     zones = ZONE.findall(text)
+    if counts == ONE_A_ZONE:
+        counts = (1,) * len(zones)
 
     def moved(found: re.Match[str]) -> str:
         first = re.match(CORE_MACHINE, found.group()).group()
@@ -67,7 +90,7 @@
 def write_variant(site: pathlib.Path, folder: pathlib.Path, variant: Variant) -> None:
     shutil.copytree(site.parent, folder, dirs_exist_ok=True)
     text = site.read_text()
-    if variant.core is not None:
+    if variant.core != SITES_OWN:
         text = with_core(text, variant.core)
     if variant.tolerated_machines is not None:
         text = with_tolerated_machines(text, variant.tolerated_machines)
