A zone that turns cold: its last instances to tell it are spared

They told it with their heartbeats, one after the other, and one whose heartbeat had failed told it over 2 s later. Balancers prefer warm instances, so the last one got all requests of the region: 21 to 23 in a second, where 19.9 are allowed, and it fell over.

Where two or more, and half, of a zone's instances of a service turn cold within one and a half heartbeat intervals and half a second, all of them now count as cold for as long as these do. Instances that start cold don't count, nor does one that turns cold alone.

The test the_last_of_a_zone_that_turns_cold_gets_no_more_than_it_bears was seen to fail without it (52 sends in a second).

--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -55,6 +55,9 @@
     cold_until: u64,
     /// It may have turned cold without a word.
     suspect_until: u64,
+    /// When it was last told to be cold that had been told to be warm.
+    turned_cold_at: Option<u64>,
+    is_told: bool,
     full_until: u64,
 }
 
@@ -76,15 +79,20 @@
             unlisted_since: None,
             cold_until: 0,
             suspect_until: 0,
+            turned_cold_at: None,
+            is_told: false,
             full_until: 0,
         }
     }
 
     pub(crate) fn update(&mut self, now: u64, told: &Instance) {
+        let was_warm = self.is_told && self.unlisted_since.is_none() && now >= self.cold_until;
+        self.is_told = true;
         self.slots = told.slots;
         self.retired |= told.draining;
         self.unlisted_since = None;
         if told.cold_ms > 0 {
+            self.turned_cold_at = if was_warm { Some(now) } else { self.turned_cold_at };
             self.cold_until =
                 self.cold_until.max(now.saturating_add(told.cold_ms).saturating_add(COLD_MARGIN_MS));
         }
@@ -94,6 +102,11 @@
         self.suspect_until = self.suspect_until.max(until);
     }
 
+    /// Until when it is cold, if it turned cold within so long before.
+    pub(crate) fn turned_cold_within(&self, now: u64, span_ms: u64) -> Option<u64> {
+        self.turned_cold_at.filter(|at| at + span_ms > now).map(|_| self.cold_until)
+    }
+
     pub(crate) fn is_cold(&self, now: u64) -> bool {
         now < self.cold_until || now < self.suspect_until
     }
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -25,7 +25,8 @@
 /// How many sends may be out at once, and for how long one is remembered.
 const ATTEMPT_CAPACITY: usize = 1 << 16;
 const ATTEMPT_MS: u64 = 900_000;
-/// The instances of a zone that is taken back may be cold for this many heartbeat intervals, in halves.
+/// The instances of a zone that is taken back, or that turns cold, may be cold for this many heartbeat intervals, in
+/// halves, before all have told it.
 const SUSPECT_HALF_INTERVALS: u64 = 3;
 const SUSPECT_MARGIN_MS: u64 = 500;
 /// A client heeds a pause of a third of its time; this leaves it some.
@@ -148,6 +149,10 @@
         for told in &instances.list {
             self.take_instance(now, told);
         }
+        let suspect_ms = self.suspect_ms();
+        for service in self.services.iter_mut().filter(|service| service.cold_per_s > 0.0) {
+            service.suspect_zones_that_turn_cold(now, suspect_ms);
+        }
         self.refresh(now);
         self.check(now);
     }
@@ -155,7 +160,7 @@
     /// Replaces the zones that are evacuated.
     pub fn evacuations(&mut self, now: u64, zones: &[String]) {
         let evacuated: BTreeSet<String> = zones.iter().cloned().collect();
-        let suspect_ms = self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS;
+        let suspect_ms = self.suspect_ms();
         for instance in self.services.iter_mut().flat_map(|service| service.instances.values_mut()) {
             let was_evacuated = instance.evacuated;
             instance.evacuated = evacuated.contains(&instance.target.zone);
@@ -421,6 +426,11 @@
         }
     }
 
+    /// For how long an instance may be cold without having told it.
+    fn suspect_ms(&self) -> u64 {
+        self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS
+    }
+
     fn average_targets(&mut self) {
         let mut sums = vec![(0.0, 0.0); self.services.len()];
         for route in self.catalogue.newest_routes() {
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -1,5 +1,7 @@
 //! One service: its instances, its regions and what bounds the sends to it.
 
+use std::collections::BTreeMap;
+
 use indexmap::IndexMap;
 use whinspindle::pcg::Pcg;
 use whinspindle_configuration::Bounds;
@@ -33,6 +35,9 @@
 const USUAL_STEP: f64 = 0.03;
 /// At least this part of the instances, and one, don't rest: beyond it the fault is not theirs.
 const AWAKE_PART: usize = 5;
+/// When so many instances of a zone, and this part of them, turn cold within a time, the others are taken for cold too.
+const LEAST_TURNED_COLD: usize = 2;
+const TURNED_COLD_PART: usize = 2;
 /// An unlisted instance is forgotten after this time.
 const FORGET_MS: u64 = 60_000;
 
@@ -123,6 +128,25 @@
         self.count_ready(now);
     }
 
+    /// Takes all instances of a zone for cold where many of them turned cold within so long before, for as long as these
+    /// are. They tell it with their heartbeats, one after the other, and some heartbeats are late; the last instances
+    /// would get all requests until then.
+    pub(crate) fn suspect_zones_that_turn_cold(&mut self, now: u64, span_ms: u64) {
+        let mut zones: BTreeMap<&str, TurningZone> = BTreeMap::new();
+        for instance in self.instances.values().filter(|instance| instance.may_be_sent_to()) {
+            let cold_until = instance.turned_cold_within(now, span_ms);
+            zones.entry(instance.target.zone.as_str()).or_default().count(cold_until);
+        }
+        zones.retain(|_, zone| zone.turns_cold());
+        let turning: BTreeMap<String, u64> =
+            zones.into_iter().map(|(name, zone)| (name.to_owned(), zone.cold_until)).collect();
+        for instance in self.instances.values_mut() {
+            if let Some(&cold_until) = turning.get(&instance.target.zone) {
+                instance.suspect_cold(cold_until);
+            }
+        }
+    }
+
     /// Forgets instances that have long been unlisted and hold no send.
     pub(crate) fn forget(&mut self, now: u64) {
         let kept = |instance: &InstanceState| {
@@ -380,6 +404,29 @@
     }
 }
 
+/// How many instances of a zone have turned cold within a time.
+#[derive(Debug, Default)]
+struct TurningZone {
+    instances: usize,
+    turned: usize,
+    /// When the last of these is warm again.
+    cold_until: u64,
+}
+
+impl TurningZone {
+    fn count(&mut self, cold_until: Option<u64>) {
+        self.instances += 1;
+        if let Some(until) = cold_until {
+            self.turned += 1;
+            self.cold_until = self.cold_until.max(until);
+        }
+    }
+
+    fn turns_cold(&self) -> bool {
+        self.turned >= LEAST_TURNED_COLD && self.turned * TURNED_COLD_PART >= self.instances
+    }
+}
+
 fn region_load(region: &RegionModel, told: bool, now: u64, balancers: u32) -> f64 {
     if told { region.told_load } else { region.sends.per_second(now) * f64::from(balancers.max(1)) }
 }
--- a/dataplane/routing/tests/cold.rs
+++ b/dataplane/routing/tests/cold.rs
@@ -80,6 +80,52 @@
     assert!((12_100..12_200).all(|now| send_and_serve(&mut router, now).is_some()));
 }
 
+/// Sends of the two balancers of a cut-off region to its instances, one each 15 ms: the zone turns cold at 10 s, and all
+/// instances but one tell it within 300 ms, the last 2 s later, as heartbeats failed. Answered are the times at which the
+/// last one was sent to.
+fn sends_to_the_last_that_tells_it() -> Vec<u64> {
+    let told_cold = |now: u64| {
+        let cold_ms = |number: u64| {
+            let told_at = if number == 6 { 12_000 } else { 10_000 + 60 * number };
+            if now >= told_at { 13_000 - now } else { 0 }
+        };
+        list((1..=6).map(|number| cold(number as u8, "za", cold_ms(number))).collect())
+    };
+    let warm = || (1..=6).map(|number| instance(number, "za")).collect();
+    let mut routers = [1, 2].map(|seed| router_of(settings("a", seed), BEARS, 6, warm()));
+    let mut times = Vec::new();
+    for now in (9_000..13_000).step_by(15) {
+        for router in &mut routers {
+            router.instances(now, &told_cold(now));
+        }
+        let turn = (now / 15 % 2) as usize;
+        let served = served_by(&mut routers[turn], now, &facts());
+        times.extend(served.filter(|id| id == "i6").map(|_| now));
+    }
+    times.retain(|&at| at >= 10_000);
+    times
+}
+
+#[test]
+fn the_last_of_a_zone_that_turns_cold_gets_no_more_than_it_bears() {
+    let most = most_in_a_second(&sends_to_the_last_that_tells_it());
+    assert!(most > 0 && most as f64 <= bound(BEARS, &bounds()), "{most}");
+}
+
+#[test]
+fn one_instance_that_turns_cold_says_nothing_of_the_others() {
+    let mut router = router_of(settings("a", 1), BEARS, 6, (1..=3).map(|n| instance(n, "za")).collect());
+    router.instances(1_000, &list(vec![cold(1, "za", 3_000), instance(2, "za"), instance(3, "za")]));
+    assert!((1_000..3_000).step_by(10).all(|now| send_and_serve(&mut router, now).is_some()));
+}
+
+#[test]
+fn instances_that_start_cold_say_nothing_of_the_others() {
+    let mut router = router_of(settings("a", 1), BEARS, 6, vec![instance(1, "za")]);
+    router.instances(1_000, &list(vec![instance(1, "za"), cold(2, "za", 3_000), cold(3, "za", 3_000)]));
+    assert!((1_000..3_000).step_by(10).all(|now| send_and_serve(&mut router, now).as_deref() == Some("i1")));
+}
+
 /// The refusal of a request after the share of a cold instance is used up, so long before the instance is warm.
 fn refused_before_warm(cold_ms: u64) -> Refusal {
     let mut router = router_of(settings("a", 1), BEARS, 1, vec![cold(1, "za", cold_ms)]);
