--- a/dataplane/proxy/src/pool.rs
+++ b/dataplane/proxy/src/pool.rs
@@ -74,6 +74,13 @@
     _place: Place,
 }
 
+impl Leased {
+    /// The upstream to which it leads.
+    pub fn instance(&self) -> InstanceKey {
+        self.instance
+    }
+}
+
 struct Place {
     total: Rc<Cell<usize>>,
     open: Rc<Cell<usize>>,
--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -225,9 +225,16 @@
             self.state = State::Resuming(resuming);
             return Poll::Pending;
         };
-        let Ok(Opened::Stream(open)) = resumed else {
-            self.give_up_resuming();
-            return Poll::Ready(Bytes::new());
+        let open = match resumed {
+            Ok(Opened::Stream(open)) => open,
+            other => {
+                spdlog::debug!(
+                    "no upstream took up a stream: {:?}",
+                    other.err().map(|given_up| given_up.failure)
+                );
+                self.give_up_resuming();
+                return Poll::Ready(Bytes::new());
+            }
         };
         self.moved_for_silence = false;
         self.node.tally.note(Event::StreamResumed);
@@ -257,6 +264,7 @@
 
     /// What comes after a run that broke.
     fn resume_or_cut(&mut self, mut flow: Box<Flow>) {
+        self.log_break(&flow);
         if self.position.last_id.is_some() && flow.exchange.may_resume() {
             self.move_on(flow, None);
             return;
@@ -266,6 +274,13 @@
         self.state = State::Flushing;
     }
 
+    fn log_break(&self, flow: &Flow) {
+        let router = self.node.router.borrow();
+        if let Some(target) = router.target(flow.run.leased.instance()) {
+            spdlog::debug!("{} broke a stream off after event {:?}", target.id, self.position.last_id);
+        }
+    }
+
     /// Ends a run and asks another upstream for what follows.
     fn move_on(&mut self, flow: Box<Flow>, chosen: Option<Chosen>) {
         let Flow { mut exchange, mut run } = *flow;
