Balancer: at the brim the newest client is spared for its first query

Found by `idle_clients_that_fill_the_descriptors_...`, which failed now and then on a busy machine with "an answer": the client's connection was closed before its query. Cause: at the brim room is made before the next client comes. Where all others are told to close and end slowly (half a query holds its place for 2 s), the only one left is the client that was let in last, and it was closed at once unless its query was there already. Half queries in all places thus kept out everybody who did not write within the same moment.

The newest that has said nothing is now spared for 250 ms where nobody else can make room. Nothing else changes: an older one that can be closed still is.

--- a/crates/balancer/src/accept.rs
+++ b/crates/balancer/src/accept.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tower::{BoxError, Service};
 use whinspindle_logline::log_line;
 use whinspindle_sockets::{Ending, Meter, Metered, drain};
@@ -92,6 +92,12 @@
         Some(connected.or(self.meter.heard.get())? + WHOLE)
     }
 
+    /// Until when its first query may be on its way, of one that has said nothing yet.
+    fn first_query_until(&self) -> Option<Instant> {
+        let unheard = self.fresh.get() && self.meter.heard.get().is_none();
+        self.idle_since.get().filter(|_| unheard).map(|came| came + LOOK)
+    }
+
     fn close(&self) {
         if self.closing.get().is_none() {
             self.closing.set(Some(Instant::now()));
@@ -124,8 +130,9 @@
 
     /// At the brim a connection makes room: the longest idle of those that have asked nothing for a while
     /// since they came, else of all. Guards against clients that connect by hundreds and say nothing: they
-    /// can't crowd out those that ask, nor those whose first query is on its way.
-    fn close_longest_idle(&self) {
+    /// can't crowd out those that ask, nor those whose first query is on its way. Where nobody else can make
+    /// room the newest is spared for a while; until when is returned.
+    fn close_longest_idle(&self) -> Option<Instant> {
         let open = self.open.borrow();
         // Should one end slowly, the next one is closed after it.
         let idle = open.values().filter(|client| client.is_idle());
@@ -135,12 +142,25 @@
             client.fresh.get() && client.idle_since.get().is_some_and(|at| at + LOOK <= now)
         };
         let order = |client: &&Rc<Client>| (!client.lingers.get(), !silent(client), client.idle_since.get());
-        if let Some(client) = idle.min_by_key(order) {
+        let client = idle.min_by_key(order)?;
+        // Guards against others that end slowly, with half a query: nobody who comes meanwhile would be heard.
+        let newest = open.values().next_back().is_some_and(|newest| Rc::ptr_eq(newest, client));
+        let spared_until = client.first_query_until().filter(|until| newest && now < *until);
+        if spared_until.is_none() {
             // What lingers ends at once.
             let stop = if client.lingers.get() { &client.drop } else { &client.close };
             stop.notify_one();
             client.closing.set(client.closing.get().or(Some(now)));
         }
+        spared_until
+    }
+
+    /// Makes room at the brim, and waits until a connection has ended, or one that is spared may be closed.
+    async fn make_room(&self) {
+        match self.close_longest_idle() {
+            Some(spared_until) => drop(timeout_at(spared_until, self.eased.notified()).await),
+            None => self.eased.notified().await,
+        }
     }
 
     pub fn close_idle(&self) {
@@ -172,8 +192,7 @@
     loop {
         let accept = async {
             while accepted.count() >= shares.accepted {
-                accepted.close_longest_idle();
-                accepted.eased.notified().await;
+                accepted.make_room().await;
             }
             listener.accept().await
         };
--- a/crates/balancer/src/accept/tests.rs
+++ b/crates/balancer/src/accept/tests.rs
@@ -72,6 +72,57 @@
     }
 }
 
+/// All the others are told to close and end slowly: with half a query, and with an answer on its way.
+fn slowly_closing(newest: &Rc<Client>) -> Accepted {
+    let half = client(Some(1_000), true, Some(900), Some(500));
+    let answered = client(None, false, Some(900), Some(500));
+    let accepted = Accepted::default();
+    accepted.open.borrow_mut().extend((0..).zip([half, answered, Rc::clone(newest)]));
+    accepted
+}
+
+#[test]
+fn the_newest_is_spared_for_its_first_query_where_nobody_else_can_make_room() {
+    let told = |newest: &Rc<Client>| newest.close.notified().now_or_never().is_some();
+    let newest = client(Some(0), true, None, None);
+    // It has only just come, however slow this test is.
+    newest.idle_since.set(Some(Instant::now() + Duration::from_secs(3600)));
+    let accepted = slowly_closing(&newest);
+    let spared_until = newest.idle_since.get().map(|came| came + LOOK);
+    assert_eq!(accepted.close_longest_idle(), spared_until);
+    assert!(!told(&newest) && newest.closing.get().is_none());
+    // Its time is over.
+    newest.idle_since.set(Some(Instant::now() - LOOK));
+    assert_eq!(accepted.close_longest_idle(), None);
+    assert!(told(&newest));
+    // One that has asked before, and one whose query has begun and is waited for all the same.
+    for newest in [client(Some(0), false, None, None), client(Some(0), true, Some(0), None)] {
+        assert_eq!(slowly_closing(&newest).close_longest_idle(), None);
+        assert!(told(&newest));
+    }
+    // Another has come behind it.
+    let newest = client(Some(0), true, None, None);
+    let accepted = slowly_closing(&newest);
+    accepted.open.borrow_mut().insert(3, client(Some(0), true, None, None));
+    assert_eq!(accepted.close_longest_idle(), None);
+    assert!(told(&newest));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_newest_that_says_nothing_is_waited_for_no_longer_than_its_time() {
+    let newest = client(Some(0), true, None, None);
+    newest.idle_since.set(Some(Instant::now() + Duration::from_millis(50)));
+    let accepted = slowly_closing(&newest);
+    // Nobody ends, and nothing is told that would wake it.
+    timeout(Duration::from_secs(30), accepted.make_room())
+        .await
+        .expect("it waits for an end that never comes");
+    assert!(newest.closing.get().is_none());
+    assert!(Some(Instant::now()) >= newest.first_query_until());
+    assert_eq!(accepted.close_longest_idle(), None);
+    assert!(newest.close.notified().now_or_never().is_some());
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_query_that_has_come_is_answered_though_its_connection_is_to_close() {
     for sent in ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n", ""] {
