Fleet tests: what one member was told is awaited at the others before they are asked

Cause: `resume` ends as soon as the member that it asked (3) knows; the next `out` went to member 2, whose heartbeat of it was still on its way, and which said by what it knew that a halt stands. That answer is right and safe: no member promises to know at once what another was told.

`Stand::known` waits until all that run know it by their status; every expectation stays as strict.

--- a/crates/balancer/tests/fleet.rs
+++ b/crates/balancer/tests/fleet.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use whinspindle_lab_relays::{Referee, Stand, Way};
 
 const FLEET: &str = "name = \"try\"\nsecret = \"s\"\nvoters = [0, 1, 2]\nright = \"2s\"\nlearn = \"1s\"\n\
@@ -152,7 +153,9 @@
     decide_by(&stand, &referee, &[0, 1, 2], 13);
     stand.relays.set(&[0, 1], &[2], Way { cut: true, ..Way::default() });
     let number = stand.begin(0, &["propose", &stand.policy(14)]);
-    stand.until("a change under way", || stand.status(0)["next"]["number"].is_u64());
+    stand.until("a change under way", || {
+        [0, 1].iter().all(|member| stand.status(*member)["next"]["number"].is_u64())
+    });
     let next = stand.status(0)["next"]["number"].to_string();
     assert_eq!(stand.ask(1, &["withdraw", &next]).code, 0, "{}", stand.logs());
     assert_eq!(Stand::finish(number).code, 1);
@@ -212,6 +215,7 @@
     let told = stand.ask(2, &["voter", "0", "3"]);
     assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
     proposed(&stand, 4, 12, 0);
+    stand.known("its end", |status| status["next"].is_null() && status["policy"]["number"] == 2);
     stand.kill(0);
     let told = stand.ask(4, &["voter", "1", "4"]);
     assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
@@ -262,6 +266,27 @@
     assert_eq!(referee.judge(WINDOW), Ok(()), "{}", stand.logs());
 }
 
+/// What one member was told the others hear of late, and out of order.
+const LATE: Way = Way {
+    cut: false,
+    loss: 0.0,
+    repeats: 0.0,
+    late: Duration::from_millis(100),
+    delay: Duration::from_millis(100),
+};
+
+fn is_resumed(status: &Value) -> bool {
+    status["halted"].is_null()
+}
+
+fn is_halted(status: &Value, why: &str) -> bool {
+    status["halted"]["why"] == why
+}
+
+fn is_out(status: &Value, balancer: u64) -> bool {
+    status["out"].as_array().is_some_and(|out| out.iter().any(|out| out["balancer"] == balancer))
+}
+
 /// A policy under which one balancer and one server may be out.
 const ONE_OUT: &str = "[limits.out]\nbalancers = 1\nservers = 1\n";
 
@@ -271,6 +296,8 @@
     assert_eq!(told.code, 0, "{}\n{}", told.said, stand.logs());
     let all: Vec<usize> = (0..members).collect();
     decide_by(&stand, &referee, &all, 11);
+    // Guards against an expectation that a member knows at once what another was told.
+    stand.relays.all(LATE);
     (stand, referee)
 }
 
@@ -336,23 +363,25 @@
     assert_eq!(out(&stand, 0, 3, "one", "60"), 0, "{}", stand.logs());
     // It takes itself out, and its answer may be asked for again, but not by another.
     stand.until("out by its health", || stand.health(3) == Some(503));
+    stand.known("that it is out", |status| is_out(status, 3));
     assert_eq!([out(&stand, 1, 3, "one", "0"), out(&stand, 1, 3, "two", "0")], [0, 2]);
     assert_eq!(out(&stand, 1, 2, "two", "2"), 3);
     assert_eq!(stand.ask(4, &["back", "balancer:3"]).code, 0);
     stand.until("back", || stand.health(3) == Some(200));
     assert_eq!(out(&stand, 1, 2, "two", "60"), 0, "{}", stand.logs());
+    stand.known("that it is out", |status| is_out(status, 2));
     assert_eq!(stand.ask(2, &["back", "balancer:2"]).code, 0);
     stand.until("none out", || stand.status(0)["out"].as_array().is_some_and(Vec::is_empty));
     // After a halt nothing goes, whoever asks, until it is resumed.
     assert_eq!(stand.ask(4, &["halt", "--why", "errors"]).code, 0, "{}", stand.logs());
-    stand
-        .until("known everywhere", || (0..5).all(|member| stand.status(member)["halted"]["why"] == "errors"));
+    stand.known("the halt", |status| is_halted(status, "errors"));
     assert!((0..5).all(|member| out(&stand, member, 2, "three", "0") == 1));
     assert_eq!(stand.ask(1, &["resume"]).code, 0);
+    stand.known("that it goes on", is_resumed);
     // A minority grants nothing.
     stand.relays.cut(&[2, 4], true);
     assert_eq!(out(&stand, 4, 4, "cut", "4"), 3);
-    stand.relays.cut(&[2, 4], false);
+    stand.relays.all(LATE);
     assert_eq!(out(&stand, 4, 4, "cut", "60"), 0, "{}", stand.logs());
     // What no limit is set for, and what nobody knows.
     assert_eq!(stand.ask(0, &["out", "server:nobody", "--as", "x", "--wait", "0"]).code, 2);
@@ -384,6 +413,12 @@
     told.code
 }
 
+/// A release is under way, forth or back.
+fn is_release(status: &Value, number: u64, way: &str) -> bool {
+    let now = &status["release"]["now"];
+    now["number"] == number && now["way"] == way
+}
+
 fn changed(stand: &Stand, at: usize) -> u64 {
     stand.status(at)["release"]["now"]["changed"].as_u64().unwrap_or(99)
 }
@@ -396,6 +431,7 @@
     assert!(told.code == 0 && told.said.contains("wave 2: balancer:1 balancer:2, then"), "{}", told.said);
     let told = stand.ask(2, &["release", "start", &file]);
     assert!(told.code == 0 && told.said.starts_with("release 1"), "{}\n{}", told.said, stand.logs());
+    stand.known("the release", |status| is_release(status, 1, "forth"));
     // Two releases over the same units, and a unit whose wave has not come.
     assert_eq!(stand.ask(4, &["release", "start", &file]).code, 2);
     assert_eq!(restart(&mut stand, 4, "1", "a", "2"), 3);
@@ -406,14 +442,19 @@
     assert_eq!(restart(&mut stand, 2, "1", "a", "60"), 0, "{}", stand.logs());
     // Halted: the second of the wave waits, and the wave with it; resumed, it goes on.
     assert_eq!(stand.ask(3, &["halt", "--why", "a look"]).code, 0);
+    stand.known("the halt", |status| is_halted(status, "a look"));
     assert_eq!(restart(&mut stand, 1, "1", "a", "2"), 1);
     assert_eq!(stand.ask(1, &["release", "status"]).code, 1);
     assert_eq!(stand.ask(3, &["resume"]).code, 0);
+    // One that has not heard of it yet would say that nothing is let out.
+    stand.known("that it goes on", is_resumed);
     assert_eq!(restart(&mut stand, 1, "1", "a", "60"), 0, "{}", stand.logs());
     assert_eq!(restart(&mut stand, 4, "1", "c", "60"), 0, "{}", stand.logs());
     // Halted for good, and back: those that were changed, the last wave first.
     assert_eq!(stand.ask(3, &["halt", "--why", "bad"]).code, 0);
+    stand.known("the halt", |status| is_halted(status, "bad"));
     assert_eq!(stand.ask(4, &["release", "back"]).code, 0, "{}", stand.logs());
+    stand.known("the way back", |status| is_release(status, 1, "back") && is_resumed(status));
     assert_eq!(restart(&mut stand, 3, "1", "d", "1"), 2, "it was never changed");
     assert_eq!(restart(&mut stand, 0, "1", "d", "2"), 3, "the last wave goes first");
     // What a supervisor has asked for lasts for some paces more; this one has given up, and is not there to
@@ -442,6 +483,7 @@
     let build = stand.status(0)["build"].as_str().unwrap_or_default().to_string();
     let file = plan(&stand, "own", "[\"100%\"]", &format!("watch = \"1s\"\nbuild = \"{build}\"\n"));
     assert_eq!(stand.ask(1, &["release", "start", &file]).code, 0, "{}", stand.logs());
+    stand.known("the release", |status| is_release(status, 2, "forth"));
     let told = stand.ask(0, &["out", "balancer:2", "--as", "c", "--release", "2", "--wait", "60"]);
     assert_eq!(told.code, 0, "{}", told.said);
     (0..3).for_each(|member| stand.kill(member));
--- a/lab/relays/src/fleet.rs
+++ b/lab/relays/src/fleet.rs
@@ -239,16 +239,19 @@
         (0..self.members()).map(last).collect()
     }
 
-    /// All that run found the fleet, and know that it is founded when this returns: the command ends as soon as
-    /// the member that it asked knows, and the others hear of it by datagrams.
+    /// Waits until all that run know it by their status. A command ends as soon as the member that it asked
+    /// knows; the others hear of it by datagrams, and answer by what they knew before until then.
+    pub fn known(&self, what: &str, holds: impl Fn(&Value) -> bool) {
+        let running = || (0..self.members()).filter(|member| self.children[*member].is_some());
+        self.until(&format!("{what}, known to all"), || running().all(|member| holds(&self.status(member))));
+    }
+
+    /// All that run found the fleet, and know that it is founded when this returns.
     pub fn found(&self) {
         self.until("a control socket", || self.ask(0, &["status"]).code == 0);
         let told = self.ask(0, &["found", "--wait", "60"]);
         assert_eq!(told.code, 0, "{}\n{}", told.said, self.logs());
-        let running = || (0..self.members()).filter(|member| self.children[*member].is_some());
-        self.until("the founding known to all", || {
-            running().all(|member| self.status(member)["founded"] == true)
-        });
+        self.known("the founding", |status| status["founded"] == true);
     }
 }
 
