--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -13,6 +13,7 @@
 use crate::balancer_count::BalancerCount;
 use crate::catalogue::{Catalogue, RegionId, RoutePlan, ServiceId};
 use crate::cold::ColdPace;
+use crate::even_draw::EvenDraw;
 use crate::instance::InstanceState;
 use crate::region::CHECK_MS;
 use crate::service::{Place, Service};
@@ -25,7 +26,8 @@
 /// How many sends may be out at once, and for how long one is remembered.
 const ATTEMPT_CAPACITY: usize = 1 << 16;
 const ATTEMPT_MS: u64 = 900_000;
-/// The instances of a zone that is taken back may be cold for this many heartbeat intervals, in halves.
+/// The instances of a zone that is taken back, or that turns cold, may be cold for this many heartbeat intervals, in
+/// halves, before all have told it.
 const SUSPECT_HALF_INTERVALS: u64 = 3;
 const SUSPECT_MARGIN_MS: u64 = 500;
 /// A client heeds a pause of a third of its time; this leaves it some.
@@ -84,6 +86,8 @@
     regions_with_balancers: usize,
     chance: Pcg,
     catalogue: Catalogue,
+    /// Draws the services of split routes, by the number of the route.
+    draws: HashMap<usize, EvenDraw>,
     services: Vec<Service>,
     /// The newest key for each id, and the service of each key.
     keys: HashMap<String, InstanceKey>,
@@ -111,6 +115,7 @@
             home,
             regions_with_balancers,
             catalogue,
+            draws: HashMap::new(),
             services: Vec::new(),
             keys: HashMap::new(),
             service_of: HashMap::new(),
@@ -148,6 +153,10 @@
         for told in &instances.list {
             self.take_instance(now, told);
         }
+        let suspect_ms = self.suspect_ms();
+        for service in self.services.iter_mut().filter(|service| service.cold_per_s > 0.0) {
+            service.suspect_zones_that_turn_cold(now, suspect_ms);
+        }
         self.refresh(now);
         self.check(now);
     }
@@ -155,7 +164,7 @@
     /// Replaces the zones that are evacuated.
     pub fn evacuations(&mut self, now: u64, zones: &[String]) {
         let evacuated: BTreeSet<String> = zones.iter().cloned().collect();
-        let suspect_ms = self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS;
+        let suspect_ms = self.suspect_ms();
         for instance in self.services.iter_mut().flat_map(|service| service.instances.values_mut()) {
             let was_evacuated = instance.evacuated;
             instance.evacuated = evacuated.contains(&instance.target.zone);
@@ -185,7 +194,8 @@
     }
 
     /// Draws the service of a request by the route's weights: an index into the services of the newest configuration.
-    /// A service without any instance that may be sent to is left out while there is another.
+    /// A service without any instance that may be sent to is left out while there is another; one whose instances turn
+    /// requests away, are cold or rest keeps its share.
     pub fn draw_service(&mut self, route: usize) -> usize {
         let Some(plan) = self.catalogue.newest_route(route) else { return 0 };
         if let [(index, _, _)] = plan.backends.as_slice() {
@@ -195,7 +205,9 @@
         let able = |&(_, id, weight): &(usize, ServiceId, f64)| if has_instances(id) { weight } else { 0.0 };
         let able: Vec<f64> = plan.backends.iter().map(able).collect();
         let all: Vec<f64> = plan.backends.iter().map(|backend| backend.2).collect();
-        let drawn = self.chance.pick(&able).or_else(|| self.chance.pick(&all)).unwrap_or(0);
+        let begin = || EvenDraw::beginning_by_chance(&mut self.chance);
+        let draw = self.draws.entry(route).or_insert_with(begin);
+        let drawn = draw.pick(&able).or_else(|| draw.pick(&all)).unwrap_or(0);
         plan.backends.get(drawn).map_or(0, |backend| backend.0)
     }
 
@@ -421,6 +433,11 @@
         }
     }
 
+    /// For how long an instance may be cold without having told it.
+    fn suspect_ms(&self) -> u64 {
+        self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS
+    }
+
     fn average_targets(&mut self) {
         let mut sums = vec![(0.0, 0.0); self.services.len()];
         for route in self.catalogue.newest_routes() {
