Encoding: one error of received bytes for both schemas

The replica's and the distribution's codecs each had the same error with the same texts; it stands beside the bounded reading now, which both use. Tests of the encoding, of both codecs and of arbitrary bytes pass.

--- a/coordination/replica/src/codec/parts.rs
+++ b/coordination/replica/src/codec/parts.rs
@@ -5,8 +5,9 @@
 use snafu::OptionExt;
 use whinspindle_agreement::{Ballot, Voter};
 use whinspindle_digests::{Digest, KeyRange, RangeDigest};
+use whinspindle_encoding::{AddressLengthSnafu, DigestLengthSnafu};
 
-use super::{AddressLengthSnafu, DecodeError, DigestLengthSnafu};
+use super::DecodeError;
 use crate::application::Answer;
 use crate::durable::Decided;
 use crate::entry::Origin;
