--- a/coordination/encoding/src/lib.rs
+++ b/coordination/encoding/src/lib.rs
@@ -2,7 +2,6 @@
 
 use capnp::message::{Builder, HeapAllocator, Reader, ReaderOptions};
 use capnp::serialize::{self, OwnedSegments};
-use snafu::Snafu;
 
 const WORD_BYTES: usize = 8;
 /// A message may be read through this many times over, so that shared pointers cannot make it seem endless.
@@ -12,22 +11,6 @@
 /// Enough for a heartbeat, a report or a keep-alive in one segment.
 const FIRST_SEGMENT_WORDS: u32 = 128;
 
-/// Received bytes are no message of the schema.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub))]
-pub enum DecodeError {
-    #[snafu(display("the message is broken"), context(false))]
-    Broken { source: capnp::Error },
-    #[snafu(display("a text of the message is not UTF-8"), context(false))]
-    Text { source: std::str::Utf8Error },
-    #[snafu(display("the message holds a variant that this release does not know"), context(false))]
-    UnknownVariant { source: capnp::NotInSchema },
-    #[snafu(display("an address of the message has {length} bytes"))]
-    AddressLength { length: usize },
-    #[snafu(display("a digest of the message has {length} bytes"))]
-    DigestLength { length: usize },
-}
-
 /// An empty message.
 pub fn new_message() -> Builder<HeapAllocator> {
     Builder::new(HeapAllocator::new().first_segment_words(FIRST_SEGMENT_WORDS))
--- a/coordination/replica/src/codec.rs
+++ b/coordination/replica/src/codec.rs
@@ -7,12 +7,27 @@
 mod transfer;
 
 use capnp::serialize;
-pub use whinspindle_encoding::DecodeError;
+use snafu::Snafu;
 use whinspindle_encoding::{new_message, read_message};
 
 use crate::message::Message;
 use crate::replica_capnp::message as wire;
 
+/// Received bytes are no message of the schema.
+#[derive(Debug, Snafu)]
+pub enum DecodeError {
+    #[snafu(display("the message is broken"), context(false))]
+    Broken { source: capnp::Error },
+    #[snafu(display("a text of the message is not UTF-8"), context(false))]
+    Text { source: std::str::Utf8Error },
+    #[snafu(display("the message holds a variant that this release does not know"), context(false))]
+    UnknownVariant { source: capnp::NotInSchema },
+    #[snafu(display("an address of the message has {length} bytes"))]
+    AddressLength { length: usize },
+    #[snafu(display("a digest of the message has {length} bytes"))]
+    DigestLength { length: usize },
+}
+
 impl Message {
     /// The bytes to send.
     pub fn encode(&self) -> Vec<u8> {
--- a/coordination/replica/src/codec/parts.rs
+++ b/coordination/replica/src/codec/parts.rs
@@ -5,9 +5,8 @@
 use snafu::OptionExt;
 use whinspindle_agreement::{Ballot, Voter};
 use whinspindle_digests::{Digest, KeyRange, RangeDigest};
-use whinspindle_encoding::{AddressLengthSnafu, DigestLengthSnafu};
 
-use super::DecodeError;
+use super::{AddressLengthSnafu, DecodeError, DigestLengthSnafu};
 use crate::application::Answer;
 use crate::durable::Decided;
 use crate::entry::Origin;
