Registry: an index of addresses in place of a look at all instances at each heartbeat

At 3,000 upstreams each heartbeat and each gossiped record went twice over all known instances to find the holder of its address. The index keeps one holder an address, as before.

--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
 use whinspindle_configuration::{Heartbeat, InstanceState};
 
 use crate::ended::EndedInstances;
+use crate::known::{COLD_TOLERANCE_MS, Known, KnownInstances, cold_end};
 use crate::retired::{RetiredIds, Retirement};
 
 /// An instance is taken for lost after this many heartbeat intervals without one, in halves.
@@ -15,8 +15,6 @@
 const RETIRED_CAPACITY: usize = 4096;
 /// How many instances are held at once.
 const INSTANCE_CAPACITY: usize = 8192;
-/// A change of the end of the cold time below this is not told to balancers.
-const COLD_TOLERANCE_MS: u64 = 250;
 
 /// The intervals that a registry counts on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,26 +63,11 @@
     pub age_ms: u64,
 }
 
-#[derive(Debug)]
-struct Known {
-    service: String,
-    address: SocketAddr,
-    zone: String,
-    generation: String,
-    slots: u32,
-    sequence: u64,
-    /// 0 for one that is warm.
-    cold_until: u64,
-    heard_at: u64,
-    /// Known from before the start of this controller alone.
-    recalled: bool,
-}
-
 /// Knows the instances from heartbeats sent here and from the records of other controllers.
 #[derive(Debug)]
 pub struct InstanceRegistry {
     timing: RegistryTiming,
-    known: IndexMap<String, Known>,
+    known: KnownInstances,
     retired: RetiredIds,
     ended: EndedInstances,
     /// Instances heard of here since the last `take_changes`.
@@ -99,7 +82,7 @@
     pub fn new(timing: RegistryTiming) -> Self {
         InstanceRegistry {
             timing,
-            known: IndexMap::new(),
+            known: KnownInstances::default(),
             retired: RetiredIds::new(RETIRED_CAPACITY),
             ended: EndedInstances::default(),
             unsent: BTreeSet::new(),
@@ -115,7 +98,7 @@
         if self.retired.is_gone(id) {
             return HeartbeatEffect::Stale;
         }
-        if !self.known.contains_key(id) && self.known.len() >= INSTANCE_CAPACITY {
+        if !self.known.contains(id) && self.known.len() >= INSTANCE_CAPACITY {
             return HeartbeatEffect::Overfull;
         }
         let leaves = heartbeat.state == InstanceState::Draining;
@@ -138,7 +121,7 @@
     pub fn drained(&mut self, id: &str) {
         let begins = self.retired.stage(id).is_none();
         self.retired.raise(id, Retirement::Draining);
-        self.bump_if(begins && self.known.contains_key(id));
+        self.bump_if(begins && self.known.contains(id));
         self.withdrawals += u64::from(begins);
     }
 
@@ -149,7 +132,7 @@
         if ends {
             self.ended.add(id);
         }
-        let removed = self.known.shift_remove(id).is_some();
+        let removed = self.known.remove(id);
         self.bump_if(ends || removed);
         self.withdrawals += u64::from(ends || removed);
     }
@@ -169,8 +152,8 @@
     /// Takes what was known before this controller started, as if the instance had just been heard of. Anything that is
     /// heard takes its place. Answers whether balancers see a difference.
     pub fn recall(&mut self, now: u64, record: InstanceRecord) -> bool {
-        let is_known = self.known.contains_key(&record.id) || self.retired.is_gone(&record.id);
-        let is_taken = self.known.values().any(|known| known.address == record.address);
+        let is_known = self.known.contains(&record.id) || self.retired.is_gone(&record.id);
+        let is_taken = self.known.holder_of(record.address).is_some();
         if is_known || is_taken || self.known.len() >= INSTANCE_CAPACITY {
             return false;
         }
@@ -179,16 +162,15 @@
         }
         let cold_until = cold_end(now, record.cold_ms);
         let id = record.id.clone();
-        self.known.insert(id, Known { recalled: true, ..Known::recorded(record, now, cold_until) });
+        self.known.put(&id, Known { recalled: true, ..Known::recorded(record, now, cold_until) });
         self.version += 1;
         true
     }
 
     /// All that lives has been heard of: what is known from before the start alone has ended.
     pub fn drop_recalled(&mut self) {
-        let count = self.known.len();
-        self.known.retain(|_, known| !known.recalled);
-        self.bump_if(self.known.len() < count);
+        let dropped = self.known.retain(|known| !known.recalled);
+        self.bump_if(dropped);
     }
 
     /// Records of what was heard here since the last call, for the other controllers.
@@ -232,7 +214,7 @@
     /// anew afterwards.
     pub fn set_isolated(&mut self, now: u64, isolated: bool) {
         if self.isolated && !isolated {
-            self.known.values_mut().for_each(|known| known.heard_at = now);
+            self.known.update_all(|known| known.heard_at = now);
         }
         self.isolated = isolated;
     }
@@ -246,9 +228,7 @@
             return false;
         }
         let oldest = now.saturating_sub(self.timing.silence_ms());
-        let count = self.known.len();
-        self.known.retain(|_, known| known.heard_at >= oldest);
-        let expired = self.known.len() < count;
+        let expired = self.known.retain(|known| known.heard_at >= oldest);
         self.bump_if(expired);
         expired
     }
@@ -266,31 +246,22 @@
     fn excuse_own_pause(&mut self, now: u64) {
         let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
         if pause > self.timing.heartbeat_ms {
-            self.known.values_mut().for_each(|known| known.heard_at = now.min(known.heard_at + pause));
+            self.known.update_all(|known| known.heard_at = now.min(known.heard_at + pause));
         }
     }
 
-    /// Replaces what is known of an instance; answers whether balancers see a difference.
+    /// Replaces what is known of an instance; answers whether balancers see a difference. An address belongs to the
+    /// instance that was heard of last there. One that was pushed out by a mistake (by a late heartbeat of one that has
+    /// ended) comes back with its next heartbeat.
     fn take(&mut self, id: &str, known: Known) -> bool {
-        self.release_address(id, known.address);
-        match self.known.get_mut(id) {
-            Some(held) => {
-                let changed = held.looks_other(&known);
-                let heard_at = if held.recalled { known.heard_at } else { held.heard_at.max(known.heard_at) };
-                *held = Known { heard_at, ..known };
-                changed
-            }
-            None => {
-                self.known.insert(id.to_owned(), known);
-                true
-            }
-        }
-    }
-
-    /// An address belongs to the instance that was heard of last there. One that was pushed out by a mistake (by a late
-    /// heartbeat of one that has ended) comes back with its next heartbeat.
-    fn release_address(&mut self, id: &str, address: SocketAddr) {
-        self.known.retain(|other, known| other == id || known.address != address);
+        let Some(held) = self.known.get(id) else {
+            self.known.put(id, known);
+            return true;
+        };
+        let changed = held.looks_other(&known);
+        let heard_at = if held.recalled { known.heard_at } else { held.heard_at.max(known.heard_at) };
+        self.known.put(id, Known { heard_at, ..known });
+        changed
     }
 
     fn merge_known(&mut self, now: u64, record: InstanceRecord) -> bool {
@@ -299,17 +270,15 @@
             return false;
         }
         let cold_until = cold_end(now, record.cold_ms);
-        let overfull = self.known.len() >= INSTANCE_CAPACITY;
-        match self.known.get_mut(&record.id) {
+        match self.known.get(&record.id) {
             Some(held) if held.sequence > record.sequence => false,
             Some(held) if held.sequence == record.sequence => {
-                let was_recalled = std::mem::take(&mut held.recalled);
-                held.heard_at = if was_recalled { heard_at } else { held.heard_at.max(heard_at) };
                 let colder = cold_until > held.cold_until + COLD_TOLERANCE_MS;
-                held.cold_until = held.cold_until.max(if colder { cold_until } else { 0 });
+                self.known
+                    .update(&record.id, |held| held.heard_again(heard_at, colder.then_some(cold_until)));
                 colder
             }
-            None if overfull => false,
+            None if self.known.len() >= INSTANCE_CAPACITY => false,
             _ => {
                 let id = record.id.clone();
                 self.take(&id, Known::recorded(record, heard_at, cold_until))
@@ -318,11 +287,8 @@
     }
 
     fn is_address_taken(&self, record: &InstanceRecord, heard_at: u64) -> bool {
-        let newer = |(id, known): (&String, &Known)| {
-            let holds = *id != record.id && known.address == record.address && !known.recalled;
-            holds && known.heard_at >= heard_at
-        };
-        self.known.iter().any(newer)
+        let holder = self.known.holder_of(record.address);
+        holder.is_some_and(|(id, known)| *id != record.id && !known.recalled && known.heard_at >= heard_at)
     }
 
     fn record(&self, now: u64, id: &str, known: &Known) -> InstanceRecord {
@@ -344,49 +310,3 @@
         self.version += u64::from(changed);
     }
 }
-
-/// When an instance ceases to be cold. A warm one has no such time: a record that arrives late would else say that it
-/// was cold until then.
-fn cold_end(now: u64, cold_ms: u64) -> u64 {
-    if cold_ms == 0 { 0 } else { now.saturating_add(cold_ms) }
-}
-
-impl Known {
-    fn heard(now: u64, heartbeat: &Heartbeat) -> Self {
-        Known {
-            service: heartbeat.backend.clone(),
-            address: heartbeat.address,
-            zone: heartbeat.zone.clone(),
-            generation: heartbeat.generation.clone(),
-            slots: heartbeat.slots,
-            sequence: heartbeat.sequence,
-            cold_until: cold_end(now, heartbeat.cold_ms),
-            heard_at: now,
-            recalled: false,
-        }
-    }
-
-    fn recorded(record: InstanceRecord, heard_at: u64, cold_until: u64) -> Self {
-        Known {
-            service: record.service,
-            address: record.address,
-            zone: record.zone,
-            generation: record.generation,
-            slots: record.slots,
-            sequence: record.sequence,
-            cold_until,
-            heard_at,
-            recalled: false,
-        }
-    }
-
-    fn looks_other(&self, newer: &Known) -> bool {
-        let cold_moved = self.cold_until.abs_diff(newer.cold_until) > COLD_TOLERANCE_MS;
-        let was_cold = self.cold_until > newer.heard_at || newer.cold_until > newer.heard_at;
-        (cold_moved && was_cold)
-            || self.address != newer.address
-            || self.slots != newer.slots
-            || self.service != newer.service
-            || self.zone != newer.zone
-    }
-}
--- a/controlplane/registry/src/lib.rs
+++ b/controlplane/registry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod ended;
 mod instances;
+mod known;
 mod leases;
 mod retired;
 
