Instances told to balancers by their changes in place of the whole list

Each change sent the list to every agent: bytes grew as agents x upstreams x changes. Now a connection that was sent the list before gets what differs; whole where none was sent, another was, or an acknowledgement is overdue (1 s), so a lost frame or an older agent falls back to the list.

--- a/controlplane/controller/examples/load.rs
+++ b/controlplane/controller/examples/load.rs
@@ -81,8 +81,10 @@
         self.note("encode for a balancer", begun.elapsed());
         if let ToBalancer::Update(update) = message {
             self.updates += 1;
-            if let Some(section) = &update.instances {
-                self.applied.insert(to, section.version);
+            let whole = update.instances.as_ref().map(|section| section.version);
+            let changed = update.changes.as_ref().map(|changes| changes.version);
+            if let Some(version) = whole.or(changed) {
+                self.applied.insert(to, version);
             }
         }
         bytes
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -17,6 +17,7 @@
 };
 use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing, Tolerance};
 
+use super::lists::Lists;
 use super::{HEARTBEAT_MS, zones};
 
 /// The seeds are the first so many controllers that there are.
@@ -193,7 +194,9 @@
     /// Share of the answers that don't reach their callers.
     pub lost_answers: f64,
     pub attempts: Vec<Attempt>,
+    /// What balancers were sent, with the instances whole.
     pub updates: Vec<(SubscriberId, Update)>,
+    lists: Lists,
     pub links: Vec<(SubscriberId, Link)>,
     /// Updates and links in the order in which they were sent.
     pub sent: Vec<(SubscriberId, ToBalancer)>,
@@ -220,6 +223,7 @@
             lost_answers: 0.0,
             attempts: Vec::new(),
             updates: Vec::new(),
+            lists: Lists::default(),
             links: Vec::new(),
             sent: Vec::new(),
             memories,
@@ -364,7 +368,7 @@
             Answer::Response { id, response } => self.answered(at, id, response),
             Answer::Update { subscriber, update } => {
                 self.sent.push((subscriber, ToBalancer::Update(update.clone())));
-                self.updates.push((subscriber, update));
+                self.updates.push((subscriber, self.lists.whole(subscriber, update)));
             }
             Answer::Link { subscriber, link } => {
                 self.sent.push((subscriber, ToBalancer::Link(link.clone())));
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod edge;
 pub mod fleet;
 pub mod judge;
+pub mod lists;
 pub mod operators;
 pub mod schedule;
 pub mod upstream;
@@ -35,7 +36,9 @@
     pub disk_works: bool,
     held_writes: VecDeque<u64>,
     pub answers: HashMap<CallId, Response>,
+    /// What balancers were sent, with the instances whole.
     pub updates: Vec<(SubscriberId, Update)>,
+    lists: lists::Lists,
     pub links: Vec<(SubscriberId, Link)>,
     /// What the controller has written to recall after a restart, oldest first.
     pub memories: Vec<Vec<u8>>,
@@ -73,6 +76,7 @@
             held_writes: VecDeque::new(),
             answers: HashMap::new(),
             updates: Vec::new(),
+            lists: lists::Lists::default(),
             links: Vec::new(),
             memories: Vec::new(),
             last_call: 0,
@@ -155,7 +159,7 @@
                     assert!(earlier.is_none(), "{id:?} was answered twice");
                 }
                 Action::SendBalancer { to, message: ToBalancer::Update(update) } => {
-                    self.updates.push((to, update));
+                    self.updates.push((to, self.lists.whole(to, update)));
                 }
                 Action::SendBalancer { to, message: ToBalancer::Link(link) } => self.links.push((to, link)),
                 Action::Persist { token, .. } => self.held_writes.push_back(token),
--- a/controlplane/distribution/schema/distribution.capnp
+++ b/controlplane/distribution/schema/distribution.capnp
@@ -46,6 +46,7 @@
   evacuations @1 :Evacuations;
   instances @2 :Instances;
   fleet @3 :Fleet;
+  changes @4 :InstanceChanges;
 }
 
 struct Configured {
@@ -63,6 +64,14 @@
   list @1 :List(Instance);
 }
 
+# What differs from the instances of version base, which the receiver was sent on this connection.
+struct InstanceChanges {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  changed @2 :List(Instance);
+  removed @3 :List(Text);
+}
+
 struct Instance {
   id @0 :Text;
   service @1 :Text;
--- a/controlplane/distribution/src/codec/balancer.rs
+++ b/controlplane/distribution/src/codec/balancer.rs
@@ -2,16 +2,19 @@
 
 use bytes::Bytes;
 use capnp::serialize::write_message_to_words;
+use capnp::struct_list;
 
 use whinspindle_encoding::{new_message, read_message};
 
 use super::DecodeError;
 use super::parts::{read_endpoint, read_loads, write_endpoint, write_loads};
 use crate::distribution_capnp::{
-    configured, controller_address, evacuations, fleet, instance, instances, link, to_balancer, update,
+    configured, controller_address, evacuations, fleet, instance, instance_changes, instances, link,
+    to_balancer, update,
 };
 use crate::{
-    Configured, ControllerAddress, Evacuations, Fleet, Instance, Instances, Link, ToBalancer, Update,
+    Configured, ControllerAddress, Evacuations, Fleet, Instance, InstanceChanges, Instances, Link,
+    ToBalancer, Update,
 };
 
 pub fn encode_to_balancer(to_balancer: &ToBalancer) -> Vec<u8> {
@@ -70,6 +73,9 @@
     if let Some(section) = &update.instances {
         write_instances(builder.reborrow().init_instances(), section);
     }
+    if let Some(section) = &update.changes {
+        write_changes(builder.reborrow().init_changes(), section);
+    }
     if let Some(section) = &update.fleet {
         write_fleet(builder.reborrow().init_fleet(), section);
     }
@@ -86,6 +92,9 @@
     if reader.has_instances() {
         update.instances = Some(read_instances(reader.get_instances()?)?);
     }
+    if reader.has_changes() {
+        update.changes = Some(read_changes(reader.get_changes()?)?);
+    }
     if reader.has_fleet() {
         update.fleet = Some(read_fleet(reader.get_fleet()?)?);
     }
@@ -120,15 +129,40 @@
 
 fn write_instances(mut builder: instances::Builder<'_>, section: &Instances) {
     builder.set_version(section.version);
-    let mut list = builder.init_list(section.list.len() as u32);
-    for (index, instance) in (0..).zip(&section.list) {
-        write_instance(list.reborrow().get(index), instance);
-    }
+    write_list(builder.init_list(section.list.len() as u32), &section.list);
 }
 
 fn read_instances(reader: instances::Reader<'_>) -> Result<Instances, DecodeError> {
-    let list = reader.get_list()?.iter().map(read_instance).collect::<Result<_, _>>()?;
-    Ok(Instances { version: reader.get_version(), list })
+    Ok(Instances { version: reader.get_version(), list: read_list(reader.get_list()?)? })
+}
+
+fn write_changes(mut builder: instance_changes::Builder<'_>, section: &InstanceChanges) {
+    builder.set_base(section.base);
+    builder.set_version(section.version);
+    write_list(builder.reborrow().init_changed(section.changed.len() as u32), &section.changed);
+    let mut removed = builder.init_removed(section.removed.len() as u32);
+    for (index, id) in (0..).zip(&section.removed) {
+        removed.set(index, id);
+    }
+}
+
+fn read_changes(reader: instance_changes::Reader<'_>) -> Result<InstanceChanges, DecodeError> {
+    let mut removed = Vec::new();
+    for id in reader.get_removed()? {
+        removed.push(id?.to_string()?);
+    }
+    let changed = read_list(reader.get_changed()?)?;
+    Ok(InstanceChanges { base: reader.get_base(), version: reader.get_version(), changed, removed })
+}
+
+fn write_list(mut builder: struct_list::Builder<'_, instance::Owned>, list: &[Instance]) {
+    for (index, instance) in (0..).zip(list) {
+        write_instance(builder.reborrow().get(index), instance);
+    }
+}
+
+fn read_list(reader: struct_list::Reader<'_, instance::Owned>) -> Result<Vec<Instance>, DecodeError> {
+    reader.iter().map(read_instance).collect()
 }
 
 fn write_instance(mut builder: instance::Builder<'_>, instance: &Instance) {
--- a/controlplane/distribution/src/distribution_capnp.rs
+++ b/controlplane/distribution/src/distribution_capnp.rs
@@ -2034,6 +2034,17 @@
         pub fn has_fleet(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<crate::distribution_capnp::instance_changes::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -2041,7 +2052,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+            ::capnp::private::layout::StructSize { data: 0, pointers: 5 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2214,6 +2225,34 @@
         pub fn has_fleet(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_changes(
+            self,
+        ) -> ::capnp::Result<crate::distribution_capnp::instance_changes::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_changes(
+            &mut self,
+            value: crate::distribution_capnp::instance_changes::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_changes(self) -> crate::distribution_capnp::instance_changes::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), 0)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline {
@@ -2237,19 +2276,22 @@
         pub fn get_fleet(&self) -> crate::distribution_capnp::fleet::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
         }
+        pub fn get_changes(&self) -> crate::distribution_capnp::instance_changes::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(4))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(113, 120, 132, 150, 147, 191, 113, 197),
             ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
@@ -2257,35 +2299,42 @@
             ::capnp::word(110, 112, 58, 85, 112, 100, 97, 116),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
             ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2321,6 +2370,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 213, 80, 197, 95, 146, 208, 250),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2328,6 +2385,7 @@
                 1 => <crate::distribution_capnp::evacuations::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::distribution_capnp::instances::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::distribution_capnp::fleet::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::distribution_capnp::instance_changes::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2346,9 +2404,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 3, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 1, 3, 2];
         pub(crate) const TYPE_ID: u64 = 0xc571_bf93_9684_7871;
     }
 }
@@ -3304,6 +3362,418 @@
     }
 }
 
+pub mod instance_changes {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_changed(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::distribution_capnp::instance::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_changed(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_removed(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_changed(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_changed(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::distribution_capnp::instance::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_changed(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_changed(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_removed(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_removed(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_removed(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(149, 213, 80, 197, 95, 146, 208, 250),
+            ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
+            ::capnp::word(116, 105, 111, 110, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 73, 110, 115, 116, 97),
+            ::capnp::word(110, 99, 101, 67, 104, 97, 110, 103),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(27, 144, 117, 199, 103, 118, 81, 179),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::distribution_capnp::instance::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xfad0_925f_c550_d595;
+    }
+}
+
 pub mod instance {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/controlplane/distribution/src/holder.rs
+++ b/controlplane/distribution/src/holder.rs
@@ -31,6 +31,7 @@
             evacuations: update.evacuations.filter(|section| self.take_evacuations(section)),
             instances: update.instances.and_then(|section| self.take_instances(now, section)),
             fleet: update.fleet.filter(|section| self.take_fleet(section)),
+            changes: None,
         }
     }
 
@@ -47,6 +48,7 @@
             evacuations: self.evacuations.clone(),
             instances: self.instances.as_ref().map(|section| section.aged(elapsed_ms)),
             fleet: self.fleet.clone(),
+            changes: None,
         }
     }
 
--- a/controlplane/distribution/src/lib.rs
+++ b/controlplane/distribution/src/lib.rs
@@ -2,6 +2,7 @@
 //! report back. One protocol serves both hops: controller to agent, and agent to proxy. The controllers' own links
 //! use the same framing.
 
+mod changes;
 mod codec;
 pub mod connect;
 #[allow(clippy::all, clippy::pedantic, dead_code, unused_qualifications)]
@@ -19,7 +20,7 @@
 pub use gossip::{Gossip, GossipInstance, GossipLease, GossipScope};
 pub use holder::Holder;
 pub use message::{
-    Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, Instances, Link, RegionLoad, Report,
-    Role, ServiceRegion, ToBalancer, Update, Versions,
+    Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, InstanceChanges, Instances, Link,
+    RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
 };
 pub use publisher::{Lag, Publisher, Section, SubscriberId};
--- a/controlplane/distribution/src/message.rs
+++ b/controlplane/distribution/src/message.rs
@@ -55,6 +55,8 @@
     pub evacuations: Option<Evacuations>,
     pub instances: Option<Instances>,
     pub fleet: Option<Fleet>,
+    /// In place of the instances, for a receiver that was sent the list that they build on.
+    pub changes: Option<InstanceChanges>,
 }
 
 /// A committed configuration.
@@ -84,13 +86,24 @@
     /// The same list as of a later moment: cold instances have that much less time to go.
     pub fn aged(&self, elapsed_ms: u64) -> Instances {
         let mut aged = self.clone();
-        for instance in &mut aged.list {
-            instance.cold_ms = instance.cold_ms.saturating_sub(elapsed_ms);
-        }
+        aged.list.iter_mut().for_each(|instance| instance.age(elapsed_ms));
         aged
     }
 }
 
+/// What differs between two lists of one sender.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InstanceChanges {
+    /// The version of the list that the changes build on.
+    pub base: u64,
+    /// The version of the list that they lead to.
+    pub version: u64,
+    /// Instances that are new or look other, ends included.
+    pub changed: Vec<Instance>,
+    /// Ids that the newer list doesn't name.
+    pub removed: Vec<String>,
+}
+
 /// One incarnation of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -106,6 +119,11 @@
 }
 
 impl Instance {
+    /// Counts the cold time down.
+    pub fn age(&mut self, elapsed_ms: u64) {
+        self.cold_ms = self.cold_ms.saturating_sub(elapsed_ms);
+    }
+
     /// Says of an instance that it has ended, and nothing else.
     pub fn ended(id: String) -> Instance {
         Instance {
--- a/controlplane/distribution/src/publisher.rs
+++ b/controlplane/distribution/src/publisher.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Configured, Evacuations, Fleet, Instances, Report, Update, Versions};
+use crate::{Configured, Evacuations, Fleet, InstanceChanges, Instances, Report, Update, Versions};
 
 /// A section that has not been acknowledged for this long is sent again.
 const RESEND_MS: u64 = 1_000;
+/// Changes of the instances are sent in place of the list if there are fewer of them than this part of it.
+const LEAST_SAVING: usize = 2;
 /// Each repeat doubles the wait, up to this.
 const LONGEST_RESEND_MS: u64 = 8_000;
 
@@ -40,6 +42,8 @@
     evacuations: Option<Evacuations>,
     instances: Option<Instances>,
     instances_at: u64,
+    /// What leads from the list before to the one held, where that is less than the list.
+    changes: Option<InstanceChanges>,
     fleet: Option<Fleet>,
     subscribers: BTreeMap<SubscriberId, Subscriber>,
 }
@@ -96,6 +100,10 @@
 
     /// Takes the instances that are known now.
     pub fn set_instances(&mut self, now: u64, section: Instances) {
+        let elapsed_ms = now.saturating_sub(self.instances_at);
+        let changes =
+            self.instances.as_ref().map(|held| InstanceChanges::between(&held.aged(elapsed_ms), &section));
+        self.changes = changes.filter(|changes| changes.len() * LEAST_SAVING < section.list.len());
         self.instances = Some(section);
         self.instances_at = now;
     }
@@ -136,7 +144,8 @@
     }
 
     /// What is to be sent to a subscriber now: sections newer than those sent on this connection, and those whose
-    /// acknowledgement is overdue. None where there is nothing to send.
+    /// acknowledgement is overdue. None where there is nothing to send. Of the instances the changes are sent to a
+    /// connection on which the list before was sent last and no acknowledgement is overdue, else the list.
     pub fn update_for(&mut self, now: u64, subscriber: SubscriberId) -> Option<Update> {
         let state = self.subscribers.get_mut(&subscriber)?;
         let configured = self.configured.as_ref().filter(|section| {
@@ -145,7 +154,11 @@
         let evacuations = self.evacuations.as_ref().filter(|section| {
             section.sequence > state.applied.evacuations && state.evacuations.due(now, section.sequence)
         });
+        let base = state.instances.relied_on(now);
         let instances = self.instances.as_ref().filter(|section| state.instances.due(now, section.version));
+        let changes =
+            self.changes.as_ref().filter(|changes| instances.is_some() && Some(changes.base) == base);
+        let instances = instances.filter(|_| changes.is_none());
         let elapsed_ms = now.saturating_sub(self.instances_at);
         let fleet = self.fleet.as_ref().filter(|section| state.fleet.due(now, section.version));
         let update = Update {
@@ -153,6 +166,7 @@
             evacuations: evacuations.cloned(),
             instances: instances.map(|section| section.aged(elapsed_ms)),
             fleet: fleet.cloned(),
+            changes: changes.map(|changes| changes.aged(elapsed_ms)),
         };
         (update != Update::default()).then_some(update)
     }
@@ -213,6 +227,13 @@
         self.sent.filter(|sent| self.acknowledged != Some(sent.version))
     }
 
+    /// The version that the subscriber holds or is about to: the newest sent, unless it should have been acknowledged.
+    /// A connection keeps the order, so what was sent comes before what builds on it.
+    fn relied_on(&self, now: u64) -> Option<u64> {
+        let is_overdue = self.waiting().is_some_and(|sent| now >= sent.waiting_since + RESEND_MS);
+        self.sent.filter(|_| !is_overdue).map(|sent| sent.version)
+    }
+
     /// Whether a version is to be sent now; if so, it is noted as sent.
     fn due(&mut self, now: u64, version: u64) -> bool {
         let Some(sent) = self.sent else {
--- a/controlplane/distribution/tests/common/mod.rs
+++ b/controlplane/distribution/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use quickcheck::{Arbitrary, Gen};
 use whinspindle_distribution::{
     Configured, ControllerAddress, Evacuations, Fleet, Gossip, GossipInstance, GossipLease, GossipScope,
-    Hello, Instance, Instances, Link, RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
+    Hello, Instance, InstanceChanges, Instances, Link, RegionLoad, Report, Role, ServiceRegion, ToBalancer,
+    Update, Versions,
 };
 
 /// A value that quickcheck draws.
@@ -83,6 +84,17 @@
     }
 }
 
+impl Draw for InstanceChanges {
+    fn draw(source: &mut Gen) -> Self {
+        InstanceChanges {
+            base: u64::arbitrary(source),
+            version: u64::arbitrary(source),
+            changed: several(source, instance),
+            removed: several(source, text),
+        }
+    }
+}
+
 impl Draw for Update {
     fn draw(source: &mut Gen) -> Self {
         Update {
@@ -103,6 +115,7 @@
                 balancers: u32::arbitrary(source),
                 loads: several(source, load),
             }),
+            changes: option(source, InstanceChanges::draw),
         }
     }
 }
--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod catalog;
 mod connection;
+mod link_list;
 mod report;
 mod sections;
 mod selector;
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -8,6 +8,8 @@
 
 use whinspindle_distribution::{Fleet, Holder, Instances, Update, Versions};
 
+use crate::link_list::LinkList;
+
 /// For how long after it became the link a controller's lists take nothing away.
 const SETTLING_MS: u64 = 3_000;
 
@@ -19,6 +21,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GuardedSections {
     holder: Holder,
+    link_list: LinkList,
     settled_at: u64,
     in_quorum: bool,
     waiting: Option<Waiting>,
@@ -42,6 +45,7 @@
     /// Another controller is the link from now on.
     pub fn linked(&mut self, now: u64) {
         self.settled_at = now + SETTLING_MS;
+        self.link_list = LinkList::default();
         self.waiting = None;
         self.waiting_records = Update::default();
         self.records_open_at.get_or_insert(now + RECORDS_PATIENCE_MS);
@@ -61,6 +65,7 @@
 
     /// Takes an update of the link, and returns the news in it.
     pub fn apply(&mut self, now: u64, update: Update) -> Update {
+        let update = self.link_list.complete(now, update);
         let mut update = self.hold_back_records(now, update);
         if let Some(section) = &mut update.instances {
             self.take_ends(section);
--- a/dataplane/agent/tests/feed.rs
+++ b/dataplane/agent/tests/feed.rs
@@ -42,6 +42,7 @@
         evacuations: second.evacuations.or(first.evacuations),
         instances: second.instances.or(first.instances),
         fleet: second.fleet.or(first.fleet),
+        changes: second.changes.or(first.changes),
     }
 }
 
