--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -61,6 +61,7 @@
     leaving: bool,
     compacting: bool,
     gossip_at: u64,
+    gossip_sent_at: u64,
     link_at: u64,
     expiry_at: u64,
     /// The registry's version that the publisher holds.
@@ -68,6 +69,10 @@
     /// The registry's count of withdrawals that the publisher holds.
     published_withdrawals: u64,
     instances_published_at: Option<u64>,
+    /// Something has changed that balancers are to be told at the next tick.
+    publication_waits: bool,
+    /// When each peer was sent a snapshot last.
+    snapshots_sent: BTreeMap<SocketAddr, u64>,
     /// The list of controllers that subscribers were told last.
     told_controllers: Vec<ControllerAddress>,
     actions: Vec<Action>,
@@ -102,11 +107,14 @@
             leaving: false,
             compacting: false,
             gossip_at: now,
+            gossip_sent_at: now,
             link_at: now,
             expiry_at: now,
             published_instances: 0,
             published_withdrawals: 0,
             instances_published_at: None,
+            publication_waits: false,
+            snapshots_sent: BTreeMap::new(),
             told_controllers: Vec::new(),
             actions: Vec::new(),
         };
@@ -183,7 +191,7 @@
         if links_are_due {
             self.send_links(now);
         }
-        if links_are_due || self.are_instances_due(now) {
+        if links_are_due || self.publication_waits || self.are_instances_due(now) {
             self.publish(now);
         }
     }
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -38,7 +38,7 @@
             HeartbeatEffect::Accepted { changed } => {
                 self.acknowledge_heartbeat(now, id);
                 if changed {
-                    self.instances_changed(now);
+                    self.changed_soon(now);
                 }
             }
             HeartbeatEffect::Stale => self.acknowledge_heartbeat(now, id),
--- a/controlplane/controller/src/controller/gossip.rs
+++ b/controlplane/controller/src/controller/gossip.rs
@@ -12,8 +12,13 @@
 
 /// Heartbeats and renewals that change nothing are told to the other controllers at this interval.
 const GOSSIP_REFRESH_MS: u64 = 400;
-/// They wait this much longer for other messages to go along with.
+/// Changes that are not urgent are told at most this often.
+const CHANGES_INTERVAL_MS: u64 = 100;
+/// Heartbeats and renewals wait this much longer for other messages to go along with.
 const GOSSIP_PATIENCE_MS: u64 = 200;
+/// A peer that connects again gets a snapshot again after this time, and after so much for each instance in it.
+const SNAPSHOT_PAUSE_MS: u64 = 2_000;
+const SNAPSHOT_PAUSE_MS_PER_INSTANCE: u64 = 5;
 
 impl Controller {
     /// Changes that are not urgent go along with the replica's own messages, in the same packets.
@@ -22,6 +27,18 @@
         now >= self.gossip_at && (goes_along || now >= self.gossip_at + GOSSIP_PATIENCE_MS)
     }
 
+    /// Something has changed. Many upstreams come, or renew their cold times, together: what follows closely on another
+    /// change waits for a tick.
+    pub(super) fn changed_soon(&mut self, now: u64) {
+        if now >= self.gossip_sent_at + CHANGES_INTERVAL_MS {
+            self.send_changes(now);
+        } else {
+            self.gossip_at = self.gossip_sent_at + CHANGES_INTERVAL_MS - GOSSIP_PATIENCE_MS;
+        }
+        self.publish_soon(now);
+    }
+
+    /// An upstream leaves: the other controllers and the balancers are to know at once.
     pub(super) fn instances_changed(&mut self, now: u64) {
         self.send_changes(now);
         self.publish(now);
@@ -31,6 +48,7 @@
     /// too, so that the connection is known to stand.
     pub(super) fn send_changes(&mut self, now: u64) {
         self.gossip_at = now + GOSSIP_REFRESH_MS;
+        self.gossip_sent_at = now;
         let is_empty = !self.registry.has_changes() && !self.leases.has_changes();
         let gossip = exchange::changes(now, &mut self.registry, &mut self.leases);
         let payload = Bytes::from(encode_gossip(&gossip));
@@ -42,7 +60,14 @@
         }
     }
 
+    /// Connections end where processor time is short, and a snapshot takes much of it at the other side: it is not sent
+    /// again soon. All that lives is heard of anew within a heartbeat interval.
     pub(super) fn send_snapshot(&mut self, now: u64, to: SocketAddr) {
+        let pause = SNAPSHOT_PAUSE_MS.max(self.registry.len() as u64 * SNAPSHOT_PAUSE_MS_PER_INSTANCE);
+        if self.snapshots_sent.get(&to).is_some_and(|at| now < at + pause) {
+            return;
+        }
+        self.snapshots_sent.insert(to, now);
         let scope = if self.has_heard_all(now) { GossipScope::Complete } else { GossipScope::Heard };
         let gossip = exchange::heard(now, scope, &self.registry, &self.leases);
         let payload = Bytes::from(encode_gossip(&gossip));
@@ -80,7 +105,7 @@
             changed = true;
         }
         if changed {
-            self.publish(now);
+            self.publish_soon(now);
         }
     }
 }
--- a/controlplane/controller/src/controller/publication.rs
+++ b/controlplane/controller/src/controller/publication.rs
@@ -28,10 +28,10 @@
             self.actions.push(Action::SendBalancer { to: subscriber, message });
         }
         if changed {
-            self.send_changes(now);
+            self.changed_soon(now);
         }
-        if changed || is_new {
-            self.publish(now);
+        if is_new {
+            self.publish_to(now, subscriber);
         }
     }
 
@@ -50,24 +50,48 @@
         Link { in_quorum: self.is_in_quorum(now), leaving: self.leaving, controllers }
     }
 
+    /// Publishes now if the instances are due, else at the next tick.
+    pub(super) fn publish_soon(&mut self, now: u64) {
+        self.publication_waits = true;
+        if self.are_instances_due(now) {
+            self.publish(now);
+        }
+    }
+
     /// Sends each balancer what it lacks of the newest state. One that has nothing yet looks for a controller in a quorum
     /// first.
     pub(super) fn publish(&mut self, now: u64) {
+        self.publication_waits = false;
+        self.refresh(now);
+        let subscribers: Vec<SubscriberId> = self.publisher.subscribers().collect();
+        for to in subscribers {
+            self.send_update(now, to);
+        }
+    }
+
+    /// Sends a balancer that has just come what it lacks. What its coming changes is told to the others at the next
+    /// tick: after a start hundreds of balancers come together.
+    fn publish_to(&mut self, now: u64, to: SubscriberId) {
+        self.publication_waits = true;
+        self.refresh(now);
+        self.send_update(now, to);
+    }
+
+    fn send_update(&mut self, now: u64, to: SubscriberId) {
+        if !self.may_hand_out(now) && !self.publisher.has_configuration(to) {
+            return;
+        }
+        if let Some(update) = self.publisher.update_for(now, to) {
+            self.actions.push(Action::SendBalancer { to, message: ToBalancer::Update(update) });
+        }
+    }
+
+    fn refresh(&mut self, now: u64) {
         self.refresh_replicated(now);
         if self.may_tell(now) {
             self.refresh_instances(now);
             self.refresh_fleet(now);
         }
-        let hands_out = self.may_hand_out(now);
-        let subscribers: Vec<SubscriberId> = self.publisher.subscribers().collect();
-        for to in subscribers {
-            if !hands_out && !self.publisher.has_configuration(to) {
-                continue;
-            }
-            if let Some(update) = self.publisher.update_for(now, to) {
-                self.actions.push(Action::SendBalancer { to, message: ToBalancer::Update(update) });
-            }
-        }
     }
 
     fn refresh_replicated(&mut self, now: u64) {
@@ -109,8 +133,12 @@
     }
 
     fn refresh_fleet(&mut self, now: u64) {
+        let balancers = self.leases.balancers(now);
+        if !self.fleet.is_due(now, balancers, self.publisher.subscribers().count()) {
+            return;
+        }
         let loads = self.leases.loads(now).into_iter().map(exchange::region_load).collect();
-        if let Some(fleet) = self.fleet.update(now, self.leases.balancers(now), loads) {
+        if let Some(fleet) = self.fleet.update(now, balancers, loads) {
             self.publisher.set_fleet(fleet);
         }
     }
--- a/controlplane/controller/src/fleet.rs
+++ b/controlplane/controller/src/fleet.rs
@@ -4,6 +4,8 @@
 
 /// Loads are told at most this often.
 const MIN_INTERVAL_MS: u64 = 1_000;
+/// Balancers that come or go are told after so much for each subscriber.
+const PAUSE_MS_PER_SUBSCRIBER: u64 = 2;
 /// A load has changed if it differs by this share and by `MIN_DIFFERENCE_PER_S`.
 const MIN_RELATIVE_DIFFERENCE: f64 = 0.1;
 const MIN_DIFFERENCE_PER_S: f64 = 0.5;
@@ -16,11 +18,23 @@
 }
 
 impl FleetState {
-    /// The state to tell, if it differs from the one told last. Balancers that come or go are told at once.
+    /// Whether the state may have to be told to so many subscribers. Balancers that come or go are told after a pause
+    /// that grows with the messages that this takes: hundreds come together, and each would be told of each.
+    pub fn is_due(&self, now: u64, balancers: u32, subscribers: usize) -> bool {
+        let pause_ms = (subscribers as u64 * PAUSE_MS_PER_SUBSCRIBER).min(MIN_INTERVAL_MS);
+        let has_rested = self.told.version == 0 || now >= self.told_at + pause_ms;
+        (self.is_urgent(balancers) && has_rested) || now >= self.told_at + MIN_INTERVAL_MS
+    }
+
+    fn is_urgent(&self, balancers: u32) -> bool {
+        self.told.version == 0 || balancers != self.told.balancers
+    }
+
+    /// The state to tell, if it differs from the one told last. To be called when it is due.
     pub fn update(&mut self, now: u64, balancers: u32, loads: Vec<RegionLoad>) -> Option<Fleet> {
-        let is_urgent = self.told.version == 0 || balancers != self.told.balancers;
         let is_due = now >= self.told_at + MIN_INTERVAL_MS;
-        let is_worth_telling = is_urgent || (is_due && is_materially_different(&self.told.loads, &loads));
+        let is_worth_telling =
+            self.is_urgent(balancers) || (is_due && is_materially_different(&self.told.loads, &loads));
         if !is_worth_telling {
             return None;
         }
--- a/controlplane/controller/src/shell/http_server.rs
+++ b/controlplane/controller/src/shell/http_server.rs
@@ -28,8 +28,8 @@
 /// Bodies of all requests together.
 const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
 const MAX_CONNECTIONS: usize = 1024;
-/// Also the time for which a connection may be idle.
-const HEADER_LIMIT: Duration = Duration::from_secs(30);
+/// Also the time for which a connection may be idle: longer than the time between two heartbeats.
+const HEADER_LIMIT: Duration = Duration::from_secs(8);
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -22,7 +22,7 @@
 use crate::pending::CallId;
 
 /// A balancer that doesn't read gets a new connection once so many bytes wait for it.
-const MAX_BALANCER_BYTES: usize = 32 * 1024 * 1024;
+const MAX_BALANCER_BYTES: usize = 8 * 1024 * 1024;
 /// Interval at which the connections to other controllers are looked at.
 const LINK_CHECK_MS: u64 = 300;
 
@@ -36,6 +36,25 @@
     order: Option<String>,
 }
 
+/// The bytes of the last message to a balancer: most balancers are sent the same, and share them.
+#[derive(Default)]
+struct EncodedMessage {
+    last: Option<(ToBalancer, Bytes)>,
+}
+
+impl EncodedMessage {
+    fn of(&mut self, message: ToBalancer) -> Bytes {
+        if let Some((last, payload)) = &self.last
+            && *last == message
+        {
+            return payload.clone();
+        }
+        let payload = Bytes::from(encode_to_balancer(&message));
+        self.last = Some((message, payload.clone()));
+        payload
+    }
+}
+
 /// One controller process.
 pub struct Node {
     pub clock: Clock,
@@ -77,11 +96,12 @@
 
     /// Does what the state machine wants.
     pub fn perform(&mut self, now: u64, actions: Vec<Action>) {
+        let mut encoded = EncodedMessage::default();
         for action in actions {
             match action {
                 Action::Answer { id, response } => self.answer(id, response),
                 Action::SendPeer { to, kind, payload } => self.peers.send(now, to, kind, payload),
-                Action::SendBalancer { to, message } => self.send_balancer(now, to, &message),
+                Action::SendBalancer { to, message } => self.send_balancer(now, to, encoded.of(message)),
                 Action::Persist { token, write } => self.disk.persist(token, write),
                 Action::Compact { state } => self.disk.compact(state),
                 Action::Remember { memory } => self.disk.remember(memory),
@@ -197,9 +217,9 @@
         }
     }
 
-    fn send_balancer(&mut self, now: u64, to: SubscriberId, message: &ToBalancer) {
+    fn send_balancer(&mut self, now: u64, to: SubscriberId, payload: Bytes) {
         if let Some(outbox) = self.subscribers.get(&to) {
-            outbox.push(now, FrameKind::ToBalancer, Bytes::from(encode_to_balancer(message)));
+            outbox.push(now, FrameKind::ToBalancer, payload);
         }
     }
 }
--- a/controlplane/controller/src/shell/peers.rs
+++ b/controlplane/controller/src/shell/peers.rs
@@ -31,7 +31,7 @@
 const FRESH_MS: u64 = 300;
 /// A connection to a process that is no known controller is given up after this time without a message to it.
 const UNUSED_MS: u64 = 10_000;
-const MAX_QUEUED_BYTES: usize = 16 * 1024 * 1024;
+const MAX_QUEUED_BYTES: usize = 8 * 1024 * 1024;
 
 #[derive(Debug, Snafu)]
 enum LinkError {
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -54,7 +54,7 @@
         ("published_evacuations", versions.evacuations),
         ("published_instances", versions.instances),
         ("published_fleet", versions.fleet),
-        ("instances", summary.registry.snapshot(summary.now).len() as u64),
+        ("instances", summary.registry.len() as u64),
         ("subscribers", summary.publisher.subscribers().count() as u64),
     ];
     for (name, value) in fields {
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -19,7 +19,9 @@
 use whinspindle_controller::api::{Call, Response};
 use whinspindle_controller::orders::Orders;
 use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
-use whinspindle_distribution::{ControllerAddress, Link, Report, SubscriberId, ToBalancer, Update, Versions};
+use whinspindle_distribution::{
+    ControllerAddress, InstanceChanges, Link, Report, SubscriberId, ToBalancer, Update, Versions,
+};
 use whinspindle_replica::{Replica, ReplicaSettings, Timing, Tolerance};
 
 /// The clock of a test starts above zero, as that of a process does.
@@ -38,6 +40,10 @@
     pub answers: HashMap<CallId, Response>,
     /// What balancers were sent, with the instances whole.
     pub updates: Vec<(SubscriberId, Update)>,
+    /// Changes of instances as they were sent.
+    pub changes_sent: Vec<InstanceChanges>,
+    /// Bytes of all messages to other controllers.
+    pub peer_bytes: usize,
     lists: lists::Lists,
     pub links: Vec<(SubscriberId, Link)>,
     /// What the controller has written to recall after a restart, oldest first.
@@ -76,6 +82,8 @@
             held_writes: VecDeque::new(),
             answers: HashMap::new(),
             updates: Vec::new(),
+            changes_sent: Vec::new(),
+            peer_bytes: 0,
             lists: lists::Lists::default(),
             links: Vec::new(),
             memories: Vec::new(),
@@ -159,12 +167,14 @@
                     assert!(earlier.is_none(), "{id:?} was answered twice");
                 }
                 Action::SendBalancer { to, message: ToBalancer::Update(update) } => {
+                    self.changes_sent.extend(update.changes.clone());
                     self.updates.push((to, self.lists.whole(to, update)));
                 }
                 Action::SendBalancer { to, message: ToBalancer::Link(link) } => self.links.push((to, link)),
                 Action::Persist { token, .. } => self.held_writes.push_back(token),
                 Action::Remember { memory } => self.memories.push(memory),
-                Action::SendPeer { .. } | Action::Compact { .. } => {}
+                Action::SendPeer { payload, .. } => self.peer_bytes += payload.len(),
+                Action::Compact { .. } => {}
             }
         }
     }
@@ -206,6 +216,16 @@
     Call::Heartbeat { instance: instance.to_owned(), heartbeat }
 }
 
+/// The heartbeat of an instance with an address of its own among thousands.
+pub fn heartbeat_at(instance: &str, number: u16) -> Call {
+    let Call::Heartbeat { instance, mut heartbeat } = heartbeat(instance, 1, InstanceState::Ready) else {
+        unreachable!("it is a heartbeat")
+    };
+    let [high, low] = number.to_be_bytes();
+    heartbeat.address = SocketAddr::from(([10, 129, high, low], 8080));
+    Call::Heartbeat { instance, heartbeat }
+}
+
 pub fn deregister(instance: &str) -> Call {
     Call::Deregister { instance: instance.to_owned() }
 }
--- a/controlplane/distribution/tests/common/mod.rs
+++ b/controlplane/distribution/tests/common/mod.rs
@@ -84,6 +84,12 @@
     }
 }
 
+impl Draw for Instances {
+    fn draw(source: &mut Gen) -> Self {
+        Instances { version: u64::arbitrary(source), list: several(source, instance) }
+    }
+}
+
 impl Draw for InstanceChanges {
     fn draw(source: &mut Gen) -> Self {
         InstanceChanges {
@@ -106,10 +112,7 @@
                 sequence: u64::arbitrary(source),
                 zones: several(source, text),
             }),
-            instances: option(source, |source| Instances {
-                version: u64::arbitrary(source),
-                list: several(source, instance),
-            }),
+            instances: option(source, Instances::draw),
             fleet: option(source, |source| Fleet {
                 version: u64::arbitrary(source),
                 balancers: u32::arbitrary(source),
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -188,6 +188,16 @@
         !self.unsent.is_empty()
     }
 
+    /// How many instances are known.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// All instances that are known and have not ended, those that leave included.
     pub fn snapshot(&self, now: u64) -> Vec<InstanceRecord> {
         self.known.iter().map(|(id, known)| self.record(now, id, known)).collect()
