--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -10,6 +10,7 @@
 mod report;
 mod sections;
 mod selector;
+pub mod settings_file;
 mod shell;
 
 pub use agent::{Agent, AgentSettings, Input, Notice, Output};
