Replica: a view without a complete member is left by a member of the chain before

Cause: one of three is cut off and comes back, another is cut off, and the only complete member loses its disk before the first is up to date. The view had no complete member, so none could be head, and no command was taken any more, with one disk lost of three. The drawn schedules allowed it: they asked for no write where disks were lost at any time.

Change: a promise of a member whose log was never complete in its view proves that the view has committed nothing and never will; then the chain before it counts. So a view names the chains before it (eight at most), and a member left out of the chain keeps its log: before, it dropped on hearing of the new view what it did not know to be committed, and with the first part alone acknowledged entries were lost (planted fault Dropping). Entries go only where a log with all that was committed holds others, one record at a time.

The view has one more list on the wire and on the disk: logs of earlier versions are not read, as with the places of members before. The boxed value in Promise keeps the enum small.

--- a/coordination/replica/schema/replica.capnp
+++ b/coordination/replica/schema/replica.capnp
@@ -39,6 +39,8 @@
   boards @2 :List(List(Voter));
   chain @3 :List(ChainLink);
   nextMember @4 :UInt16;
+  # Chains of the views before, oldest first.
+  former @5 :List(List(ChainLink));
 }
 
 struct Decided {
--- a/coordination/replica/src/chain.rs
+++ b/coordination/replica/src/chain.rs
@@ -29,8 +29,8 @@
         let view = &self.state.decided.view;
         let link = self.me().and_then(|me| view.link(me).copied());
         let is_recorded = link.is_some_and(|link| L::complete(self.state.complete, link.since) >= link.since);
-        if !is_recorded {
-            self.forget_pending();
+        if !is_recorded && !L::keeps_entries() {
+            self.truncate(self.state.committed);
         }
         let view = &self.state.decided.view;
         let Some(link) = link else {
@@ -56,13 +56,12 @@
         self.resume(now);
     }
 
-    /// Entries that are not committed are void for a replica without a place in the chain.
-    fn forget_pending(&mut self) {
-        if !self.state.log.is_empty() {
-            self.record(DurableRecord::Reset, false);
-        }
-        self.disk.forget_entries();
-        self.durable_last = self.state.committed;
+    /// Up to which entry the log is of use if this replica is left out of the chain. At the tail, what the head took in
+    /// the same view and is not committed here is committed nowhere.
+    pub(crate) fn last_of_use(&self) -> u64 {
+        let tail = self.session.as_ref().filter(|session| session.successor.is_none());
+        let void = tail.and_then(|tail| self.state.log.iter().find(|entry| entry.view >= tail.view));
+        void.map_or(self.state.last(), |entry| entry.sequence - 1)
     }
 
     fn build_newest(&mut self) {
--- a/coordination/replica/src/change.rs
+++ b/coordination/replica/src/change.rs
@@ -134,7 +134,7 @@
             as u64
     }
 
-    /// What the heartbeats tell, for the question whether a change is worth a round.
+    /// What the heartbeats tell, for the question whether a change is worth a round: as if all had promised.
     fn expected_situation(&self, now: u64, me: Voter) -> Situation {
         let view = self.view();
         let present = view.voters().into_iter().filter_map(|voter| {
@@ -146,7 +146,7 @@
 
     fn expected_standing(&self, now: u64, me: Voter, voter: Voter) -> Option<Standing> {
         if voter == me {
-            return Some(Standing::new(self.report(), self.is_leaving));
+            return Some(Standing::promised(self.report(), self.is_leaving));
         }
         let view = self.view();
         let member = view.member(voter)?;
@@ -157,7 +157,7 @@
         let Some(link) = view.link(voter) else {
             let heartbeat = self.peers.well(now, view, voter)?;
             let is_steady = self.peers.get(member.endpoint)?.steady_since + STEADY <= now;
-            return is_steady.then(|| Standing::new(heartbeat.report, heartbeat.is_leaving));
+            return is_steady.then(|| Standing::promised(heartbeat.report, heartbeat.is_leaving));
         };
         let is_neighbour = view.predecessor(voter) == Some(me) || view.successor(voter) == Some(me);
         let is_excused = !is_neighbour && self.peers.is_heard_by_another(now, member.endpoint);
@@ -165,8 +165,10 @@
         if is_suspected || self.owes_too_long(now, voter) {
             return None;
         }
-        let unheard = Standing { complete: link.since, committed: 0, is_leaving: false };
-        Some(heartbeat.map_or(unheard, |heartbeat| Standing::new(heartbeat.report, heartbeat.is_leaving)))
+        let unheard = Standing { complete: link.since, committed: 0, is_leaving: false, has_promised: true };
+        Some(
+            heartbeat.map_or(unheard, |heartbeat| Standing::promised(heartbeat.report, heartbeat.is_leaving)),
+        )
     }
 
     fn situation(&self, now: u64, view: &View, present: BTreeMap<Voter, Standing>) -> Situation {
@@ -175,6 +177,7 @@
         Situation {
             tolerance: self.settings.tolerance,
             replaces_voters_jointly: L::replaces_voters_jointly(),
+            asks_for_complete_leaders: L::asks_for_complete_leaders(),
             present,
             lost,
             candidates: self.candidates(now, view),
@@ -234,7 +237,7 @@
                     endpoint: *endpoint,
                     birth: heartbeat.birth,
                     place: heartbeat.place(),
-                    standing: Standing::new(heartbeat.report, false),
+                    standing: Standing::told(heartbeat.report, false),
                 });
             }
         }
@@ -381,12 +384,12 @@
         let me = self.me();
         let standing = |voter: Voter| {
             if me == Some(voter) {
-                return Some((voter, Standing::new(self.report(), self.is_leaving)));
+                return Some((voter, Standing::told(self.report(), self.is_leaving)));
             }
             let heartbeat = self.peers.well(now, found, voter)?;
             let endpoint = found.endpoint(voter)?;
             let is_steady = self.peers.get(endpoint)?.steady_since + STEADY <= now;
-            is_steady.then(|| (voter, Standing::new(heartbeat.report, heartbeat.is_leaving)))
+            is_steady.then(|| (voter, Standing::told(heartbeat.report, heartbeat.is_leaving)))
         };
         found.voters().into_iter().filter(is_silent).filter_map(standing).collect()
     }
@@ -401,7 +404,7 @@
         let is_leaving = if is_own { self.is_leaving } else { heartbeat.is_some_and(|peer| peer.is_leaving) };
         let since = found.link(voter).map_or(0, |link| link.since);
         let complete = L::complete(report.complete, since);
-        Some(Standing::new(Report { complete, ..report }, is_leaving))
+        Some(Standing::promised(Report { complete, ..report }, is_leaving))
     }
 
     pub(crate) fn on_prepare(
@@ -429,7 +432,7 @@
                     // Let the other's round come to its end first.
                     self.change.wanted = None;
                 }
-                let accepted = votes.accepted.clone();
+                let accepted = votes.accepted.clone().map(Box::new);
                 if L::records_promises() {
                     self.record_votes(votes);
                 } else {
@@ -514,9 +517,13 @@
         if decided.view.number <= self.view().number {
             return;
         }
+        let kept = self.last_of_use();
         self.change.decided(decided.ballot);
         self.record(DurableRecord::Decided(decided), true);
         self.begin_session(now);
+        if self.session.is_none() {
+            self.truncate(kept);
+        }
         self.heartbeat_due = now;
     }
 }
--- a/coordination/replica/src/codec.rs
+++ b/coordination/replica/src/codec.rs
@@ -50,7 +50,7 @@
             agreement::write_prepare(*voter, *ballot, *known, to.init_prepare());
         }
         Message::Promise { voter, ballot, accepted, report } => {
-            agreement::write_promise(*voter, *ballot, accepted.as_ref(), report, to.init_promise());
+            agreement::write_promise(*voter, *ballot, accepted.as_deref(), report, to.init_promise());
         }
         Message::Accept { voter, ballot, view } => {
             agreement::write_accept(*voter, *ballot, view, to.init_accept());
--- a/coordination/replica/src/codec/agreement.rs
+++ b/coordination/replica/src/codec/agreement.rs
@@ -40,7 +40,7 @@
 pub fn read_promise(from: wire::promise::Reader) -> Result<Message, DecodeError> {
     let accepted = if from.has_accepted() {
         let accepted = read_decided(from.get_accepted()?)?;
-        Some((accepted.ballot, accepted.view))
+        Some(Box::new((accepted.ballot, accepted.view)))
     } else {
         None
     };
--- a/coordination/replica/src/codec/parts.rs
+++ b/coordination/replica/src/codec/parts.rs
@@ -87,9 +87,16 @@
             write_voter(*voter, voters.reborrow().get(index));
         }
     }
-    let mut chain = to.init_chain(length(&view.chain));
-    for (index, link) in (0..).zip(&view.chain) {
-        let mut to = chain.reborrow().get(index);
+    write_chain(&view.chain, to.reborrow().init_chain(length(&view.chain)));
+    let mut former = to.init_former(length(&view.former));
+    for (index, chain) in (0..).zip(&view.former) {
+        write_chain(chain, former.reborrow().init(index, length(chain)));
+    }
+}
+
+fn write_chain(chain: &[ChainLink], mut to: capnp::struct_list::Builder<wire::chain_link::Owned>) {
+    for (index, link) in (0..).zip(chain) {
+        let mut to = to.reborrow().get(index);
         to.set_since(link.since);
         write_voter(link.voter, to.init_voter());
     }
@@ -101,11 +108,23 @@
     for board in from.get_boards()?.iter() {
         boards.push(board?.iter().map(read_voter).collect());
     }
+    let chain = read_chain(from.get_chain()?)?;
+    let mut former = Vec::new();
+    for chain in from.get_former()?.iter() {
+        former.push(read_chain(chain?)?);
+    }
+    let (number, next_member) = (from.get_number(), from.get_next_member());
+    Ok(View { number, members, boards, chain, former, next_member })
+}
+
+fn read_chain(
+    from: capnp::struct_list::Reader<wire::chain_link::Owned>,
+) -> Result<Vec<ChainLink>, DecodeError> {
     let mut chain = Vec::new();
-    for link in from.get_chain()?.iter() {
+    for link in from.iter() {
         chain.push(ChainLink { voter: read_voter(link.get_voter()?), since: link.get_since() });
     }
-    Ok(View { number: from.get_number(), members, boards, chain, next_member: from.get_next_member() })
+    Ok(chain)
 }
 
 fn write_member(member: &Member, mut to: wire::member::Builder) {
--- a/coordination/replica/src/disk.rs
+++ b/coordination/replica/src/disk.rs
@@ -102,10 +102,10 @@
         self.urgent = true;
     }
 
-    /// Entries that were dropped are not waited for any more.
-    pub fn forget_entries(&mut self) {
-        let is_entry = |what: &Afterwards| matches!(what, Afterwards::Entry(_) | Afterwards::Complete(_));
-        self.waiting.retain(|(_, what)| !is_entry(what));
+    /// Entries after this one were dropped: they are not waited for any more.
+    pub fn forget_entries(&mut self, after: u64) {
+        let is_dropped = |what: &Afterwards| matches!(what, Afterwards::Entry(entry) if *entry > after);
+        self.waiting.retain(|(_, what)| !is_dropped(what));
     }
 
     /// The next write, if one is due. `state` encodes the whole state with all records handed in.
--- a/coordination/replica/src/durable.rs
+++ b/coordination/replica/src/durable.rs
@@ -48,9 +48,9 @@
     Entry(Entry),
     /// All entries up to this one are committed.
     Committed(u64),
-    /// Entries that are not committed are forgotten.
-    Reset,
-    /// Ranges of the committed records are replaced, which brings them to this position.
+    /// Entries after this one are dropped from the log; they were not committed.
+    Truncate(u64),
+    /// Ranges of the committed records are replaced, which brings them to this position. Entries after it stay.
     Replace {
         position: u64,
         ranges: Vec<RangeContents>,
@@ -138,9 +138,9 @@
                 }
             }
             DurableRecord::Committed(sequence) => self.commit(sequence),
-            DurableRecord::Reset => self.log.clear(),
+            DurableRecord::Truncate(last) => self.log.retain(|entry| entry.sequence <= last),
             DurableRecord::Replace { position, ranges, outcomes } => {
-                self.log.clear();
+                self.log.retain(|entry| entry.sequence > position);
                 for range in ranges {
                     range.replace_in(&mut self.records);
                 }
@@ -170,6 +170,12 @@
         self.log.iter().filter(wanted)
     }
 
+    /// The entry with this sequence, if it is in the log.
+    pub fn entry(&self, sequence: u64) -> Option<&Entry> {
+        let index = sequence.checked_sub(self.committed + 1)?;
+        self.log.get(usize::try_from(index).ok()?)
+    }
+
     pub fn is_pending(&self, origin: Origin) -> bool {
         self.log.iter().any(|entry| entry.origin == origin)
     }
--- a/coordination/replica/src/laws.rs
+++ b/coordination/replica/src/laws.rs
@@ -64,6 +64,17 @@
         true
     }
 
+    /// Whether a member of a former chain leads the next one only if its log holds all that was committed.
+    fn asks_for_complete_leaders() -> bool {
+        true
+    }
+
+    /// Whether entries that are not known to be committed stay in the log of a member that is left out of the chain,
+    /// until those that were committed are known to it.
+    fn keeps_entries() -> bool {
+        true
+    }
+
     /// From when contact with a peer counts, by the times at which a heartbeat to it was sent and its answer arrived.
     fn contact(sent_at: u64, _arrived_at: u64) -> u64 {
         sent_at
--- a/coordination/replica/src/message.rs
+++ b/coordination/replica/src/message.rs
@@ -26,7 +26,7 @@
     Promise {
         voter: Voter,
         ballot: Ballot,
-        accepted: Option<(Ballot, View)>,
+        accepted: Option<Box<(Ballot, View)>>,
         report: Report,
     },
     Accept {
--- a/coordination/replica/src/plan.rs
+++ b/coordination/replica/src/plan.rs
@@ -11,6 +11,8 @@
 
 /// A joiner that lacks no more entries than these is let in at once.
 const SMALL_LAG: u64 = 64;
+/// A view remembers no more chains of views before it.
+const MOST_FORMER: usize = 8;
 
 /// A voter that takes part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,11 +21,20 @@
     pub complete: u64,
     pub committed: u64,
     pub is_leaving: bool,
+    /// This was said with a promise: it takes no part any more in the view that was found, nor in one before.
+    pub has_promised: bool,
 }
 
 impl Standing {
-    pub fn new(report: Report, is_leaving: bool) -> Standing {
-        Standing { complete: report.complete, committed: report.committed, is_leaving }
+    /// What was said with a promise.
+    pub fn promised(report: Report, is_leaving: bool) -> Standing {
+        let Report { complete, committed } = report;
+        Standing { complete, committed, is_leaving, has_promised: true }
+    }
+
+    /// What was said without one.
+    pub fn told(report: Report, is_leaving: bool) -> Standing {
+        Standing { has_promised: false, ..Standing::promised(report, is_leaving) }
     }
 }
 
@@ -42,6 +53,8 @@
     pub tolerance: Tolerance,
     /// Whether the voters of before agree together with those that replace some of them, until these have begun.
     pub replaces_voters_jointly: bool,
+    /// Whether a member of a former chain leads only if it holds all that was committed.
+    pub asks_for_complete_leaders: bool,
     /// Voters that take part; others are not to be in the next chain.
     pub present: BTreeMap<Voter, Standing>,
     /// Voters that may be replaced.
@@ -221,13 +234,23 @@
         let stays =
             |link: &&ChainLink| voters.contains(&link.voter) && self.present.contains_key(&link.voter);
         let kept: Vec<ChainLink> = found.chain.iter().filter(stays).copied().collect();
-        let (complete, joining): (Vec<ChainLink>, Vec<ChainLink>) =
+        let (mut complete, mut joining): (Vec<ChainLink>, Vec<ChainLink>) =
             kept.into_iter().partition(|link| self.is_complete(link));
+        self.remember_chain(found);
+        if complete.is_empty() {
+            let leader = self.former_leader(&voters)?;
+            joining.retain(|link| link.voter != leader.voter);
+            complete.push(leader);
+        }
+        self.forget_chains();
         let newest = complete.iter().map(|link| self.present[&link.voter].committed).max()?;
 
         let mut chain = [complete, joining].concat();
         let mut late = Vec::new();
         for (voter, standing) in self.joiners(found, &voters) {
+            if chain.iter().any(|link| link.voter == voter) {
+                continue;
+            }
             let last = chain.last()?.voter;
             let is_ready = standing.committed + SMALL_LAG >= newest && !self.are_apart(last, voter);
             let link = ChainLink { voter, since: self.next.number };
@@ -249,6 +272,50 @@
         self.present.get(&link.voter).is_some_and(|standing| standing.complete >= link.since)
     }
 
+    fn remember_chain(&mut self, found: &View) {
+        self.next.former.push(found.chain.clone());
+    }
+
+    /// A member of a former chain that has all that was committed, where none of the present chain has; the chains after
+    /// that one are forgotten.
+    ///
+    /// In a view with a member that has promised without a complete log nothing was or will be committed: that takes
+    /// complete logs of all members, and this one won't have one any more. So the chain before it counts, and so on.
+    fn former_leader(&mut self, voters: &[Voter]) -> Option<ChainLink> {
+        while let Some(chain) = self.next.former.last() {
+            let promised: Vec<(&ChainLink, u64)> =
+                chain.iter().filter_map(|link| Some((link, self.promised_complete(link.voter)?))).collect();
+            let may_lead = |(link, complete): &&(&ChainLink, u64)| {
+                let holds_all = *complete >= link.since || !self.situation.asks_for_complete_leaders;
+                holds_all && voters.contains(&link.voter)
+            };
+            if let Some((link, complete)) = promised.iter().find(may_lead) {
+                return Some(ChainLink { voter: link.voter, since: link.since.min(*complete) });
+            }
+            if promised.iter().all(|(link, complete)| *complete >= link.since) {
+                return None;
+            }
+            self.next.former.pop();
+        }
+        None
+    }
+
+    /// The last view in which a voter's log was complete, as it said with its promise.
+    fn promised_complete(&self, voter: Voter) -> Option<u64> {
+        let standing = self.present.get(&voter).filter(|standing| standing.has_promised)?;
+        Some(standing.complete)
+    }
+
+    /// Chains before one of which all members have all are not needed, and no more than so many are kept.
+    fn forget_chains(&mut self) {
+        let holds_all = |link: &ChainLink| {
+            self.promised_complete(link.voter).is_some_and(|complete| complete >= link.since)
+        };
+        let whole = self.next.former.iter().rposition(|chain| chain.iter().all(holds_all));
+        let excess = self.next.former.len().saturating_sub(MOST_FORMER);
+        self.next.former.drain(..whole.unwrap_or(0).max(excess));
+    }
+
     fn is_leaving(&self, voter: Voter) -> bool {
         self.present.get(&voter).is_some_and(|standing| standing.is_leaving)
     }
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -446,7 +446,7 @@
             Message::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat),
             Message::Prepare { voter, ballot, known } => self.on_prepare(now, from, voter, ballot, known),
             Message::Promise { voter, ballot, accepted, report } => {
-                self.on_promise(now, voter, ballot, accepted, report);
+                self.on_promise(now, voter, ballot, accepted.map(|accepted| *accepted), report);
             }
             Message::Accept { voter, ballot, view } => self.on_accept(now, from, voter, ballot, view),
             Message::Accepted { voter, ballot } => self.on_accepted(now, voter, ballot),
--- a/coordination/replica/src/replica_capnp.rs
+++ b/coordination/replica/src/replica_capnp.rs
@@ -1915,6 +1915,24 @@
         pub fn get_next_member(self) -> u16 {
             self.reader.get_data_field::<u16>(4)
         }
+        #[inline]
+        pub fn get_former(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::list_list::Reader<
+                'a,
+                ::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned>,
+            >,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_former(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1922,7 +1940,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2107,6 +2125,48 @@
         pub fn set_next_member(&mut self, value: u16) {
             self.builder.set_data_field::<u16>(4, value);
         }
+        #[inline]
+        pub fn get_former(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::list_list::Builder<
+                'a,
+                ::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned>,
+            >,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_former(
+            &mut self,
+            value: ::capnp::list_list::Reader<
+                '_,
+                ::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned>,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_former(
+            self,
+            size: u32,
+        ) -> ::capnp::list_list::Builder<
+            'a,
+            ::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_former(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline {
@@ -2119,59 +2179,66 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(20, 123, 44, 29, 234, 242, 71, 188),
             ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 43, 124, 95, 240, 168, 241, 211),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 86, 105),
             ::capnp::word(101, 119, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2229,6 +2296,22 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 114, 109, 101, 114, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(159, 56, 92, 168, 224, 191, 204, 249),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2237,6 +2320,7 @@
                 2 => <::capnp::list_list::Owned<::capnp::struct_list::Owned<crate::replica_capnp::voter::Owned>> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::list_list::Owned<::capnp::struct_list::Owned<crate::replica_capnp::chain_link::Owned>> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2255,9 +2339,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 1, 4, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 5, 1, 4, 0];
         pub(crate) const TYPE_ID: u64 = 0xbc47_f2ea_1d2c_7b14;
     }
 }
--- a/coordination/replica/src/synchronize.rs
+++ b/coordination/replica/src/synchronize.rs
@@ -136,11 +136,11 @@
         }
         predecessor.has_answered = true;
         self.replace_ranges(&transfer);
-        let committed = transfer.committed;
-        for entry in transfer.entries {
-            self.add_entry(entry);
-        }
-        self.learn_committed(committed);
+        let last = transfer.last();
+        self.take_over(transfer.entries);
+        self.truncate(last);
+        self.learn_committed(transfer.committed);
+        self.disk.afterwards(Afterwards::Entry(last));
         self.record(DurableRecord::Complete(view), true);
         self.disk.afterwards(Afterwards::Complete(view));
     }
@@ -166,13 +166,39 @@
             return;
         }
         let Transfer { position, ranges, outcomes, .. } = transfer.clone();
-        self.disk.forget_entries();
         self.recent.clear();
         self.record(DurableRecord::Replace { position, ranges, outcomes }, true);
-        self.durable_last = position;
+        self.durable_last = self.durable_last.max(position);
         self.outputs.push(Output::Replaced);
     }
 
+    /// Adds entries to the log. What the log holds in the place of one of them, and after it, was never committed: they
+    /// come from a log with all that was.
+    fn take_over(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let sequence = entry.sequence;
+            let known = self.state.entry(sequence);
+            if known == Some(&entry) {
+                continue;
+            }
+            if known.is_some() {
+                self.truncate(sequence - 1);
+            }
+            if sequence == self.state.last() + 1 {
+                self.add_entry(entry);
+            }
+        }
+    }
+
+    /// Drops the entries after this one.
+    pub(crate) fn truncate(&mut self, last: u64) {
+        if self.state.last() > last {
+            self.record(DurableRecord::Truncate(last), true);
+        }
+        self.disk.forget_entries(last);
+        self.durable_last = self.durable_last.min(last);
+    }
+
     /// Commits entries that are known to be committed elsewhere, durable here or not.
     fn learn_committed(&mut self, committed: u64) {
         let entries: Vec<Entry> = self.state.entries(self.state.committed, committed).cloned().collect();
@@ -234,11 +260,9 @@
             return;
         }
         self.replace_ranges(&transfer);
-        for entry in transfer.entries {
-            self.record(DurableRecord::Entry(entry), true);
-        }
+        self.take_over(transfer.entries);
         self.learn_committed(transfer.committed);
-        self.durable_last = self.state.committed;
+        self.durable_last = self.durable_last.max(self.state.committed);
         self.pull.asked_at = None;
     }
 
--- a/coordination/replica/src/transfer.rs
+++ b/coordination/replica/src/transfer.rs
@@ -47,3 +47,10 @@
     /// Of these, entries up to here are committed.
     pub committed: u64,
 }
+
+impl Transfer {
+    /// The last entry that it leads to.
+    pub fn last(&self) -> u64 {
+        self.entries.last().map_or(self.position, |entry| entry.sequence)
+    }
+}
--- a/coordination/replica/src/view.rs
+++ b/coordination/replica/src/view.rs
@@ -41,6 +41,9 @@
     pub boards: Vec<Vec<Voter>>,
     /// Head first, tail last.
     pub chain: Vec<ChainLink>,
+    /// Chains of views before, oldest first, of which a member may be needed where no member of the present chain has
+    /// all that was committed.
+    pub former: Vec<Vec<ChainLink>>,
     /// The number that the next new member gets.
     pub next_member: u16,
 }
@@ -77,6 +80,7 @@
         View {
             number: FOUNDING_VIEW,
             chain: voters.iter().map(link).collect(),
+            former: Vec::new(),
             next_member: voters.len() as u16,
             boards: vec![voters],
             members,
--- a/coordination/replica/tests/common/faulty.rs
+++ b/coordination/replica/tests/common/faulty.rs
@@ -143,3 +143,25 @@
         written.boards().to_vec()
     }
 }
+
+/// A member of a former chain leads though it has not all that was committed.
+#[derive(Clone, Debug)]
+pub struct Trusting;
+impl Laws for Trusting {
+    type Agreement = AsPublished;
+
+    fn asks_for_complete_leaders() -> bool {
+        false
+    }
+}
+
+/// A member that is left out of the chain drops the entries that it does not know to be committed.
+#[derive(Clone, Debug)]
+pub struct Dropping;
+impl Laws for Dropping {
+    type Agreement = AsPublished;
+
+    fn keeps_entries() -> bool {
+        false
+    }
+}
--- a/coordination/replica/tests/common/schedule.rs
+++ b/coordination/replica/tests/common/schedule.rs
@@ -12,7 +12,8 @@
 use super::history::check;
 use super::node::{Command, Moment, Node, cluster, endpoint};
 
-/// Once all faults have ended, a write is acknowledged within this, in milliseconds.
+/// Once all faults have ended, a write is acknowledged within this, in milliseconds; within twice this where disks were
+/// lost at any time.
 const ACKNOWLEDGED: u64 = 3_000;
 /// And all replicas are alike after this.
 const CONVERGED: u64 = 8_000;
@@ -100,7 +101,7 @@
 pub struct Schedule {
     pub seed: u64,
     /// Disks are lost and machines replaced only when all has been well for a while, as often as it comes; else at
-    /// any time, but then no more than the tolerated number, and it is not asked how soon writes are possible again.
+    /// any time, but then no more than the tolerated number, and writes have twice the time to be possible again.
     pub has_calm_losses: bool,
     /// In hundredths.
     pub loss: u64,
@@ -187,8 +188,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Played {
     pub answered: usize,
-    /// How long the first write after the faults took; none if too much was lost for any.
-    pub recovered_after: Option<u64>,
+    /// How long the first write after the faults took.
+    pub recovered_after: u64,
 }
 
 struct Play<L: Laws> {
@@ -447,9 +448,8 @@
         if self.clients.is_done_twice() {
             return Err("a swap was done twice: not linearizable".to_string());
         }
-        if recovered.is_none() && self.losses_left.is_some() {
+        if recovered.is_none() {
             check(&self.clients.history())?;
-            return Ok(Played { answered: self.clients.answered(), recovered_after: None });
         }
         let Some(recovered_after) = recovered else {
             return Err(format!("no write is acknowledged at {at} any more\n{}", self.describe()));
@@ -462,11 +462,11 @@
         let until = self.cluster.now() + CONVERGED;
         self.clients.run_until(&mut self.cluster, until);
         check(&self.clients.history())?;
-        if recovered_after > ACKNOWLEDGED {
+        if self.losses_left.is_none() && recovered_after > ACKNOWLEDGED {
             return Err(format!("the first write took {recovered_after} ms\n{}", self.describe()));
         }
         self.is_converged()?;
-        Ok(Played { answered: self.clients.answered(), recovered_after: Some(recovered_after) })
+        Ok(Played { answered: self.clients.answered(), recovered_after })
     }
 
     fn is_converged(&self) -> Result<(), String> {
--- a/coordination/replica/tests/exhaustive/beginnings.rs
+++ b/coordination/replica/tests/exhaustive/beginnings.rs
@@ -28,6 +28,9 @@
     Joint,
     /// The last member is cut off, and a replica that did not vote may take its place.
     CutOff,
+    /// The first member was cut off and is to join the second, which alone is complete: the last one is cut off. What
+    /// those two have committed has not been told to the first.
+    Alone,
 }
 
 impl Beginning {
@@ -56,10 +59,35 @@
                 world.add().expect("a start breaks nothing");
                 pass(suffer(pass(world, 4), &[Action::Isolate(2)]), 3)
             }
+            Beginning::Alone => {
+                let world = pass(suffer(pass(empty, 2), &[Action::Isolate(0)]), 5);
+                go_on_untaught(suffer(world, &[Action::Heal, Action::Isolate(2)]))
+            }
         }
     }
 }
 
+/// Goes on until a view of two is voted for; nobody is told of what was committed.
+fn go_on_untaught<L: Laws>(mut world: World<L>) -> World<L> {
+    let is_voted_for = |message: &Message| matches!(message, Message::Accept { view, .. } if view.chain.iter().any(|link| link.since == view.number));
+    while !world.carries(is_voted_for) {
+        let next = match world.ordinary() {
+            Action::Deliver(link)
+                if world.brings(link, |message| matches!(message, Message::Learn { .. })) =>
+            {
+                Action::Lose(link)
+            }
+            next => next,
+        };
+        world = suffer(world, &[next]);
+        if next == Action::Pass {
+            world.mend().expect("a start breaks nothing");
+        }
+    }
+    world.budget = AMPLE;
+    world
+}
+
 fn is_joint(message: &Message) -> bool {
     matches!(message, Message::Accept { view, .. } if view.boards.len() == 2)
 }
--- a/coordination/replica/tests/exhaustive/main.rs
+++ b/coordination/replica/tests/exhaustive/main.rs
@@ -11,7 +11,7 @@
 use std::time::Instant;
 
 use beginnings::Beginning;
-use common::faulty::{Forgetful, Gullible, Lonely, Premature, Reborn, Stale, Volatile};
+use common::faulty::{Forgetful, Gullible, Lonely, Premature, Reborn, Stale, Trusting, Volatile};
 use search::{Searched, departures, interleavings, play};
 use whinspindle_replica::{AsDesigned, Laws};
 use world::{Action, Budget};
@@ -23,6 +23,8 @@
 /// A schedule with departures ends after so many steps of the clock: all that was down or cut is well again, and reads
 /// are asked for at every replica.
 const PASSES: u64 = 20;
+/// So many steps later all has been answered.
+const ANSWERED: u64 = 10;
 
 fn number(variable: &str) -> Option<usize> {
     std::env::var(variable).ok().and_then(|text| text.parse().ok())
@@ -107,6 +109,32 @@
     one_of_each_between_any_two_steps(Beginning::CutOff);
 }
 
+#[test]
+fn all_interleavings_while_one_alone_is_complete() {
+    one_of_each_between_any_two_steps(Beginning::Alone);
+}
+
+#[test]
+fn departures_while_one_alone_is_complete() {
+    all_departures(Beginning::Alone);
+}
+
+/// At each step the only complete member loses its disk: callers of the others are answered in the end.
+#[test]
+fn commands_are_answered_whenever_the_only_complete_member_loses_its_disk() {
+    let world = Beginning::Alone.world::<AsDesigned>();
+    let ordinary = play(world.clone(), &[], |world| world.passed >= PASSES).expect("nothing goes wrong");
+    for step in world.steps..ordinary.steps {
+        let path = [(step, Action::LoseDisk(1))];
+        let end = play(world.clone(), &path, |world| world.passed >= PASSES + ANSWERED).expect("one loss");
+        assert!(
+            end.awaited().iter().all(|machine| *machine == 1),
+            "lost at step {step}: {:?}",
+            end.awaited()
+        );
+    }
+}
+
 #[test]
 fn departures_from_the_ordinary_schedule() {
     all_departures(Beginning::Empty);
@@ -178,6 +206,11 @@
     is_found::<Volatile>(Beginning::Apart);
 }
 
+#[test]
+fn a_leader_that_has_not_everything_is_found() {
+    is_found::<Trusting>(Beginning::Alone);
+}
+
 /// Found by the search with two departures.
 #[test]
 fn a_disk_lost_and_an_identity_kept_is_shown() {
--- a/coordination/replica/tests/exhaustive/observer.rs
+++ b/coordination/replica/tests/exhaustive/observer.rs
@@ -74,6 +74,12 @@
         Ok(())
     }
 
+    /// Tickets of what was asked for and not answered.
+    pub fn unanswered(&self) -> Vec<usize> {
+        let tickets = 0..self.operations.len();
+        tickets.filter(|ticket| self.operations[*ticket].ended.is_none()).collect()
+    }
+
     /// What tells two states apart: of the times of operations just their order.
     pub fn fingerprint(&self) -> u64 {
         let asked: Vec<_> =
--- a/coordination/replica/tests/exhaustive/world.rs
+++ b/coordination/replica/tests/exhaustive/world.rs
@@ -155,6 +155,8 @@
     cuts: BTreeMap<Link, u64>,
     down_until: BTreeMap<usize, u64>,
     asked: BTreeSet<usize>,
+    /// The machine that was asked, by ticket.
+    asked_at: Vec<usize>,
     orders: Rc<Vec<Order>>,
     pub observer: Observer,
     pub budget: Budget,
@@ -173,6 +175,7 @@
             cuts: BTreeMap::new(),
             down_until: BTreeMap::new(),
             asked: BTreeSet::new(),
+            asked_at: Vec::new(),
             orders: Rc::new(orders),
             observer: Observer::default(),
             budget,
@@ -462,6 +465,7 @@
         let asked = self.orders[order].asked.clone();
         let command = asked.command(crate::observer::REGISTER).into_bytes();
         let ticket = self.observer.ask(self.steps, asked);
+        self.asked_at.push(machine);
         self.handle(machine, Input::Submit { ticket, command })
     }
 
@@ -567,6 +571,17 @@
         self.links.values().flatten().any(|mail| is_meant(&mail.message))
     }
 
+    /// Machines of which a caller waits for an answer.
+    pub fn awaited(&self) -> BTreeSet<usize> {
+        self.observer.unanswered().into_iter().map(|ticket| self.asked_at[ticket]).collect()
+    }
+
+    /// Whether the oldest message of the link is such a message.
+    pub fn brings(&self, link: Link, is_meant: impl Fn(&Message) -> bool) -> bool {
+        let oldest = self.links.get(&link).and_then(VecDeque::front);
+        oldest.is_some_and(|mail| is_meant(&mail.message))
+    }
+
     /// The links in the order in which their messages were sent, which the ordinary action depends on.
     pub fn order_of_links(&self) -> Vec<Link> {
         let mails = self.links.iter().flat_map(|(link, mails)| mails.iter().map(|mail| (mail.order, *link)));
--- a/coordination/replica/tests/search.rs
+++ b/coordination/replica/tests/search.rs
@@ -51,12 +51,6 @@
 /// chain for sealed for ever, and forwarded no commands.
 #[test]
 fn one_that_votes_no_more_forwards_commands_in_spite_of_an_old_promise() {
-    let step = |wait, fault| Step { wait, trigger: None, fault };
-    let at = |wait, moment, strikes_there, fault| Step {
-        wait,
-        trigger: Some(Trigger { moment, strikes_there }),
-        fault,
-    };
     let schedule = Schedule {
         seed: 937_244_104_666,
         has_calm_losses: false,
@@ -73,3 +67,59 @@
     };
     play::<AsDesigned>(&schedule, 5, 1).unwrap();
 }
+
+/// A step without a trigger.
+fn step(wait: u64, fault: Fault) -> Step {
+    Step { wait, trigger: None, fault }
+}
+
+/// A step that waits for this moment, and strikes there or where the fault says.
+fn at(wait: u64, moment: Moment, strikes_there: bool, fault: Fault) -> Step {
+    Step { wait, trigger: Some(Trigger { moment, strikes_there }), fault }
+}
+
+/// A schedule that loses no more disks than are tolerated, but at any time.
+fn overlapping(seed: u64, longest_delay: u64, steps: Vec<Step>) -> Schedule {
+    Schedule { seed, has_calm_losses: false, loss: 0, longest_delay, is_busy: false, steps }
+}
+
+/// Found by the drawn schedules: one of two that go on is lost right when the view without the third is decided, so that
+/// the chain has no complete member.
+#[test]
+fn three_replicas_take_commands_again_after_losses_that_overlap() {
+    let steps = vec![
+        at(103, Moment::Accepted, false, Fault::Stall(3, 3_018)),
+        step(72, Fault::Leave(1)),
+        step(335, Fault::Split(3)),
+        step(9, Fault::Wipe(2)),
+    ];
+    play::<AsDesigned>(&overlapping(574_005_985_990, 10, steps), 3, 1).unwrap();
+}
+
+/// Found by the drawn schedules, like the one before.
+#[test]
+fn three_voters_with_two_learners_take_commands_again_after_losses_that_overlap() {
+    let steps = vec![
+        at(615, Moment::Append, true, Fault::CutBoth(5, 2)),
+        at(992, Moment::Decided, false, Fault::Checkpoint(1)),
+        at(105, Moment::Accepted, false, Fault::Start(2)),
+        step(0, Fault::Stop(0)),
+        at(198, Moment::Accepted, true, Fault::StopAllAndWipe(0)),
+    ];
+    play::<AsDesigned>(&overlapping(476_458_378_024, 40, steps), 5, 1).unwrap();
+}
+
+/// Found by the drawn schedules, like the one before.
+#[test]
+fn five_replicas_take_commands_again_after_losses_that_overlap() {
+    let steps = vec![
+        at(615, Moment::Synchronize, true, Fault::StartAll),
+        step(0, Fault::Stop(5)),
+        step(127, Fault::CutBoth(2, 5)),
+        at(1, Moment::Acknowledge, false, Fault::StartAll),
+        step(9, Fault::CutBoth(1, 5)),
+        at(841, Moment::Accept, false, Fault::Stop(3)),
+        at(9, Moment::Accept, false, Fault::Replace(4)),
+    ];
+    play::<AsDesigned>(&overlapping(617_889_459_766, 40, steps), 5, 2).unwrap();
+}
