--- a/coordination/replica/tests/overlap.rs
+++ b/coordination/replica/tests/overlap.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use common::clients::Clients;
-use common::faulty::{Dropping, Trusting};
+use common::faulty::{DropsEntriesWhenLeftOut, TakesIncompleteLeaders};
 use common::history::{Asked, check};
 use common::node::{Node, cluster, endpoint};
 use whinspindle_lab_cluster::{Cluster, NetworkTiming};
@@ -185,10 +185,10 @@
 
 #[test]
 fn a_leader_that_has_not_everything_is_found() {
-    assert!(loses_something::<Trusting>());
+    assert!(loses_something::<TakesIncompleteLeaders>());
 }
 
 #[test]
 fn entries_that_one_left_out_of_the_chain_drops_are_found() {
-    assert!(loses_something::<Dropping>());
+    assert!(loses_something::<DropsEntriesWhenLeftOut>());
 }
