Planted faults in drawn schedules of controllers; reads, halves, overlapping losses

Controller and agent take their laws as a type parameter, as the replica does: the programs run the designed ones, tests plant a fault.

Schedules now read the configuration at any controller at any time, judged by what was acknowledged before the read was sent, and let copies of heartbeats come up to 6 s late.

--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -10,6 +10,7 @@
 mod submission;
 
 use std::collections::BTreeMap;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 use whinspindle_distribution::{ControllerAddress, Publisher};
@@ -20,6 +21,7 @@
 use crate::acquaintances::Acquaintances;
 use crate::contact::Contact;
 use crate::fleet::FleetState;
+use crate::laws::{AsDesigned, Laws};
 use crate::memory::Memory;
 use crate::orders::{self, Orders};
 use crate::pending::PendingOrders;
@@ -39,7 +41,8 @@
 }
 
 /// One controller.
-pub struct Controller {
+pub struct Controller<L = AsDesigned> {
+    laws: PhantomData<L>,
     settings: ControllerSettings,
     replica: Replica<Orders>,
     registry: InstanceRegistry,
@@ -80,10 +83,23 @@
         replica: Replica<Orders>,
         outputs: Vec<Output>,
         now: u64,
+    ) -> (Self, Vec<Action>) {
+        Controller::with_laws(settings, replica, outputs, now)
+    }
+}
+
+impl<L: Laws> Controller<L> {
+    /// Like [`Controller::new`], under laws of the caller's choice.
+    pub fn with_laws(
+        settings: ControllerSettings,
+        replica: Replica<Orders>,
+        outputs: Vec<Output>,
+        now: u64,
     ) -> (Self, Vec<Action>) {
         let timing = RegistryTiming { heartbeat_ms: settings.heartbeat_ms };
         let learning_ms = disclosure::learning_ms(settings.heartbeat_ms);
         let mut controller = Controller {
+            laws: PhantomData,
             settings,
             replica,
             registry: InstanceRegistry::new(timing),
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -4,18 +4,25 @@
 
 use super::Controller;
 use super::event::Action;
+use super::submission;
 use crate::api::{Call, Refusal, Response};
 use crate::directory::{self, Place};
+use crate::laws::Laws;
 use crate::orders::{self, Departure};
 use crate::pending::{CallId, Request};
 use crate::status;
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     pub(super) fn call(&mut self, now: u64, id: CallId, call: Call) {
         match call {
             Call::Replace { base, generation, body } => {
                 self.order(now, id, Request::Replace { base, generation, body });
             }
+            Call::Fetch if L::answers_reads_alone() => {
+                let record = self.replica.committed().get(orders::CONFIGURATION);
+                let body = record.map(|record| record.value.to_vec()).unwrap_or_default();
+                self.answer(id, submission::fetched(body));
+            }
             Call::Fetch => self.order(now, id, Request::Fetch),
             Call::Evacuate { zone, .. } if !self.settings.zones.contains_key(&zone) => {
                 self.answer(id, Refusal::UnknownZone.into());
@@ -55,7 +62,7 @@
     /// Without a quorum this controller's own balancers are told of the instance, but it is to call another controller
     /// too: all other balancers would take it for lost.
     fn acknowledge_heartbeat(&mut self, now: u64, id: CallId) {
-        let response = if self.is_in_quorum(now) {
+        let response = if L::confirms_heartbeat(self.is_in_quorum(now)) {
             Response::accepted()
         } else {
             Response::unavailable("no contact with a majority of the controllers")
@@ -64,11 +71,13 @@
     }
 
     fn depart(&mut self, now: u64, id: CallId, instance: String, departure: Departure) {
-        if orders::departure_of(self.replica.committed(), &instance) >= Some(departure) {
+        let is_committed = orders::departure_of(self.replica.committed(), &instance) >= Some(departure);
+        if L::confirms_departure(is_committed) {
             self.answer(id, Response::accepted());
-            return;
         }
-        self.order(now, id, Request::Drain { instance, departure });
+        if !is_committed {
+            self.order(now, id, Request::Drain { instance, departure });
+        }
     }
 
     fn resolve(&mut self, now: u64, id: CallId, host: &str, region: &str, zone: &str) {
--- a/controlplane/controller/src/controller/disclosure.rs
+++ b/controlplane/controller/src/controller/disclosure.rs
@@ -2,11 +2,12 @@
 
 use super::Controller;
 use crate::contact::Standing;
+use crate::laws::Laws;
 
 /// After a start all upstreams and balancers have been heard of within this time, and within so many heartbeats.
 const LEARNING_MS: u64 = 3_000;
 const LEARNING_HEARTBEATS: u64 = 2;
-impl Controller {
+impl<L: Laws> Controller<L> {
     /// Takes in whether there is a majority to rely on.
     pub(super) fn note_quorum(&mut self, now: u64) {
         let standing =
@@ -25,7 +26,7 @@
 
     /// Whether the committed records may be told to a balancer that has none yet.
     pub(super) fn may_hand_out(&self, now: u64) -> bool {
-        self.contact.may_hand_out(now, self.replica.committed_sequence())
+        L::hands_out(self.contact.may_hand_out(now, self.replica.committed_sequence()))
     }
 
     /// Whether all upstreams and balancers that live have had the time to be known here, directly or by the other
--- a/controlplane/controller/src/controller/gossip.rs
+++ b/controlplane/controller/src/controller/gossip.rs
@@ -9,13 +9,14 @@
 use super::Controller;
 use super::event::Action;
 use crate::exchange;
+use crate::laws::Laws;
 
 /// Heartbeats and renewals that change nothing are told to the other controllers at this interval.
 const GOSSIP_REFRESH_MS: u64 = 400;
 /// They wait this much longer for other messages to go along with.
 const GOSSIP_PATIENCE_MS: u64 = 200;
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     /// Changes that are not urgent go along with the replica's own messages, in the same packets.
     pub(super) fn is_gossip_due(&self, now: u64) -> bool {
         let goes_along = self.actions.iter().any(|action| matches!(action, Action::SendPeer { .. }));
--- a/controlplane/controller/src/controller/publication.rs
+++ b/controlplane/controller/src/controller/publication.rs
@@ -10,6 +10,7 @@
 
 use super::Controller;
 use super::event::Action;
+use crate::laws::Laws;
 use crate::{exchange, orders};
 
 /// Interval of the messages that show balancers that this controller is alive.
@@ -17,7 +18,7 @@
 /// Instances that come, or are cold for another time, are told at most this often: many do so together.
 const INSTANCES_INTERVAL_MS: u64 = 300;
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     pub(super) fn take_report(&mut self, now: u64, subscriber: SubscriberId, report: &Report) {
         let is_new = !self.publisher.subscribers().any(|known| known == subscriber);
         self.publisher.reported(now, subscriber, report);
--- a/controlplane/controller/src/controller/recall.rs
+++ b/controlplane/controller/src/controller/recall.rs
@@ -5,8 +5,9 @@
 use super::Controller;
 use super::event::Action;
 use crate::exchange;
+use crate::laws::Laws;
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     pub(super) fn recall(&mut self, now: u64, memory: &[u8]) {
         let Ok(gossip) = decode_gossip(memory) else { return };
         self.take_recalled(now, gossip);
--- a/controlplane/controller/src/controller/replication.rs
+++ b/controlplane/controller/src/controller/replication.rs
@@ -8,9 +8,10 @@
 
 use super::Controller;
 use super::event::Action;
+use crate::laws::Laws;
 use crate::orders::{self, Departure};
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     pub(super) fn step(&mut self, now: u64, input: Input) {
         let outputs = self.replica.handle(now, input);
         self.take_outputs(now, outputs);
--- a/controlplane/controller/src/controller/submission.rs
+++ b/controlplane/controller/src/controller/submission.rs
@@ -6,6 +6,7 @@
 
 use super::Controller;
 use crate::api::Response;
+use crate::laws::Laws;
 use crate::orders::{self, Outcome};
 use crate::pending::{CallId, PendingOrder, Request};
 
@@ -25,7 +26,7 @@
 /// caller has not gone on to another controller by then.
 const EVACUATION_RENEWAL_MS: u64 = 400;
 
-impl Controller {
+impl<L: Laws> Controller<L> {
     pub(super) fn order(&mut self, now: u64, call: CallId, request: Request) {
         let deadline = now + self.time_for(now, &request);
         let is_evacuation = matches!(request, Request::Evacuate { .. });
@@ -122,7 +123,8 @@
     }
 }
 
-fn fetched(body: Vec<u8>) -> Response {
+/// The answer to a read of the configuration.
+pub(super) fn fetched(body: Vec<u8>) -> Response {
     if body.is_empty() {
         return Response::failure(StatusCode::NOT_FOUND, "there is no configuration yet");
     }
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod exchange;
 mod fleet;
+mod laws;
 mod memory;
 pub mod orders;
 mod pending;
@@ -18,5 +19,6 @@
 mod status;
 
 pub use controller::{Action, Controller, ControllerSettings, Event};
+pub use laws::{AsDesigned, Laws};
 pub use pending::CallId;
 pub use shell::{ControllerError, DiskError, ListenError, run, run_directory};
--- a/controlplane/controller/tests/common/edge.rs
+++ b/controlplane/controller/tests/common/edge.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 
-use whinspindle_agent::{Agent, AgentSettings, ConnectionId, Input, Output};
+use whinspindle_agent::{Agent, AgentSettings, ConnectionId, Input, Laws, Output};
 use whinspindle_distribution::{Holder, Report, SubscriberId, ToBalancer};
 
 use super::zones;
@@ -35,13 +35,13 @@
     report_at: u64,
 }
 
-pub struct Edge {
+pub struct Edge<L> {
     pub number: u8,
     pub address: SocketAddr,
     pub wires: BTreeMap<ConnectionId, Wire>,
     /// What the settings name.
     pub seeds: Vec<SocketAddr>,
-    agent: Option<Agent>,
+    agent: Option<Agent<L>>,
     proxy: Option<Proxy>,
     lives: u64,
     pub frozen_until: u64,
@@ -49,8 +49,8 @@
     pub reported: u64,
 }
 
-impl Edge {
-    pub fn new(number: u8, seeds: Vec<SocketAddr>) -> Edge {
+impl<L: Laws> Edge<L> {
+    pub fn new(number: u8, seeds: Vec<SocketAddr>) -> Self {
         Edge {
             number,
             address: SocketAddr::from(([10, 1, 0, number], 8161)),
@@ -89,7 +89,7 @@
             grace_ms: GRACE_MS,
             incarnation: u64::from(self.number) << 32 | self.lives,
         };
-        self.agent = Some(Agent::new(now, settings));
+        self.agent = Some(Agent::with_laws(now, settings));
         let mut wishes = Vec::new();
         if self.proxy.is_some() {
             wishes = self.give(now, Input::ProxyConnected);
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -9,7 +9,7 @@
 use http::StatusCode;
 use whinspindle_controller::api::{Call, Response};
 use whinspindle_controller::orders::Orders;
-use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
+use whinspindle_controller::{Action, AsDesigned, CallId, Controller, ControllerSettings, Event, Laws};
 use whinspindle_distribution::frame::FrameKind;
 use whinspindle_distribution::{ControllerAddress, Link, Report, SubscriberId, ToBalancer, Update};
 use whinspindle_lab_cluster::{
@@ -51,15 +51,15 @@
 type Memories = Rc<RefCell<HashMap<SocketAddr, Vec<u8>>>>;
 
 /// One controller of the fleet.
-pub struct Node {
-    pub controller: Controller,
+pub struct Node<L = AsDesigned> {
+    pub controller: Controller<L>,
     endpoint: SocketAddr,
     memories: Memories,
     life: u64,
     lives: HashMap<SocketAddr, u64>,
 }
 
-impl Process for Node {
+impl<L: Laws> Process for Node<L> {
     type Message = Frame;
     type Command = Command;
     type Answer = Answer;
@@ -94,7 +94,7 @@
     }
 }
 
-impl Node {
+impl<L: Laws> Node<L> {
     fn receive(&mut self, now: u64, from: SocketAddr, frame: Frame) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.lives.insert(from, frame.life) != Some(frame.life) {
@@ -147,7 +147,7 @@
     SocketAddr::from(([10, 0, 0, number], 7700))
 }
 
-fn start_node(start: Start, memories: Memories) -> (Node, Vec<Effect<Node>>) {
+fn start_node<L: Laws>(start: Start, memories: Memories) -> (Node<L>, Vec<Effect<Node<L>>>) {
     let zones: BTreeMap<String, String> = zones();
     let (zone, region) = zones.iter().nth(start.endpoint.port() as usize % zones.len()).unwrap();
     let replica_settings = ReplicaSettings {
@@ -166,7 +166,7 @@
     let address = ControllerAddress { endpoint: start.endpoint, zone: zone.clone(), region: region.clone() };
     let node = start.endpoint.to_string();
     let settings = ControllerSettings { node, address, zones, heartbeat_ms: HEARTBEAT_MS };
-    let (mut controller, mut actions) = Controller::new(settings, replica, outputs, start.now);
+    let (mut controller, mut actions) = Controller::with_laws(settings, replica, outputs, start.now);
     let memory = memories.borrow().get(&start.endpoint).cloned();
     if let Some(memory) = memory {
         actions.extend(controller.handle(start.now, Event::Recalled { memory: memory.into() }));
@@ -187,8 +187,8 @@
 }
 
 /// Controllers, callers and what balancers were sent.
-pub struct Fleet {
-    pub cluster: Cluster<Node>,
+pub struct Fleet<L: Laws = AsDesigned> {
+    pub cluster: Cluster<Node<L>>,
     pub chance: Pcg,
     /// Share of the answers that don't reach their callers.
     pub lost_answers: f64,
@@ -204,6 +204,13 @@
 impl Fleet {
     /// Controllers that have found each other.
     pub fn start(seed: u64, count: u8) -> Fleet {
+        Fleet::with_laws(seed, count)
+    }
+}
+
+impl<L: Laws> Fleet<L> {
+    /// Like [`Fleet::start`], under laws of the caller's choice.
+    pub fn with_laws(seed: u64, count: u8) -> Self {
         let memories = Memories::default();
         let recalled = Rc::clone(&memories);
         let starter = move |start| start_node(start, Rc::clone(&recalled));
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod judge;
 pub mod operators;
+pub mod rules;
 pub mod schedule;
 pub mod upstream;
 pub mod world;
--- /dev/null
+++ b/controlplane/controller/tests/common/rules.rs
@@ -0,0 +1,98 @@
+//! The laws that controllers and agents are played under: as the programs keep them, or with a planted fault.
+
+use whinspindle_agent as agent;
+use whinspindle_controller as controller;
+
+/// Which laws hold in a play.
+pub trait Rules: Clone + std::fmt::Debug {
+    type Controller: controller::Laws + 'static;
+    type Agent: agent::Laws + 'static;
+}
+
+/// As the programs keep them.
+#[derive(Clone, Debug)]
+pub struct AsDesigned;
+
+impl Rules for AsDesigned {
+    type Controller = controller::AsDesigned;
+    type Agent = agent::AsDesigned;
+}
+
+/// A controller tells balancers its records whatever its contact with the others.
+#[derive(Clone, Debug)]
+pub struct TellsAlone;
+
+impl controller::Laws for TellsAlone {
+    fn hands_out(_may: bool) -> bool {
+        true
+    }
+}
+
+/// An agent without records takes the first ones that it is told, also those of a controller that is cut off.
+#[derive(Clone, Debug)]
+pub struct TakesAny;
+
+impl agent::Laws for TakesAny {
+    fn takes_first_records(_may: bool) -> bool {
+        true
+    }
+}
+
+impl Rules for TakesAny {
+    type Controller = controller::AsDesigned;
+    type Agent = TakesAny;
+}
+
+/// A controller that is cut off still tells its balancers, and they take it.
+#[derive(Clone, Debug)]
+pub struct CutOffTells;
+
+impl Rules for CutOffTells {
+    type Controller = TellsAlone;
+    type Agent = TakesAny;
+}
+
+/// A departure is confirmed before it is committed.
+#[derive(Clone, Debug)]
+pub struct ConfirmsEarly;
+
+impl controller::Laws for ConfirmsEarly {
+    fn confirms_departure(_is_committed: bool) -> bool {
+        true
+    }
+}
+
+impl Rules for ConfirmsEarly {
+    type Controller = ConfirmsEarly;
+    type Agent = agent::AsDesigned;
+}
+
+/// A controller answers a read of the configuration by what it knows itself.
+#[derive(Clone, Debug)]
+pub struct ReadsAlone;
+
+impl controller::Laws for ReadsAlone {
+    fn answers_reads_alone() -> bool {
+        true
+    }
+}
+
+impl Rules for ReadsAlone {
+    type Controller = ReadsAlone;
+    type Agent = agent::AsDesigned;
+}
+
+/// A heartbeat is confirmed by a controller that no other one hears.
+#[derive(Clone, Debug)]
+pub struct ConfirmsAlone;
+
+impl controller::Laws for ConfirmsAlone {
+    fn confirms_heartbeat(_in_quorum: bool) -> bool {
+        true
+    }
+}
+
+impl Rules for ConfirmsAlone {
+    type Controller = ConfirmsAlone;
+    type Agent = agent::AsDesigned;
+}
--- a/controlplane/controller/tests/common/schedule.rs
+++ b/controlplane/controller/tests/common/schedule.rs
@@ -5,6 +5,7 @@
 use quickcheck::{Arbitrary, Gen};
 
 use super::fleet::Command;
+use super::rules::Rules;
 use super::world::{Direction, Reach, World};
 
 /// How long it takes until all that is well again counts, and a lost disk has been made up for.
@@ -60,6 +61,12 @@
     RestartProxy(usize),
     FreezeEdge(usize, u64),
     LeaveUpstream(usize, bool),
+    /// The controllers are cut into two halves, which all clients reach.
+    Halves(u64),
+    /// Each controller is cut off from all others; all clients reach all of them.
+    Scatter,
+    /// A disk is lost whatever else is lost already, but for other disks.
+    WipeAmid(usize),
     /// All is well again for a while.
     Calm,
 }
@@ -164,16 +171,78 @@
     }
 }
 
-struct Play {
-    world: World,
+/// A schedule of halves and of losses that overlap: any number of controllers may be away at once, but no more disks are
+/// lost than may be.
+#[derive(Clone, Debug)]
+pub struct Overlapping(pub Schedule);
+
+impl Arbitrary for Overlapping {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut schedule = Schedule::arbitrary(g);
+        for step in &mut schedule.steps {
+            step.fault = overlapping(g).unwrap_or(step.fault);
+        }
+        Overlapping(schedule)
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        Box::new(self.0.shrink().map(Overlapping))
+    }
+}
+
+/// Half of the faults are drawn like those of other schedules.
+fn overlapping(g: &mut Gen) -> Option<Fault> {
+    let one = below(g, 6) as usize;
+    Some(match below(g, 20) {
+        0..3 => Fault::Halves(below(g, 1 << 6)),
+        3 => Fault::Scatter,
+        4..7 => Fault::WipeAmid(one),
+        7 => Fault::Stop(one),
+        8 => Fault::Start(one),
+        9 => Fault::Heal,
+        _ => return None,
+    })
+}
+
+/// A schedule of machines that start while controllers are cut off from each other, and have no configuration then.
+#[derive(Clone, Debug)]
+pub struct Starting(pub Schedule);
+
+impl Arbitrary for Starting {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut schedule = Schedule::arbitrary(g);
+        for step in &mut schedule.steps {
+            step.fault = starting(g);
+        }
+        Starting(schedule)
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        Box::new(self.0.shrink().map(Starting))
+    }
+}
+
+fn starting(g: &mut Gen) -> Fault {
+    let one = below(g, 6) as usize;
+    match below(g, 8) {
+        0 => Fault::Cut(one, Reach::Peers, Direction::arbitrary(g)),
+        1 => Fault::Freeze(one, below(g, FREEZE_MS)),
+        2 => Fault::Restart(one),
+        3 => Fault::Heal,
+        _ => Fault::RestartEdge(one),
+    }
+}
+
+struct Play<R: Rules> {
+    world: World<R>,
     next_address: u8,
     /// When the last standstill will be over.
     standstill_until: u64,
 }
 
 /// Plays a schedule; how many confirmations there were, or what went wrong.
-pub fn play(schedule: &Schedule) -> Result<usize, String> {
-    let world = World::start(schedule.seed, schedule.controllers, EDGES, UPSTREAMS);
+pub fn play<R: Rules>(schedule: &Schedule) -> Result<usize, String> {
+    let world: World<R> = World::under(schedule.seed, schedule.controllers, EDGES, UPSTREAMS);
     let mut play = Play { world, next_address: 1 + schedule.controllers, standstill_until: 0 };
     play.world.pass(CALM_MS);
     for step in &schedule.steps {
@@ -186,7 +255,7 @@
     play.end()
 }
 
-impl Play {
+impl<R: Rules> Play<R> {
     fn controller(&self, number: usize) -> SocketAddr {
         let endpoints = self.world.fleet.cluster.endpoints();
         endpoints[number % endpoints.len()]
@@ -236,6 +305,9 @@
             Fault::RestartProxy(edge) => self.world.restart_proxy(self.edge(edge)),
             Fault::FreezeEdge(edge, span) => self.world.freeze_edge(self.edge(edge), span),
             Fault::LeaveUpstream(upstream, says_draining) => self.world.leave(upstream, says_draining),
+            Fault::Halves(half) => self.world.halve_controllers(half),
+            Fault::Scatter => self.world.scatter_controllers(),
+            Fault::WipeAmid(number) => self.wipe_amid(self.controller(number)),
             Fault::Calm => self.calm(),
         }
     }
@@ -260,6 +332,14 @@
         self.world.start_controller(at);
     }
 
+    /// No more than one disk is lost before all is well again.
+    fn wipe_amid(&mut self, at: SocketAddr) {
+        if !self.world.disks_lost.is_empty() {
+            self.calm();
+        }
+        self.world.wipe_controller(at);
+    }
+
     fn leave(&mut self, at: SocketAddr) {
         self.world.fleet.cluster.command(at, Command::Leave);
         self.world.pass(LEAVING_MS);
--- a/controlplane/controller/tests/common/world.rs
+++ b/controlplane/controller/tests/common/world.rs
@@ -10,11 +10,12 @@
 use whinspindle_controller::api::{Call, Response};
 use whinspindle_controller::{Action, CallId, Event};
 use whinspindle_distribution::{SubscriberId, ToBalancer};
-use whinspindle_lab_cluster::Occurrence;
+use whinspindle_lab_cluster::{Occurrence, Pcg};
 
 use super::edge::{Edge, Wire, Wish};
 use super::fleet::{Answer, Command, Fleet, SEEDS, endpoint};
 use super::judge::{CONTACT_MS, Judge, KNOWN_MS, held_generation};
+use super::rules::{AsDesigned, Rules};
 use super::upstream::{Phase, Upstream};
 use super::{configuration, evacuate, resolve};
 
@@ -23,6 +24,11 @@
 const VOTERS_MS: u64 = 100;
 /// How often each controller is asked where clients connect.
 const RESOLVE_MS: u64 = 500;
+/// How often an operator reads the configuration at some controller.
+const READ_MS: u64 = 170;
+/// The share of heartbeats of which a copy comes late, and how late at most.
+const LATE_SHARE: f64 = 0.05;
+const LATEST_MS: usize = 6_000;
 const CLIENT_REGION: &str = "north";
 const CLIENT_ZONE: &str = "zone-a";
 /// A balancer that has ended is named for this long at most.
@@ -61,25 +67,44 @@
     attempt: usize,
 }
 
-pub struct World {
-    pub fleet: Fleet,
-    pub edges: Vec<Edge>,
+/// A read of the configuration at one controller.
+struct Read {
+    at: SocketAddr,
+    sent_at: u64,
+    /// The newest generation that had been acknowledged when it was sent.
+    acknowledged: u64,
+}
+
+pub struct World<R: Rules = AsDesigned> {
+    pub fleet: Fleet<R::Controller>,
+    pub edges: Vec<Edge<R::Agent>>,
     pub upstreams: Vec<Upstream>,
     pub judge: Judge,
     /// What broke a rule, the first one of each kind.
     pub problems: Vec<String>,
     /// Confirmations to operators and upstreams so far.
     pub acknowledgements: usize,
+    /// Reads of the configuration that got one, at any controller.
+    pub answered_reads: usize,
     /// The controller that gave the last one.
     pub acknowledged_by: Option<SocketAddr>,
     /// Operators give no new orders.
     pub are_operators_resting: bool,
     race: Option<Race>,
     zone_order: Option<ZoneOrder>,
+    /// Reads of the configuration that have not been answered.
+    reads: BTreeMap<CallId, Read>,
+    read_at: u64,
+    /// Heartbeats that are held up, with the time at which they arrive.
+    late_heartbeats: Vec<(u64, SocketAddr, Call)>,
+    /// What is drawn for reads and late heartbeats.
+    chance: Pcg,
     cuts: BTreeSet<(SocketAddr, SocketAddr)>,
     /// Lives of the controllers' processes.
     lives: BTreeMap<SocketAddr, u64>,
     frozen: BTreeMap<SocketAddr, u64>,
+    /// When what was sent to a frozen process arrives, also if another process has taken its place by then.
+    thaws: BTreeMap<SocketAddr, u64>,
     voters: Vec<SocketAddr>,
     /// Controllers whose disk was lost, and which may not be voters again yet.
     pub disks_lost: BTreeSet<SocketAddr>,
@@ -98,7 +123,14 @@
 
 impl World {
     pub fn start(seed: u64, controllers: u8, edges: u8, upstreams: u8) -> World {
-        let fleet = Fleet::start(seed, controllers);
+        World::under(seed, controllers, edges, upstreams)
+    }
+}
+
+impl<R: Rules> World<R> {
+    /// Like [`World::start`], under these rules.
+    pub fn under(seed: u64, controllers: u8, edges: u8, upstreams: u8) -> Self {
+        let fleet = Fleet::with_laws(seed, controllers);
         let now = fleet.cluster.now();
         let seeds: Vec<SocketAddr> = fleet.cluster.endpoints().into_iter().take(SEEDS).collect();
         let mut world = World {
@@ -108,13 +140,19 @@
             judge: Judge::default(),
             problems: Vec::new(),
             acknowledgements: 0,
+            answered_reads: 0,
             acknowledged_by: None,
             are_operators_resting: false,
             race: None,
             zone_order: None,
+            reads: BTreeMap::new(),
+            read_at: now,
+            late_heartbeats: Vec::new(),
+            chance: Pcg::new(seed ^ 0x4ead),
             cuts: BTreeSet::new(),
             lives: BTreeMap::new(),
             frozen: BTreeMap::new(),
+            thaws: BTreeMap::new(),
             voters: Vec::new(),
             disks_lost: BTreeSet::new(),
             voters_at: 0,
@@ -156,6 +194,8 @@
         let now = self.now() + STEP_MS;
         self.give_orders();
         self.fleet.send_waiting();
+        self.read_configuration();
+        self.deliver_late_heartbeats();
         self.call_for_upstreams();
         for occurrence in self.fleet.cluster.run_until(now) {
             self.route(occurrence);
@@ -205,6 +245,48 @@
         self.zone_order = Some(ZoneOrder { zone, evacuated, attempt });
     }
 
+    /// An operator reads the configuration at some controller, whatever its state.
+    fn read_configuration(&mut self) {
+        let now = self.now();
+        if now < self.read_at {
+            return;
+        }
+        self.read_at = now + READ_MS;
+        let endpoints = self.fleet.cluster.endpoints();
+        let at = endpoints[self.chance.below(endpoints.len())];
+        let id = self.fleet.next_call();
+        let read = Read { at, sent_at: now, acknowledged: self.newest_acknowledged() };
+        if self.fleet.cluster.command(at, Command::Call { id, call: Call::Fetch }) {
+            self.reads.insert(id, read);
+        }
+    }
+
+    /// The newest generation that an operator has been told is in force.
+    fn newest_acknowledged(&self) -> u64 {
+        let is_taken = |attempt: usize| {
+            self.answer_of(attempt).is_some_and(|(_, answer)| answer.status == StatusCode::OK)
+        };
+        let raced = self.race.as_ref().filter(|race| race.attempts.into_iter().any(is_taken));
+        raced.map_or(0, |race| race.generation).max(self.judge.newest_generation())
+    }
+
+    /// An answer that is older than what was acknowledged before the read was sent is never right. 503 always is.
+    fn take_read(&mut self, read: Read, response: &Response) {
+        let text = String::from_utf8_lossy(&response.body);
+        let generation = match response.status {
+            StatusCode::OK => after(&text, "\"generation\":", ',').parse().expect("a number"),
+            StatusCode::NOT_FOUND => 0,
+            _ => return,
+        };
+        self.answered_reads += 1;
+        if generation < read.acknowledged {
+            let Read { at, sent_at, acknowledged } = read;
+            self.problem(format!(
+                "{at} was asked at {sent_at} and read {generation}, {acknowledged} was acknowledged"
+            ));
+        }
+    }
+
     fn answer_of(&self, attempt: usize) -> Option<(u64, Response)> {
         self.fleet.attempts[attempt].answered.clone()
     }
@@ -269,11 +351,32 @@
             }
             self.upstreams[index].waiting = Some((id, at, now));
             if reaches {
+                self.hold_up_copy(now, &call);
                 self.fleet.cluster.command(at, Command::Call { id, call });
             }
         }
     }
 
+    /// Now and then a copy of a heartbeat arrives seconds later, at any controller.
+    fn hold_up_copy(&mut self, now: u64, call: &Call) {
+        if matches!(call, Call::Heartbeat { .. }) && self.chance.unit() < LATE_SHARE {
+            let endpoints = self.fleet.cluster.endpoints();
+            let at = endpoints[self.chance.below(endpoints.len())];
+            let due = now + self.chance.below(LATEST_MS) as u64;
+            self.late_heartbeats.push((due, at, call.clone()));
+        }
+    }
+
+    /// Their callers have gone on, so that nobody takes the answers.
+    fn deliver_late_heartbeats(&mut self) {
+        let now = self.now();
+        let due: Vec<_> = self.late_heartbeats.extract_if(.., |(due, ..)| *due <= now).collect();
+        for (_, at, call) in due {
+            let id = self.fleet.next_call();
+            self.fleet.cluster.command(at, Command::Call { id, call });
+        }
+    }
+
     fn route(&mut self, occurrence: Occurrence<Answer>) {
         match occurrence.answer {
             Answer::Response { id, response } => {
@@ -287,6 +390,10 @@
     }
 
     fn take_response(&mut self, at: u64, from: SocketAddr, id: CallId, response: Response) {
+        if let Some(read) = self.reads.remove(&id) {
+            self.take_read(read, &response);
+            return;
+        }
         if response.status == StatusCode::OK {
             self.acknowledgements += 1;
             self.acknowledged_by = Some(from);
@@ -454,10 +561,13 @@
         self.fleet.cluster.stop(at);
     }
 
+    /// One that stands still already does so no shorter than before.
     pub fn freeze_controller(&mut self, at: SocketAddr, span_ms: u64) {
         self.disturb_core();
-        let until = self.now() + span_ms;
+        let before = self.frozen.get(&at).copied().unwrap_or(0);
+        let until = before.max(self.now() + span_ms);
         self.frozen.insert(at, until);
+        self.thaws.entry(at).and_modify(|thaw| *thaw = until.max(*thaw)).or_insert(until);
         self.fleet.cluster.freeze(at, until);
     }
 
@@ -471,6 +581,7 @@
     /// It is taken out for good, and another one comes with an empty disk.
     pub fn replace_controller(&mut self, at: SocketAddr, by: u8) {
         self.disturb_core();
+        self.disks_lost.insert(at);
         self.fleet.cluster.remove(at);
         self.fleet.cluster.add(endpoint(by), false);
         self.start_controller(endpoint(by));
@@ -498,6 +609,28 @@
         }
     }
 
+    /// The controllers are cut into two halves, which all clients reach: those whose bit is set, and the others.
+    pub fn halve_controllers(&mut self, half: u64) {
+        self.cut_between(|one, other| (half >> one ^ half >> other) & 1 == 1);
+    }
+
+    /// No controller reaches another one; all clients reach all of them.
+    pub fn scatter_controllers(&mut self) {
+        self.cut_between(|_, _| true);
+    }
+
+    fn cut_between(&mut self, is_cut: impl Fn(usize, usize) -> bool) {
+        self.disturb_core();
+        let endpoints = self.fleet.cluster.endpoints();
+        for (one, from) in endpoints.iter().enumerate() {
+            for (other, to) in endpoints.iter().enumerate() {
+                if one != other && is_cut(one, other) {
+                    self.fleet.cluster.cut(*from, *to);
+                }
+            }
+        }
+    }
+
     /// An edge machine is cut off from a controller.
     pub fn cut_edge(&mut self, index: usize, at: SocketAddr, direction: Direction) {
         self.cuts.extend(directed(at, self.edges[index].address, direction));
@@ -531,7 +664,7 @@
             self.voters = self.find_voters(now);
         }
         let serving = self.serving_controllers(now);
-        if serving.is_empty() || self.frozen.values().any(|until| *until + STEP_MS > now && *until <= now) {
+        if serving.is_empty() || self.thaws.values().any(|until| *until + STEP_MS > now && *until <= now) {
             self.core_disturbed_at = now;
         }
         for edge in &self.edges {
@@ -638,12 +771,13 @@
         let serving = self.serving_controllers(now);
         let is_core_calm = now > self.core_disturbed_at + CONTACT_MS;
         for at in self.fleet.cluster.endpoints() {
-            let was_frozen = self.frozen.get(&at).is_some_and(|until| *until + NAMED_MS > now);
+            let was_frozen = self.thaws.get(&at).is_some_and(|until| *until + NAMED_MS > now);
             if was_frozen || !is_core_calm {
                 continue;
             }
             let Some(named) = self.named_by(now, at) else { continue };
-            let ended = |edge: &&Edge| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
+            let ended =
+                |edge: &&Edge<R::Agent>| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
             if let Some(edge) = self.edges.iter().filter(ended).find(|edge| named.contains(&edge.address)) {
                 let problem = format!("{at} names edge {}, which ended long ago", edge.number);
                 self.problem(problem);
@@ -659,7 +793,7 @@
         near.any(|edge| self.is_in_touch(now, edge))
     }
 
-    fn has_ended_since(&self, now: u64, edge: &Edge, span_ms: u64) -> bool {
+    fn has_ended_since(&self, now: u64, edge: &Edge<R::Agent>, span_ms: u64) -> bool {
         self.edge_ended_at.get(&edge.address).is_none_or(|at| at + span_ms > now)
     }
 
@@ -678,18 +812,18 @@
         Some(addresses.map(|address| address.parse().expect("an address")).collect())
     }
 
-    fn is_in_touch(&self, now: u64, edge: &Edge) -> bool {
+    fn is_in_touch(&self, now: u64, edge: &Edge<R::Agent>) -> bool {
         let disturbed_at = self.edge_disturbed_at.get(&edge.address).copied().unwrap_or(0);
         now > disturbed_at + CONTACT_MS && self.is_in_reach(now, edge)
     }
 
     /// As in touch, but the machine may have started just now: what it handles at all, it handles by the newest.
-    fn is_in_reach(&self, now: u64, edge: &Edge) -> bool {
+    fn is_in_reach(&self, now: u64, edge: &Edge<R::Agent>) -> bool {
         let unreached_at = self.edge_unreached_at.get(&edge.address).copied().unwrap_or(0);
         now > unreached_at.max(self.core_disturbed_at) + CONTACT_MS
     }
 
-    fn missing_upstream(&self, now: u64, edge: &Edge) -> Option<&str> {
+    fn missing_upstream(&self, now: u64, edge: &Edge<R::Agent>) -> Option<&str> {
         let held = edge.held()?;
         let is_ready = |id: &str| {
             let listed = held.instances().map_or(&[][..], |section| &section.list);
--- a/controlplane/controller/tests/schedules.rs
+++ b/controlplane/controller/tests/schedules.rs
@@ -1,13 +1,14 @@
 //! Schedules of faults drawn at random over controllers with edge machines, upstreams and operators: no acknowledged
-//! configuration, evacuation or departure is lost, balancers in touch have the newest and never go back, and of two
-//! orders on one base one is confirmed.
+//! configuration, evacuation or departure is lost, balancers in touch have the newest and never go back, no controller
+//! answers a read with less than was acknowledged before, and of two orders on one base one is confirmed.
 
 mod common;
 
-use common::schedule::{Schedule, play};
+use common::rules::{AsDesigned, ConfirmsAlone, ConfirmsEarly, CutOffTells, ReadsAlone, Rules, TakesAny};
+use common::schedule::{Overlapping, Schedule, Starting, play};
 use quickcheck::{Arbitrary, Gen};
 
-/// Schedules in an ordinary run; more are drawn if the variable says so.
+/// Schedules of each kind in an ordinary run; more are drawn if the variable says so.
 const ORDINARY: usize = 120;
 const COUNT_VARIABLE: &str = "WHINSPINDLE_SCHEDULES";
 /// The first seed of the draw; another one, for other schedules, if the variable says so.
@@ -23,22 +24,35 @@
 
 /// The smallest schedule made from this one by leaving out steps that still goes wrong, with what goes wrong.
 fn smallest(schedule: Schedule, fault: String) -> (Schedule, String) {
-    let found = schedule.shrink().find_map(|shorter| Some((shorter.clone(), play(&shorter).err()?)));
+    let found =
+        schedule.shrink().find_map(|shorter| Some((shorter.clone(), play::<AsDesigned>(&shorter).err()?)));
     match found {
         Some((shorter, fault)) => smallest(shorter, fault),
         None => (schedule, fault),
     }
 }
 
-#[test]
-fn any_schedule_is_borne() {
+fn ordinary(seed: u64) -> Schedule {
+    Schedule::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed))
+}
+
+fn overlapping(seed: u64) -> Schedule {
+    Overlapping::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed)).0
+}
+
+fn starting(seed: u64) -> Schedule {
+    Starting::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed)).0
+}
+
+/// Plays as many schedules as the environment says.
+fn are_borne(draw: fn(u64) -> Schedule) {
     let count = from_environment(COUNT_VARIABLE).unwrap_or(ORDINARY);
     let first = from_environment(SEED_VARIABLE).unwrap_or(FIRST_SEED);
     let play_share = move |share: usize| {
         for number in (share..count).step_by(THREADS) {
             let seed = first + number as u64;
-            let schedule = Schedule::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed));
-            if let Err(fault) = play(&schedule) {
+            let schedule = draw(seed);
+            if let Err(fault) = play::<AsDesigned>(&schedule) {
                 let (schedule, fault) = smallest(schedule, fault);
                 panic!("seed {seed}: {fault}\n{schedule:#?}");
             }
@@ -50,3 +64,58 @@
         }
     });
 }
+
+#[test]
+fn any_schedule_is_borne() {
+    are_borne(ordinary);
+}
+
+/// Machines start without a configuration while controllers are cut off.
+#[test]
+fn any_schedule_of_starting_machines_is_borne() {
+    are_borne(starting);
+}
+
+/// The controllers are cut into two halves, or all from each other, and more of them are away than may be, though no
+/// more disks are lost.
+#[test]
+fn any_schedule_of_halves_and_overlapping_losses_is_borne() {
+    are_borne(overlapping);
+}
+
+/// What is planted shows first at `seed`, and as `problem`; the laws as designed bear all schedules up to there.
+fn is_found<R: Rules>(draw: fn(u64) -> Schedule, seed: u64, problem: &str) {
+    for earlier in FIRST_SEED..=seed {
+        play::<AsDesigned>(&draw(earlier)).unwrap();
+    }
+    let shown = (FIRST_SEED..=seed).find_map(|earlier| Some((earlier, play::<R>(&draw(earlier)).err()?)));
+    let (first, shown) = shown.expect("no schedule shows the fault");
+    assert_eq!(first, seed, "{shown}");
+    assert!(shown.contains(problem), "{shown}");
+}
+
+/// A machine that starts beside such a controller handles requests by an old configuration.
+#[test]
+fn a_cut_off_controller_that_tells_its_balancers_is_found() {
+    is_found::<CutOffTells>(starting, 22, "edge 2, in reach, holds configuration 174, 217 was acknowledged");
+}
+
+#[test]
+fn an_agent_that_takes_its_first_records_from_a_cut_off_controller_is_found() {
+    is_found::<TakesAny>(starting, 22, "edge 2, in reach, holds configuration 174, 217 was acknowledged");
+}
+
+#[test]
+fn a_departure_confirmed_before_it_is_committed_is_found() {
+    is_found::<ConfirmsEarly>(ordinary, 19, "has forgotten that u-5 left");
+}
+
+#[test]
+fn a_heartbeat_confirmed_by_a_cut_off_controller_is_found() {
+    is_found::<ConfirmsAlone>(overlapping, 12, "edge 1 doesn't know u-3, which serves");
+}
+
+#[test]
+fn a_controller_that_answers_reads_alone_is_found() {
+    is_found::<ReadsAlone>(overlapping, 1, "and read ");
+}
--- a/dataplane/agent/src/agent.rs
+++ b/dataplane/agent/src/agent.rs
@@ -6,6 +6,7 @@
 
 use crate::catalog::ControllerCatalog;
 use crate::connection::ConnectionId;
+use crate::laws::{AsDesigned, Laws};
 use crate::report::ProxyState;
 use crate::sections::GuardedSections;
 use crate::selector::{LinkEvent, LinkSelector, LossReason};
@@ -98,9 +99,9 @@
 
 /// The agent's state.
 #[derive(Clone, Debug)]
-pub struct Agent {
+pub struct Agent<L = AsDesigned> {
     selector: LinkSelector,
-    sections: GuardedSections,
+    sections: GuardedSections<L>,
     proxy: ProxyState,
     /// What the proxy was told of the link last.
     link: Link,
@@ -117,12 +118,19 @@
 
 impl Agent {
     pub fn new(now: u64, settings: AgentSettings) -> Self {
+        Agent::with_laws(now, settings)
+    }
+}
+
+impl<L: Laws> Agent<L> {
+    /// Like [`Agent::new`], under laws of the caller's choice.
+    pub fn with_laws(now: u64, settings: AgentSettings) -> Self {
         let AgentSettings { node, machine, zone, region, seeds, grace_ms, incarnation } = settings;
         let mut catalog = ControllerCatalog::new(zone.clone(), region.clone(), incarnation);
         catalog.set_seeds(now, &seeds);
         Agent {
             selector: LinkSelector::new(catalog),
-            sections: GuardedSections::default(),
+            sections: GuardedSections::new(),
             proxy: ProxyState::absent(node, zone, region, machine, incarnation),
             link: Link::default(),
             link_told_at: now,
--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod catalog;
 mod connection;
+mod laws;
 mod report;
 mod sections;
 mod selector;
@@ -14,5 +15,6 @@
 pub use agent::{Agent, AgentSettings, Input, Notice, Output};
 pub use catalog::{ControllerCatalog, Rank};
 pub use connection::ConnectionId;
+pub use laws::{AsDesigned, Laws};
 pub use selector::{LinkEvent, LinkSelector, LossReason};
 pub use shell::{AgentError, run};
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -5,9 +5,12 @@
 //! that are older than what its proxies have reported are taken.
 
 use std::collections::HashSet;
+use std::marker::PhantomData;
 
 use whinspindle_distribution::{Fleet, Holder, Instances, Update, Versions};
 
+use crate::laws::{AsDesigned, Laws};
+
 /// For how long after it became the link a controller's lists take nothing away.
 const SETTLING_MS: u64 = 3_000;
 
@@ -16,8 +19,9 @@
 const RECORDS_PATIENCE_MS: u64 = 3_000;
 
 /// What is held, and what waits.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct GuardedSections {
+#[derive(Clone, Debug)]
+pub(crate) struct GuardedSections<L = AsDesigned> {
+    laws: PhantomData<L>,
     holder: Holder,
     settled_at: u64,
     in_quorum: bool,
@@ -38,7 +42,21 @@
     fleet: Option<Fleet>,
 }
 
-impl GuardedSections {
+impl<L: Laws> GuardedSections<L> {
+    /// Nothing is held yet.
+    pub fn new() -> Self {
+        GuardedSections {
+            laws: PhantomData,
+            holder: Holder::default(),
+            settled_at: 0,
+            in_quorum: false,
+            waiting: None,
+            records_open_at: None,
+            waiting_records: Update::default(),
+            floor: Versions::default(),
+        }
+    }
+
     /// Another controller is the link from now on.
     pub fn linked(&mut self, now: u64) {
         self.settled_at = now + SETTLING_MS;
@@ -146,7 +164,8 @@
     /// Where something is held, what is newer can be taken from any controller.
     fn may_take_records(&self, now: u64) -> bool {
         let holds_some = self.holder.configured().is_some();
-        self.in_quorum || holds_some || self.records_open_at.is_some_and(|at| now >= at)
+        let has_waited = self.records_open_at.is_some_and(|at| now >= at);
+        holds_some || L::takes_first_records(self.in_quorum || has_waited)
     }
 
     fn keep_waiting(&mut self, now: u64, update: &Update) {
