Ages of upstreams are honest after a cut or a pause of the controller

A controller that came back in touch, or went on after a pause, set the time at which it had heard of each upstream to that moment, so that none was dropped at once; but the same time was told to other controllers, as an upstream that was just heard of. What excuses a silence is now kept apart from when the upstream was heard: it is kept here for the whole time as before, its age is told as it is, others drop what has been silent for too long, and an address that another instance took meanwhile goes to that one. Three tests of the registry, all seen to fail without.

--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -75,7 +75,10 @@
     sequence: u64,
     /// 0 for one that is warm.
     cold_until: u64,
+    /// When a controller heard of it last: what the others are told.
     heard_at: u64,
+    /// Its silence before this time counts for nothing: this controller was cut off or stood still.
+    excused_until: u64,
     /// Known from before the start of this controller alone.
     recalled: bool,
 }
@@ -229,10 +232,10 @@
     }
 
     /// While this controller is cut off from the others no instance is taken for lost, and each gets the whole time
-    /// anew afterwards.
+    /// anew afterwards. What others are told of its age stays as it is: they may have heard no more of it than this one.
     pub fn set_isolated(&mut self, now: u64, isolated: bool) {
         if self.isolated && !isolated {
-            self.known.values_mut().for_each(|known| known.heard_at = now);
+            self.known.values_mut().for_each(|known| known.excused_until = now);
         }
         self.isolated = isolated;
     }
@@ -247,7 +250,7 @@
         }
         let oldest = now.saturating_sub(self.timing.silence_ms());
         let count = self.known.len();
-        self.known.retain(|_, known| known.heard_at >= oldest);
+        self.known.retain(|_, known| known.silent_since() >= oldest);
         let expired = self.known.len() < count;
         self.bump_if(expired);
         expired
@@ -266,7 +269,8 @@
     fn excuse_own_pause(&mut self, now: u64) {
         let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
         if pause > self.timing.heartbeat_ms {
-            self.known.values_mut().for_each(|known| known.heard_at = now.min(known.heard_at + pause));
+            let excuse = |known: &mut Known| known.excused_until = now.min(known.silent_since() + pause);
+            self.known.values_mut().for_each(excuse);
         }
     }
 
@@ -277,7 +281,7 @@
             Some(held) => {
                 let changed = held.looks_other(&known);
                 let heard_at = if held.recalled { known.heard_at } else { held.heard_at.max(known.heard_at) };
-                *held = Known { heard_at, ..known };
+                *held = Known { heard_at, excused_until: held.excused_until, ..known };
                 changed
             }
             None => {
@@ -362,6 +366,7 @@
             sequence: heartbeat.sequence,
             cold_until: cold_end(now, heartbeat.cold_ms),
             heard_at: now,
+            excused_until: 0,
             recalled: false,
         }
     }
@@ -376,10 +381,16 @@
             sequence: record.sequence,
             cold_until,
             heard_at,
+            excused_until: 0,
             recalled: false,
         }
     }
 
+    /// When the silence began that it may be taken for lost for.
+    fn silent_since(&self) -> u64 {
+        self.heard_at.max(self.excused_until)
+    }
+
     fn looks_other(&self, newer: &Known) -> bool {
         let cold_moved = self.cold_until.abs_diff(newer.cold_until) > COLD_TOLERANCE_MS;
         let was_cold = self.cold_until > newer.heard_at || newer.cold_until > newer.heard_at;
--- a/controlplane/registry/tests/instances.rs
+++ b/controlplane/registry/tests/instances.rs
@@ -236,6 +236,51 @@
     assert_eq!(ids(&registry), ["a"]);
 }
 
+#[test]
+fn what_fell_silent_during_a_cut_is_not_told_to_others_as_just_heard() {
+    let mut returning = registry();
+    returning.heartbeat(0, "a", &ready(1, 1));
+    returning.set_isolated(100, true);
+    returning.expire(20_000);
+    returning.set_isolated(20_000, false);
+    assert_eq!(ids(&returning), ["a"], "it may only have called others");
+    assert_eq!(returning.snapshot(20_100)[0].age_ms, 20_100);
+    let mut other = registry();
+    for record in returning.heard(20_100) {
+        assert!(!other.merge(20_100, record), "it has been silent for too long");
+    }
+    returning.heartbeat(21_000, "a", &ready(1, 2));
+    assert_eq!(returning.snapshot(21_000)[0].age_ms, 0);
+}
+
+#[test]
+fn what_fell_silent_during_a_pause_is_not_told_to_others_as_just_heard() {
+    let mut paused = registry();
+    paused.heartbeat(0, "a", &ready(1, 1));
+    paused.expire(500);
+    assert!(!paused.expire(30_500));
+    assert_eq!(paused.snapshot(30_500)[0].age_ms, 30_500);
+    let pause_end = 30_500;
+    for now in (pause_end..=pause_end + SILENCE_MS - 500).step_by(500) {
+        assert!(!paused.expire(now));
+    }
+    assert!(paused.expire(pause_end + SILENCE_MS), "half a second of silence came before the pause");
+}
+
+#[test]
+fn an_address_that_another_instance_has_taken_during_a_cut_stays_taken() {
+    let mut returning = registry();
+    returning.heartbeat(0, "a", &ready(1, 1));
+    returning.set_isolated(100, true);
+    returning.set_isolated(20_000, false);
+    let mut other = registry();
+    other.heartbeat(19_000, "b", &ready(1, 1));
+    for record in other.heard(20_100) {
+        assert!(returning.merge(20_100, record), "it was heard there later");
+    }
+    assert_eq!(ids(&returning), ["b"]);
+}
+
 #[test]
 fn the_cold_time_is_told_as_what_remains() {
     let mut registry = registry();
