Drawn orders through halves of the core, with reads of the configuration all the time

Seen to fail with reads that a controller answers by itself (3 was read, 4 confirmed), which the plays of before do not notice.

--- a/controlplane/controller/tests/common/operators.rs
+++ b/controlplane/controller/tests/common/operators.rs
@@ -28,6 +28,10 @@
     StalledDisk,
     /// All are killed at once, and start again.
     LossOfPower,
+    /// All controllers are cut into two halves: one has an even number of them, the other an odd one.
+    Halves,
+    /// Each is cut off from all others, so that none has a majority.
+    Apart,
     /// The first answers don't reach the callers.
     LostAnswers,
 }
@@ -36,6 +40,18 @@
     fleet.cluster.endpoints().into_iter().filter(move |other| *other != at)
 }
 
+/// Cuts those controllers off from each other of which the numbers say so.
+fn cut_where(fleet: &mut Fleet, is_cut: impl Fn(usize, usize) -> bool) {
+    let endpoints = fleet.cluster.endpoints();
+    for (one, from) in endpoints.iter().enumerate() {
+        for (other, to) in endpoints.iter().enumerate().filter(|(other, _)| *other != one) {
+            if is_cut(one, other) {
+                fleet.cluster.cut(*from, *to);
+            }
+        }
+    }
+}
+
 impl Trouble {
     pub fn begin(self, fleet: &mut Fleet, at: SocketAddr) {
         let until = fleet.cluster.now() + TROUBLE_MS;
@@ -48,6 +64,8 @@
                 fleet.cluster.stop(at);
                 fleet.wipe(at);
             }
+            Trouble::Halves => cut_where(fleet, |one, other| (one + other) % 2 == 1),
+            Trouble::Apart => cut_where(fleet, |_, _| true),
             Trouble::StalledDisk => fleet.cluster.disk(at).expect("it has a disk").stall(until),
             Trouble::LossOfPower => fleet.cluster.endpoints().into_iter().for_each(|at| fleet.restart(at)),
             Trouble::LostAnswers => fleet.lost_answers = 1.0,
@@ -59,6 +77,7 @@
             Trouble::Kill | Trouble::Wipe => fleet.cluster.start(at),
             Trouble::CutOff => fleet.set_cut_off(at, false),
             Trouble::CutOneWay => others(fleet, at).for_each(|other| fleet.cluster.heal(at, other)),
+            Trouble::Halves | Trouble::Apart => fleet.cluster.heal_all(),
             Trouble::LostAnswers => fleet.lost_answers = 0.0,
             Trouble::Freeze | Trouble::StalledDisk | Trouble::LossOfPower => {}
         }
--- a/controlplane/controller/tests/operators_drawn.rs
+++ b/controlplane/controller/tests/operators_drawn.rs
@@ -11,7 +11,7 @@
 use common::operators::{Change, Judge, Trouble};
 use common::*;
 use http::StatusCode;
-use whinspindle_controller::api::Call;
+use whinspindle_controller::api::{Call, Response};
 use whinspindle_distribution::SubscriberId;
 
 const CONTROLLERS: u8 = 5;
@@ -43,6 +43,18 @@
     Trouble::LostAnswers,
 ];
 
+/// The troubles of plays in which operators also read the configuration all the time.
+const SPLITS: [Trouble; 6] = [
+    Trouble::Halves,
+    Trouble::Apart,
+    Trouble::Halves,
+    Trouble::CutOff,
+    Trouble::LossOfPower,
+    Trouble::LostAnswers,
+];
+/// Pauses between reads at most.
+const READ_MS: u64 = 150;
+
 /// An evacuation order, with the time in which it may take effect.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
@@ -61,6 +73,8 @@
     under_way: Vec<(Change, usize)>,
     evacuations: BTreeMap<&'static str, Vec<Evacuation>>,
     sent: usize,
+    /// Reads of the configuration, with the newest generation that had been confirmed before.
+    reads: Vec<(u64, usize)>,
 }
 
 impl Play {
@@ -78,6 +92,7 @@
             under_way: Vec::new(),
             evacuations,
             sent: 0,
+            reads: Vec::new(),
         }
     }
 
@@ -105,6 +120,52 @@
         self.verify();
     }
 
+    /// As `run`, with reads at any controller at any time. Each trouble has as long as it takes to be noticed.
+    fn run_split(&mut self) {
+        for _ in 0..ROUNDS {
+            let trouble = SPLITS[self.below(SPLITS.len())];
+            let at = self.anywhere();
+            self.send_changes();
+            self.read_for(500);
+            trouble.begin(&mut self.fleet, at);
+            self.send_changes();
+            let span = self.below(4_000) as u64;
+            self.read_for(span);
+            trouble.end(&mut self.fleet, at);
+            let span = self.below(3_000) as u64;
+            self.read_for(span);
+        }
+        self.pass(LONGEST_ORDER_MS);
+        self.verify();
+    }
+
+    fn read_for(&mut self, span_ms: u64) {
+        let end = self.fleet.cluster.now() + span_ms;
+        while self.fleet.cluster.now() < end {
+            let at = self.anywhere();
+            let confirmed = self.known();
+            let attempt = self.fleet.begin_at(at, Call::Fetch);
+            self.reads.push((confirmed, attempt));
+            let span = 1 + self.below(READ_MS as usize) as u64;
+            self.pass(span);
+            self.check_reads();
+        }
+    }
+
+    /// No answer is older than what was confirmed before the read was sent. A read without an answer is given up.
+    fn check_reads(&mut self) {
+        for (confirmed, attempt) in std::mem::take(&mut self.reads) {
+            match &self.fleet.attempts[attempt].answered {
+                Some((_, answer)) => {
+                    let generation = generation_of(answer);
+                    assert!(generation >= confirmed, "{generation} was read, {confirmed} confirmed");
+                }
+                None if self.fleet.since(attempt) > LONGEST_ORDER_MS => self.fleet.abandon(attempt),
+                None => self.reads.push((confirmed, attempt)),
+            }
+        }
+    }
+
     fn below(&mut self, bound: usize) -> usize {
         self.fleet.chance.below(bound)
     }
@@ -272,10 +333,32 @@
     }
 }
 
+/// What a read was answered; 0 where there was no configuration yet.
+fn generation_of(answer: &Response) -> u64 {
+    if answer.status == StatusCode::NOT_FOUND {
+        return 0;
+    }
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    let text = String::from_utf8_lossy(&answer.body);
+    let (_, rest) = text.split_once("\"generation\":").expect("it has one");
+    let digits = rest.split(',').next().expect("its end");
+    digits.parse().expect("a number")
+}
+
+fn count() -> u64 {
+    std::env::var(COUNT_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(ORDINARY)
+}
+
+#[test]
+fn what_operators_read_and_were_answered_holds_through_halves() {
+    for seed in 0..count() {
+        Play::new(9_000 + seed).run_split();
+    }
+}
+
 #[test]
 fn what_operators_were_answered_holds_through_any_troubles() {
-    let count = std::env::var(COUNT_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(ORDINARY);
-    for seed in (0..count).chain(FOUND) {
+    for seed in (0..count()).chain(FOUND) {
         Play::new(4_800 + seed).run();
     }
 }
