--- a/controlplane/controller/tests/common/schedule.rs
+++ b/controlplane/controller/tests/common/schedule.rs
@@ -297,10 +297,7 @@
             Fault::AfterAcknowledgement(blow) => self.strike(blow),
             Fault::StopEdge(edge) => self.world.stop_edge(self.edge(edge)),
             Fault::StartEdge(edge) => self.world.start_edge(self.edge(edge)),
-            Fault::RestartEdge(edge) => {
-                self.world.stop_edge(self.edge(edge));
-                self.world.start_edge(self.edge(edge));
-            }
+            Fault::RestartEdge(edge) => self.world.restart_edge(self.edge(edge)),
             Fault::RestartAgent(edge) => self.world.restart_agent(self.edge(edge)),
             Fault::RestartProxy(edge) => self.world.restart_proxy(self.edge(edge)),
             Fault::FreezeEdge(edge, span) => self.world.freeze_edge(self.edge(edge), span),
