--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod judge;
 pub mod lists;
 pub mod operators;
+pub mod rules;
 pub mod schedule;
 pub mod upstream;
 pub mod world;
--- a/controlplane/controller/tests/common/world.rs
+++ b/controlplane/controller/tests/common/world.rs
@@ -6,28 +6,33 @@
 mod controllers;
 mod edges;
 mod operators;
+mod reads;
 mod upstreams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use whinspindle_controller::CallId;
+use whinspindle_controller::api::Call;
 use whinspindle_distribution::ToBalancer;
-use whinspindle_lab_cluster::Occurrence;
+use whinspindle_lab_cluster::{Occurrence, Pcg};
 
 pub use self::controllers::{Direction, Reach};
 use self::operators::{Race, ZoneOrder};
+use self::reads::Read;
 use super::edge::Edge;
 use super::fleet::{Answer, Fleet, SEEDS};
 use super::judge::Judge;
+use super::rules::{AsDesigned, Rules};
 use super::upstream::Upstream;
 
 const STEP_MS: u64 = 10;
 /// How often each controller is asked where clients connect.
 const RESOLVE_MS: u64 = 500;
 
-pub struct World {
-    pub fleet: Fleet,
-    pub edges: Vec<Edge>,
+pub struct World<R: Rules = AsDesigned> {
+    pub fleet: Fleet<R::Controller>,
+    pub edges: Vec<Edge<R::Agent>>,
     pub upstreams: Vec<Upstream>,
     pub judge: Judge,
     /// What broke a rule, the first one of each kind.
@@ -40,10 +45,19 @@
     pub are_operators_resting: bool,
     race: Option<Race>,
     zone_order: Option<ZoneOrder>,
+    /// Reads of the configuration that have not been answered.
+    reads: BTreeMap<CallId, Read>,
+    read_at: u64,
+    /// Heartbeats that are held up, with the time at which they arrive.
+    late_heartbeats: Vec<(u64, SocketAddr, Call)>,
+    /// What is drawn for reads and late heartbeats.
+    chance: Pcg,
     cuts: BTreeSet<(SocketAddr, SocketAddr)>,
     /// Lives of the controllers' processes.
     lives: BTreeMap<SocketAddr, u64>,
     frozen: BTreeMap<SocketAddr, u64>,
+    /// When what was sent to a frozen process arrives, also if another process has taken its place by then.
+    thaws: BTreeMap<SocketAddr, u64>,
     voters: Vec<SocketAddr>,
     /// Controllers whose disk was lost, and which may not be voters again yet.
     pub disks_lost: BTreeSet<SocketAddr>,
@@ -62,7 +76,14 @@
 
 impl World {
     pub fn start(seed: u64, controllers: u8, edges: u8, upstreams: u8) -> World {
-        let fleet = Fleet::start(seed, controllers);
+        World::under(seed, controllers, edges, upstreams)
+    }
+}
+
+impl<R: Rules> World<R> {
+    /// Like [`World::start`], under these rules.
+    pub fn under(seed: u64, controllers: u8, edges: u8, upstreams: u8) -> Self {
+        let fleet = Fleet::with_laws(seed, controllers);
         let now = fleet.cluster.now();
         let seeds: Vec<SocketAddr> = fleet.cluster.endpoints().into_iter().take(SEEDS).collect();
         let mut world = World {
@@ -76,9 +97,14 @@
             are_operators_resting: false,
             race: None,
             zone_order: None,
+            reads: BTreeMap::new(),
+            read_at: now,
+            late_heartbeats: Vec::new(),
+            chance: Pcg::new(seed ^ 0x4ead),
             cuts: BTreeSet::new(),
             lives: BTreeMap::new(),
             frozen: BTreeMap::new(),
+            thaws: BTreeMap::new(),
             voters: Vec::new(),
             disks_lost: BTreeSet::new(),
             voters_at: 0,
@@ -120,6 +146,8 @@
         let now = self.now() + STEP_MS;
         self.give_orders();
         self.fleet.send_waiting();
+        self.read_configuration();
+        self.deliver_late_heartbeats();
         self.call_for_upstreams();
         for occurrence in self.fleet.cluster.run_until(now) {
             self.route(occurrence);
--- a/controlplane/controller/tests/common/world/checks.rs
+++ b/controlplane/controller/tests/common/world/checks.rs
@@ -10,6 +10,7 @@
 use crate::common::edge::Edge;
 use crate::common::judge::{CONTACT_MS, KNOWN_MS, held_generation};
 use crate::common::resolve;
+use crate::common::rules::Rules;
 use crate::common::upstream::{Phase, Upstream};
 
 const CLIENT_REGION: &str = "north";
@@ -17,7 +18,7 @@
 /// A balancer that has ended is named for this long at most.
 const NAMED_MS: u64 = CONTACT_MS + 3_000;
 
-impl World {
+impl<R: Rules> World<R> {
     pub(super) fn check_balancers(&mut self, now: u64) {
         let mut found = Vec::new();
         for edge in &self.edges {
@@ -53,12 +54,13 @@
         let serving = self.serving_controllers(now);
         let is_core_calm = now > self.core_disturbed_at + CONTACT_MS;
         for at in self.fleet.cluster.endpoints() {
-            let was_frozen = self.frozen.get(&at).is_some_and(|until| *until + NAMED_MS > now);
+            let was_frozen = self.thaws.get(&at).is_some_and(|until| *until + NAMED_MS > now);
             if was_frozen || !is_core_calm {
                 continue;
             }
             let Some(named) = self.named_by(now, at) else { continue };
-            let ended = |edge: &&Edge| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
+            let ended =
+                |edge: &&Edge<R::Agent>| !edge.is_running() && !self.has_ended_since(now, edge, NAMED_MS);
             if let Some(edge) = self.edges.iter().filter(ended).find(|edge| named.contains(&edge.address)) {
                 let problem = format!("{at} names edge {}, which ended long ago", edge.number);
                 self.problem(problem);
@@ -74,7 +76,7 @@
         near.any(|edge| self.is_in_touch(now, edge))
     }
 
-    fn has_ended_since(&self, now: u64, edge: &Edge, span_ms: u64) -> bool {
+    fn has_ended_since(&self, now: u64, edge: &Edge<R::Agent>, span_ms: u64) -> bool {
         self.edge_ended_at.get(&edge.address).is_none_or(|at| at + span_ms > now)
     }
 
@@ -93,18 +95,18 @@
         Some(addresses.map(|address| address.parse().expect("an address")).collect())
     }
 
-    fn is_in_touch(&self, now: u64, edge: &Edge) -> bool {
+    fn is_in_touch(&self, now: u64, edge: &Edge<R::Agent>) -> bool {
         let disturbed_at = self.edge_disturbed_at.get(&edge.address).copied().unwrap_or(0);
         now > disturbed_at + CONTACT_MS && self.is_in_reach(now, edge)
     }
 
     /// As in touch, but the machine may have started just now: what it handles at all, it handles by the newest.
-    fn is_in_reach(&self, now: u64, edge: &Edge) -> bool {
+    fn is_in_reach(&self, now: u64, edge: &Edge<R::Agent>) -> bool {
         let unreached_at = self.edge_unreached_at.get(&edge.address).copied().unwrap_or(0);
         now > unreached_at.max(self.core_disturbed_at) + CONTACT_MS
     }
 
-    fn missing_upstream(&self, now: u64, edge: &Edge) -> Option<&str> {
+    fn missing_upstream(&self, now: u64, edge: &Edge<R::Agent>) -> Option<&str> {
         let held = edge.held()?;
         let is_ready = |id: &str| {
             let listed = held.instances().map_or(&[][..], |section| &section.list);
--- a/controlplane/controller/tests/common/world/contact.rs
+++ b/controlplane/controller/tests/common/world/contact.rs
@@ -6,11 +6,12 @@
 use whinspindle_controller::{Action, Event};
 
 use super::{STEP_MS, World, after};
+use crate::common::rules::Rules;
 
 /// How often it is looked up who the voters are.
 const VOTERS_MS: u64 = 100;
 
-impl World {
+impl<R: Rules> World<R> {
     pub(super) fn disturb_core(&mut self) {
         self.core_disturbed_at = self.now();
     }
@@ -26,7 +27,7 @@
             self.voters = self.find_voters(now);
         }
         let serving = self.serving_controllers(now);
-        if serving.is_empty() || self.frozen.values().any(|until| *until + STEP_MS > now && *until <= now) {
+        if serving.is_empty() || self.thaws.values().any(|until| *until + STEP_MS > now && *until <= now) {
             self.core_disturbed_at = now;
         }
         for edge in &self.edges {
--- a/controlplane/controller/tests/common/world/controllers.rs
+++ b/controlplane/controller/tests/common/world/controllers.rs
@@ -4,6 +4,7 @@
 
 use super::World;
 use crate::common::fleet::{SEEDS, endpoint};
+use crate::common::rules::Rules;
 
 /// Which of its partners a machine is cut off from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,7 +26,7 @@
     Inward,
 }
 
-impl World {
+impl<R: Rules> World<R> {
     pub fn start_controller(&mut self, at: SocketAddr) {
         if !self.fleet.cluster.is_running(at) {
             self.disturb_core();
@@ -40,10 +41,13 @@
         self.fleet.cluster.stop(at);
     }
 
+    /// One that stands still already does so no shorter than before.
     pub fn freeze_controller(&mut self, at: SocketAddr, span_ms: u64) {
         self.disturb_core();
-        let until = self.now() + span_ms;
+        let before = self.frozen.get(&at).copied().unwrap_or(0);
+        let until = before.max(self.now() + span_ms);
         self.frozen.insert(at, until);
+        self.thaws.entry(at).and_modify(|thaw| *thaw = until.max(*thaw)).or_insert(until);
         self.fleet.cluster.freeze(at, until);
     }
 
@@ -57,6 +61,7 @@
     /// It is taken out for good, and another one comes with an empty disk.
     pub fn replace_controller(&mut self, at: SocketAddr, by: u8) {
         self.disturb_core();
+        self.disks_lost.insert(at);
         self.fleet.cluster.remove(at);
         self.fleet.cluster.add(endpoint(by), false);
         self.start_controller(endpoint(by));
@@ -84,6 +89,28 @@
         }
     }
 
+    /// The controllers are cut into two halves, which all clients reach: those whose bit is set, and the others.
+    pub fn halve_controllers(&mut self, half: u64) {
+        self.cut_between(|one, other| ((half >> one) ^ (half >> other)) & 1 == 1);
+    }
+
+    /// No controller reaches another one; all clients reach all of them.
+    pub fn scatter_controllers(&mut self) {
+        self.cut_between(|_, _| true);
+    }
+
+    fn cut_between(&mut self, is_cut: impl Fn(usize, usize) -> bool) {
+        self.disturb_core();
+        let endpoints = self.fleet.cluster.endpoints();
+        for (one, from) in endpoints.iter().enumerate() {
+            for (other, to) in endpoints.iter().enumerate() {
+                if one != other && is_cut(one, other) {
+                    self.fleet.cluster.cut(*from, *to);
+                }
+            }
+        }
+    }
+
     /// An edge machine is cut off from a controller.
     pub fn cut_edge(&mut self, index: usize, at: SocketAddr, direction: Direction) {
         self.cuts.extend(directed(at, self.edges[index].address, direction));
--- a/controlplane/controller/tests/common/world/operators.rs
+++ b/controlplane/controller/tests/common/world/operators.rs
@@ -5,12 +5,13 @@
 use whinspindle_controller::api::{Call, Response};
 
 use super::World;
+use crate::common::rules::Rules;
 use crate::common::{configuration, evacuate};
 
 /// Two orders on one base, of which one wins.
 pub(super) struct Race {
-    generation: u64,
-    attempts: [usize; 2],
+    pub(super) generation: u64,
+    pub(super) attempts: [usize; 2],
     bodies: [Bytes; 2],
 }
 
@@ -21,7 +22,7 @@
     attempt: usize,
 }
 
-impl World {
+impl<R: Rules> World<R> {
     pub(super) fn give_orders(&mut self) {
         if self.are_operators_resting {
             return;
@@ -53,7 +54,7 @@
         self.zone_order = Some(ZoneOrder { zone, evacuated, attempt });
     }
 
-    fn answer_of(&self, attempt: usize) -> Option<(u64, Response)> {
+    pub(super) fn answer_of(&self, attempt: usize) -> Option<(u64, Response)> {
         self.fleet.attempts[attempt].answered.clone()
     }
 
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -221,10 +221,10 @@
     }
 
     /// While this controller is cut off from the others no instance is taken for lost, and each gets the whole time
-    /// anew afterwards.
+    /// anew afterwards. What others are told of its age stays as it is: they may have heard no more of it than this one.
     pub fn set_isolated(&mut self, now: u64, isolated: bool) {
         if self.isolated && !isolated {
-            self.known.update_all(|known| known.heard_at = now);
+            self.known.update_all(|known| known.excused_until = now);
         }
         self.isolated = isolated;
     }
@@ -238,7 +238,7 @@
             return false;
         }
         let oldest = now.saturating_sub(self.timing.silence_ms());
-        let expired = self.known.retain(|known| known.heard_at >= oldest);
+        let expired = self.known.retain(|known| known.silent_since() >= oldest);
         self.bump_if(expired);
         expired
     }
@@ -256,7 +256,8 @@
     fn excuse_own_pause(&mut self, now: u64) {
         let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
         if pause > self.timing.heartbeat_ms {
-            self.known.update_all(|known| known.heard_at = now.min(known.heard_at + pause));
+            let excuse = |known: &mut Known| known.excused_until = now.min(known.silent_since() + pause);
+            self.known.update_all(excuse);
         }
     }
 
@@ -270,7 +271,8 @@
         };
         let changed = held.looks_other(&known);
         let heard_at = if held.recalled { known.heard_at } else { held.heard_at.max(known.heard_at) };
-        self.known.put(id, Known { heard_at, ..known });
+        let excused_until = held.excused_until;
+        self.known.put(id, Known { heard_at, excused_until, ..known });
         changed
     }
 
--- a/controlplane/registry/src/known.rs
+++ b/controlplane/registry/src/known.rs
@@ -22,7 +22,10 @@
     pub sequence: u64,
     /// 0 for one that is warm.
     pub cold_until: u64,
+    /// When a controller heard of it last: what the others are told.
     pub heard_at: u64,
+    /// Its silence before this time counts for nothing: this controller was cut off or stood still.
+    pub excused_until: u64,
     /// Known from before the start of this controller alone.
     pub recalled: bool,
 }
@@ -136,6 +139,7 @@
             sequence: heartbeat.sequence,
             cold_until: cold_end(now, heartbeat.cold_ms),
             heard_at: now,
+            excused_until: 0,
             recalled: false,
         }
     }
@@ -151,6 +155,7 @@
             sequence: record.sequence,
             cold_until,
             heard_at,
+            excused_until: 0,
             recalled: false,
         }
     }
@@ -162,6 +167,11 @@
         self.cold_until = self.cold_until.max(cold_until.unwrap_or(0));
     }
 
+    /// When the silence began that it may be taken for lost for.
+    pub fn silent_since(&self) -> u64 {
+        self.heard_at.max(self.excused_until)
+    }
+
     /// Whether balancers see a difference.
     pub fn looks_other(&self, newer: &Known) -> bool {
         let cold_moved = self.cold_until.abs_diff(newer.cold_until) > COLD_TOLERANCE_MS;
--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod catalog;
 mod connection;
+mod laws;
 mod link_list;
 mod report;
 mod sections;
@@ -16,5 +17,6 @@
 pub use agent::{Agent, AgentSettings, Input, Notice, Output};
 pub use catalog::{ControllerCatalog, Rank};
 pub use connection::ConnectionId;
+pub use laws::{AsDesigned, Laws};
 pub use selector::{LinkEvent, LinkSelector, LossReason};
 pub use shell::{AgentError, run};
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -5,9 +5,11 @@
 //! that are older than what its proxies have reported are taken.
 
 use std::collections::HashSet;
+use std::marker::PhantomData;
 
 use whinspindle_distribution::{Fleet, Holder, Instances, Update, Versions};
 
+use crate::laws::{AsDesigned, Laws};
 use crate::link_list::LinkList;
 
 /// For how long after it became the link a controller's lists take nothing away.
@@ -18,8 +20,9 @@
 const RECORDS_PATIENCE_MS: u64 = 3_000;
 
 /// What is held, and what waits.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct GuardedSections {
+#[derive(Clone, Debug)]
+pub(crate) struct GuardedSections<L = AsDesigned> {
+    laws: PhantomData<L>,
     holder: Holder,
     link_list: LinkList,
     settled_at: u64,
@@ -41,7 +44,22 @@
     fleet: Option<Fleet>,
 }
 
-impl GuardedSections {
+impl<L: Laws> GuardedSections<L> {
+    /// Nothing is held yet.
+    pub fn new() -> Self {
+        GuardedSections {
+            laws: PhantomData,
+            holder: Holder::default(),
+            link_list: LinkList::default(),
+            settled_at: 0,
+            in_quorum: false,
+            waiting: None,
+            records_open_at: None,
+            waiting_records: Update::default(),
+            floor: Versions::default(),
+        }
+    }
+
     /// Another controller is the link from now on.
     pub fn linked(&mut self, now: u64) {
         self.settled_at = now + SETTLING_MS;
@@ -151,7 +169,8 @@
     /// Where something is held, what is newer can be taken from any controller.
     fn may_take_records(&self, now: u64) -> bool {
         let holds_some = self.holder.configured().is_some();
-        self.in_quorum || holds_some || self.records_open_at.is_some_and(|at| now >= at)
+        let has_waited = self.records_open_at.is_some_and(|at| now >= at);
+        holds_some || L::takes_first_records(self.in_quorum || has_waited)
     }
 
     fn keep_waiting(&mut self, now: u64, update: &Update) {
