--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -64,6 +64,7 @@
     leaving: bool,
     compacting: bool,
     gossip_at: u64,
+    gossip_sent_at: u64,
     link_at: u64,
     expiry_at: u64,
     /// The registry's version that the publisher holds.
@@ -71,6 +72,10 @@
     /// The registry's count of withdrawals that the publisher holds.
     published_withdrawals: u64,
     instances_published_at: Option<u64>,
+    /// Something has changed that balancers are to be told at the next tick.
+    publication_waits: bool,
+    /// When each peer was sent a snapshot last.
+    snapshots_sent: BTreeMap<SocketAddr, u64>,
     /// The list of controllers that subscribers were told last.
     told_controllers: Vec<ControllerAddress>,
     actions: Vec<Action>,
@@ -118,11 +123,14 @@
             leaving: false,
             compacting: false,
             gossip_at: now,
+            gossip_sent_at: now,
             link_at: now,
             expiry_at: now,
             published_instances: 0,
             published_withdrawals: 0,
             instances_published_at: None,
+            publication_waits: false,
+            snapshots_sent: BTreeMap::new(),
             told_controllers: Vec::new(),
             actions: Vec::new(),
         };
@@ -199,7 +207,7 @@
         if links_are_due {
             self.send_links(now);
         }
-        if links_are_due || self.are_instances_due(now) {
+        if links_are_due || self.publication_waits || self.are_instances_due(now) {
             self.publish(now);
         }
     }
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -45,7 +45,7 @@
             HeartbeatEffect::Accepted { changed } => {
                 self.acknowledge_heartbeat(now, id);
                 if changed {
-                    self.instances_changed(now);
+                    self.changed_soon(now);
                 }
             }
             HeartbeatEffect::Stale => self.acknowledge_heartbeat(now, id),
--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod connection;
 mod laws;
+mod link_list;
 mod report;
 mod sections;
 mod selector;
--- a/dataplane/agent/src/sections.rs
+++ b/dataplane/agent/src/sections.rs
@@ -10,6 +10,7 @@
 use whinspindle_distribution::{Fleet, Holder, Instances, Update, Versions};
 
 use crate::laws::{AsDesigned, Laws};
+use crate::link_list::LinkList;
 
 /// For how long after it became the link a controller's lists take nothing away.
 const SETTLING_MS: u64 = 3_000;
@@ -23,6 +24,7 @@
 pub(crate) struct GuardedSections<L = AsDesigned> {
     laws: PhantomData<L>,
     holder: Holder,
+    link_list: LinkList,
     settled_at: u64,
     in_quorum: bool,
     waiting: Option<Waiting>,
@@ -48,6 +50,7 @@
         GuardedSections {
             laws: PhantomData,
             holder: Holder::default(),
+            link_list: LinkList::default(),
             settled_at: 0,
             in_quorum: false,
             waiting: None,
@@ -60,6 +63,7 @@
     /// Another controller is the link from now on.
     pub fn linked(&mut self, now: u64) {
         self.settled_at = now + SETTLING_MS;
+        self.link_list = LinkList::default();
         self.waiting = None;
         self.waiting_records = Update::default();
         self.records_open_at.get_or_insert(now + RECORDS_PATIENCE_MS);
@@ -79,6 +83,7 @@
 
     /// Takes an update of the link, and returns the news in it.
     pub fn apply(&mut self, now: u64, update: Update) -> Update {
+        let update = self.link_list.complete(now, update);
         let mut update = self.hold_back_records(now, update);
         if let Some(section) = &mut update.instances {
             self.take_ends(section);
