--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -256,8 +256,7 @@
     fn excuse_own_pause(&mut self, now: u64) {
         let pause = now - self.expired_at.replace(now).unwrap_or(now).min(now);
         if pause > self.timing.heartbeat_ms {
-            let excuse = |known: &mut Known| known.excused_until = now.min(known.silent_since() + pause);
-            self.known.update_all(excuse);
+            self.known.update_all(|known| known.excused_until = now.min(known.silent_since() + pause));
         }
     }
 
--- a/controlplane/registry/src/known.rs
+++ b/controlplane/registry/src/known.rs
@@ -128,6 +128,11 @@
 }
 
 impl Known {
+    /// When the silence began that it may be taken for lost for.
+    pub fn silent_since(&self) -> u64 {
+        self.heard_at.max(self.excused_until)
+    }
+
     /// As a heartbeat tells it.
     pub fn heard(now: u64, heartbeat: &Heartbeat) -> Self {
         Known {
