--- a/controlplane/registry/src/known.rs
+++ b/controlplane/registry/src/known.rs
@@ -172,11 +172,6 @@
         self.cold_until = self.cold_until.max(cold_until.unwrap_or(0));
     }
 
-    /// When the silence began that it may be taken for lost for.
-    pub fn silent_since(&self) -> u64 {
-        self.heard_at.max(self.excused_until)
-    }
-
     /// Whether balancers see a difference.
     pub fn looks_other(&self, newer: &Known) -> bool {
         let cold_moved = self.cold_until.abs_diff(newer.cold_until) > COLD_TOLERANCE_MS;
