--- a/controlplane/configuration/src/lib.rs
+++ b/controlplane/configuration/src/lib.rs
@@ -4,6 +4,7 @@
 mod heartbeat;
 mod host_regions;
 mod json;
+mod mechanism;
 mod number;
 mod raw_configuration;
 mod raw_settings;
@@ -15,4 +16,5 @@
 pub use heartbeat::{Heartbeat, HeartbeatError, InstanceState};
 pub use host_regions::{HostRegions, ServingRegions};
 pub use json::JsonError;
+pub use mechanism::{Mechanism, Mechanisms, UnknownMechanism};
 pub use settings::{Bounds, Listen, MachineLimits, Settings, SettingsError, SettingsFault, Tolerance};
--- /dev/null
+++ b/controlplane/configuration/src/mechanism.rs
@@ -0,0 +1,146 @@
+//! Mechanisms of decision that can be switched off one by one, to measure what each of them is worth.
+
+use snafu::{OptionExt, Snafu};
+
+/// One mechanism beside, or inside, the ordinary path of a decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    OwnRegionFirst,
+    OwnZoneFirst,
+    SolvedWeights,
+    FloorShare,
+    CrossingCost,
+    PassOver,
+    Holders,
+    HoldersAcrossRegions,
+    HolderBound,
+    UnreadBound,
+    Rests,
+    Silence,
+    FullAfterRejection,
+    FullByOwnSends,
+    RefusalWhenFull,
+    RefusalWhenDown,
+    RefusalPauses,
+    Repeats,
+    ColdShares,
+    SuspectedZones,
+    Priority,
+    StartWait,
+    Resumption,
+    SilenceMove,
+    Recall,
+}
+
+/// The name of each mechanism on the command line, and what happens without it.
+const TABLE: [(Mechanism, &str, &str); 25] = [
+    (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
+    (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
+    (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
+    (Mechanism::FloorShare, "floor-share", "a region's weight may fall to nothing"),
+    (
+        Mechanism::CrossingCost,
+        "crossing-cost",
+        "a crossing between regions counts for nothing in the weights",
+    ),
+    (Mechanism::PassOver, "pass-over", "the pick inside a region heeds no sends in flight"),
+    (Mechanism::Holders, "holders", "prompts go to any upstream, whatever it keeps"),
+    (
+        Mechanism::HoldersAcrossRegions,
+        "holders-across-regions",
+        "each region keeps large prefixes of its own",
+    ),
+    (Mechanism::HolderBound, "holder-bound", "a holder gets its prompts however many it has in flight"),
+    (Mechanism::UnreadBound, "unread-bound", "a holder gets its prompts whatever waits to be read there"),
+    (Mechanism::Rests, "rests", "upstreams that fail are sent to as before"),
+    (Mechanism::Silence, "silence", "an upstream that answers nothing is not taken for failed"),
+    (
+        Mechanism::FullAfterRejection,
+        "full-after-rejection",
+        "an upstream that said it is full is asked again at once",
+    ),
+    (Mechanism::FullByOwnSends, "full-by-own-sends", "own sends in flight never make an upstream full"),
+    (Mechanism::RefusalWhenFull, "refusal-when-full", "requests are sent where all upstreams are full"),
+    (Mechanism::RefusalWhenDown, "refusal-when-down", "requests are sent where all upstreams are down"),
+    (
+        Mechanism::RefusalPauses,
+        "refusal-pauses",
+        "the pause of a refusal is a part of the objective, whatever the reason",
+    ),
+    (Mechanism::Repeats, "repeats", "no request is sent to a second upstream that might run it"),
+    (Mechanism::ColdShares, "cold-shares", "cold upstreams are sent to like others (breaks FAILBACK)"),
+    (Mechanism::SuspectedZones, "suspected-zones", "upstreams are cold only once they say so"),
+    (Mechanism::Priority, "priority", "upstreams are told no priorities"),
+    (Mechanism::StartWait, "start-wait", "a process that has just started refuses what it can't place yet"),
+    (Mechanism::Resumption, "resumption", "a broken stream is cut, and its client may take it up"),
+    (Mechanism::SilenceMove, "silence-move", "a silent stream stays where it is"),
+    (Mechanism::Recall, "recall", "a controller that starts again remembers no upstreams and balancers"),
+];
+
+impl Mechanism {
+    /// All mechanisms, in the order in which they are listed.
+    pub fn all() -> impl Iterator<Item = Mechanism> {
+        TABLE.iter().map(|row| row.0)
+    }
+
+    /// The name on the command line.
+    pub fn name(self) -> &'static str {
+        TABLE[self as usize].1
+    }
+
+    /// What happens without it.
+    pub fn absence(self) -> &'static str {
+        TABLE[self as usize].2
+    }
+}
+
+/// A list names something that is no mechanism.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("unknown mechanism `{name}`; known: {}", known_names()))]
+pub struct UnknownMechanism {
+    pub name: String,
+}
+
+fn known_names() -> String {
+    let names: Vec<_> = Mechanism::all().map(Mechanism::name).collect();
+    names.join(", ")
+}
+
+/// Which mechanisms are on; by default all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// A bit for each mechanism that is off.
+    off: u32,
+}
+
+impl Mechanisms {
+    /// Reads names with commas between them: all mechanisms but these are on.
+    pub fn without(names: &str) -> Result<Mechanisms, UnknownMechanism> {
+        names.split(',').map(str::trim).filter(|name| !name.is_empty()).try_fold(
+            Mechanisms::default(),
+            |mechanisms, name| {
+                let found = Mechanism::all().find(|mechanism| mechanism.name() == name);
+                Ok(mechanisms.switch_off(found.context(UnknownMechanismSnafu { name })?))
+            },
+        )
+    }
+
+    /// The same without one more.
+    pub fn switch_off(self, mechanism: Mechanism) -> Mechanisms {
+        Mechanisms { off: self.off | bit(mechanism) }
+    }
+
+    /// Whether a mechanism is on.
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.off & bit(mechanism) == 0
+    }
+
+    /// The mechanisms that are off.
+    pub fn switched_off(self) -> impl Iterator<Item = Mechanism> {
+        Mechanism::all().filter(move |&mechanism| !self.has(mechanism))
+    }
+}
+
+fn bit(mechanism: Mechanism) -> u32 {
+    1 << mechanism as u32
+}
--- a/controlplane/configuration/src/raw_settings.rs
+++ b/controlplane/configuration/src/raw_settings.rs
@@ -11,6 +11,7 @@
 use nanoserde::{DeJson, DeJsonErr, DeJsonState, DeJsonTok};
 use snafu::{OptionExt, ResultExt, ensure};
 
+use crate::mechanism::Mechanisms;
 use crate::number::{RoundedUp, Whole};
 use crate::settings::{
     Bounds, InvalidAddressSnafu, InvalidValueSnafu, Listen, MachineLimits, MissingSnafu, Settings,
@@ -127,6 +128,7 @@
             heartbeat_ms: faults.take(convert_heartbeat(self.heartbeat_ms)),
             tolerate: self.tolerate.map(RawTolerance::convert).unwrap_or_default(),
             bounds: RawBounds(self.bounds.unwrap_or_default()).convert(&mut faults),
+            mechanisms: Mechanisms::default(),
         };
         if faults.0.is_empty() { Ok(settings) } else { Err(faults.0) }
     }
--- a/controlplane/configuration/src/settings.rs
+++ b/controlplane/configuration/src/settings.rs
@@ -7,6 +7,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::json::JsonError;
+use crate::mechanism::Mechanisms;
 use crate::raw_settings::RawSettings;
 
 /// What a process is told at its start.
@@ -30,6 +31,8 @@
     pub heartbeat_ms: u64,
     pub tolerate: Tolerance,
     pub bounds: Bounds,
+    /// Told by the command line, not by the file.
+    pub mechanisms: Mechanisms,
 }
 
 /// The addresses of what the role serves to others.
--- a/controlplane/controller/src/shell/disk.rs
+++ b/controlplane/controller/src/shell/disk.rs
@@ -64,8 +64,9 @@
     pub reports: reports::UnboundedReceiver<DiskReport>,
 }
 
-/// Opens the journal in a folder, on a thread of its own; waits until the disk can be read.
-pub async fn open(folder: PathBuf) -> Result<OpenedDisk, DiskError> {
+/// Opens the journal in a folder, on a thread of its own; waits until the disk can be read. What an earlier process
+/// remembered is reported only if the controller recalls it.
+pub async fn open(folder: PathBuf, recalls: bool) -> Result<OpenedDisk, DiskError> {
     let (jobs, job_receiver) = mpsc::channel();
     let (report_sender, reports) = reports::unbounded_channel();
     let (opened_sender, opened) = oneshot::channel();
@@ -73,7 +74,12 @@
         let found = open_journal(&folder);
         if opened_sender.send((found.recovered, found.was_damaged)).is_ok() {
             let Found { files, journal, .. } = found;
-            Worker { files, journal, memory: None, jobs: job_receiver, reports: report_sender }.run();
+            let mut worker =
+                Worker { files, journal, memory: None, jobs: job_receiver, reports: report_sender };
+            if recalls {
+                worker.recall();
+            }
+            worker.run();
         }
     };
     thread::Builder::new().name("disk".to_owned()).spawn(work).context(ThreadSnafu)?;
@@ -161,7 +167,6 @@
 
 impl Worker {
     fn run(mut self) {
-        self.recall();
         while let Ok(first) = self.jobs.recv() {
             let mut batch = Batch::default();
             let waiting: Vec<Job> = std::iter::once(first).chain(self.jobs.try_iter()).collect();
--- a/controlplane/controller/src/shell/program.rs
+++ b/controlplane/controller/src/shell/program.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc::UnboundedReceiver, watch};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
-use whinspindle_configuration::Settings;
+use whinspindle_configuration::{Mechanism, Settings};
 use whinspindle_distribution::ControllerAddress;
 use whinspindle_replica::{Output, Replica, ReplicaSettings, Timing, Tolerance};
 use whinspindle_storage::Recovered;
@@ -59,7 +59,8 @@
     let listeners = Listeners::open(&settings)?;
     let folder = settings.data_dir.clone().context(NoDataDirectorySnafu)?;
     let clock = Clock::start();
-    let Some(opened) = until(&mut stop, disk::open(folder)).await else { return Ok(()) };
+    let recalls = settings.mechanisms.has(Mechanism::Recall);
+    let Some(opened) = until(&mut stop, disk::open(folder, recalls)).await else { return Ok(()) };
     let OpenedDisk { disk, recovered, was_damaged, reports } = opened.context(DiskSnafu)?;
     let bootstrap = settings.bootstrap && !was_damaged;
     let (controller, actions) = start_controller(&settings, bootstrap, recovered, clock.now());
--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -9,11 +9,14 @@
 use http::{HeaderMap, Method, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
+use whinspindle_configuration::Mechanism;
 use whinspindle_routing::{Attempt, Choice, InstanceKey, InstanceTarget, Outcome};
 
 use crate::answers::RETRY_AFTER_MS;
 use crate::events::{EventSplitter, Position};
-use crate::headers::{EXPECT_VERSION, VERSIONS, keep_alive_ms, number, retry_after_ms, strip_hop_by_hop};
+use crate::headers::{
+    EXPECT_VERSION, PRIORITY, VERSIONS, keep_alive_ms, number, retry_after_ms, strip_hop_by_hop,
+};
 use crate::limits::BudgetShare;
 use crate::node::Node;
 use crate::pool::{Leased, NoLane};
@@ -179,7 +182,10 @@
     /// Whether the stream may go on at one more upstream.
     pub fn may_resume(&self) -> bool {
         let route = self.matched.route();
-        route.resumable && retry::may_run_again(self.matched.permission(), self.history)
+        let mechanisms = self.node.settings.mechanisms;
+        route.resumable
+            && mechanisms.has(Mechanism::Resumption)
+            && retry::may_run_again(self.matched.permission(), self.history)
     }
 
     /// From now on sends ask for what follows the events that were passed on.
@@ -303,7 +309,10 @@
         leased: &mut Leased,
         target: &InstanceTarget,
     ) -> Result<Response<Incoming>, Missed> {
-        let request = self.request.to_upstream(target, &self.matched, self.due, self.resume);
+        let mut request = self.request.to_upstream(target, &self.matched, self.due, self.resume);
+        if !self.node.settings.mechanisms.has(Mechanism::Priority) {
+            request.headers_mut().remove(PRIORITY);
+        }
         let before = leased.lane.written();
         self.in_flight = true;
         let answer = leased.lane.send(request).await;
--- a/dataplane/proxy/src/front.rs
+++ b/dataplane/proxy/src/front.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
-use whinspindle_configuration::RouteKind;
+use whinspindle_configuration::{Mechanism, RouteKind};
 
 use crate::answers::{Answer, AnswerBody, OwnAnswer, RETRY_AFTER_MS, close_after};
 use crate::clients::Busy;
@@ -60,7 +60,9 @@
     let body = read_body(body, most, &mut room, body_due).await?;
     let version = parts.version;
     let request = ClientRequest::new(parts, body, received);
-    node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
+    if node.settings.mechanisms.has(Mechanism::StartWait) {
+        node.informed((node.clock.start() + START).min(received + patience / START_PART)).await;
+    }
     let matched = match_route(node, &request)?;
     // The limits may have become known meanwhile.
     check_head(node, head_bytes)?;
--- a/dataplane/proxy/src/node.rs
+++ b/dataplane/proxy/src/node.rs
@@ -49,6 +49,7 @@
             zones: settings.zones.clone(),
             bounds: settings.bounds.clone(),
             heartbeat_ms: settings.heartbeat_ms,
+            mechanisms: settings.mechanisms,
             seed,
         };
         let grace = std::time::Duration::from_millis(settings.bounds.grace_ms);
--- a/dataplane/proxy/src/stream.rs
+++ b/dataplane/proxy/src/stream.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http::response;
 use tokio::time::{Instant, Sleep, sleep_until};
-use whinspindle_configuration::Route;
+use whinspindle_configuration::{Mechanism, Route};
 use whinspindle_routing::Outcome;
 
 use crate::answers::StreamCut;
@@ -105,7 +105,8 @@
         exchange.release();
         let node = Rc::clone(&exchange.node);
         let route = exchange.matched().route();
-        let silence = exchange.may_resume().then(|| Silence::new(silence_limit(route)));
+        let moves = exchange.may_resume() && node.settings.mechanisms.has(Mechanism::SilenceMove);
+        let silence = moves.then(|| Silence::new(silence_limit(route)));
         let due = Box::pin(sleep_until(exchange.due()));
         let position = open.run.as_ref().map(|run| run.splitter.position()).unwrap_or_default();
         let state = match open.run {
--- a/dataplane/routing/src/affinity.rs
+++ b/dataplane/routing/src/affinity.rs
@@ -86,10 +86,16 @@
         }
     }
 
-    pub(crate) fn has_room(&self, instance: &InstanceState) -> bool {
+    /// Whether the instance holds few enough of this balancer's sends.
+    pub(crate) fn has_place(&self, instance: &InstanceState) -> bool {
         let (count, in_flight) = self.regions[instance.region];
         let mean = in_flight / f64::max(count, 1.0);
         let most = (MOST_LOAD * mean).max(mean + self.extra_in_flight);
-        f64::from(instance.in_flight + 1) <= most && instance.unread_tokens as f64 <= self.most_unread
+        f64::from(instance.in_flight + 1) <= most
+    }
+
+    /// Whether few enough tokens of prompts wait there to be read.
+    pub(crate) fn has_read(&self, instance: &InstanceState) -> bool {
+        instance.unread_tokens as f64 <= self.most_unread
     }
 }
--- a/dataplane/routing/src/region.rs
+++ b/dataplane/routing/src/region.rs
@@ -76,9 +76,9 @@
 }
 
 /// Sets each region's share by its weight and its number of ready instances.
-pub(crate) fn set_shares(regions: &mut [RegionModel]) {
+pub(crate) fn set_shares(regions: &mut [RegionModel], has_floor: bool) {
     let weights = regions.iter().map(|region| region.each * region.ready).collect();
-    let floored = shares(weights, FLOOR_SHARE);
+    let floored = shares(weights, if has_floor { FLOOR_SHARE } else { 0.0 });
     regions.iter_mut().zip(floored).for_each(|(region, share)| region.share = share);
 }
 
@@ -113,7 +113,6 @@
         region.solved = (region.ready, line.2);
     }
     regions.iter_mut().zip(better.into_iter().flatten()).for_each(|(region, each)| region.each = each);
-    set_shares(regions);
 }
 
 fn changed(old: f64, new: f64) -> bool {
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexSet;
 use whinspindle::pcg::Pcg;
-use whinspindle_configuration::{Bounds, Configuration};
+use whinspindle_configuration::{Bounds, Configuration, Mechanism, Mechanisms};
 use whinspindle_distribution::{Fleet, Instance, Instances, RegionLoad, ServiceRegion};
 
 use crate::affinity::shared_prefix;
@@ -49,6 +49,7 @@
     pub bounds: Bounds,
     /// Time between two heartbeats of an instance.
     pub heartbeat_ms: u64,
+    pub mechanisms: Mechanisms,
     pub seed: u64,
 }
 
@@ -135,7 +136,8 @@
         self.grow(now);
         for told in &configuration.services {
             let id = self.catalogue.service(&told.name);
-            self.services[id].cold_per_s = if told.cold_per_s > 0.0 { told.cold_per_s } else { 0.0 };
+            let is_bounded = told.cold_per_s > 0.0 && self.settings.mechanisms.has(Mechanism::ColdShares);
+            self.services[id].cold_per_s = if is_bounded { told.cold_per_s } else { 0.0 };
         }
         self.average_targets();
         self.set_paces(now);
@@ -232,12 +234,15 @@
             service.note_arrival(now, place.bounds);
         }
         let is_repeat = tried.len() > facts.unreached;
-        let result = if is_repeat && !service.budget.has_token() {
+        let mechanisms = self.settings.mechanisms;
+        let may_repeat = mechanisms.has(Mechanism::Repeats) && service.budget.has_token();
+        let result = if is_repeat && !may_repeat {
             Err(RefusalReason::RetryBudget)
         } else if self.sends.len() >= ATTEMPT_CAPACITY {
             Err(RefusalReason::Full)
         } else {
-            let prefix = if route.sticky { shared_prefix(&facts.prompt) } else { None };
+            let keeps = route.sticky && mechanisms.has(Mechanism::Holders);
+            let prefix = if keeps { shared_prefix(&facts.prompt) } else { None };
             service.choose(&place, route, prefix, tried, &mut self.chance)
         };
         let instance = match result {
@@ -357,7 +362,7 @@
     fn grow(&mut self, now: u64) {
         let regions = self.catalogue.region_count();
         while self.services.len() < self.catalogue.service_count() {
-            let mut service = Service::new(now);
+            let mut service = Service::new(now, self.settings.mechanisms);
             service.budget.share_among(self.balancers.get(), &self.settings.bounds);
             self.services.push(service);
         }
@@ -382,6 +387,9 @@
         let instances = &mut self.services[service].instances;
         let instance = instances.entry(key).or_insert_with(|| InstanceState::new(target(), region));
         instance.update(now, told);
+        if !self.settings.mechanisms.has(Mechanism::FullByOwnSends) {
+            instance.slots = 0;
+        }
         instance.retired |= self.retired.contains(&told.id);
         instance.evacuated = self.evacuated.contains(&told.zone);
         instance.in_own_zone = told.zone == self.settings.zone;
@@ -435,6 +443,9 @@
 
     /// For how long an instance may be cold without having told it.
     fn suspect_ms(&self) -> u64 {
+        if !self.settings.mechanisms.has(Mechanism::SuspectedZones) {
+            return 0;
+        }
         self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS
     }
 
@@ -501,6 +512,9 @@
 /// Whether a send has been out for too long at an instance that has answered nobody since.
 fn is_silent(service: &Service, now: u64, send: &Send) -> bool {
     let instance = service.instances.get(&send.instance);
+    if !service.mechanisms.has(Mechanism::Silence) {
+        return false;
+    }
     let since_answer = instance.is_some_and(|instance| instance.health.last_answer() < send.sent_at);
     !send.answered && !send.struck && since_answer && send.sent_at + service.patience_ms() <= now
 }
@@ -550,6 +564,9 @@
     settings: &RouterSettings,
 ) -> f64 {
     let part_of_target = RETRY_AFTER_PART * route.target_ms as f64;
+    if !settings.mechanisms.has(Mechanism::RefusalPauses) {
+        return part_of_target;
+    }
     match reason {
         RefusalReason::Full | RefusalReason::RetryBudget => part_of_target,
         RefusalReason::Cold => service.cold_wait_ms(now).map_or(part_of_target, |wait| wait as f64),
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use whinspindle::pcg::Pcg;
-use whinspindle_configuration::Bounds;
+use whinspindle_configuration::{Bounds, Mechanism, Mechanisms};
 
 use crate::affinity::{Crowd, SharedPrefix, rank};
 use crate::budget::RetryBudget;
@@ -63,6 +63,7 @@
     /// Mean latency objective of the routes.
     pub(crate) target_ms: f64,
     pub(crate) pace: Option<ColdPace>,
+    pub(crate) mechanisms: Mechanisms,
     arrivals: RateCounter,
     home: HomePreference,
     /// Ready instances in the balancer's zone.
@@ -77,7 +78,7 @@
 }
 
 impl Service {
-    pub(crate) fn new(now: u64) -> Self {
+    pub(crate) fn new(now: u64, mechanisms: Mechanisms) -> Self {
         Service {
             instances: IndexMap::new(),
             regions: Vec::new(),
@@ -85,6 +86,7 @@
             cold_per_s: 0.0,
             target_ms: 0.0,
             pace: None,
+            mechanisms,
             arrivals: RateCounter::new(now),
             home: HomePreference::new(now),
             zone_ready: 0.0,
@@ -180,12 +182,16 @@
             now: place.now,
             home: place.home,
             rate: self.arrivals.per_second(place.now) * f64::from(place.balancers.max(1)),
-            crossing_ms: CROSSING_PART * self.target_ms,
+            crossing_ms: if self.has(Mechanism::CrossingCost) { CROSSING_PART * self.target_ms } else { 0.0 },
         };
+        if !self.has(Mechanism::SolvedWeights) {
+            return;
+        }
         let told = self.has_told_loads(place.now);
         let (now, balancers) = (place.now, place.balancers);
         let load = |region: &RegionModel| region_load(region, told, now, balancers);
         region::check(&mut self.regions, &mut self.solved, &conditions, load, chance);
+        region::set_shares(&mut self.regions, self.mechanisms.has(Mechanism::FloorShare));
     }
 
     /// Load for each ready instance of a region.
@@ -210,7 +216,10 @@
         let listed = self.instances.values().filter(|instance| instance.may_be_sent_to()).count();
         let ready = self.instances.values().filter(|instance| instance.is_ready(now)).count();
         let Some(instance) = self.instances.get_mut(&key) else { return };
-        if instance.health.failed() && ready > (listed / AWAKE_PART).max(1) {
+        if instance.health.failed()
+            && self.mechanisms.has(Mechanism::Rests)
+            && ready > (listed / AWAKE_PART).max(1)
+        {
             instance.health.rest(now);
             self.counted_at = 0;
         }
@@ -218,6 +227,9 @@
 
     pub(crate) fn note_rejected(&mut self, now: u64, key: InstanceKey) {
         let full_ms = (FULL_PART * self.usual_ms).clamp(FULL_MS.0, FULL_MS.1) as u64;
+        if !self.has(Mechanism::FullAfterRejection) {
+            return;
+        }
         if let Some(instance) = self.instances.get_mut(&key) {
             instance.rejected(now + full_ms);
         }
@@ -237,7 +249,9 @@
         }
         self.find_candidates(place.now, route, tried)?;
         let index = match prefix {
-            Some(prefix) if prefix.is_large() => self.holder(prefix, chance),
+            Some(prefix) if prefix.is_large() && self.has(Mechanism::HoldersAcrossRegions) => {
+                self.holder(prefix, chance)
+            }
             _ => {
                 self.keep_drawn_region(place, chance)?;
                 match prefix {
@@ -258,6 +272,10 @@
         cold.map(|instance| instance.cold_for_ms(now)).min()
     }
 
+    fn has(&self, mechanism: Mechanism) -> bool {
+        self.mechanisms.has(mechanism)
+    }
+
     fn has_told_loads(&self, now: u64) -> bool {
         self.told_loads_at.is_some_and(|at| at + TOLD_LOADS_MS >= now)
     }
@@ -275,7 +293,7 @@
                 self.zone_ready += if instance.in_own_zone { 1.0 } else { 0.0 };
             }
         }
-        region::set_shares(&mut self.regions);
+        region::set_shares(&mut self.regions, self.mechanisms.has(Mechanism::FloorShare));
     }
 
     /// Keeps the instances of the best standing that there is, in `candidates`.
@@ -302,8 +320,10 @@
         }
         match best {
             Standing::Open | Standing::ColdOpen | Standing::Resting => Ok(()),
-            Standing::Full => Err(RefusalReason::Full),
+            Standing::Full if self.has(Mechanism::RefusalWhenFull) => Err(RefusalReason::Full),
             Standing::ColdSpent => Err(RefusalReason::Cold),
+            Standing::Down if !self.has(Mechanism::RefusalWhenDown) => Ok(()),
+            Standing::Full => Ok(()),
             Standing::Down | Standing::Closed => Err(RefusalReason::NoUpstream),
         }
     }
@@ -313,7 +333,7 @@
         let region = self.draw_region(place, chance).ok_or(RefusalReason::NoUpstream)?;
         let instances = &self.instances;
         self.candidates.retain(|&index| instances[index].region == region);
-        if region == place.home {
+        if region == place.home && self.has(Mechanism::OwnZoneFirst) {
             self.prefer_own_zone(place, chance);
         }
         Ok(())
@@ -342,7 +362,7 @@
             self.weights[region] = self.regions[region].share.max(f64::MIN_POSITIVE);
         }
         let home_is_open = self.weights.get(place.home).is_some_and(|&weight| weight > 0.0);
-        if home_is_open {
+        if home_is_open && self.has(Mechanism::OwnRegionFirst) {
             let ready = self.regions[place.home].ready;
             if chance.unit() < self.stay_chance(place, ready, place.regions) {
                 return Some(place.home);
@@ -381,7 +401,8 @@
         let mut ties = 0;
         for &index in &self.candidates {
             let in_flight = self.instances[index].in_flight;
-            let crowding = if f64::from(in_flight + 1) > most { in_flight } else { 0 };
+            let is_crowded = self.has(Mechanism::PassOver) && f64::from(in_flight + 1) > most;
+            let crowding = if is_crowded { in_flight } else { 0 };
             let least = chosen.map_or(u32::MAX, |(least, _)| least);
             if crowding > least {
                 continue;
@@ -396,8 +417,13 @@
 
     /// The candidate that ranks highest for the prefix, passing over the crowded ones.
     fn holder(&self, prefix: SharedPrefix, chance: &mut Pcg) -> Option<usize> {
+        let has_unread_bound = self.has(Mechanism::UnreadBound);
         let crowd = Crowd::of(prefix, self.candidates.iter().map(|&index| &self.instances[index]));
-        let free = |&&index: &&usize| crowd.has_room(&self.instances[index]);
+        let has_bound = self.has(Mechanism::HolderBound);
+        let free = |&&index: &&usize| {
+            let instance = &self.instances[index];
+            (!has_bound || crowd.has_place(instance)) && (!has_unread_bound || crowd.has_read(instance))
+        };
         let highest = |&&index: &&usize| rank(prefix, self.instances[index].hash);
         let holder = self.candidates.iter().filter(free).max_by_key(highest).copied();
         holder.or_else(|| self.pick(chance))
--- a/dataplane/routing/tests/common/mod.rs
+++ b/dataplane/routing/tests/common/mod.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use whinspindle_configuration::{Backend, Bounds, Configuration, Limits, Route, RouteKind, Service};
+use whinspindle_configuration::{
+    Backend, Bounds, Configuration, Limits, Mechanisms, Route, RouteKind, Service,
+};
 use whinspindle_distribution::{Fleet, Instance, Instances, RegionLoad, ServiceRegion};
 use whinspindle_routing::{
     Attempt, Choice, InstanceKey, Outcome, PromptPart, Refusal, RequestFacts, Router, RouterSettings,
@@ -52,6 +54,7 @@
         zones: zones(),
         bounds: bounds(),
         heartbeat_ms: HEARTBEAT_MS,
+        mechanisms: Mechanisms::default(),
         seed,
     }
 }
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -6,6 +6,7 @@
 
 use pico_args::Arguments;
 use snafu::{ResultExt, Snafu};
+use whinspindle_configuration::{Mechanism, Mechanisms, UnknownMechanism};
 
 /// Names the settings file where `--settings` is not given.
 pub const SETTINGS_VARIABLE: &str = "WHINSPINDLE_CONFIG";
@@ -16,8 +17,10 @@
 pub const COMMANDS: [&str; 9] =
     ["proxy", "agent", "controller", "directory", "status", "members", "config", "evacuate", "serving-help"];
 
-/// What `whinspindle serving-help` prints.
-pub const HELP: &str = "\
+/// Stands in the help for the list of mechanisms.
+const MECHANISMS: &str = "{MECHANISMS}";
+
+const HELP: &str = "\
 Daemons of the serving system:
   whinspindle proxy       carries clients' requests to upstreams
   whinspindle agent       links the proxy of its machine to the control plane
@@ -25,6 +28,7 @@
   whinspindle directory   carries clients' questions where to connect to the controller of its machine
       --settings FILE     settings of the process (else $WHINSPINDLE_CONFIG, else /etc/whinspindle/boot.json)
       --log-level LEVEL   error, warn, info or debug; info by default
+      --without NAME,...  switches mechanisms of decision off, to measure what they are worth; names below
 
 Operator's commands, sent to any controller:
   whinspindle status --control ADDRESS                      the controller's state as JSON
@@ -35,8 +39,16 @@
   whinspindle config diff FILE --control ADDRESS            routes and services that differ from those in force
   whinspindle evacuate begin|finish ZONE --control ADDRESS  sends nothing more to a zone, or takes that back
 
+Mechanisms, and what happens without them (all but `recall` are the proxy's, that one is the controller's):
+{MECHANISMS}
 Exit status: 0 done; 1 refused or failed; 2 wrong arguments or settings.";
 
+/// What `whinspindle serving-help` prints.
+pub fn help() -> String {
+    let line = |mechanism: Mechanism| format!("  {:<24}{}\n", mechanism.name(), mechanism.absence());
+    HELP.replace(MECHANISMS, &Mechanism::all().map(line).collect::<String>())
+}
+
 /// What the command line asks for.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Command {
@@ -60,6 +72,8 @@
     pub program: Program,
     pub settings: PathBuf,
     pub log_level: LogLevel,
+    /// Those that are on.
+    pub mechanisms: Mechanisms,
 }
 
 /// The least severe lines that are logged.
@@ -95,6 +109,8 @@
     Argument { source: pico_args::Error },
     #[snafu(display("unexpected argument `{}`", argument.to_string_lossy()))]
     Surplus { argument: OsString },
+    #[snafu(display("`--without`: {source}"))]
+    Mechanism { source: UnknownMechanism },
     #[snafu(display("unknown log level `{name}`: error, warn, info or debug"))]
     Level { name: String },
 }
@@ -130,7 +146,9 @@
     let settings = settings.unwrap_or_else(default_settings);
     let log_level = arguments.opt_value_from_str::<_, String>("--log-level").context(ArgumentSnafu)?;
     let log_level = log_level.map_or(Ok(LogLevel::Info), level)?;
-    Ok(Command::Daemon(DaemonCommand { program, settings, log_level }))
+    let without = arguments.opt_value_from_str::<_, String>("--without").context(ArgumentSnafu)?;
+    let mechanisms = Mechanisms::without(&without.unwrap_or_default()).context(MechanismSnafu)?;
+    Ok(Command::Daemon(DaemonCommand { program, settings, log_level, mechanisms }))
 }
 
 fn config(arguments: &mut Arguments) -> Result<Command, CommandLineError> {
--- a/programs/serving/src/daemon.rs
+++ b/programs/serving/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use snafu::{ResultExt, Snafu, ensure};
-use spdlog::error;
+use spdlog::{error, warn};
 use tokio::task::LocalSet;
 use whinspindle_configuration::{Settings, SettingsError};
 
@@ -57,7 +57,11 @@
 
 fn start(command: &DaemonCommand) -> Result<(), DaemonError> {
     logging::start(command.log_level).context(LogSnafu)?;
-    let settings = read_settings(&command.settings)?;
+    let mut settings = read_settings(&command.settings)?;
+    settings.mechanisms = command.mechanisms;
+    for mechanism in settings.mechanisms.switched_off() {
+        warn!("without {}: {}", mechanism.name(), mechanism.absence());
+    }
     let keys = missing_keys(command.program, &settings);
     ensure!(keys.is_empty(), MissingSnafu { path: &command.settings, keys });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
--- a/programs/serving/src/lib.rs
+++ b/programs/serving/src/lib.rs
@@ -11,7 +11,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-use crate::command_line::{Command, HELP};
+use crate::command_line::{Command, help};
 
 /// Exit status for wrong arguments and for settings that cannot be used.
 const USAGE_STATUS: u8 = 2;
@@ -28,13 +28,13 @@
     let command = match command_line::parse(arguments) {
         Ok(command) => command,
         Err(error) => {
-            eprintln!("whinspindle: {error}\n\n{HELP}");
+            eprintln!("whinspindle: {error}\n\n{}", help());
             return ExitCode::from(USAGE_STATUS);
         }
     };
     match command {
         Command::Help => {
-            println!("{HELP}");
+            println!("{}", help());
             ExitCode::SUCCESS
         }
         Command::Daemon(daemon) => daemon::run(&daemon),
--- a/programs/serving/tests/command_line.rs
+++ b/programs/serving/tests/command_line.rs
@@ -3,8 +3,9 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use whinspindle_configuration::{Mechanism, Mechanisms};
 use whinspindle_serving::command_line::{
-    Command, CommandLineError, DaemonCommand, LogLevel, OperatorCommand, Program, parse,
+    Command, CommandLineError, DaemonCommand, LogLevel, OperatorCommand, Program, help, parse,
 };
 
 fn parsed(line: &str) -> Result<Command, CommandLineError> {
@@ -17,6 +18,7 @@
         program: Program::Controller,
         settings: PathBuf::from("a.json"),
         log_level: LogLevel::Debug,
+        mechanisms: Mechanisms::default(),
     };
     let line = parsed("controller --settings a.json --log-level debug").unwrap();
     assert_eq!(line, Command::Daemon(expected));
@@ -35,6 +37,36 @@
     }
 }
 
+#[test]
+fn mechanisms_are_switched_off_by_name() {
+    let Command::Daemon(daemon) = parsed("proxy --without holders,rests").unwrap() else {
+        panic!("a daemon")
+    };
+    let off: Vec<_> = daemon.mechanisms.switched_off().collect();
+    assert_eq!(off, [Mechanism::Holders, Mechanism::Rests]);
+}
+
+#[test]
+fn an_unknown_mechanism_is_refused_with_the_names_of_all() {
+    let refused = parsed("proxy --without holders,magic").unwrap_err().to_string();
+    assert!(
+        refused.starts_with("`--without`: unknown mechanism `magic`; known: own-region-first, "),
+        "{refused}"
+    );
+    for mechanism in Mechanism::all() {
+        assert!(refused.contains(mechanism.name()), "{refused}");
+    }
+}
+
+#[test]
+fn the_help_lists_each_mechanism_with_what_its_absence_does() {
+    let help = help();
+    for mechanism in Mechanism::all() {
+        let line = format!("  {:<24}{}\n", mechanism.name(), mechanism.absence());
+        assert!(help.contains(&line), "{line}");
+    }
+}
+
 #[test]
 fn operator_commands_name_a_controller() {
     let control = "10.0.0.1:8166".parse().unwrap();
