Directory: clients of a host that their region may not serve are led to its home regions

Change: /resolve names balancers of the host's home regions where the client's region is none; a controller that is cut off keeps the homes it last knew and presumes the leases that held then.

--- a/controlplane/controller/src/controller/disclosure.rs
+++ b/controlplane/controller/src/controller/disclosure.rs
@@ -17,7 +17,7 @@
         self.contact.observe(now, standing);
         let in_quorum = self.contact.is_in_quorum();
         self.registry.set_isolated(now, !in_quorum);
-        self.leases.set_isolated(!in_quorum);
+        self.leases.set_isolated(now, !in_quorum);
         if in_quorum && !had_quorum {
             // Balancers may wait for just that.
             self.send_links(now);
--- a/controlplane/controller/src/directory.rs
+++ b/controlplane/controller/src/directory.rs
@@ -31,16 +31,24 @@
 /// Addresses for a client: those of its zone, else those of its region, else all. Where these are too few, others of the
 /// region and then one of another region are added. None is ever outside of the client's region and the host's regions,
 /// also if no others are left: planned work may have taken the rest, and answers outlast their cause.
+///
+/// A host whose requests may not be served in the client's region is reached at balancers of its home regions: each
+/// request would have to go there in any case, and a client reaches them also where its own region does not.
 pub fn addresses_for(
     leases: &LeaseTable,
     now: u64,
     place: Place<'_>,
     host_regions: &ServingRegions,
 ) -> Vec<SocketAddr> {
+    if !host_regions.contains(place.region) {
+        let homes = leases.presumed(now).filter(|lease| host_regions.contains(&lease.region));
+        let homes: Vec<&Lease> = open_in_order(homes);
+        if homes.len() >= MIN_ADDRESSES {
+            return bounded(fronts(&homes, |_| true));
+        }
+    }
     let permitted = |lease: &&Lease| place.holds(lease) || host_regions.contains(&lease.region);
-    let mut open: Vec<&Lease> =
-        leases.live(now).filter(|lease| lease.ready && !lease.leaving).filter(permitted).collect();
-    open.sort_by_key(|lease| lease.front);
+    let open = open_in_order(leases.live(now).filter(permitted));
     let zone = fronts(&open, |lease| lease.zone == place.zone);
     if zone.len() >= MIN_ADDRESSES {
         return bounded(zone);
@@ -67,6 +75,13 @@
     Some(Bytes::from(body))
 }
 
+/// Those that take new clients, in a fixed order.
+fn open_in_order<'a>(leases: impl Iterator<Item = &'a Lease>) -> Vec<&'a Lease> {
+    let mut open: Vec<&Lease> = leases.filter(|lease| lease.ready && !lease.leaving).collect();
+    open.sort_by_key(|lease| lease.front);
+    open
+}
+
 fn fronts(open: &[&Lease], belongs: impl Fn(&Lease) -> bool) -> Vec<SocketAddr> {
     open.iter().filter(|lease| belongs(lease)).map(|lease| lease.front).collect()
 }
--- a/controlplane/controller/src/residency.rs
+++ b/controlplane/controller/src/residency.rs
@@ -19,9 +19,11 @@
 }
 
 impl Residency {
-    /// Takes the configuration of these records; none while the records aren't worth telling.
+    /// Takes the configuration of these records. While the records aren't worth telling there are none, and what was
+    /// worth it last stays: a controller that is cut off leads clients to the regions that could serve them before.
     pub fn refresh(&mut self, records: Option<&Records>) {
-        let record = records.and_then(|records| records.get(CONFIGURATION));
+        let Some(records) = records else { return };
+        let record = records.get(CONFIGURATION);
         let sequence = record.map(|record| record.sequence);
         if sequence == self.sequence {
             return;
--- a/controlplane/controller/tests/directory.rs
+++ b/controlplane/controller/tests/directory.rs
@@ -116,12 +116,15 @@
 
 #[test]
 fn clients_are_led_to_their_own_region_and_to_those_of_their_host_alone() {
-    let cases: [(&[u8], From, &str, &[u8]); 26] = [
+    let cases: [(&[u8], From, &str, &[u8]); 28] = [
         // All stand: two of the region are enough; a region of one has another in reserve, where the host allows it.
         (&ALL, FROM_NORTH, FREE, &[NORTH_A, NORTH_B]),
         (&ALL, FROM_NORTH, NORTH_AND_SOUTH, &[NORTH_A, NORTH_B]),
         (&ALL, FROM_NORTH, SOUTH_ALONE, &[NORTH_A, NORTH_B]),
         (&ALL, FROM_SOUTH, SOUTH_ALONE, &[SOUTH]),
+        // A host of another region is reached there; with one balancer there, those of the own region stand by.
+        (&ALL, FROM_WEST, NORTH_AND_SOUTH, &[NORTH_A, NORTH_B, SOUTH]),
+        (&[NORTH_A, SOUTH, WEST], FROM_WEST, NORTH_AND_SOUTH, &[NORTH_A, SOUTH]),
         (&ALL, FROM_WEST, SOUTH_ALONE, &[WEST, SOUTH]),
         (&ALL, FROM_WEST, NOWHERE, &[WEST]),
         (&ALL, FROM_NOWHERE, FREE, &ALL),
--- a/controlplane/registry/src/leases.rs
+++ b/controlplane/registry/src/leases.rs
@@ -71,13 +71,20 @@
     held: IndexMap<String, Held>,
     /// Nodes that renewed here since the last `take_changes`.
     unsent: BTreeSet<String>,
-    isolated: bool,
+    /// Since when this controller is cut off from the others, if it is.
+    isolated_since: Option<u64>,
     version: u64,
 }
 
 impl LeaseTable {
     pub fn new(timing: LeaseTiming) -> Self {
-        LeaseTable { timing, held: IndexMap::new(), unsent: BTreeSet::new(), isolated: false, version: 1 }
+        LeaseTable {
+            timing,
+            held: IndexMap::new(),
+            unsent: BTreeSet::new(),
+            isolated_since: None,
+            version: 1,
+        }
     }
 
     /// Takes a renewal; answers whether anything but the rates of sends is new.
@@ -143,8 +150,8 @@
     }
 
     /// While this controller is cut off from the others it keeps counting the balancers that it can't hear.
-    pub fn set_isolated(&mut self, isolated: bool) {
-        self.isolated = isolated;
+    pub fn set_isolated(&mut self, now: u64, isolated: bool) {
+        self.isolated_since = isolated.then(|| self.isolated_since.unwrap_or(now));
     }
 
     /// Ends leases that were not renewed and forgets the long lost; answers whether there were any.
@@ -154,7 +161,7 @@
             held.lost = !held.is_live(now, &self.timing);
             self.version += u64::from(held.lost);
         }
-        if !self.isolated {
+        if self.isolated_since.is_none() {
             let forgotten_after = self.timing.lease_ms + self.timing.hold_ms;
             let count = self.held.len();
             self.held.retain(|_, held| held.renewed_at + forgotten_after >= now);
@@ -168,11 +175,22 @@
         self.held.values().filter(move |held| held.is_live(now, &self.timing)).map(|held| &held.lease)
     }
 
+    /// The leases that hold, and those that held when this controller was cut off from the others: their balancers
+    /// can't be heard here, but clients may reach them.
+    pub fn presumed(&self, now: u64) -> impl Iterator<Item = &Lease> {
+        let held_at_cut = move |held: &Held| {
+            self.isolated_since.is_some_and(|since| held.renewed_at + 2 * self.timing.lease_ms >= since)
+        };
+        let presumed = move |held: &&Held| held.is_live(now, &self.timing) || held_at_cut(held);
+        self.held.values().filter(presumed).map(|held| &held.lease)
+    }
+
     /// How many balancers may be sending: those with a lease, and those that lost theirs a short while ago. A node
     /// that has started anew counts once.
     pub fn balancers(&self, now: u64) -> u32 {
         let forgotten_after = self.timing.lease_ms + self.timing.hold_ms;
-        let counted = |held: &&Held| self.isolated || held.renewed_at + forgotten_after >= now;
+        let counted =
+            |held: &&Held| self.isolated_since.is_some() || held.renewed_at + forgotten_after >= now;
         self.held.values().filter(counted).count() as u32
     }
 
--- a/controlplane/registry/tests/leases.rs
+++ b/controlplane/registry/tests/leases.rs
@@ -54,11 +54,11 @@
 fn an_isolated_controller_keeps_counting() {
     let mut table = table();
     table.renew(0, lease(1, "z1", "r1"));
-    table.set_isolated(true);
+    table.set_isolated(0, true);
     table.expire(100_000);
     assert_eq!(table.balancers(100_000), 1);
     assert_eq!(table.live(100_000).count(), 0);
-    table.set_isolated(false);
+    table.set_isolated(0, false);
     table.expire(100_001);
     assert_eq!(table.balancers(100_001), 0);
 }
