Router: zones and regions out of reach are passed over, and idle connections there

Cause: each balancer found out instance by instance, by requests written on idle connections (502 after 1.8 s) and by connections that took 0.25 s each, that a zone was dark or a region cut off. Change: two silent connections of a zone (three of a region) with nothing heard since close it; one send now and then tries it; after the first, idle connections there are dropped; one silence rests an instance.

--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -16,6 +16,7 @@
     HolderBound,
     UnreadBound,
     Rests,
+    Reachability,
     Silence,
     FullAfterRejection,
     FullByOwnSends,
@@ -33,7 +34,7 @@
 }
 
 /// The name of each mechanism on the command line, and what happens without it.
-const TABLE: [(Mechanism, &str, &str); 25] = [
+const TABLE: [(Mechanism, &str, &str); 26] = [
     (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
     (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
     (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
@@ -53,6 +54,11 @@
     (Mechanism::HolderBound, "holder-bound", "a holder gets its prompts however many it has in flight"),
     (Mechanism::UnreadBound, "unread-bound", "a holder gets its prompts whatever waits to be read there"),
     (Mechanism::Rests, "rests", "upstreams that fail are sent to as before"),
+    (
+        Mechanism::Reachability,
+        "reachability",
+        "zones and regions that can't be reached are tried by each request",
+    ),
     (Mechanism::Silence, "silence", "an upstream that answers nothing is not taken for failed"),
     (
         Mechanism::FullAfterRejection,
--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -273,12 +273,19 @@
         let target = self.node.router.borrow().target(instance).cloned();
         let Some(target) = target else { return Err(Missed::not_sent(Outcome::Cancelled)) };
         let most = self.node.most_connections(self.matched.service().max_conns);
-        let leased = self.node.pool.lease(instance, target.address, most).await;
+        let trusts_idle = !self.node.router.borrow().is_in_doubt(instance);
+        let leased = self.node.pool.lease(instance, target.address, most, trusts_idle).await;
         let mut leased = leased.map_err(|fault| {
             spdlog::debug!("{}: {fault}", target.id);
-            let full = matches!(fault, NoLane::Full);
-            Missed::not_sent(if full { Outcome::Cancelled } else { Outcome::Unreachable })
+            Missed::not_sent(match fault {
+                NoLane::Full => Outcome::Cancelled,
+                NoLane::Silent => Outcome::Silent,
+                NoLane::Refused { .. } | NoLane::Handshake { .. } => Outcome::Unreachable,
+            })
         })?;
+        if leased.lane.is_fresh() {
+            self.node.router.borrow_mut().heard(instance);
+        }
         // The connect may have taken a while.
         let wanted = self.node.router.borrow().may_still_send(instance);
         if !wanted || self.time_left() < LEAST_TIME {
--- a/dataplane/proxy/src/pool.rs
+++ b/dataplane/proxy/src/pool.rs
@@ -106,13 +106,19 @@
         Pool { connect, limits, total: Rc::default(), instances: RefCell::default() }
     }
 
-    /// A connection to the instance: an idle one, or a new one if no more than `most` are open.
+    /// A connection to the instance: an idle one, or a new one if no more than `most` are open. Idle ones that are not
+    /// to be trusted are dropped: what is written to an upstream that has gone dark may not be sent again, while a new
+    /// connection that does not come up costs a moment and nothing else.
     pub async fn lease(
         &self,
         instance: InstanceKey,
         address: SocketAddr,
         most: usize,
+        trusts_idle: bool,
     ) -> Result<Leased, NoLane> {
+        if !trusts_idle {
+            self.drop_idle(instance);
+        }
         while let Some(mut leased) = self.take_idle(instance) {
             if leased.lane.is_still_open().await {
                 return Ok(leased);
@@ -153,6 +159,12 @@
         self.total.get()
     }
 
+    fn drop_idle(&self, instance: InstanceKey) {
+        if let Some(lanes) = self.instances.borrow_mut().get_mut(&instance) {
+            lanes.idle.clear();
+        }
+    }
+
     /// The idle connection that was used last, so that those that are not needed grow old.
     fn take_idle(&self, instance: InstanceKey) -> Option<Leased> {
         let now = Instant::now();
--- a/dataplane/routing/src/catalogue.rs
+++ b/dataplane/routing/src/catalogue.rs
@@ -17,6 +17,8 @@
 pub(crate) type ServiceId = usize;
 /// Number of a region.
 pub(crate) type RegionId = usize;
+/// Number of a zone.
+pub(crate) type ZoneId = usize;
 
 /// What routing needs to know of a route.
 #[derive(Clone, Debug)]
@@ -41,6 +43,7 @@
 pub(crate) struct Catalogue {
     services: IndexSet<String>,
     regions: IndexSet<String>,
+    zones: IndexSet<String>,
     /// The newest one last.
     remembered: VecDeque<Remembered>,
 }
@@ -54,6 +57,10 @@
         intern(&mut self.regions, name)
     }
 
+    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+        intern(&mut self.zones, name)
+    }
+
     pub(crate) fn service_name(&self, service: ServiceId) -> &str {
         self.services.get_index(service).map_or("", String::as_str)
     }
--- a/dataplane/routing/src/health.rs
+++ b/dataplane/routing/src/health.rs
@@ -35,6 +35,12 @@
         self.strikes >= STRIKES
     }
 
+    /// A connection fell silent: that alone says enough.
+    pub(crate) fn fell_silent(&mut self) -> bool {
+        self.strikes = self.strikes.max(STRIKES);
+        true
+    }
+
     pub(crate) fn rest(&mut self, now: u64) {
         if now < self.resting_until {
             return;
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -4,7 +4,7 @@
 
 use crate::InstanceTarget;
 use crate::affinity::hash_id;
-use crate::catalogue::RegionId;
+use crate::catalogue::{RegionId, ZoneId};
 use crate::cold::{ColdPace, ColdShare};
 use crate::health::Health;
 
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct InstanceState {
     pub(crate) target: InstanceTarget,
+    pub(crate) zone: ZoneId,
     pub(crate) region: RegionId,
     /// Places it in the rendezvous hashing.
     pub(crate) hash: u64,
@@ -46,6 +47,8 @@
     pub(crate) health: Health,
     pub(crate) cold_share: ColdShare,
     pub(crate) evacuated: bool,
+    /// Its zone or region is taken to be out of reach until then; after that, one send tries it.
+    pub(crate) out_of_reach_until: u64,
     /// It stands in the balancer's zone.
     pub(crate) in_own_zone: bool,
     /// It takes no new requests, now or ever again.
@@ -62,10 +65,11 @@
 }
 
 impl InstanceState {
-    pub(crate) fn new(target: InstanceTarget, region: RegionId) -> Self {
+    pub(crate) fn new(target: InstanceTarget, zone: ZoneId, region: RegionId) -> Self {
         InstanceState {
             hash: hash_id(&target.id),
             target,
+            zone,
             region,
             slots: 0,
             in_flight: 0,
@@ -74,6 +78,7 @@
             health: Health::default(),
             cold_share: ColdShare::default(),
             evacuated: false,
+            out_of_reach_until: 0,
             in_own_zone: false,
             retired: false,
             unlisted_since: None,
@@ -126,7 +131,9 @@
 
     /// Open or resting, and not cold: counted as ready in its region.
     pub(crate) fn is_ready(&self, now: u64) -> bool {
-        self.may_be_sent_to() && !self.health.is_resting(now, self.unanswered)
+        self.may_be_sent_to()
+            && now >= self.out_of_reach_until
+            && !self.health.is_resting(now, self.unanswered)
     }
 
     /// `bears` is the rate that the service's cold instances bear, 0 for no bound.
@@ -134,6 +141,9 @@
         if !self.may_be_sent_to() {
             return Standing::Closed;
         }
+        if now < self.out_of_reach_until {
+            return Standing::Down;
+        }
         let resting = self.health.is_resting(now, self.unanswered);
         if bears > 0.0 && self.is_cold(now) {
             let room = pace.is_some_and(|pace| self.cold_share.has_room(now, pace));
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod home;
 mod instance;
 mod rate;
+mod reachability;
 mod region;
 mod request;
 mod router;
--- a/dataplane/routing/src/request.rs
+++ b/dataplane/routing/src/request.rs
@@ -73,6 +73,8 @@
     Misdirected,
     /// No connection could be made.
     Unreachable,
+    /// A new connection was neither taken nor turned down in time.
+    Silent,
     /// The connection broke or the answer was spoilt.
     Broken,
     /// The client left or the time was over before an answer.
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -15,6 +15,7 @@
 use crate::cold::ColdPace;
 use crate::even_draw::EvenDraw;
 use crate::instance::InstanceState;
+use crate::reachability::Reachability;
 use crate::region::CHECK_MS;
 use crate::service::{Place, Service};
 use crate::{Attempt, Choice, InstanceKey, Outcome, Refusal, RefusalReason, RequestFacts};
@@ -98,6 +99,7 @@
     retired: IndexSet<String>,
     evacuated: BTreeSet<String>,
     balancers: BalancerCount,
+    reachability: Reachability,
     sends: HashMap<Attempt, Send>,
     next_attempt: u64,
     next_check: u64,
@@ -124,6 +126,7 @@
             retired: IndexSet::new(),
             evacuated: BTreeSet::new(),
             balancers: BalancerCount::default(),
+            reachability: Reachability::default(),
             sends: HashMap::new(),
             next_attempt: 0,
             next_check: now + CHECK_MS,
@@ -256,10 +259,14 @@
             service.budget.take();
         }
         let send = begin_send(service, &place, id, instance, facts);
+        let (zone, region) = (service.instances[&instance].zone, service.instances[&instance].region);
         let send = Send { is_repeat, streaming: route.streaming, ..send };
         let attempt = Attempt(self.next_attempt);
         self.next_attempt += 1;
         self.sends.insert(attempt, send);
+        if self.reachability.note_send(now, zone, region) {
+            self.set_reach();
+        }
         Choice::Send { attempt, instance }
     }
 
@@ -268,6 +275,21 @@
         self.instance(instance).is_some_and(InstanceState::may_be_sent_to)
     }
 
+    /// Something has come on a connection to an instance: its zone and its region are within reach.
+    pub fn heard(&mut self, instance: InstanceKey) {
+        let Some(held) = self.instance(instance) else { return };
+        let (zone, region) = (held.zone, held.region);
+        if self.reachability.note_heard(zone, region) {
+            self.set_reach();
+        }
+    }
+
+    /// Whether connections to other instances of its zone or region have fallen silent, and nothing was heard from there
+    /// since: what is written on a connection that has been idle may be lost.
+    pub fn is_in_doubt(&self, instance: InstanceKey) -> bool {
+        self.instance(instance).is_some_and(|held| self.reachability.is_in_doubt(held.zone, held.region))
+    }
+
     /// The first event, or the head of an answer, has come.
     pub fn first_event(&mut self, now: u64, attempt: Attempt) {
         let Some(send) = self.sends.get_mut(&attempt).filter(|send| !send.answered) else { return };
@@ -306,16 +328,27 @@
                 self.note_answer(now, &send);
             }
             Outcome::Misdirected => self.retire(send.service, send.instance),
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::Silent => {
                 if send.is_repeat {
                     service.budget.give_back();
                 }
-                service.note_failure(now, send.instance);
+                service.note_failure(now, send.instance, outcome == Outcome::Silent);
+            }
+            Outcome::Failed | Outcome::Broken if !send.struck => {
+                service.note_failure(now, send.instance, false);
+            }
+            Outcome::Cancelled if is_silent(service, now, &send) => {
+                service.note_failure(now, send.instance, false);
             }
-            Outcome::Failed | Outcome::Broken if !send.struck => service.note_failure(now, send.instance),
-            Outcome::Cancelled if is_silent(service, now, &send) => service.note_failure(now, send.instance),
             Outcome::Failed | Outcome::Broken | Outcome::Cancelled => {}
         }
+        match outcome {
+            Outcome::Silent => self.note_silence(now, send.instance),
+            Outcome::Served | Outcome::Rejected | Outcome::Misdirected | Outcome::Failed => {
+                self.heard(send.instance);
+            }
+            Outcome::Unreachable | Outcome::Broken | Outcome::Cancelled => {}
+        }
     }
 
     /// Does what is due by time alone; answers when to call again at the latest.
@@ -373,6 +406,7 @@
         let service = self.catalogue.service(&told.service);
         let region_name = self.settings.zones.get(&told.zone).cloned().unwrap_or_default();
         let region = self.catalogue.region(&region_name);
+        let zone = self.catalogue.zone(&told.zone);
         self.grow(now);
         if told.draining {
             self.remember_retired(&told.id);
@@ -385,13 +419,14 @@
             region: region_name,
         };
         let instances = &mut self.services[service].instances;
-        let instance = instances.entry(key).or_insert_with(|| InstanceState::new(target(), region));
+        let instance = instances.entry(key).or_insert_with(|| InstanceState::new(target(), zone, region));
         instance.update(now, told);
         if !self.settings.mechanisms.has(Mechanism::FullByOwnSends) {
             instance.slots = 0;
         }
         instance.retired |= self.retired.contains(&told.id);
         instance.evacuated = self.evacuated.contains(&told.zone);
+        instance.out_of_reach_until = self.reachability.closed_until(zone, region);
         instance.in_own_zone = told.zone == self.settings.zone;
     }
 
@@ -435,6 +470,27 @@
         self.retired.insert(id.to_owned());
     }
 
+    fn note_silence(&mut self, now: u64, key: InstanceKey) {
+        if !self.settings.mechanisms.has(Mechanism::Reachability) {
+            return;
+        }
+        let Some(instance) = self.instance(key) else { return };
+        let (zone, region) = (instance.zone, instance.region);
+        self.reachability.note_silence(now, zone, region, key);
+        self.set_reach();
+    }
+
+    /// Tells the instances until when their places are out of reach.
+    fn set_reach(&mut self) {
+        let reachability = &self.reachability;
+        for service in &mut self.services {
+            for instance in service.instances.values_mut() {
+                instance.out_of_reach_until = reachability.closed_until(instance.zone, instance.region);
+            }
+            service.recount();
+        }
+    }
+
     fn note_answer(&mut self, now: u64, send: &Send) {
         if let Some(instance) = self.services[send.service].instances.get_mut(&send.instance) {
             instance.health.answered(now);
@@ -503,7 +559,7 @@
             let service = &mut self.services[send.service];
             if is_silent(service, now, send) {
                 send.struck = true;
-                service.note_failure(now, send.instance);
+                service.note_failure(now, send.instance, false);
             }
         }
     }
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -212,14 +212,12 @@
     }
 
     /// A send came to nothing; the instance may rest, unless most others do so already.
-    pub(crate) fn note_failure(&mut self, now: u64, key: InstanceKey) {
+    pub(crate) fn note_failure(&mut self, now: u64, key: InstanceKey, is_certain: bool) {
         let listed = self.instances.values().filter(|instance| instance.may_be_sent_to()).count();
         let ready = self.instances.values().filter(|instance| instance.is_ready(now)).count();
         let Some(instance) = self.instances.get_mut(&key) else { return };
-        if instance.health.failed()
-            && self.mechanisms.has(Mechanism::Rests)
-            && ready > (listed / AWAKE_PART).max(1)
-        {
+        let is_due = if is_certain { instance.health.fell_silent() } else { instance.health.failed() };
+        if is_due && self.mechanisms.has(Mechanism::Rests) && ready > (listed / AWAKE_PART).max(1) {
             instance.health.rest(now);
             self.counted_at = 0;
         }
@@ -264,6 +262,11 @@
         Ok(key)
     }
 
+    /// Ready instances are counted anew before the next choice.
+    pub(crate) fn recount(&mut self) {
+        self.counted_at = 0;
+    }
+
     /// Milliseconds until the first cold instance is warm. There is less room than requests until then, so that those
     /// that came back for this balancer's next share would be turned away again.
     pub(crate) fn cold_wait_ms(&self, now: u64) -> Option<u64> {
