--- a/coordination/replica/tests/faults.rs
+++ b/coordination/replica/tests/faults.rs
@@ -227,6 +227,31 @@
     }
 }
 
+/// Five voters for two losses, and a sixth replica that follows; power goes at the moment of an acknowledgement, or when
+/// the next write is on its way.
+#[test]
+fn two_disks_lost_while_all_others_lose_power_at_that_moment_lose_nothing() {
+    const REPLICAS: usize = 6;
+    let pairs = (0..REPLICAS).flat_map(|one| (one + 1..REPLICAS).map(move |other| (one, other)));
+    for (one, other) in pairs {
+        let (mut cluster, mut clients) = settled((one * REPLICAS + other) as u64, REPLICAS, 2);
+        let took = clients.write_within(&mut cluster, endpoint(other), 1_000);
+        assert!(took.is_some(), "acknowledged before the loss");
+        clients.begin(&mut cluster, endpoint(one), "register-0", Asked::Get);
+        let moment = cluster.now() + (one + 3 * other) as u64 % 20;
+        clients.run_until(&mut cluster, moment);
+        (0..REPLICAS).for_each(|number| cluster.stop(endpoint(number)));
+        cluster.wipe(endpoint(one));
+        cluster.wipe(endpoint(other));
+        let until = cluster.now() + 3_000;
+        clients.run_until(&mut cluster, until);
+        (0..REPLICAS).for_each(|number| cluster.start(endpoint(number)));
+        let took = serves(&mut cluster, &mut clients, &[], "two wiped");
+        println!("disks {one} and {other} lost with all power: {took} ms");
+        converges(&mut cluster, &mut clients, 5, "two wiped");
+    }
+}
+
 #[test]
 fn an_empty_machine_at_another_address_replaces_a_member() {
     for victim in 0..3 {
