Instances are not divided among large common first parts: tried and reverted

While balancers still learn which parts are common they divide differently and holders move; once caches are full there is nothing left to gain.

--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -13,7 +13,6 @@
     PassOver,
     Holders,
     HoldersAcrossRegions,
-    CommonParts,
     HolderBound,
     UnreadBound,
     Rests,
@@ -35,7 +34,7 @@
 }
 
 /// The name of each mechanism on the command line, and what happens without it.
-const TABLE: [(Mechanism, &str, &str); 27] = [
+const TABLE: [(Mechanism, &str, &str); 26] = [
     (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
     (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
     (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
@@ -52,11 +51,6 @@
         "holders-across-regions",
         "each region keeps large prefixes of its own",
     ),
-    (
-        Mechanism::CommonParts,
-        "common-parts",
-        "holders of prompts that begin alike are spread over all upstreams",
-    ),
     (Mechanism::HolderBound, "holder-bound", "a holder gets its prompts however many it has in flight"),
     (Mechanism::UnreadBound, "unread-bound", "a holder gets its prompts whatever waits to be read there"),
     (Mechanism::Rests, "rests", "upstreams that fail are sent to as before"),
--- a/dataplane/routing/src/affinity.rs
+++ b/dataplane/routing/src/affinity.rs
@@ -11,15 +11,13 @@
 /// Prompts that wait there to be read may have so many tokens above the mean as reading the prefix so often would take.
 const READS_WAITED: f64 = 1.0;
 /// From so many shared tokens on, reading them anew takes longer, and costs more, than a crossing between regions.
-pub(crate) const LARGE_TOKENS: u32 = 1_000;
+const LARGE_TOKENS: u32 = 1_000;
 
 /// The chain of shared parts that begins a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SharedPrefix {
     pub(crate) hash: u64,
     pub(crate) tokens: u32,
-    /// The first part, where it is large and others that follow it are shared too.
-    pub(crate) first: Option<u64>,
 }
 
 impl SharedPrefix {
@@ -35,8 +33,7 @@
     let chain = if shared.is_empty() { std::slice::from_ref(own) } else { shared };
     let hash = chain.iter().fold(0, |hash, part| mix(hash ^ part.id));
     let tokens = shared.iter().fold(0u32, |sum, part| sum.saturating_add(part.tokens));
-    let first = shared.first().filter(|first| shared.len() > 1 && first.tokens >= LARGE_TOKENS);
-    Some(SharedPrefix { hash, tokens, first: first.map(|first| first.id) })
+    Some(SharedPrefix { hash, tokens })
 }
 
 /// The same for an instance's id on every balancer.
@@ -52,7 +49,7 @@
 }
 
 /// The finalizer of SplitMix64: spreads each bit over all.
-pub(crate) fn mix(value: u64) -> u64 {
+fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -9,7 +9,6 @@
 mod budget;
 mod catalogue;
 mod cold;
-mod common_parts;
 mod even_draw;
 mod health;
 mod home;
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -10,7 +10,6 @@
 use crate::budget::RetryBudget;
 use crate::catalogue::{RegionId, RoutePlan};
 use crate::cold::ColdPace;
-use crate::common_parts::CommonParts;
 use crate::home::{HomePreference, Traffic};
 use crate::instance::{InstanceState, Standing};
 use crate::rate::RateCounter;
@@ -66,7 +65,6 @@
     pub(crate) pace: Option<ColdPace>,
     pub(crate) mechanisms: Mechanisms,
     arrivals: RateCounter,
-    common_parts: CommonParts,
     home: HomePreference,
     /// Ready instances in the balancer's zone.
     zone_ready: f64,
@@ -90,7 +88,6 @@
             pace: None,
             mechanisms,
             arrivals: RateCounter::new(now),
-            common_parts: CommonParts::default(),
             home: HomePreference::new(now),
             zone_ready: 0.0,
             told_loads_at: None,
@@ -249,9 +246,6 @@
             self.count_ready(place.now);
         }
         self.find_candidates(place.now, route, tried)?;
-        if let Some(first) = prefix.and_then(|prefix| prefix.first) {
-            self.common_parts.note(place.now, first, place.bounds.again_ms);
-        }
         let index = match prefix {
             Some(prefix) if prefix.is_large() && self.has(Mechanism::HoldersAcrossRegions) => {
                 self.holder(prefix, chance)
@@ -433,14 +427,7 @@
             let instance = &self.instances[index];
             (!has_bound || crowd.has_place(instance)) && (!has_unread_bound || crowd.has_read(instance))
         };
-        let first = prefix.first.filter(|&first| {
-            self.has(Mechanism::CommonParts) && self.common_parts.divide(first, self.candidates.len())
-        });
-        let belongs = |hash: u64| first.is_none_or(|first| self.common_parts.part_of(hash) == Some(first));
-        let highest = |&&index: &&usize| {
-            let hash = self.instances[index].hash;
-            (belongs(hash), rank(prefix, hash))
-        };
+        let highest = |&&index: &&usize| rank(prefix, self.instances[index].hash);
         let holder = self.candidates.iter().filter(free).max_by_key(highest).copied();
         holder.or_else(|| self.pick(chance))
     }
