--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -94,7 +94,17 @@
     }
 
     fn answer_status(&mut self, now: u64, id: CallId) {
-        let body = status::describe(&status::Summary {
+        let body = status::describe(&self.summary(now));
+        self.answer(id, Response::ok(body));
+    }
+
+    /// The controller's figures as OpenMetrics text.
+    pub fn metrics(&self, now: u64) -> String {
+        status::metrics(&self.summary(now))
+    }
+
+    fn summary(&self, now: u64) -> status::Summary<'_> {
+        status::Summary {
             node: &self.settings.node,
             replica: &self.replica,
             registry: &self.registry,
@@ -104,8 +114,7 @@
             orders: &self.pending,
             leaving: self.leaving,
             now,
-        });
-        self.answer(id, Response::ok(body));
+        }
     }
 
     pub(super) fn answer(&mut self, id: CallId, response: Response) {
--- a/controlplane/controller/src/shell/node.rs
+++ b/controlplane/controller/src/shell/node.rs
@@ -71,6 +71,11 @@
 }
 
 impl Node {
+    /// The controller's figures as OpenMetrics text.
+    pub fn metrics(&self) -> String {
+        self.controller.metrics(self.clock.now())
+    }
+
     pub fn new(clock: Clock, controller: Controller, peers: PeerLinks, disk: Disk) -> Node {
         Node {
             clock,
--- a/controlplane/controller/src/shell/program.rs
+++ b/controlplane/controller/src/shell/program.rs
@@ -16,6 +16,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use whinspindle_configuration::{Mechanism, Settings};
 use whinspindle_distribution::ControllerAddress;
+use whinspindle_metrics::MetricsEndpoint;
 use whinspindle_replica::{Output, Replica, ReplicaSettings, Timing, Tolerance};
 use whinspindle_storage::Recovered;
 
@@ -52,8 +53,9 @@
     Signals { source: std::io::Error },
 }
 
-/// Runs the controller until the process is told to stop. To be called inside a `LocalSet`.
-pub async fn run(settings: Settings) -> Result<(), ControllerError> {
+/// Runs the controller until the process is told to stop. To be called inside a `LocalSet`. Its figures are served at
+/// `metrics`, if given.
+pub async fn run(settings: Settings, metrics: Option<MetricsEndpoint>) -> Result<(), ControllerError> {
     let mut stop = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let listeners = Listeners::open(&settings)?;
@@ -74,6 +76,14 @@
     listeners.accept_all(&node, &server);
     spawn_local(take_disk_reports(reports, Rc::clone(&node)));
     spawn_local(tick(Rc::clone(&node)));
+    if let Some(endpoint) = metrics {
+        let watched = Rc::clone(&node);
+        spawn_local(whinspindle_metrics::serve(
+            settings.ip,
+            endpoint,
+            Rc::new(move || watched.borrow().metrics()),
+        ));
+    }
     info!("controller {} serves {} and {own}", settings.node, described(settings.listen.control));
     wait_for_stop(&mut stop, &mut reload).await;
     info!("controller {} stops", settings.node);
--- a/controlplane/controller/src/status.rs
+++ b/controlplane/controller/src/status.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use whinspindle_distribution::Publisher;
+use whinspindle_metrics::Figures;
 use whinspindle_registry::{InstanceRegistry, LeaseTable};
 use whinspindle_replica::{Replica, Voter};
 
@@ -38,10 +39,32 @@
     Bytes::from(json)
 }
 
-fn push_fields(json: &mut String, summary: &Summary<'_>) {
+/// The same figures as OpenMetrics text.
+pub fn metrics(summary: &Summary<'_>) -> String {
+    let mut figures = Figures::default();
+    for (name, value) in fields(summary) {
+        let name = format!("controller_{name}");
+        figures.gauge(&name, "As in the controller's status", [([].as_slice(), value as f64)]);
+    }
+    let counts = [
+        ("controller_balancers", "Balancers that hold a lease", summary.leases.live(summary.now).count()),
+        (
+            "controller_fatal_losses",
+            "Kinds of tolerated losses without a majority",
+            summary.replica.fatal_losses().len(),
+        ),
+        ("controller_chain_length", "Members of the chain", summary.replica.view().chain.len()),
+    ];
+    for (name, help, value) in counts {
+        figures.gauge(name, help, [([].as_slice(), value as f64)]);
+    }
+    figures.into_text()
+}
+
+fn fields(summary: &Summary<'_>) -> [(&'static str, u64); 14] {
     let versions = summary.publisher.versions();
     let orders_answered = summary.orders.counts();
-    let fields = [
+    [
         ("in_quorum", u64::from(summary.in_quorum)),
         ("leaving", u64::from(summary.leaving)),
         ("pending_orders", summary.orders.len() as u64),
@@ -56,8 +79,11 @@
         ("published_fleet", versions.fleet),
         ("instances", summary.registry.len() as u64),
         ("subscribers", summary.publisher.subscribers().count() as u64),
-    ];
-    for (name, value) in fields {
+    ]
+}
+
+fn push_fields(json: &mut String, summary: &Summary<'_>) {
+    for (name, value) in fields(summary) {
         push_number(json, name, value);
     }
 }
--- /dev/null
+++ b/crates/metrics/src/lib.rs
@@ -0,0 +1,9 @@
+//! A process's own figures, served as OpenMetrics text on an address of the operator's choice.
+
+mod endpoint;
+mod gauges;
+mod server;
+
+pub use endpoint::{MetricsEndpoint, MetricsEndpointError};
+pub use gauges::Figures;
+pub use server::serve;
--- /dev/null
+++ b/dataplane/proxy/src/figures.rs
@@ -0,0 +1,71 @@
+//! The proxy's own figures, read from its state when somebody asks.
+
+use whinspindle_metrics::Figures;
+use whinspindle_routing::{RegionFigures, ServiceFigures};
+
+use crate::node::Node;
+
+/// The figures of this moment as OpenMetrics text.
+pub fn text(node: &Node) -> String {
+    let mut figures = Figures::default();
+    add_requests(&mut figures, node);
+    let services = node.router.borrow().figures(node.clock.now_ms());
+    add_services(&mut figures, &services);
+    figures.into_text()
+}
+
+fn add_requests(figures: &mut Figures, node: &Node) {
+    let counts = node.tally.totals();
+    let names: Vec<(String, u64)> =
+        counts.iter().map(|(event, count)| (format!("{event:?}"), *count)).collect();
+    let labels: Vec<[(&str, &str); 1]> = names.iter().map(|(name, _)| [("event", name.as_str())]).collect();
+    let counted = labels.iter().zip(&names).map(|(labels, (_, count))| (labels.as_slice(), *count));
+    figures.count("requests", "Answers, streams and sends by how they ended", counted);
+    let open = node.pool.open() as f64;
+    figures.gauge("upstream_connections", "Open connections to upstreams", [([].as_slice(), open)]);
+    let is_ready = if node.is_ready() { 1.0 } else { 0.0 };
+    figures.gauge("ready", "1 while the proxy takes clients", [([].as_slice(), is_ready)]);
+}
+
+fn add_services(figures: &mut Figures, services: &[ServiceFigures]) {
+    let labels: Vec<_> = services.iter().map(|service| [("service", service.service.as_str())]).collect();
+    let left = labels.iter().zip(services).map(|(labels, service)| (labels.as_slice(), service.repeats_left));
+    figures.gauge("repeats_left", "Repeated sends that this balancer's part of the budget allows", left);
+    add_regions(figures, services, "region_share", "Weight by which the region is drawn", |region| {
+        region.share
+    });
+    add_regions(
+        figures,
+        services,
+        "upstreams_ready",
+        "Upstreams that may be sent to and don't rest",
+        |region| region.ready as f64,
+    );
+    add_regions(figures, services, "upstreams_cold", "Upstreams that are cold", |region| region.cold as f64);
+    add_regions(figures, services, "upstreams_resting", "Upstreams that rest after failures", |region| {
+        region.resting as f64
+    });
+    add_regions(figures, services, "upstreams_out_of_reach", "Upstreams in places out of reach", |region| {
+        region.out_of_reach as f64
+    });
+    add_regions(figures, services, "sends_in_flight", "This balancer's sends under way", |region| {
+        region.in_flight as f64
+    });
+}
+
+fn add_regions(
+    figures: &mut Figures,
+    services: &[ServiceFigures],
+    name: &str,
+    help: &str,
+    value: impl Fn(&RegionFigures) -> f64,
+) {
+    let regions: Vec<([(&str, &str); 2], f64)> = services
+        .iter()
+        .flat_map(|service| service.regions.iter().map(move |region| (service, region)))
+        .map(|(service, region)| {
+            ([("service", service.service.as_str()), ("region", region.region.as_str())], value(region))
+        })
+        .collect();
+    figures.gauge(name, help, regions.iter().map(|(labels, value)| (labels.as_slice(), *value)));
+}
--- a/dataplane/proxy/src/lib.rs
+++ b/dataplane/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod exchange;
 pub mod feed;
+pub mod figures;
 pub mod front;
 pub mod head_watch;
 pub mod headers;
@@ -33,6 +34,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
 use whinspindle_configuration::Settings;
+use whinspindle_metrics::MetricsEndpoint;
 
 use crate::clients::Clients;
 use crate::connect::TcpConnect;
@@ -53,12 +55,13 @@
     Signals { source: std::io::Error },
 }
 
-/// Runs the proxy until it is told to stop and its clients have their answers. Wants a runtime of one thread.
-pub async fn run(settings: Settings) -> Result<(), ProxyError> {
-    LocalSet::new().run_until(serve(settings)).await
+/// Runs the proxy until it is told to stop and its clients have their answers. Wants a runtime of one thread. Its figures
+/// are served at `metrics`, if given.
+pub async fn run(settings: Settings, metrics: Option<MetricsEndpoint>) -> Result<(), ProxyError> {
+    LocalSet::new().run_until(serve(settings, metrics)).await
 }
 
-async fn serve(settings: Settings) -> Result<(), ProxyError> {
+async fn serve(settings: Settings, metrics: Option<MetricsEndpoint>) -> Result<(), ProxyError> {
     let signals = Signals::catch().context(SignalsSnafu)?;
     let front = settings.listen.front.context(NoAddressSnafu { name: "front" })?;
     let ready = settings.listen.ready.context(NoAddressSnafu { name: "ready" })?;
@@ -70,6 +73,11 @@
     spawn_local(ready::run(ready_listener, Rc::clone(&node)));
     spawn_local(feed::run(Rc::clone(&node), Identity { front, incarnation: random_number() }));
     spawn_local(tick(Rc::clone(&node), Rc::clone(&clients)));
+    if let Some(endpoint) = metrics {
+        let watched = Rc::clone(&node);
+        let text = Rc::new(move || figures::text(&watched));
+        spawn_local(whinspindle_metrics::serve(node.settings.ip, endpoint, text));
+    }
     tokio::select! {
         () = clients::run(front_listener, Rc::clone(&node), clients) => {}
         () = node.stop.answering_ends() => spdlog::warn!("stopping with answers under way"),
--- a/dataplane/proxy/src/tally.rs
+++ b/dataplane/proxy/src/tally.rs
@@ -28,10 +28,11 @@
     SendUnsent,
 }
 
-/// Counts since the last line.
+/// Counts since the start of the process, and those that the last line told.
 #[derive(Default)]
 pub struct Tally {
-    counts: RefCell<BTreeMap<Event, u64>>,
+    totals: RefCell<BTreeMap<Event, u64>>,
+    told: RefCell<BTreeMap<Event, u64>>,
     looks: Cell<u32>,
 }
 
@@ -40,18 +41,26 @@
 
 impl Tally {
     pub fn note(&self, event: Event) {
-        *self.counts.borrow_mut().entry(event).or_default() += 1;
+        *self.totals.borrow_mut().entry(event).or_default() += 1;
     }
 
-    /// What has been counted, once it is time for a line; to be called regularly.
+    /// What has been counted since the start of the process.
+    pub fn totals(&self) -> BTreeMap<Event, u64> {
+        self.totals.borrow().clone()
+    }
+
+    /// What has been counted since the last line, once it is time for a line; to be called regularly.
     pub fn look(&self) -> Option<String> {
         self.looks.set(self.looks.get() + 1);
         if self.looks.get() < LOOKS {
             return None;
         }
         self.looks.set(0);
-        let counts = self.counts.take();
-        let words: Vec<String> = counts.iter().map(|(event, count)| format!("{event:?} {count}")).collect();
+        let totals = self.totals();
+        let told = self.told.replace(totals.clone());
+        let since = |(event, count): (&Event, &u64)| (*event, count - told.get(event).unwrap_or(&0));
+        let counts = totals.iter().map(since).filter(|(_, count)| *count > 0);
+        let words: Vec<String> = counts.map(|(event, count)| format!("{event:?} {count}")).collect();
         (!words.is_empty()).then(|| words.join(", "))
     }
 }
--- /dev/null
+++ b/dataplane/proxy/tests/figures.rs
@@ -0,0 +1,52 @@
+//! What the proxy tells whoever scrapes its figures.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod common;
+
+use std::time::Duration;
+
+use common::{World, play, post, served, status};
+use tokio::time::sleep;
+use whinspindle_proxy::figures::text;
+
+#[test]
+fn requests_upstreams_and_places_out_of_reach_are_told() {
+    play(async {
+        let world = World::new();
+        world.upstreams.script(served("ok"));
+        assert_eq!(status(&world.ask(&post("/unsafe/a")).await), 200);
+        let told = text(&world.node);
+        for line in [
+            "whinspindle_requests_total{event=\"Answered\"} 1\n",
+            "whinspindle_ready{} 1.0\n",
+            "whinspindle_upstream_connections{} 1.0\n",
+            "whinspindle_upstreams_ready{service=\"plain\",region=\"r1\"} 3.0\n",
+            "whinspindle_upstreams_out_of_reach{service=\"model\",region=\"r1\"} 0.0\n",
+            "whinspindle_region_share{service=\"plain\",region=\"r1\"} 1.0\n",
+        ] {
+            assert!(told.contains(line), "{line} in {told}");
+        }
+        world.upstreams.connect_time.set(Duration::from_secs(1));
+        assert_eq!(status(&world.ask(&post("/stream/a")).await), 503);
+        let told = text(&world.node);
+        let line = "whinspindle_upstreams_out_of_reach{service=\"model\",region=\"r1\"} 3.0\n";
+        assert!(told.contains(line), "{told}");
+        assert!(told.contains("event=\"Refused\"} 1\n"), "{told}");
+    });
+}
+
+/// The log tells what came since its last line, the figures what came since the start.
+#[test]
+fn counts_never_fall() {
+    play(async {
+        let world = World::new();
+        for _ in 0..3 {
+            world.upstreams.script(served("ok"));
+            assert_eq!(status(&world.ask(&post("/unsafe/a")).await), 200);
+            world.pass(Duration::from_secs(11)).await;
+        }
+        sleep(Duration::from_millis(10)).await;
+        let told = text(&world.node);
+        assert!(told.contains("whinspindle_requests_total{event=\"Answered\"} 3\n"), "{told}");
+    });
+}
--- a/dataplane/routing/src/budget.rs
+++ b/dataplane/routing/src/budget.rs
@@ -29,6 +29,10 @@
         self.tokens = self.tokens.max(earned.min(self.size(bounds)));
     }
 
+    pub(crate) fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     pub(crate) fn has_token(&self) -> bool {
         self.tokens >= 1.0
     }
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalogue;
 mod cold;
 mod even_draw;
+mod figures;
 mod health;
 mod home;
 mod instance;
@@ -20,5 +21,6 @@
 mod router;
 mod service;
 
+pub use figures::{RegionFigures, ServiceFigures};
 pub use request::{Attempt, Choice, InstanceKey, Outcome, PromptPart, Refusal, RefusalReason, RequestFacts};
 pub use router::{InstanceTarget, Router, RouterSettings};
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -87,10 +87,10 @@
     home: RegionId,
     regions_with_balancers: usize,
     chance: Pcg,
-    catalogue: Catalogue,
+    pub(crate) catalogue: Catalogue,
     /// Draws the services of split routes, by the number of the route.
     draws: HashMap<usize, EvenDraw>,
-    services: Vec<Service>,
+    pub(crate) services: Vec<Service>,
     /// The newest key for each id, and the service of each key.
     keys: HashMap<String, InstanceKey>,
     service_of: HashMap<InstanceKey, ServiceId>,
--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -66,7 +66,7 @@
     text = (REPOSITORY / "deploy/system.toml").read_text()
     if mechanism != ALL_ON:
         role = "controller" if mechanism == OF_THE_CONTROLLER else "proxy"
-        text = text.replace(f"whinspindle {role}\"", f"whinspindle {role} --without {mechanism}\"")
+        text = text.replace(f"release/whinspindle {role}", f"release/whinspindle {role} --without {mechanism}")
     (clone / "deploy/system.toml").write_text(text)
 
 
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -7,6 +7,7 @@
 use pico_args::Arguments;
 use snafu::{ResultExt, Snafu};
 use whinspindle_configuration::{Mechanism, Mechanisms, UnknownMechanism};
+use whinspindle_metrics::MetricsEndpoint;
 
 /// Names the settings file where `--settings` is not given.
 pub const SETTINGS_VARIABLE: &str = "WHINSPINDLE_CONFIG";
@@ -28,6 +29,7 @@
   whinspindle directory   carries clients' questions where to connect to the controller of its machine
       --settings FILE     settings of the process (else $WHINSPINDLE_CONFIG, else /etc/whinspindle/boot.json)
       --log-level LEVEL   error, warn, info or debug; info by default
+      --metrics PORT/PATH serves the figures of a proxy or controller on this port of the machine
       --without NAME,...  switches mechanisms of decision off, to measure what they are worth; names below
 
 Operator's commands, sent to any controller:
@@ -74,6 +76,8 @@
     pub log_level: LogLevel,
     /// Those that are on.
     pub mechanisms: Mechanisms,
+    /// Where the process serves its own figures.
+    pub metrics: Option<MetricsEndpoint>,
 }
 
 /// The least severe lines that are logged.
@@ -148,7 +152,10 @@
     let log_level = log_level.map_or(Ok(LogLevel::Info), level)?;
     let without = arguments.opt_value_from_str::<_, String>("--without").context(ArgumentSnafu)?;
     let mechanisms = Mechanisms::without(&without.unwrap_or_default()).context(MechanismSnafu)?;
-    Ok(Command::Daemon(DaemonCommand { program, settings, log_level, mechanisms }))
+    let has_figures = matches!(program, Program::Proxy | Program::Controller);
+    let metrics =
+        if has_figures { arguments.opt_value_from_str("--metrics").context(ArgumentSnafu)? } else { None };
+    Ok(Command::Daemon(DaemonCommand { program, settings, log_level, mechanisms, metrics }))
 }
 
 fn config(arguments: &mut Arguments) -> Result<Command, CommandLineError> {
--- a/programs/serving/src/daemon.rs
+++ b/programs/serving/src/daemon.rs
@@ -66,14 +66,17 @@
     ensure!(keys.is_empty(), MissingSnafu { path: &command.settings, keys });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
     let program = command.program;
+    let metrics = command.metrics.clone();
     LocalSet::new().block_on(&runtime, async {
         match program {
-            Program::Proxy => whinspindle_proxy::run(settings).await.context(ProxySnafu),
+            Program::Proxy => whinspindle_proxy::run(settings, metrics).await.context(ProxySnafu),
             Program::Agent => {
                 let file = command.settings.clone();
                 whinspindle_agent::run(settings, file).await.context(AgentSnafu)
             }
-            Program::Controller => whinspindle_controller::run(settings).await.context(ControllerSnafu),
+            Program::Controller => {
+                whinspindle_controller::run(settings, metrics).await.context(ControllerSnafu)
+            }
             Program::Directory => {
                 whinspindle_controller::run_directory(settings).await.context(ControllerSnafu)
             }
--- a/programs/serving/tests/command_line.rs
+++ b/programs/serving/tests/command_line.rs
@@ -19,6 +19,7 @@
         settings: PathBuf::from("a.json"),
         log_level: LogLevel::Debug,
         mechanisms: Mechanisms::default(),
+        metrics: None,
     };
     let line = parsed("controller --settings a.json --log-level debug").unwrap();
     assert_eq!(line, Command::Daemon(expected));
@@ -46,6 +47,21 @@
     assert_eq!(off, [Mechanism::Holders, Mechanism::Rests]);
 }
 
+#[test]
+fn proxies_and_controllers_serve_figures_where_they_are_told() {
+    for name in ["proxy", "controller"] {
+        let line = format!("{name} --metrics 9464/metrics");
+        let Command::Daemon(daemon) = parsed(&line).unwrap() else { panic!("a daemon") };
+        assert_eq!(daemon.metrics, Some("9464/metrics".parse().unwrap()));
+        let refused = parsed(&format!("{name} --metrics metrics")).unwrap_err().to_string();
+        assert!(refused.contains("PORT/PATH"), "{refused}");
+    }
+    for name in ["agent", "directory"] {
+        let refused = parsed(&format!("{name} --metrics 9464/metrics")).unwrap_err().to_string();
+        assert!(refused.contains("--metrics"), "{refused}");
+    }
+}
+
 #[test]
 fn an_unknown_mechanism_is_refused_with_the_names_of_all() {
     let refused = parsed("proxy --without holders,magic").unwrap_err().to_string();
