--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -9,7 +9,6 @@
     OwnZoneFirst,
     SolvedWeights,
     FloorShare,
-    CrossingCost,
     PassOver,
     Holders,
     HoldersAcrossRegions,
@@ -35,16 +34,11 @@
 }
 
 /// The name of each mechanism on the command line, and what happens without it.
-const TABLE: [(Mechanism, &str, &str); 27] = [
+const TABLE: [(Mechanism, &str, &str); 26] = [
     (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
     (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
     (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
     (Mechanism::FloorShare, "floor-share", "a region's weight may fall to nothing"),
-    (
-        Mechanism::CrossingCost,
-        "crossing-cost",
-        "a crossing between regions counts for nothing in the weights",
-    ),
     (Mechanism::PassOver, "pass-over", "the pick inside a region heeds no sends in flight"),
     (Mechanism::Holders, "holders", "prompts go to any upstream, whatever it keeps"),
     (
--- a/dataplane/routing/src/catalogue.rs
+++ b/dataplane/routing/src/catalogue.rs
@@ -94,11 +94,6 @@
         self.remembered.back()?.routes.get(route)
     }
 
-    /// All routes of the newest configuration.
-    pub(crate) fn newest_routes(&self) -> &[RoutePlan] {
-        self.remembered.back().map_or(&[], |held| &held.routes)
-    }
-
     /// The route and the service of a request, by the configuration under which it was matched.
     pub(crate) fn resolve(&self, facts: &RequestFacts) -> Option<(&RoutePlan, ServiceId)> {
         let held = self.remembered.iter().rev().find(|held| held.generation == facts.generation)?;
--- a/dataplane/routing/src/region.rs
+++ b/dataplane/routing/src/region.rs
@@ -68,11 +68,8 @@
 /// What a check of the weights needs besides the regions.
 pub(crate) struct Conditions {
     pub(crate) now: u64,
-    pub(crate) home: usize,
     /// Requests a second for the service, of all balancers by this one's own.
     pub(crate) rate: f64,
-    /// What sending to another region costs, as milliseconds of latency.
-    pub(crate) crossing_ms: f64,
 }
 
 /// Sets each region's share by its weight and its number of ready instances.
@@ -100,11 +97,12 @@
         return;
     }
     *solved = Solved { rate: conditions.rate, checks_since: 0 };
+    // No crossing is charged: requests stay in their region by a preference of their own.
     let place = |(index, region): (usize, &RegionModel)| Place {
         ready: region.ready,
         load: load(region) / region.ready.max(1.0),
         line: lines[index],
-        crossing: if index == conditions.home { 0.0 } else { conditions.crossing_ms },
+        crossing: 0.0,
     };
     let places: Vec<Place> = regions.iter().enumerate().map(place).collect();
     let weights: Vec<f64> = regions.iter().map(|region| region.share).collect();
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -122,7 +122,6 @@
             let is_bounded = told.cold_per_s > 0.0 && self.settings.mechanisms.has(Mechanism::ColdShares);
             self.services[id].cold_per_s = if is_bounded { told.cold_per_s } else { 0.0 };
         }
-        self.average_targets();
         self.set_paces(now);
     }
 
@@ -455,19 +454,6 @@
         self.settings.heartbeat_ms * SUSPECT_HALF_INTERVALS / 2 + SUSPECT_MARGIN_MS
     }
 
-    fn average_targets(&mut self) {
-        let mut sums = vec![(0.0, 0.0); self.services.len()];
-        for route in self.catalogue.newest_routes() {
-            for &(_, service, _) in &route.backends {
-                sums[service].0 += route.target_ms as f64;
-                sums[service].1 += 1.0;
-            }
-        }
-        for (service, (sum, count)) in self.services.iter_mut().zip(sums) {
-            service.target_ms = if count > 0.0 { sum / count } else { service.target_ms };
-        }
-    }
-
     /// Shares out the bounds among the balancers that there are.
     fn set_paces(&mut self, now: u64) {
         let (balancers, bounds) = (self.balancers.get(), &self.settings.bounds);
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -22,8 +22,6 @@
 const TOLD_LOADS_MS: u64 = 15_000;
 /// Ready instances are counted anew after this time: rests and cold times end by themselves.
 const COUNT_MS: u64 = 50;
-/// So much of the latency objective is what a crossing to another region costs.
-pub(crate) const CROSSING_PART: f64 = 0.1;
 /// An instance that answers nobody for this many times the usual time is taken for silent.
 const SILENT: f64 = 4.0;
 const LEAST_SILENCE_MS: f64 = 1_000.0;
@@ -56,8 +54,6 @@
     pub(crate) budget: RetryBudget,
     /// Requests a second that a cold instance bears; 0 for no bound.
     pub(crate) cold_per_s: f64,
-    /// Mean latency objective of the routes.
-    pub(crate) target_ms: f64,
     pub(crate) pace: Option<ColdPace>,
     pub(crate) mechanisms: Mechanisms,
     arrivals: RateCounter,
@@ -80,7 +76,6 @@
             regions: Vec::new(),
             budget: RetryBudget::default(),
             cold_per_s: 0.0,
-            target_ms: 0.0,
             pace: None,
             mechanisms,
             arrivals: RateCounter::new(now),
@@ -176,9 +171,7 @@
         self.count_ready(place.now);
         let conditions = Conditions {
             now: place.now,
-            home: place.home,
             rate: self.arrivals.per_second(place.now) * f64::from(place.balancers.max(1)),
-            crossing_ms: if self.has(Mechanism::CrossingCost) { CROSSING_PART * self.target_ms } else { 0.0 },
         };
         if !self.has(Mechanism::SolvedWeights) {
             return;
