Drawn losses of disks with all power, amid operations

Need: when disks are lost, all other machines may lose power at that moment. 60 drawn plays of 3 to 7 replicas, one or two losses to be borne, operations on their way, perhaps a member that was down before: twice in each play all lose power and as many disks are lost as may be.

--- a/coordination/replica/tests/faults.rs
+++ b/coordination/replica/tests/faults.rs
@@ -7,8 +7,10 @@
 use common::clients::Clients;
 use common::history::{Asked, check};
 use common::node::{Command, Node, cluster, endpoint};
-use whinspindle_lab_cluster::{Cluster, NetworkTiming};
+use whinspindle_lab_cluster::{Cluster, NetworkTiming, Pcg};
 
+/// Operations drawn at random go to so many registers.
+const REGISTERS: usize = 2;
 /// A write must be acknowledged within this, in milliseconds.
 const ACKNOWLEDGED: u64 = 2_500;
 
@@ -252,6 +254,63 @@
     }
 }
 
+/// Drawn: operations at all replicas, perhaps a member that is down or cut off for a while, so that the chain is another
+/// one; then, with operations on their way, all lose power and as many disks are lost as may be. Twice in each play.
+#[test]
+fn any_disks_lost_while_all_others_lose_power_amid_operations_lose_nothing() {
+    const PLAYS: u64 = 60;
+    for seed in 0..PLAYS {
+        let mut chance = Pcg::new(seed);
+        let losses = 1 + chance.below(2);
+        let replicas = 2 * losses + 1 + chance.below(3);
+        let (mut cluster, mut clients) = settled(seed, replicas, losses);
+        for _ in 0..2 {
+            let away = endpoint(chance.below(replicas));
+            let was_away = chance.below(2) == 0;
+            if was_away {
+                cluster.stop(away);
+            }
+            operate(&mut cluster, &mut clients, &mut chance, replicas, 1_500);
+            if was_away {
+                cluster.start(away);
+                // It counts as lost until it has had this time.
+                let until = cluster.now() + 4_000;
+                clients.run_until(&mut cluster, until);
+            }
+            operate(&mut cluster, &mut clients, &mut chance, replicas, 200);
+            (0..replicas).for_each(|number| cluster.stop(endpoint(number)));
+            let first = chance.below(replicas);
+            (0..losses).for_each(|more| cluster.wipe(endpoint((first + more) % replicas)));
+            let until = cluster.now() + 500;
+            clients.run_until(&mut cluster, until);
+            (0..replicas).for_each(|number| cluster.start(endpoint(number)));
+            let name = format!("seed {seed}: {losses} of {replicas}");
+            serves(&mut cluster, &mut clients, &[], &name);
+            let until = cluster.now() + 4_000;
+            clients.run_until(&mut cluster, until);
+        }
+    }
+}
+
+/// Begins operations at drawn replicas for so long; the last of them are on their way at the end.
+fn operate(
+    cluster: &mut Cluster<Node>,
+    clients: &mut Clients,
+    chance: &mut Pcg,
+    replicas: usize,
+    milliseconds: u64,
+) {
+    let end = cluster.now() + milliseconds;
+    while cluster.now() < end {
+        let at = endpoint(chance.below(replicas));
+        if cluster.is_running(at) {
+            clients.begin_any(cluster, chance, at, REGISTERS);
+        }
+        let until = (cluster.now() + 1 + chance.below(40) as u64).min(end);
+        clients.run_until(cluster, until);
+    }
+}
+
 #[test]
 fn an_empty_machine_at_another_address_replaces_a_member() {
     for victim in 0..3 {
