--- a/dataplane/routing/src/reachability.rs
+++ b/dataplane/routing/src/reachability.rs
@@ -42,7 +42,7 @@
 pub(crate) struct Reachability {
     zones: Vec<Reach>,
     regions: Vec<Reach>,
-    /// Nothing is held against any place.
+    /// Something is held against some place.
     has_silence: bool,
 }
 
