--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -85,6 +85,11 @@
         TABLE.iter().map(|row| row.0)
     }
 
+    /// Whether the controller decides it; all others are the proxy's.
+    pub fn is_of_controller(self) -> bool {
+        self == Mechanism::Recall
+    }
+
     /// The name on the command line.
     pub fn name(self) -> &'static str {
         TABLE[self as usize].1
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -29,8 +29,8 @@
   whinspindle directory   carries clients' questions where to connect to the controller of its machine
       --settings FILE     settings of the process (else $WHINSPINDLE_CONFIG, else /etc/whinspindle/boot.json)
       --log-level LEVEL   error, warn, info or debug; info by default
-      --metrics PORT/PATH serves the figures of a proxy or controller on this port of the machine
-      --without NAME,...  switches mechanisms of decision off, to measure what they are worth; names below
+      --metrics PORT/PATH (proxy, controller) serves its figures on this port of the machine
+      --without NAME,...  (proxy, controller) switches mechanisms of decision off, to measure what they are worth
 
 Operator's commands, sent to any controller:
   whinspindle status --control ADDRESS                      the controller's state as JSON
@@ -115,6 +115,8 @@
     Surplus { argument: OsString },
     #[snafu(display("`--without`: {source}"))]
     Mechanism { source: UnknownMechanism },
+    #[snafu(display("`--without`: `{}` is not a mechanism of this program: see `serving-help`", mechanism.name()))]
+    ForeignMechanism { mechanism: Mechanism },
     #[snafu(display("unknown log level `{name}`: error, warn, info or debug"))]
     Level { name: String },
 }
@@ -150,12 +152,24 @@
     let settings = settings.unwrap_or_else(default_settings);
     let log_level = arguments.opt_value_from_str::<_, String>("--log-level").context(ArgumentSnafu)?;
     let log_level = log_level.map_or(Ok(LogLevel::Info), level)?;
+    let mut daemon =
+        DaemonCommand { program, settings, log_level, mechanisms: Mechanisms::default(), metrics: None };
+    if matches!(program, Program::Proxy | Program::Controller) {
+        daemon.mechanisms = mechanisms(program, arguments)?;
+        daemon.metrics = arguments.opt_value_from_str("--metrics").context(ArgumentSnafu)?;
+    }
+    Ok(Command::Daemon(daemon))
+}
+
+/// The mechanisms that are on. Each program takes the names of its own alone: others would change nothing there.
+fn mechanisms(program: Program, arguments: &mut Arguments) -> Result<Mechanisms, CommandLineError> {
     let without = arguments.opt_value_from_str::<_, String>("--without").context(ArgumentSnafu)?;
     let mechanisms = Mechanisms::without(&without.unwrap_or_default()).context(MechanismSnafu)?;
-    let has_figures = matches!(program, Program::Proxy | Program::Controller);
-    let metrics =
-        if has_figures { arguments.opt_value_from_str("--metrics").context(ArgumentSnafu)? } else { None };
-    Ok(Command::Daemon(DaemonCommand { program, settings, log_level, mechanisms, metrics }))
+    let is_controller = program == Program::Controller;
+    match mechanisms.switched_off().find(|mechanism| mechanism.is_of_controller() != is_controller) {
+        Some(mechanism) => ForeignMechanismSnafu { mechanism }.fail(),
+        None => Ok(mechanisms),
+    }
 }
 
 fn config(arguments: &mut Arguments) -> Result<Command, CommandLineError> {
--- a/programs/serving/tests/command_line.rs
+++ b/programs/serving/tests/command_line.rs
@@ -47,6 +47,28 @@
     assert_eq!(off, [Mechanism::Holders, Mechanism::Rests]);
 }
 
+#[test]
+fn each_program_switches_its_own_mechanisms_off() {
+    let all = Mechanism::all().map(|mechanism| {
+        let name = mechanism.name();
+        let (own, other) =
+            if mechanism == Mechanism::Recall { ("controller", "proxy") } else { ("proxy", "controller") };
+        (format!("{own} --without {name}"), format!("{other} --without {name}"), name)
+    });
+    for (accepted, refused, name) in all {
+        assert!(parsed(&accepted).is_ok(), "{accepted}");
+        let failure = parsed(&refused).unwrap_err().to_string();
+        assert!(
+            failure.starts_with(&format!("`--without`: `{name}` is not a mechanism of this")),
+            "{failure}"
+        );
+    }
+    for program in ["agent", "directory"] {
+        let failure = parsed(&format!("{program} --without holders")).unwrap_err().to_string();
+        assert!(failure.contains("--without"), "{failure}");
+    }
+}
+
 #[test]
 fn proxies_and_controllers_serve_figures_where_they_are_told() {
     for name in ["proxy", "controller"] {
