/resolve: zones are told different balancers where there are more than an answer names

Cause: an answer named the 64 lowest addresses, so that in a region of more, or for hosts at home in a large region, all clients would have come to the same 64 balancers. Now each zone's 64 are chosen by rendezvous hashing: zones share the balancers, and one that goes changes one address of an answer. Test with 200 balancers and ten zones.

--- a/controlplane/controller/src/directory.rs
+++ b/controlplane/controller/src/directory.rs
@@ -1,6 +1,7 @@
 //! Where clients connect: the balancers' addresses that a client of a place is told.
 
 use std::fmt::Write;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -44,20 +45,20 @@
         let homes = leases.presumed(now).filter(|lease| host_regions.contains(&lease.region));
         let homes: Vec<&Lease> = open_in_order(homes);
         if homes.len() >= MIN_ADDRESSES {
-            return bounded(fronts(&homes, |_| true));
+            return bounded(fronts(&homes, |_| true), place);
         }
     }
     let permitted = |lease: &&Lease| place.holds(lease) || host_regions.contains(&lease.region);
     let open = open_in_order(leases.live(now).filter(permitted));
     let zone = fronts(&open, |lease| lease.zone == place.zone);
     if zone.len() >= MIN_ADDRESSES {
-        return bounded(zone);
+        return bounded(zone, place);
     }
     let region = fronts(&open, |lease| place.holds(lease));
     match region.len() {
-        0 => bounded(fronts(&open, |_| true)),
+        0 => bounded(fronts(&open, |_| true), place),
         1 => with_one_from_elsewhere(region, &open, place),
-        _ => bounded(region),
+        _ => bounded(region, place),
     }
 }
 
@@ -100,7 +101,20 @@
     addresses
 }
 
-fn bounded(mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
-    addresses.truncate(MAX_ADDRESSES);
+/// Where there are more addresses than an answer may name, each zone's clients are told others of them, chosen by
+/// rendezvous hashing: zones share the balancers evenly, and one that goes changes a single address of an answer.
+fn bounded(mut addresses: Vec<SocketAddr>, place: Place<'_>) -> Vec<SocketAddr> {
+    if addresses.len() > MAX_ADDRESSES {
+        addresses.sort_by_cached_key(|address| rendezvous_rank(place.zone, address));
+        addresses.truncate(MAX_ADDRESSES);
+        addresses.sort();
+    }
     addresses
 }
+
+/// The same on every controller of a build.
+fn rendezvous_rank(zone: &str, address: &SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (zone, address).hash(&mut hasher);
+    hasher.finish()
+}
--- a/controlplane/controller/tests/directory.rs
+++ b/controlplane/controller/tests/directory.rs
@@ -288,3 +288,38 @@
     }
     assert!(answers.iter().all(|&count| count > 5), "all come to answer in full: {answers:?}");
 }
+
+/// More balancers than an answer may name.
+const MANY: u8 = 200;
+const MOST_NAMED: usize = 64;
+
+fn southern(number: u8) -> Report {
+    Report { zone: "zone-c".to_owned(), region: "south".to_owned(), ..report(number, "zone-c") }
+}
+
+#[test]
+fn zones_share_balancers_of_which_there_are_more_than_an_answer_names() {
+    let mut single = Single::settled();
+    assert_eq!(single.status(replace_routes(0, 1, &[(SOUTH_ALONE, &["south"])])), StatusCode::OK);
+    for number in 1..=MANY {
+        single.report(u64::from(number), southern(number));
+    }
+    let zones =
+        ["zone-a", "zone-b", "zone-d", "zone-e", "zone-f", "zone-g", "zone-h", "zone-i", "zone-j", "zone-k"];
+    let mut clients_zones = vec![0; usize::from(MANY) + 1];
+    for zone in zones {
+        let told = ask(&mut single, SOUTH_ALONE, ("north", zone));
+        assert_eq!(told.len(), MOST_NAMED, "{zone}");
+        assert_eq!(ask(&mut single, SOUTH_ALONE, ("north", zone)), told, "clients keep their connections");
+        told.iter().for_each(|&number| clients_zones[usize::from(number)] += 1);
+        let gone = told[0];
+        single.report(u64::from(gone), Report { leaving: true, ..southern(gone) });
+        let after = ask(&mut single, SOUTH_ALONE, ("north", zone));
+        let kept = told.iter().filter(|number| after.contains(number)).count();
+        assert_eq!((kept, after.len()), (MOST_NAMED - 1, MOST_NAMED), "{zone}: one goes, one comes");
+        single.report(u64::from(gone), southern(gone));
+    }
+    let reached = clients_zones.iter().filter(|&&zones| zones > 0).count();
+    assert!(reached > 180, "ten zones name {reached} of {MANY} balancers");
+    assert!(clients_zones.iter().all(|&zones| zones <= 9), "none is named to all zones: {clients_zones:?}");
+}
