--- a/programs/balancer/src/command.rs
+++ b/programs/balancer/src/command.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Args, CommandFactory, Parser, Subcommand, ValueHint};
+use clap::{Args, CommandFactory, FromArgMatches, Parser, Subcommand, ValueHint};
 use clap_complete::Shell;
 use serde_json::json;
 use whinspindle_operator::{Operator, RULES};
@@ -20,10 +20,7 @@
 says that the variable ROUTER_CONFIG names, and with the operator's file that WHINSPINDLE_OPERATOR names, \
 if it does.
 
-The daemons and operator's commands of the serving system (proxy, agent, controller, status, members, config, \
-evacuate) are told by `whinspindle serving-help`.
-
-Exit codes: 0 well; 1 no route, or the file has faults; 2 wrong arguments, a file that can't be read, or faults \
+Exit codes of these commands: 0 well; 1 no route, or the file has faults; 2 wrong arguments, a file that can't be read, or faults \
 in what it was to balance by.";
 
 #[derive(Parser)]
@@ -102,8 +99,14 @@
     rule: u8,
 }
 
+/// The command line with one help for the whole program: the commands of the serving system follow those of this crate.
+fn described() -> clap::Command {
+    Line::command().after_long_help(whinspindle_serving::command_line::help())
+}
+
 pub fn run() -> ExitCode {
-    let done = match Line::parse().command {
+    let line = Line::from_arg_matches(&described().get_matches()).unwrap_or_else(|fault| fault.exit());
+    let done = match line.command {
         Command::Run(line) => return crate::balance(line.operator),
         Command::Check(line) => check(&line),
         Command::Route(line) => route(&line),
--- a/programs/balancer/tests/command.rs
+++ b/programs/balancer/tests/command.rs
@@ -54,6 +54,7 @@
         (&["explain", "2"], 0, &["no effect twice"]),
         (&["explain", "5"], 2, &["no rule 5"]),
         (&["--version"], 0, &["whinspindle"]),
+        (&["--help"], 0, &["explain", "whinspindle proxy ", "--metrics PORT/PATH", "suspected-zones"]),
         (&["fly"], 2, &["unrecognized"]),
     ];
     for (arguments, code, wanted) in cases {
