--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -18,7 +18,6 @@
     Reachability,
     Silence,
     SharedFailures,
-    FullAfterRejection,
     FullByOwnSends,
     RefusalWhenFull,
     RefusalWhenDown,
@@ -34,7 +33,7 @@
 }
 
 /// The name of each mechanism on the command line, and what happens without it.
-const TABLE: [(Mechanism, &str, &str); 26] = [
+const TABLE: [(Mechanism, &str, &str); 25] = [
     (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
     (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
     (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
@@ -56,11 +55,6 @@
     ),
     (Mechanism::Silence, "silence", "an upstream that answers nothing is not taken for failed"),
     (Mechanism::SharedFailures, "shared-failures", "what other balancers have seen fail is not heeded"),
-    (
-        Mechanism::FullAfterRejection,
-        "full-after-rejection",
-        "an upstream that said it is full is asked again at once",
-    ),
     (Mechanism::FullByOwnSends, "full-by-own-sends", "own sends in flight never make an upstream full"),
     (Mechanism::RefusalWhenFull, "refusal-when-full", "requests are sent where all upstreams are full"),
     (Mechanism::RefusalWhenDown, "refusal-when-down", "requests are sent where all upstreams are down"),
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -65,7 +65,6 @@
     /// When it was last told to be cold that had been told to be warm.
     turned_cold_at: Option<u64>,
     is_told: bool,
-    full_until: u64,
 }
 
 impl InstanceState {
@@ -92,7 +91,6 @@
             suspect_until: 0,
             turned_cold_at: None,
             is_told: false,
-            full_until: 0,
         }
     }
 
@@ -127,10 +125,6 @@
         self.cold_until.max(self.suspect_until).saturating_sub(now)
     }
 
-    pub(crate) fn rejected(&mut self, until: u64) {
-        self.full_until = until;
-    }
-
     pub(crate) fn may_be_sent_to(&self) -> bool {
         !self.retired && !self.evacuated && self.unlisted_since.is_none()
     }
@@ -160,15 +154,15 @@
             Standing::Down
         } else if resting {
             Standing::Resting
-        } else if self.is_full(now) {
+        } else if self.is_full() {
             Standing::Full
         } else {
             Standing::Open
         }
     }
 
-    fn is_full(&self, now: u64) -> bool {
+    fn is_full(&self) -> bool {
         let most = self.slots + (self.slots / QUEUED_PART).max(LEAST_QUEUED);
-        now < self.full_until || (self.slots > 0 && self.in_flight >= most)
+        self.slots > 0 && self.in_flight >= most
     }
 }
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -252,10 +252,7 @@
                 }
                 self.note_answer(now, &send);
             }
-            Outcome::Rejected => {
-                service.note_rejected(now, send.instance);
-                self.note_answer(now, &send);
-            }
+            Outcome::Rejected => self.note_answer(now, &send),
             Outcome::Misdirected => self.retire(send.service, send.instance),
             Outcome::Unreachable | Outcome::Silent => {
                 if send.is_repeat {
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -25,9 +25,6 @@
 /// An instance that answers nobody for this many times the usual time is taken for silent.
 const SILENT: f64 = 4.0;
 const LEAST_SILENCE_MS: f64 = 1_000.0;
-/// An instance that turned a request away is full for this part of the usual time, within these bounds.
-const FULL_PART: f64 = 0.125;
-const FULL_MS: (f64, f64) = (10.0, 250.0);
 /// The usual latency moves by this part of the difference with each answer.
 const USUAL_STEP: f64 = 0.03;
 /// At least this part of the instances, and one, don't rest: beyond it the fault is not theirs.
@@ -212,16 +209,6 @@
         }
     }
 
-    pub(crate) fn note_rejected(&mut self, now: u64, key: InstanceKey) {
-        let full_ms = (FULL_PART * self.usual_ms).clamp(FULL_MS.0, FULL_MS.1) as u64;
-        if !self.has(Mechanism::FullAfterRejection) {
-            return;
-        }
-        if let Some(instance) = self.instances.get_mut(&key) {
-            instance.rejected(now + full_ms);
-        }
-    }
-
     /// Ready instances are counted anew before the next choice.
     pub(crate) fn recount(&mut self) {
         self.counted_at = 0;
