--- a/dataplane/agent/src/agent.rs
+++ b/dataplane/agent/src/agent.rs
@@ -6,6 +6,7 @@
 
 use crate::catalog::ControllerCatalog;
 use crate::connection::ConnectionId;
+use crate::figures::AgentFigures;
 use crate::laws::{AsDesigned, Laws};
 use crate::report::ProxyState;
 use crate::sections::GuardedSections;
@@ -106,6 +107,8 @@
     /// What the proxy was told of the link last.
     link: Link,
     link_told_at: u64,
+    /// When the link's controller, or the last one that was linked, was heard.
+    heard_at: Option<u64>,
     /// What the log says of the quorum of the link's controller.
     logged_quorum: bool,
     grace_ms: u64,
@@ -134,6 +137,7 @@
             proxy: ProxyState::absent(node, zone, region, machine, incarnation),
             link: Link::default(),
             link_told_at: now,
+            heard_at: None,
             logged_quorum: false,
             grace_ms,
             exit_at: None,
@@ -170,6 +174,18 @@
         outputs
     }
 
+    /// What whoever watches the agent is told.
+    pub fn figures(&self, now: u64) -> AgentFigures {
+        AgentFigures {
+            linked: self.selector.current().is_some(),
+            in_quorum: self.selector.has_quorum(),
+            proxy_connected: self.proxy.is_connected(),
+            heard_ms_ago: self.heard_at.map(|at| now.saturating_sub(at)),
+            held: self.sections.versions(),
+            applied: self.applied,
+        }
+    }
+
     /// When to hand in a tick at the latest.
     pub fn next_wake(&self, now: u64) -> u64 {
         let report = match self.selector.current() {
@@ -214,6 +230,9 @@
         message: ToBalancer,
         outputs: &mut Vec<Output>,
     ) {
+        if self.selector.current() == Some(id) {
+            self.heard_at = Some(now);
+        }
         match message {
             ToBalancer::Link(link) => {
                 let events = self.selector.told(now, id, &link);
--- /dev/null
+++ b/dataplane/agent/src/figures.rs
@@ -0,0 +1,51 @@
+//! The agent's own figures, read from its state when somebody asks.
+
+use whinspindle_distribution::Versions;
+use whinspindle_metrics::Figures;
+
+use crate::agent::Agent;
+use crate::laws::Laws;
+
+/// What an agent knows of its link and its proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AgentFigures {
+    pub linked: bool,
+    /// The link's controller is in a quorum.
+    pub in_quorum: bool,
+    pub proxy_connected: bool,
+    /// Time since the link's controller, or the last one that was linked, was heard; none before the first.
+    pub heard_ms_ago: Option<u64>,
+    /// The newest versions that the agent holds.
+    pub held: Versions,
+    /// The versions that its proxy has put into force.
+    pub applied: Versions,
+}
+
+/// The figures of this moment as OpenMetrics text.
+pub fn text<L: Laws>(agent: &Agent<L>, now: u64) -> String {
+    let told = agent.figures(now);
+    let mut figures = Figures::default();
+    let flags = [
+        ("agent_linked", "1 while a controller is linked", told.linked),
+        ("agent_in_quorum", "1 while the link's controller is in a quorum", told.in_quorum),
+        ("agent_proxy_connected", "1 while the proxy is connected", told.proxy_connected),
+    ];
+    for (name, help, flag) in flags {
+        figures.gauge(name, help, [([].as_slice(), if flag { 1.0 } else { 0.0 })]);
+    }
+    let heard = told.heard_ms_ago.map(|ms| ([].as_slice(), ms as f64 / 1_000.0));
+    figures.gauge("agent_heard_seconds", "Time since a controller was last heard", heard);
+    add_versions(&mut figures, "agent_held", "Newest versions that the agent holds", told.held);
+    add_versions(&mut figures, "agent_applied", "Versions that the proxy has in force", told.applied);
+    figures.into_text()
+}
+
+fn add_versions(figures: &mut Figures, name: &str, help: &str, versions: Versions) {
+    let rows: [([(&str, &str); 1], u64); 4] = [
+        ([("section", "configuration")], versions.configured),
+        ([("section", "evacuations")], versions.evacuations),
+        ([("section", "instances")], versions.instances),
+        ([("section", "fleet")], versions.fleet),
+    ];
+    figures.gauge(name, help, rows.iter().map(|(labels, version)| (labels.as_slice(), *version as f64)));
+}
--- a/dataplane/agent/src/lib.rs
+++ b/dataplane/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod catalog;
 mod connection;
+pub mod figures;
 mod laws;
 mod link_list;
 mod report;
--- a/dataplane/agent/src/shell.rs
+++ b/dataplane/agent/src/shell.rs
@@ -3,10 +3,12 @@
 mod channel;
 mod notices;
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -22,10 +24,11 @@
     DecodeError, Hello, Role, decode_report, decode_to_balancer, encode_hello, encode_report,
     encode_to_balancer,
 };
+use whinspindle_metrics::MetricsEndpoint;
 
 use crate::agent::{Agent, AgentSettings, Input, Output};
 use crate::connection::ConnectionId;
-use crate::settings_file;
+use crate::{figures, settings_file};
 use channel::{Channel, Event, Happening, Source};
 
 /// Events that wait for the state machine; connections that have more are not read meanwhile.
@@ -45,8 +48,12 @@
 }
 
 /// Runs the agent until it is told to stop. The settings come from this file, which is read again at a hang-up. The
-/// agent's tasks need a `LocalSet` around it.
-pub async fn run(settings: Settings, settings_file: PathBuf) -> Result<(), AgentError> {
+/// agent's tasks need a `LocalSet` around it. Its figures are served at `metrics`, if given.
+pub async fn run(
+    settings: Settings,
+    settings_file: PathBuf,
+    metrics: Option<MetricsEndpoint>,
+) -> Result<(), AgentError> {
     let endpoint = settings.agent_endpoint();
     let listener = TcpListener::bind(endpoint).await.context(ListenSnafu { endpoint })?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
@@ -54,6 +61,9 @@
     let (events, mut waiting) = mpsc::channel(WAITING_EVENTS);
     spawn_local(accept(listener, events.clone()));
     let mut shell = Shell::new(&settings, settings_file, events);
+    if let Some(endpoint) = metrics {
+        spawn_local(whinspindle_metrics::serve(settings.ip, endpoint, shell.figures()));
+    }
     shell.handle(Input::Tick);
     while !shell.exiting {
         let input = next_input(&mut shell, &mut waiting, &mut terminate, &mut hangup).await;
@@ -96,7 +106,7 @@
 
 /// The state machine with its connections.
 struct Shell {
-    agent: Agent,
+    agent: Rc<RefCell<Agent>>,
     settings_file: PathBuf,
     started: Instant,
     hello: Bytes,
@@ -122,7 +132,7 @@
             incarnation: RandomState::new().build_hasher().finish(),
         };
         Shell {
-            agent: Agent::new(0, agent_settings),
+            agent: Rc::new(RefCell::new(Agent::new(0, agent_settings))),
             settings_file,
             started: Instant::now(),
             hello: Bytes::from(hello),
@@ -135,16 +145,23 @@
     }
 
     fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        milliseconds_since(self.started)
+    }
+
+    /// Makes the text of the figures whenever somebody asks.
+    fn figures(&self) -> Rc<dyn Fn() -> String> {
+        let (agent, started) = (Rc::clone(&self.agent), self.started);
+        Rc::new(move || figures::text(&agent.borrow(), milliseconds_since(started)))
     }
 
     fn next_wake(&self) -> Instant {
-        self.started + Duration::from_millis(self.agent.next_wake(self.now()))
+        self.started + Duration::from_millis(self.agent.borrow().next_wake(self.now()))
     }
 
     fn handle(&mut self, input: Input) {
         let now = self.now();
-        for output in self.agent.handle(now, input) {
+        let outputs = self.agent.borrow_mut().handle(now, input);
+        for output in outputs {
             self.carry_out(output);
         }
     }
@@ -262,3 +279,7 @@
         .await;
     }
 }
+
+fn milliseconds_since(start: Instant) -> u64 {
+    start.elapsed().as_millis() as u64
+}
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -29,7 +29,7 @@
   whinspindle directory   carries clients' questions where to connect to the controller of its machine
       --settings FILE     settings of the process (else $WHINSPINDLE_CONFIG, else /etc/whinspindle/boot.json)
       --log-level LEVEL   error, warn, info or debug; info by default
-      --metrics PORT/PATH (proxy, controller) serves its figures on this port of the machine
+      --metrics PORT/PATH (not directory) serves its figures on this port of the machine
       --without NAME,...  (proxy, controller) switches mechanisms of decision off, to measure what they are worth
 
 Operator's commands, sent to any controller:
@@ -156,6 +156,8 @@
         DaemonCommand { program, settings, log_level, mechanisms: Mechanisms::default(), metrics: None };
     if matches!(program, Program::Proxy | Program::Controller) {
         daemon.mechanisms = mechanisms(program, arguments)?;
+    }
+    if program != Program::Directory {
         daemon.metrics = arguments.opt_value_from_str("--metrics").context(ArgumentSnafu)?;
     }
     Ok(Command::Daemon(daemon))
--- a/programs/serving/src/daemon.rs
+++ b/programs/serving/src/daemon.rs
@@ -72,7 +72,7 @@
             Program::Proxy => whinspindle_proxy::run(settings, metrics).await.context(ProxySnafu),
             Program::Agent => {
                 let file = command.settings.clone();
-                whinspindle_agent::run(settings, file).await.context(AgentSnafu)
+                whinspindle_agent::run(settings, file, metrics).await.context(AgentSnafu)
             }
             Program::Controller => {
                 whinspindle_controller::run(settings, metrics).await.context(ControllerSnafu)
