--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -164,12 +164,13 @@
     return {key: statistics.median(worths) for key, worths in groups.items()}
 
 
-def compared(plays, base, mechanism, site):
-    """Changes of worth against the usual worth of the same day and seed."""
+def compared(plays, base, mechanism, column):
+    """Changes of worth against the usual worth of the same day and seed. A column is a site and a day, or all days."""
+    site, only = column
     return [
         play["worth"] - base[(where, day, seed)]
         for (name, where, day, seed), play in plays.items()
-        if name == mechanism and where == site and play["worth"] is not None
+        if name == mechanism and where == site and only in (None, day) and play["worth"] is not None
     ]
 
 
@@ -189,13 +190,14 @@
         plays = read_plays(arguments.work)
     days = arguments.days.split(",") if arguments.days else None
     plays = {key: play for key, play in plays.items() if days is None or key[2] in days}
-    sites = list(dict.fromkeys(key[1] for key in plays))
+    columns = list(dict.fromkeys((key[1], key[2] if arguments.by_day else None) for key in plays))
     base = usual(plays)
-    print("| without | " + " | ".join(pathlib.Path(site).stem for site in sites) + " | rules broken |")
-    print("| --- |" + " --- |" * (len(sites) + 1))
+    titles = [" ".join(pathlib.Path(part).stem for part in column if part) for column in columns]
+    print("| without | " + " | ".join(titles) + " | rules broken |")
+    print("| --- |" + " --- |" * (len(columns) + 1))
     names = {key[0] for key in plays}
     for mechanism in sorted(names, key=lambda name: (name != ALL_ON, name)):
-        cells = [cell(compared(plays, base, mechanism, site)) for site in sites]
+        cells = [cell(compared(plays, base, mechanism, column)) for column in columns]
         broken = sum(1 for key, note in plays.items() if key[0] == mechanism and note["broken"])
         print(f"| {mechanism} | " + " | ".join(cells) + f" | {broken} |")
 
@@ -211,6 +213,7 @@
     parser.add_argument("--mechanisms")
     parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--days", help="the days in the table, with commas between them; all without it")
+    parser.add_argument("--by-day", action="store_true", help="a column of its own for each day")
     parser.add_argument("--play", action="append", default=[])
     parser.add_argument("--workers", type=int, default=4)
     arguments = parser.parse_args()
