Figures: refusals by reason, passes over, prompts beside their holder, error of the fit

They are counted where the choice is made and read at each scrape; the choice of a holder is compared with the highest in rank (one more pass over the candidates). Decisions are unmoved.

--- a/dataplane/proxy/src/figures.rs
+++ b/dataplane/proxy/src/figures.rs
@@ -1,7 +1,7 @@
 //! The proxy's own figures, read from its state when somebody asks.
 
 use whinspindle_metrics::Figures;
-use whinspindle_routing::{RegionFigures, ServiceFigures};
+use whinspindle_routing::{RefusalReason, RegionFigures, ServiceFigures};
 
 use crate::node::Node;
 
@@ -31,9 +31,17 @@
     let labels: Vec<_> = services.iter().map(|service| [("service", service.service.as_str())]).collect();
     let left = labels.iter().zip(services).map(|(labels, service)| (labels.as_slice(), service.repeats_left));
     figures.gauge("repeats_left", "Repeated sends that this balancer's part of the budget allows", left);
+    add_choices(figures, services);
     add_regions(figures, services, "region_share", "Weight by which the region is drawn", |region| {
         region.share
     });
+    add_regions(
+        figures,
+        services,
+        "fit_error_seconds",
+        "How far latencies lie beside the fit that the weight is solved with",
+        |region| region.fit_error_ms / 1_000.0,
+    );
     add_regions(
         figures,
         services,
@@ -53,6 +61,38 @@
     });
 }
 
+fn add_choices(figures: &mut Figures, services: &[ServiceFigures]) {
+    let refusals = services.iter().flat_map(|service| {
+        let named = |(reason, count): &(RefusalReason, u64)| (format!("{reason:?}"), *count);
+        service.refusals.iter().map(named).map(|(reason, count)| (service.service.as_str(), reason, count))
+    });
+    let refusals: Vec<_> = refusals.collect();
+    let labels: Vec<_> = refusals
+        .iter()
+        .map(|(service, reason, _)| [("service", *service), ("reason", reason.as_str())])
+        .collect();
+    let counted = labels.iter().zip(&refusals).map(|(labels, (_, _, count))| (labels.as_slice(), *count));
+    figures.count("refusals", "Requests that were refused, by reason", counted);
+    let labels: Vec<_> = services.iter().map(|service| [("service", service.service.as_str())]).collect();
+    let passed =
+        labels.iter().zip(services).map(|(labels, service)| (labels.as_slice(), service.passed_over));
+    figures.count("passed_over", "Picks that passed over an upstream for its sends in flight", passed);
+    let prompts: Vec<_> = services
+        .iter()
+        .flat_map(|service| {
+            let name = service.service.as_str();
+            [(name, "holder", service.at_holder), (name, "elsewhere", service.beside_holder)]
+        })
+        .map(|(service, place, count)| ([("service", service), ("to", place)], count))
+        .collect();
+    let counted = prompts.iter().map(|(labels, count)| (labels.as_slice(), *count));
+    figures.count(
+        "prompts",
+        "Prompts sent to the upstream that is to keep their shared parts, and elsewhere",
+        counted,
+    );
+}
+
 fn add_regions(
     figures: &mut Figures,
     services: &[ServiceFigures],
--- a/dataplane/proxy/tests/figures.rs
+++ b/dataplane/proxy/tests/figures.rs
@@ -32,6 +32,14 @@
         let line = "whinspindle_upstreams_out_of_reach{service=\"model\",region=\"r1\"} 3.0\n";
         assert!(told.contains(line), "{told}");
         assert!(told.contains("event=\"Refused\"} 1\n"), "{told}");
+        for line in [
+            "whinspindle_refusals_total{service=\"model\",reason=\"NoUpstream\"} 1\n",
+            "whinspindle_passed_over_total{service=\"plain\"} 0\n",
+            "whinspindle_prompts_total{service=\"plain\",to=\"elsewhere\"} 0\n",
+            "whinspindle_fit_error_seconds{service=\"plain\",region=\"r1\"} 0.0\n",
+        ] {
+            assert!(told.contains(line), "{line} in {told}");
+        }
     });
 }
 
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod catalogue;
 mod cold;
+mod counts;
 mod even_draw;
 mod figures;
 mod health;
--- a/dataplane/routing/src/region.rs
+++ b/dataplane/routing/src/region.rs
@@ -52,6 +52,15 @@
         push(&mut self.samples, SAMPLES, (now, load_per_ready, latency_ms));
     }
 
+    /// The root of the mean square by which the samples lie beside the fit, in milliseconds.
+    pub(crate) fn fit_error(&self, now: u64) -> f64 {
+        let (least, slope, _, weight) = self.line(now);
+        let square =
+            |(weight, load, latency): (f64, f64, f64)| weight * (latency - least - slope * load).powi(2);
+        let squares: f64 = decayed(&self.samples, now, 2 * CHECK_MS).map(square).sum();
+        if weight > 0.0 { (squares / weight).sqrt() } else { 0.0 }
+    }
+
     /// The fit: latency without load, its slope, the mean latency, the weight of the samples.
     pub(crate) fn line(&self, now: u64) -> (f64, f64, f64, f64) {
         rising(decayed(&self.samples, now, 2 * CHECK_MS), LEAST_SLOPE)
--- a/dataplane/routing/src/request.rs
+++ b/dataplane/routing/src/request.rs
@@ -48,7 +48,7 @@
     pub retry_after_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RefusalReason {
     /// No upstream of the service may be sent to.
     NoUpstream,
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -190,6 +190,7 @@
         let instance = match result {
             Ok(instance) => instance,
             Err(reason) => {
+                service.counts.note_refusal(reason);
                 let wait_ms = retry_after_ms(reason, now, route, service, &self.settings);
                 return refuse(reason, wait_ms, facts, &mut self.chance);
             }
--- a/dataplane/routing/src/service.rs
+++ b/dataplane/routing/src/service.rs
@@ -12,6 +12,7 @@
 use crate::budget::RetryBudget;
 use crate::catalogue::RegionId;
 use crate::cold::ColdPace;
+use crate::counts::ChoiceCounts;
 use crate::home::HomePreference;
 use crate::instance::InstanceState;
 use crate::rate::RateCounter;
@@ -53,6 +54,7 @@
     pub(crate) cold_per_s: f64,
     pub(crate) pace: Option<ColdPace>,
     pub(crate) mechanisms: Mechanisms,
+    pub(crate) counts: ChoiceCounts,
     arrivals: RateCounter,
     home: HomePreference,
     /// Ready instances in the balancer's zone.
@@ -75,6 +77,7 @@
             cold_per_s: 0.0,
             pace: None,
             mechanisms,
+            counts: ChoiceCounts::default(),
             arrivals: RateCounter::new(now),
             home: HomePreference::new(now),
             zone_ready: 0.0,
--- a/dataplane/routing/src/service/selection.rs
+++ b/dataplane/routing/src/service/selection.rs
@@ -7,6 +7,7 @@
 use super::{COUNT_MS, Place, Service};
 use crate::affinity::{Crowd, SharedPrefix, rank};
 use crate::catalogue::{RegionId, RoutePlan};
+use crate::counts::count_one;
 use crate::home::Traffic;
 use crate::instance::Standing;
 use crate::region::RegionModel;
@@ -149,9 +150,11 @@
         let most = (PASS_OVER * self.mean_in_flight()).max(LEAST_PASSED_OVER);
         let mut chosen: Option<(u32, usize)> = None;
         let mut ties = 0;
+        let mut passes_over = false;
         for &index in &self.candidates {
             let in_flight = self.instances[index].in_flight;
             let is_crowded = self.has(Mechanism::PassOver) && f64::from(in_flight + 1) > most;
+            passes_over |= is_crowded;
             let crowding = if is_crowded { in_flight } else { 0 };
             let least = chosen.map_or(u32::MAX, |(least, _)| least);
             if crowding > least {
@@ -162,6 +165,9 @@
                 chosen = Some((crowding, index));
             }
         }
+        if passes_over {
+            count_one(&self.counts.passed_over);
+        }
         chosen.map(|(_, index)| index)
     }
 
@@ -175,7 +181,10 @@
             (!has_bound || crowd.has_place(instance)) && (!has_unread_bound || crowd.has_read(instance))
         };
         let highest = |&&index: &&usize| rank(prefix, self.instances[index].hash);
+        let first = self.candidates.iter().max_by_key(highest).copied();
         let holder = self.candidates.iter().filter(free).max_by_key(highest).copied();
+        let is_first = holder.is_some() && holder == first;
+        count_one(if is_first { &self.counts.at_holder } else { &self.counts.beside_holder });
         holder.or_else(|| self.pick(chance))
     }
 }
