--- a/controlplane/configuration/src/mechanism.rs
+++ b/controlplane/configuration/src/mechanism.rs
@@ -18,6 +18,7 @@
     Rests,
     Reachability,
     Silence,
+    SharedFailures,
     FullAfterRejection,
     FullByOwnSends,
     RefusalWhenFull,
@@ -34,7 +35,7 @@
 }
 
 /// The name of each mechanism on the command line, and what happens without it.
-const TABLE: [(Mechanism, &str, &str); 26] = [
+const TABLE: [(Mechanism, &str, &str); 27] = [
     (Mechanism::OwnRegionFirst, "own-region-first", "regions are drawn by weight alone"),
     (Mechanism::OwnZoneFirst, "own-zone-first", "zones of the own region are not told apart"),
     (Mechanism::SolvedWeights, "solved-weights", "regions weigh as much as they have ready upstreams"),
@@ -60,6 +61,7 @@
         "zones and regions that can't be reached are tried by each request",
     ),
     (Mechanism::Silence, "silence", "an upstream that answers nothing is not taken for failed"),
+    (Mechanism::SharedFailures, "shared-failures", "what other balancers have seen fail is not heeded"),
     (
         Mechanism::FullAfterRejection,
         "full-after-rejection",
--- a/controlplane/controller/examples/load.rs
+++ b/controlplane/controller/examples/load.rs
@@ -119,6 +119,7 @@
             leaving: false,
             applied: Versions { instances, ..Versions::default() },
             sends: Vec::new(),
+            failing: Vec::new(),
         };
         self.handle("report", Event::Report { subscriber, report });
     }
--- a/controlplane/controller/src/controller/publication.rs
+++ b/controlplane/controller/src/controller/publication.rs
@@ -11,7 +11,7 @@
 use super::Controller;
 use super::event::Action;
 use crate::laws::Laws;
-use crate::{exchange, orders};
+use crate::{evidence, exchange, orders};
 
 /// Interval of the messages that show balancers that this controller is alive.
 const LINK_MS: u64 = 300;
@@ -135,11 +135,12 @@
 
     fn refresh_fleet(&mut self, now: u64) {
         let balancers = self.leases.balancers(now);
-        if !self.fleet.is_due(now, balancers, self.publisher.subscribers().count()) {
+        let failing = evidence::failing(self.leases.live(now), |id| self.registry.service_of(id));
+        if !self.fleet.is_due(now, balancers, &failing, self.publisher.subscribers().count()) {
             return;
         }
         let loads = self.leases.loads(now).into_iter().map(exchange::region_load).collect();
-        if let Some(fleet) = self.fleet.update(now, balancers, loads) {
+        if let Some(fleet) = self.fleet.update(now, balancers, failing, loads) {
             self.publisher.set_fleet(fleet);
         }
     }
--- a/controlplane/controller/src/exchange.rs
+++ b/controlplane/controller/src/exchange.rs
@@ -1,9 +1,11 @@
 //! What controllers tell each other of upstreams and balancers: records of the registry as gossip and back.
 
 use whinspindle_distribution::{
-    Gossip, GossipInstance, GossipLease, GossipScope, RegionLoad, Report, ServiceRegion,
+    Gossip, GossipInstance, GossipLease, GossipScope, InstanceFailures, RegionLoad, Report, ServiceRegion,
+};
+use whinspindle_registry::{
+    InstanceRecord, InstanceRegistry, Lease, LeaseRecord, LeaseTable, RegionSends, SeenFailures,
 };
-use whinspindle_registry::{InstanceRecord, InstanceRegistry, Lease, LeaseRecord, LeaseTable, RegionSends};
 
 /// What was heard here since the last call.
 pub fn changes(now: u64, registry: &mut InstanceRegistry, leases: &mut LeaseTable) -> Gossip {
@@ -20,10 +22,13 @@
     gossip(GossipScope::Recalled, registry.recalled(now), leases.recalled(now))
 }
 
-/// What is worth knowing after a restart. Rates of sends are not: they change all the time.
+/// What is worth knowing after a restart. Rates of sends and failures are not: they change all the time.
 pub fn memory(now: u64, registry: &InstanceRegistry, leases: &LeaseTable) -> Gossip {
     let mut leases = leases.snapshot(now);
-    leases.iter_mut().for_each(|record| record.lease.sends.clear());
+    leases.iter_mut().for_each(|record| {
+        record.lease.sends.clear();
+        record.lease.failing.clear();
+    });
     gossip(GossipScope::Recalled, registry.snapshot(now), leases)
 }
 
@@ -55,6 +60,7 @@
         ready: lease.ready,
         leaving: lease.leaving,
         sends: lease.sends.into_iter().map(region_sends).collect(),
+        failing: lease.failing.into_iter().map(seen_failures).collect(),
     };
     LeaseRecord { lease, age_ms }
 }
@@ -70,6 +76,7 @@
         ready: report.ready,
         leaving: report.leaving,
         sends: report.sends.iter().cloned().map(region_sends).collect(),
+        failing: report.failing.iter().cloned().map(seen_failures).collect(),
     }
 }
 
@@ -81,6 +88,14 @@
     }
 }
 
+fn seen_failures(failures: InstanceFailures) -> SeenFailures {
+    SeenFailures { instance: failures.id, failures: failures.failures }
+}
+
+fn instance_failures(seen: SeenFailures) -> InstanceFailures {
+    InstanceFailures { id: seen.instance, failures: seen.failures }
+}
+
 fn region_sends(load: RegionLoad) -> RegionSends {
     RegionSends {
         service: load.target.service,
@@ -124,5 +139,6 @@
         leaving: lease.leaving,
         age_ms: record.age_ms,
         sends: lease.sends.into_iter().map(region_load).collect(),
+        failing: lease.failing.into_iter().map(instance_failures).collect(),
     }
 }
--- a/controlplane/controller/src/fleet.rs
+++ b/controlplane/controller/src/fleet.rs
@@ -20,25 +20,31 @@
 impl FleetState {
     /// Whether the state may have to be told to so many subscribers. Balancers that come or go are told after a pause
     /// that grows with the messages that this takes: hundreds come together, and each would be told of each.
-    pub fn is_due(&self, now: u64, balancers: u32, subscribers: usize) -> bool {
+    pub fn is_due(&self, now: u64, balancers: u32, failing: &[String], subscribers: usize) -> bool {
         let pause_ms = (subscribers as u64 * PAUSE_MS_PER_SUBSCRIBER).min(MIN_INTERVAL_MS);
         let has_rested = self.told.version == 0 || now >= self.told_at + pause_ms;
-        (self.is_urgent(balancers) && has_rested) || now >= self.told_at + MIN_INTERVAL_MS
+        (self.is_urgent(balancers, failing) && has_rested) || now >= self.told_at + MIN_INTERVAL_MS
     }
 
-    fn is_urgent(&self, balancers: u32) -> bool {
-        self.told.version == 0 || balancers != self.told.balancers
+    fn is_urgent(&self, balancers: u32, failing: &[String]) -> bool {
+        self.told.version == 0 || balancers != self.told.balancers || failing != self.told.failing
     }
 
     /// The state to tell, if it differs from the one told last. To be called when it is due.
-    pub fn update(&mut self, now: u64, balancers: u32, loads: Vec<RegionLoad>) -> Option<Fleet> {
+    pub fn update(
+        &mut self,
+        now: u64,
+        balancers: u32,
+        failing: Vec<String>,
+        loads: Vec<RegionLoad>,
+    ) -> Option<Fleet> {
         let is_due = now >= self.told_at + MIN_INTERVAL_MS;
-        let is_worth_telling =
-            self.is_urgent(balancers) || (is_due && is_materially_different(&self.told.loads, &loads));
+        let is_worth_telling = self.is_urgent(balancers, &failing)
+            || (is_due && is_materially_different(&self.told.loads, &loads));
         if !is_worth_telling {
             return None;
         }
-        self.told = Fleet { version: self.told.version + 1, balancers, loads };
+        self.told = Fleet { version: self.told.version + 1, balancers, loads, failing };
         self.told_at = now;
         Some(self.told.clone())
     }
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -8,6 +8,7 @@
 mod contact;
 mod controller;
 mod directory;
+pub mod evidence;
 mod exchange;
 mod fleet;
 mod laws;
--- a/controlplane/controller/tests/common/edge.rs
+++ b/controlplane/controller/tests/common/edge.rs
@@ -176,6 +176,7 @@
             leaving: false,
             applied,
             sends: Vec::new(),
+            failing: Vec::new(),
         };
         if self.agent.is_some() {
             self.reported = self.reported.max(applied.configured);
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -252,5 +252,6 @@
         leaving: false,
         applied: Versions::default(),
         sends: Vec::new(),
+        failing: Vec::new(),
     }
 }
--- a/controlplane/controller/tests/directory.rs
+++ b/controlplane/controller/tests/directory.rs
@@ -226,6 +226,37 @@
     assert_eq!(ask(&mut single, "North-And-South.example:8443", FROM_NORTH), [NORTH_A, SOUTH]);
 }
 
+#[test]
+fn a_controller_that_is_cut_off_leads_clients_to_the_homes_it_knew() {
+    let mut fleet = Fleet::start(22, 3);
+    assert_eq!(fleet.complete(replace_hosts(0, 3), 3_000).status, StatusCode::OK);
+    for _ in 0..5 {
+        for number in [NORTH_A, NORTH_B, SOUTH] {
+            fleet.report(endpoint(2), u64::from(number), balancer(number));
+        }
+        fleet.report(endpoint(3), u64::from(WEST), balancer(WEST));
+        fleet.pass(200);
+    }
+    for other in [1, 2] {
+        fleet.cluster.cut(endpoint(3), endpoint(other));
+        fleet.cluster.cut(endpoint(other), endpoint(3));
+    }
+    for _ in 0..30 {
+        fleet.report(endpoint(3), u64::from(WEST), balancer(WEST));
+        fleet.pass(200);
+        let ask = |fleet: &mut Fleet, host| {
+            let question = resolve_host(host, "west", "zone-w");
+            fleet.ask(endpoint(3), question).map_or_else(Vec::new, |answer| named(&answer))
+        };
+        assert_eq!(
+            ask(&mut fleet, NORTH_AND_SOUTH),
+            [NORTH_A, NORTH_B, SOUTH],
+            "a host that is not at home here"
+        );
+        assert!(ask(&mut fleet, FREE).contains(&WEST), "a host that is served here");
+    }
+}
+
 /// The order goes to one controller and the reports to others; one restarts and one comes back with an empty disk.
 #[test]
 fn every_controller_keeps_to_the_homes_at_all_times() {
--- a/controlplane/distribution/schema/distribution.capnp
+++ b/controlplane/distribution/schema/distribution.capnp
@@ -86,6 +86,12 @@
   version @0 :UInt64;
   balancers @1 :UInt32;
   loads @2 :List(RegionLoad);
+  failing @3 :List(Text);
+}
+
+struct InstanceFailures {
+  id @0 :Text;
+  failures @1 :UInt32;
 }
 
 struct RegionLoad {
@@ -111,6 +117,7 @@
   leaving @6 :Bool;
   applied @7 :Versions;
   sends @8 :List(RegionLoad);
+  failing @9 :List(InstanceFailures);
 }
 
 struct Gossip {
@@ -149,4 +156,5 @@
   leaving @6 :Bool;
   ageMs @7 :UInt64;
   sends @8 :List(RegionLoad);
+  failing @9 :List(InstanceFailures);
 }
--- a/controlplane/distribution/src/codec/balancer.rs
+++ b/controlplane/distribution/src/codec/balancer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use capnp::serialize::write_message_to_words;
-use capnp::struct_list;
+use capnp::{struct_list, text_list};
 
 use whinspindle_encoding::{new_message, read_message};
 
@@ -120,10 +120,7 @@
 }
 
 fn read_evacuations(reader: evacuations::Reader<'_>) -> Result<Evacuations, DecodeError> {
-    let mut zones = Vec::new();
-    for zone in reader.get_zones()? {
-        zones.push(zone?.to_string()?);
-    }
+    let zones = read_texts(reader.get_zones()?)?;
     Ok(Evacuations { sequence: reader.get_sequence(), zones })
 }
 
@@ -147,14 +144,19 @@
 }
 
 fn read_changes(reader: instance_changes::Reader<'_>) -> Result<InstanceChanges, DecodeError> {
-    let mut removed = Vec::new();
-    for id in reader.get_removed()? {
-        removed.push(id?.to_string()?);
-    }
+    let removed = read_texts(reader.get_removed()?)?;
     let changed = read_list(reader.get_changed()?)?;
     Ok(InstanceChanges { base: reader.get_base(), version: reader.get_version(), changed, removed })
 }
 
+fn read_texts(reader: text_list::Reader<'_>) -> Result<Vec<String>, DecodeError> {
+    let mut texts = Vec::new();
+    for text in reader {
+        texts.push(text?.to_string()?);
+    }
+    Ok(texts)
+}
+
 fn write_list(mut builder: struct_list::Builder<'_, instance::Owned>, list: &[Instance]) {
     for (index, instance) in (0..).zip(list) {
         write_instance(builder.reborrow().get(index), instance);
@@ -190,10 +192,15 @@
 fn write_fleet(mut builder: fleet::Builder<'_>, section: &Fleet) {
     builder.set_version(section.version);
     builder.set_balancers(section.balancers);
-    write_loads(builder.init_loads(section.loads.len() as u32), &section.loads);
+    write_loads(builder.reborrow().init_loads(section.loads.len() as u32), &section.loads);
+    let mut failing = builder.init_failing(section.failing.len() as u32);
+    for (index, id) in (0..).zip(&section.failing) {
+        failing.set(index, id);
+    }
 }
 
 fn read_fleet(reader: fleet::Reader<'_>) -> Result<Fleet, DecodeError> {
     let loads = read_loads(reader.get_loads()?)?;
-    Ok(Fleet { version: reader.get_version(), balancers: reader.get_balancers(), loads })
+    let failing = read_texts(reader.get_failing()?)?;
+    Ok(Fleet { version: reader.get_version(), balancers: reader.get_balancers(), loads, failing })
 }
--- a/controlplane/distribution/src/codec/gossip.rs
+++ b/controlplane/distribution/src/codec/gossip.rs
@@ -5,7 +5,7 @@
 use whinspindle_encoding::{new_message, read_message};
 
 use super::DecodeError;
-use super::parts::{read_endpoint, read_loads, write_endpoint, write_loads};
+use super::parts::{read_endpoint, read_failures, read_loads, write_endpoint, write_failures, write_loads};
 use crate::distribution_capnp::{self, gossip, gossip_instance, gossip_lease};
 use crate::{Gossip, GossipInstance, GossipLease, GossipScope};
 
@@ -87,7 +87,8 @@
     builder.set_leaving(lease.leaving);
     builder.set_age_ms(lease.age_ms);
     write_endpoint(builder.reborrow().init_front(), lease.front);
-    write_loads(builder.init_sends(lease.sends.len() as u32), &lease.sends);
+    write_loads(builder.reborrow().init_sends(lease.sends.len() as u32), &lease.sends);
+    write_failures(builder.init_failing(lease.failing.len() as u32), &lease.failing);
 }
 
 fn read_lease(reader: gossip_lease::Reader<'_>) -> Result<GossipLease, DecodeError> {
@@ -101,5 +102,6 @@
         leaving: reader.get_leaving(),
         age_ms: reader.get_age_ms(),
         sends: read_loads(reader.get_sends()?)?,
+        failing: read_failures(reader.get_failing()?)?,
     })
 }
--- a/controlplane/distribution/src/codec/parts.rs
+++ b/controlplane/distribution/src/codec/parts.rs
@@ -6,8 +6,8 @@
 use whinspindle_encoding::address_octets;
 
 use super::DecodeError;
-use crate::distribution_capnp::{endpoint, region_load, versions};
-use crate::{RegionLoad, ServiceRegion, Versions};
+use crate::distribution_capnp::{endpoint, instance_failures, region_load, versions};
+use crate::{InstanceFailures, RegionLoad, ServiceRegion, Versions};
 
 pub(super) fn write_endpoint(mut builder: endpoint::Builder<'_>, address: SocketAddr) {
     match address.ip() {
@@ -47,6 +47,26 @@
     Ok(RegionLoad { target: ServiceRegion { service, region }, requests_per_s })
 }
 
+pub(super) fn write_failures(
+    mut builder: struct_list::Builder<'_, instance_failures::Owned>,
+    failing: &[InstanceFailures],
+) {
+    for (index, instance) in (0..).zip(failing) {
+        let mut item = builder.reborrow().get(index);
+        item.set_id(&instance.id);
+        item.set_failures(instance.failures);
+    }
+}
+
+pub(super) fn read_failures(
+    reader: struct_list::Reader<'_, instance_failures::Owned>,
+) -> Result<Vec<InstanceFailures>, DecodeError> {
+    let read = |item: instance_failures::Reader<'_>| {
+        Ok(InstanceFailures { id: item.get_id()?.to_string()?, failures: item.get_failures() })
+    };
+    reader.iter().map(read).collect()
+}
+
 pub(super) fn write_versions(mut builder: versions::Builder<'_>, versions: Versions) {
     builder.set_configured(versions.configured);
     builder.set_evacuations(versions.evacuations);
--- a/controlplane/distribution/src/codec/report.rs
+++ b/controlplane/distribution/src/codec/report.rs
@@ -5,7 +5,10 @@
 use whinspindle_encoding::{new_message, read_message};
 
 use super::DecodeError;
-use super::parts::{read_endpoint, read_loads, read_versions, write_endpoint, write_loads, write_versions};
+use super::parts::{
+    read_endpoint, read_failures, read_loads, read_versions, write_endpoint, write_failures, write_loads,
+    write_versions,
+};
 use crate::distribution_capnp::{hello, report};
 use crate::{Hello, Report, Role};
 
@@ -41,7 +44,8 @@
     builder.set_leaving(report.leaving);
     write_endpoint(builder.reborrow().init_front(), report.front);
     write_versions(builder.reborrow().init_applied(), report.applied);
-    write_loads(builder.init_sends(report.sends.len() as u32), &report.sends);
+    write_loads(builder.reborrow().init_sends(report.sends.len() as u32), &report.sends);
+    write_failures(builder.init_failing(report.failing.len() as u32), &report.failing);
     write_message_to_words(&message)
 }
 
@@ -58,5 +62,6 @@
         leaving: reader.get_leaving(),
         applied: read_versions(reader.get_applied()?),
         sends: read_loads(reader.get_sends()?)?,
+        failing: read_failures(reader.get_failing()?)?,
     })
 }
--- a/controlplane/distribution/src/distribution_capnp.rs
+++ b/controlplane/distribution/src/distribution_capnp.rs
@@ -4420,6 +4420,411 @@
         pub fn has_loads(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_failing(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_balancers(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_balancers(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_loads(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::distribution_capnp::region_load::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_loads(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::distribution_capnp::region_load::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_loads(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::distribution_capnp::region_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_failing(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_failing(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_failing(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(232, 34, 204, 99, 236, 158, 120, 200),
+            ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
+            ::capnp::word(116, 105, 111, 110, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 70, 108, 101, 101, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 108, 97, 110, 99, 101, 114),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 144, 167, 162, 187, 20, 232, 133),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::distribution_capnp::region_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 3, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xc878_9eec_63cc_22e8;
+    }
+}
+
+pub mod instance_failures {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_failures(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
     }
 
     pub struct Builder<'a> {
@@ -4427,7 +4832,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4497,53 +4902,37 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_balancers(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
-        }
-        #[inline]
-        pub fn set_balancers(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(2, value);
-        }
-        #[inline]
-        pub fn get_loads(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::distribution_capnp::region_load::Owned>>
-        {
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_loads(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::distribution_capnp::region_load::Owned>,
-        ) -> ::capnp::Result<()> {
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
+            .unwrap()
         }
         #[inline]
-        pub fn init_loads(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::distribution_capnp::region_load::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_loads(&self) -> bool {
+        pub fn has_id(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_failures(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_failures(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4556,56 +4945,50 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(232, 34, 204, 99, 236, 158, 120, 200),
-            ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(26, 56, 212, 242, 200, 18, 77, 134),
+            ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
             ::capnp::word(116, 105, 111, 110, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 70, 108, 101, 101, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 73, 110, 115, 116, 97),
+            ::capnp::word(110, 99, 101, 70, 97, 105, 108, 117),
+            ::capnp::word(114, 101, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 117, 114, 101, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 97, 108, 97, 110, 99, 101, 114),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4613,24 +4996,11 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 144, 167, 162, 187, 20, 232, 133),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::struct_list::Owned<crate::distribution_capnp::region_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4649,10 +5019,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
-        pub(crate) const TYPE_ID: u64 = 0xc878_9eec_63cc_22e8;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x864d_12c8_f2d4_381a;
     }
 }
 
@@ -5545,6 +5915,21 @@
         pub fn has_sends(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_failing(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::distribution_capnp::instance_failures::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5552,7 +5937,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5801,6 +6186,39 @@
         pub fn has_sends(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_failing(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance_failures::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_failing(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::distribution_capnp::instance_failures::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(6),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_failing(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance_failures::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline {
@@ -5820,17 +6238,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 177] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(162, 248, 116, 27, 36, 115, 85, 240),
             ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
@@ -5838,70 +6256,77 @@
             ::capnp::word(110, 112, 58, 82, 101, 112, 111, 114),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5979,6 +6404,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 56, 212, 242, 200, 18, 77, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5991,6 +6428,7 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::distribution_capnp::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::distribution_capnp::region_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::distribution_capnp::instance_failures::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6009,9 +6447,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 1, 6, 0, 5, 3, 8, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 9, 4, 1, 6, 0, 5, 3, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0xf055_7324_1b74_f8a2;
     }
 }
@@ -7296,6 +7734,21 @@
         pub fn has_sends(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_failing(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::distribution_capnp::instance_failures::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -7303,7 +7756,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7534,6 +7987,39 @@
         pub fn has_sends(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_failing(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance_failures::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_failing(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::distribution_capnp::instance_failures::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_failing(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::distribution_capnp::instance_failures::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_failing(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline {
@@ -7550,17 +8036,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 177] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 246, 103, 111, 98, 78, 249, 246),
             ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 72, 158, 91, 194, 247, 161, 211),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 116, 114, 105, 98, 117),
@@ -7568,70 +8054,77 @@
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 76, 101, 97, 115, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7709,6 +8202,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 56, 212, 242, 200, 18, 77, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7721,6 +8226,7 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::distribution_capnp::region_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::distribution_capnp::instance_failures::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7739,9 +8245,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 1, 6, 0, 5, 3, 8, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 9, 4, 1, 6, 0, 5, 3, 8, 2];
         pub(crate) const TYPE_ID: u64 = 0xf6f9_4e62_6f67_f64b;
     }
 }
--- a/controlplane/distribution/src/gossip.rs
+++ b/controlplane/distribution/src/gossip.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use crate::RegionLoad;
+use crate::{InstanceFailures, RegionLoad};
 
 /// Changes since the last gossip on a connection, or everything on a new one.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -59,4 +59,5 @@
     /// Time since the last renewal.
     pub age_ms: u64,
     pub sends: Vec<RegionLoad>,
+    pub failing: Vec<InstanceFailures>,
 }
--- a/controlplane/distribution/src/lib.rs
+++ b/controlplane/distribution/src/lib.rs
@@ -21,7 +21,7 @@
 pub use gossip::{Gossip, GossipInstance, GossipLease, GossipScope};
 pub use holder::Holder;
 pub use message::{
-    Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, InstanceChanges, Instances, Link,
-    RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
+    Configured, ControllerAddress, Evacuations, Fleet, Hello, Instance, InstanceChanges, InstanceFailures,
+    Instances, Link, RegionLoad, Report, Role, ServiceRegion, ToBalancer, Update, Versions,
 };
 pub use publisher::{Lag, Publisher, Section, SubscriberId};
--- a/controlplane/distribution/src/message.rs
+++ b/controlplane/distribution/src/message.rs
@@ -151,6 +151,15 @@
     pub balancers: u32,
     /// Requests a second that all balancers together send, by service and region.
     pub loads: Vec<RegionLoad>,
+    /// Ids of instances whose failures several balancers have seen.
+    pub failing: Vec<String>,
+}
+
+/// Failures of an instance that one balancer has seen a short while ago.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceFailures {
+    pub id: String,
+    pub failures: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -192,4 +201,6 @@
     pub applied: Versions,
     /// Requests a second that this balancer sends.
     pub sends: Vec<RegionLoad>,
+    /// Instances that have failed requests of this balancer lately.
+    pub failing: Vec<InstanceFailures>,
 }
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -188,6 +188,13 @@
         !self.unsent.is_empty()
     }
 
+    /// The service of an instance, and how many instances of it are known.
+    pub fn service_of(&self, id: &str) -> Option<(&str, usize)> {
+        let service = self.known.get(id)?.service.as_str();
+        let instances = self.known.iter().filter(|(_, known)| known.service == service).count();
+        Some((service, instances))
+    }
+
     /// How many instances are known.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/controlplane/registry/src/leases.rs
+++ b/controlplane/registry/src/leases.rs
@@ -31,6 +31,13 @@
     pub requests_per_s: f64,
 }
 
+/// Failures of an instance that a balancer has seen a short while ago.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenFailures {
+    pub instance: String,
+    pub failures: u32,
+}
+
 /// What a balancer says of itself with each renewal.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Lease {
@@ -45,6 +52,7 @@
     /// No new clients are to be sent to it; holds for the rest of the incarnation.
     pub leaving: bool,
     pub sends: Vec<RegionSends>,
+    pub failing: Vec<SeenFailures>,
 }
 
 /// A lease, as controllers tell it to each other.
--- a/controlplane/registry/src/lib.rs
+++ b/controlplane/registry/src/lib.rs
@@ -8,4 +8,4 @@
 mod retired;
 
 pub use instances::{HeartbeatEffect, InstanceRecord, InstanceRegistry, RegistryTiming};
-pub use leases::{Lease, LeaseRecord, LeaseTable, LeaseTiming, RegionSends};
+pub use leases::{Lease, LeaseRecord, LeaseTable, LeaseTiming, RegionSends, SeenFailures};
--- a/controlplane/registry/tests/leases.rs
+++ b/controlplane/registry/tests/leases.rs
@@ -26,6 +26,7 @@
         ready: true,
         leaving: false,
         sends: vec![RegionSends { service: "model".into(), region: "north".into(), requests_per_s: 2.5 }],
+        failing: vec![],
     }
 }
 
--- a/dataplane/agent/src/report.rs
+++ b/dataplane/agent/src/report.rs
@@ -37,6 +37,7 @@
             leaving: false,
             applied: Versions::default(),
             sends: Vec::new(),
+            failing: Vec::new(),
         };
         ProxyState { connected: false, incarnation, reported_at: 0, report }
     }
@@ -84,6 +85,7 @@
         if !self.speaks(now) {
             report.ready = false;
             report.sends.clear();
+            report.failing.clear();
         }
         report
     }
@@ -92,6 +94,7 @@
         self.report.ready = false;
         self.report.applied = Versions::default();
         self.report.sends.clear();
+        self.report.failing.clear();
     }
 }
 
--- a/dataplane/proxy/src/feed.rs
+++ b/dataplane/proxy/src/feed.rs
@@ -147,6 +147,7 @@
         leaving: node.stop.is_ordered(),
         applied: node.holder.borrow().versions(),
         sends: node.router.borrow().sends(node.clock.now_ms()),
+        failing: node.router.borrow().failing(node.clock.now_ms()),
     };
     frames.push(FrameKind::Report, &encode_report(&report)).context(FrameSnafu)?;
     let written = timeout(SILENCE_LIMIT, frames.write_to(writer)).await;
--- a/dataplane/routing/src/health.rs
+++ b/dataplane/routing/src/health.rs
@@ -9,6 +9,9 @@
 /// After so many rests in a row, each with a trial that failed, an instance counts as down.
 const RESTS_UNTIL_DOWN: u32 = 2;
 
+/// Failures are told to the other balancers for so long after the last one.
+const EVIDENCE_MS: u64 = 4_000;
+
 /// Counts sends that came to nothing, and rests the instance for a while: first shortly, then longer each time that
 /// the trial after a rest fails too.
 #[derive(Clone, Debug, Default)]
@@ -17,12 +20,27 @@
     rests: u32,
     resting_until: u64,
     last_answer: u64,
+    /// Answers that were failures of the instance, and when the last one came.
+    failures: u32,
+    failed_at: u64,
 }
 
 impl Health {
     /// Any answer ends the doubt.
     pub(crate) fn answered(&mut self, now: u64) {
-        *self = Health { last_answer: now, ..Health::default() };
+        let (failures, failed_at) = (self.failures, self.failed_at);
+        *self = Health { last_answer: now, failures, failed_at, ..Health::default() };
+    }
+
+    /// The instance has answered with a failure of its own.
+    pub(crate) fn note_failed_answer(&mut self, now: u64) {
+        self.failures = self.recent_failures(now) + 1;
+        self.failed_at = now;
+    }
+
+    /// Failures for as long as they are evidence.
+    pub(crate) fn recent_failures(&self, now: u64) -> u32 {
+        if self.failures > 0 && now < self.failed_at + EVIDENCE_MS { self.failures } else { 0 }
     }
 
     pub(crate) fn last_answer(&self) -> u64 {
--- a/dataplane/routing/src/instance.rs
+++ b/dataplane/routing/src/instance.rs
@@ -51,6 +51,10 @@
     pub(crate) out_of_reach_until: u64,
     /// It stands in the balancer's zone.
     pub(crate) in_own_zone: bool,
+    /// Several balancers have seen it fail, as told last.
+    pub(crate) is_blamed: bool,
+    /// Until when it is left alone for that.
+    pub(crate) blamed_until: u64,
     /// It takes no new requests, now or ever again.
     pub(crate) retired: bool,
     /// Since when the control plane doesn't know it, if so.
@@ -78,6 +82,8 @@
             health: Health::default(),
             cold_share: ColdShare::default(),
             evacuated: false,
+            is_blamed: false,
+            blamed_until: 0,
             out_of_reach_until: 0,
             in_own_zone: false,
             retired: false,
@@ -133,6 +139,7 @@
     pub(crate) fn is_ready(&self, now: u64) -> bool {
         self.may_be_sent_to()
             && now >= self.out_of_reach_until
+            && now >= self.blamed_until
             && !self.health.is_resting(now, self.unanswered)
     }
 
@@ -144,7 +151,7 @@
         if now < self.out_of_reach_until {
             return Standing::Down;
         }
-        let resting = self.health.is_resting(now, self.unanswered);
+        let resting = now < self.blamed_until || self.health.is_resting(now, self.unanswered);
         if bears > 0.0 && self.is_cold(now) {
             let room = pace.is_some_and(|pace| self.cold_share.has_room(now, pace));
             return if room && !resting { Standing::ColdOpen } else { Standing::ColdSpent };
--- a/dataplane/routing/src/lib.rs
+++ b/dataplane/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 mod router;
 mod service;
+mod turning_zone;
 
 pub use figures::{RegionFigures, ServiceFigures};
 pub use request::{Attempt, Choice, InstanceKey, Outcome, PromptPart, Refusal, RefusalReason, RequestFacts};
--- a/dataplane/routing/src/router.rs
+++ b/dataplane/routing/src/router.rs
@@ -1,5 +1,9 @@
 //! The state machine that decides where a request goes.
 
+mod evidence;
+mod refusals;
+mod sends;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,16 +13,18 @@
 use whinspindle_configuration::{Bounds, Configuration, Mechanism, Mechanisms};
 use whinspindle_distribution::{Fleet, Instance, Instances, RegionLoad, ServiceRegion};
 
+use self::refusals::{no_upstream_wait_ms, refuse, retry_after_ms};
+use self::sends::{Send, begin_send, is_silent, note_latency};
 use crate::affinity::shared_prefix;
 use crate::balancer_count::BalancerCount;
-use crate::catalogue::{Catalogue, RegionId, RoutePlan, ServiceId};
+use crate::catalogue::{Catalogue, RegionId, ServiceId};
 use crate::cold::ColdPace;
 use crate::even_draw::EvenDraw;
 use crate::instance::InstanceState;
 use crate::reachability::Reachability;
 use crate::region::CHECK_MS;
 use crate::service::{Place, Service};
-use crate::{Attempt, Choice, InstanceKey, Outcome, Refusal, RefusalReason, RequestFacts};
+use crate::{Attempt, Choice, InstanceKey, Outcome, RefusalReason, RequestFacts};
 
 /// How often silent instances are looked for while sends are out.
 const LOOK_MS: u64 = 500;
@@ -31,14 +37,6 @@
 /// halves, before all have told it.
 const SUSPECT_HALF_INTERVALS: u64 = 3;
 const SUSPECT_MARGIN_MS: u64 = 500;
-/// A client heeds a pause of a third of its time; this leaves it some.
-const MOST_OF_TIME_LEFT: f64 = 0.3;
-const LEAST_RETRY_AFTER_MS: f64 = 20.0;
-/// A pause is this part of the route's objective where nothing tells more.
-const RETRY_AFTER_PART: f64 = 0.25;
-/// Without any upstream it is this many heartbeat intervals: one that is back makes itself known with its heartbeat,
-/// and outages rarely end within a second.
-const NO_UPSTREAM_HEARTBEATS: u64 = 4;
 
 /// What a router is told of its place and of the figures that bound it.
 #[derive(Clone, Debug)]
@@ -63,24 +61,6 @@
     pub region: String,
 }
 
-/// One send that is out.
-#[derive(Debug)]
-struct Send {
-    service: ServiceId,
-    instance: InstanceKey,
-    region: RegionId,
-    sent_at: u64,
-    load_per_ready: f64,
-    streaming: bool,
-    /// Tokens of its prompt.
-    prompt_tokens: u32,
-    /// It was paid for from the budget of repeats.
-    is_repeat: bool,
-    answered: bool,
-    /// It was counted against its instance for its silence.
-    struck: bool,
-}
-
 /// Decides where requests go. All times are milliseconds of one steady clock.
 pub struct Router {
     settings: RouterSettings,
@@ -191,6 +171,7 @@
         };
         let loads: Vec<_> = fleet.loads.iter().map(target).collect();
         self.grow(now);
+        self.blame(now, &fleet.failing);
         for (id, service) in self.services.iter_mut().enumerate() {
             let own = loads.iter().filter(|load| load.0 == id).map(|load| (load.1, load.2));
             service.tell_loads(now, self.home, own);
@@ -275,21 +256,6 @@
         self.instance(instance).is_some_and(InstanceState::may_be_sent_to)
     }
 
-    /// Something has come on a connection to an instance: its zone and its region are within reach.
-    pub fn heard(&mut self, instance: InstanceKey) {
-        let Some(held) = self.instance(instance) else { return };
-        let (zone, region) = (held.zone, held.region);
-        if self.reachability.note_heard(zone, region) {
-            self.set_reach();
-        }
-    }
-
-    /// Whether connections to other instances of its zone or region have fallen silent, and nothing was heard from there
-    /// since: what is written on a connection that has been idle may be lost.
-    pub fn is_in_doubt(&self, instance: InstanceKey) -> bool {
-        self.instance(instance).is_some_and(|held| self.reachability.is_in_doubt(held.zone, held.region))
-    }
-
     /// The first event, or the head of an answer, has come.
     pub fn first_event(&mut self, now: u64, attempt: Attempt) {
         let Some(send) = self.sends.get_mut(&attempt).filter(|send| !send.answered) else { return };
@@ -316,6 +282,11 @@
                 instance.unread_tokens -= u64::from(send.prompt_tokens);
             }
         }
+        if outcome == Outcome::Failed
+            && let Some(instance) = service.instances.get_mut(&send.instance)
+        {
+            instance.health.note_failed_answer(now);
+        }
         match outcome {
             Outcome::Served => {
                 if !send.streaming {
@@ -470,27 +441,6 @@
         self.retired.insert(id.to_owned());
     }
 
-    fn note_silence(&mut self, now: u64, key: InstanceKey) {
-        if !self.settings.mechanisms.has(Mechanism::Reachability) {
-            return;
-        }
-        let Some(instance) = self.instance(key) else { return };
-        let (zone, region) = (instance.zone, instance.region);
-        self.reachability.note_silence(now, zone, region, key);
-        self.set_reach();
-    }
-
-    /// Tells the instances until when their places are out of reach.
-    fn set_reach(&mut self) {
-        let reachability = &self.reachability;
-        for service in &mut self.services {
-            for instance in service.instances.values_mut() {
-                instance.out_of_reach_until = reachability.closed_until(instance.zone, instance.region);
-            }
-            service.recount();
-        }
-    }
-
     fn note_answer(&mut self, now: u64, send: &Send) {
         if let Some(instance) = self.services[send.service].instances.get_mut(&send.instance) {
             instance.health.answered(now);
@@ -564,80 +514,3 @@
         }
     }
 }
-
-/// Whether a send has been out for too long at an instance that has answered nobody since.
-fn is_silent(service: &Service, now: u64, send: &Send) -> bool {
-    let instance = service.instances.get(&send.instance);
-    if !service.mechanisms.has(Mechanism::Silence) {
-        return false;
-    }
-    let since_answer = instance.is_some_and(|instance| instance.health.last_answer() < send.sent_at);
-    !send.answered && !send.struck && since_answer && send.sent_at + service.patience_ms() <= now
-}
-
-fn begin_send(
-    service: &mut Service,
-    place: &Place,
-    id: ServiceId,
-    key: InstanceKey,
-    facts: &RequestFacts,
-) -> Send {
-    let pace = service.pace;
-    let instance = &mut service.instances[&key];
-    instance.in_flight += 1;
-    instance.unanswered += 1;
-    instance.unread_tokens += u64::from(facts.prompt_tokens);
-    if let Some(pace) = pace.filter(|_| instance.is_cold(place.now)) {
-        instance.cold_share.note_send(place.now, &pace);
-    }
-    let region = instance.region;
-    service.regions[region].sends.note(place.now);
-    Send {
-        service: id,
-        instance: key,
-        region,
-        sent_at: place.now,
-        load_per_ready: service.load_per_ready(region, place.now, place.balancers),
-        streaming: false,
-        prompt_tokens: facts.prompt_tokens,
-        is_repeat: false,
-        answered: false,
-        struck: false,
-    }
-}
-
-fn note_latency(service: &mut Service, now: u64, send: &Send) {
-    let latency_ms = now.saturating_sub(send.sent_at) as f64;
-    service.note_latency(now, send.region, send.load_per_ready, latency_ms);
-}
-
-/// When another try makes sense, before what the client's time allows.
-fn retry_after_ms(
-    reason: RefusalReason,
-    now: u64,
-    route: &RoutePlan,
-    service: &Service,
-    settings: &RouterSettings,
-) -> f64 {
-    let part_of_target = RETRY_AFTER_PART * route.target_ms as f64;
-    if !settings.mechanisms.has(Mechanism::RefusalPauses) {
-        return part_of_target;
-    }
-    match reason {
-        RefusalReason::Full | RefusalReason::RetryBudget => part_of_target,
-        RefusalReason::Cold => service.cold_wait_ms(now).map_or(part_of_target, |wait| wait as f64),
-        RefusalReason::NoUpstream => no_upstream_wait_ms(settings),
-    }
-}
-
-fn no_upstream_wait_ms(settings: &RouterSettings) -> f64 {
-    (NO_UPSTREAM_HEARTBEATS * settings.heartbeat_ms) as f64
-}
-
-/// A refusal with the pause spread by chance, so that clients don't come back all at once.
-fn refuse(reason: RefusalReason, wait_ms: f64, facts: &RequestFacts, chance: &mut Pcg) -> Choice {
-    let most = (MOST_OF_TIME_LEFT * facts.time_left_ms as f64).max(LEAST_RETRY_AFTER_MS);
-    let spread = wait_ms * (0.75 + 0.5 * chance.unit());
-    let retry_after_ms = spread.clamp(LEAST_RETRY_AFTER_MS, most) as u64;
-    Choice::Refuse(Refusal { reason, retry_after_ms })
-}
--- a/dataplane/routing/tests/health.rs
+++ b/dataplane/routing/tests/health.rs
@@ -185,3 +185,59 @@
     let back = (3_000..9_000).find(|&now| served_by(&mut router, now, &facts()).is_some()).expect("a trial");
     assert!((back + 1..back + 50).all(|now| served_by(&mut router, now, &facts()).is_some()));
 }
+
+fn told_failing(router: &mut Router, now: u64, failing: &[&str]) {
+    let failing = failing.iter().map(|id| (*id).to_owned()).collect();
+    router.fleet(now, &whinspindle_distribution::Fleet { failing, ..fleet(6, vec![]) });
+}
+
+#[test]
+fn an_instance_that_fails_others_is_left_alone_while_they_say_so() {
+    let mut router = plain(spread([4, 0, 0]));
+    assert!(gets_any(&mut router, 0, "i2"));
+    told_failing(&mut router, 0, &["i2"]);
+    assert!(!gets_any(&mut router, 1, "i2"));
+    assert!(!gets_any(&mut router, 20_000, "i2"));
+    told_failing(&mut router, 20_000, &[]);
+    assert!(gets_any(&mut router, 24_001, "i2"), "every balancer is back after four seconds");
+}
+
+#[test]
+fn what_others_said_counts_no_longer_than_they_can_be_heard() {
+    let mut router = plain(spread([4, 0, 0]));
+    told_failing(&mut router, 0, &["i2"]);
+    told_failing(&mut router, 20_000, &["i2"]);
+    assert!(!gets_any(&mut router, 49_000, "i2"));
+    assert!(gets_any(&mut router, 50_001, "i2"));
+}
+
+#[test]
+fn balancers_come_back_one_after_the_other() {
+    let moments = (0..20).map(|seed| {
+        let mut router = router(seed, route("r", RouteKind::Unsafe), spread([4, 0, 0]));
+        told_failing(&mut router, 0, &["i2"]);
+        told_failing(&mut router, 0, &[]);
+        (0..41).map(|step| step * 100).find(|&now| gets_any(&mut router, now, "i2")).expect("it is back")
+    });
+    let moments: std::collections::BTreeSet<u64> = moments.collect();
+    assert!(moments.len() > 10, "{moments:?}");
+}
+
+#[test]
+fn where_all_are_said_to_fail_they_are_used() {
+    let mut router = plain(spread([2, 0, 0]));
+    told_failing(&mut router, 0, &["i1", "i2"]);
+    assert!(send(&mut router, 1, &facts()).is_some());
+}
+
+#[test]
+fn failures_are_told_for_four_seconds_and_answers_do_not_end_them() {
+    let mut router = plain(spread([4, 0, 0]));
+    end_at(&mut router, 0, "i2", Outcome::Failed, 1);
+    end_at(&mut router, 100, "i2", Outcome::Served, 1);
+    end_at(&mut router, 200, "i2", Outcome::Failed, 1);
+    end_at(&mut router, 200, "i3", Outcome::Broken, 1);
+    let told: Vec<_> = router.failing(4_100).into_iter().map(|seen| (seen.id, seen.failures)).collect();
+    assert_eq!(told, [("i2".to_owned(), 2)], "a connection that broke may be the network's");
+    assert!(router.failing(4_201).is_empty());
+}
--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -81,9 +81,9 @@
     command += ["--small"] if small else []
     done = subprocess.run(command, cwd=clone, capture_output=True, text=True, timeout=900)
     worth = re.search(r"^worth (-?[\d.]+) = ", done.stdout, re.MULTILINE)
-    broken = re.findall(r"^.*\b(?:rule|RULE|broken|BROKEN)\b.*$", done.stdout, re.MULTILINE)
+    broken = re.findall(r"BROKEN: (.*?)(?: \(else [\d.]+\))?$", done.stdout, re.MULTILINE)
     note = {"mechanism": mechanism, "site": site, "day": day, "seed": seed}
-    return note | {"worth": float(worth.group(1)) if worth else None, "broken": broken[:4]}
+    return note | {"worth": float(worth.group(1)) if worth else None, "broken": broken}
 
 
 def work_off(arguments, number, tasks, lock):
--- a/deploy/loss_account.py
+++ b/deploy/loss_account.py
@@ -2,6 +2,7 @@
 """Prints where the worth of a day went, from a report of the bench (`fleetbench run SITE DAY --report FILE`).
 
     deploy/loss_account.py REPORT...
+    deploy/loss_account.py --table REPORT...    the first table alone, as Markdown, with a column for each report
 
 The first table adds up to 1 - worth: what each part of the goal lacks, times its weight, and each price. The others
 tell which requests these are: by seconds, kind, zone of the client, and by how the attempts that were not served ended.
@@ -65,10 +66,35 @@
         print(f"  {event['at_s']:>7.2f} to {event['to_s']:>6.2f} s  {event['kind']} {event['what']}")
 
 
+def short(name):
+    """A row's name without the amount, which differs from day to day."""
+    return name if not name.startswith("price: ") else "price: " + name.split(" ", 2)[2]
+
+
+def print_table(paths):
+    """What is missing of the worth, in thousandths: a row for each part and price, a column for each report."""
+    reports = [json.loads(path.read_text()) for path in paths]
+    columns = [{short(name): cost for name, cost in loss_rows(report)} for report in reports]
+    names = dict.fromkeys(name for column in columns for name in column)
+    rows = [(name, [column.get(name, 0.0) for column in columns]) for name in names]
+    shown = sorted((row for row in rows if max(row[1]) >= LEAST_SHOWN), key=lambda row: -sum(row[1]))
+    print("| missing, thousandths | " + " | ".join(path.stem for path in paths) + " |")
+    print("| --- |" + " --- |" * len(paths))
+    for name, costs in shown:
+        print(f"| {name} | " + " | ".join(f"{1000 * cost:.1f}" for cost in costs) + " |")
+    rest = [sum(row[1][index] for row in rows) - sum(row[1][index] for row in shown) for index in range(len(paths))]
+    print("| smaller prices | " + " | ".join(f"{1000 * cost:.1f}" for cost in rest) + " |")
+    print("| in all | " + " | ".join(f"{1000 * (1 - report['G']):.1f}" for report in reports) + " |")
+
+
 def main():
-    if len(sys.argv) < 2:
+    arguments = sys.argv[1:]
+    if not arguments or arguments[0] in ("-h", "--help") or arguments == ["--table"]:
         sys.exit(__doc__)
-    for path in sys.argv[1:]:
+    if arguments[0] == "--table":
+        print_table([pathlib.Path(path) for path in arguments[1:]])
+        return
+    for path in arguments:
         print_account(pathlib.Path(path))
 
 
