--- /dev/null
+++ b/dataplane/proxy/src/exchange/reading.rs
@@ -0,0 +1,215 @@
+//! Reads an upstream's answer as far as it has to be known before it is passed on.
+
+use std::future::poll_fn;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Response, StatusCode, response};
+use hyper::body::{Body, Incoming};
+use tokio::time::timeout;
+use whinspindle_routing::Outcome;
+
+use super::{Exchange, OpenStream, Opened, Run, Sent};
+use crate::events::EventSplitter;
+use crate::headers::{VERSIONS, keep_alive_ms, number, retry_after_ms, strip_hop_by_hop};
+use crate::pool::Leased;
+use crate::retry::SendEnd;
+use crate::verdict::Verdict;
+
+/// The body of a refusal is waited for so long, for the sake of the connection.
+const REFUSAL_BODY: Duration = Duration::from_millis(20);
+/// The longest answer that is read whole.
+const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const CHUNKED: &[u8] = b"chunked";
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// The head of an answer that has been judged, and the connection on which the rest comes.
+pub(super) struct Answered {
+    pub(super) verdict: Verdict,
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    pub(super) leased: Leased,
+}
+
+impl Exchange {
+    /// Reads an answer as far as it has to be known before it is passed on.
+    pub(super) async fn read(&mut self, answered: Answered, mut sent: Sent) -> Result<Opened, SendEnd> {
+        let Answered { verdict, head, body, mut leased } = answered;
+        // Where the head alone says that the request did not run, the body does not count.
+        let counts = !matches!(verdict, Verdict::Rejected | Verdict::Misdirected);
+        self.in_flight = counts;
+        if counts && !is_framed(&self.request.method, &head, &body) {
+            sent.finish(Outcome::Broken);
+            return Err(SendEnd::Broken);
+        }
+        let keeps = keep_alive_ms(&head.headers).map(Duration::from_millis);
+        leased.keeps = keeps.or(leased.keeps);
+        if verdict == Verdict::Success && is_event_stream(&head.headers) {
+            return self.read_first_events(head, body, leased, sent).await;
+        }
+        if verdict == Verdict::Success {
+            sent.first_event();
+        }
+        let framed = is_framed(&self.request.method, &head, &body);
+        let whole = match (framed, counts) {
+            (false, _) => None,
+            (true, true) => self.read_whole(body, &mut leased).await,
+            (true, false) => timeout(REFUSAL_BODY, self.read_whole(body, &mut leased)).await.ok().flatten(),
+        };
+        let is_whole = whole.is_some();
+        let end = self.conclude(verdict, head, whole, &mut sent);
+        if is_whole {
+            let reusable = poll_fn(|cx| leased.lane.is_reusable(cx).into()).await;
+            if reusable {
+                self.node.pool.give_back(leased);
+            }
+        }
+        end
+    }
+
+    fn conclude(
+        &mut self,
+        verdict: Verdict,
+        head: response::Parts,
+        body: Option<Bytes>,
+        sent: &mut Sent,
+    ) -> Result<Opened, SendEnd> {
+        // The head alone says that the request did not run.
+        match verdict {
+            Verdict::Misdirected => {
+                sent.finish(Outcome::Misdirected);
+                return Err(SendEnd::Misdirected);
+            }
+            Verdict::Rejected => {
+                self.retry_after_ms = retry_after_ms(&head.headers).unwrap_or(self.retry_after_ms);
+                sent.finish(Outcome::Rejected);
+                return Err(SendEnd::Rejected);
+            }
+            _ => {}
+        }
+        let Some(body) = body else {
+            sent.finish(Outcome::Broken);
+            return Err(SendEnd::Broken);
+        };
+        let failed = head.status.is_server_error();
+        sent.finish(if failed { Outcome::Failed } else { Outcome::Served });
+        let answer = Response::from_parts(passed_on(head), body);
+        if !failed {
+            return Ok(Opened::Whole(answer));
+        }
+        self.failure = Some(answer);
+        Err(SendEnd::Failed)
+    }
+
+    /// The whole body; nothing if it broke off or is too long.
+    async fn read_whole(&mut self, mut body: Incoming, leased: &mut Leased) -> Option<Bytes> {
+        let mut room = self.node.bodies.share();
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        loop {
+            let frame = match poll_fn(|cx| leased.lane.poll_body(&mut body, cx)).await {
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => return None,
+                None => break,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            let total = first.len() + rest.len() + data.len();
+            if total > MOST_ANSWER_BYTES || !room.grow_to(total) {
+                return None;
+            }
+            if first.is_empty() {
+                first = data;
+            } else {
+                rest.extend_from_slice(&data);
+            }
+        }
+        self._answer_room = Some(room);
+        if rest.is_empty() {
+            return Some(first);
+        }
+        Some([first, rest.freeze()].concat().into())
+    }
+
+    async fn read_first_events(
+        &mut self,
+        head: response::Parts,
+        mut body: Incoming,
+        mut leased: Leased,
+        mut sent: Sent,
+    ) -> Result<Opened, SendEnd> {
+        let mut splitter = match self.resume {
+            Some(position) => EventSplitter::resuming(position),
+            None => EventSplitter::new(number(&head.headers, &VERSIONS)),
+        };
+        loop {
+            let frame = match poll_fn(|cx| leased.lane.poll_body(&mut body, cx)).await {
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => break,
+                None => {
+                    let run = Run { leased, body, splitter, sent };
+                    return Ok(self.ended_stream(head, run).await);
+                }
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            match splitter.push(data) {
+                Ok(first) if first.is_empty() => {}
+                Ok(first) => {
+                    sent.first_event();
+                    let run = Some(Run { leased, body, splitter, sent });
+                    return Ok(Opened::Stream(Box::new(OpenStream { head: passed_on(head), first, run })));
+                }
+                Err(_) => break,
+            }
+        }
+        sent.finish(Outcome::Broken);
+        Err(SendEnd::Broken)
+    }
+
+    async fn ended_stream(&self, head: response::Parts, mut run: Run) -> Opened {
+        let first = run.splitter.finish();
+        let mut run = Some(run);
+        poll_fn(|cx| {
+            if let Some(run) = run.take() {
+                run.complete(&self.node, cx);
+            }
+            ().into()
+        })
+        .await;
+        Opened::Stream(Box::new(OpenStream { head: passed_on(head), first, run: None }))
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).map_or(&[][..], |kind| kind.as_bytes());
+    kind.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Whether the end of the body is known from its framing: one that lasts until the connection closes can't be told
+/// from one that broke off, one with two kinds of length can't be trusted, and of one with another coding than chunks
+/// the bytes would not be the upstream's body.
+fn is_framed(method: &Method, head: &response::Parts, body: &Incoming) -> bool {
+    let length = head.headers.contains_key(CONTENT_LENGTH);
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let coding = codings.next();
+    let chunked = coding.is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    if !chunked || codings.next().is_some() {
+        return false;
+    }
+    let coding = coding.is_some();
+    let bodyless = method == Method::HEAD
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED;
+    if length && coding {
+        return false;
+    }
+    length || coding || bodyless || body.is_end_stream()
+}
+
+/// The head as it goes to the client.
+fn passed_on(mut head: response::Parts) -> response::Parts {
+    strip_hop_by_hop(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    head.extensions = http::Extensions::new();
+    head
+}
--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -4,11 +4,13 @@
     deploy/ablation.py play --bench FLEETBENCH --sites DIR --work DIR [--mechanisms A,B] [--seeds 1,2,3] [--workers N]
     deploy/ablation.py table --work DIR
 
+    --play SITE:DAY,DAY,...[:small]   in place of the sites and days below; a DAY may be the file of an own day
+
 `play` clones this repository once for each worker below --work, writes `--without NAME` into the `run` lines of the
 clone's deploy file, and plays each day once for each seed. A line of JSON for each play is added to `plays.jsonl`
 below --work; plays that stand there already are not repeated. Journal entries stay in the clones (`journal/`).
-`table` prints, for each mechanism and site, the mean change of worth against the plays of the same day and seed with
-all mechanisms on, and the standard error of that mean.
+`table` prints, for each mechanism and site, the mean change of worth against the median of all plays of the same day and
+seed, and the standard error of that mean; the row `none` is all mechanisms on.
 """
 
 import argparse
@@ -41,6 +43,15 @@
     return re.findall(r"^  ([a-z-]+)  ", listed, re.MULTILINE)
 
 
+def parse_plan(texts):
+    """What `--play` asks for: site, days, whether the small twins are played."""
+    plan = []
+    for text in texts:
+        site, days, *small = text.split(":")
+        plan.append((site, days.split(","), bool(small)))
+    return plan
+
+
 def read_plays(work):
     """All plays so far, by mechanism, site, day and seed."""
     plays = {}
@@ -110,7 +121,7 @@
     held = read_plays(arguments.work)
     tasks = queue.Queue()
     for seed in (int(seed) for seed in arguments.seeds.split(",")):
-        for site, days, small in SITES:
+        for site, days, small in parse_plan(arguments.play) or SITES:
             for mechanism in [ALL_ON, *names]:
                 for day in days:
                     if (mechanism, site, day, seed) not in held:
@@ -127,14 +138,23 @@
         worker.join()
 
 
-def compared(plays, mechanism, site):
-    """Changes of worth against the same day and seed with all on."""
-    changes = []
-    for (name, where, day, seed), played in plays.items():
-        base = plays.get((ALL_ON, where, day, seed))
-        if name == mechanism and where == site and base and None not in (played["worth"], base["worth"]):
-            changes.append(played["worth"] - base["worth"])
-    return changes
+def usual(plays):
+    """The median worth of all plays of the same site, day and seed. Most mechanisms do nothing on most days, but a play
+    with one line more in its log takes another course by chance; the median over all is the better base."""
+    groups = {}
+    for (_, site, day, seed), play in plays.items():
+        if play["worth"] is not None:
+            groups.setdefault((site, day, seed), []).append(play["worth"])
+    return {key: statistics.median(worths) for key, worths in groups.items()}
+
+
+def compared(plays, base, mechanism, site):
+    """Changes of worth against the usual worth of the same day and seed."""
+    return [
+        play["worth"] - base[(where, day, seed)]
+        for (name, where, day, seed), play in plays.items()
+        if name == mechanism and where == site and play["worth"] is not None
+    ]
 
 
 def cell(changes):
@@ -148,13 +168,12 @@
 def print_table(arguments):
     """The table as Markdown."""
     plays = read_plays(arguments.work)
-    sites = [site for site, _, _ in SITES]
+    sites = list(dict.fromkeys(key[1] for key in plays))
+    base = usual(plays)
     print("| without | " + " | ".join(pathlib.Path(site).stem for site in sites) + " | rules broken |")
     print("| --- |" + " --- |" * (len(sites) + 1))
     for mechanism in dict.fromkeys(key[0] for key in plays):
-        if mechanism == ALL_ON:
-            continue
-        cells = [cell(compared(plays, mechanism, site)) for site in sites]
+        cells = [cell(compared(plays, base, mechanism, site)) for site in sites]
         broken = sum(1 for key, note in plays.items() if key[0] == mechanism and note["broken"])
         print(f"| {mechanism} | " + " | ".join(cells) + f" | {broken} |")
 
@@ -167,6 +186,7 @@
     parser.add_argument("--work", type=pathlib.Path, required=True)
     parser.add_argument("--mechanisms")
     parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--play", action="append", default=[])
     parser.add_argument("--workers", type=int, default=4)
     arguments = parser.parse_args()
     if arguments.verb == "play":
