--- a/deploy/ablation.py
+++ b/deploy/ablation.py
@@ -3,13 +3,14 @@
 
     deploy/ablation.py play --bench FLEETBENCH --sites DIR --work DIR [--mechanisms A,B] [--seeds 1,2,3] [--workers N]
     deploy/ablation.py table --work DIR
+    deploy/ablation.py table --journal DIR --heads COMMIT,...
 
     --play SITE:DAY,DAY,...[:small]   in place of the sites and days below; a DAY may be the file of an own day
 
 `play` clones this repository once for each worker below --work, writes `--without NAME` into the `run` lines of the
 clone's deploy file, and plays each day once for each seed. A line of JSON for each play is added to `plays.jsonl`
 below --work; plays that stand there already are not repeated. Journal entries stay in the clones (`journal/`).
-`table` prints, for each mechanism and site, the mean change of worth against the median of all plays of the same day and
+`table` reads those lines, or the journal's entries of plays on the sources of these commits, and prints, for each mechanism and site, the mean change of worth against the median of all plays of the same day and
 seed, and the standard error of that mean; the row `none` is all mechanisms on.
 """
 
@@ -63,6 +64,21 @@
     return plays
 
 
+def read_journal(directory, heads):
+    """The same from the journal: plays of clones at one of these commits. The last play of the same counts."""
+    plays = {}
+    for path in sorted(directory.glob("*.json")):
+        entry = json.loads(path.read_text())
+        named = re.fullmatch(r"trial: without ([a-z-]+), seed (\d+)", entry.get("why") or "")
+        if not named or not entry["head"].startswith(heads) or not entry.get("days"):
+            continue
+        played = entry["days"][0]
+        day = played["name"].split()[0]
+        note = {"worth": played["G"], "broken": list(played["rules"])}
+        plays[(named[1], entry["site"], day, int(named[2]))] = note
+    return plays
+
+
 def make_clone(work, number):
     """A clone of this repository with a build of its own."""
     clone = work / f"copy-{number}"
@@ -167,12 +183,18 @@
 
 def print_table(arguments):
     """The table as Markdown."""
-    plays = read_plays(arguments.work)
+    if arguments.journal:
+        plays = read_journal(arguments.journal, tuple(arguments.heads.split(",")))
+    else:
+        plays = read_plays(arguments.work)
+    days = arguments.days.split(",") if arguments.days else None
+    plays = {key: play for key, play in plays.items() if days is None or key[2] in days}
     sites = list(dict.fromkeys(key[1] for key in plays))
     base = usual(plays)
     print("| without | " + " | ".join(pathlib.Path(site).stem for site in sites) + " | rules broken |")
     print("| --- |" + " --- |" * (len(sites) + 1))
-    for mechanism in dict.fromkeys(key[0] for key in plays):
+    names = {key[0] for key in plays}
+    for mechanism in sorted(names, key=lambda name: (name != ALL_ON, name)):
         cells = [cell(compared(plays, base, mechanism, site)) for site in sites]
         broken = sum(1 for key, note in plays.items() if key[0] == mechanism and note["broken"])
         print(f"| {mechanism} | " + " | ".join(cells) + f" | {broken} |")
@@ -183,12 +205,17 @@
     parser.add_argument("verb", choices=["play", "table"])
     parser.add_argument("--bench", type=pathlib.Path)
     parser.add_argument("--sites", type=pathlib.Path)
-    parser.add_argument("--work", type=pathlib.Path, required=True)
+    parser.add_argument("--work", type=pathlib.Path)
+    parser.add_argument("--journal", type=pathlib.Path)
+    parser.add_argument("--heads", default="", help="the first digits of commits, with commas between them")
     parser.add_argument("--mechanisms")
     parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--days", help="the days in the table, with commas between them; all without it")
     parser.add_argument("--play", action="append", default=[])
     parser.add_argument("--workers", type=int, default=4)
     arguments = parser.parse_args()
+    if arguments.work is None and (arguments.verb == "play" or arguments.journal is None):
+        parser.error("--work is missing")
     if arguments.verb == "play":
         play_all(arguments)
     else:
