--- a/coordination/consensus/src/lib.rs
+++ b/coordination/consensus/src/lib.rs
@@ -57,6 +57,9 @@
 //! # Ok::<(), Ballot>(())
 //! ```
 //!
+//! A voter whose durable state is lost for good is passed to [`Round::record_lost`]: half of an even number of voters
+//! decides once all others are lost ([`ConsensusRules::is_quorum`]).
+//!
 //! The crate does no I/O, reads no clock and draws no random numbers: the caller carries the messages.
 
 mod acceptor;
--- a/coordination/consensus/src/proposer.rs
+++ b/coordination/consensus/src/proposer.rs
@@ -15,22 +15,37 @@
     known: V,
     /// What each voter had accepted when it promised.
     promises: BTreeMap<Voter, Option<(Ballot, V)>>,
+    /// Voters whose durable state is lost for good: they will neither promise nor accept.
+    lost: BTreeSet<Voter>,
     /// The proposed value, and the voter sets whose majorities must accept it.
     proposed: Option<(V, Vec<Vec<Voter>>)>,
     /// Voters that have accepted the proposed value.
     votes: BTreeSet<Voter>,
 }
 
-fn has_majority<Rules: ConsensusRules>(voter_set: &[Voter], has_voted: impl Fn(&Voter) -> bool) -> bool {
+/// Whether those of a voter set that have voted decide, given the voters that are lost.
+fn has_quorum<Rules: ConsensusRules>(
+    voter_set: &[Voter],
+    lost: &BTreeSet<Voter>,
+    has_voted: impl Fn(&Voter) -> bool,
+) -> bool {
     let votes = voter_set.iter().filter(|voter| has_voted(voter)).count();
-    Rules::is_majority(votes, voter_set.len())
+    let lost = voter_set.iter().filter(|voter| !has_voted(voter) && lost.contains(voter)).count();
+    Rules::is_quorum(votes, lost, voter_set.len())
 }
 
 impl<V: RegisterValue> Round<V> {
     /// Starts a proposal. `known` is the newest value that the proposer knows to be chosen, or the one that stands
     /// before the first that is.
     pub fn new(ballot: Ballot, known: V) -> Self {
-        Round { ballot, known, promises: BTreeMap::new(), proposed: None, votes: BTreeSet::new() }
+        Round {
+            ballot,
+            known,
+            promises: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            proposed: None,
+            votes: BTreeSet::new(),
+        }
     }
 
     /// Takes in a promise, with what the voter had accepted by then.
@@ -38,6 +53,12 @@
         self.promises.insert(voter, accepted);
     }
 
+    /// Takes in that the durable state of a voter is lost for good, as the process that took its place has answered to
+    /// this ballot.
+    pub fn record_lost(&mut self, voter: Voter) {
+        self.lost.insert(voter);
+    }
+
     /// The newest value that may have been chosen, by the promises so far.
     fn newest_value<Rules: ConsensusRules>(&self) -> &V {
         let accepted = self.promises.values().flatten();
@@ -54,7 +75,7 @@
         }
         let known_voter_sets =
             self.known.is_bootstrapped().then(|| self.known.voter_sets()).into_iter().flatten();
-        let is_prepared = |voter_set: &Vec<Voter>| has_majority::<Rules>(voter_set, has_promised);
+        let is_prepared = |voter_set: &Vec<Voter>| has_quorum::<Rules>(voter_set, &self.lost, has_promised);
         known_voter_sets.chain(newest.voter_sets()).all(is_prepared).then_some(newest)
     }
 
@@ -62,7 +83,8 @@
     pub fn awaiting_promise<Rules: ConsensusRules>(&self) -> BTreeSet<Voter> {
         let newest = self.newest_value::<Rules>();
         let voters = self.known.voter_sets().iter().chain(newest.voter_sets()).flatten();
-        voters.filter(|voter| !self.promises.contains_key(voter)).copied().collect()
+        let is_awaited = |voter: &&Voter| !self.promises.contains_key(voter) && !self.lost.contains(voter);
+        voters.filter(is_awaited).copied().collect()
     }
 
     /// Whether the second phase has begun.
@@ -84,7 +106,7 @@
         let (value, voter_sets) = self.proposed.as_ref()?;
         voter_sets
             .iter()
-            .all(|voter_set| has_majority::<Rules>(voter_set, |voter| self.votes.contains(voter)))
+            .all(|voter_set| has_quorum::<Rules>(voter_set, &self.lost, |voter| self.votes.contains(voter)))
             .then_some(value)
     }
 
--- a/coordination/consensus/src/rules.rs
+++ b/coordination/consensus/src/rules.rs
@@ -10,6 +10,15 @@
         2 * votes > of
     }
 
+    /// Whether `votes` of `of` voters decide, where the durable state of `lost` of the others is lost for good.
+    ///
+    /// A majority decides. So does half of an even number of voters, once all others are lost: half of the voters meets
+    /// every majority, and it meets every half but the one that is lost (H. Howard, D. Malkhi and A. Spiegelman,
+    /// "Flexible Paxos: Quorum intersection revisited", 2016: it suffices that the quorums of both phases meet).
+    fn is_quorum(votes: usize, lost: usize, of: usize) -> bool {
+        Self::is_majority(votes, of) || (2 * votes == of && votes + lost == of)
+    }
+
     /// Whether a voter that has promised `promised` may accept a proposal of `ballot`.
     fn may_vote(promised: Ballot, ballot: Ballot) -> bool {
         ballot >= promised
--- a/coordination/replica/schema/replica.capnp
+++ b/coordination/replica/schema/replica.capnp
@@ -71,6 +71,8 @@
   isStalled @8 :Bool;
   isLeaving @9 :Bool;
   sentAt @10 :UInt64;
+  # The version of this protocol that the sender speaks; 0 is that of releases without this field.
+  protocol @11 :UInt16;
 }
 
 struct Prepare {
@@ -103,6 +105,12 @@
   promised @1 :Ballot;
 }
 
+# The durable state of a voter is lost: another incarnation answers at its endpoint.
+struct VoterLost {
+  voter @0 :Voter;
+  ballot @1 :Ballot;
+}
+
 struct Origin {
   endpoint @0 :Endpoint;
   start @1 :UInt64;
@@ -241,5 +249,7 @@
     synchronize @12 :Synchronize;
     pull @13 :Pull;
     learn @14 :Learn;
+    # From protocol version 1 on.
+    voterLost @15 :VoterLost;
   }
 }
--- a/coordination/replica/src/codec.rs
+++ b/coordination/replica/src/codec.rs
@@ -49,6 +49,9 @@
         Message::Rejected { ballot, promised } => {
             agreement::write_rejected(*ballot, *promised, to.init_rejected());
         }
+        Message::VoterLost { voter, ballot } => {
+            agreement::write_voter_lost(*voter, *ballot, to.init_voter_lost());
+        }
         Message::Decided(decided) => parts::write_decided(decided.ballot, &decided.view, to.init_decided()),
         Message::Submit { origin, command } => chain::write_submit(origin, command, to.init_submit()),
         Message::Replied { start, ticket, sequence, answer } => {
@@ -77,6 +80,7 @@
         wire::Accept(from) => agreement::read_accept(from?)?,
         wire::Accepted(from) => agreement::read_accepted(from?)?,
         wire::Rejected(from) => agreement::read_rejected(from?)?,
+        wire::VoterLost(from) => agreement::read_voter_lost(from?)?,
         wire::Decided(from) => Message::Decided(parts::read_decided(from?)?),
         wire::Submit(from) => chain::read_submit(from?)?,
         wire::Replied(from) => chain::read_replied(from?)?,
--- a/coordination/replica/src/codec/agreement.rs
+++ b/coordination/replica/src/codec/agreement.rs
@@ -78,3 +78,13 @@
     let (ballot, promised) = (read_ballot(from.get_ballot()?), read_ballot(from.get_promised()?));
     Ok(Message::Rejected { ballot, promised })
 }
+
+pub fn write_voter_lost(voter: Voter, ballot: Ballot, mut to: wire::voter_lost::Builder) {
+    write_voter(voter, to.reborrow().init_voter());
+    write_ballot(ballot, to.init_ballot());
+}
+
+pub fn read_voter_lost(from: wire::voter_lost::Reader) -> Result<Message, DecodeError> {
+    let (voter, ballot) = (read_voter(from.get_voter()?), read_ballot(from.get_ballot()?));
+    Ok(Message::VoterLost { voter, ballot })
+}
--- a/coordination/replica/src/codec/heartbeat.rs
+++ b/coordination/replica/src/codec/heartbeat.rs
@@ -15,6 +15,7 @@
     to.set_is_sealed(heartbeat.is_fenced);
     to.set_is_stalled(heartbeat.is_stalled);
     to.set_is_leaving(heartbeat.is_shutting_down);
+    to.set_protocol(heartbeat.protocol);
     write_report(&heartbeat.report, to.reborrow().init_report());
     let mut list = to.init_heard(length(&heartbeat.received));
     for (index, received) in (0..).zip(&heartbeat.received) {
@@ -35,6 +36,7 @@
         is_fenced: from.get_is_sealed(),
         is_stalled: from.get_is_stalled(),
         is_shutting_down: from.get_is_leaving(),
+        protocol: from.get_protocol(),
     })
 }
 
--- a/coordination/replica/src/message.rs
+++ b/coordination/replica/src/message.rs
@@ -59,6 +59,14 @@
         /// The ballot that was promised.
         promised: Ballot,
     },
+    /// The answer to a [`Message::Prepare`] for a voter whose durable state is lost, by the replica that took its place
+    /// at its endpoint with an empty disk.
+    VoterLost {
+        /// The voter that was asked.
+        voter: Voter,
+        /// The ballot of the proposal.
+        ballot: Ballot,
+    },
     /// A view was decided.
     Decided(Decided),
     /// A command, sent to the head.
@@ -165,6 +173,8 @@
     pub is_stalled: bool,
     /// It is in graceful shutdown.
     pub is_shutting_down: bool,
+    /// The version of the protocol that the sender speaks, see [`crate::PROTOCOL_VERSION`].
+    pub protocol: u16,
 }
 
 impl Heartbeat {
--- a/coordination/replica/src/planning.rs
+++ b/coordination/replica/src/planning.rs
@@ -69,6 +69,8 @@
     pub lost: BTreeSet<Voter>,
     /// Replicas that can become voters.
     pub candidates: Vec<Candidate>,
+    /// All candidates have been there for a while: no more of them are expected soon.
+    pub has_settled_candidates: bool,
     /// Pairs of endpoints that do not receive heartbeats from each other.
     pub disconnected: BTreeSet<(SocketAddr, SocketAddr)>,
     /// The zones and regions that heartbeats have reported.
--- a/coordination/replica/src/planning/voters.rs
+++ b/coordination/replica/src/planning/voters.rs
@@ -11,12 +11,8 @@
     /// Completes a replacement of voters, or begins one (joint consensus, Raft, section 6).
     pub(super) fn choose_voter_sets(&mut self) {
         if let [_, new] = self.next.voter_sets.as_slice() {
-            let present = new.iter().filter(|voter| self.present.contains_key(voter)).count();
-            // Until a new voter is complete, an old one may be needed that holds all.
-            let is_complete = |link: &ChainLink| new.contains(&link.voter) && self.is_complete(link);
-            if 2 * present > new.len() && self.next.chain.iter().any(is_complete) {
-                self.next.voter_sets.remove(0);
-            }
+            let new = new.clone();
+            self.continue_replacement(new);
             return;
         }
         let [old] = self.next.voter_sets.as_slice() else { return };
@@ -36,6 +32,23 @@
         }
     }
 
+    /// Drops the old voters once the new ones can go on alone. Where too few of these are left for that, the lost ones
+    /// among them are replaced.
+    fn continue_replacement(&mut self, mut new: Vec<Voter>) {
+        let present = new.iter().filter(|voter| self.present.contains_key(voter)).count();
+        if 2 * present <= new.len() {
+            let mut candidates = self.input.candidates.clone();
+            self.replace_lost(&mut new, &mut candidates);
+            self.next.voter_sets[1] = new;
+            return;
+        }
+        // Until a new voter is complete, an old one may be needed that holds all.
+        let is_complete = |link: &ChainLink| new.contains(&link.voter) && self.is_complete(link);
+        if self.next.chain.iter().any(is_complete) {
+            self.next.voter_sets.remove(0);
+        }
+    }
+
     /// Replaces lost voters by candidates.
     fn replace_lost(&mut self, voter_set: &mut Vec<Voter>, candidates: &mut Vec<Candidate>) {
         let lost: Vec<Voter> =
@@ -92,10 +105,14 @@
     }
 
     /// Adds voters up to the target number, and keeps their number odd where possible.
+    ///
+    /// One less than the target is even, and worth it: what is acknowledged is then on one disk more than may be lost, as
+    /// it is not with one voter less. As many voters stop both as soon as half of the even number is down.
     fn grow(&mut self, voter_set: &mut Vec<Voter>, candidates: &mut Vec<Candidate>) {
         let target = self.input.tolerance.target_voters();
         let mut reached = (voter_set.len() + candidates.len()).min(target);
-        if reached.is_multiple_of(2) {
+        let is_worth_even = reached + 1 == target && self.input.has_settled_candidates;
+        if reached.is_multiple_of(2) && !is_worth_even {
             reached -= 1;
         }
         while voter_set.len() < reached {
--- a/coordination/replica/src/protocol_rules.rs
+++ b/coordination/replica/src/protocol_rules.rs
@@ -54,6 +54,11 @@
         meant == own
     }
 
+    /// Whether the voter with the first of two member numbers at one endpoint took the place of the second. Numbers rise.
+    fn is_successor(own: u16, other: u16) -> bool {
+        own > other
+    }
+
     /// Whether a promise is durable before it is sent.
     fn records_promises() -> bool {
         true
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -37,7 +37,7 @@
 use crate::session::Session;
 use crate::settings::ReplicaSettings;
 use crate::submissions::Submissions;
-use crate::view::View;
+use crate::view::{Member, View};
 use crate::view_change_state::ViewChange;
 
 /// A longer log is worth a checkpoint even if the replica has not requested one; in bytes.
@@ -242,8 +242,16 @@
 
     /// This replica as a voter of the view.
     fn me(&self) -> Option<Voter> {
-        let member = self.view().member_at(self.settings.endpoint)?;
-        L::is_same_incarnation(member.voter.incarnation, self.state.incarnation).then_some(member.voter)
+        self.voter_in(self.view())
+    }
+
+    /// This replica as a voter of some view. While a voter is replaced at its own endpoint, both are members.
+    fn voter_in(&self, view: &View) -> Option<Voter> {
+        let is_here = |member: &&Member| {
+            member.endpoint == self.settings.endpoint
+                && L::is_same_incarnation(member.voter.incarnation, self.state.incarnation)
+        };
+        view.members.iter().find(is_here).map(|member| member.voter)
     }
 
     /// How far the log is, as heartbeats and promises say.
--- a/coordination/replica/src/replica/dispatch.rs
+++ b/coordination/replica/src/replica/dispatch.rs
@@ -82,6 +82,7 @@
             Message::Accept { voter, ballot, view } => self.on_accept(now, from, voter, ballot, view),
             Message::Accepted { voter, ballot } => self.on_accepted(now, voter, ballot),
             Message::Rejected { ballot, promised } => self.on_rejected(now, ballot, promised),
+            Message::VoterLost { voter, ballot } => self.on_voter_lost(now, voter, ballot),
             Message::Decided(decided) => {
                 self.adopt(now, decided);
                 self.send_submissions(now);
--- a/coordination/replica/src/replica/heartbeats.rs
+++ b/coordination/replica/src/replica/heartbeats.rs
@@ -6,6 +6,7 @@
 use crate::application::Application;
 use crate::message::{Heartbeat, Message};
 use crate::protocol_rules::ProtocolRules;
+use crate::protocol_version::PROTOCOL_VERSION;
 
 impl<A: Application, L: ProtocolRules> Replica<A, L> {
     /// Sends a heartbeat to all peers.
@@ -31,6 +32,7 @@
             is_fenced: self.state.is_fenced(),
             is_stalled: self.is_disk_stalled(now),
             is_shutting_down: self.is_shutting_down,
+            protocol: PROTOCOL_VERSION,
         }
     }
 
--- a/coordination/replica/src/replica/proposer.rs
+++ b/coordination/replica/src/replica/proposer.rs
@@ -198,6 +198,16 @@
         self.propose_next_view(now);
     }
 
+    /// The durable state of a voter is lost for good.
+    pub(super) fn on_voter_lost(&mut self, now: u64, voter: Voter, ballot: Ballot) {
+        let Some(proposal) = &mut self.view_change.proposal else { return };
+        if proposal.round.ballot != ballot || proposal.round.is_proposing() {
+            return;
+        }
+        proposal.round.record_lost(voter);
+        self.propose_next_view(now);
+    }
+
     /// A voter has accepted; the view is decided once majorities have.
     pub(super) fn on_accepted(&mut self, now: u64, voter: Voter, ballot: Ballot) {
         let Some(proposal) = &mut self.view_change.proposal else { return };
--- a/coordination/replica/src/replica/replica_survey.rs
+++ b/coordination/replica/src/replica/replica_survey.rs
@@ -7,6 +7,7 @@
 
 use super::Replica;
 use crate::application::Application;
+use crate::peers::Peer;
 use crate::placement::{FailureDomain, LossKind, fatal_losses};
 use crate::planning::{Candidate, PlanningInput, VoterState};
 use crate::protocol_rules::ProtocolRules;
@@ -14,6 +15,8 @@
 
 /// A peer may join once its heartbeats have arrived without a pause for this long, in milliseconds.
 pub(super) const STEADY_CONTACT: u64 = 500;
+/// Others that start at the same time as a candidate are candidates too after this long, in milliseconds.
+const SETTLED_CONTACT: u64 = 3_000;
 
 impl<A: Application, L: ProtocolRules> Replica<A, L> {
     /// The planning input by the heartbeats, as if all healthy voters had promised. Decides whether a proposal is worth
@@ -72,6 +75,7 @@
             present,
             lost,
             candidates: self.candidates(now, view),
+            has_settled_candidates: self.has_settled_candidates(now, view),
             disconnected: self.disconnected_pairs(now, view),
             failure_domains: self.failure_domains(view),
         }
@@ -114,13 +118,17 @@
         member.endpoint != self.settings.endpoint && (is_gone || self.peers.has_new_incarnation(member))
     }
 
+    /// Whether the heartbeats of all replicas that do not vote have arrived for a while.
+    fn has_settled_candidates(&self, now: u64, view: &View) -> bool {
+        let is_settled = |(endpoint, peer): (&SocketAddr, &Peer)| {
+            peer.steady_since + SETTLED_CONTACT <= now
+                || view.has_member(*endpoint, peer.heartbeat.incarnation)
+        };
+        self.peers.iter().all(is_settled)
+    }
+
     /// Healthy replicas that do not vote.
     fn candidates(&self, now: u64, view: &View) -> Vec<Candidate> {
-        let votes = |endpoint: SocketAddr, incarnation: u64| {
-            view.members
-                .iter()
-                .any(|member| member.endpoint == endpoint && member.voter.incarnation == incarnation)
-        };
         let mut candidates = Vec::new();
         for (endpoint, peer) in self.peers.iter() {
             let heartbeat = &peer.heartbeat;
@@ -129,7 +137,7 @@
                 && !heartbeat.is_shutting_down;
             if is_healthy
                 && peer.steady_since + STEADY_CONTACT <= now
-                && !votes(*endpoint, heartbeat.incarnation)
+                && !view.has_member(*endpoint, heartbeat.incarnation)
             {
                 candidates.push(Candidate {
                     endpoint: *endpoint,
--- a/coordination/replica/src/replica/view_change.rs
+++ b/coordination/replica/src/replica/view_change.rs
@@ -43,7 +43,9 @@
         let view = self.view();
         let is_healthy =
             |voter: Voter| voter == me || self.peers.healthy_heartbeat(now, view, voter).is_some();
-        if self.is_disk_stalled(now) || !view.has_majority(is_healthy) {
+        let is_lost =
+            |voter: Voter| view.member(voter).is_some_and(|member| self.peers.has_new_incarnation(member));
+        if self.is_disk_stalled(now) || !view.has_quorum::<L::Consensus>(is_healthy, is_lost) {
             return None;
         }
         let rank = RANK_DELAY * self.rank(now, me);
--- a/coordination/replica/src/replica_capnp.rs
+++ b/coordination/replica/src/replica_capnp.rs
@@ -3489,6 +3489,10 @@
         pub fn get_sent_at(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_protocol(self) -> u16 {
+            self.reader.get_data_field::<u16>(13)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3723,6 +3727,14 @@
         pub fn set_sent_at(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_protocol(self) -> u16 {
+            self.builder.get_data_field::<u16>(13)
+        }
+        #[inline]
+        pub fn set_protocol(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(13, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3739,7 +3751,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 205] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(4, 15, 236, 222, 87, 169, 176, 142),
             ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
@@ -3749,91 +3761,98 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 72, 101),
             ::capnp::word(97, 114, 116, 98, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 114, 116, 104, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3929,6 +3948,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 116, 111, 99, 111, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3943,6 +3971,7 @@
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3961,9 +3990,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 6, 9, 7, 8, 3, 5, 10, 1, 4, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 6, 9, 7, 8, 11, 3, 5, 10, 1, 4, 2];
         pub(crate) const TYPE_ID: u64 = 0x8eb0_a957_deec_0f04;
     }
 }
@@ -5853,6 +5882,344 @@
     }
 }
 
+pub mod voter_lost {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_voter(self) -> ::capnp::Result<crate::replica_capnp::voter::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_voter(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_ballot(self) -> ::capnp::Result<crate::replica_capnp::ballot::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_ballot(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_voter(self) -> ::capnp::Result<crate::replica_capnp::voter::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_voter(&mut self, value: crate::replica_capnp::voter::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_voter(self) -> crate::replica_capnp::voter::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_voter(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_ballot(self) -> ::capnp::Result<crate::replica_capnp::ballot::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_ballot(&mut self, value: crate::replica_capnp::ballot::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_ballot(self) -> crate::replica_capnp::ballot::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_ballot(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {
+        pub fn get_voter(&self) -> crate::replica_capnp::voter::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_ballot(&self) -> crate::replica_capnp::ballot::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(50, 63, 133, 220, 198, 186, 218, 216),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(97, 43, 124, 95, 240, 168, 241, 211),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 86, 111),
+            ::capnp::word(116, 101, 114, 76, 111, 115, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 111, 116, 101, 114, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 146, 232, 174, 206, 63, 94, 130),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 108, 108, 111, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(210, 0, 222, 16, 171, 209, 85, 226),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::replica_capnp::voter::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::replica_capnp::ballot::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xd8da_bac6_dc85_3f32;
+    }
+}
+
 pub mod origin {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -12836,7 +13203,7 @@
 pub mod message {
     pub use self::Which::{
         Accept, Accepted, Acknowledge, Append, Decided, Heartbeat, Learn, Prepare, Promise, Pull, Rejected,
-        Replied, Resume, Submit, Synchronize,
+        Replied, Resume, Submit, Synchronize, VoterLost,
     };
 
     #[derive(Copy, Clone)]
@@ -13041,6 +13408,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_voter_lost(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 15 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Heartbeat(
@@ -13131,6 +13505,12 @@
                         ::core::option::Option::None,
                     )))
                 }
+                15 => ::core::result::Result::Ok(VoterLost(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -13553,6 +13933,30 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_voter_lost(
+            &mut self,
+            value: crate::replica_capnp::voter_lost::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_voter_lost(self) -> crate::replica_capnp::voter_lost::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_voter_lost(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 15 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Heartbeat(
@@ -13645,6 +14049,12 @@
                         ::core::option::Option::None,
                     )))
                 }
+                15 => ::core::result::Result::Ok(VoterLost(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -13660,129 +14070,136 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 247] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 263] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(89, 85, 236, 24, 252, 116, 187, 215),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 43, 124, 95, 240, 168, 241, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 16, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 77, 101),
             ::capnp::word(115, 115, 97, 103, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -13908,6 +14325,15 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 111, 116, 101, 114, 76, 111, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 63, 133, 220, 198, 186, 218, 216),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -13934,6 +14360,9 @@
                 }
                 13 => <crate::replica_capnp::pull::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <crate::replica_capnp::learn::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => {
+                    <crate::replica_capnp::voter_lost::Owned as ::capnp::introspect::Introspect>::introspect()
+                }
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -13954,11 +14383,11 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 10, 9, 6, 0, 14, 1, 2, 13, 5, 8, 11, 7, 12];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 10, 9, 6, 0, 14, 1, 2, 13, 5, 8, 11, 7, 12, 15];
         pub(crate) const TYPE_ID: u64 = 0xd7bb_74fc_18ec_5559;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9, A10, A11, A12, A13, A14> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9, A10, A11, A12, A13, A14, A15> {
         Heartbeat(A0),
         Prepare(A1),
         Promise(A2),
@@ -13974,6 +14403,7 @@
         Synchronize(A12),
         Pull(A13),
         Learn(A14),
+        VoterLost(A15),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::replica_capnp::heartbeat::Reader<'a>>,
@@ -13991,6 +14421,7 @@
         ::capnp::Result<crate::replica_capnp::synchronize::Reader<'a>>,
         ::capnp::Result<crate::replica_capnp::pull::Reader<'a>>,
         ::capnp::Result<crate::replica_capnp::learn::Reader<'a>>,
+        ::capnp::Result<crate::replica_capnp::voter_lost::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::replica_capnp::heartbeat::Builder<'a>>,
@@ -14008,5 +14439,6 @@
         ::capnp::Result<crate::replica_capnp::synchronize::Builder<'a>>,
         ::capnp::Result<crate::replica_capnp::pull::Builder<'a>>,
         ::capnp::Result<crate::replica_capnp::learn::Builder<'a>>,
+        ::capnp::Result<crate::replica_capnp::voter_lost::Builder<'a>>,
     >;
 }
--- a/coordination/replica/src/view.rs
+++ b/coordination/replica/src/view.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use whinspindle_consensus::{RegisterValue, Voter};
+use whinspindle_consensus::{ConsensusRules, RegisterValue, Voter};
 
 use crate::placement::FailureDomain;
 
@@ -113,6 +113,12 @@
         self.members.iter().find(|member| member.endpoint == endpoint)
     }
 
+    /// Whether the replica at an endpoint is a member with this incarnation.
+    pub fn has_member(&self, endpoint: SocketAddr, incarnation: u64) -> bool {
+        let is_it = |member: &Member| member.endpoint == endpoint && member.voter.incarnation == incarnation;
+        self.members.iter().any(is_it)
+    }
+
     /// The position in the chain, 0 at the head.
     pub fn position(&self, voter: Voter) -> Option<usize> {
         self.chain.iter().position(|link| link.voter == voter)
@@ -161,6 +167,21 @@
         !self.voter_sets.is_empty() && self.voter_sets.iter().all(counts)
     }
 
+    /// Whether the voters for which a condition holds decide in each voter set, given the voters that are lost for good
+    /// ([`ConsensusRules::is_quorum`]).
+    pub fn has_quorum<Rules: ConsensusRules>(
+        &self,
+        holds: impl Fn(Voter) -> bool,
+        is_lost: impl Fn(Voter) -> bool,
+    ) -> bool {
+        let decides = |voter_set: &Vec<Voter>| {
+            let votes = voter_set.iter().filter(|voter| holds(**voter)).count();
+            let lost = voter_set.iter().filter(|voter| !holds(**voter) && is_lost(**voter)).count();
+            Rules::is_quorum(votes, lost, voter_set.len())
+        };
+        !self.voter_sets.is_empty() && self.voter_sets.iter().all(decides)
+    }
+
     /// The least length of a chain that survives the tolerated losses and has a member in every majority.
     ///
     /// Where there are too few voters for the tolerated losses, a majority of them suffices: the missing ones are lost
--- a/coordination/replica/tests/common/schedule.rs
+++ b/coordination/replica/tests/common/schedule.rs
@@ -23,6 +23,8 @@
 const BOOTSTRAPPED: u64 = 400;
 /// All replicas that are to vote beside the bootstrap members do so by then.
 const GROWN: u64 = 4_000;
+/// The same where their number is even.
+const GROWN_TO_EVEN: u64 = 8_000;
 /// How long it takes until all that is well again counts.
 const RECOVERY_SPAN: u64 = 4_000;
 /// A swap or a read that has no answer after this is asked for again at another replica.
@@ -52,7 +54,7 @@
     /// All stop, and one disk is lost.
     StopAllAndWipe(usize),
     Wipe(usize),
-    /// One is taken out for good; another comes at a new address.
+    /// One is taken out for good; another comes at a new address, or at its own in a core of few machines.
     Replace(usize),
     Cut(usize, usize),
     CutBoth(usize, usize),
@@ -202,6 +204,8 @@
     /// Disks that may still be lost at any time; none: they are lost only after a calm.
     losses_left: Option<usize>,
     next_address: usize,
+    /// A machine that is replaced comes back at its own address: half of the voters wait for those that do not.
+    keeps_addresses: bool,
     /// When the last standstill of a disk or a process will be over.
     standstill_until: u64,
 }
@@ -226,9 +230,14 @@
         asks_at: 0,
         losses_left: (!schedule.has_calm_losses).then_some(tolerated_losses),
         next_address: count,
+        keeps_addresses: count <= 2 * tolerated_losses,
         standstill_until: 0,
     };
-    play.pass(if 2 * tolerated_losses < 3 { BOOTSTRAPPED } else { GROWN });
+    play.pass(match (play.keeps_addresses, tolerated_losses) {
+        (true, _) => GROWN_TO_EVEN,
+        (false, ..=1) => BOOTSTRAPPED,
+        (false, _) => GROWN,
+    });
     for step in &schedule.steps {
         play.pass(step.wait);
         play.take(step);
@@ -429,6 +438,11 @@
     }
 
     fn replace(&mut self, at: SocketAddr) {
+        if self.keeps_addresses {
+            self.wipe(at);
+            self.cluster.start(at);
+            return;
+        }
         self.cluster.remove(at);
         let new = endpoint(self.next_address);
         self.next_address += 1;
--- a/coordination/replica/tests/search.rs
+++ b/coordination/replica/tests/search.rs
@@ -47,6 +47,16 @@
     search(|schedule| holds(schedule, 5, 1));
 }
 
+#[test]
+fn two_replicas_bear_any_schedule() {
+    search(|schedule| holds(schedule, 2, 1));
+}
+
+#[test]
+fn four_replicas_bear_any_schedule() {
+    search(|schedule| holds(schedule, 4, 2));
+}
+
 /// Found by the drawn schedules: a voter that had promised and was replaced before the round came to its end took the
 /// chain for sealed for ever, and forwarded no commands.
 #[test]
--- /dev/null
+++ b/coordination/replica/tests/small_cores.rs
@@ -0,0 +1,252 @@
+//! Cores of 2f machines for f losses: half of the voters go on without the other half once all of these have lost their
+//! disks and come back empty, and only then.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::clients::Clients;
+use common::history::{Asked, check};
+use common::node::{cluster, endpoint};
+use whinspindle_lab_simulated_cluster::{Cluster, NetworkTiming};
+use whinspindle_replica::StandardRules;
+
+type Node = common::node::Node<StandardRules>;
+
+const SEEDS: u64 = 12;
+/// All replicas that are to vote do so by then, in milliseconds.
+const GROWN: u64 = 8_000;
+/// Once all machines are there again, a write is acknowledged within this.
+const ACKNOWLEDGED_WITHIN: u64 = 4_000;
+/// Nothing is answered for this long where too little is left.
+const SILENT_FOR: u64 = 10_000;
+
+/// A core of so many machines, of which some may be lost.
+#[derive(Clone, Copy, Debug)]
+struct Core {
+    machines: usize,
+    losses: usize,
+}
+
+const TWO: Core = Core { machines: 2, losses: 1 };
+const FOUR: Core = Core { machines: 4, losses: 2 };
+
+struct Play {
+    cluster: Cluster<Node>,
+    clients: Clients,
+    core: Core,
+}
+
+impl Play {
+    fn begin(seed: u64, core: Core) -> Play {
+        let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
+        let cluster = cluster::<StandardRules>(seed, core.machines, core.losses, network);
+        let mut play = Play { cluster, clients: Clients::default(), core };
+        play.pass(GROWN);
+        for number in 0..core.machines {
+            assert!(play.writes(number, 1_000), "seed {seed}, {core:?}: {}", play.describe());
+        }
+        play
+    }
+
+    fn pass(&mut self, span: u64) {
+        let until = self.cluster.now() + span;
+        self.clients.run_until(&mut self.cluster, until);
+    }
+
+    fn writes(&mut self, number: usize, within: u64) -> bool {
+        self.clients.write_within(&mut self.cluster, endpoint(number), within).is_some()
+    }
+
+    fn wipe(&mut self, number: usize) {
+        self.cluster.stop(endpoint(number));
+        self.cluster.wipe(endpoint(number));
+    }
+
+    fn start(&mut self, number: usize) {
+        self.cluster.start(endpoint(number));
+    }
+
+    /// Whether all of the others take writes, and all that was acknowledged is there.
+    fn serves(&mut self) -> Result<(), String> {
+        for number in 0..self.core.machines {
+            if !self.writes(number, ACKNOWLEDGED_WITHIN) {
+                return Err(format!("no write at {number}\n{}", self.describe()));
+            }
+        }
+        self.agrees()
+    }
+
+    /// Whether no answer contradicts another.
+    fn agrees(&mut self) -> Result<(), String> {
+        for number in 0..self.core.machines {
+            self.clients.begin(&mut self.cluster, endpoint(number), "register-0", Asked::Get);
+        }
+        self.pass(1_000);
+        check(&self.clients.history())
+    }
+
+    /// Whether nothing is answered at any of these replicas.
+    fn rests(&mut self, numbers: &[usize]) -> bool {
+        for number in numbers {
+            self.clients.begin(&mut self.cluster, endpoint(*number), "register-0", Asked::Get);
+        }
+        let answered = self.clients.answered();
+        self.pass(SILENT_FOR);
+        self.clients.answered() == answered
+    }
+
+    fn describe(&self) -> String {
+        let line = |at: SocketAddr| match self.cluster.process(at) {
+            Some(node) => format!("{at}: {}", node.describe(self.cluster.now())),
+            None => format!("{at}: down"),
+        };
+        self.cluster.endpoints().into_iter().map(line).collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// All sets of `losses` machines of a core.
+fn losses_of(core: Core) -> Vec<Vec<usize>> {
+    let set = |bits: u32| -> Vec<usize> { (0..core.machines).filter(|at| bits >> at & 1 == 1).collect() };
+    (0..1_u32 << core.machines).map(set).filter(|set| set.len() == core.losses).collect()
+}
+
+fn all_plays() -> impl Iterator<Item = (u64, Core, Vec<usize>)> {
+    [TWO, FOUR].into_iter().flat_map(|core| {
+        losses_of(core)
+            .into_iter()
+            .flat_map(move |lost| (0..SEEDS).map(move |seed| (seed, core, lost.clone())))
+    })
+}
+
+/// As many voters as machines, so that what is acknowledged is on one disk more than may be lost.
+#[test]
+fn an_even_core_of_twice_the_losses_votes_as_a_whole() {
+    for core in [TWO, FOUR] {
+        let play = Play::begin(1, core);
+        let view = play.cluster.process(endpoint(0)).unwrap().replica.view().clone();
+        assert_eq!(view.voters().len(), core.machines, "{}", play.describe());
+        assert!(view.required_chain(core.losses) > core.losses);
+    }
+}
+
+/// The tolerated number of disks is lost at once; the machines come back empty.
+#[test]
+fn commands_go_on_after_the_tolerated_number_of_disks_is_lost_at_once() {
+    for (seed, core, lost) in all_plays() {
+        let mut play = Play::begin(seed, core);
+        lost.iter().for_each(|number| play.wipe(*number));
+        play.pass(500);
+        lost.iter().for_each(|number| play.start(*number));
+        play.serves().unwrap_or_else(|fault| panic!("seed {seed}, {core:?}, {lost:?}: {fault}"));
+    }
+}
+
+/// All machines lose power a few milliseconds after an acknowledgement, and some of them their disks.
+#[test]
+fn nothing_is_lost_with_the_disks_while_all_machines_lose_power() {
+    for (seed, core, lost) in all_plays() {
+        let mut play = Play::begin(seed, core);
+        assert!(play.writes(0, 1_000));
+        play.pass(seed % 20);
+        for number in 0..core.machines {
+            play.cluster.stop(endpoint(number));
+        }
+        lost.iter().for_each(|number| play.wipe(*number));
+        play.pass(300);
+        (0..core.machines).for_each(|number| play.start(number));
+        play.serves().unwrap_or_else(|fault| panic!("seed {seed}, {core:?}, {lost:?}: {fault}"));
+    }
+}
+
+/// The machine that came back empty loses its disk once more, at any moment of its way back.
+#[test]
+fn a_disk_that_is_lost_again_on_its_way_back_stops_nothing() {
+    for moment in (0..3_000).step_by(100) {
+        let mut play = Play::begin(moment, TWO);
+        let lost = usize::from(moment % 200 == 0);
+        play.wipe(lost);
+        play.pass(300);
+        play.start(lost);
+        play.pass(moment);
+        play.wipe(lost);
+        play.pass(300);
+        play.start(lost);
+        play.serves().unwrap_or_else(|fault| panic!("lost again after {moment} ms: {fault}"));
+    }
+}
+
+/// One after the other, each time after the repair of the one before.
+#[test]
+fn disks_are_lost_in_turn_without_end() {
+    for seed in 0..SEEDS {
+        let mut play = Play::begin(seed, TWO);
+        for round in 0..4 {
+            let lost = (seed as usize + round) % 2;
+            play.wipe(lost);
+            play.pass(300);
+            play.start(lost);
+            play.serves().unwrap_or_else(|fault| panic!("seed {seed}, round {round}: {fault}"));
+        }
+    }
+}
+
+/// A machine that is down or cut off still has its vote: the other half waits for it.
+#[test]
+fn half_of_the_voters_wait_for_those_that_keep_their_disks() {
+    for seed in 0..SEEDS {
+        for (core, absent) in [(TWO, vec![1]), (TWO, vec![0]), (FOUR, vec![0, 1]), (FOUR, vec![1, 3])] {
+            let rest: Vec<usize> = (0..core.machines).filter(|number| !absent.contains(number)).collect();
+            let mut play = Play::begin(seed, core);
+            absent.iter().for_each(|number| play.cluster.stop(endpoint(*number)));
+            play.pass(100);
+            assert!(play.rests(&rest), "seed {seed}, {core:?}: {}", play.describe());
+            // Only one of two that are absent has lost its disk: the other may have gone on.
+            if let [first, _] = absent.as_slice() {
+                play.wipe(*first);
+                play.start(*first);
+                assert!(play.rests(&rest), "seed {seed}, {core:?}: {}", play.describe());
+            }
+            absent.iter().for_each(|number| play.start(*number));
+            play.serves().unwrap_or_else(|fault| panic!("seed {seed}, {core:?}, {absent:?}: {fault}"));
+        }
+    }
+}
+
+/// Both halves of a core are apart: neither goes on, and all is as before once they meet.
+#[test]
+fn neither_half_of_a_divided_core_goes_on() {
+    for seed in 0..SEEDS {
+        for core in [TWO, FOUR] {
+            let mut play = Play::begin(seed, core);
+            for one in 0..core.machines / 2 {
+                for other in core.machines / 2..core.machines {
+                    play.cluster.cut(endpoint(one), endpoint(other));
+                    play.cluster.cut(endpoint(other), endpoint(one));
+                }
+            }
+            play.pass(100);
+            let all: Vec<usize> = (0..core.machines).collect();
+            assert!(play.rests(&all), "seed {seed}, {core:?}: {}", play.describe());
+            play.cluster.heal_all();
+            play.serves().unwrap_or_else(|fault| panic!("seed {seed}, {core:?}: {fault}"));
+        }
+    }
+}
+
+/// More disks than tolerated: nothing is answered, so that nothing older is shown.
+#[test]
+fn more_lost_disks_than_tolerated_stop_the_core() {
+    for seed in 0..SEEDS {
+        for core in [TWO, FOUR] {
+            let mut play = Play::begin(seed, core);
+            let lost: Vec<usize> = (0..=core.losses).map(|at| (at + seed as usize) % core.machines).collect();
+            lost.iter().for_each(|number| play.wipe(*number));
+            play.pass(300);
+            lost.iter().for_each(|number| play.start(*number));
+            let all: Vec<usize> = (0..core.machines).collect();
+            assert!(play.rests(&all), "seed {seed}, {core:?}, {lost:?}: {}", play.describe());
+            check(&play.clients.history()).unwrap();
+        }
+    }
+}
--- a/coordination/replica/tests/wire_fixtures.rs
+++ b/coordination/replica/tests/wire_fixtures.rs
@@ -152,6 +152,8 @@
     heartbeat.is_fenced = true;
     heartbeat.is_stalled = false;
     heartbeat.is_shutting_down = true;
+    // Releases before the field send nothing.
+    heartbeat.protocol = 0;
     let (mut first, mut second) = (heartbeat.received[0], heartbeat.received[0]);
     (first.endpoint, first.start, first.sent_at) = (v4(), 0x21, 0x22);
     (second.endpoint, second.start, second.sent_at) = (v6(), 0x31, 0x32);
@@ -170,6 +172,14 @@
     message
 }
 
+/// A heartbeat of a release that tells the version of its protocol.
+fn heartbeat_with_protocol() -> Message {
+    let mut message = heartbeat();
+    let Message::Heartbeat(heartbeat) = &mut message else { unreachable!("it was made as one") };
+    heartbeat.protocol = 1;
+    message
+}
+
 fn promise(accepted: Option<Box<(Ballot, View)>>) -> Message {
     let mut message =
         Message::Promise { voter: voter(2), ballot: ballot(6), accepted, report: Default::default() };
@@ -228,6 +238,7 @@
     vec![
         ("heartbeat", heartbeat()),
         ("heartbeat-hears-nobody", other_heartbeat()),
+        ("heartbeat-protocol", heartbeat_with_protocol()),
         ("prepare", Message::Prepare { voter: voter(1), ballot: ballot(4), known: 39 }),
         ("promise", promise(accepted)),
         ("promise-nothing-accepted", promise(None)),
@@ -243,10 +254,11 @@
         ("synchronize", synchronize()),
         ("pull", Message::Pull { committed: 850, digests: digests() }),
         ("learn", learn()),
+        ("voter-lost", Message::VoterLost { voter: voter(3), ballot: ballot(12) }),
     ]
 }
 
-const KINDS: usize = 15;
+const KINDS: usize = 16;
 
 /// The number of the kind. A new kind or a new field of one does not compile until it is named here, and fails until
 /// it has a fixture.
@@ -267,6 +279,7 @@
         Message::Synchronize { view: _, transfer: _ } => 12,
         Message::Pull { committed: _, digests: _ } => 13,
         Message::Learn { view: _, transfer: _ } => 14,
+        Message::VoterLost { voter: _, ballot: _ } => 15,
     }
 }
 
