Replica: exhaustive search and planted faults for cores of two and four

Adds: interleavings and departures of two voters, of half of two or four lost, of the votes after it; commands answered whenever one of two loses its disk, also again while it learns. Planted faults: empty replicas that vote at once, one that goes on with more empty ones than tolerated, an old disk that reports its successor as lost.

--- a/coordination/replica/tests/common/faulty.rs
+++ b/coordination/replica/tests/common/faulty.rs
@@ -144,6 +144,33 @@
     }
 }
 
+/// Any number of voters decides once all others are lost, fewer than half too.
+#[derive(Clone, Debug)]
+pub struct FewDecide;
+impl ProtocolRules for FewDecide {
+    type Consensus = AnyNumberDecides;
+}
+
+/// The quorums of [`FewDecide`].
+#[derive(Clone, Debug)]
+pub struct AnyNumberDecides;
+impl ConsensusRules for AnyNumberDecides {
+    fn is_quorum(votes: usize, lost: usize, of: usize) -> bool {
+        Self::is_majority(votes, of) || (votes > 0 && votes + lost == of)
+    }
+}
+
+/// A replica says that a voter at its endpoint is lost, also one that took its own place.
+#[derive(Clone, Debug)]
+pub struct ReportsSuccessorAsLost;
+impl ProtocolRules for ReportsSuccessorAsLost {
+    type Consensus = StandardConsensusRules;
+
+    fn is_successor(_own: u16, _other: u16) -> bool {
+        true
+    }
+}
+
 /// A member of a former chain leads though it has not all that was committed.
 #[derive(Clone, Debug)]
 pub struct TakesIncompleteLeaders;
--- a/coordination/replica/tests/exhaustive/main.rs
+++ b/coordination/replica/tests/exhaustive/main.rs
@@ -14,7 +14,7 @@
     AnswersForOldIncarnation, AppliesDuplicates, CompletesTooEarly, ForgetsPromises, HeadAnswersReads,
     KeepsIdentityWithoutDisk, TailAnswersReads, TakesIncompleteLeaders,
 };
-use initial_states::InitialState;
+use initial_states::{AMPLE, InitialState};
 use model::{Action, Budget};
 use search::{Searched, departures, interleavings, play};
 use whinspindle_replica::{ProtocolRules, StandardRules};
@@ -118,6 +118,75 @@
     one_of_each_between_any_two_steps(InitialState::Alone);
 }
 
+/// The same, where no more disks may be lost.
+fn one_of_each_but_lost_disks(initial_state: InitialState) {
+    all_interleavings(initial_state, ORDERLY, 5);
+    for budget in [ONE_CRASH, ONE_CUT, ONE_MESSAGE] {
+        all_interleavings(initial_state, budget, 4);
+    }
+    all_interleavings(initial_state, Budget { lost_disks: 0, replacements: 0, ..ONE_OF_EACH }, 3);
+}
+
+#[test]
+fn all_interleavings_of_two_voters() {
+    one_of_each_but_lost_disks(InitialState::Two);
+}
+
+#[test]
+fn all_interleavings_while_half_of_two_voters_is_lost() {
+    one_of_each_but_lost_disks(InitialState::HalfOfTwoLost);
+}
+
+#[test]
+fn all_interleavings_while_half_of_two_voters_is_replaced() {
+    one_of_each_but_lost_disks(InitialState::HalfOfTwoReplaced);
+}
+
+#[test]
+fn all_interleavings_while_half_of_four_voters_is_lost() {
+    one_of_each_but_lost_disks(InitialState::HalfOfFourLost);
+}
+
+#[test]
+fn departures_of_two_voters() {
+    all_departures(InitialState::Two);
+}
+
+#[test]
+fn departures_while_half_of_two_voters_is_lost() {
+    all_departures(InitialState::HalfOfTwoLost);
+}
+
+#[test]
+fn departures_while_half_of_four_voters_is_lost() {
+    all_departures(InitialState::HalfOfFourLost);
+}
+
+/// At each step one of two voters loses its disk and starts again five steps of the clock later: all callers but its own
+/// are answered in the end, and so are they whenever it loses the next disk while it learns.
+#[test]
+fn commands_are_answered_whenever_one_of_two_voters_loses_its_disk() {
+    for lost in 0..2 {
+        for state in [InitialState::Two, InitialState::HalfOfTwoLost] {
+            let mut model = state.model::<StandardRules>();
+            model.budget = AMPLE;
+            let lost = if state == InitialState::HalfOfTwoLost { 1 } else { lost };
+            let ordinary =
+                play(model.clone(), &[], |model| model.passed >= PASSES).expect("nothing goes wrong");
+            for step in model.steps..ordinary.steps {
+                let path = [(step, Action::LoseDisk(lost))];
+                let end = play(model.clone(), &path, |model| model.passed >= PASSES + ANSWERED);
+                let end = end.unwrap_or_else(|fault| panic!("{state:?}, {lost} lost at {step}: {fault}"));
+                assert!(
+                    end.awaited().iter().all(|machine| *machine == lost),
+                    "{state:?}, {lost} lost at step {step}: {:?}",
+                    end.awaited()
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn departures_while_one_alone_is_complete() {
     all_departures(InitialState::Alone);
--- a/coordination/replica/tests/exhaustive/model.rs
+++ b/coordination/replica/tests/exhaustive/model.rs
@@ -17,8 +17,18 @@
 use crate::common::node::{Registers, endpoint};
 use crate::observer::{Observer, hash_of};
 
-/// Founding members, all of them voters and in the chain.
-pub const BOOTSTRAP_MEMBERS: usize = 3;
+/// How many machines there are at first, and how many of them may be lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Core {
+    /// Founding members, all of them voters and in the chain.
+    pub members: usize,
+    pub losses: usize,
+}
+
+pub const THREE: Core = Core { members: 3, losses: 1 };
+pub const TWO: Core = Core { members: 2, losses: 1 };
+pub const FOUR: Core = Core { members: 4, losses: 2 };
+
 /// How far the clock goes in one step, in milliseconds. It is coarse so that searches get to view changes.
 const CLOCK_STEP: u64 = 300;
 /// How many steps of the clock a crash, a cut or a delay lasts in a schedule with departures.
@@ -61,6 +71,7 @@
 /// Machines in the middle of a schedule.
 #[derive(Clone)]
 pub struct Model<L> {
+    core: Core,
     pub steps: u64,
     pub passed: u64,
     pub machines: Vec<Rc<Machine<L>>>,
@@ -81,11 +92,12 @@
 
 impl<L: ProtocolRules> Model<L> {
     /// Founding members with empty disks.
-    pub fn new(orders: Vec<Order>, budget: Budget) -> Model<L> {
+    pub fn new(core: Core, orders: Vec<Order>, budget: Budget) -> Model<L> {
         let mut model = Model {
+            core,
             steps: 0,
             passed: 0,
-            machines: (0..BOOTSTRAP_MEMBERS).map(|_| Rc::new(Machine::empty())).collect(),
+            machines: (0..core.members).map(|_| Rc::new(Machine::empty())).collect(),
             links: BTreeMap::new(),
             late: Vec::new(),
             cuts: BTreeMap::new(),
@@ -97,7 +109,7 @@
             budget,
             posted: 0,
         };
-        for machine in 0..BOOTSTRAP_MEMBERS {
+        for machine in 0..core.members {
             model.start(machine).expect("a start breaks nothing");
         }
         model
@@ -221,6 +233,7 @@
 
     fn start(&mut self, number: usize) -> Result<(), String> {
         let now = self.now();
+        let Core { members, losses } = self.core;
         self.down_until.remove(&number);
         let machine = self.machine(number);
         machine.starts += 1;
@@ -229,11 +242,11 @@
             endpoint: endpoint(number),
             zone: format!("zone-{number}"),
             region: String::new(),
-            seeds: (0..BOOTSTRAP_MEMBERS).map(endpoint).collect(),
-            bootstrap: number < BOOTSTRAP_MEMBERS && machine.starts == 1,
+            seeds: (0..members).map(endpoint).collect(),
+            bootstrap: number < members && machine.starts == 1,
             incarnation: drawn,
             start: drawn,
-            tolerance: Tolerance::of_machines(1),
+            tolerance: Tolerance::of_machines(losses),
             timing: TIMING,
         };
         let (replica, outputs) = Replica::with_rules(settings, Registers, machine.disk.clone(), now)
--- a/coordination/replica/tests/small_cores.rs
+++ b/coordination/replica/tests/small_cores.rs
@@ -6,12 +6,14 @@
 use std::net::SocketAddr;
 
 use common::clients::Clients;
+use common::faulty::{FewDecide, KeepsIdentityWithoutDisk, ReportsSuccessorAsLost};
 use common::history::{Asked, check};
-use common::node::{cluster, endpoint};
+use common::node::{Node, Registers, cluster, endpoint};
+use whinspindle_consensus::Ballot;
 use whinspindle_lab_simulated_cluster::{Cluster, NetworkTiming};
-use whinspindle_replica::StandardRules;
-
-type Node = common::node::Node<StandardRules>;
+use whinspindle_replica::{
+    Input, Message, Output, ProtocolRules, Replica, ReplicaSettings, StandardRules, Timing, Tolerance, Voter,
+};
 
 const SEEDS: u64 = 12;
 /// All replicas that are to vote do so by then, in milliseconds.
@@ -31,16 +33,16 @@
 const TWO: Core = Core { machines: 2, losses: 1 };
 const FOUR: Core = Core { machines: 4, losses: 2 };
 
-struct Play {
-    cluster: Cluster<Node>,
+struct Play<L: ProtocolRules> {
+    cluster: Cluster<Node<L>>,
     clients: Clients,
     core: Core,
 }
 
-impl Play {
-    fn begin(seed: u64, core: Core) -> Play {
+impl<L: ProtocolRules + 'static> Play<L> {
+    fn begin(seed: u64, core: Core) -> Play<L> {
         let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
-        let cluster = cluster::<StandardRules>(seed, core.machines, core.losses, network);
+        let cluster = cluster::<L>(seed, core.machines, core.losses, network);
         let mut play = Play { cluster, clients: Clients::default(), core };
         play.pass(GROWN);
         for number in 0..core.machines {
@@ -123,7 +125,7 @@
 #[test]
 fn an_even_core_of_twice_the_losses_votes_as_a_whole() {
     for core in [TWO, FOUR] {
-        let play = Play::begin(1, core);
+        let play = Play::<StandardRules>::begin(1, core);
         let view = play.cluster.process(endpoint(0)).unwrap().replica.view().clone();
         assert_eq!(view.voters().len(), core.machines, "{}", play.describe());
         assert!(view.required_chain(core.losses) > core.losses);
@@ -134,7 +136,7 @@
 #[test]
 fn commands_go_on_after_the_tolerated_number_of_disks_is_lost_at_once() {
     for (seed, core, lost) in all_plays() {
-        let mut play = Play::begin(seed, core);
+        let mut play = Play::<StandardRules>::begin(seed, core);
         lost.iter().for_each(|number| play.wipe(*number));
         play.pass(500);
         lost.iter().for_each(|number| play.start(*number));
@@ -146,7 +148,7 @@
 #[test]
 fn nothing_is_lost_with_the_disks_while_all_machines_lose_power() {
     for (seed, core, lost) in all_plays() {
-        let mut play = Play::begin(seed, core);
+        let mut play = Play::<StandardRules>::begin(seed, core);
         assert!(play.writes(0, 1_000));
         play.pass(seed % 20);
         for number in 0..core.machines {
@@ -163,7 +165,7 @@
 #[test]
 fn a_disk_that_is_lost_again_on_its_way_back_stops_nothing() {
     for moment in (0..3_000).step_by(100) {
-        let mut play = Play::begin(moment, TWO);
+        let mut play = Play::<StandardRules>::begin(moment, TWO);
         let lost = usize::from(moment % 200 == 0);
         play.wipe(lost);
         play.pass(300);
@@ -180,7 +182,7 @@
 #[test]
 fn disks_are_lost_in_turn_without_end() {
     for seed in 0..SEEDS {
-        let mut play = Play::begin(seed, TWO);
+        let mut play = Play::<StandardRules>::begin(seed, TWO);
         for round in 0..4 {
             let lost = (seed as usize + round) % 2;
             play.wipe(lost);
@@ -197,7 +199,7 @@
     for seed in 0..SEEDS {
         for (core, absent) in [(TWO, vec![1]), (TWO, vec![0]), (FOUR, vec![0, 1]), (FOUR, vec![1, 3])] {
             let rest: Vec<usize> = (0..core.machines).filter(|number| !absent.contains(number)).collect();
-            let mut play = Play::begin(seed, core);
+            let mut play = Play::<StandardRules>::begin(seed, core);
             absent.iter().for_each(|number| play.cluster.stop(endpoint(*number)));
             play.pass(100);
             assert!(play.rests(&rest), "seed {seed}, {core:?}: {}", play.describe());
@@ -218,7 +220,7 @@
 fn neither_half_of_a_divided_core_goes_on() {
     for seed in 0..SEEDS {
         for core in [TWO, FOUR] {
-            let mut play = Play::begin(seed, core);
+            let mut play = Play::<StandardRules>::begin(seed, core);
             for one in 0..core.machines / 2 {
                 for other in core.machines / 2..core.machines {
                     play.cluster.cut(endpoint(one), endpoint(other));
@@ -239,7 +241,7 @@
 fn more_lost_disks_than_tolerated_stop_the_core() {
     for seed in 0..SEEDS {
         for core in [TWO, FOUR] {
-            let mut play = Play::begin(seed, core);
+            let mut play = Play::<StandardRules>::begin(seed, core);
             let lost: Vec<usize> = (0..=core.losses).map(|at| (at + seed as usize) % core.machines).collect();
             lost.iter().for_each(|number| play.wipe(*number));
             play.pass(300);
@@ -250,3 +252,124 @@
         }
     }
 }
+
+/// Three of four go on without the last one, and some of them lose their disks while the rest is down. Says what is wrong
+/// once the last one and the empty ones are back.
+fn wake_the_one_left_behind<L: ProtocolRules + 'static>(seed: u64, lost: &[usize]) -> Result<(), String> {
+    let mut play = Play::<L>::begin(seed, FOUR);
+    play.cluster.stop(endpoint(3));
+    play.pass(3_000);
+    assert!(play.writes(0, ACKNOWLEDGED_WITHIN), "three of four: {}", play.describe());
+    (0..3).for_each(|number| play.cluster.stop(endpoint(number)));
+    for number in lost {
+        play.cluster.wipe(endpoint(*number));
+        play.start(*number);
+    }
+    play.start(3);
+    play.rests(&[3]);
+    play.agrees()
+}
+
+/// An empty acceptor that votes at once: two of them and the one left behind are a majority.
+#[test]
+fn empty_replicas_that_vote_at_once_are_detected() {
+    for seed in 0..SEEDS {
+        wake_the_one_left_behind::<StandardRules>(seed, &[0, 1]).unwrap();
+    }
+    let is_shown =
+        |seed| wake_the_one_left_behind::<KeepsIdentityWithoutDisk>(seed, &[0, 1]).is_err_and(is_older);
+    assert!((0..SEEDS).any(is_shown));
+}
+
+/// One more than may be lost: the one left behind goes on with the empty ones.
+#[test]
+fn one_that_goes_on_with_more_empty_replicas_than_tolerated_is_detected() {
+    for seed in 0..SEEDS {
+        wake_the_one_left_behind::<StandardRules>(seed, &[0, 1, 2]).unwrap();
+    }
+    let is_shown = |seed| wake_the_one_left_behind::<FewDecide>(seed, &[0, 1, 2]).is_err_and(is_older);
+    assert!((0..SEEDS).any(is_shown));
+}
+
+fn is_older(fault: String) -> bool {
+    fault.contains("not linearizable")
+}
+
+fn settings(number: usize, bootstrap: bool) -> ReplicaSettings {
+    ReplicaSettings {
+        endpoint: endpoint(number),
+        zone: format!("zone-{number}"),
+        region: String::new(),
+        seeds: vec![endpoint(0), endpoint(1)],
+        bootstrap,
+        incarnation: 71 + number as u64,
+        start: 81 + number as u64,
+        tolerance: Tolerance::of_machines(1),
+        timing: Timing::default(),
+    }
+}
+
+/// A replica whose disk has this state, after the first heartbeat of the other.
+fn started<L: ProtocolRules>(number: usize, disk: Option<Vec<u8>>) -> Replica<Registers, L> {
+    let bootstraps = disk.is_none();
+    let recovered = (disk, Vec::new());
+    let (mut replica, outputs) =
+        Replica::with_rules(settings(number, bootstraps), Registers, recovered, 0).expect("it can be read");
+    for output in outputs {
+        if let Output::Persist { token, .. } = output {
+            replica.handle(1, Input::Persisted { token });
+        }
+    }
+    let (_, mut sent) =
+        Replica::new(settings(1 - number, true), Registers, (None, Vec::new()), 0).map(first_sent).unwrap();
+    replica.handle(2, Input::Message { from: endpoint(1 - number), message: sent.remove(0) });
+    replica
+}
+
+/// What a replica sends once its identity is durable.
+fn first_sent(
+    (mut replica, outputs): (Replica<Registers>, Vec<Output>),
+) -> (Replica<Registers>, Vec<Message>) {
+    let persisted = outputs.into_iter().find_map(|output| match output {
+        Output::Persist { token, .. } => Some(token),
+        _ => None,
+    });
+    let outputs = replica.handle(1, Input::Persisted { token: persisted.expect("an identity is written") });
+    let sent = outputs.into_iter().filter_map(|output| match output {
+        Output::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    (replica, sent.collect())
+}
+
+/// Whether a replica says that this voter, which had its endpoint, is lost.
+fn reports_as_lost<L: ProtocolRules>(replica: &mut Replica<Registers, L>, voter: Voter) -> bool {
+    let ballot = Ballot { epoch: 1, round: 9, member: 0, start: 9 };
+    let known = replica.view().number;
+    let message = Message::Prepare { voter, ballot, known };
+    let outputs = replica.handle(3, Input::Message { from: endpoint(0), message });
+    let is_report = |output: &Output| matches!(output, Output::Send { message: Message::VoterLost { voter: lost, .. }, .. } if *lost == voter);
+    outputs.iter().any(is_report)
+}
+
+/// A disk that is back after another one took its place says nothing of its successor, which may run on elsewhere.
+#[test]
+fn an_old_disk_that_is_back_does_not_report_its_successor_as_lost() {
+    let disk = started::<StandardRules>(1, None).checkpoint_due(usize::MAX).expect("nothing is under way");
+    let successor = Voter { member: 2, incarnation: 999 };
+    assert!(!reports_as_lost(&mut started::<StandardRules>(1, Some(disk.clone())), successor));
+    assert!(reports_as_lost(&mut started::<ReportsSuccessorAsLost>(1, Some(disk)), successor));
+}
+
+/// An empty replica says of the voter before it that it is lost, and votes for nobody.
+#[test]
+fn an_empty_replica_reports_the_voter_before_it_as_lost() {
+    let (empty, outputs) =
+        Replica::new(settings(1, false), Registers, (None, Vec::new()), 0).expect("there is nothing to read");
+    let (mut empty, _) = first_sent((empty, outputs));
+    let before = Voter { member: 1, incarnation: 0 };
+    assert!(!reports_as_lost(&mut empty, before), "the other may speak an earlier version of the protocol");
+    let other = Replica::new(settings(0, true), Registers, (None, Vec::new()), 0).map(first_sent).unwrap();
+    empty.handle(2, Input::Message { from: endpoint(0), message: other.1[0].clone() });
+    assert!(reports_as_lost(&mut empty, before));
+}
