Storage: a write to a file that was removed or replaced is not taken for durable

Cause: a process whose disk was lost under it could go on to vote on files that no later process finds, beside the one that took its place. Change: after each sync the open file is compared with the one that its name leads to; StorageError::Removed else. Test: nothing_is_durable_once_the_files_are_removed_or_replaced.

--- a/coordination/storage/src/directory.rs
+++ b/coordination/storage/src/directory.rs
@@ -43,6 +43,13 @@
         name: String,
     },
 
+    /// The file was removed or replaced while it was open: what is written to it is not found after a restart.
+    #[snafu(display("`{name}` was removed or replaced by another process"))]
+    Removed {
+        /// The file.
+        name: String,
+    },
+
     /// Any other error of the file system.
     #[snafu(display("`{name}`: {source}"))]
     Io {
--- a/coordination/storage/src/error.rs
+++ b/coordination/storage/src/error.rs
@@ -22,6 +22,13 @@
         source: DirectoryError,
     },
 
+    /// The files were removed or replaced while the journal was open.
+    #[snafu(display("the files are gone: {source}"))]
+    Removed {
+        /// The operation that failed.
+        source: DirectoryError,
+    },
+
     /// An operation of the file system failed.
     #[snafu(display("{source}"))]
     Disk {
@@ -49,6 +56,7 @@
         match source {
             DirectoryError::Full { .. } => StorageError::Full { source },
             DirectoryError::Taken { .. } => StorageError::Taken { source },
+            DirectoryError::Removed { .. } => StorageError::Removed { source },
             DirectoryError::Io { .. } => StorageError::Disk { source },
         }
     }
--- a/coordination/storage/src/folder.rs
+++ b/coordination/storage/src/folder.rs
@@ -1,14 +1,14 @@
 //! A [`Directory`] in the file system.
 
 use std::collections::HashMap;
-use std::fs::{self, File, OpenOptions, TryLockError};
+use std::fs::{self, File, Metadata, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind, Read, Seek, SeekFrom};
-use std::os::unix::fs::FileExt;
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 
-use crate::directory::{Directory, DirectoryError, FullSnafu, IoSnafu, TakenSnafu};
+use crate::directory::{Directory, DirectoryError, FullSnafu, IoSnafu, RemovedSnafu, TakenSnafu};
 
 /// The file whose lock keeps other processes out.
 const LOCK_FILE: &str = "lock";
@@ -64,6 +64,13 @@
         Ok(self.files.get_mut(name))
     }
 
+    /// Whether an open file is still the one that its name leads to.
+    fn is_in_place(&self, name: &str) -> bool {
+        let identity = |metadata: io::Result<Metadata>| metadata.ok().map(|file| (file.dev(), file.ino()));
+        let open = self.files.get(name).map(File::metadata).and_then(identity);
+        open.is_some() && open == identity(fs::metadata(self.path.join(name)))
+    }
+
     /// The content of a file, or `None` if it is missing.
     fn read_existing(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
         let Some(file) = self.existing_file(name)? else { return Ok(None) };
@@ -89,9 +96,12 @@
         result.map_err(|error| classify(name, error))
     }
 
+    /// A process whose files were removed must not take for durable what no other process will find.
     fn sync(&mut self, name: &str) -> Result<(), DirectoryError> {
         let result = self.file(name).and_then(|file| file.sync_data());
-        result.map_err(|error| classify(name, error))
+        result.map_err(|error| classify(name, error))?;
+        ensure!(self.is_in_place(name), RemovedSnafu { name });
+        Ok(())
     }
 
     fn sync_directory(&mut self) -> Result<(), DirectoryError> {
--- a/coordination/storage/tests/folder.rs
+++ b/coordination/storage/tests/folder.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::{env, fs, process};
 
-use whinspindle_storage::{DirectoryError, FolderDirectory, Journal, Recovered};
+use whinspindle_storage::{DirectoryError, FolderDirectory, Journal, Recovered, StorageError};
 
 /// A folder that is removed at the end of the test.
 struct TemporaryFolder(PathBuf);
@@ -80,3 +80,25 @@
     assert_eq!(recovered, Recovered::default());
     assert_eq!(fs::read(path.join("notes")).expect("it is there"), b"of another");
 }
+
+/// A process that lost its files, or had them replaced by those of another one, must not confirm a write.
+#[test]
+fn nothing_is_durable_once_the_files_are_removed_or_replaced() {
+    for is_replaced in [false, true] {
+        let folder = TemporaryFolder::new(if is_replaced { "replaced" } else { "removed" });
+        let (mut journal, _) = open(&folder.0);
+        journal.append(&[vec![1]]).expect("the folder can be written");
+        fs::remove_dir_all(&folder.0).expect("the folder can be removed");
+        let successor = is_replaced.then(|| open(&folder.0));
+        for _ in 0..2 {
+            let appended = journal.append(&[vec![2]]);
+            assert!(matches!(appended, Err(StorageError::Removed { .. })), "{appended:?}");
+            let checkpoint = journal.checkpoint(&[3]);
+            assert!(matches!(checkpoint, Err(StorageError::Removed { .. })), "{checkpoint:?}");
+        }
+        drop(successor);
+        if is_replaced {
+            assert_eq!(open(&folder.0).1, Recovered::default(), "nothing was written for the successor");
+        }
+    }
+}
