Replica: one of two voters answers what is certain, and takes no command alone

Change: it takes no command, and answers a read whose answer is the same in each state that its log allows.

--- a/coordination/replica/src/application.rs
+++ b/coordination/replica/src/application.rs
@@ -33,3 +33,13 @@
         Answer::Value(Vec::new())
     }
 }
+
+impl Answer {
+    /// The bytes of the answer, with these records.
+    pub fn value_in(&self, records: &Records) -> Vec<u8> {
+        match self {
+            Answer::Value(value) => value.clone(),
+            Answer::Record(key) => records.get(key).map(|record| record.value.to_vec()).unwrap_or_default(),
+        }
+    }
+}
--- a/coordination/replica/src/protocol_rules.rs
+++ b/coordination/replica/src/protocol_rules.rs
@@ -80,10 +80,10 @@
         true
     }
 
-    /// Whether a replica without which no view can be decided answers a read alone, given whether it knows each entry on its
-    /// disk to be committed.
-    fn answers_alone(knows_all_committed: bool) -> bool {
-        knows_all_committed
+    /// Whether one of two voters answers a read alone although its log goes on after the committed entries, given whether
+    /// the answer is the same with more of them.
+    fn answers_alone(is_certain: bool) -> bool {
+        is_certain
     }
 
     /// From when contact with a peer counts, by the times at which a heartbeat to it was sent and its answer arrived.
--- a/coordination/replica/src/replica/chain_commit.rs
+++ b/coordination/replica/src/replica/chain_commit.rs
@@ -63,13 +63,7 @@
 
     /// Sends an answer to where the command was submitted.
     pub(super) fn reply(&mut self, origin: Origin, sequence: u64, answer: &Answer) {
-        let answer = match answer {
-            Answer::Value(value) => value.clone(),
-            Answer::Record(key) => {
-                let record = self.state.records.get(key);
-                record.map(|record| record.value.to_vec()).unwrap_or_default()
-            }
-        };
+        let answer = answer.value_in(&self.state.records);
         let Origin { endpoint, start, ticket } = origin;
         self.send(endpoint, Message::Replied { start, ticket, sequence, answer });
     }
--- a/coordination/replica/src/replica/chain_head.rs
+++ b/coordination/replica/src/replica/chain_head.rs
@@ -35,6 +35,7 @@
         is_head
             && is_complete
             && self.is_chain_active()
+            && !self.is_one_of_two_alone()
             && view.takes_writes(self.settings.tolerance.machines)
     }
 
--- a/coordination/replica/src/replica/submission.rs
+++ b/coordination/replica/src/replica/submission.rs
@@ -10,12 +10,14 @@
 use crate::message::Message;
 use crate::output::{Output, Reply};
 use crate::protocol_rules::ProtocolRules;
+use crate::records::Records;
 
 impl<A: Application, L: ProtocolRules> Replica<A, L> {
     /// Sends the submitted commands that are due to the head of the chain.
     pub(super) fn send_submissions(&mut self, now: u64) {
-        if self.may_answer_alone() {
+        if self.is_one_of_two_alone() {
             self.answer_reads_alone();
+            return;
         }
         let view = self.view();
         let Some(head) = view.head().and_then(|head| view.endpoint(head)) else { return };
@@ -33,38 +35,56 @@
         }
     }
 
-    /// Whether this replica may answer reads without the chain: the others are out of reach, and nothing can have been
-    /// acknowledged that is not committed here.
+    /// Whether this is one of two voters that are both needed, and the other is out of reach.
     ///
-    /// No view after the present one can have been decided without the vote of one of two voters, which would be fenced then.
-    /// In the present view whatever is acknowledged is on its disk, as it is a member of the chain.
-    fn may_answer_alone(&self) -> bool {
+    /// No command can be committed then, so that none is taken: an entry of unknown outcome would stop the reads too.
+    pub(super) fn is_one_of_two_alone(&self) -> bool {
         let [voter_set] = self.view().voter_sets.as_slice() else { return false };
-        let is_needed = self.me().is_some_and(|me| voter_set.contains(&me))
-            && !L::Consensus::is_majority(voter_set.len() - 1, voter_set.len());
-        let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
-        let knows_all_committed = self.state.log.is_empty();
-        is_needed
-            && is_complete
-            && self.is_chain_active()
-            && !self.has_majority_contact
-            && L::answers_alone(knows_all_committed)
+        let is_needed = !L::Consensus::is_majority(voter_set.len() - 1, voter_set.len());
+        let is_voter = self.me().is_some_and(|me| voter_set.contains(&me));
+        voter_set.len() > 1 && is_voter && is_needed && !self.has_majority_contact
     }
 
-    /// Answers the submitted commands that write nothing. One that was sent to a head may have been carried out there.
+    /// Answers, as one of two voters, the submitted commands that write nothing and have one answer whatever else may have
+    /// been acknowledged. One that was sent to a head may have been carried out there.
+    ///
+    /// No view after the present one can have been decided without the vote of this replica, which would be fenced then. In
+    /// the present view whatever is acknowledged is on its disk, as it is a member of the chain: the state is that of the
+    /// committed entries and of any number of those after them in its log.
     fn answer_reads_alone(&mut self) {
+        let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
+        if !is_complete || !self.is_chain_active() {
+            return;
+        }
         let (endpoint, start) = (self.settings.endpoint, L::start(&self.settings));
         let committed = self.state.committed;
-        let evaluate = |(ticket, command): (u64, &[u8])| {
-            let evaluation = self.application.evaluate(&self.state.records, command);
-            evaluation.writes.is_empty().then_some((ticket, evaluation.answer))
-        };
-        let answers: Vec<(u64, Answer)> = self.submissions.unsent().filter_map(evaluate).collect();
+        let answer = |(ticket, command)| Some((ticket, self.answer_in_all_states(command)?));
+        let answers: Vec<(u64, Vec<u8>)> = self.submissions.unsent().filter_map(answer).collect();
         for (ticket, answer) in answers {
-            self.reply(Origin { endpoint, start, ticket }, committed, &answer);
+            self.reply(Origin { endpoint, start, ticket }, committed, &Answer::Value(answer));
         }
     }
 
+    /// The answer to a command that writes nothing in the committed state and in each state that the entries after it lead
+    /// to; `None` if there is not one for all.
+    fn answer_in_all_states(&self, command: &[u8]) -> Option<Vec<u8>> {
+        let mut records = self.state.records.clone();
+        let answer = self.answer_in(&records, command)?;
+        for entry in &self.state.log {
+            records.apply(entry.sequence, &entry.writes);
+            if !L::answers_alone(self.answer_in(&records, command).as_ref() == Some(&answer)) {
+                return None;
+            }
+        }
+        Some(answer)
+    }
+
+    /// The answer to a command in this state; `None` if it writes.
+    fn answer_in(&self, records: &Records, command: &[u8]) -> Option<Vec<u8>> {
+        let evaluation = self.application.evaluate(records, command);
+        evaluation.writes.is_empty().then(|| evaluation.answer.value_in(records))
+    }
+
     /// Whether the chain of the present view is fenced, as far as the votes of this replica and of the head are known.
     /// The head would drop all commands, and large ones would delay the messages of the view change.
     fn is_chain_fenced(&self, head: SocketAddr) -> bool {
--- a/coordination/replica/tests/small_cores.rs
+++ b/coordination/replica/tests/small_cores.rs
@@ -90,8 +90,12 @@
 
     /// Whether a read is answered, and agrees with all that was acknowledged.
     fn reads(&mut self, number: usize) -> bool {
+        self.reads_of(number, "register-0")
+    }
+
+    fn reads_of(&mut self, number: usize, register: &str) -> bool {
         let answered = self.clients.answered();
-        self.clients.begin(&mut self.cluster, endpoint(number), "register-0", Asked::Get);
+        self.clients.begin(&mut self.cluster, endpoint(number), register, Asked::Get);
         self.pass(200);
         check(&self.clients.history()).unwrap_or_else(|fault| panic!("{fault}"));
         self.clients.answered() > answered
@@ -407,6 +411,7 @@
             play.pass(300);
             assert!(play.reads(alone), "seed {seed}, {alone} after a restart: {}", play.describe());
             assert!(play.rests(&[alone]), "no write is taken by one of two");
+            assert!(play.reads(alone), "seed {seed}, {alone} after a write: {}", play.describe());
             play.start(1 - alone);
             play.serves().unwrap_or_else(|fault| panic!("seed {seed}, {alone}: {fault}"));
         }
@@ -423,6 +428,7 @@
     assert!(play.writes(1, 400), "seed {seed}: {}", play.describe());
     play.cluster.stop(endpoint(1));
     play.pass(3_000);
+    assert!(play.reads_of(0, "another-register"), "its answer is the same either way: {}", play.describe());
     play.agrees()
 }
 
