Replica: a reconfiguration that an operator forces

Cause: voters that are gone for good at another address are more than a protocol may decide about (one of two, two of three). Change: Input::DeclareLost at a replica that is left: refused while the voters there can decide, while a named one is there, while one is neither there nor named, and without enough replicas for a chain; says whether acknowledged commands may be lost.

--- a/coordination/consensus/src/proposer.rs
+++ b/coordination/consensus/src/proposer.rs
@@ -17,23 +17,14 @@
     promises: BTreeMap<Voter, Option<(Ballot, V)>>,
     /// Voters whose durable state is lost for good: they will neither promise nor accept.
     lost: BTreeSet<Voter>,
+    /// Any number of voters decides once all others are lost, see [`Round::force`].
+    is_forced: bool,
     /// The proposed value, and the voter sets whose majorities must accept it.
     proposed: Option<(V, Vec<Vec<Voter>>)>,
     /// Voters that have accepted the proposed value.
     votes: BTreeSet<Voter>,
 }
 
-/// Whether those of a voter set that have voted decide, given the voters that are lost.
-fn has_quorum<Rules: ConsensusRules>(
-    voter_set: &[Voter],
-    lost: &BTreeSet<Voter>,
-    has_voted: impl Fn(&Voter) -> bool,
-) -> bool {
-    let votes = voter_set.iter().filter(|voter| has_voted(voter)).count();
-    let lost = voter_set.iter().filter(|voter| !has_voted(voter) && lost.contains(voter)).count();
-    Rules::is_quorum(votes, lost, voter_set.len())
-}
-
 impl<V: RegisterValue> Round<V> {
     /// Starts a proposal. `known` is the newest value that the proposer knows to be chosen, or the one that stands
     /// before the first that is.
@@ -43,6 +34,7 @@
             known,
             promises: BTreeMap::new(),
             lost: BTreeSet::new(),
+            is_forced: false,
             proposed: None,
             votes: BTreeSet::new(),
         }
@@ -59,6 +51,24 @@
         self.lost.insert(voter);
     }
 
+    /// Has any number of voters decide once all others are lost, fewer than half too. A value that was chosen by those that
+    /// are lost may be contradicted: only an operator can answer for that.
+    pub fn force(&mut self) {
+        self.is_forced = true;
+    }
+
+    /// Whether those of a voter set that have voted decide, given the voters that are lost.
+    fn has_quorum<Rules: ConsensusRules>(
+        &self,
+        voter_set: &[Voter],
+        has_voted: impl Fn(&Voter) -> bool,
+    ) -> bool {
+        let votes = voter_set.iter().filter(|voter| has_voted(voter)).count();
+        let lost = voter_set.iter().filter(|voter| !has_voted(voter) && self.lost.contains(voter)).count();
+        let is_all = votes > 0 && votes + lost == voter_set.len();
+        Rules::is_quorum(votes, lost, voter_set.len()) || (self.is_forced && is_all)
+    }
+
     /// The newest value that may have been chosen, by the promises so far.
     fn newest_value<Rules: ConsensusRules>(&self) -> &V {
         let accepted = self.promises.values().flatten();
@@ -75,7 +85,7 @@
         }
         let known_voter_sets =
             self.known.is_bootstrapped().then(|| self.known.voter_sets()).into_iter().flatten();
-        let is_prepared = |voter_set: &Vec<Voter>| has_quorum::<Rules>(voter_set, &self.lost, has_promised);
+        let is_prepared = |voter_set: &Vec<Voter>| self.has_quorum::<Rules>(voter_set, has_promised);
         known_voter_sets.chain(newest.voter_sets()).all(is_prepared).then_some(newest)
     }
 
@@ -106,7 +116,7 @@
         let (value, voter_sets) = self.proposed.as_ref()?;
         voter_sets
             .iter()
-            .all(|voter_set| has_quorum::<Rules>(voter_set, &self.lost, |voter| self.votes.contains(voter)))
+            .all(|voter_set| self.has_quorum::<Rules>(voter_set, |voter| self.votes.contains(voter)))
             .then_some(value)
     }
 
--- a/coordination/replica/src/input.rs
+++ b/coordination/replica/src/input.rs
@@ -33,6 +33,11 @@
         /// The token of its [`crate::Output::Persist`].
         token: u64,
     },
+    /// An operator answers for it that these voters never come back ([`crate::Replica::forced_reconfiguration`]).
+    DeclareLost {
+        /// Their endpoints.
+        endpoints: Vec<SocketAddr>,
+    },
     /// The process is shutting down.
     Leave,
 }
--- a/coordination/replica/src/lib.rs
+++ b/coordination/replica/src/lib.rs
@@ -98,7 +98,7 @@
 pub use protocol_rules::{ProtocolRules, StandardRules};
 pub use protocol_version::{FIRST_WITH_VOTER_LOST, PROTOCOL_VERSION};
 pub use records::{Record, RecordWrite, Records};
-pub use replica::Replica;
+pub use replica::{ForcedReconfiguration, RefusedReconfiguration, Replica};
 pub use settings::{ReplicaSettings, Timing};
 pub use view::{ChainLink, Member, View};
 pub use whinspindle_consensus::{ConsensusRules, StandardConsensusRules, Voter};
--- a/coordination/replica/src/planning.rs
+++ b/coordination/replica/src/planning.rs
@@ -63,6 +63,8 @@
     pub replaces_voters_jointly: bool,
     /// Protocol rule: a member of a former chain leads only if it holds all that was committed.
     pub requires_complete_leader: bool,
+    /// An operator answers for it that the most advanced of those that take part leads, if none is known to hold all.
+    pub forces_leader: bool,
     /// The voters that take part; others are not in the next chain.
     pub present: BTreeMap<Voter, VoterState>,
     /// The voters that may be replaced.
--- a/coordination/replica/src/planning/chain.rs
+++ b/coordination/replica/src/planning/chain.rs
@@ -19,7 +19,7 @@
             kept.into_iter().partition(|link| self.is_complete(link));
         self.record_former_chain(prepared);
         if complete.is_empty() {
-            let leader = self.former_leader(&voters)?;
+            let leader = self.former_leader(&voters).or_else(|| self.forced_leader(&voters))?;
             joining.retain(|link| link.voter != leader.voter);
             complete.push(leader);
         }
@@ -78,6 +78,16 @@
         None
     }
 
+    /// The most advanced of those that take part, where an operator forces the reconfiguration.
+    fn forced_leader(&self, voters: &[Voter]) -> Option<ChainLink> {
+        let takes_part = |(voter, state): &(&Voter, &VoterState)| {
+            self.input.forces_leader && voters.contains(voter) && state.has_promised && state.complete > 0
+        };
+        let present = self.present.iter().filter(takes_part);
+        let (voter, state) = present.max_by_key(|(_, state)| (state.complete, state.committed))?;
+        Some(ChainLink { voter: *voter, since: state.complete })
+    }
+
     /// The last view in which a voter's log was complete, by the report with its promise.
     fn promised_complete(&self, voter: Voter) -> Option<u64> {
         let state = self.present.get(&voter).filter(|state| state.has_promised)?;
--- a/coordination/replica/src/replica.rs
+++ b/coordination/replica/src/replica.rs
@@ -9,6 +9,7 @@
 mod chain_head;
 mod dispatch;
 mod durability;
+mod forced_reconfiguration;
 mod heartbeats;
 mod learner;
 mod proposer;
@@ -23,6 +24,7 @@
 
 use whinspindle_consensus::Voter;
 
+pub use self::forced_reconfiguration::{ForcedReconfiguration, RefusedReconfiguration};
 use crate::application::Application;
 use crate::catch_up::CatchUpState;
 use crate::disk::Disk;
@@ -77,6 +79,8 @@
     catch_up: CatchUpState,
     /// The proposer's state.
     view_change: ViewChange,
+    /// Voters that never come back, as an operator has declared.
+    declared_lost: BTreeSet<Voter>,
     /// The jitter of delays.
     jitter: Jitter,
     /// The process is in graceful shutdown.
@@ -144,6 +148,7 @@
             recent_entries: RecentEntries::default(),
             catch_up: CatchUpState::default(),
             view_change: ViewChange::default(),
+            declared_lost: BTreeSet::new(),
             jitter: Jitter::new(settings.start),
             is_shutting_down: false,
             heartbeat_due: now,
--- a/coordination/replica/src/replica/dispatch.rs
+++ b/coordination/replica/src/replica/dispatch.rs
@@ -21,6 +21,7 @@
             }
             Input::Persisted { token } => self.persisted(now, token),
             Input::PersistFailed { token } => self.disk.failed(now, token),
+            Input::DeclareLost { endpoints } => self.declare_lost(now, &endpoints),
             Input::Leave => {
                 self.is_shutting_down = true;
                 self.send_heartbeats(now);
--- a/coordination/replica/src/replica/proposer.rs
+++ b/coordination/replica/src/replica/proposer.rs
@@ -29,7 +29,11 @@
         self.view_change.highest_round += 1;
         let round = self.view_change.highest_round;
         let ballot = Ballot { epoch: EPOCH, round, member: me.member, start: self.settings.start };
-        let round = Round::new(ballot, self.view().clone());
+        let mut round = Round::new(ballot, self.view().clone());
+        self.declared_lost.iter().for_each(|voter| round.record_lost(*voter));
+        if self.is_forced() {
+            round.force();
+        }
         self.view_change.proposal = Some(Proposal {
             round,
             reports: BTreeMap::new(),
--- a/coordination/replica/src/replica/replica_survey.rs
+++ b/coordination/replica/src/replica/replica_survey.rs
@@ -72,6 +72,7 @@
             tolerance: self.settings.tolerance,
             replaces_voters_jointly: L::replaces_voters_jointly(),
             requires_complete_leader: L::requires_complete_leader(),
+            forces_leader: self.is_forced(),
             present,
             lost,
             candidates: self.candidates(now, view),
@@ -115,7 +116,9 @@
         let Some(member) = view.member(voter) else { return false };
         let is_silent = self.peers.silent_for(now, member.endpoint) > self.settings.timing.replacement;
         let is_gone = is_silent && !self.peers.is_live_at_another(now, member.endpoint);
-        member.endpoint != self.settings.endpoint && (is_gone || self.peers.has_new_incarnation(member))
+        let is_gone =
+            is_gone || self.declared_lost.contains(&voter) || self.peers.has_new_incarnation(member);
+        member.endpoint != self.settings.endpoint && is_gone
     }
 
     /// Whether the heartbeats of all replicas that do not vote have arrived for a while.
--- a/coordination/replica/src/replica/view_change.rs
+++ b/coordination/replica/src/replica/view_change.rs
@@ -8,7 +8,6 @@
 use crate::durable::{Decided, DurableRecord};
 use crate::planning::next_view;
 use crate::protocol_rules::ProtocolRules;
-use crate::view::Member;
 use crate::view_change_state::PendingChange;
 
 /// Delay of a change that takes no failed member out of the chain, in milliseconds.
@@ -41,17 +40,10 @@
     }
 
     /// Whether the healthy voters could decide on another view.
-    fn has_healthy_quorum(&self, now: u64) -> bool {
-        let view = self.view();
-        let me = self.me();
-        let is_healthy =
-            |voter: Voter| me == Some(voter) || self.peers.healthy_heartbeat(now, view, voter).is_some();
-        // The replica in the place of a lost voter has to answer for it.
-        let is_replaced = |member: &Member| {
-            self.peers.has_new_incarnation(member) && self.peers.is_connected(now, member.endpoint)
-        };
-        let is_lost = |voter: Voter| view.member(voter).is_some_and(is_replaced);
-        view.has_quorum::<L::Consensus>(is_healthy, is_lost)
+    pub(super) fn has_healthy_quorum(&self, now: u64) -> bool {
+        let is_healthy = |voter: Voter| self.is_healthy_voter(now, voter);
+        let is_lost = |voter: Voter| self.is_replaced(now, voter);
+        self.view().has_quorum::<L::Consensus>(is_healthy, is_lost) || self.has_forced_quorum(now)
     }
 
     /// How long a view change that is called for is delayed, in milliseconds; `None` if none is.
@@ -106,6 +98,7 @@
         let kept = self.last_useful_entry();
         self.view_change.decided(decided.ballot);
         self.record(DurableRecord::Decided(decided), true);
+        self.forget_declared();
         self.begin_session(now);
         if self.session.is_none() {
             self.truncate(kept);
--- a/coordination/replica/tests/common/node.rs
+++ b/coordination/replica/tests/common/node.rs
@@ -101,6 +101,8 @@
         command: String,
     },
     Leave,
+    /// An operator forces a reconfiguration without the voters at these endpoints.
+    DeclareLost(Vec<SocketAddr>),
     /// Writes the whole state to the disk, as a shell does whose log is long.
     Checkpoint,
 }
@@ -279,6 +281,7 @@
                 Input::Submit { ticket, command: command.into_bytes() }
             }
             Event::Command(Command::Leave) => Input::Leave,
+            Event::Command(Command::DeclareLost(endpoints)) => Input::DeclareLost { endpoints },
             Event::Command(Command::Checkpoint) => {
                 let state = self.replica.checkpoint_due(usize::MAX);
                 return state
