--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface of operators, upstreams and clients: parsing of requests into calls, and the responses.
 
 use std::fmt::{self, Display, Formatter, Write};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -14,6 +15,8 @@
 const MAX_REASON_BYTES: usize = 1024;
 /// The longest id of an instance that is accepted.
 const MAX_INSTANCE_ID_BYTES: usize = 128;
+/// The most voters that are declared lost at once.
+const MAX_DECLARED: usize = 16;
 
 /// A call that was parsed, and validated as far as that is possible without the state.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,6 +62,13 @@
     },
     /// An operator reads the status of this controller.
     Status,
+    /// An operator answers for it that voters never come back, where the others can't decide without them.
+    DeclareLost {
+        /// Their addresses among the controllers.
+        lost: Vec<SocketAddr>,
+        /// The view whose consequences the operator has read and confirms; none at the first time of asking.
+        confirmed_view: Option<u64>,
+    },
 }
 
 impl Call {
@@ -68,6 +78,10 @@
             Call::Replace { base, generation, .. } => Some(format!("configuration {generation} on {base}")),
             Call::Evacuate { zone, evacuated: true } => Some(format!("evacuation of {zone}")),
             Call::Evacuate { zone, evacuated: false } => Some(format!("end of the evacuation of {zone}")),
+            Call::DeclareLost { lost, confirmed_view } => {
+                let confirmed = confirmed_view.map(|view| format!(", confirmed for view {view}"));
+                Some(format!("declaration that {lost:?} are lost{}", confirmed.unwrap_or_default()))
+            }
             _ => None,
         }
     }
@@ -116,6 +130,9 @@
     /// The id of the instance is empty, too long or has a slash.
     #[snafu(display("an instance id has 1 to {MAX_INSTANCE_ID_BYTES} bytes and no slash"))]
     InstanceId,
+    /// An address is none, or there are none or too many.
+    #[snafu(display("1 to {MAX_DECLARED} addresses like 10.1.0.2:7400, with commas between them"))]
+    Addresses,
     /// The settings name no such zone.
     #[snafu(display("no such zone"))]
     UnknownZone,
@@ -141,6 +158,7 @@
             Refusal::BaseVersion
             | Refusal::InvalidConfiguration { .. }
             | Refusal::InvalidHeartbeat { .. }
+            | Refusal::Addresses
             | Refusal::InstanceId => StatusCode::BAD_REQUEST,
             // The command was not received: the caller is to send it again.
             Refusal::BodyUnread => StatusCode::REQUEST_TIMEOUT,
@@ -207,7 +225,7 @@
 
 /// Whether this is the path of an operator command.
 pub fn is_command(path: &str) -> bool {
-    path == "/Config.Replace" || path.starts_with("/Evacuate.")
+    path == "/Config.Replace" || path.starts_with("/Evacuate.") || path.starts_with("/Members.")
 }
 
 /// Parses a call and validates its arguments.
@@ -223,6 +241,7 @@
         Operation::Deregister => Ok(Call::Deregister { instance: instance_id(argument)? }),
         Operation::Resolve => Ok(parse_resolve(request.query)),
         Operation::Status => Ok(Call::Status),
+        Operation::DeclareLost => parse_declaration(argument, request.query),
     }
 }
 
@@ -236,6 +255,7 @@
     Deregister,
     Resolve,
     Status,
+    DeclareLost,
 }
 
 fn split_path(path: &str) -> Result<(Operation, &str), Refusal> {
@@ -254,6 +274,7 @@
         ("/Instances.Deregister/", Operation::Deregister),
         ("/Evacuate.Begin/", Operation::BeginEvacuation),
         ("/Evacuate.Finish/", Operation::FinishEvacuation),
+        ("/Members.DeclareLost/", Operation::DeclareLost),
     ];
     prefixed
         .into_iter()
@@ -293,6 +314,12 @@
     }
 }
 
+fn parse_declaration(argument: &str, query: &str) -> Result<Call, Refusal> {
+    let lost: Result<Vec<SocketAddr>, _> = argument.split(',').map(str::parse).collect();
+    let lost = lost.ok().filter(|lost| lost.len() <= MAX_DECLARED).ok_or(Refusal::Addresses)?;
+    Ok(Call::DeclareLost { lost, confirmed_view: query_value(query, "confirm").parse().ok() })
+}
+
 fn query_value(query: &str, name: &str) -> String {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.find(|(key, _)| *key == name).map_or_else(String::new, |(_, value)| value.to_owned())
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -1,6 +1,11 @@
 //! The calls of operators, upstreams and clients.
 
+use std::net::SocketAddr;
+
+use http::StatusCode;
+use spdlog::warn;
 use whinspindle_registry::HeartbeatEffect;
+use whinspindle_replica::{ForcedReconfiguration, Input};
 
 use super::Controller;
 use super::event::Action;
@@ -38,9 +43,24 @@
             Call::Deregister { instance } => self.depart(now, id, instance, Departure::Deregistered),
             Call::Resolve { host, region, zone } => self.resolve(now, id, &host, &region, &zone),
             Call::Status => self.answer_status(now, id),
+            Call::DeclareLost { lost, confirmed_view } => self.declare_lost(now, id, lost, confirmed_view),
         }
     }
 
+    /// Tells what a forced reconfiguration may lose, and begins it once that was confirmed.
+    fn declare_lost(&mut self, now: u64, id: CallId, lost: Vec<SocketAddr>, confirmed_view: Option<u64>) {
+        let response = match self.replica.forced_reconfiguration(now, &lost) {
+            Err(refused) => Response::failure(StatusCode::CONFLICT, &refused.to_string()),
+            Ok(forced) if confirmed_view == Some(forced.view) => {
+                warn!("the voters {lost:?} are declared lost for good by an operator");
+                self.step(now, Input::DeclareLost { endpoints: lost });
+                Response::accepted()
+            }
+            Ok(forced) => unconfirmed(forced),
+        };
+        self.answer(id, response);
+    }
+
     fn heartbeat_taken(&mut self, now: u64, id: CallId, instance: String, effect: HeartbeatEffect) {
         match effect {
             HeartbeatEffect::Accepted { changed } => {
@@ -122,3 +142,18 @@
         self.actions.push(Action::Answer { id, response });
     }
 }
+
+/// The answer to a declaration that is not confirmed for the present view.
+fn unconfirmed(forced: ForcedReconfiguration) -> Response {
+    let consequence = if forced.may_lose_commands {
+        "acknowledged commands may be lost: those that only the lost voters have"
+    } else {
+        "nothing acknowledged is lost, if they are"
+    };
+    let view = forced.view;
+    let reason = format!(
+        "these voters must stay off for good; {consequence}; \
+         to go on, send this again with confirm={view}"
+    );
+    Response::failure(StatusCode::PRECONDITION_REQUIRED, &reason)
+}
--- a/controlplane/controller/tests/api.rs
+++ b/controlplane/controller/tests/api.rs
@@ -165,3 +165,20 @@
         assert_eq!(is_command(path), expected, "{path}");
     }
 }
+
+#[test]
+fn voters_are_declared_lost_by_their_addresses() {
+    let path = "/Members.DeclareLost/10.1.0.2:7400,[2001:db8::1]:7400";
+    let lost = vec!["10.1.0.2:7400".parse().unwrap(), "[2001:db8::1]:7400".parse().unwrap()];
+    let unconfirmed = Call::DeclareLost { lost: lost.clone(), confirmed_view: None };
+    assert_eq!(parse(&request(&Method::POST, path, "")).unwrap(), unconfirmed);
+    let confirmed = Request { query: "confirm=12", ..request(&Method::POST, path, "") };
+    assert_eq!(parse(&confirmed).unwrap(), Call::DeclareLost { lost, confirmed_view: Some(12) });
+    assert!(is_command(path), "it is in the log of commands");
+    let too_many = ["10.1.0.2:7400"; 17].join(",");
+    for addresses in ["", "10.1.0.2", "10.1.0.2:7400,", "here:7400", &too_many] {
+        let path = format!("/Members.DeclareLost/{addresses}");
+        assert_eq!(status(&request(&Method::POST, &path, "")), StatusCode::BAD_REQUEST, "{addresses}");
+    }
+    assert_eq!(status(&request(&Method::GET, path, "")), StatusCode::METHOD_NOT_ALLOWED);
+}
--- a/coordination/replica/src/durable.rs
+++ b/coordination/replica/src/durable.rs
@@ -213,6 +213,11 @@
         self.outcomes.iter().rev().find(|outcome| outcome.origin == origin)
     }
 
+    /// Whether this voter has accepted another view than the one it knows: that one may be decided.
+    pub fn has_accepted_another_view(&self) -> bool {
+        self.votes.accepted.as_ref().is_some_and(|(ballot, _)| *ballot > self.decided.ballot)
+    }
+
     /// Whether this voter has promised a higher ballot than that of the view it knows: it takes no part in the chain of that
     /// view any more.
     pub fn is_fenced(&self) -> bool {
--- a/coordination/replica/src/replica/submission.rs
+++ b/coordination/replica/src/replica/submission.rs
@@ -48,12 +48,12 @@
     /// Answers, as one of two voters, the submitted commands that write nothing and have one answer whatever else may have
     /// been acknowledged. One that was sent to a head may have been carried out there.
     ///
-    /// No view after the present one can have been decided without the vote of this replica, which would be fenced then. In
-    /// the present view whatever is acknowledged is on its disk, as it is a member of the chain: the state is that of the
+    /// No view after the present one can have been decided without the vote of this replica, which has accepted none. In the
+    /// present view whatever is acknowledged is on its disk, as it is a member of the chain: the state is that of the
     /// committed entries and of any number of those after them in its log.
     fn answer_reads_alone(&mut self) {
         let is_complete = self.session.as_ref().is_some_and(|session| session.is_complete);
-        if !is_complete || !self.is_chain_active() {
+        if !is_complete || self.state.has_accepted_another_view() {
             return;
         }
         let (endpoint, start) = (self.settings.endpoint, L::start(&self.settings));
--- a/programs/serving/src/command_line.rs
+++ b/programs/serving/src/command_line.rs
@@ -18,8 +18,18 @@
 const DEFAULT_SETTINGS: &str = "/etc/whinspindle/boot.json";
 
 /// The first arguments that belong to this crate.
-pub const COMMANDS: [&str; 9] =
-    ["proxy", "agent", "controller", "directory", "status", "members", "config", "evacuate", "serving-help"];
+pub const COMMANDS: [&str; 10] = [
+    "proxy",
+    "agent",
+    "controller",
+    "directory",
+    "status",
+    "members",
+    "declare-lost",
+    "config",
+    "evacuate",
+    "serving-help",
+];
 
 /// Placeholder in the help for the list of mechanisms.
 const MECHANISMS: &str = "{MECHANISMS}";
@@ -38,6 +48,7 @@
 Operator's commands, sent to any controller:
   whinspindle status --control ADDRESS                      the controller's state as JSON
   whinspindle members --control ADDRESS                     its view: voters and chain
+  whinspindle declare-lost ADDRESS,... --control ADDRESS [--confirm VIEW]  voters never come back, and the rest can't decide
   whinspindle config check FILE                             checks a configuration
   whinspindle config fetch --control ADDRESS                the newest acknowledged configuration
   whinspindle config replace FILE --base N --control ADDRESS  sends a configuration built on generation N
@@ -119,6 +130,15 @@
         /// The controller's address for operators.
         control: SocketAddr,
     },
+    /// Answer for it that voters never come back, where the others can't decide without them.
+    DeclareLost {
+        /// The address for operators of a controller that is left.
+        control: SocketAddr,
+        /// The addresses of the voters among the controllers, with commas between them.
+        lost: String,
+        /// The view whose consequences were read.
+        confirmed_view: Option<u64>,
+    },
     /// Check a configuration file.
     ConfigCheck {
         /// The file.
--- a/programs/serving/src/command_line/parser.rs
+++ b/programs/serving/src/command_line/parser.rs
@@ -29,6 +29,7 @@
         Some("directory") => daemon(Program::Directory, &mut arguments)?,
         Some("status") => Command::Operator(OperatorCommand::Status { control: control(&mut arguments)? }),
         Some("members") => Command::Operator(OperatorCommand::Members { control: control(&mut arguments)? }),
+        Some("declare-lost") => declare_lost(&mut arguments)?,
         Some("config") => config(&mut arguments)?,
         Some("evacuate") => evacuate(&mut arguments)?,
         Some(other) => return Err(CommandLineError::Unknown { name: other.to_owned() }),
@@ -66,6 +67,13 @@
     }
 }
 
+fn declare_lost(arguments: &mut Arguments) -> Result<Command, CommandLineError> {
+    let control = control(arguments)?;
+    let confirmed_view = arguments.opt_value_from_str("--confirm").context(ArgumentSnafu)?;
+    let lost = arguments.free_from_str().context(ArgumentSnafu)?;
+    Ok(Command::Operator(OperatorCommand::DeclareLost { control, lost, confirmed_view }))
+}
+
 fn config(arguments: &mut Arguments) -> Result<Command, CommandLineError> {
     let verb = arguments.subcommand().context(ArgumentSnafu)?;
     let command = match verb.as_deref() {
--- a/programs/serving/src/operator.rs
+++ b/programs/serving/src/operator.rs
@@ -56,6 +56,9 @@
     match command {
         OperatorCommand::Status { control } => ask(*control, Call::get("/status")),
         OperatorCommand::Members { control } => members(*control),
+        OperatorCommand::DeclareLost { control, lost, confirmed_view } => {
+            declare_lost(*control, lost, *confirmed_view)
+        }
         OperatorCommand::ConfigCheck { file } => check(file),
         OperatorCommand::ConfigFetch { control } => ask(*control, Call::get("/Config.Fetch")),
         OperatorCommand::ConfigReplace { control, file, base } => replace(*control, file, *base),
@@ -85,6 +88,16 @@
     Ok(status.members())
 }
 
+fn declare_lost(
+    control: SocketAddr,
+    lost: &str,
+    confirmed_view: Option<u64>,
+) -> Result<String, OperatorError> {
+    let confirmation = confirmed_view.map(|view| format!("?confirm={view}")).unwrap_or_default();
+    ask(control, Call::post(format!("/Members.DeclareLost/{lost}{confirmation}"), Bytes::new()))?;
+    Ok(format!("{lost} are declared lost: see `members`"))
+}
+
 fn read(file: &Path) -> Result<(Vec<u8>, Configuration), OperatorError> {
     let text = std::fs::read(file).context(ReadSnafu { path: file })?;
     let configuration = Configuration::parse(&text).context(InvalidSnafu { path: file })?;
--- a/programs/serving/tests/command_line.rs
+++ b/programs/serving/tests/command_line.rs
@@ -109,6 +109,18 @@
     let cases = [
         ("status --control 10.0.0.1:8166", OperatorCommand::Status { control }),
         ("members --control 10.0.0.1:8166", OperatorCommand::Members { control }),
+        (
+            "declare-lost 10.0.0.2:7400,10.0.0.3:7400 --control 10.0.0.1:8166 --confirm 9",
+            OperatorCommand::DeclareLost {
+                control,
+                lost: "10.0.0.2:7400,10.0.0.3:7400".to_owned(),
+                confirmed_view: Some(9),
+            },
+        ),
+        (
+            "declare-lost 10.0.0.2:7400 --control 10.0.0.1:8166",
+            OperatorCommand::DeclareLost { control, lost: "10.0.0.2:7400".to_owned(), confirmed_view: None },
+        ),
         ("config fetch --control 10.0.0.1:8166", OperatorCommand::ConfigFetch { control }),
         ("config check a.json", OperatorCommand::ConfigCheck { file: PathBuf::from("a.json") }),
         (
@@ -140,6 +152,8 @@
         "nothing",
         "status",
         "status --control here",
+        "declare-lost --control 10.0.0.1:8166",
+        "declare-lost 10.0.0.2:7400 --control 10.0.0.1:8166 --confirm soon",
         "config",
         "config replace a.json --control 10.0.0.1:8166",
         "evacuate begin --control 10.0.0.1:8166",
