Disks and protocol between controllers have versions; a rolling release as a test

Cause: disks and messages of another release were promised nowhere, and a disk of a later release would have been taken for damaged and discarded. Change: file format in a controller's folder, checked before anything is opened (exit status 1, nothing touched); the version of the protocol in heartbeats (with VoterLost before). Tests: storage/tests/format.rs, programs/balancer/tests/disk_format.rs, controller/tests/rolling_release.rs (three controllers changed one by one and back, commands running; disks lost while two releases run).

--- a/controlplane/controller/src/runtime/disk.rs
+++ b/controlplane/controller/src/runtime/disk.rs
@@ -9,12 +9,15 @@
 use spdlog::warn;
 use tokio::sync::{mpsc as reports, oneshot};
 use whinspindle_replica::DurableWrite;
-use whinspindle_storage::{FolderDirectory, Journal, Recovered, StorageError};
+use whinspindle_storage::{FolderDirectory, FormatError, Journal, Recovered, StorageError, check_format};
 
 use super::prefixed_directory::PrefixedDirectory;
 
 /// The time between two attempts to open a disk that can't be read.
 const REOPEN_BACKOFF: Duration = Duration::from_millis(200);
+/// The version of the format that this release writes: that of its durable records, checkpoints and saved state. A change
+/// after which an earlier release can't read them raises it.
+const FORMAT_VERSION: u32 = 1;
 /// The prefix of the files that hold the saved state.
 const SAVED_STATE_PREFIX: &str = "memory-";
 
@@ -30,6 +33,12 @@
     /// The thread ended before it had opened the disk.
     #[snafu(display("the thread for the disk has ended"))]
     Ended,
+    /// The folder is of a release that this one can't read. Nothing in it was changed.
+    #[snafu(display("{source}"))]
+    Format {
+        /// The version of the folder.
+        source: FormatError,
+    },
 }
 
 /// The handle of the disk's thread: queues writes.
@@ -78,8 +87,15 @@
     let (report_sender, reports) = reports::unbounded_channel();
     let (opened_sender, opened) = oneshot::channel();
     let work = move || {
-        let opened = open_journal(&folder);
-        if opened_sender.send((opened.recovered, opened.was_damaged)).is_ok() {
+        let opened = match open_journal(&folder) {
+            Ok(opened) => opened,
+            Err(failure) => {
+                // The receiver is gone only if the process is stopping.
+                let _ = opened_sender.send(Err(failure));
+                return;
+            }
+        };
+        if opened_sender.send(Ok((opened.recovered, opened.was_damaged))).is_ok() {
             let OpenedJournal { files, journal, .. } = opened;
             let mut worker =
                 Worker { files, journal, saved_state: None, jobs: job_receiver, reports: report_sender };
@@ -90,7 +106,8 @@
         }
     };
     thread::Builder::new().name("disk".to_owned()).spawn(work).context(ThreadSnafu)?;
-    let (recovered, was_damaged) = opened.await.ok().ok_or(DiskError::Ended)?;
+    let opened = opened.await.ok().ok_or(DiskError::Ended)?;
+    let (recovered, was_damaged) = opened.context(FormatSnafu)?;
     Ok(OpenedDisk { disk: Disk { jobs }, recovered, was_damaged, reports })
 }
 
@@ -124,15 +141,17 @@
 }
 
 /// Retries until the disk can be read. Damaged files are discarded: the node then joins again like one whose disk was lost.
-fn open_journal(folder: &Path) -> OpenedJournal {
+/// A folder of a format that this release can't read is left alone.
+fn open_journal(folder: &Path) -> Result<OpenedJournal, FormatError> {
     let mut was_damaged = false;
     let mut warned = false;
     loop {
         let failure = match open_once(folder) {
             Ok((files, journal, recovered)) => {
-                return OpenedJournal { files, journal, recovered, was_damaged };
+                return Ok(OpenedJournal { files, journal, recovered, was_damaged });
             }
-            Err(failure) => failure,
+            Err(OpenError::Format(refused)) => return Err(refused),
+            Err(OpenError::Storage(failure)) => failure,
         };
         if !warned {
             warn!("the disk can't be used yet: {failure}");
@@ -145,10 +164,32 @@
     }
 }
 
-fn open_once(
-    folder: &Path,
-) -> Result<(PrefixedDirectory, Journal<PrefixedDirectory>, Recovered), StorageError> {
-    let files = PrefixedDirectory::new(FolderDirectory::open(folder)?);
+/// Why an attempt to open the disk has failed.
+enum OpenError {
+    /// It is not tried again.
+    Format(FormatError),
+    /// It is tried again.
+    Storage(StorageError),
+}
+
+impl From<StorageError> for OpenError {
+    fn from(failure: StorageError) -> Self {
+        OpenError::Storage(failure)
+    }
+}
+
+impl From<FormatError> for OpenError {
+    fn from(failure: FormatError) -> Self {
+        match failure {
+            FormatError::Disk { source } => OpenError::Storage(source.into()),
+            refused => OpenError::Format(refused),
+        }
+    }
+}
+
+fn open_once(folder: &Path) -> Result<(PrefixedDirectory, Journal<PrefixedDirectory>, Recovered), OpenError> {
+    let mut files = PrefixedDirectory::new(FolderDirectory::open(folder).map_err(StorageError::from)?);
+    check_format(&mut files, FORMAT_VERSION)?;
     let (journal, recovered) = Journal::open(files.clone())?;
     Ok((files, journal, recovered))
 }
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -1,7 +1,7 @@
 //! Several controllers on a simulated network with simulated disks, and callers that try one after the other.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -52,6 +52,8 @@
 
 /// What each controller remembers on its disk, beside the journal of the cluster.
 type SavedStates = Rc<RefCell<HashMap<SocketAddr, Vec<u8>>>>;
+/// Controllers whose next start is that of the release before the one whose protocol has versions.
+type EarlierReleases = Rc<RefCell<BTreeSet<SocketAddr>>>;
 
 /// One controller of the fleet.
 pub struct Node<L = StandardRules> {
@@ -60,6 +62,8 @@
     saved_states: SavedStates,
     incarnation: u64,
     incarnations: HashMap<SocketAddr, u64>,
+    /// A stand-in for the release before: it sends no version of its protocol, and can't read what came with it.
+    is_earlier_release: bool,
 }
 
 impl<L: ProtocolRules> Process for Node<L> {
@@ -106,6 +110,7 @@
         let event = match frame.kind {
             FrameKind::Replica => {
                 let message = Message::decode(&frame.payload).expect("a message of a replica");
+                let message = if self.is_earlier_release { as_read_earlier(message) } else { message };
                 Event::ReplicaMessage { from, message }
             }
             FrameKind::Gossip => Event::GossipReceived { payload: frame.payload },
@@ -122,6 +127,12 @@
     fn effect(&self, action: Action) -> Option<Effect<Self>> {
         Some(match action {
             Action::Answer { id, response } => Effect::Answer(Answer::Response { id, response }),
+            Action::SendPeer { to, kind: FrameKind::Replica, payload } if self.is_earlier_release => {
+                let message = Message::decode(&payload).expect("a message of a replica");
+                let payload = Bytes::from(as_read_earlier(message).encode());
+                let frame = Frame { incarnation: self.incarnation, kind: FrameKind::Replica, payload };
+                Effect::Send { to, message: frame }
+            }
             Action::SendPeer { to, kind, payload } => {
                 Effect::Send { to, message: Frame { incarnation: self.incarnation, kind, payload } }
             }
@@ -146,11 +157,27 @@
     }
 }
 
+/// A message as the release before the versions of the protocol sends and reads it.
+fn as_read_earlier(message: Message) -> Message {
+    match message {
+        Message::VoterLost { .. } => panic!("the release before can't read {message:?}"),
+        Message::Heartbeat(mut heartbeat) => {
+            heartbeat.protocol = 0;
+            Message::Heartbeat(heartbeat)
+        }
+        other => other,
+    }
+}
+
 pub fn endpoint(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7700))
 }
 
-fn start_node<L: ProtocolRules>(start: Start, saved_states: SavedStates) -> (Node<L>, Vec<Effect<Node<L>>>) {
+fn start_node<L: ProtocolRules>(
+    start: Start,
+    saved_states: SavedStates,
+    is_earlier_release: bool,
+) -> (Node<L>, Vec<Effect<Node<L>>>) {
     let zones: BTreeMap<String, String> = zones();
     let (zone, region) = zones.iter().nth(start.endpoint.port() as usize % zones.len()).unwrap();
     let replica_settings = ReplicaSettings {
@@ -175,7 +202,8 @@
         actions.extend(controller.handle(start.now, Event::StateRestored { state: state.into() }));
     }
     let (endpoint, incarnation) = (start.endpoint, start.chance);
-    let node = Node { controller, endpoint, saved_states, incarnation, incarnations: HashMap::new() };
+    let incarnations = HashMap::new();
+    let node = Node { controller, endpoint, saved_states, incarnation, incarnations, is_earlier_release };
     let effects = node.effects(actions);
     (node, effects)
 }
@@ -203,6 +231,7 @@
     /// Updates and links in the order in which they were sent.
     pub sent: Vec<(SubscriberId, ToBalancer)>,
     saved_states: SavedStates,
+    earlier_releases: EarlierReleases,
     last_call: u64,
 }
 
@@ -211,14 +240,28 @@
     pub fn start(seed: u64, count: u8) -> Fleet {
         Fleet::with_rules(seed, count)
     }
+
+    /// The same, of the release before the one whose protocol has versions.
+    pub fn start_earlier_release(seed: u64, count: u8) -> Fleet {
+        Fleet::of_releases(seed, count, (1..=count).map(endpoint).collect())
+    }
 }
 
 impl<L: ProtocolRules> Fleet<L> {
     /// Like [`Fleet::start`], under rules of the caller's choice.
     pub fn with_rules(seed: u64, count: u8) -> Self {
+        Fleet::of_releases(seed, count, BTreeSet::new())
+    }
+
+    fn of_releases(seed: u64, count: u8, earlier: BTreeSet<SocketAddr>) -> Self {
+        let earlier_releases: EarlierReleases = Rc::new(RefCell::new(earlier));
+        let earlier = Rc::clone(&earlier_releases);
         let saved_states = SavedStates::default();
         let shared_states = Rc::clone(&saved_states);
-        let starter = move |start| start_node(start, Rc::clone(&shared_states));
+        let starter = move |start: Start| {
+            let is_earlier = earlier.borrow().contains(&start.endpoint);
+            start_node(start, Rc::clone(&shared_states), is_earlier)
+        };
         let mut cluster = Cluster::new(seed, NetworkTiming::default(), DiskTiming::default(), starter);
         for number in 1..=count {
             cluster.add(endpoint(number), true);
@@ -236,6 +279,7 @@
             links: Vec::new(),
             sent: Vec::new(),
             saved_states,
+            earlier_releases,
             last_call: 0,
         };
         fleet.pass(4_000);
@@ -325,6 +369,18 @@
         self.cluster.command(at, Command::Report { subscriber: SubscriberId(subscriber), report });
     }
 
+    /// Starts a controller again on its disk, as the present release or as the one before.
+    pub fn change_release(&mut self, at: SocketAddr, is_earlier: bool) {
+        if is_earlier {
+            self.earlier_releases.borrow_mut().insert(at);
+        } else {
+            self.earlier_releases.borrow_mut().remove(&at);
+        }
+        self.cluster.command(at, Command::Shutdown);
+        self.pass(300);
+        self.restart(at);
+    }
+
     pub fn restart(&mut self, at: SocketAddr) {
         self.cluster.stop(at);
         self.cluster.start(at);
--- a/coordination/storage/src/lib.rs
+++ b/coordination/storage/src/lib.rs
@@ -22,10 +22,12 @@
 mod directory;
 mod error;
 mod folder;
+mod format;
 mod journal;
 mod log;
 
 pub use directory::{Directory, DirectoryError};
 pub use error::StorageError;
 pub use folder::FolderDirectory;
+pub use format::{FormatError, check_format};
 pub use journal::{Journal, Recovered};
