Controller: silence counts truly once all others have sent what they know

Cause: after a cut a controller kept upstreams that had fallen silent meanwhile for 3.5 heartbeat intervals more, for its own balancers.

--- a/controlplane/controller/examples/load.rs
+++ b/controlplane/controller/examples/load.rs
@@ -3,7 +3,7 @@
 //! `cargo run --release -p whinspindle-controller --example load -- [instances] [controllers] [balancers]`
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,6 +17,8 @@
 };
 use whinspindle_replica::{Replica, ReplicaSettings, Timing, Tolerance};
 
+/// The other controller that gossip comes from.
+const PEER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2)), 7_700);
 const START: u64 = 1_000_000;
 const LENGTH_MS: u64 = 30_000;
 const STEP_MS: u64 = 50;
@@ -103,7 +105,7 @@
         let instances = numbers.map(|number| gossip_instance(number, self.now)).collect();
         let gossip = Gossip { scope: GossipScope::Changes, instances, leases: Vec::new() };
         let payload = Bytes::from(encode_gossip(&gossip));
-        self.handle("gossip", Event::GossipReceived { payload });
+        self.handle("gossip", Event::GossipReceived { from: PEER, payload });
     }
 
     fn report(&mut self, balancer: u64) {
--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -30,6 +30,7 @@
 use crate::protocol_rules::{ProtocolRules, StandardRules};
 use crate::quorum_contact::QuorumContact;
 use crate::save_schedule::SaveSchedule;
+use crate::silence_grace::SilenceGrace;
 
 /// The interval at which silent instances and balancers are removed, in milliseconds.
 const EXPIRY_MS: u64 = 300;
@@ -83,6 +84,8 @@
     publish_pending: bool,
     /// When each peer was last sent a snapshot.
     snapshots_sent: BTreeMap<SocketAddr, u64>,
+    /// When the silence of upstreams counts again after a loss of contact.
+    silence_grace: SilenceGrace,
     /// The list of controllers that subscribers were sent last.
     announced_controllers: Vec<ControllerAddress>,
     actions: Vec<Action>,
@@ -110,6 +113,7 @@
     ) -> (Self, Vec<Action>) {
         let timing = RegistryTiming { heartbeat_ms: settings.heartbeat_ms };
         let discovery_ms = readiness::discovery_ms(settings.heartbeat_ms);
+        let silence_grace = SilenceGrace::new(settings.heartbeat_ms);
         let mut controller = Controller {
             rules: PhantomData,
             settings,
@@ -138,6 +142,7 @@
             instances_published_at: None,
             publish_pending: false,
             snapshots_sent: BTreeMap::new(),
+            silence_grace,
             announced_controllers: Vec::new(),
             actions: Vec::new(),
         };
@@ -156,7 +161,7 @@
             Event::CallDropped { id } => self.pending.remove_call(id),
             Event::PeerConnected { peer } => self.send_snapshot(now, peer),
             Event::ReplicaMessage { from, message } => self.receive(now, from, message),
-            Event::GossipReceived { payload } => self.take_gossip(now, &payload),
+            Event::GossipReceived { from, payload } => self.take_gossip(now, from, &payload),
             Event::Report { subscriber, report } => self.take_report(now, subscriber, &report),
             Event::SubscriberClosed { subscriber } => self.publisher.unsubscribe(subscriber),
             Event::Persisted { token, log_bytes } => self.persisted(now, token, log_bytes),
@@ -221,6 +226,7 @@
 
     fn expire(&mut self, now: u64) {
         self.expiry_at = now + EXPIRY_MS;
+        self.count_silence(now);
         self.registry.expire(now);
         self.leases.expire(now);
         self.known_peers.remove_expired(now);
--- a/controlplane/controller/src/controller/event.rs
+++ b/controlplane/controller/src/controller/event.rs
@@ -41,6 +41,8 @@
     },
     /// A gossip message of another controller was received.
     GossipReceived {
+        /// The address of the sender.
+        from: SocketAddr,
         /// The encoded gossip.
         payload: Bytes,
     },
--- a/controlplane/controller/src/controller/gossip.rs
+++ b/controlplane/controller/src/controller/gossip.rs
@@ -92,7 +92,7 @@
     }
 
     /// Merges the gossip of another controller.
-    pub(super) fn take_gossip(&mut self, now: u64, payload: &[u8]) {
+    pub(super) fn take_gossip(&mut self, now: u64, from: SocketAddr, payload: &[u8]) {
         let Ok(gossip) = decode_gossip(payload) else { return };
         if gossip.scope == GossipScope::Restored {
             self.merge_restored(now, gossip);
@@ -105,6 +105,9 @@
         for lease in gossip.leases {
             changed |= self.leases.merge(now, gossip_records::lease_record(lease));
         }
+        if gossip.scope == GossipScope::Complete {
+            self.silence_grace.snapshot_received(now, from);
+        }
         if gossip.scope == GossipScope::Complete && !self.is_discovery_complete(now) {
             self.received_complete_state = true;
             self.registry.drop_restored();
--- a/controlplane/controller/src/controller/readiness.rs
+++ b/controlplane/controller/src/controller/readiness.rs
@@ -1,5 +1,7 @@
 //! When this controller may answer from what it knows: by its contact with the others and the time since its start.
 
+use std::net::SocketAddr;
+
 use super::Controller;
 use crate::protocol_rules::ProtocolRules;
 use crate::quorum_contact::ReplicaContact;
@@ -18,6 +20,11 @@
         self.contact.observe(now, replica);
         let in_quorum = self.contact.is_in_quorum();
         self.registry.set_isolated(now, !in_quorum);
+        match (had_quorum, in_quorum) {
+            (true, false) => self.silence_grace.contact_lost(),
+            (false, true) => self.silence_grace.contact_regained(now),
+            _ => {}
+        }
         self.leases.set_isolated(now, !in_quorum);
         if in_quorum && !had_quorum {
             // Balancers without a configuration may be waiting for exactly this.
@@ -26,6 +33,15 @@
         }
     }
 
+    /// Counts the silence of upstreams from when they were last heard, once all controllers in contact have sent what they
+    /// know since this one returned.
+    pub(super) fn count_silence(&mut self, now: u64) {
+        let in_contact: Vec<SocketAddr> = self.replica.live_peers(now).map(|(peer, ..)| peer).collect();
+        if self.silence_grace.take_end(&in_contact) {
+            self.registry.count_all_silence();
+        }
+    }
+
     /// Whether the committed records may be served to a balancer that has none yet.
     pub(super) fn may_serve_records(&self, now: u64) -> bool {
         R::serves_records(self.contact.may_serve_records(now, self.replica.committed_sequence()))
--- a/controlplane/controller/src/lib.rs
+++ b/controlplane/controller/src/lib.rs
@@ -18,6 +18,7 @@
 mod quorum_contact;
 mod runtime;
 mod save_schedule;
+mod silence_grace;
 mod status;
 
 pub use controller::{Action, Controller, ControllerSettings, Event};
--- a/controlplane/controller/src/runtime/inbound.rs
+++ b/controlplane/controller/src/runtime/inbound.rs
@@ -97,7 +97,7 @@
             let message = Message::decode(&frame.payload).context(ReplicaSnafu)?;
             Event::ReplicaMessage { from: peer, message }
         }
-        FrameKind::Gossip => Event::GossipReceived { payload: frame.payload },
+        FrameKind::Gossip => Event::GossipReceived { from: peer, payload: frame.payload },
         FrameKind::Hello | FrameKind::Report | FrameKind::ToBalancer => return Ok(()),
     };
     node.borrow_mut().handle(event);
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -38,9 +38,21 @@
 }
 
 pub enum Command {
-    Call { id: CallId, call: Call },
-    Report { subscriber: SubscriberId, report: Report },
-    Closed { subscriber: SubscriberId },
+    Call {
+        id: CallId,
+        call: Call,
+    },
+    Report {
+        subscriber: SubscriberId,
+        report: Report,
+    },
+    Closed {
+        subscriber: SubscriberId,
+    },
+    /// The connection to another controller is established again.
+    Reconnected {
+        peer: SocketAddr,
+    },
     Shutdown,
 }
 
@@ -88,6 +100,9 @@
             Happening::Command(Command::Closed { subscriber }) => {
                 self.controller.handle(now, Event::SubscriberClosed { subscriber })
             }
+            Happening::Command(Command::Reconnected { peer }) => {
+                self.controller.handle(now, Event::PeerConnected { peer })
+            }
             Happening::Command(Command::Shutdown) => self.controller.handle(now, Event::Shutdown),
             Happening::Persisted { token: COMPACTION } | Happening::PersistFailed { token: COMPACTION } => {
                 self.controller.handle(now, Event::Compacted)
@@ -113,7 +128,7 @@
                 let message = if self.is_earlier_release { as_read_earlier(message) } else { message };
                 Event::ReplicaMessage { from, message }
             }
-            FrameKind::Gossip => Event::GossipReceived { payload: frame.payload },
+            FrameKind::Gossip => Event::GossipReceived { from, payload: frame.payload },
             other => panic!("no frame between controllers: {other:?}"),
         };
         actions.extend(self.controller.handle(now, event));
@@ -405,6 +420,15 @@
         }
     }
 
+    /// Joins a controller that was cut off for so long that its connections have ended: they are made again.
+    pub fn rejoin(&mut self, at: SocketAddr) {
+        self.set_partitioned(at, false);
+        for other in self.cluster.endpoints().into_iter().filter(|other| *other != at) {
+            self.cluster.command(other, Command::Reconnected { peer: at });
+            self.cluster.command(at, Command::Reconnected { peer: other });
+        }
+    }
+
     /// Sends the calls of which no answer is awaited.
     pub fn send_waiting(&mut self) {
         let now = self.cluster.now();
--- a/controlplane/controller/tests/partitioned_controller.rs
+++ b/controlplane/controller/tests/partitioned_controller.rs
@@ -268,3 +268,63 @@
         }
     }
 }
+
+/// The first so many milliseconds after the return at which a list that the balancer was sent lacks an upstream that fell
+/// silent during the partition. An upstream that has turned to another controller is on each list.
+fn silent_upstream_is_dropped_after(fleet: &mut Fleet, rejoin: fn(&mut Fleet)) -> u64 {
+    fleet.complete(replace(0, 1), COMMAND_TIMEOUT_MS);
+    fleet.report(endpoint(3), 30, report(1, "zone-a"));
+    for instance in ["silent", "live"] {
+        fleet.ask(endpoint(3), heartbeat(instance, 1, Ready)).expect("an answer");
+    }
+    fleet.pass(500);
+    fleet.set_partitioned(endpoint(3), true);
+    let mut beats = 1;
+    let mut live_for = |fleet: &mut Fleet, span_ms: u64| {
+        let end = fleet.cluster.now() + span_ms;
+        while fleet.cluster.now() < end {
+            beats += 1;
+            fleet.ask(endpoint(1), heartbeat("live", beats, Ready)).expect("an answer");
+            fleet.pass(HEARTBEAT_MS / 2);
+        }
+    };
+    live_for(fleet, 8 * HEARTBEAT_MS);
+    fleet.updates.clear();
+    rejoin(fleet);
+    let returned_at = fleet.cluster.now();
+    loop {
+        let lists: Vec<Vec<String>> = fleet
+            .updates
+            .iter()
+            .filter(|(to, _)| *to == SubscriberId(30))
+            .filter_map(|(_, update)| update.instances.as_ref())
+            .map(|section| section.list.iter().map(|instance| instance.id.clone()).collect())
+            .collect();
+        assert!(lists.iter().all(|list| list.iter().any(|id| id == "live")), "{lists:?}");
+        if lists.iter().any(|list| !list.iter().any(|id| id == "silent")) {
+            return fleet.cluster.now() - returned_at;
+        }
+        assert!(fleet.cluster.now() < returned_at + 10 * HEARTBEAT_MS, "it is never dropped");
+        live_for(fleet, 1);
+    }
+}
+
+#[test]
+fn silence_counts_from_the_last_heartbeat_once_all_others_have_sent_what_they_know() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(400 + seed, 3);
+        let after = silent_upstream_is_dropped_after(&mut fleet, |fleet| fleet.rejoin(endpoint(3)));
+        assert!(after <= 2 * HEARTBEAT_MS, "seed {seed}: dropped after {after} ms");
+    }
+}
+
+/// The connections outlived the partition, so that nobody sends all that it knows: the silence counts anew.
+#[test]
+fn silence_counts_anew_after_a_partition_that_ended_no_connection() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(500 + seed, 3);
+        let after =
+            silent_upstream_is_dropped_after(&mut fleet, |fleet| fleet.set_partitioned(endpoint(3), false));
+        assert!(after > 3 * HEARTBEAT_MS, "seed {seed}: dropped after {after} ms");
+    }
+}
--- a/controlplane/registry/src/instances.rs
+++ b/controlplane/registry/src/instances.rs
@@ -232,6 +232,11 @@
         self.isolated = isolated;
     }
 
+    /// Counts the silence of all instances from when they were last seen: whatever was seen elsewhere meanwhile is known.
+    pub fn count_all_silence(&mut self) {
+        self.known.update_all(|known| known.silence_ignored_until = 0);
+    }
+
     /// Removes instances whose silence time-out has passed; returns whether there were any. To be called at least once a
     /// heartbeat interval: a longer gap between two calls is a pause of this process and is not counted as silence.
     pub fn expire(&mut self, now: u64) -> bool {
