Rollout: types named by the field's terms; files and callers follow

Renamed (old -> new): No -> RestartRefusal, Scene -> RestartCheck, Seen -> ObservedOutcomes, Row -> ObservationRow, Way -> Direction (Rollout, Rollback), Environment::figures -> observations, aside -> opaque_message. Stored and sent bytes are the same (fixtures). Tests of rollout, fleet-policy, model checker and operator file pass.

--- a/balancer/fleet-policy/src/lib.rs
+++ b/balancer/fleet-policy/src/lib.rs
@@ -28,4 +28,4 @@
 };
 pub use texts::CHUNK_BYTES;
 pub use whinspindle_consensus::{Ballot, StandardConsensusRules, Voter};
-pub use whinspindle_rollout::{No, Plan, Row, Unit, Way};
+pub use whinspindle_rollout::{Direction, ObservationRow, Plan, RestartRefusal, Unit};
--- a/balancer/fleet-policy/src/member.rs
+++ b/balancer/fleet-policy/src/member.rs
@@ -222,7 +222,7 @@
             Message::Observations { release, start, serial, rows } => {
                 self.receive_observations(now, from, release, start, serial, rows);
             }
-            Message::Aside { bytes } => self.environment.aside(from, bytes),
+            Message::Aside { bytes } => self.environment.opaque_message(from, bytes),
             Message::Prepare { ballot } => self.prepare(from, ballot),
             Message::Accept { ballot, record } => self.accept(from, ballot, record),
             Message::Promise { ballot, voter, accepted } => self.promised(now, ballot, voter, accepted),
--- a/balancer/fleet-policy/src/member/environment.rs
+++ b/balancer/fleet-policy/src/member/environment.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_consensus::AcceptorState;
-use whinspindle_rollout::{No, Plan, Row, Unit};
+use whinspindle_rollout::{ObservationRow, Plan, RestartRefusal, Unit};
 
 use crate::message::Message;
 use crate::record::{Hash, Policy, Record};
@@ -38,11 +38,11 @@
     /// Called when the text of a plan is complete.
     fn plan_came(&mut self, _: Hash, _: Rc<[u8]>) {}
     /// What this process has observed of the units of the release under way since the last call.
-    fn figures(&mut self, _: &Record) -> Vec<Row> {
+    fn observations(&mut self, _: &Record) -> Vec<ObservationRow> {
         Vec::new()
     }
     /// Passes a message on to another part of the process: `Message::Aside`.
-    fn aside(&mut self, _: u16, _: Vec<u8>) {}
+    fn opaque_message(&mut self, _: u16, _: Vec<u8>) {}
     /// Whether the server with this key is listed as ready, and warm.
     fn is_full(&self, _: u64) -> bool {
         true
@@ -52,7 +52,7 @@
         String::new()
     }
     /// Whether the limits of the policy in force allow one more unit out of service, with these balancers away.
-    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No>;
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), RestartRefusal>;
     /// Writes one line to the log.
     fn tell(&mut self, line: String);
 }
--- a/balancer/fleet-policy/src/member/record_update.rs
+++ b/balancer/fleet-policy/src/member/record_update.rs
@@ -1,7 +1,7 @@
 //! A newer record replaces the known one: the lease, the texts and the proofs follow it, and the log has a line
 //! for each change.
 
-use whinspindle_rollout::Way;
+use whinspindle_rollout::Direction;
 
 use super::lease::Lease;
 use super::{Environment, Member, MemberRules};
@@ -103,7 +103,7 @@
             lines.push(format!("release {} begins, by member {by}", release.number));
         }
         (Some(old), Some(new)) if (old.wave, old.way) != (new.wave, new.way) => {
-            let way = if new.way == Way::Forth { "goes on" } else { "goes back" };
+            let way = if new.way == Direction::Rollout { "goes on" } else { "goes back" };
             lines.push(format!("release {} {way}, wave {}", new.number, new.wave + 1));
         }
         _ => {}
--- a/balancer/fleet-policy/src/member/releases.rs
+++ b/balancer/fleet-policy/src/member/releases.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use whinspindle_rollout::{Evidence, Next, No, Progress, Row, Unit, Way};
+use whinspindle_rollout::{Direction, Evidence, Next, ObservationRow, Progress, RestartRefusal, Unit};
 
 use super::{Environment, Member, MemberRules};
 use crate::message::{Message, RequestKind};
@@ -14,7 +14,7 @@
     /// The number of the release.
     pub(super) release: u64,
     pub(super) wave: u16,
-    pub(super) way: Way,
+    pub(super) way: Direction,
     /// When this member learned that it is complete.
     pub(super) since: u64,
 }
@@ -37,7 +37,7 @@
 impl<O: Environment, L: MemberRules> Member<O, L> {
     /// The release whose units are watched now.
     pub fn watched(&self) -> Option<u64> {
-        let forth = self.record.release.as_ref().filter(|release| release.way == Way::Forth);
+        let forth = self.record.release.as_ref().filter(|release| release.way == Direction::Rollout);
         forth.map(|release| release.number)
     }
 
@@ -47,7 +47,7 @@
         let plan = self.environment.plan(release.hash)?;
         // A rollback waits only for units that this release has taken out of service: one that it never
         // touched, and that is down for another cause, must not delay it.
-        let forth = release.way == Way::Forth;
+        let forth = release.way == Direction::Rollout;
         let mine = |part: Option<Part>| part.is_some_and(|part| part.release == release.number);
         let out = self.record.out.iter().filter(|out| forth || mine(out.part));
         let mut out: Vec<Unit> = out.map(|out| out.unit).collect();
@@ -63,15 +63,16 @@
 
     /// The part of the release `of` that a unit would restart for, or why it may not. Guards against a request
     /// for a release that is over: it must not be granted as one for another cause.
-    pub fn part_of(&self, now: u64, unit: Unit, of: Option<u64>) -> Result<Option<Part>, No> {
+    pub fn part_of(&self, now: u64, unit: Unit, of: Option<u64>) -> Result<Option<Part>, RestartRefusal> {
         let Some(number) = of else { return Ok(None) };
-        let release = self.record.release.as_ref().filter(|on| on.number == number).ok_or(No::NoRelease)?;
+        let release =
+            self.record.release.as_ref().filter(|on| on.number == number).ok_or(RestartRefusal::NoRelease)?;
         let of = |progress: &Progress| {
-            let place = progress.plan.place_of(unit).ok_or(No::NotInPlan)?;
+            let place = progress.plan.place_of(unit).ok_or(RestartRefusal::NotInPlan)?;
             L::may_go_by(progress, place)?;
             Ok(Some(Part { release: release.number, place: place as u16, way: release.way }))
         };
-        self.progress(now, of).unwrap_or(Err(No::NoPlan))
+        self.progress(now, of).unwrap_or(Err(RestartRefusal::NoPlan))
     }
 
     pub(super) fn record_wave(&mut self, now: u64) {
@@ -86,7 +87,7 @@
 
     pub(super) fn send_observations(&mut self, now: u64) {
         let Some(release) = self.watched() else { return };
-        let rows = self.environment.figures(&self.record);
+        let rows = self.environment.observations(&self.record);
         if !rows.is_empty() {
             self.serial += 1;
             let (start, serial) = (self.start, self.serial);
@@ -119,7 +120,7 @@
         release: u64,
         start: u64,
         serial: u32,
-        rows: Vec<Row>,
+        rows: Vec<ObservationRow>,
     ) {
         let halted = self.record.halted.is_some();
         if Some(release) != self.watched() || !self.is_voter() || halted {
@@ -178,7 +179,7 @@
             RequestKind::Leave { number: of } if of == number => {
                 Some(Step::Close { number, close: Close::Left, request_id: Some(wanted.request_id) })
             }
-            RequestKind::Turn { number: of } if of == number && release.way == Way::Forth => {
+            RequestKind::Turn { number: of } if of == number && release.way == Direction::Rollout => {
                 Some(Step::Turn { number, request_id: wanted.request_id })
             }
             _ => None,
@@ -196,7 +197,8 @@
             Some(match self.progress(now, |progress| L::next_of(progress, now - since))?? {
                 Next::Wave(to) => Step::Wave { number, from: release.wave, to: to as u16 },
                 Next::Over => {
-                    let close = if release.way == Way::Forth { Close::Done } else { Close::TakenBack };
+                    let close =
+                        if release.way == Direction::Rollout { Close::Done } else { Close::TakenBack };
                     Step::Close { number, close, request_id: None }
                 }
             })
--- a/balancer/fleet-policy/src/member/restarts.rs
+++ b/balancer/fleet-policy/src/member/restarts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use whinspindle_rollout::{Unit, Way};
+use whinspindle_rollout::{Direction, Unit};
 
 use super::requests::PendingRequest;
 use super::{Environment, Member, MemberRules};
@@ -82,6 +82,6 @@
         };
         let plan = self.environment.plan(release.hash)?;
         let is_new = plan.build.as_ref().map(|build| *build == self.environment.build());
-        Some(is_new.is_none_or(|is_new| is_new == (part.way == Way::Forth)))
+        Some(is_new.is_none_or(|is_new| is_new == (part.way == Direction::Rollout)))
     }
 }
--- a/balancer/fleet-policy/src/member/rules.rs
+++ b/balancer/fleet-policy/src/member/rules.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use whinspindle_consensus::StandardConsensusRules;
-use whinspindle_rollout::{Next, No, Progress};
+use whinspindle_rollout::{Next, Progress, RestartRefusal};
 
 use super::MemberSettings;
 use crate::record::{Record, RequestId};
@@ -47,7 +47,7 @@
     }
 
     /// Whether the unit at this index of the plan may restart by the release under way.
-    fn may_go_by(progress: &Progress, place: usize) -> Result<(), No> {
+    fn may_go_by(progress: &Progress, place: usize) -> Result<(), RestartRefusal> {
         progress.may_go(place)
     }
 
--- a/balancer/fleet-policy/src/message.rs
+++ b/balancer/fleet-policy/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_consensus::{Ballot, Voter};
-use whinspindle_rollout::{Row, Unit};
+use whinspindle_rollout::{ObservationRow, Unit};
 
 use crate::record::{Hash, Record, RequestId};
 
@@ -143,7 +143,7 @@
         /// Grows with each message of a start, so that one that arrives twice counts once.
         serial: u32,
         /// The counts.
-        rows: Vec<Row>,
+        rows: Vec<ObservationRow>,
     },
     /// A message of another part of the process, which the member passes through unread.
     Aside {
--- a/balancer/fleet-policy/src/record.rs
+++ b/balancer/fleet-policy/src/record.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_consensus::{RegisterValue, Voter};
-use whinspindle_rollout::{Places, Unit, Way};
+use whinspindle_rollout::{Direction, Places, Unit};
 
 pub use step::Step;
 
@@ -115,7 +115,7 @@
     /// The unit's index in the plan.
     pub place: u16,
     /// Whether the unit gets the new build or the old one back.
-    pub way: Way,
+    pub way: Direction,
 }
 
 /// A release under way; its plan is a text that members fetch in chunks as they do a policy's.
@@ -130,7 +130,7 @@
     /// The request that began it.
     pub request_id: RequestId,
     /// Whether units get the new build or the old one back.
-    pub way: Way,
+    pub way: Direction,
     /// The wave whose units may restart now, from 0.
     pub wave: u16,
     /// Units that run the new build, by their indices in the plan.
--- a/balancer/fleet-policy/src/record/step.rs
+++ b/balancer/fleet-policy/src/record/step.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use whinspindle_consensus::Voter;
-use whinspindle_rollout::{Places, Unit, Way};
+use whinspindle_rollout::{Direction, Places, Unit};
 
 use super::{
     Change, ChangeOutcome, Close, Halt, Hash, Out, Past, PastRelease, Policy, Record, Release, RequestId,
@@ -216,7 +216,7 @@
             && done
             && part.release == release.number
         {
-            release.changed.set(part.place as usize, part.way == Way::Forth);
+            release.changed.set(part.place as usize, part.way == Direction::Rollout);
         }
         Some(())
     }
@@ -232,7 +232,7 @@
             hash,
             length,
             request_id,
-            way: Way::Forth,
+            way: Direction::Rollout,
             wave: 0,
             changed: Places::default(),
         });
@@ -241,8 +241,9 @@
 
     fn roll_back_release(&mut self, number: u64, request_id: RequestId) -> Option<()> {
         self.do_once(request_id)?;
-        let release = self.release.as_mut().filter(|on| on.number == number && on.way == Way::Forth)?;
-        release.way = Way::Back;
+        let release =
+            self.release.as_mut().filter(|on| on.number == number && on.way == Direction::Rollout)?;
+        release.way = Direction::Rollback;
         // After a halt an operator wants the rollback to proceed.
         self.halted = None;
         Some(())
--- a/balancer/fleet-policy/tests/common/records.rs
+++ b/balancer/fleet-policy/tests/common/records.rs
@@ -1,8 +1,8 @@
 //! Records for the fixtures: one with a value in each field and every variant of its enums, and an empty one.
 
 use whinspindle_fleet_policy::{
-    Change, ChangeOutcome, Close, Halt, Hash, Out, Part, Past, PastRelease, Policy, Record, Release,
-    RequestId, Unit, Voter, Way,
+    Change, ChangeOutcome, Close, Direction, Halt, Hash, Out, Part, Past, PastRelease, Policy, Record,
+    Release, RequestId, Unit, Voter,
 };
 use whinspindle_rollout::Places;
 
@@ -64,13 +64,13 @@
                 unit: Unit::Balancer(5),
                 request_id: RequestId { by: 6, serial: 600 },
                 start: 0x7000_0000_0000_0007,
-                part: Some(Part { release: 12, place: 300, way: Way::Back }),
+                part: Some(Part { release: 12, place: 300, way: Direction::Rollback }),
             },
             Out {
                 unit: Unit::Server(0xabcd_ef01_2345_6789),
                 request_id: RequestId { by: 8, serial: 800 },
                 start: 0,
-                part: Some(Part { release: 11, place: 2, way: Way::Forth }),
+                part: Some(Part { release: 11, place: 2, way: Direction::Rollout }),
             },
             Out {
                 unit: Unit::Server(9),
@@ -88,7 +88,7 @@
             hash: hash(0x30),
             length: 412,
             request_id: RequestId { by: 12, serial: 1200 },
-            way: Way::Back,
+            way: Direction::Rollback,
             wave: 258,
             changed,
         }),
--- a/balancer/fleet-policy/tests/member.rs
+++ b/balancer/fleet-policy/tests/member.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 
 use whinspindle_fleet_policy::{
-    Ballot, DurableState, Environment, Member, MemberSettings, Message, No, Out, Policy, Readiness, Record,
-    RequestId, RequestKind, Right, Unit, Voter,
+    Ballot, DurableState, Environment, Member, MemberSettings, Message, Out, Policy, Readiness, Record,
+    RequestId, RequestKind, RestartRefusal, Right, Unit, Voter,
 };
 
 const SECOND: u64 = 1_000_000;
@@ -25,8 +25,8 @@
         !*self.disk_fails.borrow()
     }
     fn prove(&mut self, _: Policy, _: Rc<[u8]>) {}
-    fn may_go(&self, record: &Record, _: Unit, _: &BTreeSet<u16>) -> Result<(), No> {
-        if record.out.is_empty() { Ok(()) } else { Err(No::NoLimit) }
+    fn may_go(&self, record: &Record, _: Unit, _: &BTreeSet<u16>) -> Result<(), RestartRefusal> {
+        if record.out.is_empty() { Ok(()) } else { Err(RestartRefusal::NoLimit) }
     }
     fn tell(&mut self, _: String) {}
 }
--- a/balancer/fleet-policy/tests/wire_fixtures.rs
+++ b/balancer/fleet-policy/tests/wire_fixtures.rs
@@ -12,8 +12,8 @@
 use common::records::{before_bootstrap, hash, record};
 use fixtures::fixture;
 use whinspindle_fleet_policy::{
-    Ballot, ChangeOutcome, Close, Message, Objection, Readiness, RequestId, RequestKind, Right, Row, Unit,
-    Voter, Way,
+    Ballot, ChangeOutcome, Close, Direction, Message, Objection, ObservationRow, Readiness, RequestId,
+    RequestKind, Right, Unit, Voter,
 };
 use whinspindle_peer_transport::{DroppedDatagrams, MAX_DATAGRAM_BYTES, PeerTransport};
 use whinspindle_rollout::{Count, OF_BALANCERS};
@@ -96,13 +96,13 @@
     let (voter, other) =
         (Voter { member: 4, incarnation: 0xd1d2_d3d4 }, Voter { member: 3, incarnation: 0xe1e2 });
     let rows = vec![
-        Row {
+        ObservationRow {
             stratum: 7,
             changed: true,
             count: Count { executions: 100_001, bad: [11, 222, 3333] },
             most: [4, 55, 666],
         },
-        Row {
+        ObservationRow {
             stratum: OF_BALANCERS,
             changed: false,
             count: Count { executions: u32::MAX, bad: [1, 2, 3] },
@@ -215,9 +215,9 @@
         Unit::Balancer(_) => 0,
         Unit::Server(_) => 1,
     };
-    let way = |way: Way| match way {
-        Way::Forth => 0,
-        Way::Back => 1,
+    let way = |way: Direction| match way {
+        Direction::Rollout => 0,
+        Direction::Rollback => 1,
     };
     let outcome = |outcome: ChangeOutcome| match outcome {
         ChangeOutcome::InForce => 0,
--- a/balancer/rollout/src/lib.rs
+++ b/balancer/rollout/src/lib.rs
@@ -2,22 +2,22 @@
 //! order they restart, and whether the new build does worse than the old one.
 //!
 //! A unit is out while it is not in full service: granted leave, draining, deregistered, warming up, or not
-//! received from. `Scene::may_go` holds the limits of the policy, `Progress` the waves of a `Plan`, and `Evidence`
+//! received from. `RestartCheck::may_go` holds the limits of the policy, `Progress` the waves of a `Plan`, and `Evidence`
 //! the sequential test by which a release is halted. No I/O; `docs/fleet-design.md` has the guarantees.
 //!
 //! ```
 //! use std::collections::BTreeSet;
-//! use whinspindle_rollout::{Limits, Scene, Unit};
+//! use whinspindle_rollout::{Limits, RestartCheck, Unit};
 //!
 //! let limits = Limits { balancers: Some(1), ..Limits::default() };
 //! let absent = BTreeSet::from([2]);
-//! let scene = Scene { limits: &limits, granted: &[], away: &absent, balancers: 3, servers: &[] };
+//! let scene = RestartCheck { limits: &limits, granted: &[], away: &absent, balancers: 3, servers: &[] };
 //! assert!(scene.may_go(Unit::Balancer(2)).is_ok());
 //! assert!(scene.may_go(Unit::Balancer(0)).is_err());
 //! ```
 
+mod observed_outcomes;
 mod plan;
-mod seen;
 mod slow;
 mod verdict;
 
@@ -26,10 +26,10 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use plan::{MOST_UNITS, Next, Places, Plan, Progress, Way};
-pub use seen::Seen;
+pub use observed_outcomes::ObservedOutcomes;
+pub use plan::{Direction, MOST_UNITS, Next, Places, Plan, Progress};
 pub use slow::Lines;
-pub use verdict::{Count, Evidence, OF_BALANCERS, Row, SIGNS, rows};
+pub use verdict::{Count, Evidence, OF_BALANCERS, ObservationRow, SIGNS, rows};
 
 /// A process that a rollout restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -70,7 +70,7 @@
 
 /// What is known when a unit asks for leave.
 #[derive(Clone, Copy, Debug)]
-pub struct Scene<'a> {
+pub struct RestartCheck<'a> {
     /// The limits of the policy in force.
     pub limits: &'a Limits,
     /// Units that were granted leave and have not returned.
@@ -85,7 +85,7 @@
 
 /// Why a unit may not leave service now.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum No {
+pub enum RestartRefusal {
     /// The policy sets no limit for this kind of unit: without one none may leave.
     NoLimit,
     /// No such unit is known.
@@ -116,37 +116,39 @@
     },
 }
 
-impl fmt::Display for No {
+impl fmt::Display for RestartRefusal {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            No::NoLimit => write!(to, "the policy in force sets no limit for this kind of unit"),
-            No::Unknown => write!(to, "no such unit is known"),
-            No::Later { wave } => {
+            RestartRefusal::NoLimit => write!(to, "the policy in force sets no limit for this kind of unit"),
+            RestartRefusal::Unknown => write!(to, "no such unit is known"),
+            RestartRefusal::Later { wave } => {
                 write!(to, "the release is at wave {}, to which it does not belong", wave + 1)
             }
-            No::Changed => write!(to, "the release has changed it already"),
-            No::Unchanged => write!(to, "the release has not changed it, or has taken it back already"),
-            No::NoPlan => write!(to, "the plan of the release under way is not known here yet"),
-            No::NoRelease => write!(to, "that release is not under way"),
-            No::NotInPlan => write!(to, "the release does not name it"),
-            No::Full { what, out, most } => write!(to, "{out} {what} are out, {most} may be"),
+            RestartRefusal::Changed => write!(to, "the release has changed it already"),
+            RestartRefusal::Unchanged => {
+                write!(to, "the release has not changed it, or has taken it back already")
+            }
+            RestartRefusal::NoPlan => write!(to, "the plan of the release under way is not known here yet"),
+            RestartRefusal::NoRelease => write!(to, "that release is not under way"),
+            RestartRefusal::NotInPlan => write!(to, "the release does not name it"),
+            RestartRefusal::Full { what, out, most } => write!(to, "{out} {what} are out, {most} may be"),
         }
     }
 }
 
-impl Scene<'_> {
+impl RestartCheck<'_> {
     /// Whether the unit may leave service. It doesn't count itself, in case it is out already.
-    pub fn may_go(&self, unit: Unit) -> Result<(), No> {
+    pub fn may_go(&self, unit: Unit) -> Result<(), RestartRefusal> {
         match unit {
             Unit::Balancer(number) => self.balancer(number),
             Unit::Server(key) => self.server(key),
         }
     }
 
-    fn balancer(&self, number: u16) -> Result<(), No> {
-        let most = self.limits.balancers.ok_or(No::NoLimit)?;
+    fn balancer(&self, number: u16) -> Result<(), RestartRefusal> {
+        let most = self.limits.balancers.ok_or(RestartRefusal::NoLimit)?;
         if number as usize >= self.balancers {
-            return Err(No::Unknown);
+            return Err(RestartRefusal::Unknown);
         }
         let mut out = self.away.clone();
         out.extend(self.granted.iter().filter_map(|unit| match unit {
@@ -157,12 +159,12 @@
         check_limit("balancers", out.len(), Some(most))
     }
 
-    fn server(&self, key: u64) -> Result<(), No> {
+    fn server(&self, key: u64) -> Result<(), RestartRefusal> {
         let Limits { servers, servers_by_zone, servers_by_cell, servers_part, .. } = *self.limits;
         if servers.is_none() && servers_part.is_none() {
-            return Err(No::NoLimit);
+            return Err(RestartRefusal::NoLimit);
         }
-        let server = self.servers.iter().find(|server| server.key == key).ok_or(No::Unknown)?;
+        let server = self.servers.iter().find(|server| server.key == key).ok_or(RestartRefusal::Unknown)?;
         let is_out = |other: &&Place| !other.full || self.granted.contains(&Unit::Server(other.key));
         let out = || self.servers.iter().filter(|other| other.key != key).filter(is_out);
         // A server that was granted leave and is no longer listed is out all the same.
@@ -189,9 +191,9 @@
     }
 }
 
-fn check_limit(what: &'static str, out: usize, most: Option<usize>) -> Result<(), No> {
+fn check_limit(what: &'static str, out: usize, most: Option<usize>) -> Result<(), RestartRefusal> {
     match most {
-        Some(most) if out >= most => Err(No::Full { what, out, most }),
+        Some(most) if out >= most => Err(RestartRefusal::Full { what, out, most }),
         _ => Ok(()),
     }
 }
--- a/balancer/rollout/src/seen.rs
+++ b/balancer/rollout/src/observed_outcomes.rs
@@ -13,7 +13,7 @@
 
 /// The observations since they were last collected.
 #[derive(Default)]
-pub struct Seen {
+pub struct ObservedOutcomes {
     thresholds: Lines,
     servers: BTreeMap<usize, Count>,
     own: Count,
@@ -23,7 +23,7 @@
     Count { executions: 1, bad: bad.map(u32::from) }
 }
 
-impl Seen {
+impl ObservedOutcomes {
     /// Counts an execution that ended at a server after `spent` microseconds.
     pub fn execution(&mut self, server: usize, product: usize, outcome: Outcome, spent: u64) {
         let mut bad = [false; SIGNS.len()];
--- a/balancer/rollout/src/plan.rs
+++ b/balancer/rollout/src/plan.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{No, Unit};
+use crate::{RestartRefusal, Unit};
 
 /// The most units of a plan, so that the set of changed ones fits the fleet's record.
 pub const MOST_UNITS: usize = 2048;
@@ -29,12 +29,12 @@
 
 /// The direction of a release.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Way {
+pub enum Direction {
     /// Units get the new build.
     #[default]
-    Forth,
-    /// Rollback: changed units get the old build again.
-    Back,
+    Rollout,
+    /// Changed units get the old build again.
+    Rollback,
 }
 
 /// A set of units by their indices in the plan.
@@ -71,7 +71,7 @@
     /// Its plan.
     pub plan: &'a Plan,
     /// Its direction.
-    pub way: Way,
+    pub way: Direction,
     /// The present wave, from 0.
     pub wave: usize,
     /// Units that have the new build.
@@ -97,13 +97,17 @@
     }
 
     /// Whether the unit at this index of the plan may restart now, the limits of the policy aside.
-    pub fn may_go(&self, place: usize) -> Result<(), No> {
+    pub fn may_go(&self, place: usize) -> Result<(), RestartRefusal> {
         let range = self.units_of_wave();
         match (self.way, self.changed.has(place)) {
-            (Way::Forth, true) => Err(No::Changed),
-            (Way::Back, false) => Err(No::Unchanged),
-            (Way::Forth, false) if place >= range.end => Err(No::Later { wave: self.wave }),
-            (Way::Back, true) if place < range.start => Err(No::Later { wave: self.wave }),
+            (Direction::Rollout, true) => Err(RestartRefusal::Changed),
+            (Direction::Rollback, false) => Err(RestartRefusal::Unchanged),
+            (Direction::Rollout, false) if place >= range.end => {
+                Err(RestartRefusal::Later { wave: self.wave })
+            }
+            (Direction::Rollback, true) if place < range.start => {
+                Err(RestartRefusal::Later { wave: self.wave })
+            }
             _ => Ok(()),
         }
     }
@@ -113,14 +117,14 @@
         let is_out = |place: usize| self.out.contains(&self.plan.units[place]);
         let range = self.units_of_wave();
         match self.way {
-            Way::Forth => {
+            Direction::Rollout => {
                 let done = (0..range.end).all(|place| self.changed.has(place) && !is_out(place));
                 let last = self.wave + 1 >= self.plan.waves.len();
                 let next = if last { Next::Over } else { Next::Wave(self.wave + 1) };
                 (done && watched >= self.plan.watch).then_some(next)
             }
             // A rollback doesn't wait to be watched: the bad build in service does more harm.
-            Way::Back => {
+            Direction::Rollback => {
                 let left = (range.start..self.plan.units.len())
                     .any(|place| self.changed.has(place) || is_out(place));
                 let next = if self.wave == 0 { Next::Over } else { Next::Wave(self.wave - 1) };
--- a/balancer/rollout/src/verdict.rs
+++ b/balancer/rollout/src/verdict.rs
@@ -47,7 +47,7 @@
 
 /// What one member has observed of one side of one stratum since its last report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Row {
+pub struct ObservationRow {
     /// The zone and kind of the units, as a number; or `OF_BALANCERS`.
     pub stratum: u16,
     /// Whether they have the new build.
@@ -59,10 +59,10 @@
 }
 
 /// The rows of one member's report. Takes for each unit its stratum, whether it is changed, and its counts.
-pub fn rows(units: impl Iterator<Item = (u16, bool, Count)>) -> Vec<Row> {
-    let mut rows: BTreeMap<(u16, bool), Row> = BTreeMap::new();
+pub fn rows(units: impl Iterator<Item = (u16, bool, Count)>) -> Vec<ObservationRow> {
+    let mut rows: BTreeMap<(u16, bool), ObservationRow> = BTreeMap::new();
     for (stratum, changed, count) in units.filter(|(_, _, count)| count.executions > 0) {
-        let none = Row { stratum, changed, count: Count::default(), most: [0; 3] };
+        let none = ObservationRow { stratum, changed, count: Count::default(), most: [0; 3] };
         let row = rows.entry((stratum, changed)).or_insert(none);
         row.count.add(count);
         row.most.iter_mut().zip(count.bad).for_each(|(most, bad)| *most = (*most).max(bad));
@@ -104,7 +104,7 @@
     /// Takes a row of a member's report. Servers are compared only within one member's observations of one
     /// window, so that differences of members' clients, zones or time don't look like those of builds; balancers
     /// are compared with one another.
-    pub fn take(&mut self, from: u16, row: Row) {
+    pub fn take(&mut self, from: u16, row: ObservationRow) {
         let member = if row.stratum == OF_BALANCERS { u16::MAX } else { from };
         let count = Count { bad: row.count.bad.map(|bad| bad.min(row.count.executions)), ..row.count };
         let most = self.most.entry((row.stratum, row.changed)).or_default();
--- a/balancer/rollout/tests/release.rs
+++ b/balancer/rollout/tests/release.rs
@@ -1,6 +1,8 @@
 //! Tables of cases: which units may leave service, and how waves follow one another.
 
-use whinspindle_rollout::{Limits, Next, No, Place, Places, Plan, Progress, Scene, Unit, Way};
+use whinspindle_rollout::{
+    Direction, Limits, Next, Place, Places, Plan, Progress, RestartCheck, RestartRefusal, Unit,
+};
 
 use Unit::{Balancer, Server};
 
@@ -18,7 +20,7 @@
         let zone = if key < 4 { "a" } else { "b" }.to_string();
         Place { key, zone, cell: key as usize / 2, full }
     };
-    let full = |what, out, most| Err(No::Full { what, out, most });
+    let full = |what, out, most| Err(RestartRefusal::Full { what, out, most });
     for (unit, granted, away, cold, may) in [
         (Balancer(0), &[][..], &[][..], &[][..], Ok(())),
         (Balancer(0), &[Balancer(1)], &[], &[], Ok(())),
@@ -26,9 +28,9 @@
         // One that is granted and unheard of counts once, and its own going adds nothing.
         (Balancer(0), &[Balancer(1)], &[1], &[], Ok(())),
         (Balancer(0), &[Balancer(1)], &[0], &[], Ok(())),
-        (Balancer(5), &[], &[], &[], Err(No::Unknown)),
+        (Balancer(5), &[], &[], &[], Err(RestartRefusal::Unknown)),
         (Server(0), &[], &[], &[], Ok(())),
-        (Server(9), &[], &[], &[], Err(No::Unknown)),
+        (Server(9), &[], &[], &[], Err(RestartRefusal::Unknown)),
         (Server(0), &[Server(1)], &[], &[], full("servers of its pod", 1, 1)),
         (Server(0), &[], &[], &[1], full("servers of its pod", 1, 1)),
         (Server(0), &[Server(2)], &[], &[6], Ok(())),
@@ -39,13 +41,16 @@
     ] {
         let away = away.iter().copied().collect();
         let servers: Vec<Place> = (0..8).map(|key| place(key, !cold.contains(&key))).collect();
-        let scene = Scene { limits: &limits, granted, away: &away, balancers: 3, servers: &servers };
+        let scene = RestartCheck { limits: &limits, granted, away: &away, balancers: 3, servers: &servers };
         assert_eq!(scene.may_go(unit), may, "{unit:?} {granted:?} {away:?} {cold:?}");
     }
     let none = Limits::default();
     let away = Default::default();
-    let scene = Scene { limits: &none, granted: &[], away: &away, balancers: 3, servers: &[] };
-    assert_eq!([scene.may_go(Balancer(0)), scene.may_go(Server(0))], [Err(No::NoLimit), Err(No::NoLimit)]);
+    let scene = RestartCheck { limits: &none, granted: &[], away: &away, balancers: 3, servers: &[] };
+    assert_eq!(
+        [scene.may_go(Balancer(0)), scene.may_go(Server(0))],
+        [Err(RestartRefusal::NoLimit), Err(RestartRefusal::NoLimit)]
+    );
 }
 
 #[test]
@@ -59,8 +64,8 @@
         error: 0.01,
         build: None,
     };
-    // Way, wave, which are changed, which are out; which may go, what follows when watched too short and long enough.
-    let (forth, back, over) = (Way::Forth, Way::Back, Some(Next::Over));
+    // Direction, wave, which are changed, which are out; which may go, what follows when watched too short and long enough.
+    let (forth, back, over) = (Direction::Rollout, Direction::Rollback, Some(Next::Over));
     let wave = |number| Some(Next::Wave(number));
     for (way, at, changed, out, may, early, late) in [
         (forth, 0, &[][..], &[][..], &[0][..], None, None),
--- a/lab/model-checker/src/members/judge.rs
+++ b/lab/model-checker/src/members/judge.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 
-use whinspindle_fleet_policy::{MemberRules, Record, Right, Unit, Way};
+use whinspindle_fleet_policy::{Direction, MemberRules, Record, Right, Unit};
 
 use super::schedule::{DRIFT, RIGHT, STEP, WATCHED, clock};
 use super::world::{Place, World};
@@ -20,7 +20,7 @@
     /// At which step each record was first written on any disk: decided on, whether or not it is agreed then.
     pub(super) written: BTreeMap<u64, u64>,
     /// The units that were ever let out, and which way by a release.
-    pub(super) let_out: BTreeSet<(Unit, Option<Way>)>,
+    pub(super) let_out: BTreeSet<(Unit, Option<Direction>)>,
     /// When the first unit of the release was written down as changed.
     pub(super) changed: Option<u64>,
 }
@@ -74,10 +74,10 @@
             // The leader's clock is fast by a quarter.
             let watched = self.changed.is_some_and(|at| 5 * (step + 1 - at.min(step)) >= 4 * WATCHED);
             match out.part.map(|part| (part.way, part.place)) {
-                Some((Way::Forth, place)) if place > 0 && !(changed(place - 1) && watched) => {
+                Some((Direction::Rollout, place)) if place > 0 && !(changed(place - 1) && watched) => {
                     return Err(format!("member {number} is let out before its wave"));
                 }
-                Some((Way::Back, place)) if !changed(place) => {
+                Some((Direction::Rollback, place)) if !changed(place) => {
                     return Err(format!("member {number} is taken back, and was not changed"));
                 }
                 _ => {}
--- a/lab/model-checker/src/members/world.rs
+++ b/lab/model-checker/src/members/world.rs
@@ -4,7 +4,7 @@
 use std::hash::{Hash, Hasher};
 
 use whinspindle_fleet_policy::{
-    DurableState, Hash as Name, Member, MemberRules, Message, Objection, Record, RequestKind, Unit, Way,
+    Direction, DurableState, Hash as Name, Member, MemberRules, Message, Objection, Record, RequestKind, Unit,
 };
 
 use super::judge::{Judge, hash_of};
@@ -160,7 +160,8 @@
                 member.submit(now, RequestKind::Turn { number: 1 }, 6000);
             }
         }
-        let is_back = member.record().release.as_ref().is_some_and(|release| release.way == Way::Back);
+        let is_back =
+            member.record().release.as_ref().is_some_and(|release| release.way == Direction::Rollback);
         let due = plan.outs.is_some_and(|outs| me >= VOTERS && step >= outs[(me - VOTERS) as usize]);
         if due && (place.released == 0 || is_back) {
             if member.is_taken_out() {
--- a/lab/model-checker/src/net.rs
+++ b/lab/model-checker/src/net.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use whinspindle_fleet_policy::{DurableState, Environment, Hash, Message, No, Plan, Policy, Record, Unit};
-use whinspindle_rollout::{Limits, Scene};
+use whinspindle_fleet_policy::{
+    DurableState, Environment, Hash, Message, Plan, Policy, Record, RestartRefusal, Unit,
+};
+use whinspindle_rollout::{Limits, RestartCheck};
 
 #[derive(Default)]
 pub struct Out {
@@ -49,11 +51,11 @@
     fn plan_came(&mut self, hash: Hash, _: Rc<[u8]>) {
         self.0.borrow_mut().plan = Some((hash, Rc::new(crate::members::release())));
     }
-    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), RestartRefusal> {
         let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
         let limits = Limits { balancers: Some(1), ..Limits::default() };
         let balancers = usize::from(u16::MAX);
-        Scene { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
+        RestartCheck { limits: &limits, granted: &granted, away, balancers, servers: &[] }.may_go(unit)
     }
     fn tell(&mut self, _: String) {}
 }
--- a/lab/model-checker/src/plants.rs
+++ b/lab/model-checker/src/plants.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use whinspindle_consensus::{Ballot, ConsensusRules as Counting, RegisterValue, Voter};
-use whinspindle_fleet_policy::{MemberRules, MemberSettings, No, Record, RequestId};
+use whinspindle_fleet_policy::{MemberRules, MemberSettings, Record, RequestId, RestartRefusal};
 use whinspindle_rollout::{Next, Progress};
 
 macro_rules! plant {
@@ -107,7 +107,7 @@
 plant! {
     /// A unit goes by a release that has changed it, or has not come to it.
     AnyUnitMayGo, counting {}, member {
-        fn may_go_by(_: &Progress, _: usize) -> Result<(), No> {
+        fn may_go_by(_: &Progress, _: usize) -> Result<(), RestartRefusal> {
             Ok(())
         }
     }
--- a/lab/model-checker/src/verdicts.rs
+++ b/lab/model-checker/src/verdicts.rs
@@ -3,7 +3,7 @@
 //! drawn; what is judged is the evidence as it ships. Simulated.
 
 use whinspindle_lab_model::random::{Concern, RandomGenerator};
-use whinspindle_rollout::{Count, Evidence, Places, Plan, Progress, Unit, Way, rows};
+use whinspindle_rollout::{Count, Direction, Evidence, Places, Plan, Progress, Unit, rows};
 
 /// What is wrong with a build.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -139,7 +139,8 @@
             now < until
         });
         let out_now: Vec<Unit> = out.iter().map(|(unit, _)| plan.units[*unit]).collect();
-        let progress = Progress { plan: &plan, way: Way::Forth, wave, changed: &changed, out: &out_now };
+        let progress =
+            Progress { plan: &plan, way: Direction::Rollout, wave, changed: &changed, out: &out_now };
         watched = if progress.next(u64::MAX).is_some() { watched + WINDOW } else { 0.0 };
         match progress.next((watched * 1e6) as u64) {
             Some(whinspindle_rollout::Next::Wave(next)) => (wave, watched) = (next, 0.0),
--- a/lab/simulation/src/release.rs
+++ b/lab/simulation/src/release.rs
@@ -7,7 +7,8 @@
 use whinspindle::host::Outcome;
 use whinspindle_lab_scenario::{How, Release};
 use whinspindle_rollout::{
-    Count, Evidence, Limits, Next, Place, Places, Plan, Progress, Scene, Seen, Unit, Way, rows,
+    Count, Direction, Evidence, Limits, Next, ObservedOutcomes, Place, Places, Plan, Progress, RestartCheck,
+    Unit, rows,
 };
 
 use crate::play::{BEGUN, Event, Fleet, Step};
@@ -21,7 +22,7 @@
     terms: Release,
     tier: usize,
     plan: Plan,
-    way: Way,
+    way: Direction,
     wave: usize,
     changed: Places,
     /// Units that have gone and are not yet in full service again, and whether each has been started anew.
@@ -33,7 +34,7 @@
     evidence: Evidence,
     window: u64,
     /// What each balancer has seen since the window began.
-    seen: Vec<Seen>,
+    seen: Vec<ObservedOutcomes>,
     halted: Option<u64>,
     notes: Vec<String>,
 }
@@ -60,7 +61,7 @@
             terms: terms.clone(),
             tier,
             plan,
-            way: Way::Forth,
+            way: Direction::Rollout,
             wave: 0,
             changed: Places::default(),
             out: BTreeMap::new(),
@@ -69,7 +70,7 @@
             complete: None,
             evidence: Evidence::new(0.01),
             window: self.now,
-            seen: (0..self.nodes.len()).map(|_| Seen::default()).collect(),
+            seen: (0..self.nodes.len()).map(|_| ObservedOutcomes::default()).collect(),
             halted: None,
             notes: Vec::new(),
         });
@@ -122,7 +123,7 @@
             .collect();
         for place in back {
             on.out.remove(&place);
-            on.changed.set(place, on.way == Way::Forth);
+            on.changed.set(place, on.way == Direction::Rollout);
         }
     }
 
@@ -132,7 +133,7 @@
         }
         on.window = self.now;
         let seen: Vec<BTreeMap<usize, Count>> = on.seen.iter_mut().map(|seen| seen.take().0).collect();
-        if on.terms.how != How::Agreed || on.way == Way::Back {
+        if on.terms.how != How::Agreed || on.way == Direction::Rollback {
             return;
         }
         let mut of: BTreeMap<usize, Vec<(u16, bool, Count)>> = BTreeMap::new();
@@ -157,7 +158,7 @@
             let touched = on.changed.count() + on.out.len();
             let at = (self.now - BEGUN) as f64 / 1e6;
             on.notes.push(format!("halted at {at:.1} s, {touched} units touched: {why}"));
-            on.way = Way::Back;
+            on.way = Direction::Rollback;
             on.complete = None;
         }
     }
@@ -180,7 +181,7 @@
         on.complete = since;
         match since.and_then(|since| progress.next(self.now - since)) {
             Some(Next::Wave(wave)) => (on.wave, on.complete) = (wave, None),
-            Some(Next::Over) if on.way == Way::Forth => return over(on, self.now, "all changed"),
+            Some(Next::Over) if on.way == Direction::Rollout => return over(on, self.now, "all changed"),
             Some(Next::Over) => return over(on, self.now, "all taken back"),
             None => {}
         }
@@ -248,7 +249,9 @@
         let away: BTreeSet<u16> =
             fronts.filter(|node| !self.is_full(on.tier, Unit::Balancer(*node))).collect();
         let balancers = self.scenario.tiers[0].balancers;
-        Scene { limits: &limits, granted: out, away: &away, balancers, servers: &places }.may_go(unit).is_ok()
+        RestartCheck { limits: &limits, granted: out, away: &away, balancers, servers: &places }
+            .may_go(unit)
+            .is_ok()
     }
 
     fn go(&mut self, on: &mut Supervised, place: usize) {
@@ -272,7 +275,7 @@
         if let Unit::Server(server) = on.plan.units[place] {
             let (tier, server) = (on.tier, server as usize);
             self.replace(tier, server);
-            if on.way == Way::Forth {
+            if on.way == Direction::Rollout {
                 let (now, fails, slow) = (self.now, on.terms.fails, on.terms.slow);
                 self.tiers[tier].hosts[server].machine.change(now, |machine| {
                     (machine.failure_rate, machine.slowdown) = (fails, slow);
--- a/programs/balancer/src/fleet/environment.rs
+++ b/programs/balancer/src/fleet/environment.rs
@@ -4,11 +4,13 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-use whinspindle_fleet_policy::{DurableState, Environment, Hash, Message, No, Policy, Record, Unit};
+use whinspindle_fleet_policy::{
+    DurableState, Environment, Hash, Message, Policy, Record, RestartRefusal, Unit,
+};
 use whinspindle_peer_transport::PeerTransport;
 use whinspindle_rate_limited_log::log_line;
 use whinspindle_record_store::RecordStore;
-use whinspindle_rollout::{Count, Limits, OF_BALANCERS, Place, Plan, Row, Scene};
+use whinspindle_rollout::{Count, Limits, OF_BALANCERS, ObservationRow, Place, Plan, RestartCheck};
 
 /// Implements the member's [`Environment`].
 pub(super) struct ProcessEnvironment {
@@ -71,12 +73,12 @@
         self.unchecked_policies.push((policy, text));
     }
 
-    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), No> {
+    fn may_go(&self, record: &Record, unit: Unit, away: &BTreeSet<u16>) -> Result<(), RestartRefusal> {
         let of = self.limits.iter().rev().find(|(number, _)| *number == record.policy.number);
         let limits = of.map(|(_, limits)| *limits).unwrap_or_default();
         let granted: Vec<Unit> = record.out.iter().map(|out| out.unit).collect();
         let (balancers, servers) = (self.addresses.len(), self.listed_servers.as_slice());
-        Scene { limits: &limits, granted: &granted, away, balancers, servers }.may_go(unit)
+        RestartCheck { limits: &limits, granted: &granted, away, balancers, servers }.may_go(unit)
     }
 
     fn plan(&self, hash: Hash) -> Option<Rc<Plan>> {
@@ -99,7 +101,7 @@
         }
     }
 
-    fn aside(&mut self, from: u16, bytes: Vec<u8>) {
+    fn opaque_message(&mut self, from: u16, bytes: Vec<u8>) {
         self.neighbour_messages.push((from, bytes));
     }
 
@@ -111,7 +113,7 @@
         self.build.clone()
     }
 
-    fn figures(&mut self, record: &Record) -> Vec<Row> {
+    fn observations(&mut self, record: &Record) -> Vec<ObservationRow> {
         let counts = std::mem::take(&mut self.counts);
         let own = std::mem::take(&mut self.own);
         let Some(release) = &record.release else { return Vec::new() };
--- a/programs/balancer/src/fleet/requests.rs
+++ b/programs/balancer/src/fleet/requests.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use serde_json::json;
-use whinspindle_fleet_policy::{Environment, Hash, MAX_TEXT_BYTES, No, RequestKind, Right, Unit};
-use whinspindle_rollout::Way;
+use whinspindle_fleet_policy::{Environment, Hash, MAX_TEXT_BYTES, RequestKind, RestartRefusal, Right, Unit};
+use whinspindle_rollout::Direction;
 
 use super::worker::{Worker, truncated};
 use crate::control::{Answer, Request};
@@ -102,7 +102,7 @@
             return Err("no release is under way".to_string());
         };
         let number = release.number;
-        if release.way == Way::Back {
+        if release.way == Direction::Rollback {
             return Err(format!("release {number} is on its way back already"));
         }
         self.member.submit(now, RequestKind::Turn { number }, rand::random());
@@ -134,7 +134,7 @@
     fn ask_out(&mut self, now: u64, unit: Unit, serial: u64, release: Option<u64>) -> Answer {
         let record = self.member.record();
         if let Some(out) = record.out_as(unit) {
-            let way = out.part.map(|part| if part.way == Way::Forth { "forth" } else { "back" });
+            let way = out.part.map(|part| if part.way == Direction::Rollout { "forth" } else { "back" });
             return match out.request_id.serial == serial {
                 true => Ok(json!({"granted": true, "way": way})),
                 false => Err("it is let out already, by another's wish".to_string()),
@@ -149,7 +149,7 @@
         }
         if let Err(no) = self.member.part_of(now, unit, release) {
             return match no {
-                No::Later { .. } | No::NoPlan => {
+                RestartRefusal::Later { .. } | RestartRefusal::NoPlan => {
                     self.member.submit(now, RequestKind::Out { unit, release }, serial);
                     Ok(json!({"granted": false, "waits": no.to_string()}))
                 }
@@ -158,7 +158,7 @@
         }
         // The leader decides; the local view gives the likely reason for the wait.
         let waits = match self.member.environment.may_go(record, unit, &BTreeSet::new()) {
-            Err(no @ (No::NoLimit | No::Unknown)) => return Err(no.to_string()),
+            Err(no @ (RestartRefusal::NoLimit | RestartRefusal::Unknown)) => return Err(no.to_string()),
             Err(no) => no.to_string(),
             Ok(()) => "the voters have not said so yet".to_string(),
         };
@@ -183,7 +183,7 @@
         })?;
         // A release that could never begin is rejected at once.
         for unit in &plan.units {
-            if let Err(no @ (No::NoLimit | No::Unknown)) =
+            if let Err(no @ (RestartRefusal::NoLimit | RestartRefusal::Unknown)) =
                 self.member.environment.may_go(record, *unit, &BTreeSet::new())
             {
                 let name = plan.place_of(*unit).map_or("", |place| plan.names[place].as_str());
--- a/programs/balancer/src/fleet/status.rs
+++ b/programs/balancer/src/fleet/status.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 use whinspindle_fleet_policy::{ChangeOutcome, Environment, Policy, Readiness, Right, Unit};
-use whinspindle_rollout::{Count, Way};
+use whinspindle_rollout::{Count, Direction};
 
 use super::worker::Worker;
 
@@ -22,7 +22,7 @@
                 })
                 .collect();
             json!({"number": release.number, "by": release.request_id.by, "serial": release.request_id.serial,
-                "way": if release.way == Way::Forth { "forth" } else { "back" }, "wave": release.wave + 1,
+                "way": if release.way == Direction::Rollout { "forth" } else { "back" }, "wave": release.wave + 1,
                 "name": plan.as_ref().map(|plan| plan.name.clone()),
                 "waves": plan.map(|plan| plan.waves.clone()),
                 "changed": release.changed.count(), "units": units, "watchedMs": self.member.watched_for(now),
--- a/programs/balancer/src/node.rs
+++ b/programs/balancer/src/node.rs
@@ -21,7 +21,7 @@
 use whinspindle_protocol::execution::{self, Reply};
 use whinspindle_protocol::query::MAX_BODY_BYTES;
 use whinspindle_rate_limited_log::log_line;
-use whinspindle_rollout::{Count, Place as Listed, Seen};
+use whinspindle_rollout::{Count, ObservedOutcomes, Place as Listed};
 use whinspindle_upstream_pool::{
     ConnectionPool, Failure, MemoryBudget, PoolSettings, Progress, ProgressHandle, Upstream,
 };
@@ -71,7 +71,7 @@
     /// Otherwise how far the list is trusted, and whether it came from other balancers; none if there is no list.
     pub list_trust: Cell<Option<(Trust, bool)>>,
     /// Outcomes counted for the fleet.
-    pub fleet_counts: RefCell<Seen>,
+    pub fleet_counts: RefCell<ObservedOutcomes>,
     /// Whether a slow start is configured and waits for the first endpoint list.
     pub slow_start_pending: Cell<bool>,
     /// Admission limit of the slow start, while it runs.
