Record store: a folder that another process holds is waited for, half a second

The program it waited for ran without the lock of its folder among its open files: the test's own process had held the folder just before, and a child that another of its threads was starting has the files of its parent until it runs another program. That is inferred from the open files; the hang was not reproduced. Change: RecordStore::open tries for 500 ms. Test: a_folder_that_is_released_soon_is_waited_for.

--- a/balancer/record-store/src/lib.rs
+++ b/balancer/record-store/src/lib.rs
@@ -6,10 +6,17 @@
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
 
 const MAGIC: &[u8; 8] = b"whspin-1";
 /// Magic, generation, length, hash.
 const HEADER_BYTES: usize = 8 + 8 + 8 + 32;
+/// A lock that another process holds is waited for so long. One that has just ended may hold it a moment longer: by a child
+/// that was started meanwhile, which has its open files until it runs another program.
+const LOCK_PATIENCE: Duration = Duration::from_millis(500);
+/// Between two attempts to take the lock.
+const LOCK_RETRY: Duration = Duration::from_millis(10);
 /// A record may be so long.
 pub const MAX_RECORD_BYTES: usize = 1024 * 1024;
 
@@ -65,6 +72,17 @@
     *hasher.finalize().as_bytes()
 }
 
+/// Takes a lock; one that another process holds is waited for, but no longer than `patience`.
+fn try_lock_for(lock: &File, patience: Duration) -> Result<(), TryLockError> {
+    let until = Instant::now() + patience;
+    loop {
+        match lock.try_lock() {
+            Err(TryLockError::WouldBlock) if Instant::now() < until => thread::sleep(LOCK_RETRY),
+            taken => return taken,
+        }
+    }
+}
+
 impl RecordStore {
     /// Makes the folder if there is none, and holds it. Guards against two processes that write over one another.
     pub fn open(folder: &Path) -> Result<RecordStore, StoreError> {
@@ -72,7 +90,7 @@
         fs::create_dir_all(folder).map_err(as_error)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"));
         let lock = lock.map_err(as_error)?;
-        match lock.try_lock() {
+        match try_lock_for(&lock, LOCK_PATIENCE) {
             Ok(()) => Ok(RecordStore { folder: folder.to_path_buf(), _lock: lock }),
             Err(TryLockError::WouldBlock) => Err(StoreError::Locked(folder.to_path_buf())),
             Err(TryLockError::Error(fault)) => Err(as_error(fault)),
--- a/balancer/record-store/tests/store.rs
+++ b/balancer/record-store/tests/store.rs
@@ -2,6 +2,8 @@
 
 use std::fs;
 use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
 
 use whinspindle_record_store::{RecordStore, StoreError};
 
@@ -61,3 +63,19 @@
     assert!(RecordStore::open(&folder).is_ok());
     let _ = fs::remove_dir_all(&folder);
 }
+
+/// A process that has ended may hold its folder a moment longer, by a child that was started meanwhile.
+#[test]
+fn a_folder_that_is_released_soon_is_waited_for() {
+    let folder = folder("released");
+    let store = RecordStore::open(&folder).expect("a folder");
+    store.write("r", b"kept").expect("written");
+    let released = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(100));
+        drop(store);
+    });
+    let next = RecordStore::open(&folder).expect("it is released in time");
+    assert_eq!(next.read("r").as_deref(), Some(b"kept".as_slice()));
+    released.join().expect("it ends");
+    let _ = fs::remove_dir_all(&folder);
+}
