Review case 3: surplus bytes turn an upstream's failure into a success

Where an upstream in trouble sends the beginning of a surplus answer late on a kept connection, the status of those bytes goes to the next client with its own answer's id, stamp and body.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -312,6 +312,13 @@
     runs: Mutex<Vec<String>>,
     connections: Mutex<Vec<TcpStream>>,
     has_fallen_over: AtomicBool,
+    /// Orders that it declines: their ids begin with one of the lower eight hexadecimal digits.
+    declines: AtomicBool,
+    /// Each how manyth answer is followed by the beginning of a surplus one; 0 for none.
+    surplus_each: AtomicU64,
+    answers: AtomicU64,
+    /// The requests that it has declined.
+    declined: Mutex<HashSet<String>>,
     record: Arc<Record>,
 }
 
@@ -336,6 +343,10 @@
             runs: Mutex::default(),
             connections: Mutex::default(),
             has_fallen_over: AtomicBool::new(false),
+            declines: AtomicBool::new(false),
+            surplus_each: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
+            declined: Mutex::default(),
             record: Arc::clone(record),
         });
         let listener =
@@ -400,31 +411,48 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut writer = stream;
+        let mut is_surplus_due = false;
         while let Some(request) = read_message(&mut reader) {
             let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
             let id = header("whinspindle-request-id");
             let expected = header("whinspindle-expect-instance");
-            let (status, stamp, body) = if !expected.is_empty() && expected != self.id {
-                ("421 Misdirected Request", String::from("Whinspindle-Not-Run: 1\r\n"), String::new())
-            } else {
+            let is_meant = expected.is_empty() || expected == self.id;
+            let is_declined = self.declines.load(Ordering::SeqCst) && id.starts_with(|digit| digit < '8');
+            if is_meant {
                 self.arrivals.lock().unwrap().push(Instant::now());
                 self.runs.lock().unwrap().push(id.clone());
                 self.record.note(format!("{} in {} runs {id}", self.id, ZONES[self.zone].0));
                 self.bear();
                 sleep(self.work);
-                (
-                    "200 OK",
-                    format!("Whinspindle-Server-Stamp: {}.{id}\r\n", self.id),
-                    format!("answer to {id}"),
-                )
+            }
+            let stamp = format!("Whinspindle-Server-Stamp: {}.{id}\r\n", self.id);
+            let (status, extra, body) = match (is_meant, is_declined) {
+                (false, _) => {
+                    ("421 Misdirected Request", "Whinspindle-Not-Run: 1\r\n".to_owned(), String::new())
+                }
+                (true, true) => ("409 Conflict", stamp, format!("declined {id}")),
+                (true, false) => ("200 OK", stamp, format!("answer to {id}")),
             };
+            if is_meant && is_declined {
+                self.declined.lock().unwrap().insert(id.clone());
+                self.record.note(format!("{} answers {id} with 409", self.id));
+            }
             let answer = format!(
-                "HTTP/1.1 {status}\r\nWhinspindle-Request-Id: {id}\r\n{stamp}Content-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nWhinspindle-Request-Id: {id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
+            if std::mem::take(&mut is_surplus_due) {
+                // The beginning of a second copy of the answer before, in the slot of this one.
+                self.record.note(format!("{} sends surplus bytes before its answer to {id}", self.id));
+                let _ = writer.write_all(b"HTTP/1.1 200 OK");
+                sleep(ms(5));
+            }
             if self.has_fallen_over.load(Ordering::SeqCst) || writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
+            let each = self.surplus_each.load(Ordering::SeqCst);
+            let count = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            is_surplus_due = each > 0 && is_meant && !is_declined && count % each < 2;
         }
     }
 
@@ -460,6 +488,8 @@
 struct Tries {
     sent: u64,
     served: u64,
+    /// Tries that were answered with a success, by id, with its body.
+    successes: HashMap<String, String>,
     /// Tries without a whole answer or with a failure, by id.
     unserved: HashMap<String, String>,
 }
@@ -520,6 +550,9 @@
     let answer = call(balancer, &request, b"query", ms(4_500));
     let is_whole = |message: &Message| message.body == format!("answer to {id}").into_bytes();
     let mut tries = tries.lock().unwrap();
+    if let Some((200, message)) = &answer {
+        tries.successes.insert(id.clone(), String::from_utf8_lossy(&message.body).into_owned());
+    }
     match answer {
         Some((200, message))
             if message.headers.contains_key("whinspindle-server-stamp") && is_whole(&message) =>
@@ -740,6 +773,48 @@
     most as f64 > bound
 }
 
+/// Case 3: surplus bytes on a kept connection turn a failure of the upstream into a success.
+fn false_success(program: &str, trouble: bool, record: &Arc<Record>) -> bool {
+    /// Three answers of a hundred, at most.
+    const SURPLUS_EACH: u64 = 67;
+    const FOR: Duration = Duration::from_millis(5_000);
+    let scene = Scene::set(program, 120.0, ms(20), 0.0, record);
+    for upstream in &scene.upstreams {
+        upstream.declines.store(true, Ordering::SeqCst);
+    }
+    record.say("from now on half of the orders are declined with 409");
+    sleep(ms(2_000));
+    if trouble {
+        // A share of 0.6 of three upstreams is one.
+        scene.upstreams[0].surplus_each.store(SURPLUS_EACH, Ordering::SeqCst);
+        record.say(format!("{} begins to send surplus bytes", scene.upstreams[0].id));
+    }
+    sleep(FOR);
+    scene.upstreams[0].surplus_each.store(0, Ordering::SeqCst);
+    record.say("the upstreams are sound again");
+    sleep(ms(3_000));
+    let declined: HashSet<String> =
+        scene.upstreams.iter().flat_map(|upstream| upstream.declined.lock().unwrap().clone()).collect();
+    let tries = scene.tries.lock().unwrap();
+    let turned: Vec<(String, String)> = tries
+        .successes
+        .iter()
+        .filter(|(id, _)| declined.contains(*id))
+        .map(|(id, body)| (id.clone(), body.clone()))
+        .collect();
+    drop(tries);
+    for (id, body) in &turned {
+        record.say(format!("the client of {id} gets 200 with the body {body:?}; its upstream answered 409"));
+    }
+    record.say(format!(
+        "{} of {} declined orders reach their clients as successes",
+        turned.len(),
+        declined.len()
+    ));
+    scene.end();
+    !turned.is_empty()
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, program, path] = arguments.as_slice() else {
@@ -754,6 +829,7 @@
     record.say(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let is_broken = match case.as_str() {
         "stale-order" => stale_order(program, trouble, &record),
+        "false-success" => false_success(program, trouble, &record),
         "unknown-cold" => unknown_cold(program, trouble, &record),
         _ => cannot_run("no such case"),
     };
