Review: a request runs twice after surplus bytes; it takes the place of the wrong status

The same hole as that of the false success shows a graver rule broken. Surplus bytes of an upstream's refusal, broken off in its head, make the answer to the next request on that connection a refusal too: the proxy sends a request that has run to another upstream, or promises its client that it has not run.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -312,13 +312,13 @@
     runs: Mutex<Vec<String>>,
     connections: Mutex<Vec<TcpStream>>,
     has_fallen_over: AtomicBool,
-    /// Orders that it declines: their ids begin with one of the lower eight hexadecimal digits.
-    declines: AtomicBool,
-    /// Each how manyth answer is followed by the beginning of a surplus one; 0 for none.
+    /// Whether it is full now and then: for requests whose ids begin with 0 or 1.
+    is_full: AtomicBool,
+    /// At most one of so many answers is followed by the beginning of a surplus one; 0 for none.
     surplus_each: AtomicU64,
+    /// Answers, and those followed by a surplus one, since the trouble began.
     answers: AtomicU64,
-    /// The requests that it has declined.
-    declined: Mutex<HashSet<String>>,
+    surplus: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -343,10 +343,10 @@
             runs: Mutex::default(),
             connections: Mutex::default(),
             has_fallen_over: AtomicBool::new(false),
-            declines: AtomicBool::new(false),
+            is_full: AtomicBool::new(false),
             surplus_each: AtomicU64::new(0),
             answers: AtomicU64::new(0),
-            declined: Mutex::default(),
+            surplus: AtomicU64::new(0),
             record: Arc::clone(record),
         });
         let listener =
@@ -417,42 +417,51 @@
             let id = header("whinspindle-request-id");
             let expected = header("whinspindle-expect-instance");
             let is_meant = expected.is_empty() || expected == self.id;
-            let is_declined = self.declines.load(Ordering::SeqCst) && id.starts_with(|digit| digit < '8');
-            if is_meant {
+            let is_rejected =
+                is_meant && self.is_full.load(Ordering::SeqCst) && id.starts_with(|digit| digit < '2');
+            if is_meant && !is_rejected {
                 self.arrivals.lock().unwrap().push(Instant::now());
                 self.runs.lock().unwrap().push(id.clone());
                 self.record.note(format!("{} in {} runs {id}", self.id, ZONES[self.zone].0));
                 self.bear();
                 sleep(self.work);
             }
-            let stamp = format!("Whinspindle-Server-Stamp: {}.{id}\r\n", self.id);
-            let (status, extra, body) = match (is_meant, is_declined) {
+            let (status, extra, body) = match (is_meant, is_rejected) {
                 (false, _) => {
-                    ("421 Misdirected Request", "Whinspindle-Not-Run: 1\r\n".to_owned(), String::new())
+                    ("421 Misdirected Request", "Whinspindle-Not-Run: other\r\n".to_owned(), String::new())
                 }
-                (true, true) => ("409 Conflict", stamp, format!("declined {id}")),
-                (true, false) => ("200 OK", stamp, format!("answer to {id}")),
+                (true, true) => {
+                    ("503 Service Unavailable", "Whinspindle-Not-Run: full\r\n".to_owned(), String::new())
+                }
+                (true, false) => (
+                    "200 OK",
+                    format!("Whinspindle-Server-Stamp: {}.{id}\r\n", self.id),
+                    format!("answer to {id}"),
+                ),
             };
-            if is_meant && is_declined {
-                self.declined.lock().unwrap().insert(id.clone());
-                self.record.note(format!("{} answers {id} with 409", self.id));
-            }
             let answer = format!(
-                "HTTP/1.1 {status}\r\nWhinspindle-Request-Id: {id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\n{extra}Whinspindle-Request-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if std::mem::take(&mut is_surplus_due) {
-                // The beginning of a second copy of the answer before, in the slot of this one.
+                // A second copy of the answer before, in the slot of this one, broken off in its head.
                 self.record.note(format!("{} sends surplus bytes before its answer to {id}", self.id));
-                let _ = writer.write_all(b"HTTP/1.1 200 OK");
+                let _ = writer.write_all(b"HTTP/1.1 503 Service Unavailable\r\nWhinspindle-Not-Run: ful");
                 sleep(ms(5));
             }
             if self.has_fallen_over.load(Ordering::SeqCst) || writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
+            if is_rejected {
+                self.record.note(format!("{} is full for {id}, which does not run there", self.id));
+            }
             let each = self.surplus_each.load(Ordering::SeqCst);
-            let count = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-            is_surplus_due = each > 0 && is_meant && !is_declined && count % each < 2;
+            let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            let surplus = self.surplus.load(Ordering::SeqCst);
+            if is_rejected && each > 0 && (surplus + 1) * each <= answers {
+                self.surplus.fetch_add(1, Ordering::SeqCst);
+                is_surplus_due = true;
+            }
         }
     }
 
@@ -734,7 +743,7 @@
     count > 0
 }
 
-/// Case 2: balancers learn of a cold upstream only from the core, also while all of it is down.
+/// Case 3: balancers learn of a cold upstream only from the core, also while all of it is down.
 fn unknown_cold(program: &str, trouble: bool, record: &Arc<Record>) -> bool {
     const COLD_PER_S: f64 = 9.9;
     const COLD_MS: u64 = 3_000;
@@ -773,46 +782,56 @@
     most as f64 > bound
 }
 
-/// Case 3: surplus bytes on a kept connection turn a failure of the upstream into a success.
-fn false_success(program: &str, trouble: bool, record: &Arc<Record>) -> bool {
+/// Case 2: surplus bytes on a kept connection make a request that has run look like one that has not; it is sent
+/// to another upstream and runs again.
+fn runs_twice(program: &str, trouble: bool, record: &Arc<Record>) -> bool {
     /// Three answers of a hundred, at most.
-    const SURPLUS_EACH: u64 = 67;
+    const SURPLUS_EACH: u64 = 34;
     const FOR: Duration = Duration::from_millis(5_000);
-    let scene = Scene::set(program, 120.0, ms(20), 0.0, record);
-    for upstream in &scene.upstreams {
-        upstream.declines.store(true, Ordering::SeqCst);
-    }
-    record.say("from now on half of the orders are declined with 409");
+    let scene = Scene::set(program, 60.0, ms(20), 0.0, record);
+    let upstream = Arc::clone(&scene.upstreams[0]);
+    upstream.is_full.store(true, Ordering::SeqCst);
+    record.say(format!("from now on {} is full for some requests and says so", upstream.id));
     sleep(ms(2_000));
     if trouble {
         // A share of 0.6 of three upstreams is one.
-        scene.upstreams[0].surplus_each.store(SURPLUS_EACH, Ordering::SeqCst);
-        record.say(format!("{} begins to send surplus bytes", scene.upstreams[0].id));
+        upstream.answers.store(0, Ordering::SeqCst);
+        upstream.surplus_each.store(SURPLUS_EACH, Ordering::SeqCst);
+        record.say(format!("{} begins to send surplus bytes", upstream.id));
     }
     sleep(FOR);
-    scene.upstreams[0].surplus_each.store(0, Ordering::SeqCst);
-    record.say("the upstreams are sound again");
-    sleep(ms(3_000));
-    let declined: HashSet<String> =
-        scene.upstreams.iter().flat_map(|upstream| upstream.declined.lock().unwrap().clone()).collect();
-    let tries = scene.tries.lock().unwrap();
-    let turned: Vec<(String, String)> = tries
-        .successes
-        .iter()
-        .filter(|(id, _)| declined.contains(*id))
-        .map(|(id, body)| (id.clone(), body.clone()))
-        .collect();
-    drop(tries);
-    for (id, body) in &turned {
-        record.say(format!("the client of {id} gets 200 with the body {body:?}; its upstream answered 409"));
-    }
+    upstream.surplus_each.store(0, Ordering::SeqCst);
     record.say(format!(
-        "{} of {} declined orders reach their clients as successes",
-        turned.len(),
-        declined.len()
+        "{} is sound again: {} of {} answers were followed by surplus bytes",
+        upstream.id,
+        upstream.surplus.load(Ordering::SeqCst),
+        upstream.answers.load(Ordering::SeqCst)
     ));
+    sleep(ms(2_000));
+    upstream.is_full.store(false, Ordering::SeqCst);
+    sleep(ms(1_000));
+    let mut runs: HashMap<String, Vec<String>> = HashMap::new();
+    for upstream in &scene.upstreams {
+        for id in upstream.runs.lock().unwrap().iter() {
+            runs.entry(id.clone()).or_default().push(upstream.id.clone());
+        }
+    }
+    let unserved = scene.tries.lock().unwrap().unserved.clone();
+    let refused: Vec<&String> =
+        unserved.iter().filter(|(_, status)| *status == "503").map(|(id, _)| id).collect();
+    let untrue: Vec<&&String> = refused.iter().filter(|id| runs.contains_key(**id)).collect();
+    for id in &untrue {
+        record.say(format!("{id} ran at {}, and its client got 503", runs[**id].join(" and at ")));
+    }
+    record.say(format!("{} of {} requests that were answered with 503 had run", untrue.len(), refused.len()));
+    let twice: Vec<(&String, &Vec<String>)> = runs.iter().filter(|(_, at)| at.len() > 1).collect();
+    for (id, at) in &twice {
+        record.say(format!("{id} ran at {}", at.join(" and at ")));
+    }
+    let is_broken = !twice.is_empty();
+    record.say(format!("{} of {} requests that may run only once ran twice", twice.len(), runs.len()));
     scene.end();
-    !turned.is_empty()
+    is_broken
 }
 
 fn main() {
@@ -829,7 +848,7 @@
     record.say(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let is_broken = match case.as_str() {
         "stale-order" => stale_order(program, trouble, &record),
-        "false-success" => false_success(program, trouble, &record),
+        "runs-twice" => runs_twice(program, trouble, &record),
         "unknown-cold" => unknown_cold(program, trouble, &record),
         _ => cannot_run("no such case"),
     };
