Evacuation orders held up by a pause or a link no longer undo acknowledged ones

Cause: the head drops copies of evacuation orders that are based on an outdated record of the zone, but a controller took the record for an order only when it submitted it, 100 ms after reading it, and again if it was overtaken within 400 ms. By then it had learned of the newer orders. Both spans were bets on when the caller closes its connection.

Change: an order is based on what its controller knows when it reads it. One that reverts a change of the last 60 s, or meets a newer record at the head, is answered 307 to the same controller with the record's sequence, and is given only if the caller follows; a caller that has moved on doesn't, whenever its connection ends. After a pause of over 500 ms the controller answers 503 in place of 307 for 1 to 4 s, since a caller may wait longer than it takes to move on. whinspindle evacuate follows redirects for a second. The two waits are gone.

Why it works: what an order is based on is fixed before any order that its caller may have given after it, so the comparison at the head is enough; no time is bet on for a caller that has moved on.

Tests changed: evacuation_command_of_a_closed_connection_is_not_submitted asked that the order of a closed connection is dropped within the wait; evacuation_command_whose_caller_has_moved_on_is_not_submitted asks it without any close. The simulated operators follow redirects, as the protocol's callers do. The bytes of the folder's fixture are unchanged.

--- a/controlplane/client/src/lib.rs
+++ b/controlplane/client/src/lib.rs
@@ -1,5 +1,5 @@
 //! A client for the HTTP API of a controller. Each call opens its own connection, sends one request and reads
-//! the complete response.
+//! the complete response. [`call_with_redirects`] also follows redirects.
 //!
 //! ```no_run
 //! # async fn read() -> Result<(), whinspindle_client::CallError> {
@@ -15,7 +15,7 @@
 //! ```
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::HeaderName;
@@ -31,6 +31,22 @@
 /// The request header that holds the generation on which a new configuration is based.
 pub const BASE_VERSION_HEADER: HeaderName = HeaderName::from_static("whinspindle-base-version");
 
+/// Which redirects a caller follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RedirectLimits {
+    /// The maximum number of redirects in a row.
+    pub count: usize,
+    /// The maximum time from a request to its redirect. A caller that has waited for longer may have sent the
+    /// command, or a newer one, to another controller meanwhile.
+    pub delay: Duration,
+}
+
+impl Default for RedirectLimits {
+    fn default() -> RedirectLimits {
+        RedirectLimits { count: 2, delay: Duration::from_secs(1) }
+    }
+}
+
 /// An HTTP request to a controller.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -63,8 +79,17 @@
     pub status: StatusCode,
     /// The complete body.
     pub body: Bytes,
-    /// The controller to which a response with status 307 redirects.
-    pub redirect: Option<SocketAddr>,
+    /// The target to which a response with status 307 redirects.
+    pub redirect: Option<Redirect>,
+}
+
+/// The target of a redirect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Redirect {
+    /// The controller to call.
+    pub controller: SocketAddr,
+    /// The path and the query string to call.
+    pub path: String,
 }
 
 /// An error that prevented a complete response.
@@ -108,6 +133,28 @@
     timeout(time_limit, exchange(controller, call)).await.context(TimedOutSnafu { controller })?
 }
 
+/// Like [`call`], and follows redirects. Each response is waited for up to the time limit. A redirect beyond
+/// the `redirect_limits` is returned.
+pub async fn call_with_redirects(
+    controller: SocketAddr,
+    first_call: &Call,
+    time_limit: Duration,
+    redirect_limits: RedirectLimits,
+) -> Result<Response, CallError> {
+    let (mut controller, mut next_call) = (controller, first_call.clone());
+    for _ in 0..redirect_limits.count {
+        let sent_at = Instant::now();
+        let response = call(controller, &next_call, time_limit).await?;
+        let Some(redirect) = &response.redirect else { return Ok(response) };
+        if sent_at.elapsed() > redirect_limits.delay {
+            return Ok(response);
+        }
+        controller = redirect.controller;
+        next_call.path.clone_from(&redirect.path);
+    }
+    call(controller, &next_call, time_limit).await
+}
+
 async fn exchange(controller: SocketAddr, call: &Call) -> Result<Response, CallError> {
     let request = build_request(controller, call)?;
     let stream = TcpStream::connect(controller).await.context(ConnectSnafu { controller })?;
@@ -137,7 +184,10 @@
     builder.body(Full::new(call.body.clone())).context(InvalidRequestSnafu)
 }
 
-fn parse_location(location: &str) -> Option<SocketAddr> {
-    let authority = location.strip_prefix("http://")?;
-    authority.split('/').next()?.parse().ok()
+fn parse_location(location: &str) -> Option<Redirect> {
+    let rest = location.strip_prefix("http://")?;
+    let path_start = rest.find('/').unwrap_or(rest.len());
+    let (authority, path) = rest.split_at(path_start);
+    let path = if path.is_empty() { "/" } else { path };
+    Some(Redirect { controller: authority.parse().ok()?, path: path.to_owned() })
 }
--- a/controlplane/controller/src/api.rs
+++ b/controlplane/controller/src/api.rs
@@ -11,6 +11,11 @@
 /// The request header that holds the generation on which a new configuration is based.
 pub const BASE_VERSION_HEADER: &str = "whinspindle-base-version";
 
+const BEGIN_EVACUATION_PREFIX: &str = "/Evacuate.Begin/";
+const FINISH_EVACUATION_PREFIX: &str = "/Evacuate.Finish/";
+/// The query parameter that names the state for which the caller has confirmed a command.
+const CONFIRM_PARAMETER: &str = "confirm";
+
 /// The maximum length of a reason in a response. A reason may quote parts of the request, so a longer one is
 /// truncated.
 const MAX_REASON_BYTES: usize = 1024;
@@ -39,6 +44,9 @@
         zone: String,
         /// True to begin the evacuation, false to finish it.
         evacuated: bool,
+        /// The sequence of the zone's record for which the caller has confirmed the command; none in the
+        /// first request.
+        confirmed_sequence: Option<u64>,
     },
     /// An upstream sends its heartbeat.
     Heartbeat {
@@ -78,8 +86,8 @@
     pub fn command_description(&self) -> Option<String> {
         match self {
             Call::Replace { base, generation, .. } => Some(format!("configuration {generation} on {base}")),
-            Call::Evacuate { zone, evacuated: true } => Some(format!("evacuation of {zone}")),
-            Call::Evacuate { zone, evacuated: false } => Some(format!("end of the evacuation of {zone}")),
+            Call::Evacuate { zone, evacuated: true, .. } => Some(format!("evacuation of {zone}")),
+            Call::Evacuate { zone, evacuated: false, .. } => Some(format!("end of the evacuation of {zone}")),
             Call::DeclareLost { lost, confirmed_view } => {
                 let confirmed = confirmed_view.map(|view| format!(", confirmed for view {view}"));
                 Some(format!("declaration that {lost:?} are lost{}", confirmed.unwrap_or_default()))
@@ -177,12 +185,14 @@
     pub status: StatusCode,
     /// The JSON body.
     pub body: Bytes,
+    /// The path and query to which the caller is redirected on this controller.
+    pub redirect_path: Option<String>,
 }
 
 impl Response {
     /// Creates a response with status 200 and a body.
     pub fn ok(body: Bytes) -> Response {
-        Response { status: StatusCode::OK, body }
+        Response { status: StatusCode::OK, body, redirect_path: None }
     }
 
     /// Creates a response with status 200 and an empty JSON object.
@@ -195,7 +205,15 @@
         let mut body = String::from("{\"error\":");
         push_json_string(&mut body, &reason[..reason.floor_char_boundary(MAX_REASON_BYTES)]);
         body.push('}');
-        Response { status, body: Bytes::from(body) }
+        Response { status, body: Bytes::from(body), redirect_path: None }
+    }
+
+    /// Creates a response with status 307, with which the caller of an evacuation command is asked to confirm
+    /// it for the zone's record with this sequence.
+    pub fn evacuation_confirmation(zone: &str, evacuated: bool, sequence: u64) -> Response {
+        let reason = "the evacuation of this zone changed shortly before; confirm this order at Location";
+        let redirect_path = Some(evacuation_confirmation(zone, evacuated, sequence));
+        Response { redirect_path, ..Response::failure(StatusCode::TEMPORARY_REDIRECT, reason) }
     }
 
     /// Creates a response with status 503, for an unknown outcome or a missing quorum. The caller retries at
@@ -238,8 +256,8 @@
     match operation {
         Operation::Replace => parse_replace(request),
         Operation::Fetch => Ok(Call::Fetch),
-        Operation::BeginEvacuation => Ok(Call::Evacuate { zone: argument.to_owned(), evacuated: true }),
-        Operation::FinishEvacuation => Ok(Call::Evacuate { zone: argument.to_owned(), evacuated: false }),
+        Operation::BeginEvacuation => Ok(parse_evacuation(argument, true, request.query)),
+        Operation::FinishEvacuation => Ok(parse_evacuation(argument, false, request.query)),
         Operation::Heartbeat => parse_heartbeat(argument, &request.body),
         Operation::Deregister => Ok(Call::Deregister { instance: parse_instance_id(argument)? }),
         Operation::Resolve => Ok(parse_resolve(request.query)),
@@ -275,8 +293,8 @@
     let prefixed = [
         ("/Instances.Heartbeat/", Operation::Heartbeat),
         ("/Instances.Deregister/", Operation::Deregister),
-        ("/Evacuate.Begin/", Operation::BeginEvacuation),
-        ("/Evacuate.Finish/", Operation::FinishEvacuation),
+        (BEGIN_EVACUATION_PREFIX, Operation::BeginEvacuation),
+        (FINISH_EVACUATION_PREFIX, Operation::FinishEvacuation),
         ("/Members.DeclareLost/", Operation::DeclareLost),
     ];
     prefixed
@@ -298,6 +316,17 @@
     Ok(Call::Replace { base, generation: configuration.generation, body: request.body.clone() })
 }
 
+fn parse_evacuation(zone: &str, evacuated: bool, query: &str) -> Call {
+    let confirmed_sequence = query_value(query, CONFIRM_PARAMETER).parse().ok();
+    Call::Evacuate { zone: zone.to_owned(), evacuated, confirmed_sequence }
+}
+
+/// The path and query with which the caller of an evacuation command confirms it.
+fn evacuation_confirmation(zone: &str, evacuated: bool, sequence: u64) -> String {
+    let prefix = if evacuated { BEGIN_EVACUATION_PREFIX } else { FINISH_EVACUATION_PREFIX };
+    format!("{prefix}{zone}?{CONFIRM_PARAMETER}={sequence}")
+}
+
 fn parse_heartbeat(argument: &str, body: &[u8]) -> Result<Call, RequestError> {
     let instance = parse_instance_id(argument)?;
     let heartbeat = Heartbeat::parse(body).context(InvalidHeartbeatSnafu)?;
@@ -321,7 +350,7 @@
     let lost: Result<Vec<SocketAddr>, _> = argument.split(',').map(str::parse).collect();
     let lost =
         lost.ok().filter(|lost| lost.len() <= MAX_DECLARED_VOTERS).ok_or(RequestError::InvalidAddresses)?;
-    Ok(Call::DeclareLost { lost, confirmed_view: query_value(query, "confirm").parse().ok() })
+    Ok(Call::DeclareLost { lost, confirmed_view: query_value(query, CONFIRM_PARAMETER).parse().ok() })
 }
 
 fn query_value(query: &str, name: &str) -> String {
--- a/controlplane/controller/src/commands.rs
+++ b/controlplane/controller/src/commands.rs
@@ -5,7 +5,7 @@
 //!
 //! Every command may be submitted more than once. A repeated configuration is recognized by the digest that
 //! the history keeps for its generation. A departure only advances. An evacuation carries the sequence of the
-//! zone's record that its controller has observed. Applying it raises that sequence, so that delayed copies
+//! zone's record on which its caller has based it. Applying it raises that sequence, so that delayed copies
 //! of the command have no effect.
 
 mod application;
@@ -36,7 +36,7 @@
         zone: String,
         /// True to begin the evacuation, false to finish it.
         evacuated: bool,
-        /// The sequence of the zone's record when the command was submitted, or 0 without a record. It
+        /// The sequence of the zone's record on which the command is based, or 0 without a record. It
         /// prevents a delayed command from reverting a newer one.
         observed_sequence: u64,
     },
--- a/controlplane/controller/src/commands/records.rs
+++ b/controlplane/controller/src/commands/records.rs
@@ -62,6 +62,28 @@
     EvacuatedZones { sequence: newest_sequence, zones }
 }
 
+/// The evacuation of one zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneEvacuation {
+    /// The sequence of the zone's record, or 0 without one.
+    pub sequence: u64,
+    /// Whether the zone is evacuated.
+    pub is_evacuated: bool,
+}
+
+/// Reads the evacuation of a zone.
+pub fn zone_evacuation(records: &Records, zone: &str) -> ZoneEvacuation {
+    records.get(&evacuation_key(zone)).map_or(ZoneEvacuation { sequence: 0, is_evacuated: false }, |record| {
+        ZoneEvacuation { sequence: record.sequence, is_evacuated: record.value.as_slice() == ZONE_EVACUATED }
+    })
+}
+
+/// The zones that have an evacuation record, with its sequence.
+pub fn evacuation_sequences(records: &Records) -> impl Iterator<Item = (&str, u64)> {
+    let records = records.with_prefix(EVACUATION_PREFIX);
+    records.map(|(key, record)| (&key[EVACUATION_PREFIX.len()..], record.sequence))
+}
+
 /// The sequence of a zone's evacuation record, or 0 without one.
 pub fn evacuation_sequence(records: &Records, zone: &str) -> u64 {
     records.get(&evacuation_key(zone)).map_or(0, |record| record.sequence)
--- a/controlplane/controller/src/controller.rs
+++ b/controlplane/controller/src/controller.rs
@@ -24,6 +24,7 @@
 
 pub use self::event::{Action, Event};
 use crate::commands::{CommandApplication, records};
+use crate::evacuation_admission::EvacuationAdmission;
 use crate::fleet_state::FleetState;
 use crate::host_region_cache::HostRegionCache;
 use crate::known_peers::KnownPeers;
@@ -63,6 +64,7 @@
     known_peers: KnownPeers,
     started_at: u64,
     quorum_contact: QuorumContact,
+    evacuation_admission: EvacuationAdmission,
     /// The time after the start during which the controller discovers instances and balancers before it
     /// publishes them, in milliseconds.
     discovery_ms: u64,
@@ -130,6 +132,7 @@
             known_peers: KnownPeers::default(),
             started_at: now,
             quorum_contact: QuorumContact::new(now),
+            evacuation_admission: EvacuationAdmission::new(now),
             discovery_ms,
             received_complete_state: false,
             has_restored_state: false,
@@ -150,6 +153,7 @@
             actions: Vec::new(),
         };
         controller.apply_departures();
+        controller.observe_evacuations(now);
         controller.handle_outputs(now, outputs);
         let actions = std::mem::take(&mut controller.actions);
         (controller, actions)
@@ -158,6 +162,7 @@
     /// Handles an event. Returns the actions to perform, in order.
     pub fn handle(&mut self, now: u64, event: Event) -> Vec<Action> {
         self.quorum_contact.detect_pause(now);
+        self.evacuation_admission.observe_time(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Call { id, call } => self.handle_call(now, id, call),
--- a/controlplane/controller/src/controller/calls.rs
+++ b/controlplane/controller/src/controller/calls.rs
@@ -33,8 +33,8 @@
             Call::Evacuate { zone, .. } if !self.settings.zones.contains_key(&zone) => {
                 self.answer(id, RequestError::UnknownZone.into());
             }
-            Call::Evacuate { zone, evacuated } => {
-                self.accept_command(now, id, CommandRequest::Evacuate { zone, evacuated });
+            Call::Evacuate { zone, evacuated, confirmed_sequence } => {
+                self.accept_evacuation(now, id, zone, evacuated, confirmed_sequence);
             }
             Call::Heartbeat { instance, heartbeat } => {
                 let effect = self.registry.record_heartbeat(now, &instance, &heartbeat);
--- a/controlplane/controller/src/controller/replication.rs
+++ b/controlplane/controller/src/controller/replication.rs
@@ -50,14 +50,23 @@
                 self.apply_departure(instance, departure);
             }
         }
+        self.observe_evacuations(now);
         self.publish(now);
     }
 
     fn handle_replaced(&mut self, now: u64) {
         self.apply_departures();
+        self.observe_evacuations(now);
         self.publish(now);
     }
 
+    /// Records which evacuations this controller knows.
+    pub(super) fn observe_evacuations(&mut self, now: u64) {
+        for (zone, sequence) in records::evacuation_sequences(self.replica.committed_records()) {
+            self.evacuation_admission.observe_record(now, zone, sequence);
+        }
+    }
+
     /// Applies all committed departures to the registry, oldest first. The newest ones are then sent to
     /// balancers for the longest time.
     pub(super) fn apply_departures(&mut self) {
--- a/controlplane/controller/src/controller/submission.rs
+++ b/controlplane/controller/src/controller/submission.rs
@@ -7,6 +7,7 @@
 use super::Controller;
 use crate::api::Response;
 use crate::commands::{Outcome, records};
+use crate::evacuation_admission::Admission;
 use crate::pending_commands::{CallId, CommandRequest, PendingCommand};
 use crate::protocol_rules::ProtocolRules;
 
@@ -19,25 +20,56 @@
 const COMMAND_BYTES_PER_MS: u64 = 4096;
 /// The delay before a configuration whose base is not in place yet is submitted again, in milliseconds.
 const BASE_RETRY_MS: u64 = 200;
-/// The delay before an evacuation command is submitted, in milliseconds. If the command itself was delayed by
-/// a partition or a paused process, its caller has retried at another controller and closed this connection.
-/// The close is seen during this delay, so the outdated command is not submitted after newer ones.
-const EVACUATION_WAIT_MS: u64 = 100;
-/// The time after the arrival of an evacuation command during which it is submitted again if it was
-/// superseded, in milliseconds. It is then based on the zone's newest record. Its caller does not retry at
-/// another controller before this time.
-const EVACUATION_RETRY_WINDOW_MS: u64 = 400;
+/// The reason for which a command is rejected that may be older than commands acknowledged elsewhere.
+const MAY_PRECEDE_PAUSE: &str =
+    "this controller was paused while another order for this zone came; this one has no effect";
 
 impl<R: ProtocolRules> Controller<R> {
     /// Accepts the command of a call, which is answered by its deadline.
     pub(super) fn accept_command(&mut self, now: u64, call: CallId, request: CommandRequest) {
         let deadline = now + self.command_timeout_ms(now, &request);
-        let is_evacuation = matches!(request, CommandRequest::Evacuate { .. });
-        let pending = PendingCommand { call, request, observed_sequence: 0, received_at: now, deadline };
-        if is_evacuation {
-            self.pending.defer(now + EVACUATION_WAIT_MS, pending);
-        } else {
-            self.submit(now, pending);
+        self.submit(now, PendingCommand { call, request, deadline });
+    }
+
+    /// Accepts an evacuation command of a call, unless its caller has to confirm it first.
+    pub(super) fn accept_evacuation(
+        &mut self,
+        now: u64,
+        call: CallId,
+        zone: String,
+        evacuated: bool,
+        confirmed_sequence: Option<u64>,
+    ) {
+        let admission = match confirmed_sequence {
+            Some(observed_sequence) => Admission::Submit { observed_sequence },
+            None => {
+                let current = records::zone_evacuation(self.replica.committed_records(), &zone);
+                self.evacuation_admission.admit(now, &zone, evacuated, current)
+            }
+        };
+        self.apply_admission(now, call, zone, evacuated, admission);
+    }
+
+    fn apply_admission(
+        &mut self,
+        now: u64,
+        call: CallId,
+        zone: String,
+        evacuated: bool,
+        admission: Admission,
+    ) {
+        match admission {
+            Admission::Submit { observed_sequence } => {
+                self.accept_command(
+                    now,
+                    call,
+                    CommandRequest::Evacuate { zone, evacuated, observed_sequence },
+                );
+            }
+            Admission::Confirm { sequence } => {
+                self.answer(call, Response::evacuation_confirmation(&zone, evacuated, sequence));
+            }
+            Admission::Reject => self.finish_command(call, Response::unavailable(MAY_PRECEDE_PAUSE)),
         }
     }
 
@@ -54,12 +86,7 @@
     }
 
     /// Submits a command to the chain.
-    pub(super) fn submit(&mut self, now: u64, mut pending: PendingCommand) {
-        if let CommandRequest::Evacuate { zone, .. } = &pending.request {
-            pending.observed_sequence = pending
-                .observed_sequence
-                .max(records::evacuation_sequence(self.replica.committed_records(), zone));
-        }
+    pub(super) fn submit(&mut self, now: u64, pending: PendingCommand) {
         let call = pending.call;
         let Ok(command) = pending.command().encode() else {
             self.finish_command(call, Response::unavailable("the order could not be written"));
@@ -98,17 +125,24 @@
             Ok(Outcome::BaseNotInPlace { .. }) if now + BASE_RETRY_MS < pending.deadline => {
                 self.pending.defer(now + BASE_RETRY_MS, pending);
             }
-            Ok(Outcome::Superseded { sequence })
-                if now < pending.received_at + EVACUATION_RETRY_WINDOW_MS =>
-            {
-                self.submit(now, PendingCommand { observed_sequence: sequence, ..pending });
-            }
+            Ok(Outcome::Superseded { sequence }) => self.handle_superseded(now, pending, sequence),
             Ok(outcome) => self.finish_command(pending.call, outcome_response(&outcome)),
             Err(_) => {
                 self.finish_command(pending.call, Response::unavailable("the outcome could not be read"))
             }
         }
     }
+
+    /// Handles an evacuation command whose zone has a newer record than the command was based on.
+    fn handle_superseded(&mut self, now: u64, pending: PendingCommand, sequence: u64) {
+        let PendingCommand { call, request, .. } = pending;
+        let CommandRequest::Evacuate { zone, evacuated, .. } = request else {
+            self.finish_command(call, outcome_response(&Outcome::Superseded { sequence }));
+            return;
+        };
+        let admission = self.evacuation_admission.require_confirmation(now, sequence);
+        self.apply_admission(now, call, zone, evacuated, admission);
+    }
 }
 
 /// The response for an outcome. A command that was applied, or that may still be applied, is never refused.
--- a/controlplane/controller/src/pending_commands.rs
+++ b/controlplane/controller/src/pending_commands.rs
@@ -31,6 +31,8 @@
         zone: String,
         /// True to begin the evacuation, false to finish it.
         evacuated: bool,
+        /// The sequence of the zone's record on which the command is based.
+        observed_sequence: u64,
     },
     /// Record the departure of an instance.
     Drain {
@@ -48,10 +50,6 @@
     pub call: CallId,
     /// The request of the caller.
     pub request: CommandRequest,
-    /// The sequence of the zone's record at the submission of an evacuation; 0 for other commands.
-    pub observed_sequence: u64,
-    /// The time at which the request was received.
-    pub received_at: u64,
     /// The time by which the caller is answered.
     pub deadline: u64,
 }
@@ -64,10 +62,10 @@
                 Command::Replace { base: *base, generation: *generation, body: body.to_vec() }
             }
             CommandRequest::Fetch => Command::Fetch,
-            CommandRequest::Evacuate { zone, evacuated } => Command::Evacuate {
+            CommandRequest::Evacuate { zone, evacuated, observed_sequence } => Command::Evacuate {
                 zone: zone.clone(),
                 evacuated: *evacuated,
-                observed_sequence: self.observed_sequence,
+                observed_sequence: *observed_sequence,
             },
             CommandRequest::Drain { instance, departure } => {
                 Command::Drain { instance: instance.clone(), departure: *departure }
--- a/controlplane/controller/src/runtime/http_server.rs
+++ b/controlplane/controller/src/runtime/http_server.rs
@@ -5,12 +5,13 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, LOCATION};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -88,7 +89,8 @@
     let _connection_count = ScopedCount::new(&server.connection_count, 1);
     // The connection also works without TCP_NODELAY, but with a higher latency.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| answer(request, &server));
+    let Ok(own_address) = stream.local_addr() else { return };
+    let service = service_fn(|request| answer(request, &server, own_address));
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
@@ -105,15 +107,24 @@
 async fn answer(
     request: http::Request<Incoming>,
     server: &HttpServer,
+    own_address: SocketAddr,
 ) -> Result<http::Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path().to_owned();
     let response = respond(request, server).await.unwrap_or_else(|error| error_response(&path, error));
+    let location = response.redirect_path.and_then(|path| location(own_address, &path));
     let mut http_response = http::Response::new(Full::new(response.body));
     *http_response.status_mut() = response.status;
-    http_response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let headers = http_response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.extend(location.map(|location| (LOCATION, location)));
     Ok(http_response)
 }
 
+/// The absolute URL of a path on the address that the caller has reached.
+fn location(own_address: SocketAddr, path: &str) -> Option<HeaderValue> {
+    HeaderValue::try_from(format!("http://{own_address}{path}")).ok()
+}
+
 async fn respond(request: http::Request<Incoming>, server: &HttpServer) -> Result<Response, RequestError> {
     if server.is_shutting_down() {
         return Err(RequestError::ShuttingDown);
--- a/controlplane/controller/tests/api.rs
+++ b/controlplane/controller/tests/api.rs
@@ -81,12 +81,29 @@
     assert_eq!(parse(&valid).unwrap(), Call::Deregister { instance: "i-7".to_owned() });
 }
 
+fn evacuate(evacuated: bool) -> Call {
+    Call::Evacuate { zone: "zone-a".to_owned(), evacuated, confirmed_sequence: None }
+}
+
+#[test]
+fn redirect_of_an_evacuation_call_leads_to_the_confirmed_call() {
+    for evacuated in [true, false] {
+        let response = Response::evacuation_confirmation("zone-a", evacuated, 17);
+        let target = response.redirect_path.expect("a path");
+        let (path, query) = target.split_once('?').expect("a query");
+        let confirmed = Request { query, ..request(&Method::POST, path, "") };
+        let zone = "zone-a".to_owned();
+        let expected = Call::Evacuate { zone, evacuated, confirmed_sequence: Some(17) };
+        assert_eq!(parse(&confirmed).unwrap(), expected);
+    }
+}
+
 #[test]
 fn other_calls_are_parsed() {
     let begin = request(&Method::POST, "/Evacuate.Begin/zone-a", "");
-    assert_eq!(parse(&begin).unwrap(), Call::Evacuate { zone: "zone-a".to_owned(), evacuated: true });
+    assert_eq!(parse(&begin).unwrap(), evacuate(true));
     let finish = request(&Method::POST, "/Evacuate.Finish/zone-a", "");
-    assert_eq!(parse(&finish).unwrap(), Call::Evacuate { zone: "zone-a".to_owned(), evacuated: false });
+    assert_eq!(parse(&finish).unwrap(), evacuate(false));
     assert_eq!(parse(&request(&Method::GET, "/Config.Fetch", "")).unwrap(), Call::Fetch);
     assert_eq!(parse(&request(&Method::GET, "/status", "")).unwrap(), Call::Status);
     let query = "name=shop.example&region=north&zone=zone-a";
@@ -147,9 +164,9 @@
 fn log_describes_operator_commands_and_their_responses() {
     let replace = Call::Replace { base: 5, generation: 7, body: Bytes::new() };
     assert_eq!(replace.command_description().as_deref(), Some("configuration 7 on 5"));
-    let begin = Call::Evacuate { zone: "zone-a".to_owned(), evacuated: true };
+    let begin = evacuate(true);
     assert_eq!(begin.command_description().as_deref(), Some("evacuation of zone-a"));
-    let finish = Call::Evacuate { zone: "zone-a".to_owned(), evacuated: false };
+    let finish = evacuate(false);
     assert_eq!(finish.command_description().as_deref(), Some("end of the evacuation of zone-a"));
     assert_eq!(Call::Fetch.command_description(), None);
     assert_eq!(Call::Deregister { instance: "i-1".to_owned() }.command_description(), None);
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -21,13 +21,15 @@
 use whinspindle_replica::{DurableWrite, Message, Replica, ReplicaSettings, Timing, Tolerance};
 
 use super::instance_lists::InstanceLists;
-use super::{HEARTBEAT_MS, zones};
+use super::{HEARTBEAT_MS, redirected_call, zones};
 
 /// This many controllers, the first in the list, are the seeds.
 pub const SEEDS: usize = 3;
 /// A call without a response times out after this time.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 /// The token of compactions, which are not requested by the replica.
+/// The maximum number of redirects that a caller follows.
+const MAX_REDIRECTS: usize = 2;
 const COMPACTION_TOKEN: u64 = u64::MAX;
 
 /// A frame with the incarnation of the process that sent it. A new incarnation means a new connection.
@@ -236,8 +238,17 @@
     pub first_sent_at: u64,
     pub answered: Option<(u64, Response)>,
     pub is_abandoned: bool,
-    /// The pending call, with the time at which it was sent.
-    waiting: Option<(CallId, u64)>,
+    waiting: Option<PendingCall>,
+}
+
+/// A call that was sent to a controller and has no response yet.
+#[derive(Clone, Copy)]
+struct PendingCall {
+    id: CallId,
+    at: SocketAddr,
+    sent_at: u64,
+    /// The number of redirects that its caller has followed.
+    redirects: usize,
 }
 
 /// Controllers, callers, and the messages that balancers were sent.
@@ -325,7 +336,7 @@
     /// Begins a call that is sent to this controller first, if it is running.
     pub fn begin_at(&mut self, at: SocketAddr, call: Call) -> usize {
         let attempt = self.begin(call.clone());
-        self.send(attempt, at, call);
+        self.send(attempt, at, call, 0);
         attempt
     }
 
@@ -357,8 +368,19 @@
         self.attempts[attempt].answered.clone().unwrap().1
     }
 
-    /// Sends a call to one controller and returns its response, or none if it doesn't respond in time.
+    /// Sends a call to one controller and returns its response, or none if it doesn't respond in time. The
+    /// caller follows redirects.
     pub fn ask(&mut self, at: SocketAddr, call: Call) -> Option<Response> {
+        let mut response = self.ask_once(at, call)?;
+        for _ in 0..MAX_REDIRECTS {
+            let Some(redirected) = redirected_call(&response) else { break };
+            response = self.ask_once(at, redirected)?;
+        }
+        Some(response)
+    }
+
+    /// Like [`Fleet::ask`], by a caller that follows no redirects.
+    pub fn ask_once(&mut self, at: SocketAddr, call: Call) -> Option<Response> {
         let id = self.next_call();
         self.cluster.command(at, Command::Call { id, call });
         let end = self.cluster.now() + CALL_TIMEOUT_MS;
@@ -446,20 +468,21 @@
         let endpoints = self.cluster.endpoints();
         for index in 0..self.attempts.len() {
             let attempt = &self.attempts[index];
-            let is_waiting = attempt.waiting.is_some_and(|(_, since)| now < since + CALL_TIMEOUT_MS);
+            let is_waiting = attempt.waiting.is_some_and(|pending| now < pending.sent_at + CALL_TIMEOUT_MS);
             if attempt.answered.is_some() || attempt.is_abandoned || is_waiting {
                 continue;
             }
             let call = attempt.call.clone();
             let at = endpoints[self.random.next_below(endpoints.len())];
-            self.send(index, at, call);
+            self.send(index, at, call, 0);
         }
     }
 
-    fn send(&mut self, attempt: usize, at: SocketAddr, call: Call) {
+    fn send(&mut self, attempt: usize, at: SocketAddr, call: Call, redirects: usize) {
         let id = self.next_call();
         let running = self.cluster.command(at, Command::Call { id, call });
-        self.attempts[attempt].waiting = running.then_some((id, self.cluster.now()));
+        let pending = PendingCall { id, at, sent_at: self.cluster.now(), redirects };
+        self.attempts[attempt].waiting = running.then_some(pending);
     }
 
     /// Records a response or a message of a controller.
@@ -478,14 +501,18 @@
     }
 
     fn record_response(&mut self, at: u64, id: CallId, response: Response) {
-        let is_waiting = |attempt: &&mut Attempt| attempt.waiting.is_some_and(|(waiting, _)| waiting == id);
+        let is_waiting = |attempt: &Attempt| attempt.waiting.is_some_and(|pending| pending.id == id);
         if self.lost_answers > 0.0 && self.random.next_f64() < self.lost_answers {
             return;
         }
-        let Some(attempt) = self.attempts.iter_mut().find(is_waiting) else { return };
-        attempt.waiting = None;
-        if response.status != StatusCode::SERVICE_UNAVAILABLE {
-            attempt.answered = Some((at, response));
+        let Some(index) = self.attempts.iter().position(is_waiting) else { return };
+        let attempt = &mut self.attempts[index];
+        let pending = attempt.waiting.take().expect("it is waiting");
+        match redirected_call(&response) {
+            Some(_) if attempt.is_abandoned || pending.redirects == MAX_REDIRECTS => {}
+            Some(redirected) => self.send(index, pending.at, redirected, pending.redirects + 1),
+            None if response.status == StatusCode::SERVICE_UNAVAILABLE => {}
+            None => attempt.answered = Some((at, response)),
         }
     }
 
--- a/controlplane/controller/tests/common/mod.rs
+++ b/controlplane/controller/tests/common/mod.rs
@@ -15,9 +15,9 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use whinspindle_configuration::{Heartbeat, InstanceState};
-use whinspindle_controller::api::{Call, Response};
+use whinspindle_controller::api::{self, Call, Request, Response};
 use whinspindle_controller::commands::CommandApplication;
 use whinspindle_controller::{Action, CallId, Controller, ControllerSettings, Event};
 use whinspindle_distribution::{
@@ -29,8 +29,6 @@
 pub const START: u64 = 1_000_000;
 pub const TICK_MS: u64 = 50;
 pub const HEARTBEAT_MS: u64 = 1_000;
-/// How long an evacuation command waits before it is submitted.
-pub const EVACUATION_WAIT_MS: u64 = 100;
 
 /// A controller with its pending disk writes and all that it has sent.
 pub struct Single {
@@ -146,12 +144,12 @@
         self.answer(id).expect("the call is answered at once").status
     }
 
-    /// The status of an evacuation command, which is submitted to the chain after a short wait.
+    /// The status of an evacuation command whose caller confirms it if it is redirected.
     pub fn evacuation_status(&mut self, zone: &str, evacuated: bool) -> StatusCode {
         let id = self.call(evacuate(zone, evacuated));
-        assert_eq!(self.answer(id), None, "the command is submitted without the wait");
-        self.pass(EVACUATION_WAIT_MS);
-        self.answer(id).expect("the command is answered after the wait").status
+        let response = self.answer(id).expect("the command is answered at once");
+        let status = response.status;
+        redirected_call(response).map_or(status, |confirmed| self.status(confirmed))
     }
 
     pub fn answer(&self, id: CallId) -> Option<&Response> {
@@ -200,7 +198,16 @@
 }
 
 pub fn evacuate(zone: &str, evacuated: bool) -> Call {
-    Call::Evacuate { zone: zone.to_owned(), evacuated }
+    Call::Evacuate { zone: zone.to_owned(), evacuated, confirmed_sequence: None }
+}
+
+/// The call to which a response redirects its caller; none for other responses.
+pub fn redirected_call(response: &Response) -> Option<Call> {
+    let target = response.redirect_path.as_ref()?;
+    assert_eq!(response.status, StatusCode::TEMPORARY_REDIRECT);
+    let (path, query) = target.split_once('?').expect("a redirect names the record");
+    let request = Request { method: &Method::POST, path, query, base_version: None, body: Bytes::new() };
+    Some(api::parse(&request).expect("a redirect leads to a call"))
 }
 
 pub fn heartbeat(instance: &str, sequence: u64, state: InstanceState) -> Call {
--- a/controlplane/controller/tests/controller.rs
+++ b/controlplane/controller/tests/controller.rs
@@ -48,7 +48,7 @@
         let mut single = Single::in_quorum();
         single.disk_works = false;
         let id = single.call(command.clone());
-        single.pass(EVACUATION_WAIT_MS);
+        single.pass(2 * TICK_MS);
         assert_eq!(single.answer(id), None, "{command:?}");
         single.finish_writes();
         single.disk_works = true;
@@ -119,17 +119,17 @@
     assert!(String::from_utf8_lossy(&status).contains(expected), "{status:?}");
 }
 
-/// A delayed request arrives just before its connection is closed, after a newer command.
+/// A delayed request arrives after a newer command. Its caller follows no redirect, whether or not the end of
+/// its connection arrives.
 #[test]
-fn evacuation_command_of_a_closed_connection_is_not_submitted() {
+fn evacuation_command_whose_caller_has_moved_on_is_not_submitted() {
     let mut single = started_with_balancers(&[(1, "zone-a")]);
     assert_eq!(single.evacuation_status("zone-a", false), StatusCode::OK, "the newer command");
     single.updates.clear();
     let id = single.call(evacuate("zone-a", true));
-    single.pass(EVACUATION_WAIT_MS - TICK_MS);
-    single.handle(Event::CallDropped { id });
     single.pass(2_000);
-    assert_eq!(single.answer(id), None);
+    let redirect = single.answer(id).and_then(redirected_call);
+    assert!(redirect.is_some(), "the caller is redirected: {:?}", single.answer(id));
     let mut published = single.updates.iter().filter_map(|(_, update)| update.evacuations.as_ref());
     assert!(published.all(|evacuations| evacuations.zones.is_empty()), "the delayed command was submitted");
 }
--- a/controlplane/controller/tests/delayed_commands.rs
+++ b/controlplane/controller/tests/delayed_commands.rs
@@ -102,6 +102,78 @@
     }
 }
 
+/// Guards against: a controller that wakes from a pause takes an evacuation command that was sent before for a
+/// new one and undoes the opposite command, which another controller has acknowledged since.
+#[test]
+fn evacuation_command_read_after_a_pause_does_not_undo_a_later_one() {
+    let pauses = [1_300, 2_000, 3_400, 8_000, 20_000];
+    let read_after = [0, 20, 90, 400, 900];
+    let mut read_copies = 0;
+    for (seed, (pause_ms, read_after_ms)) in (500..).zip(pairs(&pauses, &read_after)) {
+        for evacuated in [true, false] {
+            read_copies += usize::from(read_after_a_pause(seed, evacuated, pause_ms, read_after_ms));
+        }
+    }
+    assert!(read_copies > 30, "only {read_copies} copies were read after the opposite command");
+}
+
+fn pairs(one: &[u64], other: &[u64]) -> Vec<(u64, u64)> {
+    one.iter().flat_map(|first| other.iter().map(|second| (*first, *second))).collect()
+}
+
+/// Pauses a controller while a command is on its way to it, and has another controller acknowledge the same
+/// command and the opposite one. Returns whether both were acknowledged during the pause.
+fn read_after_a_pause(seed: u64, evacuated: bool, pause_ms: u64, read_after_ms: u64) -> bool {
+    let mut fleet = started(seed, 3);
+    let chain = fleet.chain(endpoint(1));
+    let at = chain[seed as usize % chain.len()];
+    let elsewhere = (1..=3).map(endpoint).find(|other| *other != at).expect("three controllers");
+    assert_eq!(status(&mut fleet, elsewhere, evacuate("zone-a", !evacuated)), StatusCode::OK);
+    fleet.pass(500);
+    let woken_at = fleet.cluster.now() + pause_ms;
+    fleet.cluster.freeze(at, woken_at);
+    for state in [evacuated, !evacuated] {
+        fleet.complete(evacuate("zone-a", state), RECOVERY_MS);
+    }
+    if fleet.cluster.now() >= woken_at {
+        return false;
+    }
+    fleet.pass(woken_at + read_after_ms - fleet.cluster.now());
+    let answer = status(&mut fleet, at, evacuate("zone-a", evacuated));
+    let case = format!("seed {seed}: {evacuated}, read {read_after_ms} ms after {pause_ms} ms");
+    assert_eq!(answer, StatusCode::SERVICE_UNAVAILABLE, "{case}");
+    fleet.pass(RECOVERY_MS);
+    assert_eq!(evacuated_zones(&mut fleet).is_empty(), evacuated, "{case}: the copy was applied");
+    true
+}
+
+/// Guards against: a command that a link has delayed is taken for a new one, though its caller has moved on,
+/// and whether or not the end of its connection has arrived. So is the confirmation of such a command.
+#[test]
+fn evacuation_command_delayed_by_a_link_does_not_undo_a_later_one() {
+    for (seed, evacuated) in (600..612).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let mut fleet = started(seed, 3);
+        let chain = fleet.chain(endpoint(1));
+        let (at, elsewhere) = (chain[seed as usize % 3], chain[(seed as usize + 1) % 3]);
+        assert_eq!(status(&mut fleet, elsewhere, evacuate("zone-a", !evacuated)), StatusCode::OK);
+        fleet.pass(500);
+        let first = fleet.ask_once(at, evacuate("zone-a", evacuated)).expect("an answer in time");
+        let confirmed = redirected_call(&first).expect("the zone has changed a moment ago");
+        for state in [evacuated, !evacuated] {
+            assert_eq!(status(&mut fleet, elsewhere, evacuate("zone-a", state)), StatusCode::OK);
+        }
+        for delay_ms in [0, 150, 4_000] {
+            fleet.pass(delay_ms);
+            for delayed in [evacuate("zone-a", evacuated), confirmed.clone()] {
+                let answer = fleet.ask_once(at, delayed).expect("an answer in time").status;
+                assert_eq!(answer, StatusCode::TEMPORARY_REDIRECT, "seed {seed}, {delay_ms} ms");
+            }
+        }
+        fleet.pass(RECOVERY_MS);
+        assert_eq!(evacuated_zones(&mut fleet).is_empty(), evacuated, "seed {seed}: the copy was applied");
+    }
+}
+
 /// A command whose base is not yet applied is delayed at one controller and answered by another one. Then the
 /// base is applied, and the delayed copy after it. If the answer had been a refusal, a refused configuration
 /// would be in force.
--- a/controlplane/controller/tests/folder_fixture.rs
+++ b/controlplane/controller/tests/folder_fixture.rs
@@ -10,7 +10,9 @@
 use std::{env, fs, process};
 
 use bytes::Bytes;
-use common::{START, TICK_MS, configuration, deregister, evacuate, heartbeat, replace, report, zones};
+use common::{
+    START, TICK_MS, configuration, deregister, evacuate, heartbeat, redirected_call, replace, report, zones,
+};
 use whinspindle_configuration::InstanceState;
 use whinspindle_controller::api::{Call, Response};
 use whinspindle_controller::commands::records::{self, EvacuatedZones};
@@ -33,6 +35,8 @@
 /// The start id of the process that wrote the folder, and that of the process that reads it.
 const FIRST_START: u64 = 2;
 const SECOND_START: u64 = 3;
+/// The pause of the operator before an evacuation command.
+const OPERATOR_PAUSE_MS: u64 = 100;
 /// A call is answered within this time.
 const CALL_TIMEOUT_MS: u64 = 5_000;
 
@@ -211,8 +215,22 @@
         }
     }
 
+    /// Sends an evacuation command a while after the previous call, and confirms it if redirected.
+    fn evacuate(&mut self, zone: &str, evacuated: bool) {
+        self.pass(OPERATOR_PAUSE_MS);
+        let response = self.respond(evacuate(zone, evacuated));
+        let response = redirected_call(&response).map_or(response, |confirmed| self.respond(confirmed));
+        assert!(response.status.is_success(), "{response:?}");
+    }
+
     /// Sends a call and waits for its successful response.
     fn call(&mut self, call: Call) {
+        let response = self.respond(call);
+        assert!(response.status.is_success(), "{response:?}");
+    }
+
+    /// Sends a call and waits for its response.
+    fn respond(&mut self, call: Call) -> Response {
         let id = CallId(self.answers.len() as u64 + 1);
         self.handle(Event::Call { id, call });
         let end = self.now + CALL_TIMEOUT_MS;
@@ -220,8 +238,7 @@
             self.pass(TICK_MS);
         }
         assert_eq!(self.answers.len() as u64, id.0, "the call gets one response");
-        let answer = &self.answers[self.answers.len() - 1];
-        assert!(answer.status.is_success(), "{answer:?}");
+        self.answers[self.answers.len() - 1].clone()
     }
 }
 
@@ -231,12 +248,12 @@
     let mut controller = FolderController::start(path, FIRST_START);
     controller.pass(5_000);
     controller.call(replace(0, 3));
-    controller.call(evacuate("zone-b", true));
-    controller.call(evacuate("zone-c", true));
+    controller.evacuate("zone-b", true);
+    controller.evacuate("zone-c", true);
     controller.call(deregister("desk-9"));
     controller.next_write_fails = true;
     controller.call(replace(3, 7));
-    controller.call(evacuate("zone-c", false));
+    controller.evacuate("zone-c", false);
     controller.call(heartbeat("desk-1", 5, InstanceState::Ready));
     controller.pass(200);
     controller.call(heartbeat("desk-2", 6, InstanceState::Draining));
--- a/lab/serving/src/control_client.rs
+++ b/lab/serving/src/control_client.rs
@@ -7,12 +7,10 @@
 use http::StatusCode;
 use snafu::{ResultExt, Snafu};
 pub use whinspindle_client::Call;
-use whinspindle_client::Response;
+use whinspindle_client::{RedirectLimits, Response};
 
 /// How long a caller waits for a controller.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-/// How many redirections a caller follows.
-const MOST_REDIRECTIONS: usize = 2;
 
 /// Why a call got no answer.
 #[derive(Debug, Snafu)]
@@ -51,25 +49,19 @@
         if self.contacts.is_empty() {
             return NobodyKnownSnafu.fail();
         }
-        let mut address = self.contacts[self.current.get() % self.contacts.len()];
-        let mut redirections = 0;
-        loop {
-            let answer = call_one(address, call).await?;
-            match answer.redirect {
-                Some(location) if redirections < MOST_REDIRECTIONS => address = location,
-                _ if is_unavailable(answer.status) => {
-                    return UnavailableSnafu { status: answer.status }.fail();
-                }
-                _ => return Ok(answer),
-            }
-            redirections += 1;
+        let address = self.contacts[self.current.get() % self.contacts.len()];
+        let response = call_one(address, call).await?;
+        if is_unavailable(response.status) {
+            return UnavailableSnafu { status: response.status }.fail();
         }
+        Ok(response)
     }
 }
 
-/// Makes a call to one address.
+/// Makes a call to one address, and follows its redirects.
 pub async fn call_one(address: SocketAddr, call: &Call) -> Result<Response, CallError> {
-    whinspindle_client::call(address, call, ANSWER_TIMEOUT).await.context(FailedSnafu)
+    let limits = RedirectLimits::default();
+    whinspindle_client::call_with_redirects(address, call, ANSWER_TIMEOUT, limits).await.context(FailedSnafu)
 }
 
 fn is_unavailable(status: StatusCode) -> bool {
--- a/programs/serving/src/operator.rs
+++ b/programs/serving/src/operator.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
 use tokio::task::LocalSet;
-use whinspindle_client::{Call, CallError, Response};
+use whinspindle_client::{Call, CallError, RedirectLimits, Response};
 use whinspindle_configuration::{Configuration, ConfigurationError, Route, Service};
 
 use crate::FAILURE_STATUS;
@@ -77,7 +77,8 @@
 fn send_call(control: SocketAddr, call: Call) -> Result<String, OperatorError> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context(StartRuntimeSnafu)?;
-    let response = whinspindle_client::call(control, &call, CALL_TIMEOUT);
+    let response =
+        whinspindle_client::call_with_redirects(control, &call, CALL_TIMEOUT, RedirectLimits::default());
     let response = LocalSet::new().block_on(&runtime, response).context(CallSnafu)?;
     if !response.status.is_success() {
         return Err(OperatorError::Rejected { response });
