--- a/controlplane/controller/tests/common/deployment/reads.rs
+++ b/controlplane/controller/tests/common/deployment/reads.rs
@@ -31,7 +31,7 @@
         let at = endpoints[self.random.next_below(endpoints.len())];
         let id = self.fleet.next_call();
         let read = Read { at, sent_at: now, acknowledged: self.newest_acknowledged() };
-        if self.fleet.cluster.command(at, Command::Call { id, call: Call::Fetch }) {
+        if self.fleet.cluster.send_command(at, Command::Call { id, call: Call::Fetch }) {
             self.reads.insert(id, read);
         }
     }
--- a/controlplane/controller/tests/common/deployment/upstreams.rs
+++ b/controlplane/controller/tests/common/deployment/upstreams.rs
@@ -32,7 +32,7 @@
             self.upstreams[index].waiting = Some((id, at, now));
             if reaches {
                 self.schedule_delayed_copy(now, &call);
-                self.fleet.cluster.command(at, Command::Call { id, call });
+                self.fleet.cluster.send_command(at, Command::Call { id, call });
             }
         }
     }
@@ -53,7 +53,7 @@
         let due: Vec<_> = self.delayed_heartbeats.extract_if(.., |(due, ..)| *due <= now).collect();
         for (_, at, call) in due {
             let id = self.fleet.next_call();
-            self.fleet.cluster.command(at, Command::Call { id, call });
+            self.fleet.cluster.send_command(at, Command::Call { id, call });
         }
     }
 
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -382,7 +382,7 @@
     /// Like [`Fleet::ask`], by a caller that follows no redirects.
     pub fn ask_once(&mut self, at: SocketAddr, call: Call) -> Option<Response> {
         let id = self.next_call();
-        self.cluster.command(at, Command::Call { id, call });
+        self.cluster.send_command(at, Command::Call { id, call });
         let end = self.cluster.now() + CALL_TIMEOUT_MS;
         let mut definite = None;
         while definite.is_none() && self.cluster.now() < end {
@@ -480,7 +480,7 @@
 
     fn send(&mut self, attempt: usize, at: SocketAddr, call: Call, redirects: usize) {
         let id = self.next_call();
-        let running = self.cluster.command(at, Command::Call { id, call });
+        let running = self.cluster.send_command(at, Command::Call { id, call });
         let pending = PendingCall { id, at, sent_at: self.cluster.now(), redirects };
         self.attempts[attempt].waiting = running.then_some(pending);
     }
--- a/lab/simulated-cluster/src/cluster.rs
+++ b/lab/simulated-cluster/src/cluster.rs
@@ -36,6 +36,7 @@
 enum Due<P: Process> {
     Tick,
     Message { from: SocketAddr, message: P::Message },
+    Command { command: P::Command },
     Written { token: u64 },
 }
 
@@ -223,6 +224,20 @@
         true
     }
 
+    /// Like [`Cluster::command`], over a connection: a frozen process reads the command when it wakes.
+    pub fn send_command(&mut self, endpoint: SocketAddr, command: P::Command) -> bool {
+        let now = self.now;
+        let Some(node) = self.nodes.get(&endpoint).filter(|node| node.process.is_some()) else {
+            return false;
+        };
+        if node.frozen_until <= now {
+            return self.command(endpoint, command);
+        }
+        let (delay, life) = (node.frozen_until - now, node.life);
+        self.schedule(delay, endpoint, Some(life), Due::Command { command });
+        true
+    }
+
     /// Lets time pass up to this moment; returns what processes told their callers.
     pub fn run_until(&mut self, until: u64) -> Vec<Occurrence<P::Answer>> {
         while self.queue.peek().is_some_and(|next| next.at <= until) {
@@ -252,6 +267,7 @@
                 Event::Tick
             }
             Due::Message { from, message } => Event::Message { from, message },
+            Due::Command { command } => Event::Command(command),
             Due::Written { token } => match node.disk.finish(now, &mut self.chance, token) {
                 Some(Written::Done) => Event::Persisted { token },
                 Some(Written::Failed) => Event::PersistFailed { token },
