Surplus bytes before an upstream's answer no longer change what the answer is taken for

Surplus with status 200 before a 409 became a success.

Cause: the HTTP library reads the surplus and the answer behind it as one head. The proxy checked the id, which is that of the answer, and believed the status and the header, which are those of the surplus.

Evidence: the new test truncated_surplus_before_an_answer_does_not_change_it failed before the change ("ran 2 times", the surplus cut off within Whinspindle-Not-Run on a connection used before).

Change: a head with a second status line, in its reason phrase or in a header's value, is no answer; the send counts as one that may have run. Why it works: wherever else the surplus breaks off, the head is not valid HTTP. The test cuts four surplus heads after each byte, before a success and a refusal, for all kinds of routes, on fresh and used connections. Left: a reason phrase with bytes beyond ASCII, which the library doesn't hand out.

All tests of the proxy pass.

--- a/dataplane/proxy/src/exchange.rs
+++ b/dataplane/proxy/src/exchange.rs
@@ -18,6 +18,7 @@
 use crate::events::{EventSplitter, StreamPosition};
 use crate::headers::{EXPECT_VERSION, PRIORITY};
 use crate::limits::Reservation;
+use crate::merged_head::contains_second_status_line;
 use crate::node::Node;
 use crate::pool::{ConnectionError, LeasedConnection};
 use crate::request::{ClientRequest, MatchedRoute};
@@ -321,7 +322,12 @@
             has_expected_version,
             is_fresh: leased.connection.is_fresh(),
         };
-        match classify(&expected, head.status, &head.headers) {
+        let class = if contains_second_status_line(&head) {
+            AnswerClass::Unusable
+        } else {
+            classify(&expected, head.status, &head.headers)
+        };
+        match class {
             AnswerClass::Unusable => {
                 spdlog::debug!(
                     "{}: unusable answer with status {} to request {:?}",
--- a/dataplane/proxy/src/lib.rs
+++ b/dataplane/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod handler;
 pub mod headers;
 pub mod limits;
+pub mod merged_head;
 pub mod metrics;
 pub mod node;
 pub mod pool;
--- a/dataplane/proxy/tests/answers.rs
+++ b/dataplane/proxy/tests/answers.rs
@@ -316,6 +316,32 @@
     events
 }
 
+/// Answers to the request behind the beginning of a surplus answer, of every length.
+fn answers_behind_truncated_surplus(kind: RouteKind) -> Vec<Event> {
+    let surplus_heads = [
+        format!("HTTP/1.1 503 Service Unavailable\r\n{NOT_RUN}Keep-Alive: timeout=5\r\n{OTHER_ID}"),
+        format!("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n{OTHER_ID}"),
+        format!("HTTP/1.1 421 Misdirected Request\r\nKeep-Alive: timeout=5\r\n{OTHER_ID}"),
+        "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n".to_owned(),
+    ];
+    let declined = "{id} is declined";
+    let declined = format!(
+        "HTTP/1.1 409 Conflict\r\n{OWN_ID}Whinspindle-Server-Stamp: {STAMP}\r\nContent-Length: {}\r\n\r\n{declined}",
+        length(declined)
+    );
+    let mut events = Vec::new();
+    for surplus in surplus_heads {
+        for end in 1..surplus.len() {
+            for answer in [kind.complete_answer(), declined.clone()] {
+                let truncated = &surplus[..end];
+                let script = vec![Step::Run, write(format!("{truncated}{answer}"))];
+                events.push(event(format!("{truncated:?} and then {answer:?}"), script));
+            }
+        }
+    }
+    events
+}
+
 /// The events, and each event that ends in a close also with a reset instead.
 fn with_resets(events: Vec<Event>) -> Vec<Event> {
     let ends_in_close = |event: &&Event| matches!(event.script.last(), Some(Step::Close));
@@ -429,7 +455,10 @@
             assert_eq!(answered, id, "the answer is its own: {received}");
         }
         if header(received, "whinspindle-server-stamp").is_some() {
-            assert!(matches!(code, 200 | 500), "a stamp comes with the status of its upstream: {received}");
+            assert!(
+                matches!(code, 200 | 409 | 500),
+                "a stamp comes with the status of its upstream: {received}"
+            );
         }
         if code == 200 {
             self.check_success(id, received);
@@ -509,3 +538,27 @@
         [0, 1, 20].into_iter().map(|time| play_schedules(Some(Duration::from_millis(time)), &[0])).sum();
     assert!(played > 5_000, "{played} schedules");
 }
+
+/// Guards against: a head that begins with surplus bytes is taken for the answer, so that a request that ran
+/// runs again, its client is told that it has not run, or a failure becomes a success.
+#[test]
+fn truncated_surplus_before_an_answer_does_not_change_it() {
+    for kind in RouteKind::ALL {
+        for event in answers_behind_truncated_surplus(kind) {
+            for is_reused in [false, true] {
+                println!("{kind:?}, reused {is_reused}: {}", event.name);
+                let event = event.clone();
+                let schedule = Schedule {
+                    kind,
+                    event,
+                    is_reused,
+                    is_narrow: false,
+                    body_bytes: SMALL_BODY_BYTES,
+                    gap: Duration::ZERO,
+                    disconnects_after: None,
+                };
+                play(async move { schedule.play().await });
+            }
+        }
+    }
+}
