Simulated cluster: standard names, units in names, every public item documented

Change: chance -> random, random_number; life -> incarnation; Due -> NodeEvent; Occurrence -> TimedAnswer; founding -> initial, bootstrap; withhold -> set_drop_filter; slowness -> extra_delay_ms; timing fields carry their unit or ratio.

--- a/controlplane/controller/tests/common/deployment.rs
+++ b/controlplane/controller/tests/common/deployment.rs
@@ -15,7 +15,7 @@
 use whinspindle_controller::CallId;
 use whinspindle_controller::api::Call;
 use whinspindle_distribution::ToBalancer;
-use whinspindle_lab_simulated_cluster::{Occurrence, Pcg};
+use whinspindle_lab_simulated_cluster::{Pcg, TimedAnswer};
 
 pub use self::controller_faults::{Direction, Reach};
 use self::operators::{Race, ZoneCommand};
@@ -168,7 +168,7 @@
         }
     }
 
-    fn route(&mut self, occurrence: Occurrence<Answer>) {
+    fn route(&mut self, occurrence: TimedAnswer<Answer>) {
         match occurrence.answer {
             Answer::Response { id, response } => {
                 self.take_response(occurrence.at, occurrence.endpoint, id, response)
--- a/controlplane/controller/tests/common/fleet.rs
+++ b/controlplane/controller/tests/common/fleet.rs
@@ -209,9 +209,9 @@
         zone: zone.clone(),
         region: region.clone(),
         seeds: start.nodes.iter().copied().take(SEEDS).collect(),
-        bootstrap: start.is_founding,
-        incarnation: start.chance,
-        start_id: start.chance,
+        bootstrap: start.is_bootstrap,
+        incarnation: start.random_number,
+        start_id: start.random_number,
         tolerance: Tolerance::machines_only(1),
         timing: Timing::default(),
     };
@@ -225,7 +225,7 @@
     if let Some(state) = state {
         actions.extend(controller.handle(start.now, Event::StateRestored { state: state.into() }));
     }
-    let (endpoint, incarnation) = (start.endpoint, start.chance);
+    let (endpoint, incarnation) = (start.endpoint, start.random_number);
     let incarnations = HashMap::new();
     let node = Node { controller, endpoint, saved_states, incarnation, incarnations, is_earlier_release };
     let effects = node.effects(actions);
--- a/controlplane/controller/tests/delayed_commands.rs
+++ b/controlplane/controller/tests/delayed_commands.rs
@@ -20,7 +20,7 @@
 /// Starts controllers on a network that delays the messages on a cut link until the link is healed.
 fn started(seed: u64, controllers: u8) -> Fleet {
     let mut fleet = Fleet::start(seed, controllers);
-    fleet.cluster.network().timing.held_by_cut = 1.0;
+    fleet.cluster.network().timing.held_ratio = 1.0;
     fleet
 }
 
--- a/controlplane/controller/tests/evacuation_soak.rs
+++ b/controlplane/controller/tests/evacuation_soak.rs
@@ -159,7 +159,7 @@
     for seed in 0..run_count() {
         println!("seed {seed}");
         let mut fleet = Fleet::start(7_000 + seed, CONTROLLERS);
-        fleet.cluster.network().timing.held_by_cut = 0.5;
+        fleet.cluster.network().timing.held_ratio = 0.5;
         Soak { fleet, fault: None, delayed: Vec::new() }.run();
     }
 }
--- a/controlplane/controller/tests/random_operators.rs
+++ b/controlplane/controller/tests/random_operators.rs
@@ -80,8 +80,8 @@
 impl Run {
     fn new(seed: u64) -> Run {
         let mut fleet = Fleet::start(seed, CONTROLLERS);
-        fleet.cluster.network().timing.repetition = 0.05;
-        fleet.cluster.network().timing.loss = 0.01;
+        fleet.cluster.network().timing.duplicate_ratio = 0.05;
+        fleet.cluster.network().timing.loss_ratio = 0.01;
         let in_service =
             Evacuation { evacuated: false, attempt: None, begins_at: 0, ends_at: 0, is_acknowledged: true };
         let evacuations = ZONES.map(|zone| (zone, vec![in_service])).into();
@@ -276,7 +276,7 @@
         self.in_flight.drain(..).for_each(|(_, attempt)| self.fleet.abandon(attempt));
         (1..=CONTROLLERS).for_each(|number| self.fleet.cluster.stop(endpoint(number)));
         (1..=CONTROLLERS).for_each(|number| self.fleet.cluster.start(endpoint(number)));
-        self.fleet.cluster.network().timing.loss = 0.0;
+        self.fleet.cluster.network().timing.loss_ratio = 0.0;
         self.fleet.pass(START_MS);
         let mut applied = Vec::new();
         for change in self.changes.clone() {
--- a/coordination/replica/tests/catch_up.rs
+++ b/coordination/replica/tests/catch_up.rs
@@ -20,7 +20,7 @@
 const AWAY_CHANGES: usize = 300;
 
 fn wide() -> NetworkTiming {
-    NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() }
+    NetworkTiming { min_delay_ms: 1, max_delay_ms: 40, ..NetworkTiming::default() }
 }
 
 fn load(interval: u64) -> Load {
@@ -218,7 +218,7 @@
     changes.avoided = vec![victim];
     begin(&mut changes, victim, absence, 0);
     changes.run(10_000);
-    changes.cluster.disk(victim).unwrap().slowness = SLOW_DISK;
+    changes.cluster.disk(victim).unwrap().extra_delay_ms = SLOW_DISK;
     let views = changes.views;
     end(&mut changes, victim, absence);
     let name = format!("slow disk, {absence:?} {victim}");
@@ -269,7 +269,7 @@
     changes.avoided = vec![at];
     begin(&mut changes, at, absence, 0);
     changes.run(6_000);
-    changes.cluster.disk(at).unwrap().slowness = slowness;
+    changes.cluster.disk(at).unwrap().extra_delay_ms = slowness;
     end(&mut changes, at, absence);
     let took = changes.run_until(CAUGHT_UP_AT_LAST, |changes| changes.is_caught_up(at));
     let took = took.unwrap_or_else(|fault| panic!("{name}: {fault}"));
@@ -291,7 +291,7 @@
     for victim in 0..3 {
         let mut changes = Changes::rolled_over(7, 3, 1, load(200));
         for number in 0..3 {
-            changes.cluster.disk(endpoint(number)).unwrap().slowness = VERY_SLOW_DISK;
+            changes.cluster.disk(endpoint(number)).unwrap().extra_delay_ms = VERY_SLOW_DISK;
         }
         changes.run(3_000);
         changes.avoided = vec![endpoint(victim)];
--- a/coordination/replica/tests/chain_length.rs
+++ b/coordination/replica/tests/chain_length.rs
@@ -102,7 +102,7 @@
 fn nothing_is_answered_after_more_losses_than_the_voters_tolerate() {
     for seed in 0..8 {
         for outsider in 0..3 {
-            let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
+            let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 20, ..NetworkTiming::default() };
             let mut cluster = cluster::<StandardRules>(seed, 3, 2, network);
             let mut clients = Clients::default();
             clients.run_until(&mut cluster, 3_000);
--- a/coordination/replica/tests/common/changes.rs
+++ b/coordination/replica/tests/common/changes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use whinspindle_lab_simulated_cluster::{Cluster, DiskTiming, NetworkTiming, Occurrence};
+use whinspindle_lab_simulated_cluster::{Cluster, DiskTiming, NetworkTiming, TimedAnswer};
 use whinspindle_replica::{StandardRules, View};
 
 use super::node::{
@@ -163,7 +163,7 @@
         pattern.repeat(self.load.body_bytes / pattern.len() + 1)
     }
 
-    fn observe(&mut self, occurrences: Vec<Occurrence<ClientAnswer>>) {
+    fn observe(&mut self, occurrences: Vec<TimedAnswer<ClientAnswer>>) {
         for occurrence in occurrences {
             self.record_answer(occurrence);
         }
@@ -179,7 +179,7 @@
         self.check_head();
     }
 
-    fn record_answer(&mut self, occurrence: Occurrence<ClientAnswer>) {
+    fn record_answer(&mut self, occurrence: TimedAnswer<ClientAnswer>) {
         let ClientAnswer { ticket, result } = occurrence.answer;
         let Ok(reply) = result else { return };
         self.answered_sequence = self.answered_sequence.max(reply.sequence);
--- a/coordination/replica/tests/common/clients.rs
+++ b/coordination/replica/tests/common/clients.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use whinspindle_lab_simulated_cluster::{Cluster, Occurrence, Pcg};
+use whinspindle_lab_simulated_cluster::{Cluster, Pcg, TimedAnswer};
 use whinspindle_replica::{ProtocolRules, SubmitError};
 
 use super::history::{Operation, Request, Response};
@@ -124,8 +124,8 @@
         }
     }
 
-    fn record_occurrence(&mut self, occurrence: Occurrence<ClientAnswer>) {
-        let Occurrence { at, endpoint, answer: ClientAnswer { ticket, result } } = occurrence;
+    fn record_occurrence(&mut self, occurrence: TimedAnswer<ClientAnswer>) {
+        let TimedAnswer { at, endpoint, answer: ClientAnswer { ticket, result } } = occurrence;
         let Some(attempt) = self.pending.remove(&(endpoint, ticket)) else { return };
         match result {
             Ok(reply) => self.record_answer(at, &attempt, &reply.answer),
--- a/coordination/replica/tests/common/node.rs
+++ b/coordination/replica/tests/common/node.rs
@@ -371,14 +371,14 @@
             endpoint: start.endpoint,
             region,
             zone,
-            seeds: if start.is_founding {
+            seeds: if start.is_bootstrap {
                 bootstrap.clone()
             } else {
                 start.nodes.iter().copied().take(SEEDS).collect()
             },
-            bootstrap: start.is_founding,
-            incarnation: start.chance >> 1 | 1,
-            start_id: start.chance,
+            bootstrap: start.is_bootstrap,
+            incarnation: start.random_number >> 1 | 1,
+            start_id: start.random_number,
             tolerance,
             timing: Timing::default(),
         };
--- a/coordination/replica/tests/common/schedule.rs
+++ b/coordination/replica/tests/common/schedule.rs
@@ -223,9 +223,9 @@
     tolerated_losses: usize,
 ) -> Result<Played, String> {
     let network = NetworkTiming {
-        longest: schedule.longest_delay,
-        loss: schedule.loss as f64 / 100.0,
-        repetition: 0.02,
+        max_delay_ms: schedule.longest_delay,
+        loss_ratio: schedule.loss as f64 / 100.0,
+        duplicate_ratio: 0.02,
         ..NetworkTiming::default()
     };
     let mut play = Play::<L> {
@@ -341,7 +341,9 @@
             Fault::Freeze(number, span) => self.cluster.freeze(node(number), now + span),
             Fault::Stall(number, span) => self.with_disk(node(number), |disk| disk.stall(now + span)),
             Fault::Refuse(number, span) => self.with_disk(node(number), |disk| disk.fail(now + span)),
-            Fault::Slow(number, slowness) => self.with_disk(node(number), |disk| disk.slowness = slowness),
+            Fault::Slow(number, slowness) => {
+                self.with_disk(node(number), |disk| disk.extra_delay_ms = slowness)
+            }
             Fault::Leave(number) => self.leave(node(number)),
             Fault::Checkpoint(number) => {
                 self.cluster.command(node(number), Command::Checkpoint);
@@ -471,7 +473,7 @@
         self.cluster.heal_all();
         for at in self.cluster.endpoints() {
             if let Some(disk) = self.cluster.disk(at) {
-                disk.slowness = 0;
+                disk.extra_delay_ms = 0;
             }
         }
         self.start_all();
--- a/coordination/replica/tests/faults.rs
+++ b/coordination/replica/tests/faults.rs
@@ -16,7 +16,7 @@
 
 /// The links of a deployment over three regions.
 fn wide() -> NetworkTiming {
-    NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() }
+    NetworkTiming { min_delay_ms: 1, max_delay_ms: 40, ..NetworkTiming::default() }
 }
 
 fn stable_cluster(seed: u64, count: usize, tolerated_losses: usize) -> (Cluster<Node>, Clients) {
--- a/coordination/replica/tests/fence.rs
+++ b/coordination/replica/tests/fence.rs
@@ -27,7 +27,7 @@
 
     let learn_messages = Rc::new(Cell::new(0));
     let counter = Rc::clone(&learn_messages);
-    cluster.network().withhold(move |from, to, message| {
+    cluster.network().set_drop_filter(move |from, to, message| {
         let is_learn = to == head && matches!(message, Message::Learn { .. });
         counter.set(counter.get() + usize::from(is_learn));
         from == head || (to == head && !is_learn)
@@ -50,7 +50,7 @@
     assert_eq!(replica.view().number, 1, "it knows no newer view");
     assert_eq!(*replica.committed_records(), before, "records of an unknown view are not applied");
 
-    cluster.network().withhold_nothing();
+    cluster.network().clear_drop_filter();
     let until = cluster.now() + 6_000;
     clients.run_until(&mut cluster, until);
     let others = cluster.process(endpoint(1)).unwrap().replica.committed_records().clone();
--- a/coordination/replica/tests/forced_reconfiguration.rs
+++ b/coordination/replica/tests/forced_reconfiguration.rs
@@ -25,7 +25,7 @@
 impl Play {
     /// Machines that have grown together and acknowledged a write.
     fn begin(seed: u64, machines: usize, losses: usize) -> Play {
-        let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
+        let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 20, ..NetworkTiming::default() };
         let mut play =
             Play { cluster: cluster(seed, machines, losses, network), clients: Clients::default() };
         play.pass(GROWN);
--- a/coordination/replica/tests/overlapping_losses.rs
+++ b/coordination/replica/tests/overlapping_losses.rs
@@ -118,15 +118,15 @@
         })?;
         let reports_commits =
             |message: &Message| matches!(message, Message::Acknowledge { .. } | Message::Heartbeat(_));
-        self.cluster
-            .network()
-            .withhold(move |_, to, message| !is_notified && to == partitioned && reports_commits(message));
+        self.cluster.network().set_drop_filter(move |_, to, message| {
+            !is_notified && to == partitioned && reports_commits(message)
+        });
         let answered = self.clients.answered();
         self.pass_until(|play| play.clients.answered() >= answered + 8)?;
 
         self.cluster.heal_all();
         self.isolate(partitioned);
-        self.cluster.network().withhold(move |_, to, message| {
+        self.cluster.network().set_drop_filter(move |_, to, message| {
             let is_transfer = matches!(message, Message::Synchronize { .. } | Message::Learn { .. });
             to == joiner && is_transfer
         });
@@ -134,7 +134,7 @@
         self.cluster.stop(wiped);
         self.cluster.wipe(wiped);
         self.pass(DISK_REPLACEMENT_MS);
-        self.cluster.network().withhold_nothing();
+        self.cluster.network().clear_drop_filter();
         self.cluster.start(wiped);
         self.cluster.heal_all();
         Ok(())
@@ -168,7 +168,7 @@
 }
 
 fn play<L: ProtocolRules + 'static>(seed: u64, roles: Roles) -> Result<(), String> {
-    let network = NetworkTiming { shortest: 1, longest: 10, ..NetworkTiming::default() };
+    let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 10, ..NetworkTiming::default() };
     let cluster = cluster(seed, 3, 1, network);
     let mut play = Play::<L> { cluster, clients: Clients::default(), roles, next_command_at: 0 };
     play.cause_overlapping_losses()
--- a/coordination/replica/tests/placement.rs
+++ b/coordination/replica/tests/placement.rs
@@ -29,7 +29,7 @@
 
 impl Deployment {
     fn start(seed: u64, layout: Layout, tolerance: Tolerance) -> Deployment {
-        let network = NetworkTiming { shortest: 1, longest: 40, ..NetworkTiming::default() };
+        let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 40, ..NetworkTiming::default() };
         let at = |number: usize| failure_domain(layout[number].0, layout[number].1);
         let cluster = cluster_at(seed, layout.len(), tolerance, network, at);
         let mut deployment = Deployment { cluster, clients: Clients::default(), layout };
--- a/coordination/replica/tests/repair.rs
+++ b/coordination/replica/tests/repair.rs
@@ -135,7 +135,7 @@
 
 impl Play {
     fn start(case: &Case) -> Play {
-        let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
+        let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 20, ..NetworkTiming::default() };
         let zones = case.zones;
         let failure_domain = move |number: usize| {
             let zone = number % zones;
--- a/coordination/replica/tests/small_cores.rs
+++ b/coordination/replica/tests/small_cores.rs
@@ -41,7 +41,7 @@
 
 impl<L: ProtocolRules + 'static> Play<L> {
     fn begin(seed: u64, core: Core) -> Play<L> {
-        let network = NetworkTiming { shortest: 1, longest: 20, ..NetworkTiming::default() };
+        let network = NetworkTiming { min_delay_ms: 1, max_delay_ms: 20, ..NetworkTiming::default() };
         let cluster = cluster::<L>(seed, core.machines, core.losses, network);
         let mut play = Play { cluster, clients: Clients::default(), core };
         play.pass(GROWN);
@@ -421,7 +421,7 @@
 /// The tail acknowledges a write, and is lost before the head learns of it.
 fn acknowledge_behind_the_head<L: ProtocolRules + 'static>(seed: u64) -> Result<(), String> {
     let mut play = Play::<L>::begin(seed, TWO);
-    play.cluster.network().withhold(move |_, to, message| {
+    play.cluster.network().set_drop_filter(move |_, to, message| {
         let tells = matches!(message, Message::Acknowledge { .. } | Message::Heartbeat(_));
         to == endpoint(0) && tells
     });
--- a/lab/simulated-cluster/src/disk.rs
+++ b/lab/simulated-cluster/src/disk.rs
@@ -1,4 +1,4 @@
-//! A disk that takes its time, and loses what was not synced when power fails.
+//! A disk whose writes take time. Writes that are not complete at a crash are lost or partial.
 
 use std::collections::VecDeque;
 
@@ -6,18 +6,18 @@
 
 use crate::process::Recovered;
 
-/// How long the disk takes.
+/// The speed of a disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DiskTiming {
-    /// Milliseconds for a write with its sync.
-    pub sync: u64,
-    /// Bytes that are written in a millisecond; without a limit only the sync takes time.
+    /// The time to write and sync, in milliseconds.
+    pub sync_ms: u64,
+    /// The number of bytes written in a millisecond. Without a limit only the sync takes time.
     pub bytes_per_ms: Option<u64>,
 }
 
 impl Default for DiskTiming {
     fn default() -> Self {
-        DiskTiming { sync: 5, bytes_per_ms: None }
+        DiskTiming { sync_ms: 5, bytes_per_ms: None }
     }
 }
 
@@ -27,30 +27,33 @@
     Checkpoint(Vec<u8>),
 }
 
-/// The disk of one node. Writes are carried out in order.
+/// The disk of one node. Writes complete in the order in which they were started.
 #[derive(Clone, Debug, Default)]
 pub struct Disk {
     checkpoint: Option<Vec<u8>>,
     log: Vec<Vec<u8>>,
-    under_way: VecDeque<(u64, Write)>,
-    /// When the last write under way will be done.
+    /// The pending writes with their tokens, oldest first.
+    pending: VecDeque<(u64, Write)>,
+    /// The time at which the last pending write completes.
     busy_until: u64,
-    /// Writes begun before this time are done only after it.
+    /// Writes that are started before this time complete after it.
     stalled_until: u64,
-    /// Writes begun before this time fail.
+    /// Writes that complete before this time fail.
     failing_until: u64,
-    /// Added to each write.
-    pub slowness: u64,
-    /// Of all writes that were begun, since the disk was empty.
+    /// The time by which each write takes longer, in milliseconds.
+    pub extra_delay_ms: u64,
+    /// The traffic of all started writes since the disk was empty.
     pub traffic: DiskTraffic,
 }
 
-/// What a disk was given to write.
+/// The amount of data written to a disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DiskTraffic {
+    /// The total size of all writes, in bytes.
     pub bytes: usize,
+    /// The number of checkpoints.
     pub checkpoints: usize,
-    /// The size of the largest write.
+    /// The size of the largest write, in bytes.
     pub largest_write: usize,
 }
 
@@ -63,56 +66,61 @@
     }
 }
 
-/// What became of a write.
+/// The result of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Written {
-    Done,
+pub enum WriteResult {
+    /// The write is durable.
+    Durable,
+    /// The write has failed and may be partially on the disk.
     Failed,
 }
 
 impl Disk {
+    /// Delays all writes that are started from now on until after the time `until`.
     pub fn stall(&mut self, until: u64) {
         self.stalled_until = until;
     }
 
+    /// Fails all writes that complete before the time `until`.
     pub fn fail(&mut self, until: u64) {
         self.failing_until = until;
     }
 
+    /// Starts to append records to the log. Returns the time at which the write completes.
     pub fn append(&mut self, now: u64, timing: DiskTiming, token: u64, records: Vec<Vec<u8>>) -> u64 {
-        self.begin(now, timing, token, Write::Append(records))
+        self.start(now, timing, token, Write::Append(records))
     }
 
+    /// Starts to replace the checkpoint and to empty the log. Returns the time at which the write completes.
     pub fn checkpoint(&mut self, now: u64, timing: DiskTiming, token: u64, state: Vec<u8>) -> u64 {
-        self.begin(now, timing, token, Write::Checkpoint(state))
+        self.start(now, timing, token, Write::Checkpoint(state))
     }
 
-    /// Returns when the write will be done.
-    fn begin(&mut self, now: u64, timing: DiskTiming, token: u64, write: Write) -> u64 {
+    fn start(&mut self, now: u64, timing: DiskTiming, token: u64, write: Write) -> u64 {
         let bytes = write.bytes();
         self.traffic.bytes += bytes;
         self.traffic.checkpoints += usize::from(matches!(write, Write::Checkpoint(_)));
         self.traffic.largest_write = self.traffic.largest_write.max(bytes);
-        let begins = now.max(self.busy_until).max(self.stalled_until);
-        let writing = timing.bytes_per_ms.map_or(0, |width| bytes as u64 / width.max(1));
-        self.busy_until = begins + timing.sync + self.slowness + writing;
-        self.under_way.push_back((token, write));
+        let starts_at = now.max(self.busy_until).max(self.stalled_until);
+        let transfer_ms = timing.bytes_per_ms.map_or(0, |bandwidth| bytes as u64 / bandwidth.max(1));
+        self.busy_until = starts_at + timing.sync_ms + self.extra_delay_ms + transfer_ms;
+        self.pending.push_back((token, write));
         self.busy_until
     }
 
-    /// The time of a write has come.
-    pub fn finish(&mut self, now: u64, chance: &mut Pcg, token: u64) -> Option<Written> {
-        let (oldest, _) = self.under_way.front()?;
+    /// Completes the oldest pending write if it has this token. Returns its result; none if it is not pending.
+    pub fn complete(&mut self, now: u64, random: &mut Pcg, token: u64) -> Option<WriteResult> {
+        let (oldest, _) = self.pending.front()?;
         if *oldest != token {
             return None;
         }
-        let (_, write) = self.under_way.pop_front()?;
+        let (_, write) = self.pending.pop_front()?;
         if now < self.failing_until {
-            self.write_partly(chance, write);
-            return Some(Written::Failed);
+            self.write_partially(random, write);
+            return Some(WriteResult::Failed);
         }
         self.write(write);
-        Some(Written::Done)
+        Some(WriteResult::Durable)
     }
 
     fn write(&mut self, write: Write) {
@@ -125,31 +133,37 @@
         }
     }
 
-    /// Some first records of it are there, or nothing of it.
-    fn write_partly(&mut self, chance: &mut Pcg, write: Write) {
+    /// Writes a random part: some of the first records, or a checkpoint completely or not at all.
+    fn write_partially(&mut self, random: &mut Pcg, write: Write) {
         match write {
             Write::Append(records) => {
-                let kept = chance.next_below(records.len() + 1);
+                let kept = random.next_below(records.len() + 1);
                 self.log.extend(records.into_iter().take(kept));
             }
-            Write::Checkpoint(_) if chance.next_below(2) == 0 => {}
+            Write::Checkpoint(_) if random.next_below(2) == 0 => {}
             checkpoint => self.write(checkpoint),
         }
     }
 
-    /// The process or the power is gone: of what was under way the oldest write may be there in part.
-    pub fn interrupt(&mut self, chance: &mut Pcg) {
-        let under_way = std::mem::take(&mut self.under_way);
-        if let Some((_, write)) = under_way.into_iter().next() {
-            self.write_partly(chance, write);
+    /// Drops the pending writes at a crash of the process or the machine. The oldest one may be partially written.
+    pub fn interrupt(&mut self, random: &mut Pcg) {
+        let pending = std::mem::take(&mut self.pending);
+        if let Some((_, write)) = pending.into_iter().next() {
+            self.write_partially(random, write);
         }
         self.busy_until = 0;
     }
 
+    /// Empties the disk.
     pub fn wipe(&mut self) {
-        *self = Disk { stalled_until: self.stalled_until, slowness: self.slowness, ..Disk::default() };
+        *self = Disk {
+            stalled_until: self.stalled_until,
+            extra_delay_ms: self.extra_delay_ms,
+            ..Disk::default()
+        };
     }
 
+    /// Reads the contents of the disk.
     pub fn recover(&self) -> Recovered {
         (self.checkpoint.clone(), self.log.clone())
     }
--- a/lab/simulated-cluster/src/network.rs
+++ b/lab/simulated-cluster/src/network.rs
@@ -1,151 +1,159 @@
-//! Links between nodes: delay, loss, repetition and cuts in one direction or both.
+//! Links between nodes: delays, lost and duplicated messages, and partitions in one or both directions.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use whinspindle::pcg::Pcg;
 
-/// How a message travels where nothing is wrong.
+/// The properties of all links.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NetworkTiming {
-    /// Milliseconds one way.
-    pub shortest: u64,
-    pub longest: u64,
-    /// Share of messages that are lost.
-    pub loss: f64,
-    /// Share of messages that arrive twice.
-    pub repetition: f64,
-    /// Share of the messages into a cut that arrive once it is healed; the others are lost.
-    pub held_by_cut: f64,
-    /// Bytes that one direction of a link carries in a millisecond, one message after the other and in their order,
-    /// as over one connection; without a limit each message travels by itself.
+    /// The minimum delay of a message in one direction, in milliseconds.
+    pub min_delay_ms: u64,
+    /// The maximum delay of a message in one direction, in milliseconds.
+    pub max_delay_ms: u64,
+    /// The ratio of messages that are lost.
+    pub loss_ratio: f64,
+    /// The ratio of messages that are delivered twice.
+    pub duplicate_ratio: f64,
+    /// The ratio of messages sent into a cut link that are delivered after it is healed. The others are lost.
+    pub held_ratio: f64,
+    /// The number of bytes that one direction of a link carries in a millisecond. Its messages are then delivered in
+    /// order, as over one connection. Without a limit messages do not delay each other.
     pub bytes_per_ms: Option<u64>,
 }
 
 impl Default for NetworkTiming {
     fn default() -> Self {
         NetworkTiming {
-            shortest: 1,
-            longest: 10,
-            loss: 0.0,
-            repetition: 0.0,
-            held_by_cut: 0.5,
+            min_delay_ms: 1,
+            max_delay_ms: 10,
+            loss_ratio: 0.0,
+            duplicate_ratio: 0.0,
+            held_ratio: 0.5,
             bytes_per_ms: None,
         }
     }
 }
 
-/// A direction of a link.
+/// One direction of a link: the sender and the receiver.
 type Link = (SocketAddr, SocketAddr);
 
-/// Whether a message is lost, by its sender, its receiver and its content.
-type Withhold<M> = Box<dyn Fn(SocketAddr, SocketAddr, &M) -> bool>;
+/// Whether a message is dropped, given its sender, its receiver and its content.
+type DropFilter<M> = Box<dyn Fn(SocketAddr, SocketAddr, &M) -> bool>;
 
-/// What a link of limited width is busy with.
+/// The queue of a link of limited bandwidth.
 #[derive(Clone, Copy, Debug, Default)]
-struct Busy {
-    /// When the last message will have left.
-    sending_until: u64,
-    /// When the last message will have arrived.
-    arrived_at: u64,
+struct LinkQueue {
+    /// The time at which the last queued message is completely sent.
+    sent_at: u64,
+    /// The time at which the last queued message is delivered.
+    delivered_at: u64,
 }
 
-/// All links.
+/// The links between all nodes.
 pub struct Network<M> {
+    /// The properties of all links. They may be changed at any time.
     pub timing: NetworkTiming,
     cuts: BTreeSet<Link>,
+    /// The messages that are delivered once their link is healed.
     held: BTreeMap<Link, Vec<M>>,
-    busy: BTreeMap<Link, Busy>,
-    withhold: Option<Withhold<M>>,
+    queues: BTreeMap<Link, LinkQueue>,
+    drop_filter: Option<DropFilter<M>>,
 }
 
 impl<M: Clone> Network<M> {
+    /// Creates a network without faults.
     pub fn new(timing: NetworkTiming) -> Self {
         Network {
             timing,
             cuts: BTreeSet::new(),
             held: BTreeMap::new(),
-            busy: BTreeMap::new(),
-            withhold: None,
+            queues: BTreeMap::new(),
+            drop_filter: None,
         }
     }
 
-    /// From now on messages of this choice are lost.
-    pub fn withhold(&mut self, choice: impl Fn(SocketAddr, SocketAddr, &M) -> bool + 'static) {
-        self.withhold = Some(Box::new(choice));
+    /// Drops all messages for which `filter` returns true, given the sender, the receiver and the message.
+    pub fn set_drop_filter(&mut self, filter: impl Fn(SocketAddr, SocketAddr, &M) -> bool + 'static) {
+        self.drop_filter = Some(Box::new(filter));
     }
 
-    /// All messages are carried again.
-    pub fn withhold_nothing(&mut self) {
-        self.withhold = None;
+    /// Removes the filter of dropped messages.
+    pub fn clear_drop_filter(&mut self) {
+        self.drop_filter = None;
     }
 
+    /// Cuts one direction of a link.
     pub fn cut(&mut self, from: SocketAddr, to: SocketAddr) {
         self.cuts.insert((from, to));
     }
 
+    /// Whether a direction of a link is cut.
     pub fn is_cut(&self, from: SocketAddr, to: SocketAddr) -> bool {
         self.cuts.contains(&(from, to))
     }
 
+    /// All directions of links that are cut.
     pub fn cut_links(&self) -> Vec<Link> {
         self.cuts.iter().copied().collect()
     }
 
-    /// Heals one direction; returns the delays and messages that now come through.
-    pub fn heal(&mut self, chance: &mut Pcg, from: SocketAddr, to: SocketAddr) -> Vec<(u64, M)> {
+    /// Heals one direction of a link. Returns the held messages with their delays.
+    pub fn heal(&mut self, random: &mut Pcg, from: SocketAddr, to: SocketAddr) -> Vec<(u64, M)> {
         self.cuts.remove(&(from, to));
         let held = self.held.remove(&(from, to)).unwrap_or_default();
-        held.into_iter().map(|message| (self.delay(chance), message)).collect()
+        held.into_iter().map(|message| (self.draw_delay(random), message)).collect()
     }
 
-    /// The sender has lost its connections: what a cut holds will never arrive.
+    /// Drops the connections of a node. Its messages that are held by cut links are lost.
     pub fn reset(&mut self, sender: SocketAddr) {
         self.held.retain(|(from, _), _| *from != sender);
-        self.busy.retain(|(from, to), _| *from != sender && *to != sender);
+        self.queues.retain(|(from, to), _| *from != sender && *to != sender);
     }
 
-    /// The delays after which a message of this size arrives: none, one or two.
+    /// Sends a message. Returns the delay of each of its copies; none if it is lost or held.
     pub fn send(
         &mut self,
         now: u64,
-        chance: &mut Pcg,
+        random: &mut Pcg,
         (from, to): Link,
         message: &M,
         bytes: usize,
     ) -> Vec<u64> {
-        if self.withhold.as_ref().is_some_and(|is_lost| is_lost(from, to, message)) {
+        if self.drop_filter.as_ref().is_some_and(|is_dropped| is_dropped(from, to, message)) {
             return Vec::new();
         }
         if self.is_cut(from, to) {
-            if chance.next_f64() < self.timing.held_by_cut {
+            if random.next_f64() < self.timing.held_ratio {
                 self.held.entry((from, to)).or_default().push(message.clone());
             }
             return Vec::new();
         }
-        if chance.next_f64() < self.timing.loss {
+        if random.next_f64() < self.timing.loss_ratio {
             return Vec::new();
         }
-        let copies = if chance.next_f64() < self.timing.repetition { 2 } else { 1 };
-        let delays: Vec<u64> = (0..copies).map(|_| self.delay(chance)).collect();
+        let copies = if random.next_f64() < self.timing.duplicate_ratio { 2 } else { 1 };
+        let delays: Vec<u64> = (0..copies).map(|_| self.draw_delay(random)).collect();
         match self.timing.bytes_per_ms {
             None => delays,
-            Some(width) => {
-                delays.into_iter().map(|delay| self.queue(now, (from, to), delay, bytes, width)).collect()
-            }
+            Some(bandwidth) => delays
+                .into_iter()
+                .map(|delay| self.enqueue(now, (from, to), delay, bytes, bandwidth))
+                .collect(),
         }
     }
 
-    /// The delay of a message behind those that the link is busy with.
-    fn queue(&mut self, now: u64, link: Link, delay: u64, bytes: usize, width: u64) -> u64 {
-        let busy = self.busy.entry(link).or_default();
-        busy.sending_until = busy.sending_until.max(now) + bytes as u64 / width.max(1);
-        busy.arrived_at = busy.arrived_at.max(busy.sending_until + delay);
-        busy.arrived_at - now
+    /// Queues a message on a link. Returns its total delay.
+    fn enqueue(&mut self, now: u64, link: Link, delay: u64, bytes: usize, bandwidth: u64) -> u64 {
+        let queue = self.queues.entry(link).or_default();
+        queue.sent_at = queue.sent_at.max(now) + bytes as u64 / bandwidth.max(1);
+        queue.delivered_at = queue.delivered_at.max(queue.sent_at + delay);
+        queue.delivered_at - now
     }
 
-    fn delay(&self, chance: &mut Pcg) -> u64 {
-        let spread = self.timing.longest - self.timing.shortest + 1;
-        self.timing.shortest + chance.next_below(spread as usize) as u64
+    fn draw_delay(&self, random: &mut Pcg) -> u64 {
+        let delay_count = self.timing.max_delay_ms - self.timing.min_delay_ms + 1;
+        self.timing.min_delay_ms + random.next_below(delay_count as usize) as u64
     }
 }
