--- a/review/standins_2.rs
+++ b/review/standins_2.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the scripts of the second review: a platform that starts the project's programs on loopback addresses,
 //! an operator, model upstreams and clients. Standard library only; built by `review/build-2.sh`.
 //!
-//! `standins_2 length-stream FOLDER` plays the case of `review/5`, `standins_2 late-surplus FOLDER` that of `review/6`;
+//! `standins_2 length-stream FOLDER` plays the case of `review/5`, `standins_2 late-surplus FOLDER` that of `review/4`;
 //! the other words start one upstream process each.
 
 use std::collections::BTreeMap;
@@ -306,7 +306,9 @@
             }
         }
         let number = std::process::id();
-        let net = (number % 200 + 20) as u8;
+        let is_free = |net: &u8| (1..=3).all(|zone| TcpListener::bind(format!("127.{net}.{zone}.10:18166")).is_ok());
+        let first = number % 200;
+        let net = (0..200).map(|step| (20 + (first + step) % 200) as u8).find(is_free).ok_or("no free addresses")?;
         let folder = std::env::temp_dir().join(format!("review-2-{number}"));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let ips: Vec<String> = (1..=3).map(|zone| format!("127.{net}.{zone}.10")).collect();
